Serve requests end to end as separate processes

Cause: the repository was empty; every other part hangs on a running path. Conclusion: thin, but whole; the slices can now grow side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target installs what it needs into VENV; only Python 3.11 and make are required.
+PYTHON ?= python3
+VENV ?= .venv
+RUN = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: install lint format test demo clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -r requirements-dev.txt
+	touch $(STAMP)
+
+lint: install
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+
+format: install
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+test: lint
+	$(RUN) -m tests
+
+demo: install
+	$(RUN) -m standins.demo
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/catkinslip/addresses/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances a caller should use for a service."""
--- /dev/null
+++ b/catkinslip/cli/application.py
@@ -0,0 +1,20 @@
+"""The tool's application and its commands."""
+
+from collections.abc import Sequence
+
+from cleo.application import Application
+from cleo.io.inputs.argv_input import ArgvInput
+
+from catkinslip import __version__
+from catkinslip.cli.commands import ApplyCommand, ReadCommand, StatusCommand
+from catkinslip.environment import Environment
+
+
+def run(arguments: Sequence[str], environment: Environment | None = None) -> int:
+    """Run the tool and return its exit status."""
+    environment = environment or Environment()
+    application = Application('catkinslip', __version__)
+    application.auto_exits(False)
+    for command in (ReadCommand, ApplyCommand, StatusCommand):
+        application.add(command(environment))
+    return application.run(ArgvInput(['catkinslip', *arguments]))
--- /dev/null
+++ b/catkinslip/config/__init__.py
@@ -0,0 +1,1 @@
+"""The asset register and the rules: documents, checks and versions."""
--- /dev/null
+++ b/catkinslip/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control surface for peers and operators."""
--- /dev/null
+++ b/catkinslip/control/app.py
@@ -0,0 +1,49 @@
+"""The control surface over HTTP; callers do not reach it."""
+
+import hmac
+
+from attrs import define
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from catkinslip.config.documents import converter
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.membership.exchange import PATH, ExchangeMessage, PeerExchange
+
+SECRET_HEADER = 'Catkinslip-Secret'
+
+
+@define
+class ControlSurface:
+    """Answer peers and operators."""
+
+    peers: PeerExchange
+    config: ConfigHolder
+    shared_secret: str
+
+    def make_app(self) -> QuartTrio:
+        """Return the ASGI application."""
+        app = QuartTrio('catkinslip.control')
+        app.before_request(self._check_secret)
+        app.add_url_rule(PATH, view_func=self._exchange, methods=['POST'])
+        app.add_url_rule('/v1/status', view_func=self._status)
+        return app
+
+    async def _check_secret(self) -> Response | None:
+        given = request.headers.get(SECRET_HEADER, '')
+        if hmac.compare_digest(given.encode(), self.shared_secret.encode()):
+            return None
+        return Response('The shared secret is missing or wrong.\n', status=403)
+
+    async def _exchange(self) -> dict:
+        message = converter.structure(await request.get_json(), ExchangeMessage)
+        return converter.unstructure(self.peers.receive(message))
+
+    async def _status(self) -> dict:
+        current = self.config.current
+        return {
+            'member': converter.unstructure(self.peers.members.own),
+            'members': converter.unstructure(self.peers.members.live()),
+            'config_version': converter.unstructure(current.version),
+            'change_id': current.change_id,
+        }
--- /dev/null
+++ b/catkinslip/core.py
@@ -0,0 +1,230 @@
+"""The daemon: read settings, wire the parts, serve until told to stop."""
+
+import logging
+import signal
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from functools import partial
+
+import httpx
+import orjson
+import trio
+from attrs import define
+from hypercorn.config import Config as HypercornConfig
+from hypercorn.trio import serve as serve_asgi
+from returns.result import Failure, Result, Success
+
+from catkinslip import logs
+from catkinslip.addresses.answers import AddressBook
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.config.watcher import ConfigWatcher
+from catkinslip.control.app import SECRET_HEADER, ControlSurface
+from catkinslip.environment import Environment
+from catkinslip.membership.exchange import PeerExchange
+from catkinslip.membership.members import Member, MemberTable
+from catkinslip.models import Address
+from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.embedded import EmbeddedStore
+from catkinslip.platform.http import HttpStore
+from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.routing.directory import Directory
+from catkinslip.routing.policies import LeastInFlight
+from catkinslip.settings.base import SettingsError, build_parser, read_values
+from catkinslip.settings.daemon import OPTIONS, DaemonSettings
+from catkinslip.status import ExitStatus
+
+DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
+LISTEN_BACKLOG = 1024
+PEER_TIMEOUT_SECONDS = 1.0
+
+log = logging.getLogger('daemon')
+
+
+def run(arguments: Sequence[str], environment: Environment | None = None) -> ExitStatus:
+    """Run the daemon until it is told to stop."""
+    environment = environment or Environment()
+    match read_settings(arguments, environment):
+        case Failure(error):
+            for mistake in error.mistakes:
+                print(mistake, file=environment.stderr)
+            return ExitStatus.USAGE
+        case Success(settings):
+            logs.configure(settings.log_level, environment.stderr)
+            trio.run(serve, settings, environment)
+    return ExitStatus.SUCCESS
+
+
+def read_settings(
+    arguments: Sequence[str], environment: Environment
+) -> Result[DaemonSettings, SettingsError]:
+    """Read settings from flags and variables."""
+    parser = build_parser('catkinslipd', DESCRIPTION, OPTIONS)
+    flags = vars(parser.parse_args(arguments))
+    values = read_values(OPTIONS, flags, environment.variables)
+    return values.map(lambda value_by_field: DaemonSettings(**value_by_field))
+
+
+@define
+class Daemon:
+    """The wired parts of one daemon."""
+
+    settings: DaemonSettings
+    store: ObjectStore
+    members: MemberTable
+    peers: PeerExchange
+    watcher: ConfigWatcher
+    callers: CallerServer
+    control: ControlSurface
+    pool: BackendPool
+
+
+async def serve(settings: DaemonSettings, environment: Environment) -> None:
+    """Serve callers, peers and operators until told to stop."""
+    listeners = await trio.open_tcp_listeners(
+        settings.listen_port, host=settings.listen_host, backlog=LISTEN_BACKLOG
+    )
+    control_socket = await bind_control(settings)
+    own = Member(
+        settings.instance_id,
+        new_incarnation(environment),
+        settings.zone,
+        bound_address(listeners[0].socket),
+        bound_address(control_socket),
+    )
+    async with open_clients(settings) as (platform_client, peer_client):
+        daemon = wire(settings, environment, own, platform_client, peer_client)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_on_signal, nursery.cancel_scope)
+            nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
+            nursery.start_soon(serve_control, daemon.control, control_socket)
+            nursery.start_soon(daemon.watcher.run)
+            nursery.start_soon(follow_peers, daemon)
+            announce_ready(own, environment)
+        await daemon.pool.close()
+
+
+def wire(
+    settings: DaemonSettings,
+    environment: Environment,
+    own: Member,
+    platform_client: httpx.AsyncClient,
+    peer_client: httpx.AsyncClient,
+) -> Daemon:
+    """Wire the parts of one daemon."""
+    store = make_store(settings, platform_client)
+    config = ConfigHolder()
+    members = MemberTable(own)
+    directory = Directory(partial(LeastInFlight, environment.random))
+    config.listeners.append(directory.update)
+    pool = BackendPool()
+    forwarder = Forwarder(directory, pool, environment.clock)
+    addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    peers = PeerExchange(
+        members, config, peer_client, environment.random, settings.seeds
+    )
+    return Daemon(
+        settings=settings,
+        store=store,
+        members=members,
+        peers=peers,
+        watcher=ConfigWatcher(store, config),
+        callers=CallerServer(
+            environment, config, forwarder, addresses, settings.request_timeout
+        ),
+        control=ControlSurface(peers, config, settings.shared_secret),
+        pool=pool,
+    )
+
+
+def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
+    """Return the platform's store, or an embedded one when there is no platform."""
+    if not settings.platform_url:
+        return EmbeddedStore()
+    return HttpStore(client, settings.platform_timeout)
+
+
+@asynccontextmanager
+async def open_clients(
+    settings: DaemonSettings,
+) -> AsyncIterator[tuple[httpx.AsyncClient, httpx.AsyncClient]]:
+    """Open the clients of the platform and of peers."""
+    secret = {SECRET_HEADER: settings.shared_secret}
+    async with (
+        httpx.AsyncClient(base_url=settings.platform_url) as platform_client,
+        httpx.AsyncClient(headers=secret, timeout=PEER_TIMEOUT_SECONDS) as peer_client,
+    ):
+        yield platform_client, peer_client
+
+
+def bound_address(sock: trio.socket.SocketType) -> str:
+    """Return host:port that a socket is bound to."""
+    host, port = sock.getsockname()[:2]
+    return str(Address(host, port))
+
+
+def new_incarnation(environment: Environment) -> int:
+    """Return a number above those of earlier processes of this instance."""
+    microseconds = int(environment.clock.wall() * 1_000_000)
+    return microseconds << 10 | environment.random.getrandbits(10)
+
+
+async def bind_control(settings: DaemonSettings) -> trio.socket.SocketType:
+    """Bind the socket of the control surface."""
+    sock = trio.socket.socket()
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+    await sock.bind((settings.control_host, settings.control_port))
+    sock.listen(LISTEN_BACKLOG)
+    return sock
+
+
+async def serve_control(surface: ControlSurface, sock: trio.socket.SocketType) -> None:
+    """Serve the control surface on a bound socket."""
+    config = HypercornConfig()
+    config.bind = [f'fd://{sock.fileno()}']
+    config.loglevel = 'WARNING'
+    await serve_asgi(surface.make_app(), config, shutdown_trigger=trio.sleep_forever)
+
+
+async def follow_peers(daemon: Daemon) -> None:
+    """Keep members and configuration in step with peers and the platform's list."""
+    own = daemon.members.own
+    listed = ListedInstance(
+        own.member_id, own.zone, own.address, own.control_address, own.leaving
+    )
+    await daemon.store.announce(listed)
+    while True:
+        await learn_from_list(daemon)
+        await daemon.peers.run_once()
+        await trio.sleep(daemon.settings.peer_interval)
+
+
+async def learn_from_list(daemon: Daemon) -> None:
+    """Exchange with listed instances that are not known yet."""
+    listed = (await daemon.store.list_instances()).value_or([])
+    for instance in listed:
+        known = daemon.members.member_by_id.get(instance.name)
+        if instance.name == daemon.members.own.member_id or known is not None:
+            continue
+        await daemon.peers.exchange_with(instance.control_address)
+
+
+async def stop_on_signal(scope: trio.CancelScope) -> None:
+    """Cancel a scope at the first signal to stop."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            log.info('daemon: stops on signal %d.', number)
+            scope.cancel()
+            return
+
+
+def announce_ready(own: Member, environment: Environment) -> None:
+    """Print the addresses that this daemon listens on, as one line of JSON."""
+    line = {
+        'event': 'ready',
+        'instance': own.member_id,
+        'address': own.address,
+        'control_address': own.control_address,
+    }
+    print(orjson.dumps(line).decode(), file=environment.stdout, flush=True)
--- /dev/null
+++ b/catkinslip/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are members of the system."""
--- /dev/null
+++ b/catkinslip/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API."""
--- /dev/null
+++ b/catkinslip/platform/embedded.py
@@ -0,0 +1,67 @@
+"""An object store inside one process, for a daemon without a platform."""
+
+from typing import Any
+
+import trio
+from attrs import Factory, define
+from returns.result import Failure, Result, Success
+
+from catkinslip.platform.base import (
+    Conflict,
+    ListedInstance,
+    ObjectKey,
+    ObjectStore,
+    PlatformError,
+    StoredObject,
+)
+
+
+@define
+class EmbeddedStore(ObjectStore):
+    """Hold objects in memory."""
+
+    object_by_key: dict[ObjectKey, StoredObject] = Factory(dict)
+    instance_by_name: dict[str, ListedInstance] = Factory(dict)
+    changed: trio.Event = Factory(trio.Event)
+
+    async def read(self, key: ObjectKey) -> Result[StoredObject | None, PlatformError]:
+        """Read an object; None when there is none."""
+        return Success(self.object_by_key.get(key))
+
+    async def write(
+        self, key: ObjectKey, value: Any, expected_version: int
+    ) -> Result[StoredObject, PlatformError]:
+        """Write an object if it has the version; 0 means there is none."""
+        found = self.object_by_key.get(key)
+        version = found.version if found else 0
+        if version != expected_version:
+            return Failure(Conflict(version))
+        stored = StoredObject(key, version + 1, value)
+        self.object_by_key[key] = stored
+        self._signal()
+        return Success(stored)
+
+    async def wait_for_change(
+        self, key: ObjectKey, known_version: int, wait: float
+    ) -> Result[StoredObject | None, PlatformError]:
+        """Return the object once it has another version, or after `wait` seconds."""
+        with trio.move_on_after(wait):
+            while True:
+                found = self.object_by_key.get(key)
+                if found and found.version != known_version:
+                    return Success(found)
+                await self.changed.wait()
+        return Success(None)
+
+    async def list_instances(self) -> Result[list[ListedInstance], PlatformError]:
+        """Return the lagging list of live and leaving instances."""
+        return Success(list(self.instance_by_name.values()))
+
+    async def announce(self, instance: ListedInstance) -> Result[None, PlatformError]:
+        """Put this instance on the list, or mark it as leaving."""
+        self.instance_by_name[instance.name] = instance
+        return Success(None)
+
+    def _signal(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
--- /dev/null
+++ b/catkinslip/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The request path between callers and backend servers."""
--- /dev/null
+++ b/catkinslip/proxy/forwarder.py
@@ -0,0 +1,64 @@
+"""Forward a call: choose a backend server, attempt, and try elsewhere if not run."""
+
+import logging
+
+import trio
+from attrs import define
+
+from catkinslip.clock import Clock
+from catkinslip.proxy.exchange import Attempt, Call
+from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
+from catkinslip.routing.directory import Directory
+
+MAX_ATTEMPTS = 3
+
+log = logging.getLogger('routing')
+
+
+@define
+class Forwarder:
+    """Forward calls to backend servers."""
+
+    directory: Directory
+    pool: BackendPool
+    clock: Clock
+
+    async def forward(self, call: Call, caller: Wire) -> Outcome:
+        """Forward one call within its deadline."""
+        router = self.directory.router_by_service.get(call.service)
+        if router is None:
+            return NotRun(Reason.UNKNOWN_SERVICE, call.service)
+        tried: list[str] = []
+        outcome: Outcome = NotRun(Reason.NO_BACKEND)
+        while len(tried) < MAX_ATTEMPTS:
+            choice = router.choose(self.clock.monotonic(), tried)
+            if choice is None:
+                break
+            log.info(
+                'routing: %s %s goes to %s, %s.',
+                call.request_id,
+                call.service,
+                choice.backend_id,
+                choice.reason,
+            )
+            tried.append(choice.backend_id)
+            outcome = await self._attempt(call, caller, router, choice.backend_id)
+            if not isinstance(outcome, NotRun):
+                break
+            call.attempt += 1
+        return outcome
+
+    async def _attempt(self, call, caller, router, backend_id: str) -> Outcome:
+        address = self.directory.address_by_backend[backend_id]
+        attempt = Attempt(call, address, caller, self.pool, self.clock)
+        outcome: Outcome = Unknown(Reason.DEADLINE)
+        router.started(backend_id)
+        try:
+            with trio.move_on_after(call.deadline - self.clock.monotonic()):
+                outcome = await attempt.run()
+        finally:
+            report = outcome.report if isinstance(outcome, Answered | NotRun) else None
+            router.finished(backend_id, report, self.clock.monotonic())
+        return outcome
--- /dev/null
+++ b/catkinslip/proxy/outcomes.py
@@ -0,0 +1,56 @@
+"""How a request ended: answered, not run, or unknown."""
+
+from enum import Enum, unique
+
+from attrs import frozen
+
+from catkinslip.routing.base import LoadReport
+
+
+@unique
+class Reason(Enum):
+    """Why a request was not answered by a backend server."""
+
+    BAD_REQUEST = ('bad-request', 400, 'The request is malformed.')
+    UNKNOWN_SERVICE = ('unknown-service', 404, 'No such service is in the register.')
+    NO_BACKEND = ('no-backend', 503, 'No backend server takes new work.')
+    CONNECT_FAILED = ('connect-failed', 503, 'No backend server could be reached.')
+    SHED = ('shed', 503, 'The backend servers refused new work.')
+    TOO_LATE = ('too-late', 504, 'The deadline passed before the request was sent.')
+    DEADLINE = ('deadline', 504, 'The deadline passed before the answer came.')
+    BROKEN = ('broken', 502, 'The connection to the backend server broke.')
+    NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
+
+    def __init__(self, slug: str, status: int, title: str) -> None:
+        self.slug = slug
+        self.status = status
+        self.title = title
+
+
+@frozen
+class Answered:
+    """A backend server answered and the whole answer was passed on."""
+
+    status: int
+    report: LoadReport | None = None
+
+
+@frozen
+class NotRun:
+    """The request did not run anywhere; it may be sent again."""
+
+    reason: Reason
+    detail: str = ''
+    report: LoadReport | None = None
+
+
+@frozen
+class Unknown:
+    """The request may have run; it is not known whether it did."""
+
+    reason: Reason
+    detail: str = ''
+    answer_started: bool = False
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/catkinslip/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of a backend server for each request."""
--- /dev/null
+++ b/catkinslip/routing/directory.py
@@ -0,0 +1,40 @@
+"""The routers of all services, kept in step with the configuration."""
+
+from collections.abc import Callable
+
+from attrs import Factory, define
+
+from catkinslip.config.documents import AcceptedConfig, Backend
+from catkinslip.models import Address
+from catkinslip.routing.base import Policy
+from catkinslip.routing.router import ServiceRouter
+
+
+@define
+class Directory:
+    """Hold one router per service and the address of each backend server."""
+
+    make_policy: Callable[[], Policy]
+    router_by_service: dict[str, ServiceRouter] = Factory(dict)
+    address_by_backend: dict[str, Address] = Factory(dict)
+
+    def update(self, config: AcceptedConfig) -> None:
+        """Take over a new configuration."""
+        register = config.document.register
+        backends_by_service: dict[str, dict[str, Backend]] = {
+            name: {} for name in register.services
+        }
+        for backend_id, backend in register.backends.items():
+            backends_by_service[backend.service][backend_id] = backend
+        for name in set(self.router_by_service) - set(register.services):
+            del self.router_by_service[name]
+        for name, service in register.services.items():
+            router = self.router_by_service.get(name)
+            if router is None:
+                router = ServiceRouter(self.make_policy())
+                self.router_by_service[name] = router
+            router.update(service, backends_by_service[name])
+        self.address_by_backend = {
+            backend_id: Address(backend.host, backend.port)
+            for backend_id, backend in register.backends.items()
+        }
--- /dev/null
+++ b/catkinslip/routing/router.py
@@ -0,0 +1,59 @@
+"""The state of the choice for one service."""
+
+from collections.abc import Collection, Mapping
+
+from attrs import Factory, define
+
+from catkinslip.config.documents import Backend, Service
+from catkinslip.routing.base import BackendLoad, Choice, LoadReport, Policy
+
+
+@define
+class ServiceRouter:
+    """Choose among the backend servers of one service."""
+
+    policy: Policy
+    load_by_id: dict[str, BackendLoad] = Factory(dict)
+
+    def update(self, service: Service, backend_by_id: Mapping[str, Backend]) -> None:
+        """Take over the backend servers of a new configuration."""
+        for backend_id in list(self.load_by_id):
+            if backend_id not in backend_by_id:
+                del self.load_by_id[backend_id]
+        for backend_id, backend in backend_by_id.items():
+            load = self.load_by_id.get(backend_id)
+            if load is None:
+                load = BackendLoad(backend_id, backend.zone, service.slots)
+                self.load_by_id[backend_id] = load
+            load.slots = service.slots
+            load.draining = backend.draining
+
+    def choose(self, now: float, excluded: Collection[str] = ()) -> Choice | None:
+        """Choose a backend server that takes new work; None when there is none."""
+        candidates = [
+            load
+            for load in self.load_by_id.values()
+            if not load.draining and load.backend_id not in excluded
+        ]
+        if not candidates:
+            return None
+        return self.policy.choose(candidates, now)
+
+    def started(self, backend_id: str) -> None:
+        """Count a request sent to a backend server."""
+        load = self.load_by_id.get(backend_id)
+        if load is None:
+            return
+        load.in_flight += 1
+        load.picks_since_report += 1
+
+    def finished(self, backend_id: str, report: LoadReport | None, now: float) -> None:
+        """Count a request that ended and take its load report."""
+        load = self.load_by_id.get(backend_id)
+        if load is None:
+            return
+        load.in_flight = max(0, load.in_flight - 1)
+        if report is not None:
+            load.report = report
+            load.reported_at = now
+            load.picks_since_report = 0
--- /dev/null
+++ b/catkinslip/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of both programs, from flags and environment variables."""
--- /dev/null
+++ b/catkinslip/settings/daemon.py
@@ -0,0 +1,124 @@
+"""Settings of the daemon, declared once."""
+
+from attrs import frozen
+
+from catkinslip.settings.base import Option, number, one_of, whole_number, words
+
+IDENTITY = 'Identity'
+LISTENERS = 'Listeners'
+PLATFORM = 'Platform'
+PEERS = 'Peers'
+REQUESTS = 'Requests'
+LOGS = 'Logs'
+
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+def required(text: str) -> str:
+    """Return the text; raise ValueError when it is empty."""
+    if not text:
+        raise ValueError('a value is required')
+    return text
+
+
+OPTIONS = (
+    Option('--instance-id', '', required, 'Name of this instance.', IDENTITY),
+    Option('--zone', '', required, 'Availability zone of this instance.', IDENTITY),
+    Option('--region', 'default', required, 'Region of this instance.', IDENTITY),
+    Option(
+        '--listen-host', '127.0.0.1', required, 'IP number callers reach.', LISTENERS
+    ),
+    Option(
+        '--listen-port',
+        '0',
+        whole_number(0, 65535, '(a TCP port)'),
+        'Port for callers; 0 lets the kernel choose.',
+        LISTENERS,
+    ),
+    Option(
+        '--control-host',
+        '127.0.0.1',
+        required,
+        'IP number that peers and operators reach.',
+        LISTENERS,
+    ),
+    Option(
+        '--control-port',
+        '0',
+        whole_number(0, 65535, '(a TCP port)'),
+        'Port for peers and operators; 0 lets the kernel choose.',
+        LISTENERS,
+    ),
+    Option(
+        '--shared-secret',
+        '',
+        str,
+        'Secret that peers and operators must present.',
+        LISTENERS,
+        secret=True,
+    ),
+    Option(
+        '--platform-url',
+        '',
+        str,
+        'URL of the object API; empty uses the embedded store.',
+        PLATFORM,
+    ),
+    Option(
+        '--platform-timeout',
+        '2',
+        number(0.05, 60, 'seconds'),
+        'Seconds to wait for an answer of the platform.',
+        PLATFORM,
+    ),
+    Option(
+        '--seeds',
+        '',
+        words,
+        'Control addresses of some peers, host:port, separated by commas.',
+        PEERS,
+    ),
+    Option(
+        '--peer-interval',
+        '1',
+        number(0.05, 60, 'seconds'),
+        'Seconds between two exchanges with peers.',
+        PEERS,
+    ),
+    Option(
+        '--address-lifetime',
+        '10',
+        number(0.1, 3600, 'seconds'),
+        'Seconds that callers may keep an address answer.',
+        REQUESTS,
+    ),
+    Option(
+        '--request-timeout',
+        '10',
+        number(0.05, 3600, 'seconds'),
+        'Seconds for one request when its caller gives no deadline.',
+        REQUESTS,
+    ),
+    Option('--log-level', 'info', one_of(*LOG_LEVELS), 'Least severity logged.', LOGS),
+)
+
+
+@frozen
+class DaemonSettings:
+    """Checked settings of one daemon; durations are in seconds."""
+
+    instance_id: str
+    zone: str
+    region: str
+    listen_host: str
+    listen_port: int
+    control_host: str
+    control_port: int
+    shared_secret: str
+    platform_url: str
+    platform_timeout: float
+    seeds: tuple[str, ...]
+    peer_interval: float
+    address_lifetime: float
+    request_timeout: float
+    log_level: str
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for tests, benchmarks and the demo."""
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,189 @@
+"""A stand-in for a backend server: slots, shedding, faults and a ledger."""
+
+import argparse
+import json
+import time
+from random import Random
+
+import h11
+import trio
+from attrs import Factory, define, fields
+
+REQUEST_ID = b'catkinslip-request-id'
+DEADLINE = b'catkinslip-deadline'
+OUTCOME = b'catkinslip-outcome'
+CONTROL_PREFIX = '/standin/'
+
+
+@define
+class Behaviour:
+    """How the server behaves; durations are in seconds."""
+
+    slots: int = 5
+    queue: int = 1000
+    service_time: float = 0.0
+    exponential: bool = False
+    slowdown: float = 1.0
+    draining: bool = False
+    fail_fast: bool = False
+    reports: bool = True
+    reported_in_flight: float = -1.0
+
+
+@define
+class BackendStandin:
+    """Serve requests and remember which ran."""
+
+    name: str
+    behaviour: Behaviour
+    random: Random
+    in_flight: int = 0
+    ran_by_request: dict[str, int] = Factory(dict)
+    ran_by_key: dict[str, int] = Factory(dict)
+    slots: trio.CapacityLimiter = None
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        codec = h11.Connection(h11.SERVER)
+        try:
+            while await self.serve_request(stream, codec):
+                codec.start_next_cycle()
+        except (h11.ProtocolError, OSError, trio.BrokenResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def serve_request(self, stream, codec: h11.Connection) -> bool:
+        """Serve one request; tell whether the connection may be kept."""
+        head, body = await self.receive(stream, codec)
+        if head is None:
+            return False
+        path = head.target.decode('latin-1')
+        if path.startswith(CONTROL_PREFIX):
+            status, headers, answer = self.control(path, body)
+        else:
+            status, headers, answer = await self.work(head, body)
+        if self.behaviour.draining:
+            headers.append((b'connection', b'close'))
+        headers.append((b'content-length', b'%d' % len(answer)))
+        response = h11.Response(status_code=status, headers=headers)
+        events = (response, h11.Data(data=answer), h11.EndOfMessage())
+        await stream.send_all(b''.join(codec.send(event) for event in events))
+        return codec.our_state is h11.DONE and codec.their_state is h11.DONE
+
+    async def receive(self, stream, codec):
+        """Return a request's head and body, or None when the caller left."""
+        head, body = None, b''
+        while True:
+            event = codec.next_event()
+            if event is h11.NEED_DATA:
+                codec.receive_data(await stream.receive_some(65536))
+            elif type(event) is h11.Request:
+                head = event
+            elif type(event) is h11.Data:
+                body += bytes(event.data)
+            elif type(event) is h11.EndOfMessage:
+                return head, body
+            else:
+                return None, b''
+
+    async def work(self, head, body: bytes):
+        """Run a request in a slot, or refuse it as not run."""
+        header_by_name = dict(head.headers)
+        request_id = header_by_name.get(REQUEST_ID, b'').decode()
+        deadline = float(header_by_name.get(DEADLINE, b'inf'))
+        limit = self.behaviour.slots + self.behaviour.queue
+        if time.time() >= deadline or self.in_flight >= limit:
+            return self.refusal()
+        if self.behaviour.fail_fast:
+            return 500, self.report(), b'failed'
+        self.in_flight += 1
+        try:
+            async with self.slots:
+                if time.time() >= deadline:
+                    return self.refusal()
+                self.record(request_id, header_by_name.get(b'idempotency-key', b''))
+                await trio.sleep(self.service_time())
+        finally:
+            self.in_flight -= 1
+        answer = {
+            'backend': self.name,
+            'request_id': request_id,
+            'path': head.target.decode('latin-1'),
+            'echo': body.decode('latin-1'),
+        }
+        headers = [*self.report(), (b'content-type', b'application/json')]
+        return 200, headers, json.dumps(answer).encode()
+
+    def refusal(self):
+        """Return the answer that says a request did not run."""
+        return 503, [*self.report(), (OUTCOME, b'not-run')], b'not run'
+
+    def record(self, request_id: str, key: bytes) -> None:
+        """Write into the ledger that a request runs."""
+        self.ran_by_request[request_id] = self.ran_by_request.get(request_id, 0) + 1
+        if key:
+            name = key.decode('latin-1')
+            self.ran_by_key[name] = self.ran_by_key.get(name, 0) + 1
+
+    def service_time(self) -> float:
+        """Return how long the next request takes."""
+        mean = self.behaviour.service_time * self.behaviour.slowdown
+        if self.behaviour.exponential and mean:
+            return self.random.expovariate(1 / mean)
+        return mean
+
+    def report(self):
+        """Return the load report's header."""
+        if not self.behaviour.reports:
+            return []
+        in_flight = self.behaviour.reported_in_flight
+        if in_flight < 0:
+            in_flight = self.in_flight
+        speed = 1 / self.behaviour.slowdown
+        text = f'TEXT named_metrics.in_flight={in_flight},named_metrics.speed={speed}'
+        return [(b'endpoint-load-metrics', text.encode())]
+
+    def control(self, path: str, body: bytes):
+        """Change the behaviour or show the ledger."""
+        if path == '/standin/behaviour':
+            for name, value in json.loads(body).items():
+                setattr(self.behaviour, name, value)
+            self.slots.total_tokens = self.behaviour.slots
+            return 200, [], b'{}'
+        ledger = {
+            'by_request': self.ran_by_request,
+            'by_key': self.ran_by_key,
+            'in_flight': self.in_flight,
+        }
+        return 200, [], json.dumps(ledger).encode()
+
+
+async def main() -> None:
+    """Serve on a port that the kernel chooses, printed as JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--name', default='backend')
+    parser.add_argument('--seed', type=int, default=0)
+    for each in fields(Behaviour):
+        kind = type(each.default)
+        flag = '--' + each.name.replace('_', '-')
+        if kind is bool:
+            parser.add_argument(
+                flag, action=argparse.BooleanOptionalAction, default=each.default
+            )
+        else:
+            parser.add_argument(flag, type=kind, default=each.default)
+    arguments = vars(parser.parse_args())
+    name, seed = arguments.pop('name'), arguments.pop('seed')
+    behaviour = Behaviour(**arguments)
+    standin = BackendStandin(name, behaviour, Random(seed))
+    standin.slots = trio.CapacityLimiter(behaviour.slots)
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1', backlog=256)
+    host, port = listeners[0].socket.getsockname()
+    print(json.dumps({'event': 'ready', 'address': f'{host}:{port}'}), flush=True)
+    await trio.serve_listeners(standin.serve, listeners)
+
+
+if __name__ == '__main__':
+    trio.run(main)
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,158 @@
+"""Run a small system, hurt it, and say what callers were told."""
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+import httpx
+import trio
+
+from catkinslip.cli.application import run as run_tool
+from catkinslip.models import Address
+from standins.load import LoadCaller, Tally
+from standins.processes import ProcessGroup, wait_until
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+SECONDS = 8.0
+SIZE_BY_SERVICE = {'limits': 6, 'claims': 3}
+METHOD_BY_SERVICE = {'limits': 'GET', 'claims': 'POST'}
+CALLERS = 4
+
+
+def main() -> int:
+    """Run the demo; return 0 when everything that must hold held."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        ProcessGroup(Path(folder)) as group,
+    ):
+        return play(group)
+
+
+def play(group: ProcessGroup) -> int:
+    """Start the system, load it, kill one worker, drain another."""
+    platform_url = f'http://{group.start_platform().address}'
+    start_backends(group)
+    apply(group, platform_url, document(group))
+    daemons = [
+        group.start_daemon(f'entry-{zone}', zone, platform_url=platform_url)
+        for zone in ZONES
+    ]
+    for daemon in daemons:
+        wait_until(lambda d=daemon: serves(d.address))
+    tally_by_service = trio.run(load, group, [each.address for each in daemons])
+    return report(group, platform_url, tally_by_service)
+
+
+def start_backends(group: ProcessGroup) -> None:
+    """Start the workers of each service."""
+    for service, size in SIZE_BY_SERVICE.items():
+        for number in range(size):
+            group.start_backend(
+                f'{service}-{number}', service_time=0.005, exponential=True
+            )
+
+
+def document(group: ProcessGroup, draining: str = '') -> dict:
+    """Return the register and the rules."""
+    backends = {}
+    for name, process in group.process_by_name.items():
+        service = name.partition('-')[0]
+        if service not in SIZE_BY_SERVICE:
+            continue
+        address = Address.parse(process.address)
+        backends[name] = {
+            'service': service,
+            'zone': ZONES[int(name.partition('-')[2]) % len(ZONES)],
+            'host': address.host,
+            'port': address.port,
+            'draining': name == draining,
+        }
+    services = {service: {'slots': 5} for service in SIZE_BY_SERVICE}
+    return {'register': {'services': services, 'backends': backends}}
+
+
+def apply(group: ProcessGroup, platform_url: str, plain: dict) -> None:
+    """Apply a document with the operators' tool."""
+    path = group.folder / 'document.json'
+    path.write_text(json.dumps(plain))
+    status = run_tool(['apply', str(path), '--platform-url', platform_url])
+    if status != 0:
+        raise RuntimeError(f'apply ended with {status}')
+
+
+def serves(address: str) -> bool:
+    """Tell whether an instance has its configuration."""
+    answer = httpx.get(f'http://{address}/', headers={'Host': 'limits'})
+    return answer.status_code == 200
+
+
+async def load(group: ProcessGroup, ask: list[str]) -> dict[str, Tally]:
+    """Load every service while servers are killed and drained."""
+    tally_by_service = {service: Tally() for service in SIZE_BY_SERVICE}
+    async with trio.open_nursery() as nursery:
+        for service, tally in tally_by_service.items():
+            for number in range(CALLERS):
+                caller = LoadCaller(
+                    name=f'{service}-caller-{number}',
+                    service=service,
+                    ask=ask,
+                    tally=tally,
+                    method=METHOD_BY_SERVICE[service],
+                )
+                nursery.start_soon(caller.run, SECONDS)
+        nursery.start_soon(hurt, group)
+    return tally_by_service
+
+
+async def hurt(group: ProcessGroup) -> None:
+    """Kill one worker and drain another."""
+    await trio.sleep(SECONDS / 3)
+    group.process_by_name['limits-0'].kill()
+    await trio.sleep(SECONDS / 3)
+    platform_url = f'http://{group.process_by_name["platform"].address}'
+    plain = document(group, draining='limits-1')
+    await trio.to_thread.run_sync(apply, group, platform_url, plain)
+
+
+def report(group: ProcessGroup, platform_url: str, tallies: dict[str, Tally]) -> int:
+    """Print what happened; return 0 when everything that must hold held."""
+    repeats = count_repeats(group)
+    held = True
+    for service, tally in tallies.items():
+        latency = tally.histogram
+        print(
+            f'{service}: {latency.get_total_count()} requests, {tally.right} right, '
+            f'{tally.wrong} wrong, {tally.not_run} not run, {tally.unknown} unknown, '
+            f'{tally.cut} cut, {repeats[service]} repeats, '
+            f'p50 {latency.get_value_at_percentile(50) / 1000:.1f} ms, '
+            f'p99 {latency.get_value_at_percentile(99) / 1000:.1f} ms'
+        )
+        held = held and tally.right > 0 and not tally.wrong and not tally.cut
+    calls = httpx.get(f'{platform_url}/standin/calls').json()
+    print('probes: 0')
+    print(f'platform calls: {sum(calls.values())}, {calls}')
+    held = held and repeats['claims'] == 0
+    print('everything that must hold held' if held else 'something did not hold')
+    return 0 if held else 1
+
+
+def count_repeats(group: ProcessGroup) -> dict[str, int]:
+    """Count requests that ran more than once, by service."""
+    runs_by_request: dict[str, int] = {}
+    for name, process in group.process_by_name.items():
+        if name.partition('-')[0] not in SIZE_BY_SERVICE or process.popen.poll():
+            continue
+        ledger = httpx.get(f'http://{process.address}/standin/ledger').json()
+        for request_id, runs in ledger['by_request'].items():
+            runs_by_request[request_id] = runs_by_request.get(request_id, 0) + runs
+    repeats = dict.fromkeys(SIZE_BY_SERVICE, 0)
+    for request_id, runs in runs_by_request.items():
+        service = request_id.partition('-')[0]
+        if service in repeats:
+            repeats[service] += runs - 1
+    return repeats
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,142 @@
+"""A stand-in for the platform's object API, with faults to order."""
+
+import argparse
+import json
+
+import trio
+from attrs import Factory, asdict, define
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart import Response, abort, jsonify, request
+from quart_trio import QuartTrio
+
+
+@define
+class Faults:
+    """Faults to play; durations are in seconds."""
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    list_lag: float = 0.0
+
+
+@define
+class PlatformStandin:
+    """Hold objects and the lagging list of instances."""
+
+    object_by_path: dict[str, dict] = Factory(dict)
+    words_by_instance: dict[str, list[tuple[float, dict]]] = Factory(dict)
+    faults: Faults = Factory(Faults)
+    calls_by_name: dict[str, int] = Factory(dict)
+    changed: trio.Event = Factory(trio.Event)
+
+    def make_app(self) -> QuartTrio:
+        """Return the ASGI application."""
+        app = QuartTrio('platform')
+        app.before_request(self.before)
+        app.after_request(self.after)
+        path = '/v1/objects/<path:path>'
+        app.add_url_rule(path, view_func=self.read)
+        app.add_url_rule(path, view_func=self.write, methods=['PUT'])
+        app.add_url_rule('/v1/watch/<path:path>', view_func=self.watch)
+        app.add_url_rule('/v1/instances', view_func=self.list_instances)
+        app.add_url_rule(
+            '/v1/instances/<name>', view_func=self.announce, methods=['PUT']
+        )
+        app.add_url_rule('/standin/faults', view_func=self.order, methods=['POST'])
+        app.add_url_rule('/standin/calls', view_func=self.calls)
+        return app
+
+    async def before(self) -> None:
+        """Count the call and play the faults that come before it."""
+        if request.path.startswith('/standin'):
+            return
+        name = f'{request.method} {request.endpoint}'
+        self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
+        if self.faults.delay:
+            await trio.sleep(self.faults.delay)
+        if self.faults.down:
+            abort(Response('down\n', status=503))
+
+    async def after(self, response: Response) -> Response:
+        """Lose the answer of a write after it took effect."""
+        if request.method == 'PUT' and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return Response('answer lost\n', status=504)
+        return response
+
+    async def read(self, path: str):
+        """Answer with an object."""
+        found = self.object_by_path.get(path)
+        return found if found else Response('none\n', status=404)
+
+    async def write(self, path: str):
+        """Write an object if its version is the expected one."""
+        found = self.object_by_path.get(path)
+        version = found['version'] if found else 0
+        expected = int(request.headers.get('If-Match', '0'))
+        if expected != version:
+            return jsonify({'version': version}), 412
+        stored = {'version': version + 1, 'value': await request.get_json()}
+        self.object_by_path[path] = stored
+        self.changed.set()
+        self.changed = trio.Event()
+        return {'version': version + 1}
+
+    async def watch(self, path: str):
+        """Answer once the object has another version."""
+        after = int(request.args['after'])
+        with trio.move_on_after(float(request.args['wait'])):
+            while True:
+                found = self.object_by_path.get(path)
+                if found and found['version'] != after:
+                    return found
+                await self.changed.wait()
+        return Response('', status=304)
+
+    async def list_instances(self):
+        """Answer with the list as it was some time ago."""
+        latest = trio.current_time() - self.faults.list_lag
+        shown = []
+        for words in self.words_by_instance.values():
+            seen = [word for at, word in words if at <= latest]
+            shown.extend(seen[-1:])
+        return jsonify(shown)
+
+    async def announce(self, name: str):
+        """Put an instance on the list."""
+        words = self.words_by_instance.setdefault(name, [])
+        words.append((trio.current_time(), await request.get_json()))
+        return {}
+
+    async def order(self):
+        """Set faults."""
+        for name, value in (await request.get_json()).items():
+            setattr(self.faults, name, value)
+        return asdict(self.faults)
+
+    async def calls(self):
+        """Answer with the number of calls of each kind."""
+        return self.calls_by_name
+
+
+async def main() -> None:
+    """Serve on a port that the kernel chooses, printed as JSON."""
+    sock = trio.socket.socket()
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--port', type=int, default=0)
+    await sock.bind(('127.0.0.1', parser.parse_args().port))
+    sock.listen(256)
+    config = Config()
+    config.bind = [f'fd://{sock.fileno()}']
+    config.loglevel = 'WARNING'
+    host, port = sock.getsockname()
+    print(json.dumps({'event': 'ready', 'address': f'{host}:{port}'}), flush=True)
+    app = PlatformStandin().make_app()
+    await serve(app, config, shutdown_trigger=trio.sleep_forever)
+
+
+if __name__ == '__main__':
+    trio.run(main)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of catkinslip."""
