Carry each slice's news between peers as a topic

Cause: the peer exchange knew the configuration's types, so each slice that wants to tell peers something would have changed the same message. Ruled out: one field for each slice in the message, which ties every slice to membership. Change: a PeerTopic base class with digest, news and receive; the configuration is the first topic. A failed connection is logged and no longer ends the process. Conclusion: slices can be added without touching the exchange.

--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -2,11 +2,11 @@
 
 import hmac
 
+import cattrs
 from attrs import define
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from catkinslip.config.documents import converter
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.exchange import PATH, ExchangeMessage, PeerExchange
 
@@ -36,14 +36,14 @@
         return Response('The shared secret is missing or wrong.\n', status=403)
 
     async def _exchange(self) -> dict:
-        message = converter.structure(await request.get_json(), ExchangeMessage)
-        return converter.unstructure(self.peers.receive(message))
+        message = cattrs.structure(await request.get_json(), ExchangeMessage)
+        return cattrs.unstructure(self.peers.receive(message))
 
     async def _status(self) -> dict:
         current = self.config.current
         return {
-            'member': converter.unstructure(self.peers.members.own),
-            'members': converter.unstructure(self.peers.members.live()),
-            'config_version': converter.unstructure(current.version),
+            'member': cattrs.unstructure(self.peers.members.own),
+            'members': cattrs.unstructure(self.peers.members.live()),
+            'config_version': cattrs.unstructure(current.version),
             'change_id': current.change_id,
         }
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -17,6 +17,7 @@
 from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
 from catkinslip.environment import Environment
@@ -121,8 +122,9 @@
     pool = BackendPool()
     forwarder = Forwarder(directory, pool, environment.clock)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
     peers = PeerExchange(
-        members, config, peer_client, environment.random, settings.seeds
+        members, topic_by_name, peer_client, environment.random, settings.seeds
     )
     return Daemon(
         settings=settings,
--- a/catkinslip/membership/exchange.py
+++ b/catkinslip/membership/exchange.py
@@ -1,14 +1,15 @@
-"""Exchange members and configuration versions with peers."""
+"""Exchange members and the news of all topics with peers."""
 
 import logging
 from random import Random
+from typing import Any
 
+import cattrs
 import httpx
-from attrs import define, frozen
+from attrs import Factory, define, frozen
 
-from catkinslip.config.documents import AcceptedConfig, ConfigVersion, converter
-from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.membership.topics import PeerTopic
 
 PATH = '/v1/exchange'
 
@@ -17,11 +18,12 @@
 
 @frozen
 class ExchangeMessage:
-    """What one peer tells another."""
+    """What one peer tells another; topics are named by `PeerTopic.name`."""
 
+    sender: str
     members: tuple[Member, ...]
-    config_version: ConfigVersion
-    config: AcceptedConfig | None = None
+    digest_by_topic: dict[str, Any] = Factory(dict)
+    news_by_topic: dict[str, Any] = Factory(dict)
 
 
 @define
@@ -29,7 +31,7 @@
     """Tell random peers what this instance knows and learn what they know."""
 
     members: MemberTable
-    config: ConfigHolder
+    topic_by_name: dict[str, PeerTopic]
     client: httpx.AsyncClient
     random: Random
     seeds: tuple[str, ...]
@@ -44,7 +46,7 @@
 
     async def exchange_with(self, control_address: str) -> bool:
         """Exchange with one peer; tell whether it answered."""
-        message = converter.unstructure(self._message(self.config.current.version))
+        message = cattrs.unstructure(self._message({}))
         try:
             response = await self.client.post(
                 f'http://{control_address}{PATH}', json=message
@@ -53,7 +55,7 @@
         except httpx.HTTPError as error:
             log.info('membership: %s did not answer, %r.', control_address, error)
             return False
-        self.receive(converter.structure(response.json(), ExchangeMessage))
+        self.receive(cattrs.structure(response.json(), ExchangeMessage))
         return True
 
     def receive(self, message: ExchangeMessage) -> ExchangeMessage:
@@ -61,12 +63,19 @@
         for member in message.members:
             if self.members.merge(member):
                 log.info('membership: learned of %s.', member.member_id)
-        if message.config is not None and self.config.offer(message.config):
-            number = message.config.version.number
-            log.info('config: version %d is in force, from a peer.', number)
-        return self._message(message.config_version)
+        for name, news in message.news_by_topic.items():
+            topic = self.topic_by_name.get(name)
+            if topic is not None:
+                topic.receive(news)
+        return self._message(message.digest_by_topic)
 
-    def _message(self, known: ConfigVersion) -> ExchangeMessage:
-        current = self.config.current
-        newer = current if current.version > known else None
-        return ExchangeMessage(tuple(self.members.live()), current.version, newer)
+    def _message(self, digest_by_topic: dict[str, Any]) -> ExchangeMessage:
+        news_by_topic = {}
+        for name, topic in self.topic_by_name.items():
+            news = topic.news_for(digest_by_topic.get(name))
+            if news is not None:
+                news_by_topic[name] = news
+        digests = {name: topic.digest() for name, topic in self.topic_by_name.items()}
+        own = self.members.own.member_id
+        members = tuple(self.members.live())
+        return ExchangeMessage(own, members, digests, news_by_topic)
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -43,6 +43,9 @@
             await self._refuse_malformed(wire, error)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except Exception:
+            # One caller's connection must not stop the process.
+            log.exception('request: a connection failed.')
         finally:
             with trio.CancelScope(shield=True):
                 await wire.close()
