Run a request that may not be repeated at most once per key

Cause: a caller that sends again after an unknown outcome, through another instance, ran the request twice; nothing tied a resend to the first sending. Ruled out: hashing an arbitrary Idempotency-Key to a home (as safe only as membership views are equal); a record per key in the platform for all requests (a write per request); telling "not run" while the home or the record cannot be asked (an earlier sending may have run). Change: an address answer gives key prefixes that name the home instance and its incarnation; the home records a key before the first byte and forgets it only when it expires or did not run; others pass the request home once; foreign keys need a rule with a platform record.

--- a/catkinslip/addresses/answers.py
+++ b/catkinslip/addresses/answers.py
@@ -3,10 +3,11 @@
 from urllib.parse import parse_qs
 
 import orjson
-from attrs import define, frozen
+from attrs import Factory, define, frozen
 
 from catkinslip.addresses.home import home_set
 from catkinslip.membership.members import MemberTable
+from catkinslip.tickets.keys import KeyIssuer
 
 PATH_PREFIX = b'/.well-known/catkinslip/addresses/'
 HOME_SET_SIZE = 3
@@ -19,6 +20,7 @@
     service: str
     addresses: tuple[str, ...]
     lifetime: float
+    key_prefix_by_address: dict[str, str] = Factory(dict)
 
     def to_json(self) -> bytes:
         """Return the answer's body."""
@@ -27,6 +29,7 @@
                 'service': self.service,
                 'addresses': list(self.addresses),
                 'lifetime_seconds': self.lifetime,
+                'key_prefix_by_address': self.key_prefix_by_address,
             }
         )
 
@@ -38,10 +41,12 @@
     members: MemberTable
     own_zone: str
     lifetime: float
+    key_issuer: KeyIssuer
 
     def answer(self, service: str, query: str) -> AddressAnswer:
         """Answer one question."""
         zone = parse_qs(query).get('zone', [self.own_zone])[0]
         members = home_set(service, zone, self.members.live(), HOME_SET_SIZE)
         addresses = tuple(member.address for member in members)
-        return AddressAnswer(service, addresses, self.lifetime)
+        prefixes = {each.address: self.key_issuer.prefix(each) for each in members}
+        return AddressAnswer(service, addresses, self.lifetime, prefixes)
--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -1,5 +1,6 @@
 """The configuration document: the asset register and the rules."""
 
+from enum import Enum, unique
 from fnmatch import fnmatchcase
 
 import cattrs
@@ -36,6 +37,14 @@
     backends: dict[str, Backend] = Factory(dict)
 
 
+@unique
+class RecordPlace(Enum):
+    """Where keys that no address answer began are recorded."""
+
+    HOME = 'home'
+    PLATFORM = 'platform'
+
+
 @frozen
 class RequestRule:
     """Say whether requests of a method and a path pattern are repeatable."""
@@ -44,6 +53,7 @@
     path: str
     methods: tuple[str, ...]
     repeatable: bool
+    record: RecordPlace = RecordPlace.HOME
 
 
 @frozen
@@ -62,12 +72,17 @@
 
     def is_repeatable(self, service: str, method: str, path: str) -> bool:
         """Tell whether a request may run more than once."""
+        rule = self.find_rule(service, method, path)
+        return method in SAFE_METHODS if rule is None else rule.repeatable
+
+    def find_rule(self, service: str, method: str, path: str) -> RequestRule | None:
+        """Return the first rule that matches a request."""
         for rule in self.rules.requests:
             if rule.service not in (service, '*') or method not in rule.methods:
                 continue
             if fnmatchcase(path, rule.path):
-                return rule.repeatable
-        return method in SAFE_METHODS
+                return rule
+        return None
 
 
 @frozen(order=True)
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -35,6 +35,11 @@
 from catkinslip.settings.base import SettingsError, build_parser, read_values
 from catkinslip.settings.daemon import OPTIONS, DaemonSettings
 from catkinslip.status import ExitStatus
+from catkinslip.tickets.gate import AtMostOnce
+from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
+from catkinslip.tickets.passing import HomePasser
+from catkinslip.tickets.records import PlatformRecords
+from catkinslip.tickets.table import TicketTable
 
 DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
@@ -121,7 +126,22 @@
     config.listeners.append(directory.update)
     pool = BackendPool()
     forwarder = Forwarder(directory, pool, environment.clock)
-    addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    ticket_clock = AnchoredClock(environment.clock)
+    gate = AtMostOnce(
+        forwarder=forwarder,
+        table=make_table(settings, own, ticket_clock),
+        records=PlatformRecords(store, environment.random),
+        passer=HomePasser(own.member_id, environment.clock),
+        config=config,
+        members=members,
+        clock=ticket_clock,
+    )
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(ticket_clock, settings.key_lifetime),
+    )
     topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
@@ -133,13 +153,26 @@
         peers=peers,
         watcher=ConfigWatcher(store, config),
         callers=CallerServer(
-            environment, config, forwarder, addresses, settings.request_timeout
+            environment, config, gate, addresses, settings.request_timeout
         ),
         control=ControlSurface(peers, config, settings.shared_secret),
         pool=pool,
     )
 
 
+def make_table(
+    settings: DaemonSettings, own: Member, clock: AnchoredClock
+) -> TicketTable:
+    """Return the table of the keys whose home is this instance."""
+    return TicketTable(
+        own.member_id,
+        own.incarnation,
+        settings.key_lifetime,
+        settings.key_capacity,
+        clock.now(),
+    )
+
+
 def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -12,10 +12,10 @@
 from catkinslip.environment import Environment
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.exchange import Call
-from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.problems import problem_events
 from catkinslip.proxy.wire import Wire, server_wire
+from catkinslip.tickets.gate import AtMostOnce
 
 MAX_BODY_BYTES = 1 << 20
 
@@ -28,7 +28,7 @@
 
     environment: Environment
     config: ConfigHolder
-    forwarder: Forwarder
+    forwarder: AtMostOnce
     addresses: AddressBook
     request_timeout: float
 
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -14,6 +14,9 @@
 ATTEMPT = b'catkinslip-attempt'
 OUTCOME = b'catkinslip-outcome'
 NOT_RUN = b'not-run'
+KEY = b'idempotency-key'
+PASSED_BY = b'catkinslip-passed-by'
+REPLAYED = b'catkinslip-replayed'
 
 HOP_BY_HOP = frozenset(
     {
@@ -28,7 +31,7 @@
         b'upgrade',
     }
 )
-OWN = frozenset({SERVICE, REQUEST_ID, DEADLINE, TIMEOUT, ATTEMPT})
+OWN = frozenset({SERVICE, REQUEST_ID, DEADLINE, TIMEOUT, ATTEMPT, PASSED_BY})
 
 
 def find(headers: Iterable[Header], name: bytes) -> bytes | None:
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -21,6 +21,25 @@
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
 
+    KEY_REQUIRED = ('key-required', 400, 'The rules ask for an Idempotency-Key.')
+    KEY_NOT_ACCEPTED = ('key-not-accepted', 422, 'No address answer began this key.')
+    KEY_TOO_FAR_AHEAD = ('key-too-far-ahead', 422, 'The key expires too far ahead.')
+    KEY_OF_OTHER_REQUEST = (
+        'key-of-other-request',
+        422,
+        'The key belongs to another request.',
+    )
+    KEYS_FULL = ('keys-full', 503, 'This instance cannot take more keys now.')
+    KEY_EXPIRED = ('key-expired', 409, 'The key expired; its request may have run.')
+    ALREADY_SENT = ('already-sent', 409, 'A request with this key was sent before.')
+    HOME_GONE = ('home-gone', 409, 'The home of the key is gone.')
+    HOME_UNREACHABLE = ('home-unreachable', 503, 'The home does not answer.')
+    RECORD_UNAVAILABLE = (
+        'record-unavailable',
+        503,
+        'The platform does not tell whether the key was sent before.',
+    )
+
     def __init__(self, slug: str, status: int, title: str) -> None:
         self.slug = slug
         self.status = status
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -99,6 +99,20 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--key-lifetime',
+        '300',
+        number(1, 86400, 'seconds'),
+        'Seconds for which a key guards its request; the same on all instances.',
+        REQUESTS,
+    ),
+    Option(
+        '--key-capacity',
+        '50000',
+        whole_number(1, 10_000_000, 'keys'),
+        'Keys that this instance remembers at once; more are refused.',
+        REQUESTS,
+    ),
     Option('--log-level', 'info', one_of(*LOG_LEVELS), 'Least severity logged.', LOGS),
 )
 
@@ -121,4 +135,6 @@
     peer_interval: float
     address_lifetime: float
     request_timeout: float
+    key_lifetime: float
+    key_capacity: int
     log_level: str
--- /dev/null
+++ b/catkinslip/tickets/gate.py
@@ -0,0 +1,169 @@
+"""Let a request that must not run twice reach a backend server at most once."""
+
+import logging
+from hashlib import blake2b
+
+import trio
+from attrs import define
+
+from catkinslip.config.documents import RecordPlace, RequestRule
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.membership.members import MemberTable
+from catkinslip.proxy import headers as names
+from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.wire import Wire
+from catkinslip.tickets import table as tickets
+from catkinslip.tickets.keys import AnchoredClock, TicketKey, parse_key
+from catkinslip.tickets.passing import HomePasser, limit_deadline
+from catkinslip.tickets.records import (
+    Claim,
+    OtherRequest,
+    PlatformRecords,
+    RecordUnavailable,
+)
+from catkinslip.tickets.replay import RecordingWire, send_replay
+
+FINGERPRINT_BYTES = 16
+RELEASE_SECONDS = 5.0
+
+REASON_BY_REFUSAL = {
+    tickets.Refusal.OTHER_INCARNATION: Unknown(Reason.HOME_GONE),
+    tickets.Refusal.EXPIRED: Unknown(Reason.KEY_EXPIRED),
+    tickets.Refusal.OTHER_REQUEST: NotRun(Reason.KEY_OF_OTHER_REQUEST),
+    tickets.Refusal.TOO_FAR_AHEAD: NotRun(Reason.KEY_TOO_FAR_AHEAD),
+    tickets.Refusal.FULL: NotRun(Reason.KEYS_FULL),
+}
+
+log = logging.getLogger('tickets')
+
+
+@define
+class AtMostOnce:
+    """Forward calls; run each key at most once over all instances."""
+
+    forwarder: Forwarder
+    table: tickets.TicketTable
+    records: PlatformRecords
+    passer: HomePasser
+    config: ConfigHolder
+    members: MemberTable
+    clock: AnchoredClock
+
+    async def forward(self, call: Call, caller: Wire) -> Outcome:
+        """Forward one call within its deadline."""
+        if call.repeatable:
+            return await self.forwarder.forward(call, caller)
+        text = (names.find(call.headers, names.KEY) or b'').decode('latin-1')
+        recorded = self._record_place(call) is RecordPlace.PLATFORM
+        key = parse_key(text)
+        if key is None:
+            return await self._forward_without_ticket(call, caller, text, recorded)
+        if key.member_id == self.members.own.member_id:
+            return await self._forward_at_home(call, caller, key)
+        return await self._pass_home(call, caller, key)
+
+    async def _forward_without_ticket(
+        self, call: Call, caller: Wire, text: str, recorded: bool
+    ) -> Outcome:
+        if recorded and not text:
+            return NotRun(Reason.KEY_REQUIRED)
+        if recorded:
+            return await self._forward_recorded(call, caller, text)
+        if text:
+            return NotRun(Reason.KEY_NOT_ACCEPTED)
+        return await self.forwarder.forward(call, caller)
+
+    async def _forward_at_home(
+        self, call: Call, caller: Wire, key: TicketKey
+    ) -> Outcome:
+        limit_deadline(call, self.passer.clock)
+        decision = self.table.admit(key, fingerprint(call), self.clock.now())
+        log.info('tickets: %s %s.', call.request_id, describe(decision))
+        match decision:
+            case tickets.Admitted():
+                return await self._run(call, caller, key)
+            case tickets.Replay(answer):
+                await send_replay(answer, caller, call.request_id)
+                return Answered(answer.status)
+            case tickets.AlreadySent(state, status):
+                detail = state.value if status is None else f'{state.value} {status}'
+                return Unknown(Reason.ALREADY_SENT, detail)
+        return REASON_BY_REFUSAL[decision]
+
+    async def _run(self, call: Call, caller: Wire, key: TicketKey) -> Outcome:
+        if self.passer.clock.monotonic() >= call.deadline:
+            self.table.not_run(key)
+            return NotRun(Reason.TOO_LATE)
+        recorder = RecordingWire(caller.stream, caller.codec)
+        outcome: Outcome = Unknown(Reason.BROKEN)
+        try:
+            outcome = await self.forwarder.forward(call, recorder)
+        finally:
+            # Also when the caller left or this instance stops.
+            self._settle(key, outcome, recorder)
+        return outcome
+
+    def _settle(self, key: TicketKey, outcome: Outcome, recorder) -> None:
+        match outcome:
+            case NotRun():
+                self.table.not_run(key)
+            case Answered(status):
+                self.table.answered(key, status, recorder.kept_answer())
+            case _:
+                self.table.unknown(key)
+
+    async def _pass_home(self, call: Call, caller: Wire, key: TicketKey) -> Outcome:
+        home = self.members.member_by_id.get(key.member_id)
+        passed = names.find(call.headers, names.PASSED_BY) is not None
+        if passed or home is None or home.incarnation > key.incarnation:
+            return Unknown(Reason.HOME_GONE)
+        log.info('tickets: %s passes home to %s.', call.request_id, home.member_id)
+        return await self.passer.send(call, home, caller)
+
+    async def _forward_recorded(self, call: Call, caller: Wire, text: str) -> Outcome:
+        name = f'{call.service}\0{text}'
+        claim = await self.records.claim(name, fingerprint(call))
+        match claim:
+            case Claim():
+                log.info('tickets: %s has its record.', call.request_id)
+            case OtherRequest():
+                return NotRun(Reason.KEY_OF_OTHER_REQUEST)
+            case RecordUnavailable(reason):
+                return Unknown(Reason.RECORD_UNAVAILABLE, reason)
+            case _:
+                return Unknown(Reason.ALREADY_SENT)
+        outcome = await self.forwarder.forward(call, caller)
+        if isinstance(outcome, NotRun):
+            with trio.move_on_after(RELEASE_SECONDS, shield=True):
+                await self.records.release(claim)
+        return outcome
+
+    def _record_place(self, call: Call) -> RecordPlace:
+        method = call.method.decode('latin-1')
+        path = call.target.decode('latin-1').partition('?')[0]
+        document = self.config.current.document
+        rule: RequestRule | None = document.find_rule(call.service, method, path)
+        return RecordPlace.HOME if rule is None else rule.record
+
+
+def fingerprint(call: Call) -> bytes:
+    """Return a digest of what a request asks for."""
+    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (call.service.encode(), call.method, call.target, call.body):
+        digest.update(b'%d:' % len(part))
+        digest.update(part)
+    return digest.digest()
+
+
+def describe(decision: tickets.Decision) -> str:
+    """Return what was decided, for the log."""
+    match decision:
+        case tickets.Admitted():
+            return 'is admitted, its key is new'
+        case tickets.Replay():
+            return 'gets its kept answer'
+        case tickets.AlreadySent(state):
+            return f'is refused, its key is {state.value}'
+    return f'is refused, its key is {decision.value}'
--- /dev/null
+++ b/catkinslip/tickets/records.py
@@ -0,0 +1,127 @@
+"""Records of keys in the platform, for rules that ask for them.
+
+A record is created before the first byte leaves. Whoever created it is the only
+one that may run the request; a record that was released after "not run" may be
+taken over. Both are conditional writes.
+"""
+
+from hashlib import blake2b
+from random import Random
+
+from attrs import define, frozen
+from returns.result import Failure, Success
+
+from catkinslip.platform.base import (
+    AnswerLost,
+    Conflict,
+    ObjectKey,
+    ObjectStore,
+    StoredObject,
+)
+
+RECORD_KIND = 'request-records'
+NAME_BYTES = 20
+
+
+@frozen
+class Claim:
+    """A record that only this attempt holds, at a version of its object."""
+
+    key: ObjectKey
+    version: int
+    attempt_id: str
+    fingerprint: str
+
+
+@frozen
+class HeldByOther:
+    """Another attempt has the record, so the request may have run."""
+
+
+@frozen
+class OtherRequest:
+    """The key belongs to a request of another content."""
+
+
+@frozen
+class RecordUnavailable:
+    """The platform does not tell who has the record."""
+
+    reason: str
+
+
+ClaimOutcome = Claim | HeldByOther | OtherRequest | RecordUnavailable
+WriteOutcome = Claim | StoredObject | RecordUnavailable
+
+
+@define
+class PlatformRecords:
+    """Claim and release records of keys."""
+
+    store: ObjectStore
+    random: Random
+
+    async def claim(self, name: str, fingerprint: bytes) -> ClaimOutcome:
+        """Claim the record of a key; call before the first byte leaves."""
+        attempt_id = f'{self.random.getrandbits(128):032x}'
+        claim = Claim(record_key(name), 0, attempt_id, fingerprint.hex())
+        outcome = await self._write(claim)
+        if not isinstance(outcome, StoredObject):
+            return outcome
+        released = not outcome.value['held']
+        if outcome.value['fingerprint'] != claim.fingerprint:
+            return OtherRequest()
+        if not released:
+            return HeldByOther()
+        again = Claim(claim.key, outcome.version, attempt_id, claim.fingerprint)
+        outcome = await self._write(again)
+        return HeldByOther() if isinstance(outcome, StoredObject) else outcome
+
+    async def release(self, claim: Claim) -> bool:
+        """Release a record whose request did not run; tell whether it is certain."""
+        value = record_value(claim, held=False)
+        result = await self.store.write(claim.key, value, claim.version)
+        return isinstance(result, Success)
+
+    async def _write(self, claim: Claim) -> WriteOutcome:
+        """Return the claim if it took effect, else the record that stands."""
+        value = record_value(claim, held=True)
+        result = await self.store.write(claim.key, value, claim.version)
+        match result:
+            case Success(written):
+                return held_at(claim, written.version)
+            case Failure(Conflict() | AnswerLost()):
+                return await self._read_back(claim)
+            case Failure(error):
+                return RecordUnavailable(str(error))
+
+    async def _read_back(self, claim: Claim) -> WriteOutcome:
+        match await self.store.read(claim.key):
+            case Success(StoredObject() as stored):
+                if stored.value['attempt_id'] == claim.attempt_id:
+                    return held_at(claim, stored.version)
+                return stored
+            case Success(_):
+                return RecordUnavailable('the write has not been seen yet')
+            case Failure(error):
+                return RecordUnavailable(str(error))
+
+
+def held_at(claim: Claim, version: int) -> Claim:
+    """Return a claim at the version of its object."""
+    return Claim(claim.key, version, claim.attempt_id, claim.fingerprint)
+
+
+def record_key(name: str) -> ObjectKey:
+    """Return the object that holds the record of a key."""
+    digest = blake2b(name.encode(), digest_size=NAME_BYTES)
+    return ObjectKey(RECORD_KIND, digest.hexdigest())
+
+
+def record_value(claim: Claim, *, held: bool) -> dict:
+    """Return the record as plain data."""
+    return {
+        'attempt_id': claim.attempt_id,
+        'fingerprint': claim.fingerprint,
+        'held': held,
+    }
--- /dev/null
+++ b/catkinslip/tickets/table.py
@@ -0,0 +1,158 @@
+"""The keys that this instance has run: the home's side of at most once.
+
+Pure: the time comes in as Unix seconds that never go back (`AnchoredClock`).
+"""
+
+from enum import Enum, unique
+
+from attrs import Factory, define, frozen
+
+from catkinslip.proxy.headers import Header
+from catkinslip.tickets.keys import TicketKey
+
+#: How much further ahead than the lifetime a key may expire, for clock skew.
+SKEW_ALLOWANCE_SECONDS = 60
+MAX_KEPT_BYTES = 8 << 20
+
+
+@unique
+class EntryState(Enum):
+    """What is known of a request that was admitted."""
+
+    RUNNING = 'running'
+    ANSWERED = 'answered'
+    UNKNOWN = 'unknown'
+
+
+@frozen
+class KeptAnswer:
+    """A whole answer, kept for a caller that asks again."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+    def size(self) -> int:
+        """Return about how many bytes the answer takes."""
+        return len(self.body) + sum(len(n) + len(v) for n, v in self.headers)
+
+
+@define
+class Entry:
+    """One admitted key; `status` is that of the answer."""
+
+    key: TicketKey
+    fingerprint: bytes
+    state: EntryState = EntryState.RUNNING
+    status: int | None = None
+    answer: KeptAnswer | None = None
+
+
+@frozen
+class Admitted:
+    """The request may run now; nobody else may run its key."""
+
+
+@frozen
+class AlreadySent:
+    """The key was admitted before, so the request must not run."""
+
+    state: EntryState
+    status: int | None
+
+
+@frozen
+class Replay:
+    """The key was answered, and the whole answer is still here."""
+
+    answer: KeptAnswer
+
+
+@unique
+class Refusal(Enum):
+    """Why a key was not looked up or not admitted."""
+
+    OTHER_INCARNATION = 'other-incarnation'
+    EXPIRED = 'expired'
+    OTHER_REQUEST = 'other-request'
+    TOO_FAR_AHEAD = 'too-far-ahead'
+    FULL = 'full'
+
+
+Decision = Admitted | AlreadySent | Replay | Refusal
+
+
+@define
+class TicketTable:
+    """Admit each key at most once; the lifetime of keys is in seconds."""
+
+    member_id: str
+    incarnation: int
+    lifetime: float
+    capacity: int
+    started_at: float
+    entry_by_key: dict[str, Entry] = Factory(dict)
+    keys_by_expiry: dict[int, set[str]] = Factory(dict)
+    kept_bytes: int = 0
+    _next_expiry: int = Factory(lambda self: int(self.started_at), takes_self=True)
+
+    def admit(self, key: TicketKey, fingerprint: bytes, now: float) -> Decision:
+        """Decide on a request; call before its first byte leaves."""
+        self._forget_expired(now)
+        if (key.member_id, key.incarnation) != (self.member_id, self.incarnation):
+            return Refusal.OTHER_INCARNATION
+        if key.expiry <= now:
+            return Refusal.EXPIRED
+        entry = self.entry_by_key.get(key.text)
+        if entry is not None:
+            return repeated(entry, fingerprint)
+        if key.expiry > now + self.lifetime + SKEW_ALLOWANCE_SECONDS:
+            return Refusal.TOO_FAR_AHEAD
+        if len(self.entry_by_key) >= self.capacity:
+            return Refusal.FULL
+        self.entry_by_key[key.text] = Entry(key, fingerprint)
+        self.keys_by_expiry.setdefault(key.expiry, set()).add(key.text)
+        return Admitted()
+
+    def not_run(self, key: TicketKey) -> None:
+        """Take back an admitted key whose request did not run."""
+        if self.entry_by_key.pop(key.text, None) is None:
+            return
+        keys = self.keys_by_expiry[key.expiry]
+        keys.discard(key.text)
+        if not keys:
+            del self.keys_by_expiry[key.expiry]
+
+    def unknown(self, key: TicketKey) -> None:
+        """Note that an admitted request may have run."""
+        entry = self.entry_by_key.get(key.text)
+        if entry is not None:
+            entry.state = EntryState.UNKNOWN
+
+    def answered(self, key: TicketKey, status: int, answer: KeptAnswer | None) -> None:
+        """Note that an admitted request was answered; keep its answer if it fits."""
+        entry = self.entry_by_key.get(key.text)
+        if entry is None:
+            return
+        entry.state = EntryState.ANSWERED
+        entry.status = status
+        if answer is not None and self.kept_bytes + answer.size() <= MAX_KEPT_BYTES:
+            entry.answer = answer
+            self.kept_bytes += answer.size()
+
+    def _forget_expired(self, now: float) -> None:
+        while self._next_expiry <= now:
+            for text in self.keys_by_expiry.pop(self._next_expiry, ()):
+                entry = self.entry_by_key.pop(text)
+                if entry.answer is not None:
+                    self.kept_bytes -= entry.answer.size()
+            self._next_expiry += 1
+
+
+def repeated(entry: Entry, fingerprint: bytes) -> Decision:
+    """Decide on a request whose key is in the table."""
+    if entry.fingerprint != fingerprint:
+        return Refusal.OTHER_REQUEST
+    if entry.answer is not None:
+        return Replay(entry.answer)
+    return AlreadySent(entry.state, entry.status)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -73,12 +73,14 @@
 
     async def write(self, path: str):
         """Write an object if its version is the expected one."""
+        value = await request.get_json()
+        # No await from here on: the check and the write are one step.
         found = self.object_by_path.get(path)
         version = found['version'] if found else 0
         expected = int(request.headers.get('If-Match', '0'))
         if expected != version:
             return jsonify({'version': version}), 412
-        stored = {'version': version + 1, 'value': await request.get_json()}
+        stored = {'version': version + 1, 'value': value}
         self.object_by_path[path] = stored
         self.changed.set()
         self.changed = trio.Event()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data."""
 
 from catkinslip.models import Address
+from catkinslip.tickets.keys import MARK, TicketKey
 
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
@@ -24,3 +25,11 @@
     }
     register = {'services': {service: dict(fields)}, 'backends': backends}
     return {'register': register, 'rules': {'requests': []}}
+
+
+def ticket_key(
+    name: str = 'a', expiry: int = 100, incarnation: int = 7, member_id: str = 'entry-1'
+) -> TicketKey:
+    """Return a key whose home is an instance."""
+    text = f'{MARK}.{member_id}.{incarnation}.{expiry}.{name}'
+    return TicketKey(text, member_id, incarnation, expiry)
--- /dev/null
+++ b/tests/test_tickets_processes.py
@@ -0,0 +1,204 @@
+"""At most once over real processes: what callers were told against the ledger."""
+
+import json
+import signal
+import tempfile
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import httpx
+
+from catkinslip.cli.application import run
+from standins.processes import ProcessGroup, wait_until
+from tests.builders import document_plain
+
+ASK = '/.well-known/catkinslip/addresses/claims'
+RECORDED = {
+    'service': 'claims',
+    'path': '/recorded/*',
+    'methods': ['POST'],
+    'repeatable': False,
+    'record': 'platform',
+}
+
+
+class AtMostOnceProcessesTest(unittest.TestCase):
+    """Two instances, one backend server and the platform."""
+
+    @classmethod
+    def setUpClass(cls):
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.group = ProcessGroup(Path(folder.name))
+        cls.addClassCleanup(cls.group.stop_all)
+        cls.platform = cls.group.start_platform().address
+        cls.backend = cls.group.start_backend('claims-1', slots=50).address
+        cls.apply(Path(folder.name) / 'document.json')
+        for name in ('entry-1', 'entry-2'):
+            cls.start_daemon(name)
+        for name in ('entry-1', 'entry-2'):
+            wait_until(lambda n=name: len(cls.prefixes(n)) == 2)
+            wait_until(lambda n=name: cls.get(n, '/ready').status_code == 200)
+
+    @classmethod
+    def apply(cls, path: Path):
+        plain = document_plain({'claims-1': cls.backend}, 'claims')
+        plain['rules']['requests'] = [RECORDED]
+        path.write_text(json.dumps(plain))
+        platform = ['--platform-url', f'http://{cls.platform}']
+        assert run(['apply', str(path), *platform, '--quiet']) == 0
+
+    @classmethod
+    def start_daemon(cls, name: str):
+        url = f'http://{cls.platform}'
+        cls.group.start_daemon(name, 'zone-a', platform_url=url, peer_interval=0.1)
+
+    @classmethod
+    def address(cls, name: str) -> str:
+        return cls.group.process_by_name[name].address
+
+    @classmethod
+    def get(cls, name: str, path: str) -> httpx.Response:
+        url = f'http://{cls.address(name)}{path}'
+        return httpx.get(url, headers={'Host': 'claims'}, timeout=10)
+
+    @classmethod
+    def prefixes(cls, name: str) -> dict[str, str]:
+        return cls.get(name, ASK).json()['key_prefix_by_address']
+
+    def key(self, home: str) -> str:
+        prefix = self.prefixes('entry-2')[self.address(home)]
+        return f'{prefix}.{self._testMethodName}'
+
+    def post(self, name: str, key: str, request_id: str, path='/claim', timeout=10):
+        headers = {
+            'Host': 'claims',
+            'Idempotency-Key': key,
+            'Catkinslip-Request-Id': request_id,
+            'Catkinslip-Timeout': str(timeout),
+        }
+        url = f'http://{self.address(name)}{path}'
+        return httpx.post(url, headers=headers, content=b'claim', timeout=20)
+
+    def order(self, **behaviour):
+        url = f'http://{self.backend}/standin/behaviour'
+        httpx.post(url, json=behaviour, timeout=10)
+
+    def faults(self, **faults):
+        url = f'http://{self.platform}/standin/faults'
+        httpx.post(url, json=faults, timeout=10)
+
+    def ran(self, key: str) -> int:
+        return self.ledger()['by_key'].get(key, 0)
+
+    def ledger(self) -> dict:
+        return httpx.get(f'http://{self.backend}/standin/ledger', timeout=10).json()
+
+    def assert_told(self, answer: httpx.Response, outcome: str, problem: str):
+        self.assertEqual(answer.headers.get('catkinslip-outcome'), outcome, answer.text)
+        self.assertEqual(answer.json()['type'], f'urn:catkinslip:problem:{problem}')
+
+    def test_killed_home_loses_the_answer_but_never_runs_twice(self):
+        key = self.key('entry-1')
+        self.order(service_time=1.0)
+        self.addCleanup(self.order, service_time=0.0)
+        with ThreadPoolExecutor() as threads:
+            first = threads.submit(self.post, 'entry-1', key, 'kill-1')
+            wait_until(lambda: self.ran(key) == 1)
+            self.group.process_by_name['entry-1'].kill()
+            self.assertIsInstance(first.exception(), httpx.TransportError)
+        answers = [self.post('entry-2', key, 'kill-2')]
+        self.start_daemon('entry-1')
+        wait_until(lambda: self.get('entry-1', '/ready').status_code == 200)
+        answers.append(self.post('entry-1', key, 'kill-3'))
+        wait_until(lambda: self.address('entry-1') in self.prefixes('entry-2'))
+        answers.append(self.post('entry-2', key, 'kill-4'))
+        self.assertEqual(self.ran(key), 1)
+        problems = ('home-unreachable', 'home-gone', 'home-gone')
+        for answer, problem in zip(answers, problems, strict=True):
+            self.assert_told(answer, 'unknown', problem)
+
+    def test_frozen_home_does_not_run_a_request_late(self):
+        key = self.key('entry-1')
+        home = self.group.process_by_name['entry-1']
+        home.send_signal(signal.SIGSTOP)
+        try:
+            told = self.post('entry-2', key, 'frozen-1', timeout=0.5)
+            self.assert_told(told, 'unknown', 'deadline')
+        finally:
+            home.send_signal(signal.SIGCONT)
+        wait_until(lambda: 'frozen-1' in home.log_path.read_text())
+        again = self.post('entry-2', key, 'frozen-2')
+        by_request = self.ledger()['by_request']
+        self.assertNotIn('frozen-1', by_request)
+        self.assertEqual(again.status_code, 200, again.text)
+        self.assertEqual(self.ran(key), 1)
+
+    def test_one_key_through_two_instances_at_once(self):
+        key = self.key('entry-1')
+        self.order(service_time=0.3)
+        self.addCleanup(self.order, service_time=0.0)
+        with ThreadPoolExecutor(8) as threads:
+            names = ('entry-1', 'entry-2') * 4
+            posts = [
+                threads.submit(self.post, name, key, f'at-once-{number}')
+                for number, name in enumerate(names)
+            ]
+            answers = [post.result() for post in posts]
+        self.assertEqual(self.ran(key), 1)
+        answers.append(self.post('entry-2', key, 'at-once-again'))
+        right = [answer for answer in answers if answer.status_code == 200]
+        replayed = [each for each in right if 'catkinslip-replayed' in each.headers]
+        self.assertEqual(len(right) - len(replayed), 1)
+        self.assertIn(answers[-1], replayed)
+        self.assertEqual(len({answer.text for answer in right}), 1)
+        for answer in answers:
+            if answer not in right:
+                self.assert_told(answer, 'unknown', 'already-sent')
+        self.assertEqual(self.ran(key), 1)
+
+    def test_key_of_the_caller_is_refused_without_a_rule(self):
+        told = self.post('entry-1', 'own-key', 'own-1')
+        self.assert_told(told, 'not-run', 'key-not-accepted')
+        self.assertEqual(self.ran('own-key'), 0)
+
+    def test_recorded_key_runs_once_through_two_instances(self):
+        with ThreadPoolExecutor(2) as threads:
+            posts = [
+                threads.submit(self.post, name, 'both', f'both-{name}', '/recorded/1')
+                for name in ('entry-1', 'entry-2')
+            ]
+            statuses = sorted(post.result().status_code for post in posts)
+        self.assertEqual(statuses, [200, 409])
+        self.assertEqual(self.ran('both'), 1)
+
+    def test_recorded_key_with_a_lost_answer_runs_once(self):
+        self.faults(lose_answers=1)
+        answer = self.post('entry-1', 'lost', 'lost-1', '/recorded/2')
+        self.assertEqual(answer.status_code, 200, answer.text)
+        again = self.post('entry-2', 'lost', 'lost-2', '/recorded/2')
+        self.assert_told(again, 'unknown', 'already-sent')
+        self.assertEqual(self.ran('lost'), 1)
+
+    def test_recorded_key_is_not_sent_while_the_platform_is_down(self):
+        self.faults(down=True)
+        self.addCleanup(self.faults, down=False)
+        told = self.post('entry-1', 'down', 'down-1', '/recorded/3')
+        self.assert_told(told, 'unknown', 'record-unavailable')
+        self.assertIn('retry-after', told.headers)
+        self.assertEqual(self.ran('down'), 0)
+        self.faults(down=False)
+        again = self.post('entry-2', 'down', 'down-2', '/recorded/3')
+        self.assertEqual(again.status_code, 200, again.text)
+
+    def test_same_key_runs_after_not_run(self):
+        for key, path in (('shed', '/recorded/4'), (self.key('entry-1'), '/claim')):
+            self.order(slots=1, queue=-1)
+            told = self.post('entry-1', key, f'{path}-1', path)
+            self.order(slots=50, queue=1000)
+            self.assertEqual(told.headers['catkinslip-outcome'], 'not-run', told.text)
+            self.assertEqual(self.ran(key), 0)
+            again = self.post('entry-2', key, f'{path}-2', path)
+            self.assertEqual(again.status_code, 200, again.text)
+            self.assertEqual(self.ran(key), 1)
