--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""The specification of the core protocol and its checker."""
--- /dev/null
+++ b/model/records.py
@@ -0,0 +1,273 @@
+"""At most once with platform records: one key, attempts through several instances.
+
+Writes may be delayed, applied though their answer was lost, and delivered twice; an
+instance may stop or be frozen (it then takes no step) at any point.
+"""
+
+from collections.abc import Iterator
+from enum import IntEnum
+
+import z3
+from attrs import define
+
+from model.specification import Action, Guard, Specification, State, indexed
+
+ATTEMPTS = range(3)
+NOBODY = 0
+MOST_RUNS = 2
+
+ONCE = 'at most once'
+TRUE = 'not run is true when told'
+
+
+class Stage(IntEnum):
+    """What an attempt does."""
+
+    IDLE = 0
+    CREATING = 1
+    TAKING_OVER = 2
+    SENT = 3
+    ENDED = 4
+
+
+class Backend(IntEnum):
+    """What became of an attempt at a backend server."""
+
+    NOTHING = 0
+    IN_FLIGHT = 1
+    RAN = 2
+    REFUSED = 3
+
+
+@define
+class RecordSpecification(Specification):
+    """At most once by a record that is created before the first byte."""
+
+    name = 'records'
+    bounds = f'1 key, {len(ATTEMPTS)} attempts, lost, late and doubled writes'
+    guard_by_name = {
+        'conditional-create': Guard('two attempts create the record', ONCE),
+        'conditional-takeover': Guard('two attempts take a released record', ONCE),
+        'conditional-release': Guard('a doubled release frees another one', ONCE),
+        'own-attempt-decides': Guard('a lost answer does not mean success', ONCE),
+        'release-only-not-run': Guard('a request that may have run runs again', ONCE),
+        'unknown-without-platform': Guard('an earlier attempt may have run', TRUE),
+    }
+
+    def initial_values(self) -> dict[str, int | bool]:
+        """Return the variables and their first values."""
+        values: dict[str, int | bool] = {
+            'version': 0,
+            'owner': NOBODY,
+            'held': False,
+            'runs': 0,
+            'false_not_run': False,
+        }
+        for index in ATTEMPTS:
+            values[indexed('stage', index)] = int(Stage.IDLE)
+            values[indexed('backend', index)] = int(Backend.NOTHING)
+            values[indexed('create', index)] = False
+            values[indexed('takeover', index)] = False
+            values[indexed('release', index)] = False
+            values[indexed('seen', index)] = 0
+            values[indexed('version_held', index)] = 0
+        return values
+
+    def properties(self, state: State) -> dict[str, z3.BoolRef]:
+        """Return what must hold in every state, by name."""
+        return {ONCE: state['runs'] <= 1, TRUE: z3.Not(state['false_not_run'])}
+
+    def goals(self, state: State) -> dict[str, z3.BoolRef]:
+        """Return what some run must reach, so that no proof is empty."""
+        taken_over = z3.And(state['runs'] == 1, state['version'] == 3)
+        return {'ran after a release': taken_over}
+
+    def invariant(self, state: State) -> dict[str, z3.BoolRef]:
+        """Return what each step keeps, and from which the properties follow."""
+        attempts = [Attempt(state, index) for index in ATTEMPTS]
+        some_ran = z3.Or(*(each.backend == Backend.RAN for each in attempts))
+        facts = {
+            'runs are counted': z3.If(some_ran, state['runs'] == 1, state['runs'] == 0),
+            'no word was false': z3.Not(state['false_not_run']),
+            'version counts': z3.And(state['version'] >= 0, state['version'] < 100),
+            'no record, no owner': z3.Implies(
+                state['version'] == 0,
+                z3.And(state['owner'] == NOBODY, z3.Not(state['held'])),
+            ),
+        }
+        for each in attempts:
+            facts[f'live holds {each.index}'] = z3.Implies(
+                each.is_live(), each.is_owner()
+            )
+            facts[f'order {each.index}'] = each.is_ordered()
+            facts[f'held version {each.index}'] = each.is_version_right()
+        return facts
+
+    def actions(self, state: State) -> Iterator[Action]:
+        """Yield the steps that may follow a state."""
+        for index in ATTEMPTS:
+            attempt = Attempt(state, index)
+            yield from self._create(attempt)
+            yield from self._learn(attempt)
+            yield from self._take_over(attempt)
+            yield from self._run(attempt)
+            yield from self._release(attempt)
+
+    def _create(self, attempt: 'Attempt') -> Iterator[Action]:
+        state, index = attempt.state, attempt.index
+        yield attempt.act(
+            'create',
+            attempt.stage == Stage.IDLE,
+            {**attempt.to(Stage.CREATING), indexed('create', index): True},
+        )
+        may = z3.And(attempt.create, state['version'] < 99)
+        if self.has('conditional-create'):
+            may = z3.And(may, state['version'] == 0)
+        yield attempt.act('create_applies', may, attempt.own())
+        if not self.has('own-attempt-decides'):
+            yield attempt.act('trust', attempt.is_unsure(), attempt.send())
+
+    def _learn(self, attempt: 'Attempt') -> Iterator[Action]:
+        state, index = attempt.state, attempt.index
+        unsure = attempt.is_unsure()
+        own = z3.And(unsure, attempt.is_owner())
+        yield attempt.act(
+            'read_own',
+            own,
+            {
+                **attempt.send(),
+                indexed('version_held', index): state['version'],
+            },
+        )
+        ended = attempt.to(Stage.ENDED)
+        other = z3.And(unsure, z3.Not(attempt.is_owner()))
+        yield attempt.act('read_other', other, ended)
+        told = {} if self.has('unknown-without-platform') else attempt.tell_not_run()
+        yield attempt.act('platform_down', unsure, {**ended, **told})
+        released = z3.And(other, state['version'] > 0, z3.Not(state['held']))
+        seen = indexed('seen', index)
+        yield attempt.act(
+            'read_released',
+            z3.And(released, attempt.seen == 0),
+            {
+                **attempt.to(Stage.TAKING_OVER),
+                seen: state['version'],
+                indexed('takeover', index): True,
+            },
+        )
+
+    def _take_over(self, attempt: 'Attempt') -> Iterator[Action]:
+        state = attempt.state
+        may = z3.And(attempt.takeover, state['version'] < 99)
+        if self.has('conditional-takeover'):
+            may = z3.And(may, state['version'] == attempt.seen)
+        yield attempt.act('takeover_applies', may, attempt.own())
+
+    def _run(self, attempt: 'Attempt') -> Iterator[Action]:
+        state, index = attempt.state, attempt.index
+        backend = indexed('backend', index)
+        in_flight = attempt.backend == Backend.IN_FLIGHT
+        runs = z3.If(state['runs'] < MOST_RUNS, state['runs'] + 1, MOST_RUNS)
+        ran = {backend: Backend.RAN.value, 'runs': runs}
+        yield attempt.act('backend_runs', in_flight, ran)
+
+    def _release(self, attempt: 'Attempt') -> Iterator[Action]:
+        state, index = attempt.state, attempt.index
+        sent = attempt.stage == Stage.SENT
+        not_run = z3.And(sent, attempt.backend == Backend.IN_FLIGHT)
+        refused = {indexed('backend', index): Backend.REFUSED.value}
+        end = attempt.to(Stage.ENDED)
+        release = {indexed('release', index): True}
+        yield attempt.act(
+            'hear_refusal',
+            not_run,
+            {**end, **refused, **release, **attempt.tell_not_run()},
+        )
+        if self.has('release-only-not-run'):
+            release = {}
+        yield attempt.act('lose_answer', sent, {**end, **release})
+        may = z3.And(attempt.release, state['version'] < 99)
+        if self.has('conditional-release'):
+            may = z3.And(may, state['version'] == attempt.version_held)
+        released = {'version': state['version'] + 1, 'held': False, 'owner': NOBODY}
+        yield attempt.act('release_applies', may, released)
+
+
+@define
+class Attempt:
+    """One attempt, in one state."""
+
+    state: State
+    index: int
+
+    def __getattr__(self, name: str) -> z3.ExprRef:
+        return self.state[indexed(name, self.index)]
+
+    def act(self, name: str, guard: z3.BoolRef, updates) -> Action:
+        """Return an action of this attempt."""
+        return Action(f'{name} {self.index}', guard, updates)
+
+    def to(self, stage: Stage) -> dict:
+        """Return the updates that move the attempt on."""
+        return {indexed('stage', self.index): stage.value}
+
+    def send(self) -> dict:
+        """Return the updates of the first byte."""
+        backend = {indexed('backend', self.index): Backend.IN_FLIGHT.value}
+        return {**self.to(Stage.SENT), **backend}
+
+    def own(self) -> dict:
+        """Return the updates of a write that gives it the record."""
+        return {
+            'version': self.state['version'] + 1,
+            'owner': self.index + 1,
+            'held': True,
+        }
+
+    def tell_not_run(self) -> dict:
+        """Return the updates that tell the caller "not run"."""
+        false = z3.Or(self.state['false_not_run'], self.state['runs'] > 0)
+        return {'false_not_run': false}
+
+    def is_unsure(self) -> z3.BoolRef:
+        """Tell whether a write of its own may or may not have taken effect."""
+        return z3.Or(self.stage == Stage.CREATING, self.stage == Stage.TAKING_OVER)
+
+    def is_owner(self) -> z3.BoolRef:
+        """Tell whether the record is its own and held."""
+        return z3.And(self.state['owner'] == self.index + 1, self.state['held'])
+
+    def is_live(self) -> z3.BoolRef:
+        """Tell whether it has run or may still run."""
+        return z3.Or(
+            self.stage == Stage.SENT,
+            self.backend == Backend.IN_FLIGHT,
+            self.backend == Backend.RAN,
+        )
+
+    def is_ordered(self) -> z3.BoolRef:
+        """Tell whether nothing reached a backend server before the first byte."""
+        before = self.stage < Stage.SENT
+        return z3.And(
+            z3.Implies(before, self.backend == Backend.NOTHING),
+            z3.Implies(before, z3.Not(self.release)),
+            z3.Implies(self.release, self.backend == Backend.REFUSED),
+            z3.Implies(self.release, self.stage == Stage.ENDED),
+            z3.Implies(self.stage == Stage.IDLE, z3.Not(self.create)),
+            z3.Implies(self.takeover, self.seen > 0),
+        )
+
+    def is_version_right(self) -> z3.BoolRef:
+        """Tell whether it knows at which version it holds the record."""
+        current = self.state['version']
+        known = z3.Or(self.is_live(), self.release)
+        holds = z3.And(self.version_held > 0, self.version_held == current)
+        saw = z3.And(self.seen > 0, self.seen == current)
+        return z3.And(
+            z3.Implies(self.is_live(), self.version_held == current),
+            z3.Implies(known, self.version_held > 0),
+            z3.Implies(holds, self.is_owner()),
+            z3.Implies(saw, z3.Not(self.state['held'])),
+            self.version_held <= current,
+            self.seen <= current,
+        )
