--- /dev/null
+++ b/catkinslip/cli/in_force.py
@@ -0,0 +1,133 @@
+"""Learn on which instances a configuration is in force."""
+
+from collections.abc import Iterable
+
+import cattrs
+import httpx
+import trio
+from attrs import frozen
+
+from catkinslip.config.documents import ConfigVersion
+from catkinslip.config.reading import MALFORMED
+from catkinslip.platform.base import ObjectStore
+
+POLL_SECONDS = 0.2
+
+
+@frozen
+class InstanceReport:
+    """What one instance says; no version when it did not answer."""
+
+    name: str
+    control_address: str
+    version: ConfigVersion | None = None
+    change_id: str = ''
+
+    def has_in_force(self, wanted: ConfigVersion, change_id: str) -> bool:
+        """Tell whether a version, or one that stands on it, is in force."""
+        if self.version is None:
+            return False
+        if self.version == wanted and change_id:
+            return self.change_id == change_id
+        return self.version >= wanted
+
+    def __str__(self) -> str:
+        if self.version is None:
+            return f'{self.name} at {self.control_address} did not answer'
+        return f'{self.name} has version {self.version}, change {self.change_id}'
+
+
+@frozen
+class InForceReport:
+    """The instances that have a configuration in force, and the others."""
+
+    in_force: tuple[InstanceReport, ...]
+    stragglers: tuple[InstanceReport, ...]
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether all instances have it; not if none is known."""
+        return bool(self.in_force) and not self.stragglers
+
+
+@frozen
+class Fleet:
+    """Ways to reach the instances."""
+
+    client: httpx.AsyncClient
+    store: ObjectStore | None
+    control_addresses: tuple[str, ...]
+
+    async def wait_in_force(
+        self, wanted: ConfigVersion, change_id: str, wait: float
+    ) -> InForceReport:
+        """Ask all instances until a version is in force, or for `wait` seconds."""
+        end = trio.current_time() + wait
+        while True:
+            reports = await self.ask_all()
+            report = split(reports, wanted, change_id)
+            if report.is_complete or trio.current_time() >= end:
+                return report
+            await trio.sleep(POLL_SECONDS)
+
+    async def ask_all(self) -> list[InstanceReport]:
+        """Ask every instance that the platform's list or another one names."""
+        name_by_address = await self._listed()
+        report_by_name: dict[str, InstanceReport] = {}
+        asked: set[str] = set()
+        while name_by_address.keys() - asked:
+            addresses = sorted(name_by_address.keys() - asked)
+            asked.update(addresses)
+            async with trio.open_nursery() as nursery:
+                for address in addresses:
+                    name = name_by_address[address]
+                    nursery.start_soon(
+                        self._ask, name, address, report_by_name, name_by_address
+                    )
+        return sorted(report_by_name.values(), key=lambda each: each.name)
+
+    async def _listed(self) -> dict[str, str]:
+        name_by_address = {each: each for each in self.control_addresses}
+        if self.store is not None:
+            for instance in (await self.store.list_instances()).value_or([]):
+                if not instance.leaving:
+                    name_by_address[instance.control_address] = instance.name
+        return name_by_address
+
+    async def _ask(
+        self,
+        name: str,
+        address: str,
+        report_by_name: dict[str, InstanceReport],
+        name_by_address: dict[str, str],
+    ) -> None:
+        report_by_name.setdefault(name, InstanceReport(name, address))
+        try:
+            response = await self.client.get(f'http://{address}/v1/status')
+            response.raise_for_status()
+            status = response.json()
+            own = status['member']
+            version = cattrs.structure(status['config_version'], ConfigVersion)
+            members = [(each['control_address'], each) for each in status['members']]
+        except (httpx.HTTPError, KeyError, *MALFORMED):
+            return
+        if own['member_id'] != name:
+            report_by_name.pop(name, None)
+        report_by_name[own['member_id']] = InstanceReport(
+            own['member_id'], address, version, status['change_id']
+        )
+        for control_address, member in members:
+            if not member['leaving']:
+                name_by_address.setdefault(control_address, member['member_id'])
+
+
+def split(
+    reports: Iterable[InstanceReport], wanted: ConfigVersion, change_id: str
+) -> InForceReport:
+    """Tell the instances that have a version in force from the stragglers."""
+    in_force = []
+    stragglers = []
+    for report in reports:
+        has = report.has_in_force(wanted, change_id)
+        (in_force if has else stragglers).append(report)
+    return InForceReport(tuple(in_force), tuple(stragglers))
--- a/catkinslip/config/changes.py
+++ b/catkinslip/config/changes.py
@@ -1,5 +1,6 @@
 """Change the accepted configuration, one conditional write at a time."""
 
+import trio
 from attrs import frozen
 from returns.result import Failure, Success
 
@@ -7,37 +8,42 @@
     AcceptedConfig,
     ConfigVersion,
     Document,
-    converter,
     to_plain,
 )
-from catkinslip.platform.base import (
-    AnswerLost,
-    Conflict,
-    ObjectKey,
-    ObjectStore,
-    PlatformError,
+from catkinslip.config.history import Change, Head, extend_head
+from catkinslip.config.merge import merge_patch
+from catkinslip.config.reading import (
+    CONFIG_KEY,
+    StoredConfig,
+    StoredHead,
+    read_head,
+    snapshot_key,
 )
+from catkinslip.platform.base import AnswerLost, Conflict, ObjectStore, PlatformError
 
-CONFIG_KEY = ObjectKey('config', 'current')
+#: Pauses after each reading back of a change whose answer was lost.
+READ_BACK_PAUSES_SECONDS = (0.05, 0.2, 0.5, 1.0, 2.0)
+#: Readings after which a write that is not seen is kept from taking effect.
+READS_BEFORE_FENCE = 3
 
 
 @frozen
 class ChangeAccepted:
-    """The change is the accepted configuration."""
+    """The change was accepted; later changes may stand on it."""
 
     config: AcceptedConfig
 
 
 @frozen
 class ChangeConflict:
-    """Another change won; nothing of this one was accepted."""
+    """Another change won, None when it can't be told; nothing was accepted."""
 
-    winner: AcceptedConfig
+    winner: Change | None
 
 
 @frozen
 class ChangeNotMade:
-    """The platform did not take the change."""
+    """The platform did not take the change and will not take it later."""
 
     reason: str
 
@@ -53,58 +59,114 @@
 ChangeOutcome = ChangeAccepted | ChangeConflict | ChangeNotMade | ChangeUnknown
 
 
-@frozen
-class StoredConfig:
-    """A configuration with the version of the object that holds it."""
-
-    object_version: int
-    config: AcceptedConfig
-
-
-async def read_config(store: ObjectStore) -> StoredConfig | PlatformError:
-    """Read the accepted configuration from the platform."""
-    match await store.read(CONFIG_KEY):
-        case Success(None):
-            return StoredConfig(0, AcceptedConfig())
-        case Success(found):
-            config = converter.structure(found.value, AcceptedConfig)
-            return StoredConfig(found.version, config)
-        case Failure(error):
-            return error
-
-
 async def apply_change(
     store: ObjectStore,
     base: StoredConfig,
     document: Document,
     change_id: str,
     author: str,
+    *,
+    made_at: float = 0.0,
+    raise_epoch: bool = False,
 ) -> ChangeOutcome:
     """Write a document over the one it was made from."""
+    if has_unknown_fields(base.config):
+        return ChangeNotMade('a newer program wrote fields that this one does not know')
     before = base.config.version
-    version = ConfigVersion(before.epoch, before.number + 1)
+    version = ConfigVersion(before.epoch + raise_epoch, before.number + 1)
     config = AcceptedConfig(version, change_id, author, document)
-    result = await store.write(CONFIG_KEY, to_plain(config), base.object_version)
+    head, snapshot = extend_head(base.head, base.config, config, made_at)
+    if snapshot is not None:
+        key = snapshot_key(head.snapshot_name)
+        written = await store.write(key, to_plain(snapshot), 0)
+        if isinstance(written, Failure):
+            reason = f'the snapshot was not written, {written.failure()}'
+            return ChangeNotMade(reason)
+    outcome = await write_head(store, base, head, config)
+    if snapshot is not None:
+        await delete_unused(store, base.head, head, outcome)
+    return outcome
+
+
+def has_unknown_fields(config: AcceptedConfig) -> bool:
+    """Tell whether writing a configuration again would drop fields."""
+    known = to_plain(config.document)
+    return merge_patch(config.plain, known) != known
+
+
+async def write_head(
+    store: ObjectStore, base: StoredConfig, head: Head, config: AcceptedConfig
+) -> ChangeOutcome:
+    """Write the head, which is what accepts a change."""
+    result = await store.write(CONFIG_KEY, to_plain(head), base.object_version)
     match result:
         case Success(_):
             return ChangeAccepted(config)
         case Failure(Conflict() | AnswerLost() as error):
-            return await resolve(store, config, error)
+            return await resolve(store, base, config, error)
         case Failure(error):
             return ChangeNotMade(str(error))
 
 
+async def delete_unused(
+    store: ObjectStore, before: Head, after: Head, outcome: ChangeOutcome
+) -> None:
+    """Delete the snapshot that no head can name any more, if it is known."""
+    match outcome:
+        case ChangeAccepted():
+            unused = before.retired_name
+        case ChangeConflict() | ChangeNotMade():
+            unused = after.snapshot_name
+        case _:
+            unused = ''
+    if unused:
+        await store.delete(snapshot_key(unused))
+
+
 async def resolve(
-    store: ObjectStore, attempted: AcceptedConfig, error: PlatformError
+    store: ObjectStore,
+    base: StoredConfig,
+    attempted: AcceptedConfig,
+    error: PlatformError,
 ) -> ChangeOutcome:
-    """Read back to learn whether a change was accepted."""
-    found = await read_config(store)
-    if not isinstance(found, StoredConfig):
-        if isinstance(error, Conflict):
-            return ChangeConflict(AcceptedConfig())
-        return ChangeUnknown(attempted.change_id, str(found))
-    if found.config.change_id == attempted.change_id:
-        return ChangeAccepted(found.config)
-    if found.config.version >= attempted.version:
-        return ChangeConflict(found.config)
-    return ChangeUnknown(attempted.change_id, 'the write has not been seen yet')
+    """Read back to learn whether a change was accepted; never write it again."""
+    for reads, pause in enumerate(READ_BACK_PAUSES_SECONDS, 1):
+        found = await read_head(store)
+        if isinstance(found, StoredHead):
+            outcome = judge(found, base, attempted)
+            if outcome is not None:
+                return outcome
+        if isinstance(error, AnswerLost) and reads >= READS_BEFORE_FENCE:
+            fenced = await fence(store, base)
+            if fenced is not None:
+                return fenced
+        await trio.sleep(pause)
+    if isinstance(error, Conflict):
+        return ChangeConflict(None)
+    return ChangeUnknown(attempted.change_id, str(error))
+
+
+def judge(
+    found: StoredHead, base: StoredConfig, attempted: AcceptedConfig
+) -> ChangeOutcome | None:
+    """Tell from a later head what became of a change; None if it can't be told."""
+    if found.head.find(attempted.change_id):
+        return ChangeAccepted(attempted)
+    if found.object_version <= base.object_version:
+        return None
+    if not found.head.reaches_back_to(base.config.version):
+        return None
+    later = found.head.changes_after(base.config.version)
+    if not later:
+        return ChangeNotMade('the object was written again without this change')
+    return ChangeConflict(later[0])
+
+
+async def fence(store: ObjectStore, base: StoredConfig) -> ChangeOutcome | None:
+    """Write the same head again, so that a write still on its way must fail."""
+    if base.object_version == 0:
+        return None
+    result = await store.write(CONFIG_KEY, to_plain(base.head), base.object_version)
+    if isinstance(result, Failure):
+        return None
+    return ChangeNotMade('the platform did not take the change and no longer can')
--- a/catkinslip/config/checks.py
+++ b/catkinslip/config/checks.py
@@ -1,19 +1,32 @@
 """Check a configuration document before it is accepted."""
 
-import cattrs
+import json
+import re
+from collections.abc import Callable, Iterator
+from ipaddress import ip_address
+from typing import Any
+
 from attrs import frozen
-from cattrs import transform_error
 from returns.result import Failure, Result, Success
 
-from catkinslip.config.documents import Document, converter
-
-
-@frozen
-class DocumentMistake:
-    """One mistake: where it stands and why it is one."""
+from catkinslip.config.documents import (
+    Document,
+    canonical_json,
+    converter,
+    to_plain,
+)
+from catkinslip.config.shapes import DocumentMistake, check_shape
 
-    place: str
-    reason: str
+#: The platform holds values up to a megabyte; a snapshot adds a few fields.
+MAX_DOCUMENT_BYTES = 980_000
+MAX_NAME_CHARACTERS = 128
+NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*')
+METHOD = re.compile(r'[A-Z][A-Z0-9-]*')
+NAME_REASON = (
+    f'a name has 1 to {MAX_NAME_CHARACTERS} letters, digits, dots, dashes '
+    'and underscores and begins with a letter or a digit'
+)
+ANY_SERVICE = '*'
 
 
 @frozen
@@ -23,40 +36,132 @@
     mistakes: tuple[DocumentMistake, ...]
 
 
+def parse_document(text: bytes) -> Result[Document, DocumentRefused]:
+    """Read a document from JSON and check it."""
+    duplicates: list[str] = []
+
+    def unique_map(pairs: list[tuple[str, Any]]) -> dict:
+        value_by_key = dict(pairs)
+        if len(value_by_key) < len(pairs):
+            keys = [key for key, _ in pairs]
+            duplicates.extend(key for key in value_by_key if keys.count(key) > 1)
+        return value_by_key
+
+    try:
+        plain = json.loads(text, object_pairs_hook=unique_map)
+    except (ValueError, RecursionError) as error:
+        return refused(DocumentMistake('document', f'is not JSON, {error}'))
+    if duplicates:
+        reason = 'stands twice in one map'
+        return refused(*(DocumentMistake(key, reason) for key in duplicates))
+    return read_document(plain)
+
+
 def read_document(plain: object) -> Result[Document, DocumentRefused]:
     """Read a document from plain data and check it."""
-    try:
-        document = converter.structure(plain, Document)
-    except (cattrs.BaseValidationError, TypeError, ValueError) as error:
-        reasons = transform_error(error, path='document')
-        mistakes = tuple(DocumentMistake('document', reason) for reason in reasons)
-        return Failure(DocumentRefused(mistakes))
-    mistakes = (*check_backends(document), *check_rules(document))
+    mistakes = list(check_shape(plain, Document, ''))
     if mistakes:
-        return Failure(DocumentRefused(mistakes))
-    return Success(document)
-
-
-def check_backends(document: Document) -> tuple[DocumentMistake, ...]:
-    """Return the mistakes in the backend servers of the register."""
-    mistakes = []
-    for backend_id, backend in document.register.backends.items():
-        place = f'register.backends.{backend_id}'
-        if backend.service not in document.register.services:
-            reason = f'service {backend.service!r} is not in the register'
-            mistakes.append(DocumentMistake(f'{place}.service', reason))
-        if not 0 < backend.port < 65536:
-            reason = f'{backend.port} is not a TCP port'
-            mistakes.append(DocumentMistake(f'{place}.port', reason))
-    return tuple(mistakes)
-
-
-def check_rules(document: Document) -> tuple[DocumentMistake, ...]:
-    """Return the mistakes in the rules."""
-    mistakes = []
-    for index, rule in enumerate(document.rules.requests):
-        if rule.service == '*' or rule.service in document.register.services:
+        return refused(*mistakes)
+    document = converter.structure(plain, Document)
+    for check in CHECKS:
+        mistakes.extend(check(document))
+    return refused(*mistakes) if mistakes else Success(document)
+
+
+def refused(*mistakes: DocumentMistake) -> Failure[DocumentRefused]:
+    """Return the refusal of a document; a mistake in the whole is at `document`."""
+    named = (
+        DocumentMistake(each.place or 'document', each.reason) for each in mistakes
+    )
+    return Failure(DocumentRefused(tuple(named)))
+
+
+def check_names(document: Document) -> Iterator[DocumentMistake]:
+    """Yield the names that are not safe in headers, paths and logs."""
+    register = document.register
+    for name in register.services:
+        if not is_name(name):
+            yield DocumentMistake(f'register.services.{name}', NAME_REASON)
+    for name, backend in register.backends.items():
+        if not is_name(name):
+            yield DocumentMistake(f'register.backends.{name}', NAME_REASON)
+        if not is_name(backend.zone):
+            yield DocumentMistake(f'register.backends.{name}.zone', NAME_REASON)
+
+
+def check_addresses(document: Document) -> Iterator[DocumentMistake]:
+    """Yield the addresses that are wrong or stand twice."""
+    backend_by_address: dict[tuple[str, int], str] = {}
+    for name, backend in document.register.backends.items():
+        place = f'register.backends.{name}'
+        try:
+            number = ip_address(backend.host)
+        except ValueError:
+            reason = f'{backend.host!r} is not an IP number'
+            yield DocumentMistake(f'{place}.host', reason)
             continue
-        reason = f'service {rule.service!r} is not in the register'
-        mistakes.append(DocumentMistake(f'rules.requests[{index}].service', reason))
-    return tuple(mistakes)
+        if number.is_unspecified or number.is_multicast:
+            reason = f'{backend.host} is not the IP number of one server'
+            yield DocumentMistake(f'{place}.host', reason)
+        address = (str(number), backend.port)
+        first = backend_by_address.setdefault(address, name)
+        if first != name:
+            reason = f'{backend.host}:{backend.port} is the address of {first} too'
+            yield DocumentMistake(place, reason)
+
+
+def check_services(document: Document) -> Iterator[DocumentMistake]:
+    """Yield the services that are named but not in the register."""
+    services = document.register.services
+    named = [
+        (f'register.backends.{name}.service', backend.service)
+        for name, backend in document.register.backends.items()
+    ]
+    named += [(f'rules.services.{name}', name) for name in document.rules.services]
+    named += [
+        (f'rules.requests[{index}].service', rule.service)
+        for index, rule in enumerate(document.rules.requests)
+        if rule.service != ANY_SERVICE
+    ]
+    for place, service in named:
+        if service not in services:
+            reason = f'service {service!r} is not in the register'
+            yield DocumentMistake(place, reason)
+
+
+def check_requests(document: Document) -> Iterator[DocumentMistake]:
+    """Yield the mistakes in rules that match requests."""
+    for index, rule in enumerate(document.rules.requests):
+        place = f'rules.requests[{index}]'
+        if not rule.path.startswith(('/', '*')):
+            reason = f'{rule.path!r} does not begin with a slash or a star'
+            yield DocumentMistake(f'{place}.path', reason)
+        if not rule.methods:
+            yield DocumentMistake(f'{place}.methods', 'names no method')
+        for number, method in enumerate(rule.methods):
+            if not METHOD.fullmatch(method):
+                reason = f'{method!r} is not a method in capital letters'
+                yield DocumentMistake(f'{place}.methods[{number}]', reason)
+
+
+def check_size(document: Document) -> Iterator[DocumentMistake]:
+    """Yield a mistake if the platform can't hold the document."""
+    size = len(canonical_json(to_plain(document)))
+    if size > MAX_DOCUMENT_BYTES:
+        reason = f'has {size} bytes of JSON, more than {MAX_DOCUMENT_BYTES}'
+        yield DocumentMistake('document', reason)
+
+
+def is_name(text: str) -> bool:
+    """Tell whether a text is a safe name."""
+    return len(text) <= MAX_NAME_CHARACTERS and bool(NAME.fullmatch(text))
+
+
+Check = Callable[[Document], Iterator[DocumentMistake]]
+CHECKS: tuple[Check, ...] = (
+    check_names,
+    check_addresses,
+    check_services,
+    check_requests,
+    check_size,
+)
--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -1,20 +1,39 @@
 """The configuration document: the asset register and the rules."""
 
 from fnmatch import fnmatchcase
+from functools import cached_property
+from typing import Any
 
 import cattrs
-from attrs import Factory, frozen
+import orjson
+import xxhash
+from attrs import Factory, evolve, field, frozen
+from cattrs.gen import make_dict_unstructure_fn
 
 SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 
 
+@frozen
+class Range:
+    """Least and greatest value of a field, in a unit."""
+
+    low: float
+    high: float
+    unit: str
+
+
+def ranged(default: Any, low: float, high: float, unit: str) -> Any:
+    """Declare a field with a default and a range; checks read the range."""
+    return field(default=default, metadata={'range': Range(low, high, unit)})
+
+
 @frozen
 class Service:
     """One service of the register; durations are in seconds."""
 
-    slots: int = 1
-    max_connections: int = 200
-    timeout: float = 10.0
+    slots: int = ranged(1, 1, 10_000, 'requests at once')
+    max_connections: int = ranged(200, 1, 100_000, 'connections')
+    timeout: float = ranged(10.0, 0.05, 3600, 'seconds')
 
 
 @frozen
@@ -24,7 +43,7 @@
     service: str
     zone: str
     host: str
-    port: int
+    port: int = field(metadata={'range': Range(1, 65535, '(a TCP port)')})
     draining: bool = False
 
 
@@ -46,11 +65,21 @@
     repeatable: bool
 
 
+@frozen
+class ServiceOverride:
+    """Replace some fields of a service of the register."""
+
+    slots: int | None = ranged(None, 1, 10_000, 'requests at once')
+    max_connections: int | None = ranged(None, 1, 100_000, 'connections')
+    timeout: float | None = ranged(None, 0.05, 3600, 'seconds')
+
+
 @frozen
 class Rules:
     """What operators add to the register."""
 
     requests: tuple[RequestRule, ...] = ()
+    services: dict[str, ServiceOverride] = Factory(dict)
 
 
 @frozen
@@ -69,6 +98,15 @@
                 return rule.repeatable
         return method in SAFE_METHODS
 
+    def effective_services(self) -> dict[str, Service]:
+        """Return the services with the overrides of the rules."""
+        services = dict(self.register.services)
+        for name, override in self.rules.services.items():
+            if name in services:
+                changes = to_plain(override)
+                services[name] = evolve(services[name], **changes)
+        return services
+
 
 @frozen(order=True)
 class ConfigVersion:
@@ -77,6 +115,17 @@
     epoch: int = 0
     number: int = 0
 
+    def __str__(self) -> str:
+        return f'{self.epoch}.{self.number}'
+
+    @classmethod
+    def parse(cls, text: str) -> 'ConfigVersion':
+        """Parse `epoch.number`; raise ValueError for any other form."""
+        epoch, separator, number = text.partition('.')
+        if not separator:
+            raise ValueError(f'{text!r} is not epoch.number, such as 0.17')
+        return cls(int(epoch), int(number))
+
 
 @frozen
 class AcceptedConfig:
@@ -86,11 +135,37 @@
     change_id: str = ''
     author: str = ''
     document: Document = Factory(Document)
+    #: The document as it was written; newer fields than this program's included.
+    plain: dict = field(
+        default=Factory(lambda self: to_plain(self.document), takes_self=True),
+        eq=False,
+        repr=False,
+    )
+
+    @cached_property
+    def digest(self) -> str:
+        """Return the digest of the document."""
+        return digest_of(self.plain)
 
 
-converter = cattrs.Converter(forbid_extra_keys=True)
+#: Ignores unknown fields: an accepted document may come from a newer program.
+converter = cattrs.Converter()
+converter.register_unstructure_hook(
+    ServiceOverride,
+    make_dict_unstructure_fn(ServiceOverride, converter, _cattrs_omit_if_default=True),
+)
 
 
-def to_plain(value: object) -> object:
+def to_plain(value: object) -> Any:
     """Return the value as maps, lists and scalars."""
     return converter.unstructure(value)
+
+
+def canonical_json(plain: object) -> bytes:
+    """Return plain data as JSON with sorted keys."""
+    return orjson.dumps(plain, option=orjson.OPT_SORT_KEYS)
+
+
+def digest_of(plain: dict) -> str:
+    """Return the digest of a plain document; it guards against damage, not malice."""
+    return xxhash.xxh3_128_hexdigest(canonical_json(plain))
--- a/catkinslip/config/holder.py
+++ b/catkinslip/config/holder.py
@@ -1,13 +1,32 @@
 """The configuration in force on one instance."""
 
+import logging
 from collections.abc import Callable
+from enum import Enum, auto, unique
 
 from attrs import Factory, define
 
-from catkinslip.config.documents import AcceptedConfig
+from catkinslip.config.documents import AcceptedConfig, ConfigVersion
+from catkinslip.config.history import Change, follow, trim
 
 Listener = Callable[[AcceptedConfig], None]
 
+log = logging.getLogger('config')
+
+
+@unique
+class Step(Enum):
+    """What became of changes that were offered."""
+
+    #: The configuration in force is newer than before.
+    TAKEN = auto()
+    #: Nothing was newer than what is in force.
+    OLD = auto()
+    #: A change between was missing; a whole configuration is needed.
+    GAP = auto()
+    #: The same version with another change; the one in force is kept.
+    CONTRADICTION = auto()
+
 
 @define
 class ConfigHolder:
@@ -15,12 +34,67 @@
 
     current: AcceptedConfig = Factory(AcceptedConfig)
     listeners: list[Listener] = Factory(list)
+    #: The changes that led to the one in force, oldest first, without gaps.
+    recent: tuple[Change, ...] = ()
+    contradictions: int = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether any configuration is in force."""
+        return self.current.version > ConfigVersion()
 
-    def offer(self, candidate: AcceptedConfig) -> bool:
+    def offer(self, candidate: AcceptedConfig, recent: tuple[Change, ...] = ()) -> bool:
         """Put a configuration in force if it is newer; tell whether it was."""
         if candidate.version <= self.current.version:
+            self._compare(candidate.version, candidate.change_id)
             return False
-        self.current = candidate
-        for listener in self.listeners:
-            listener(candidate)
+        self.recent = tuple(each for each in recent if each.patch is not None)
+        self._put_in_force(candidate)
         return True
+
+    def offer_changes(self, changes: tuple[Change, ...]) -> Step:
+        """Put changes in force, oldest first, that follow the one in force."""
+        config = self.current
+        taken: list[Change] = []
+        for change in changes:
+            if change.version <= config.version:
+                if not self._compare(change.version, change.change_id):
+                    return Step.CONTRADICTION
+                continue
+            followed = follow(config, change)
+            if followed is None:
+                break
+            config = followed
+            taken.append(change)
+        if taken:
+            self.recent = trim((*self.recent, *taken), keep=1)
+            self._put_in_force(config)
+        if changes and changes[-1].version > config.version:
+            return Step.GAP
+        return Step.TAKEN if taken else Step.OLD
+
+    def changes_after(self, version: ConfigVersion) -> tuple[Change, ...] | None:
+        """Return the changes that lead from a version to the one in force."""
+        later = tuple(each for each in self.recent if each.version > version)
+        wanted = self.current.version.number - version.number
+        same_epoch = version.epoch == self.current.version.epoch
+        return later if same_epoch and len(later) == wanted else None
+
+    def _put_in_force(self, config: AcceptedConfig) -> None:
+        self.current = config
+        for listener in self.listeners:
+            listener(config)
+
+    def _compare(self, version: ConfigVersion, change_id: str) -> bool:
+        current = self.current
+        if version != current.version or change_id == current.change_id:
+            return True
+        self.contradictions += 1
+        log.error(
+            'config: version %s is change %s here and %s elsewhere; '
+            'the one in force is kept, raise the epoch.',
+            version,
+            current.change_id,
+            change_id,
+        )
+        return False
--- /dev/null
+++ b/catkinslip/config/merge.py
@@ -0,0 +1,33 @@
+"""Differences between two documents, as merge patches.
+
+JSON merge patch: https://www.rfc-editor.org/rfc/rfc7396
+"""
+
+from typing import Any
+
+
+def merge_patch(target: Any, patch: Any) -> Any:
+    """Return the target with a patch applied; the target stays as it is."""
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(target) if isinstance(target, dict) else {}
+    for key, value in patch.items():
+        if value is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = merge_patch(merged.get(key), value)
+    return merged
+
+
+def merge_diff(before: dict, after: dict) -> dict:
+    """Return the patch that makes one map of the other; maps hold no nulls."""
+    patch: dict = dict.fromkeys(key for key in before if key not in after)
+    for key, value in after.items():
+        known = before.get(key)
+        if key in before and known == value:
+            continue
+        if isinstance(known, dict) and isinstance(value, dict):
+            patch[key] = merge_diff(known, value)
+        else:
+            patch[key] = value
+    return patch
--- /dev/null
+++ b/catkinslip/config/shapes.py
@@ -0,0 +1,116 @@
+"""Compare plain data with attrs classes and name the place of every mistake."""
+
+import types
+from collections.abc import Iterator
+from math import isfinite
+from typing import Any, Union, get_args, get_origin
+
+import attrs
+from attrs import frozen
+
+from catkinslip.config.documents import Range
+
+WORD_BY_TYPE = {
+    str: 'text',
+    int: 'a whole number',
+    float: 'a number',
+    bool: 'true or false',
+    dict: 'a map',
+    tuple: 'a list',
+    type(None): 'null',
+}
+
+
+@frozen
+class DocumentMistake:
+    """One mistake: where it stands and why it is one."""
+
+    place: str
+    reason: str
+
+
+def check_shape(plain: Any, wanted: Any, place: str) -> Iterator[DocumentMistake]:
+    """Yield each place where plain data does not have a type."""
+    origin = get_origin(wanted)
+    if origin in (Union, types.UnionType):
+        choices = [each for each in get_args(wanted) if each is not type(None)]
+        if plain is not None:
+            yield from check_shape(plain, choices[0], place)
+    elif attrs.has(wanted):
+        yield from check_fields(plain, wanted, place)
+    elif origin is dict:
+        yield from check_map(plain, get_args(wanted)[1], place)
+    elif origin is tuple:
+        yield from check_list(plain, get_args(wanted)[0], place)
+    elif not is_scalar(plain, wanted):
+        yield wrong_type(plain, wanted, place)
+
+
+def check_fields(plain: Any, wanted: type, place: str) -> Iterator[DocumentMistake]:
+    """Yield the mistakes in a map with the fields of a class."""
+    if not isinstance(plain, dict):
+        yield wrong_type(plain, dict, place)
+        return
+    attribute_by_name = attrs.fields_dict(attrs.resolve_types(wanted))
+    for name in plain:
+        if name not in attribute_by_name:
+            known = ', '.join(attribute_by_name)
+            yield DocumentMistake(join(place, name), f'unknown field; known: {known}')
+    for name, attribute in attribute_by_name.items():
+        inner = join(place, name)
+        if name in plain:
+            mistakes = list(check_shape(plain[name], attribute.type, inner))
+            allowed = attribute.metadata.get('range')
+            yield from mistakes or check_range(plain[name], allowed, inner)
+        elif attribute.default is attrs.NOTHING:
+            yield DocumentMistake(inner, 'is missing')
+
+
+def check_map(plain: Any, inner: Any, place: str) -> Iterator[DocumentMistake]:
+    """Yield the mistakes in a map of values of one type."""
+    if not isinstance(plain, dict):
+        yield wrong_type(plain, dict, place)
+        return
+    for key, value in plain.items():
+        yield from check_shape(value, inner, join(place, key))
+
+
+def check_list(plain: Any, inner: Any, place: str) -> Iterator[DocumentMistake]:
+    """Yield the mistakes in a list of values of one type."""
+    if not isinstance(plain, list | tuple):
+        yield wrong_type(plain, tuple, place)
+        return
+    for index, value in enumerate(plain):
+        yield from check_shape(value, inner, f'{place}[{index}]')
+
+
+def check_range(
+    value: Any, allowed: Range | None, place: str
+) -> Iterator[DocumentMistake]:
+    """Yield a mistake if a number is out of its range."""
+    if allowed is None or value is None or allowed.low <= value <= allowed.high:
+        return
+    bounds = f'from {allowed.low:g} to {allowed.high:g} {allowed.unit}'
+    yield DocumentMistake(place, f'{value!r} is not {bounds}')
+
+
+def is_scalar(plain: Any, wanted: type) -> bool:
+    """Tell whether a value is of a scalar type, with no conversion."""
+    if wanted is float:
+        is_number = isinstance(plain, int | float) and not isinstance(plain, bool)
+        return is_number and isfinite(plain)
+    if wanted is int:
+        return isinstance(plain, int) and not isinstance(plain, bool)
+    return isinstance(plain, wanted)
+
+
+def wrong_type(plain: Any, wanted: type, place: str) -> DocumentMistake:
+    """Return the mistake of a value of the wrong type."""
+    shown = repr(plain) if len(repr(plain)) <= 40 else type(plain).__name__
+    word = WORD_BY_TYPE.get(wanted, wanted.__name__)
+    return DocumentMistake(place, f'{shown} is not {word}')
+
+
+def join(place: str, name: object) -> str:
+    """Return the place of a field."""
+    return f'{place}.{name}' if place else str(name)
--- a/catkinslip/config/watcher.py
+++ b/catkinslip/config/watcher.py
@@ -1,18 +1,35 @@
 """Follow the accepted configuration on the platform."""
 
 import logging
+from collections.abc import Callable
+from random import Random
 
 import trio
-from attrs import define
-from returns.result import Failure, Success
+from attrs import Factory, define
+from returns.result import Failure, Result, Success
 
-from catkinslip.config.changes import CONFIG_KEY
-from catkinslip.config.documents import AcceptedConfig, converter
-from catkinslip.config.holder import ConfigHolder
-from catkinslip.platform.base import ObjectStore, StoredObject
+from catkinslip.config.documents import AcceptedConfig
+from catkinslip.config.history import Head
+from catkinslip.config.holder import ConfigHolder, Step
+from catkinslip.config.reading import (
+    CONFIG_KEY,
+    StoredHead,
+    parse_head,
+    read_document,
+)
+from catkinslip.platform.backoff import Backoff
+from catkinslip.platform.base import (
+    ObjectStore,
+    OverBudget,
+    PlatformError,
+    StoredObject,
+)
 
 WATCH_SECONDS = 20.0
-PAUSE_AFTER_ERROR_SECONDS = 1.0
+#: Mean time between two polls of an instance that does not watch.
+POLL_SECONDS = 60.0
+#: Time between two looks at whether this instance should watch.
+DUTY_SECONDS = 1.0
 
 log = logging.getLogger('config')
 
@@ -23,26 +40,72 @@
 
     store: ObjectStore
     config: ConfigHolder
+    is_watcher: Callable[[], bool] = lambda: True
+    random: Random = Factory(Random)
+    backoff: Backoff = Factory(Backoff)
     object_version: int = 0
 
     async def run(self) -> None:
-        """Watch until cancelled."""
+        """Watch or poll until cancelled."""
         while True:
-            result = await self.store.wait_for_change(
-                CONFIG_KEY, self.object_version, WATCH_SECONDS
-            )
+            result = await self._ask()
             match result:
                 case Success(StoredObject() as found):
-                    self._take(found)
+                    error = await self._take(found)
                 case Success(_):
-                    pass
+                    error = None
                 case Failure(error):
-                    log.warning('config: the platform did not answer, %s.', error)
-                    await trio.sleep(PAUSE_AFTER_ERROR_SECONDS)
-
-    def _take(self, found: StoredObject) -> None:
-        self.object_version = found.version
-        config = converter.structure(found.value, AcceptedConfig)
-        if self.config.offer(config):
-            number = config.version.number
-            log.info('config: version %d is in force, from the platform.', number)
+                    pass
+            await self._pause(error)
+
+    async def _ask(self) -> Result[StoredObject | None, PlatformError]:
+        if self.config.is_ready and not self.is_watcher():
+            return await self.store.read(CONFIG_KEY)
+        return await self.store.wait_for_change(
+            CONFIG_KEY, self.object_version, WATCH_SECONDS
+        )
+
+    async def _pause(self, error: PlatformError | None) -> None:
+        if isinstance(error, OverBudget):
+            await trio.sleep(error.retry_after)
+        elif error is not None:
+            log.warning('config: the platform gave no configuration, %s.', error)
+            await trio.sleep(self.backoff.next_delay(self.random))
+        else:
+            self.backoff.reset()
+            await self._wait_for_duty()
+
+    async def _wait_for_duty(self) -> None:
+        end = trio.current_time() + POLL_SECONDS * self.random.uniform(0.5, 1.5)
+        while self.config.is_ready and not self.is_watcher():
+            if trio.current_time() >= end:
+                return
+            await trio.sleep(DUTY_SECONDS)
+
+    async def _take(self, found: StoredObject) -> PlatformError | None:
+        stored = parse_head(found)
+        if not isinstance(stored, StoredHead):
+            return stored
+        error = await self._take_head(stored.head)
+        if error is None:
+            self.object_version = found.version
+        return error
+
+    async def _take_head(self, head: Head) -> PlatformError | None:
+        in_force = self.config.current.version
+        if head.version < in_force:
+            log.warning(
+                'config: the platform shows version %s, older than %s in force; kept.',
+                head.version,
+                in_force,
+            )
+            return None
+        if self.config.is_ready:
+            step = self.config.offer_changes(head.changes)
+            if step is not Step.GAP:
+                return None
+        config = await read_document(self.store, head)
+        if not isinstance(config, AcceptedConfig):
+            return config
+        self.config.offer(config, head.changes)
+        return None
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -27,6 +27,7 @@
         app.before_request(self._check_secret)
         app.add_url_rule(PATH, view_func=self._exchange, methods=['POST'])
         app.add_url_rule('/v1/status', view_func=self._status)
+        app.add_url_rule('/v1/config', view_func=self._config)
         return app
 
     async def _check_secret(self) -> Response | None:
@@ -47,3 +48,12 @@
             'config_version': cattrs.unstructure(current.version),
             'change_id': current.change_id,
         }
+
+    async def _config(self) -> dict:
+        current = self.config.current
+        return {
+            'version': cattrs.unstructure(current.version),
+            'change_id': current.change_id,
+            'author': current.author,
+            'document': current.plain,
+        }
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -12,10 +12,12 @@
 from attrs import define
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve as serve_asgi
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
+from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
@@ -25,8 +27,10 @@
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
 from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.budget import TokenBucket
+from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
-from catkinslip.platform.http import HttpStore
+from catkinslip.platform.http import CALLER_HEADER, HttpStore
 from catkinslip.proxy.callers import CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
@@ -39,6 +43,7 @@
 DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
+LIST_SECONDS = 1.0
 
 log = logging.getLogger('daemon')
 
@@ -102,6 +107,7 @@
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(follow_peers, daemon)
+            nursery.start_soon(follow_list, daemon)
             announce_ready(own, environment)
         await daemon.pool.close()
 
@@ -114,15 +120,16 @@
     peer_client: httpx.AsyncClient,
 ) -> Daemon:
     """Wire the parts of one daemon."""
-    store = make_store(settings, platform_client)
-    config = ConfigHolder()
     members = MemberTable(own)
+    store = make_store(settings, environment, members, platform_client)
+    config = ConfigHolder()
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
     forwarder = Forwarder(directory, pool, environment.clock)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
-    topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
+    config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
+    topic_by_name = {topic.name: topic for topic in (config_topic,)}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
@@ -131,7 +138,12 @@
         store=store,
         members=members,
         peers=peers,
-        watcher=ConfigWatcher(store, config),
+        watcher=ConfigWatcher(
+            store,
+            config,
+            lambda: is_watcher(members.own, members.live()),
+            environment.random,
+        ),
         callers=CallerServer(
             environment, config, forwarder, addresses, settings.request_timeout
         ),
@@ -140,11 +152,23 @@
     )
 
 
-def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
+def make_store(
+    settings: DaemonSettings,
+    environment: Environment,
+    members: MemberTable,
+    client: httpx.AsyncClient,
+) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
         return EmbeddedStore()
-    return HttpStore(client, settings.platform_timeout)
+    return BudgetedStore(
+        HttpStore(client, settings.platform_timeout),
+        environment.clock,
+        settings.platform_budget,
+        settings.max_instances,
+        lambda: len(members.live()),
+        TokenBucket(0.0),
+    )
 
 
 @asynccontextmanager
@@ -153,8 +177,11 @@
 ) -> AsyncIterator[tuple[httpx.AsyncClient, httpx.AsyncClient]]:
     """Open the clients of the platform and of peers."""
     secret = {SECRET_HEADER: settings.shared_secret}
+    caller = {CALLER_HEADER: settings.instance_id}
     async with (
-        httpx.AsyncClient(base_url=settings.platform_url) as platform_client,
+        httpx.AsyncClient(
+            base_url=settings.platform_url, headers=caller
+        ) as platform_client,
         httpx.AsyncClient(headers=secret, timeout=PEER_TIMEOUT_SECONDS) as peer_client,
     ):
         yield platform_client, peer_client
@@ -190,16 +217,23 @@
 
 
 async def follow_peers(daemon: Daemon) -> None:
-    """Keep members and configuration in step with peers and the platform's list."""
+    """Keep members and configuration in step with peers."""
+    while True:
+        await daemon.peers.run_once()
+        await trio.sleep(daemon.settings.peer_interval)
+
+
+async def follow_list(daemon: Daemon) -> None:
+    """Announce this instance and learn of others from the platform's list."""
     own = daemon.members.own
     listed = ListedInstance(
         own.member_id, own.zone, own.address, own.control_address, own.leaving
     )
-    await daemon.store.announce(listed)
+    while not is_successful(await daemon.store.announce(listed)):
+        await trio.sleep(LIST_SECONDS)
     while True:
         await learn_from_list(daemon)
-        await daemon.peers.run_once()
-        await trio.sleep(daemon.settings.peer_interval)
+        await trio.sleep(LIST_SECONDS)
 
 
 async def learn_from_list(daemon: Daemon) -> None:
--- a/catkinslip/platform/base.py
+++ b/catkinslip/platform/base.py
@@ -79,6 +79,10 @@
     ) -> Result[StoredObject, PlatformError]:
         """Write an object if it has the version; 0 means there is none."""
 
+    @abstractmethod
+    async def delete(self, key: ObjectKey) -> Result[None, PlatformError]:
+        """Delete an object if there is one."""
+
     @abstractmethod
     async def wait_for_change(
         self, key: ObjectKey, known_version: int, wait: float
--- a/catkinslip/platform/embedded.py
+++ b/catkinslip/platform/embedded.py
@@ -41,6 +41,11 @@
         self._signal()
         return Success(stored)
 
+    async def delete(self, key: ObjectKey) -> Result[None, PlatformError]:
+        """Delete an object if there is one."""
+        self.object_by_key.pop(key, None)
+        return Success(None)
+
     async def wait_for_change(
         self, key: ObjectKey, known_version: int, wait: float
     ) -> Result[StoredObject | None, PlatformError]:
--- a/catkinslip/platform/http.py
+++ b/catkinslip/platform/http.py
@@ -1,9 +1,13 @@
-"""A client of the platform's object API over HTTP."""
+"""A client of the platform's object API over HTTP.
+
+No call is sent again from here: a write that is sent twice could take effect twice.
+"""
 
 from typing import Any
 
 import cattrs
 import httpx
+import orjson
 from attrs import asdict, define
 from returns.result import Failure, Result, Success
 
@@ -13,12 +17,17 @@
     ListedInstance,
     ObjectKey,
     ObjectStore,
+    OverBudget,
     PlatformError,
     StoredObject,
     Unavailable,
 )
 
+#: Names the calling instance, so that the platform can count calls by caller.
+CALLER_HEADER = 'Catkinslip-Instance'
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+NOT_JSON_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
 
 @define
@@ -40,11 +49,17 @@
         condition = {'If-Match': str(expected_version)}
         if expected_version == 0:
             condition = {'If-None-Match': '*'}
+        headers = {'Content-Type': 'application/json', **condition}
         result = await self._call(
-            'PUT', object_path(key), json=value, headers=condition
+            'PUT', object_path(key), content=orjson.dumps(value), headers=headers
         )
         return result.bind(lambda response: written_object(key, value, response))
 
+    async def delete(self, key: ObjectKey) -> Result[None, PlatformError]:
+        """Delete an object if there is one."""
+        result = await self._call('DELETE', object_path(key))
+        return result.map(lambda _: None)
+
     async def wait_for_change(
         self, key: ObjectKey, known_version: int, wait: float
     ) -> Result[StoredObject | None, PlatformError]:
@@ -79,14 +94,43 @@
             return Failure(Unavailable(repr(error)))
         except httpx.HTTPError as error:
             return Failure(AnswerLost(repr(error)))
-        if response.status_code == httpx.codes.PRECONDITION_FAILED:
-            return Failure(Conflict(response.json()['version']))
-        if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
-            return Failure(Unavailable('the platform answered 503'))
-        if response.is_server_error:
-            reason = f'the platform answered {response.status_code}'
-            return Failure(AnswerLost(reason))
+        return judge_status(method, response)
+
+
+def judge_status(
+    method: str, response: httpx.Response
+) -> Result[httpx.Response, PlatformError]:
+    """Tell an answer from a refusal by its status."""
+    status = response.status_code
+    reason = f'the platform answered {status}'
+    if status in (httpx.codes.NOT_FOUND, httpx.codes.NOT_MODIFIED):
         return Success(response)
+    if status == httpx.codes.PRECONDITION_FAILED:
+        return Failure(Conflict(conflict_version(response)))
+    if status == httpx.codes.TOO_MANY_REQUESTS:
+        return Failure(OverBudget(retry_after(response)))
+    if response.is_server_error and method != 'GET':
+        # A gateway may answer for a platform that took the write.
+        return Failure(AnswerLost(reason))
+    if not response.is_success:
+        return Failure(Unavailable(reason))
+    return Success(response)
+
+
+def conflict_version(response: httpx.Response) -> int:
+    """Return the version in a conflict's answer, 0 when it names none."""
+    try:
+        return int(response.json()['version'])
+    except NOT_JSON_ERRORS:
+        return 0
+
+
+def retry_after(response: httpx.Response) -> float:
+    """Return the seconds after which a refused call may be sent again."""
+    try:
+        return max(0.0, float(response.headers['Retry-After']))
+    except (KeyError, ValueError):
+        return DEFAULT_RETRY_AFTER_SECONDS
 
 
 def object_path(key: ObjectKey) -> str:
@@ -100,25 +144,28 @@
     """Read an object from an answer."""
     if response.status_code in (httpx.codes.NOT_FOUND, httpx.codes.NOT_MODIFIED):
         return Success(None)
-    if response.is_error:
-        return Failure(Unavailable(f'the platform answered {response.status_code}'))
-    plain = response.json()
-    return Success(StoredObject(key, plain['version'], plain['value']))
+    try:
+        plain = response.json()
+        return Success(StoredObject(key, plain['version'], plain['value']))
+    except NOT_JSON_ERRORS as error:
+        return Failure(Unavailable(f'the platform answered nonsense, {error!r}'))
 
 
 def written_object(
     key: ObjectKey, value: Any, response: httpx.Response
 ) -> Result[StoredObject, PlatformError]:
     """Read the version of a written object from an answer."""
-    if response.is_error:
-        return Failure(Unavailable(f'the platform answered {response.status_code}'))
-    return Success(StoredObject(key, response.json()['version'], value))
+    try:
+        return Success(StoredObject(key, response.json()['version'], value))
+    except NOT_JSON_ERRORS as error:
+        return Failure(AnswerLost(f'the platform answered nonsense, {error!r}'))
 
 
 def listed_instances(
     response: httpx.Response,
 ) -> Result[list[ListedInstance], PlatformError]:
     """Read the list of instances from an answer."""
-    if response.is_error:
-        return Failure(Unavailable(f'the platform answered {response.status_code}'))
-    return Success(cattrs.structure(response.json(), list[ListedInstance]))
+    try:
+        return Success(cattrs.structure(response.json(), list[ListedInstance]))
+    except NOT_JSON_ERRORS as error:
+        return Failure(Unavailable(f'the platform answered nonsense, {error!r}'))
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -27,6 +27,8 @@
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
+        if not self.directory.is_ready:
+            return NotRun(Reason.NOT_READY)
         router = self.directory.router_by_service.get(call.service)
         if router is None:
             return NotRun(Reason.UNKNOWN_SERVICE, call.service)
--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -17,10 +17,14 @@
     make_policy: Callable[[], Policy]
     router_by_service: dict[str, ServiceRouter] = Factory(dict)
     address_by_backend: dict[str, Address] = Factory(dict)
+    #: Whether any configuration is in force.
+    is_ready: bool = False
 
     def update(self, config: AcceptedConfig) -> None:
         """Take over a new configuration."""
+        self.is_ready = True
         register = config.document.register
+        services = config.document.effective_services()
         backends_by_service: dict[str, dict[str, Backend]] = {
             name: {} for name in register.services
         }
@@ -28,7 +32,7 @@
             backends_by_service[backend.service][backend_id] = backend
         for name in set(self.router_by_service) - set(register.services):
             del self.router_by_service[name]
-        for name, service in register.services.items():
+        for name, service in services.items():
             router = self.router_by_service.get(name)
             if router is None:
                 router = ServiceRouter(self.make_policy())
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -71,6 +71,20 @@
         'Seconds to wait for an answer of the platform.',
         PLATFORM,
     ),
+    Option(
+        '--platform-budget',
+        '100',
+        number(0.1, 100_000, 'calls a second'),
+        'Calls a second to the platform, of all instances together.',
+        PLATFORM,
+    ),
+    Option(
+        '--max-instances',
+        '20',
+        whole_number(1, 100_000, 'instances'),
+        'Most instances that run at once; each gets that part of a shared budget.',
+        PLATFORM,
+    ),
     Option(
         '--seeds',
         '',
@@ -117,6 +131,8 @@
     shared_secret: str
     platform_url: str
     platform_timeout: float
+    platform_budget: float
+    max_instances: int
     seeds: tuple[str, ...]
     peer_interval: float
     address_lifetime: float
--- a/catkinslip/status.py
+++ b/catkinslip/status.py
@@ -21,3 +21,5 @@
     UNKNOWN = 5
     #: The daemon or the platform could not be reached; nothing changed.
     UNREACHABLE = 6
+    #: The change is accepted, but not every instance has it in force yet.
+    NOT_IN_FORCE = 7
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import math
 
 import trio
 from attrs import Factory, asdict, define
@@ -10,15 +11,38 @@
 from quart import Response, abort, jsonify, request
 from quart_trio import QuartTrio
 
+MAX_VALUE_BYTES = 1 << 20
+CALLER_HEADER = 'Catkinslip-Instance'
+
 
 @define
 class Faults:
     """Faults to play; durations are in seconds."""
 
+    #: Refuse each call before it takes effect.
     down: bool = False
+    #: Wait before each call.
     delay: float = 0.0
+    #: Writes that take effect but are answered with an error.
     lose_answers: int = 0
+    #: Writes that take effect but whose connection breaks within the answer.
+    cut_answers: int = 0
+    #: Age of the list of instances.
     list_lag: float = 0.0
+    #: Reads of an object that are answered with the version before its last one.
+    stale_reads: int = 0
+    #: Calls a second of one caller; more are refused with 429. 0 is no bound.
+    budget: float = 0.0
+
+
+@define
+class CallCount:
+    """The calls of one caller."""
+
+    by_name: dict[str, int] = Factory(dict)
+    refused: int = 0
+    tokens: float = 0.0
+    filled_at: float = -math.inf
 
 
 @define
@@ -26,19 +50,22 @@
     """Hold objects and the lagging list of instances."""
 
     object_by_path: dict[str, dict] = Factory(dict)
+    earlier_by_path: dict[str, dict] = Factory(dict)
     words_by_instance: dict[str, list[tuple[float, dict]]] = Factory(dict)
     faults: Faults = Factory(Faults)
-    calls_by_name: dict[str, int] = Factory(dict)
+    count_by_caller: dict[str, CallCount] = Factory(dict)
     changed: trio.Event = Factory(trio.Event)
 
     def make_app(self) -> QuartTrio:
         """Return the ASGI application."""
         app = QuartTrio('platform')
+        app.config['MAX_CONTENT_LENGTH'] = MAX_VALUE_BYTES
         app.before_request(self.before)
         app.after_request(self.after)
         path = '/v1/objects/<path:path>'
         app.add_url_rule(path, view_func=self.read)
         app.add_url_rule(path, view_func=self.write, methods=['PUT'])
+        app.add_url_rule(path, view_func=self.delete, methods=['DELETE'])
         app.add_url_rule('/v1/watch/<path:path>', view_func=self.watch)
         app.add_url_rule('/v1/instances', view_func=self.list_instances)
         app.add_url_rule(
@@ -46,44 +73,83 @@
         )
         app.add_url_rule('/standin/faults', view_func=self.order, methods=['POST'])
         app.add_url_rule('/standin/calls', view_func=self.calls)
+        app.add_url_rule('/standin/callers', view_func=self.callers)
+        app.add_url_rule('/standin/objects', view_func=self.objects)
         return app
 
     async def before(self) -> None:
         """Count the call and play the faults that come before it."""
         if request.path.startswith('/standin'):
             return
+        count = self.count_by_caller.setdefault(
+            request.headers.get(CALLER_HEADER, ''), CallCount()
+        )
         name = f'{request.method} {request.endpoint}'
-        self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
+        count.by_name[name] = count.by_name.get(name, 0) + 1
+        if self.is_over_budget(count):
+            count.refused += 1
+            headers = {'Retry-After': '1'}
+            abort(Response('over budget\n', status=429, headers=headers))
         if self.faults.delay:
             await trio.sleep(self.faults.delay)
         if self.faults.down:
             abort(Response('down\n', status=503))
 
+    def is_over_budget(self, count: CallCount) -> bool:
+        """Take a call from a caller's budget; tell whether none was left."""
+        rate = self.faults.budget
+        if rate <= 0:
+            return False
+        now = trio.current_time()
+        gained = (now - count.filled_at) * rate
+        count.tokens = min(max(1.0, rate), count.tokens + gained)
+        count.filled_at = now
+        if count.tokens < 1.0:
+            return True
+        count.tokens -= 1.0
+        return False
+
     async def after(self, response: Response) -> Response:
         """Lose the answer of a write after it took effect."""
-        if request.method == 'PUT' and self.faults.lose_answers > 0:
+        if request.method != 'PUT' or response.status_code >= 400:
+            return response
+        if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return Response('answer lost\n', status=504)
+        if self.faults.cut_answers > 0:
+            self.faults.cut_answers -= 1
+            response.headers['Content-Length'] = '1000'
         return response
 
     async def read(self, path: str):
         """Answer with an object."""
         found = self.object_by_path.get(path)
+        if self.faults.stale_reads > 0 and path in self.earlier_by_path:
+            self.faults.stale_reads -= 1
+            found = self.earlier_by_path[path]
         return found if found else Response('none\n', status=404)
 
     async def write(self, path: str):
         """Write an object if its version is the expected one."""
+        value = await request.get_json()
         found = self.object_by_path.get(path)
         version = found['version'] if found else 0
         expected = int(request.headers.get('If-Match', '0'))
         if expected != version:
             return jsonify({'version': version}), 412
-        stored = {'version': version + 1, 'value': await request.get_json()}
-        self.object_by_path[path] = stored
+        if found:
+            self.earlier_by_path[path] = found
+        self.object_by_path[path] = {'version': version + 1, 'value': value}
         self.changed.set()
         self.changed = trio.Event()
         return {'version': version + 1}
 
+    async def delete(self, path: str):
+        """Delete an object."""
+        self.object_by_path.pop(path, None)
+        self.earlier_by_path.pop(path, None)
+        return {}
+
     async def watch(self, path: str):
         """Answer once the object has another version."""
         after = int(request.args['after'])
@@ -118,7 +184,22 @@
 
     async def calls(self):
         """Answer with the number of calls of each kind."""
-        return self.calls_by_name
+        calls_by_name: dict[str, int] = {}
+        for count in self.count_by_caller.values():
+            for name, calls in count.by_name.items():
+                calls_by_name[name] = calls_by_name.get(name, 0) + calls
+        return calls_by_name
+
+    async def callers(self):
+        """Answer with the number of calls of each caller."""
+        return {
+            caller: {'calls': sum(count.by_name.values()), 'refused': count.refused}
+            for caller, count in self.count_by_caller.items()
+        }
+
+    async def objects(self):
+        """Answer with the versions of all objects."""
+        return {path: found['version'] for path, found in self.object_by_path.items()}
 
 
 async def main() -> None:
