Provoke the failures of the platform against real processes

Change: one contract for both stores; operators' race, lost and cut answers, outage, fresh instance, stale watch and restored platform as processes. The stand-in counts calls by caller and refuses those over a budget. An instance that the list lacks announces itself again; the list is followed apart from the peers, which a slow platform would otherwise hold up.

--- a/catkinslip/cli/application.py
+++ b/catkinslip/cli/application.py
@@ -4,6 +4,7 @@
 
 from cleo.application import Application
 from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.outputs.stream_output import StreamOutput
 
 from catkinslip import __version__
 from catkinslip.cli.commands import StatusCommand
@@ -41,4 +42,8 @@
     application.auto_exits(False)
     for command in COMMANDS:
         application.add(command(environment))
-    return application.run(ArgvInput(['catkinslip', *arguments]))
+    return application.run(
+        ArgvInput(['catkinslip', *arguments]),
+        StreamOutput(environment.stdout),
+        StreamOutput(environment.stderr),
+    )
--- a/catkinslip/cli/configuration.py
+++ b/catkinslip/cli/configuration.py
@@ -43,6 +43,7 @@
     'Variable: CATKINSLIP_CONTROL.',
     flag=False,
 )
+INSTANCE_TIMEOUT_SECONDS = 2.0
 JSON = option('json', None, 'Print JSON.')
 
 
@@ -95,12 +96,16 @@
             yield HttpStore(client, TIMEOUT_SECONDS)
 
     @asynccontextmanager
-    async def open_fleet(self, store: HttpStore | None) -> AsyncIterator[Fleet]:
-        """Open a client of the instances."""
+    async def open_fleet(self, store: HttpStore) -> AsyncIterator[Fleet]:
+        """Open a client of all instances."""
+        async with self.instance_client() as client:
+            yield Fleet(client, store, self.control_addresses)
+
+    def instance_client(self) -> httpx.AsyncClient:
+        """Return a client of instances."""
         secret = self.environment.variables.get('CATKINSLIP_SHARED_SECRET', '')
         headers = {SECRET_HEADER: secret}
-        async with httpx.AsyncClient(headers=headers, timeout=2.0) as client:
-            yield Fleet(client, store, self.control_addresses)
+        return httpx.AsyncClient(headers=headers, timeout=INSTANCE_TIMEOUT_SECONDS)
 
     def read_file(self) -> Result[Document, DocumentRefused]:
         """Read and check the document that the command names."""
@@ -190,9 +195,9 @@
         )
 
     async def _read_instance(self, address: str) -> int:
-        async with self.open_fleet(None) as fleet:
+        async with self.instance_client() as client:
             try:
-                response = await fleet.client.get(f'http://{address}/v1/config')
+                response = await client.get(f'http://{address}/v1/config')
                 response.raise_for_status()
             except httpx.HTTPError as error:
                 self.line_error(f'{address} did not answer: {error!r}.')
--- a/catkinslip/cli/configuration_changes.py
+++ b/catkinslip/cli/configuration_changes.py
@@ -90,6 +90,8 @@
         else:
             for straggler in report.stragglers:
                 self.line_error(f'Not in force: {straggler}.')
+            if not count and not report.stragglers:
+                self.line_error('No instance is known; name one with --control.')
             total = count + len(report.stragglers)
             self.line_error(
                 f'Version {version} is in force on {count} of {total} instances.'
--- a/catkinslip/cli/in_force.py
+++ b/catkinslip/cli/in_force.py
@@ -55,7 +55,7 @@
     """Ways to reach the instances."""
 
     client: httpx.AsyncClient
-    store: ObjectStore | None
+    store: ObjectStore
     control_addresses: tuple[str, ...]
 
     async def wait_in_force(
@@ -88,10 +88,9 @@
 
     async def _listed(self) -> dict[str, str]:
         name_by_address = {each: each for each in self.control_addresses}
-        if self.store is not None:
-            for instance in (await self.store.list_instances()).value_or([]):
-                if not instance.leaving:
-                    name_by_address[instance.control_address] = instance.name
+        for instance in (await self.store.list_instances()).value_or([]):
+            if not instance.leaving:
+                name_by_address[instance.control_address] = instance.name
         return name_by_address
 
     async def _ask(
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -12,7 +12,6 @@
 from attrs import define
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve as serve_asgi
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from catkinslip import logs
@@ -229,21 +228,22 @@
     listed = ListedInstance(
         own.member_id, own.zone, own.address, own.control_address, own.leaving
     )
-    while not is_successful(await daemon.store.announce(listed)):
-        await trio.sleep(LIST_SECONDS)
     while True:
-        await learn_from_list(daemon)
+        if not await learn_from_list(daemon):
+            await daemon.store.announce(listed)
         await trio.sleep(LIST_SECONDS)
 
 
-async def learn_from_list(daemon: Daemon) -> None:
-    """Exchange with listed instances that are not known yet."""
+async def learn_from_list(daemon: Daemon) -> bool:
+    """Exchange with listed instances not known yet; tell whether this one is listed."""
+    own = daemon.members.own
     listed = (await daemon.store.list_instances()).value_or([])
     for instance in listed:
         known = daemon.members.member_by_id.get(instance.name)
-        if instance.name == daemon.members.own.member_id or known is not None:
-            continue
-        await daemon.peers.exchange_with(instance.control_address)
+        if instance.name != own.member_id and known is None:
+            await daemon.peers.exchange_with(instance.control_address)
+    address_by_name = {each.name: each.control_address for each in listed}
+    return address_by_name.get(own.member_id) == own.control_address
 
 
 async def stop_on_signal(scope: trio.CancelScope) -> None:
--- a/catkinslip/platform/budget.py
+++ b/catkinslip/platform/budget.py
@@ -3,13 +3,14 @@
 Every instance divides the budget of the whole system by the greatest number of
 instances that may run, or by the number it sees if that is more. So the sum stays
 within the budget while views differ, while members are cut off from each other and
-while instances restart: a bucket starts empty.
+while instances restart: a bucket starts empty. Over any time the calls of all are at
+most the budget for that time and one call of each instance.
 """
 
 from attrs import define
 
-#: Calls that may come at once, as seconds of the rate.
-BURST_SECONDS = 2.0
+#: Calls of one instance that may come at once.
+BURST_CALLS = 1.0
 
 
 def share_of(budget: float, most_instances: int, seen_instances: int) -> float:
@@ -29,12 +30,6 @@
         """Change the rate from now on."""
         self._fill(now)
         self.rate = rate
-        self.tokens = min(self.tokens, self.capacity)
-
-    @property
-    def capacity(self) -> float:
-        """Return the number of calls that may come at once."""
-        return max(1.0, self.rate * BURST_SECONDS)
 
     def take(self, now: float) -> float:
         """Take a token and return 0, or return the seconds until there is one."""
@@ -48,4 +43,4 @@
         since = now if self.filled_at is None else self.filled_at
         self.filled_at = max(now, since)
         gained = max(0.0, now - since) * self.rate
-        self.tokens = min(self.capacity, self.tokens + gained)
+        self.tokens = min(BURST_CALLS, self.tokens + gained)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -12,6 +12,7 @@
 from quart_trio import QuartTrio
 
 MAX_VALUE_BYTES = 1 << 20
+MAX_BODY_BYTES = 16 << 20
 CALLER_HEADER = 'Catkinslip-Instance'
 
 
@@ -29,8 +30,10 @@
     cut_answers: int = 0
     #: Age of the list of instances.
     list_lag: float = 0.0
-    #: Reads of an object that are answered with the version before its last one.
+    #: Reads that are answered with the version before the last one.
     stale_reads: int = 0
+    #: Watches that are answered so, where a watch begins.
+    stale_watches: int = 0
     #: Calls a second of one caller; more are refused with 429. 0 is no bound.
     budget: float = 0.0
 
@@ -59,7 +62,7 @@
     def make_app(self) -> QuartTrio:
         """Return the ASGI application."""
         app = QuartTrio('platform')
-        app.config['MAX_CONTENT_LENGTH'] = MAX_VALUE_BYTES
+        app.config['MAX_CONTENT_LENGTH'] = MAX_BODY_BYTES
         app.before_request(self.before)
         app.after_request(self.after)
         path = '/v1/objects/<path:path>'
@@ -131,6 +134,8 @@
 
     async def write(self, path: str):
         """Write an object if its version is the expected one."""
+        if len(await request.get_data()) > MAX_VALUE_BYTES:
+            return Response('the value is too large\n', status=413)
         value = await request.get_json()
         found = self.object_by_path.get(path)
         version = found['version'] if found else 0
@@ -153,6 +158,9 @@
     async def watch(self, path: str):
         """Answer once the object has another version."""
         after = int(request.args['after'])
+        if self.faults.stale_watches > 0 and path in self.earlier_by_path:
+            self.faults.stale_watches -= 1
+            return self.earlier_by_path[path]
         with trio.move_on_after(float(request.args['wait'])):
             while True:
                 found = self.object_by_path.get(path)
--- /dev/null
+++ b/tests/test_config_processes.py
@@ -0,0 +1,170 @@
+"""Operators, instances and the platform as separate processes, under failure."""
+
+import io
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import httpx
+
+from catkinslip.cli.application import run
+from catkinslip.environment import Environment
+from catkinslip.status import ExitStatus
+from standins.processes import ROOT, Process, ProcessGroup, wait_until
+from tests.builders import document_plain
+
+
+class ConfigProcessesTest(unittest.TestCase):
+    """Each test starts its own platform."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.group = ProcessGroup(self.folder)
+        self.addCleanup(self.group.stop_all)
+        self.platform = self.group.start_platform()
+        self.url = f'http://{self.platform.address}'
+
+    def order(self, **faults):
+        httpx.post(f'{self.url}/standin/faults', json=faults, timeout=10)
+
+    def document(self, *backends: str) -> str:
+        """Write a document with some backend servers; return its path."""
+        addresses = {name: f'127.0.0.1:{9000 + n}' for n, name in enumerate(backends)}
+        path = self.folder / f'{"-".join(backends)}.json'
+        path.write_text(json.dumps(document_plain(addresses)))
+        return str(path)
+
+    def tool(self, *arguments: str) -> tuple[int, str]:
+        """Run the tool; return its exit status and what it printed."""
+        output = io.StringIO()
+        variables = {'CATKINSLIP_PLATFORM_URL': self.url, 'USER': 'ana'}
+        environment = Environment(variables, output, output)
+        return run([*arguments, '--no-ansi'], environment), output.getvalue()
+
+    def start_daemon(self, name: str, *seeds: Process, **settings) -> Process:
+        seed_addresses = ','.join(each.control_address for each in seeds)
+        return self.group.start_daemon(
+            name,
+            'zone-a',
+            platform_url=self.url,
+            platform_timeout=0.5,
+            peer_interval=0.1,
+            seeds=seed_addresses,
+            **settings,
+        )
+
+    def test_one_of_two_racing_operators_wins_and_the_other_is_told(self):
+        self.assertEqual(self.tool('apply', self.document('a'))[0], 0)
+        self.order(delay=0.3)
+        operators = {}
+        for name in ('ana', 'bela'):
+            file = self.document(name)
+            operators[name] = subprocess.Popen(
+                [sys.executable, '-m', 'catkinslip', 'apply', file, '--json']
+                + ['--base', '0.1', '--author', name, '--platform-url', self.url],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+            )
+        said = {name: each.communicate()[0] for name, each in operators.items()}
+        status = {name: each.returncode for name, each in operators.items()}
+        self.assertEqual(
+            set(status.values()), {ExitStatus.SUCCESS, ExitStatus.CONFLICT}
+        )
+        winner = min(status, key=status.get)
+        loser = max(status, key=status.get)
+        self.assertEqual(json.loads(said[loser])['winner']['author'], winner)
+        accepted = json.loads(self.tool('read', '--document')[1])
+        self.assertEqual(list(accepted['register']['backends']), [winner])
+
+    def test_lost_and_cut_answers_are_resolved_and_applied_once(self):
+        for number, fault in enumerate(('lose_answers', 'cut_answers'), 2):
+            self.tool('apply', self.document('a'))
+            # The first write of an apply may be of a snapshot; this one is not.
+            self.order(**{fault: 1})
+            status, _ = self.tool('drain', 'a', '--json')
+            self.assertEqual(status, ExitStatus.SUCCESS)
+            changes = json.loads(self.tool('changes', '--json')[1])
+            self.assertEqual(len(changes), 2 * (number - 1))
+
+    def test_nothing_changes_when_the_platform_is_down_or_the_document_is_bad(self):
+        self.tool('apply', self.document('a'))
+        self.order(down=True)
+        self.assertEqual(
+            self.tool('apply', self.document('b'))[0], ExitStatus.UNREACHABLE
+        )
+        self.order(down=False)
+        bad = self.folder / 'bad.json'
+        bad.write_text('{"register": {"backends": {"x": {"port": 1}}}}')
+        status, said = self.tool('apply', str(bad), '--json')
+        self.assertEqual(status, ExitStatus.REJECTED)
+        places = [each['place'] for each in json.loads(said)['mistakes']]
+        self.assertIn('register.backends.x.host', places)
+        accepted = json.loads(self.tool('read', '--document')[1])
+        self.assertEqual(list(accepted['register']['backends']), ['a'])
+
+    def test_fresh_instance_in_an_outage_takes_the_configuration_from_peers(self):
+        daemons = [self.start_daemon(f'entry-{n}') for n in range(2)]
+        self.tool('apply', self.document('a'))
+        self.assertEqual(self.tool('watch', '--wait', '20')[0], ExitStatus.SUCCESS)
+        self.platform.send_signal(signal.SIGSTOP)
+        alone = self.start_daemon('entry-alone')
+        answer = httpx.get(f'http://{alone.address}/', headers={'Host': 'limits'})
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(answer.json()['type'], 'urn:catkinslip:problem:not-ready')
+        self.assertEqual(answer.json()['outcome'], 'not-run')
+        fresh = self.start_daemon('entry-fresh', *daemons)
+        wait_until(lambda: version_of(fresh) == 1)
+        self.platform.send_signal(signal.SIGCONT)
+        status, said = self.tool('drain', 'a', '--wait', '20')
+        self.assertEqual(status, ExitStatus.SUCCESS, said)
+        self.assertIn('on all 4 instances', said)
+
+    def test_stale_reads_and_a_restored_platform_never_revert(self):
+        daemon = self.start_daemon('entry-0')
+        self.tool('apply', self.document('a'))
+        self.tool('watch', '--wait', '20')
+        self.order(stale_watches=3)
+        self.tool('drain', 'a')
+        wait_until(lambda: self.kept(daemon))
+        held = version_of(daemon)
+        self.assertGreaterEqual(held, 2)
+        port = self.platform.address.rpartition(':')[2]
+        self.platform.kill()
+        self.group.start('restored', 'standins.platform', '--port', port)
+        before = self.kept(daemon)
+        status, said = self.tool('apply', self.document('b'))
+        self.assertEqual(status, ExitStatus.SUCCESS, said)
+        wait_until(lambda: self.kept(daemon) > before)
+        self.assertEqual(version_of(daemon), held)
+        saved = self.folder / 'saved.json'
+        saved.write_text(
+            self.tool('read', '--from', daemon.control_address, '--document')[1]
+        )
+        status, said = self.tool(
+            'apply',
+            str(saved),
+            '--raise-epoch',
+            '--wait',
+            '20',
+            '--control',
+            daemon.control_address,
+        )
+        self.assertEqual(status, ExitStatus.SUCCESS, said)
+        self.assertIn('Accepted as version 1.2', said)
+        self.assertIn('on all 1 instances', said)
+
+    def kept(self, daemon: Process) -> int:
+        """Count how often an instance was shown an older version."""
+        return daemon.log_path.read_text().count('in force; kept')
+
+
+def version_of(daemon: Process) -> int:
+    """Return the number of the version in force on an instance."""
+    status = httpx.get(f'http://{daemon.control_address}/v1/status').json()
+    return status['config_version']['number']
