Part an attempt into awaiting the head and passing it on

Cause: a hedged call must choose among answers before any byte goes to the caller; an attempt passed its answer on directly. Ruled out: buffering whole answers; they are streamed. Change: Attempt.start awaits the head, pass_on streams it, discard drops it; is_sent tells whether a byte of the request may have left. A deadline seen before the first byte is still not run. Conclusion: the seam for retries and hedges.

--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -1,10 +1,8 @@
 """One attempt: send a request to a backend server and pass its answer on."""
 
-from collections.abc import Callable
-
 import h11
 import trio
-from attrs import define, field, frozen
+from attrs import define, frozen
 
 from catkinslip.clock import Clock
 from catkinslip.models import Address
@@ -31,6 +29,15 @@
 
 
 @frozen
+class AnswerHead:
+    """The head of an answer; its body still waits on the connection."""
+
+    response: h11.Response
+    report: reports.LoadReport | None
+    wire: Wire
+
+
+@define
 class Attempt:
     """A call sent to one backend server, and the answer's way back."""
 
@@ -39,26 +46,49 @@
     caller: Wire
     pool: BackendPool
     clock: Clock
-    is_first_byte_allowed: Callable[[], bool] = field(default=lambda: True)
+    number: int = 1
+    is_sent: bool = False
 
     async def run(self) -> Outcome:
         """Send the request and pass the answer on."""
+        result = await self.start()
+        if isinstance(result, AnswerHead):
+            return await self.pass_on(result)
+        return result
+
+    async def start(self) -> AnswerHead | NotRun | Unknown:
+        """Send the request and wait for the head of the answer."""
         try:
             wire = await self.pool.acquire(self.address)
         except OSError as error:
             return NotRun(Reason.CONNECT_FAILED, str(error))
-        if self.clock.monotonic() >= self.call.deadline:
-            await self.pool.release(self.address, wire)
-            return NotRun(Reason.TOO_LATE)
-        outcome: Outcome = Unknown(Reason.DEADLINE)
+        result = None
         try:
-            outcome = await self._exchange(wire)
+            result = await self._exchange(wire)
         finally:
-            with trio.CancelScope(shield=True):
-                await self.pool.release(self.address, wire)
-        return outcome
+            if not isinstance(result, AnswerHead):
+                await self._release(wire)
+        return result
 
-    async def _exchange(self, wire: Wire) -> Outcome:
+    async def pass_on(self, head: AnswerHead) -> Outcome:
+        """Pass a whole answer on to the caller."""
+        try:
+            return await self._pass_on(head)
+        finally:
+            await self._release(head.wire)
+
+    async def discard(self, head: AnswerHead) -> None:
+        """Drop an answer that is not passed on."""
+        await self._release(head.wire)
+
+    async def _release(self, wire: Wire) -> None:
+        with trio.CancelScope(shield=True):
+            await self.pool.release(self.address, wire)
+
+    async def _exchange(self, wire: Wire) -> AnswerHead | NotRun | Unknown:
+        if self.clock.monotonic() >= self.call.deadline:
+            return NotRun(Reason.TOO_LATE)
+        self.is_sent = True
         try:
             await wire.send(*self._request_events())
             response = await receive_response(wire)
@@ -68,18 +98,18 @@
         if is_refusal(response):
             await drain_body(wire)
             return NotRun(Reason.SHED, report=report)
-        return await self._pass_on(wire, response, report)
+        return AnswerHead(response, report, wire)
 
-    async def _pass_on(self, wire: Wire, response: h11.Response, report) -> Outcome:
-        await self.caller.send(self._answer_head(response))
+    async def _pass_on(self, head: AnswerHead) -> Outcome:
+        await self.caller.send(self._answer_head(head.response))
         while True:
             try:
-                event = await wire.receive()
+                event = await head.wire.receive()
             except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError) as e:
                 return Unknown(Reason.BROKEN, repr(e), answer_started=True)
             await self.caller.send(event)
             if type(event) is h11.EndOfMessage:
-                return Answered(response.status_code, report)
+                return Answered(head.response.status_code, head.report)
 
     def _request_events(self) -> list[h11.Event]:
         call = self.call
@@ -91,7 +121,8 @@
         ]
         headers.append((names.REQUEST_ID, call.request_id.encode()))
         headers.append((names.DEADLINE, b'%.3f' % (self.clock.wall() + left)))
-        headers.append((names.ATTEMPT, b'%d' % call.attempt))
+        number = call.attempt + self.number - 1
+        headers.append((names.ATTEMPT, b'%d' % number))
         if call.body or call.method in (b'POST', b'PUT', b'PATCH'):
             headers.append((b'content-length', b'%d' % len(call.body)))
         request = h11.Request(method=call.method, target=call.target, headers=headers)
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -44,15 +44,18 @@
                 choice.reason,
             )
             tried.append(choice.backend_id)
-            outcome = await self._attempt(call, caller, router, choice.backend_id)
+            outcome = await self._attempt(
+                call, caller, router, choice.backend_id, len(tried)
+            )
             if not isinstance(outcome, NotRun):
                 break
-            call.attempt += 1
         return outcome
 
-    async def _attempt(self, call, caller, router, backend_id: str) -> Outcome:
+    async def _attempt(
+        self, call, caller, router, backend_id: str, number: int
+    ) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        attempt = Attempt(call, address, caller, self.pool, self.clock)
+        attempt = Attempt(call, address, caller, self.pool, self.clock, number)
         outcome: Outcome = Unknown(Reason.DEADLINE)
         router.started(backend_id)
         try:
