Stream bodies, check requests before the codec, and watch callers

Cause: the thin path kept whole bodies in memory, accepted bare LF, folded headers, repeated lengths and odd chunks, held no limits, sent a second problem document after an answer had begun, and kept the backend working for callers that had left. Ruled out: a watching task for each request (two more task switches a call); one poll over all callers in flight does it. Change: calls, bodies, heads and chunk checks as modules of their own; large bodies streamed; answers without a length or with another request's ID never reach a caller; connections limited for each backend server, trimmed when idle.

--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -27,7 +27,7 @@
 from catkinslip.platform.base import ListedInstance, ObjectStore
 from catkinslip.platform.embedded import EmbeddedStore
 from catkinslip.platform.http import HttpStore
-from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.directory import Directory
@@ -101,6 +101,8 @@
             nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
+            nursery.start_soon(daemon.callers.watch.run)
+            nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
             announce_ready(own, environment)
         await daemon.pool.close()
@@ -120,6 +122,7 @@
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
+    config.listeners.append(pool.update)
     forwarder = Forwarder(directory, pool, environment.clock)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
     topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
@@ -133,13 +136,25 @@
         peers=peers,
         watcher=ConfigWatcher(store, config),
         callers=CallerServer(
-            environment, config, forwarder, addresses, settings.request_timeout
+            environment, config, forwarder, addresses, caller_limits(settings)
         ),
         control=ControlSurface(peers, config, settings.shared_secret),
         pool=pool,
     )
 
 
+def caller_limits(settings: DaemonSettings) -> CallerLimits:
+    """Return what callers may ask for."""
+    return CallerLimits(
+        request_timeout=settings.request_timeout,
+        head_timeout=settings.head_timeout,
+        body_timeout=settings.body_timeout,
+        idle_timeout=settings.idle_timeout,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_callers,
+    )
+
+
 def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
--- /dev/null
+++ b/catkinslip/proxy/answers.py
@@ -0,0 +1,76 @@
+"""Read and judge the heads of backend servers' answers."""
+
+import h11
+
+from catkinslip.proxy import headers as names
+from catkinslip.proxy.outcomes import Reason, Unknown
+from catkinslip.proxy.wire import ConnectionErrors, Wire
+from catkinslip.routing import reports
+
+STATUS_WITHOUT_BODY = (204, 304)
+MAX_REFUSAL_BYTES = 64 << 10
+
+
+async def receive_response(wire: Wire) -> h11.Response:
+    """Return the final response head."""
+    while True:
+        event = await wire.receive()
+        if type(event) is h11.Response:
+            return event
+        if type(event) is h11.ConnectionClosed:
+            raise h11.RemoteProtocolError('closed before an answer')
+
+
+async def drain_body(wire: Wire) -> None:
+    """Read the rest of a short answer that is not passed on."""
+    left = MAX_REFUSAL_BYTES
+    try:
+        while left > 0:
+            event = await wire.receive()
+            if type(event) is h11.EndOfMessage:
+                return
+            left -= len(event.data)
+    except (*ConnectionErrors, h11.RemoteProtocolError):
+        pass
+    wire.is_spoiled = True
+
+
+def has_begun(wire: Wire) -> bool:
+    """Tell whether any byte of an answer came."""
+    return wire.codec.their_state is h11.SEND_BODY or bool(wire.codec.trailing_data[0])
+
+
+def find_fault(
+    response: h11.Response, method: bytes, request_id: str
+) -> Unknown | None:
+    """Return why an answer must not reach the caller; None when it may."""
+    echo = names.find(response.headers, names.REQUEST_ID)
+    if echo is not None and echo != request_id.encode():
+        return Unknown(Reason.CROSSED)
+    length = names.find(response.headers, b'content-length')
+    coding = names.find(response.headers, b'transfer-encoding')
+    if length is not None and coding is not None:
+        return Unknown(Reason.BROKEN, 'two headers frame the answer')
+    if length is None and coding is None and may_have_body(response, method):
+        # Cut or whole, such an answer looks the same.
+        return Unknown(Reason.BROKEN, 'no header tells where the answer ends')
+    return None
+
+
+def may_have_body(response: h11.Response, method: bytes) -> bool:
+    """Tell whether a body may follow an answer's head."""
+    return method != b'HEAD' and response.status_code not in STATUS_WITHOUT_BODY
+
+
+def is_refusal(response: h11.Response) -> bool:
+    """Tell whether the backend server says that the request did not run."""
+    return (
+        response.status_code == 503
+        and names.find(response.headers, names.OUTCOME) == names.NOT_RUN
+    )
+
+
+def read_report(response: h11.Response) -> reports.LoadReport | None:
+    """Return the load report of an answer."""
+    value = names.find(response.headers, reports.HEADER)
+    return None if value is None else reports.parse_report(value)
--- /dev/null
+++ b/catkinslip/proxy/bodies.py
@@ -0,0 +1,109 @@
+"""Bodies of requests: small ones are kept, large ones are passed on as they come."""
+
+import h11
+import trio
+from attrs import define, frozen
+
+from catkinslip.proxy import headers as names
+from catkinslip.proxy.outcomes import NotRun, Reason
+from catkinslip.proxy.wire import ConnectionErrors, Wire
+
+KEPT_BODY_BYTES = 64 << 10
+
+
+@define
+class RestOfBody:
+    """The part of a body that is read only while it is sent on."""
+
+    caller: Wire
+    bytes_left: int
+    length: int | None = None
+    nursery: trio.Nursery | None = None
+    is_started: bool = False
+    fault: Reason | None = None
+
+    async def receive(self) -> h11.Data | h11.EndOfMessage | None:
+        """Return the next event of the body; None at a fault."""
+        self.is_started = True
+        try:
+            event = await self.caller.receive()
+        except h11.RemoteProtocolError:
+            self.fault = Reason.BAD_REQUEST
+            return None
+        except ConnectionErrors:
+            self.fault = Reason.CALLER_LEFT
+            return None
+        if type(event) is h11.Data:
+            self.bytes_left -= len(event.data)
+        if self.bytes_left < 0:
+            self.fault = Reason.BODY_TOO_LARGE
+            return None
+        return event
+
+
+@frozen
+class Body:
+    """What was read of a body, and the rest when it is large."""
+
+    start: bytes = b''
+    rest: RestOfBody | None = None
+
+
+NO_BODY = Body()
+
+
+@frozen
+class BodyReader:
+    """Read the start of bodies; the timeout is in seconds."""
+
+    max_bytes: int
+    timeout: float
+
+    async def read(self, caller: Wire, request: h11.Request) -> Body | NotRun:
+        """Return a small body whole, a large one with its rest, or a refusal."""
+        length = declared_length(request)
+        if length is not None and length > self.max_bytes:
+            return too_large(self.max_bytes)
+        if length is not None and length > KEPT_BODY_BYTES:
+            return Body(rest=RestOfBody(caller, self.max_bytes, length))
+        if not has_body(request):
+            await caller.receive()
+            return NO_BODY
+        try:
+            with trio.move_on_after(self.timeout):
+                return await self._keep(caller)
+        except h11.RemoteProtocolError as error:
+            return NotRun(Reason.BAD_REQUEST, str(error))
+        return NotRun(Reason.SLOW_REQUEST, f'no whole body in {self.timeout:g} s')
+
+    async def _keep(self, caller: Wire) -> Body | NotRun:
+        parts = []
+        size = 0
+        while size <= KEPT_BODY_BYTES:
+            event = await caller.receive()
+            if type(event) is not h11.Data:
+                return Body(b''.join(parts))
+            parts.append(bytes(event.data))
+            size += len(event.data)
+        if size > self.max_bytes:
+            return too_large(self.max_bytes)
+        return Body(b''.join(parts), RestOfBody(caller, self.max_bytes - size))
+
+
+def has_body(request: h11.Request) -> bool:
+    """Tell whether a request has a body."""
+    length = declared_length(request)
+    if length is not None:
+        return length > 0
+    return names.find(request.headers, b'transfer-encoding') is not None
+
+
+def declared_length(request: h11.Request) -> int | None:
+    """Return the length that a request declares."""
+    length = names.find(request.headers, b'content-length')
+    return None if length is None else int(length)
+
+
+def too_large(max_bytes: int) -> NotRun:
+    """Return the refusal of a large body."""
+    return NotRun(Reason.BODY_TOO_LARGE, f'at most {max_bytes} bytes are taken')
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -1,27 +1,38 @@
 """Serve callers' connections."""
 
 import logging
-from contextlib import suppress
 
 import h11
 import trio
-from attrs import define
+from attrs import Factory, define, frozen
 
 from catkinslip.addresses.answers import PATH_PREFIX, AddressBook
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
-from catkinslip.proxy import headers as names
-from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.bodies import BodyReader
+from catkinslip.proxy.calls import Call, CallMaker
 from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.intake import HeadReader
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.presence import CallerWatch
 from catkinslip.proxy.problems import problem_events
-from catkinslip.proxy.wire import Wire, server_wire
-
-MAX_BODY_BYTES = 1 << 20
+from catkinslip.proxy.wire import ConnectionErrors, Wire, server_wire
 
 log = logging.getLogger('request')
 
 
+@frozen
+class CallerLimits:
+    """What callers may ask for; times are in seconds."""
+
+    request_timeout: float = 10.0
+    head_timeout: float = 10.0
+    body_timeout: float = 10.0
+    idle_timeout: float = 75.0
+    max_body_bytes: int = 64 << 20
+    max_connections: int = 4096
+
+
 @define
 class CallerServer:
     """Read requests of callers and answer each."""
@@ -30,83 +41,94 @@
     config: ConfigHolder
     forwarder: Forwarder
     addresses: AddressBook
-    request_timeout: float
-
-    async def serve(self, stream: trio.SocketStream) -> None:
+    limits: CallerLimits
+    watch: CallerWatch = Factory(CallerWatch)
+    connections: int = 0
+    heads: HeadReader = Factory(
+        lambda self: HeadReader(self.limits.idle_timeout, self.limits.head_timeout),
+        takes_self=True,
+    )
+    bodies: BodyReader = Factory(
+        lambda self: BodyReader(self.limits.max_body_bytes, self.limits.body_timeout),
+        takes_self=True,
+    )
+    calls: CallMaker = Factory(
+        lambda self: CallMaker(
+            self.environment.clock,
+            self.environment.random,
+            self.config,
+            self.limits.request_timeout,
+        ),
+        takes_self=True,
+    )
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until either side closes it."""
-        stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        wire = server_wire(stream)
+        self.connections += 1
+        wire = None
         try:
-            while await self._serve_request(wire):
-                wire.codec.start_next_cycle()
-        except h11.RemoteProtocolError as error:
-            await self._refuse_malformed(wire, error)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            wire = server_wire(stream)
+            await self._serve_requests(wire)
+        except ConnectionErrors:
             pass
+        except h11.ProtocolError as error:
+            log.info('request: a connection ended, %s.', error)
         except Exception:
             # One caller's connection must not stop the process.
             log.exception('request: a connection failed.')
         finally:
+            self.connections -= 1
             with trio.CancelScope(shield=True):
-                await wire.close()
+                await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, wire: Wire) -> None:
+        if self.connections > self.limits.max_connections:
+            detail = f'at most {self.limits.max_connections} callers'
+            await self._refuse(wire, NotRun(Reason.CONNECTION_LIMIT, detail))
+            return
+        while await self._serve_request(wire):
+            wire.start_next_cycle()
 
     async def _serve_request(self, wire: Wire) -> bool:
-        request = await wire.receive()
-        if type(request) is not h11.Request:
+        request = await self.heads.read(wire)
+        if request is None:
             return False
-        body = await receive_body(wire)
+        if isinstance(request, NotRun):
+            return await self._refuse(wire, request)
+        body = await self.bodies.read(wire, request)
+        if isinstance(body, NotRun):
+            return await self._refuse(wire, body, request)
         if request.target.startswith(PATH_PREFIX):
             await self._answer_addresses(wire, request)
-        else:
-            call = self._make_call(request, body)
-            outcome = await self.forwarder.forward(call, wire)
-            await self._report(wire, call, outcome)
-        codec = wire.codec
-        return codec.our_state is h11.DONE and codec.their_state is h11.DONE
-
-    def _make_call(self, request: h11.Request, body: bytes) -> Call:
-        headers = request.headers
-        service = names.find(headers, names.SERVICE) or names.find(headers, b'host')
-        service_name = (service or b'').decode('latin-1').partition(':')[0]
-        method = request.method.decode('latin-1')
-        path = request.target.decode('latin-1').partition('?')[0]
-        repeatable = self.config.current.document.is_repeatable(
-            service_name, method, path
-        )
-        return Call(
-            request_id=self._request_id(headers),
-            service=service_name,
-            method=request.method,
-            target=request.target,
-            headers=list(headers),
-            body=body,
-            repeatable=repeatable,
-            deadline=self.environment.clock.monotonic() + self._timeout(headers),
-        )
-
-    def _request_id(self, headers) -> str:
-        given = names.find(headers, names.REQUEST_ID)
-        if given is not None:
-            return given.decode('latin-1')
-        return f'{self.environment.random.getrandbits(64):016x}'
-
-    def _timeout(self, headers) -> float:
-        given = names.find(headers, names.TIMEOUT)
-        if given is None:
-            return self.request_timeout
-        try:
-            return min(float(given), self.request_timeout)
-        except ValueError:
-            return self.request_timeout
-
-    async def _report(self, wire: Wire, call: Call, outcome: Outcome) -> None:
+            return is_reusable(wire)
+        call = self.calls.make(request, body, wire.peer)
+        if isinstance(call, NotRun):
+            return await self._refuse(wire, call, request)
+        outcome = await self._forward(call, wire)
+        return await self._report(wire, call, outcome)
+
+    async def _forward(self, call: Call, wire: Wire) -> Outcome:
+        outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+        with self.watch.watching(wire):
+            if call.rest is None:
+                outcome = await self.forwarder.forward(call, wire)
+            else:
+                async with trio.open_nursery() as nursery:
+                    call.rest.nursery = nursery
+                    outcome = await self.forwarder.forward(call, wire)
+                    nursery.cancel_scope.cancel()
+        return outcome
+
+    async def _report(self, wire: Wire, call: Call, outcome: Outcome) -> bool:
         log.info('request: %s %s ended as %s.', call.request_id, call.service, outcome)
         if isinstance(outcome, Answered):
-            return
-        if isinstance(outcome, Unknown) and outcome.answer_started:
-            await wire.close()
-            return
-        await wire.send(*problem_events(outcome, call.request_id))
+            if wire.codec.their_state is h11.SEND_BODY:
+                await wire.close_gently()
+            return is_reusable(wire)
+        if outcome.reason is Reason.CALLER_LEFT or has_begun(wire):
+            await wire.reset()
+            return False
+        return await self._send_problem(wire, outcome, call.request_id, call.method)
 
     async def _answer_addresses(self, wire: Wire, request: h11.Request) -> None:
         target = request.target.decode('latin-1').removeprefix(PATH_PREFIX.decode())
@@ -118,28 +140,44 @@
             (b'content-length', b'%d' % len(body)),
             (b'cache-control', b'max-age=%d' % answer.lifetime),
         ]
-        await wire.send(
-            h11.Response(status_code=200, headers=headers),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
+        data = () if request.method == b'HEAD' else (h11.Data(data=body),)
+        response = h11.Response(status_code=200, headers=headers)
+        await wire.send(response, *data, h11.EndOfMessage())
+
+    async def _refuse(
+        self, wire: Wire, refusal: NotRun, request: h11.Request | None = None
+    ) -> bool:
+        request_id = self.calls.new_request_id()
+        log.info(
+            'request: %s refused as %s, %s.',
+            request_id,
+            refusal.reason.slug,
+            refusal.detail,
         )
-
-    async def _refuse_malformed(self, wire: Wire, error) -> None:
-        log.info('request: malformed request, %s.', error)
-        if wire.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        refusal = NotRun(Reason.BAD_REQUEST, str(error))
-        with suppress(OSError, trio.BrokenResourceError):
-            await wire.send(*problem_events(refusal, '', close=True))
-
-
-async def receive_body(wire: Wire) -> bytes:
-    """Read a request's whole body."""
-    chunks = []
-    while True:
-        event = await wire.receive()
-        if type(event) is h11.EndOfMessage:
-            return b''.join(chunks)
-        if type(event) is not h11.Data:
-            raise h11.RemoteProtocolError('closed within a body')
-        chunks.append(bytes(event.data))
+        method = request.method if request else b''
+        return await self._send_problem(wire, refusal, request_id, method, close=True)
+
+    async def _send_problem(
+        self,
+        wire: Wire,
+        outcome: NotRun | Unknown,
+        request_id: str,
+        method: bytes,
+        *,
+        close: bool = False,
+    ) -> bool:
+        close = close or wire.codec.their_state is h11.SEND_BODY
+        await wire.send(*problem_events(outcome, request_id, method, close=close))
+        if close:
+            await wire.close_gently()
+        return is_reusable(wire)
+
+
+def has_begun(wire: Wire) -> bool:
+    """Tell whether a byte of an answer may have gone to the caller."""
+    return wire.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+
+def is_reusable(wire: Wire) -> bool:
+    """Tell whether both sides ended an exchange cleanly."""
+    return wire.codec.our_state is h11.DONE and wire.codec.their_state is h11.DONE
--- /dev/null
+++ b/catkinslip/proxy/chunk_checks.py
@@ -0,0 +1,81 @@
+"""Check the framing of chunked bodies more strictly than the codec does.
+
+Two readers of one body must never part it differently, so only the plainest
+form passes: https://www.rfc-editor.org/rfc/rfc9112#section-7.1
+"""
+
+import re
+from enum import Enum, auto, unique
+
+from attrs import Factory, define
+
+SIZE_LINE = re.compile(rb'[0-9A-Fa-f]{1,8}\Z')
+CRLF = b'\r\n'
+MAX_LINE_BYTES = 4096
+
+
+@unique
+class Part(Enum):
+    """What the next bytes of a chunked body are."""
+
+    SIZE = auto()
+    DATA = auto()
+    DATA_END = auto()
+    TRAILER = auto()
+    END = auto()
+
+
+@define
+class ChunkCheck:
+    """Follow a chunked body in pieces and find the first odd byte."""
+
+    part: Part = Part.SIZE
+    data_left: int = 0
+    line: bytearray = Factory(bytearray)
+
+    def feed(self, data: bytes) -> str | None:
+        """Return what is wrong with the next piece; None when nothing is."""
+        at = 0
+        while at < len(data) and self.part is not Part.END:
+            if self.part is Part.DATA:
+                step = min(self.data_left, len(data) - at)
+                self.data_left -= step
+                at += step
+                if not self.data_left:
+                    self.part = Part.DATA_END
+                continue
+            end = data.find(b'\n', at)
+            stop = len(data) if end < 0 else end + 1
+            self.line += data[at:stop]
+            at = stop
+            fault = self._check_line(is_whole=end >= 0)
+            if fault is not None:
+                return fault
+        return None
+
+    def _check_line(self, *, is_whole: bool) -> str | None:
+        if len(self.line) > MAX_LINE_BYTES:
+            return 'a line of a chunked body is too long'
+        if not is_whole:
+            return None
+        line = bytes(self.line)
+        self.line.clear()
+        if not line.endswith(CRLF) or b'\r' in line[:-2]:
+            return 'a line of a chunked body does not end in CRLF'
+        return self._take_line(line[:-2])
+
+    def _take_line(self, line: bytes) -> str | None:
+        if self.part is Part.SIZE:
+            if SIZE_LINE.match(line) is None:
+                return 'a chunk has an odd size or an extension'
+            self.data_left = int(line, 16)
+            self.part = Part.DATA if self.data_left else Part.TRAILER
+        elif self.part is Part.DATA_END:
+            if line:
+                return 'a chunk is longer than its size'
+            self.part = Part.SIZE
+        elif not line:
+            self.part = Part.END
+        elif line[:1] in (b' ', b'\t'):
+            return 'a trailer is folded'
+        return None
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -1,31 +1,29 @@
 """One attempt: send a request to a backend server and pass its answer on."""
 
+import logging
+
 import h11
 import trio
 from attrs import define, frozen
 
 from catkinslip.clock import Clock
 from catkinslip.models import Address
+from catkinslip.proxy import answers
 from catkinslip.proxy import headers as names
+from catkinslip.proxy.calls import Call
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
-from catkinslip.proxy.pool import BackendPool
-from catkinslip.proxy.wire import Wire
+from catkinslip.proxy.pool import MAX_IDLE_SECONDS, BackendPool
+from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.routing import reports
 
+__all__ = ['AnswerHead', 'Attempt', 'Call']
 
-@define
-class Call:
-    """One request of a caller; the deadline is on the monotonic clock."""
+# A kept connection that answered this lately is trusted with a request that may
+# not be repeated; servers close idle connections after seconds, not at once.
+RECENT_SECONDS = 1.0
+METHODS_WITH_BODY = frozenset({b'POST', b'PUT', b'PATCH'})
 
-    request_id: str
-    service: str
-    method: bytes
-    target: bytes
-    headers: list[names.Header]
-    body: bytes
-    repeatable: bool
-    deadline: float
-    attempt: int = 1
+log = logging.getLogger('routing')
 
 
 @frozen
@@ -48,6 +46,7 @@
     clock: Clock
     number: int = 1
     is_sent: bool = False
+    is_stale: bool = False
 
     async def run(self) -> Outcome:
         """Send the request and pass the answer on."""
@@ -58,16 +57,16 @@
 
     async def start(self) -> AnswerHead | NotRun | Unknown:
         """Send the request and wait for the head of the answer."""
-        try:
-            wire = await self.pool.acquire(self.address)
-        except OSError as error:
-            return NotRun(Reason.CONNECT_FAILED, str(error))
-        result = None
-        try:
-            result = await self._exchange(wire)
-        finally:
-            if not isinstance(result, AnswerHead):
-                await self._release(wire)
+        if not self.call.repeatable:
+            return await self._start(RECENT_SECONDS)
+        result = await self._start(MAX_IDLE_SECONDS)
+        if self.is_stale and self.call.is_resendable:
+            log.info(
+                'routing: %s goes again to %s, the kept connection was closed.',
+                self.call.request_id,
+                self.address,
+            )
+            result = await self._start(0.0)
         return result
 
     async def pass_on(self, head: AnswerHead) -> Outcome:
@@ -85,87 +84,136 @@
         with trio.CancelScope(shield=True):
             await self.pool.release(self.address, wire)
 
+    async def _start(self, max_idle_seconds: float) -> AnswerHead | NotRun | Unknown:
+        wire = await self.pool.acquire(self.address, max_idle_seconds)
+        if isinstance(wire, NotRun):
+            return wire
+        result = None
+        try:
+            result = await self._exchange(wire)
+        finally:
+            if not isinstance(result, AnswerHead):
+                await self._release(wire)
+        return result
+
     async def _exchange(self, wire: Wire) -> AnswerHead | NotRun | Unknown:
-        if self.clock.monotonic() >= self.call.deadline:
-            return NotRun(Reason.TOO_LATE)
-        self.is_sent = True
         try:
-            await wire.send(*self._request_events())
-            response = await receive_response(wire)
-        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError) as error:
-            return Unknown(Reason.BROKEN, repr(error))
-        report = read_report(response)
-        if is_refusal(response):
-            await drain_body(wire)
+            data = wire.encode(*self._request_events())
+            # Nothing may wait between this check and the first byte.
+            if self.call.is_late(self.clock):
+                return NotRun(Reason.TOO_LATE)
+            self.is_sent = True
+            await wire.stream.send_all(data)
+            self._start_upload(wire)
+            response = await answers.receive_response(wire)
+        except ConnectionErrors as error:
+            return self._broken(wire, error)
+        except h11.ProtocolError as error:
+            return self._broken(wire, error)
+        return await self._judge(wire, response)
+
+    async def _judge(
+        self, wire: Wire, response: h11.Response
+    ) -> AnswerHead | NotRun | Unknown:
+        call = self.call
+        fault = answers.find_fault(response, call.method, call.request_id)
+        if fault is not None:
+            wire.is_spoiled = True
+            return fault
+        report = answers.read_report(response)
+        if answers.is_refusal(response):
+            await answers.drain_body(wire)
             return NotRun(Reason.SHED, report=report)
         return AnswerHead(response, report, wire)
 
+    def _broken(self, wire: Wire, error: Exception) -> Unknown:
+        rest = self.call.rest
+        if rest is not None and rest.fault is not None:
+            return Unknown(rest.fault)
+        self.is_stale = wire.is_reused and not answers.has_begun(wire)
+        wire.is_spoiled = True
+        return Unknown(Reason.BROKEN, str(error) or repr(error))
+
     async def _pass_on(self, head: AnswerHead) -> Outcome:
-        await self.caller.send(self._answer_head(head.response))
+        waiting = [self._answer_head(head.response)]
+        wire = head.wire
         while True:
             try:
-                event = await head.wire.receive()
-            except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError) as e:
-                return Unknown(Reason.BROKEN, repr(e), answer_started=True)
-            await self.caller.send(event)
-            if type(event) is h11.EndOfMessage:
+                event = wire.codec.next_event()
+                if event is h11.NEED_DATA:
+                    if waiting and not await self._send_on(waiting):
+                        break
+                    waiting = []
+                    await wire.fill()
+                    continue
+            except ConnectionErrors as error:
+                return Unknown(Reason.BROKEN, repr(error), answer_started=True)
+            except h11.RemoteProtocolError as error:
+                return Unknown(Reason.BROKEN, str(error), answer_started=True)
+            if type(event) is not h11.EndOfMessage:
+                waiting.append(event)
+                continue
+            if await self._send_on([*waiting, h11.EndOfMessage()]):
                 return Answered(head.response.status_code, head.report)
+            break
+        return Unknown(Reason.CALLER_LEFT, answer_started=True)
+
+    async def _send_on(self, events: list[h11.Event]) -> bool:
+        try:
+            await self.caller.send(*events)
+        except ConnectionErrors:
+            return False
+        return True
 
     def _request_events(self) -> list[h11.Event]:
         call = self.call
-        left = call.deadline - self.clock.monotonic()
-        headers = [
-            each
-            for each in names.end_to_end(call.headers)
-            if each[0] not in names.OWN and each[0] != b'content-length'
-        ]
+        headers = names.request_headers(call.headers, call.peer)
         headers.append((names.REQUEST_ID, call.request_id.encode()))
-        headers.append((names.DEADLINE, b'%.3f' % (self.clock.wall() + left)))
-        number = call.attempt + self.number - 1
-        headers.append((names.ATTEMPT, b'%d' % number))
-        if call.body or call.method in (b'POST', b'PUT', b'PATCH'):
-            headers.append((b'content-length', b'%d' % len(call.body)))
-        request = h11.Request(method=call.method, target=call.target, headers=headers)
-        events: list[h11.Event] = [request]
+        headers.append((names.DEADLINE, b'%.3f' % call.wall_deadline))
+        headers.append((names.ATTEMPT, b'%d' % (call.attempt + self.number - 1)))
+        if call.rest is not None:
+            headers.append(framing(call.rest.length))
+        elif call.body or call.method in METHODS_WITH_BODY:
+            headers.append(framing(len(call.body)))
+        events: list[h11.Event] = [
+            h11.Request(method=call.method, target=call.target, headers=headers)
+        ]
         if call.body:
             events.append(h11.Data(data=call.body))
-        events.append(h11.EndOfMessage())
+        if call.rest is None:
+            events.append(h11.EndOfMessage())
         return events
 
-    def _answer_head(self, response: h11.Response) -> h11.Response:
-        headers = names.end_to_end(response.headers)
-        headers.append((names.REQUEST_ID, self.call.request_id.encode()))
-        return h11.Response(status_code=response.status_code, headers=headers)
-
-
-async def receive_response(wire: Wire) -> h11.Response:
-    """Return the final response head."""
-    while True:
-        event = await wire.receive()
-        if type(event) is h11.Response:
-            return event
-        if type(event) is h11.ConnectionClosed:
-            raise h11.RemoteProtocolError('closed before an answer')
-
-
-async def drain_body(wire: Wire) -> None:
-    """Read the rest of an answer that is not passed on."""
-    try:
-        while type(await wire.receive()) is not h11.EndOfMessage:
-            pass
-    except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
-        await wire.close()
+    def _start_upload(self, wire: Wire) -> None:
+        rest = self.call.rest
+        if rest is not None:
+            rest.is_started = True
+            rest.nursery.start_soon(self._upload, wire)
 
+    async def _upload(self, wire: Wire) -> None:
+        while True:
+            event = await self.call.rest.receive()
+            if event is None:
+                await wire.close()
+                return
+            is_end = type(event) is h11.EndOfMessage
+            try:
+                await wire.send(h11.EndOfMessage() if is_end else event)
+            except (*ConnectionErrors, h11.LocalProtocolError):
+                # Only the answer can tell why the server stopped reading.
+                return
+            if is_end:
+                return
 
-def is_refusal(response: h11.Response) -> bool:
-    """Tell whether the backend server says that the request did not run."""
-    return (
-        response.status_code == 503
-        and names.find(response.headers, names.OUTCOME) == names.NOT_RUN
-    )
+    def _answer_head(self, response: h11.Response) -> h11.Response:
+        headers = names.answer_headers(response.headers, self.call.request_id)
+        if self.caller.codec.their_state is h11.SEND_BODY:
+            headers.append((b'connection', b'close'))
+        return h11.Response(status_code=response.status_code, headers=headers)
 
 
-def read_report(response: h11.Response) -> reports.LoadReport | None:
-    """Return the load report of an answer."""
-    value = names.find(response.headers, reports.HEADER)
-    return None if value is None else reports.parse_report(value)
+def framing(length: int | None) -> names.Header:
+    """Return the header that frames a request body."""
+    if length is None:
+        return b'transfer-encoding', b'chunked'
+    return b'content-length', b'%d' % length
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -47,7 +47,7 @@
             outcome = await self._attempt(
                 call, caller, router, choice.backend_id, len(tried)
             )
-            if not isinstance(outcome, NotRun):
+            if not isinstance(outcome, NotRun) or not call.is_resendable:
                 break
         return outcome
 
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -15,6 +15,10 @@
 OUTCOME = b'catkinslip-outcome'
 NOT_RUN = b'not-run'
 
+FORWARDED_FOR = b'x-forwarded-for'
+VIA = b'via'
+OUR_VIA = b'1.1 catkinslip'
+
 HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -28,7 +32,20 @@
         b'upgrade',
     }
 )
-OWN = frozenset({SERVICE, REQUEST_ID, DEADLINE, TIMEOUT, ATTEMPT})
+# Set anew on each request, so what the caller sent does not pass.
+REPLACED_IN_REQUESTS = HOP_BY_HOP | {
+    SERVICE,
+    REQUEST_ID,
+    DEADLINE,
+    TIMEOUT,
+    ATTEMPT,
+    FORWARDED_FOR,
+    VIA,
+    b'content-length',
+    b'expect',
+}
+# Only this instance says how a request ended.
+REPLACED_IN_ANSWERS = HOP_BY_HOP | {REQUEST_ID, OUTCOME}
 
 
 def find(headers: Iterable[Header], name: bytes) -> bytes | None:
@@ -39,11 +56,33 @@
     return None
 
 
-def end_to_end(headers: Iterable[Header]) -> list[Header]:
+def find_all(headers: Iterable[Header], name: bytes) -> list[bytes]:
+    """Return every value of a header, its name in lower case."""
+    return [value for each, value in headers if each == name]
+
+
+def end_to_end(headers: Iterable[Header], replaced: frozenset[bytes]) -> list[Header]:
     """Return the headers that pass on to the next hop."""
     headers = list(headers)
     named = find(headers, b'connection')
-    if named is None:
-        return [each for each in headers if each[0] not in HOP_BY_HOP]
-    dropped = HOP_BY_HOP | {name.strip().lower() for name in named.split(b',')}
-    return [each for each in headers if each[0] not in dropped]
+    if named is not None:
+        replaced = replaced | {name.strip().lower() for name in named.split(b',')}
+        replaced -= {b'content-length', b'host'}
+    return [each for each in headers if each[0] not in replaced]
+
+
+def request_headers(headers: list[Header], peer: str) -> list[Header]:
+    """Return a request's headers for a backend server, without those of the call."""
+    passed = end_to_end(headers, REPLACED_IN_REQUESTS)
+    if peer:
+        hops = [*find_all(headers, FORWARDED_FOR), peer.encode()]
+        passed.append((FORWARDED_FOR, b', '.join(hops)))
+    passed.append((VIA, b', '.join([*find_all(headers, VIA), OUR_VIA])))
+    return passed
+
+
+def answer_headers(headers: Iterable[Header], request_id: str) -> list[Header]:
+    """Return an answer's headers for its caller."""
+    passed = end_to_end(headers, REPLACED_IN_ANSWERS)
+    passed.append((REQUEST_ID, request_id.encode()))
+    return passed
--- /dev/null
+++ b/catkinslip/proxy/intake.py
@@ -0,0 +1,85 @@
+"""Read the heads of callers' requests, and refuse bad ones before the codec."""
+
+import h11
+import trio
+from attrs import frozen
+
+from catkinslip.proxy import head_checks
+from catkinslip.proxy.chunk_checks import ChunkCheck
+from catkinslip.proxy.outcomes import NotRun, Reason
+from catkinslip.proxy.wire import Wire
+
+HEAD_END = b'\r\n\r\n'
+MAX_HEAD_BYTES = 32 << 10
+
+
+@frozen
+class HeadReader:
+    """Read request heads; both timeouts are in seconds."""
+
+    idle_timeout: float
+    head_timeout: float
+
+    async def read(self, wire: Wire) -> h11.Request | NotRun | None:
+        """Return the next head, a refusal, or None when no request comes."""
+        head = await self._read_raw(wire)
+        if not isinstance(head, bytes):
+            return head
+        refusal = head_checks.check_framing(head)
+        if refusal is not None:
+            return refusal
+        try:
+            request = wire.codec.next_event()
+        except h11.RemoteProtocolError as error:
+            return NotRun(Reason.BAD_REQUEST, str(error))
+        if type(request) is not h11.Request:
+            return None
+        return head_checks.check_request(request) or self._watch_chunks(wire, request)
+
+    def _watch_chunks(self, wire: Wire, request: h11.Request) -> h11.Request | NotRun:
+        if any(name == b'transfer-encoding' for name, _ in request.headers):
+            wire.chunk_check = ChunkCheck()
+            try:
+                wire.check_chunks(wire.codec.trailing_data[0])
+            except h11.RemoteProtocolError as error:
+                return NotRun(Reason.BAD_REQUEST, str(error))
+        return request
+
+    async def _read_raw(self, wire: Wire) -> bytes | NotRun | None:
+        data, is_closed = wire.codec.trailing_data
+        if not data and not is_closed:
+            with trio.move_on_after(self.idle_timeout):
+                await wire.fill()
+            data, is_closed = wire.codec.trailing_data
+        if not data:
+            return None
+        head = take_head(data)
+        if head is not None:
+            return head
+        with trio.move_on_after(self.head_timeout):
+            return await self._read_more(wire)
+        return NotRun(Reason.SLOW_REQUEST, f'no whole head in {self.head_timeout:g} s')
+
+    async def _read_more(self, wire: Wire) -> bytes | NotRun | None:
+        while True:
+            data, is_closed = wire.codec.trailing_data
+            head = take_head(data)
+            if head is not None:
+                return head
+            if is_closed:
+                return None
+            await wire.fill()
+
+
+def take_head(data: bytes) -> bytes | NotRun | None:
+    """Return the whole head at the front of the data, a refusal, or None yet."""
+    end = data.find(HEAD_END)
+    is_whole = end >= 0
+    size = end + len(HEAD_END) if is_whole else len(data)
+    if size > MAX_HEAD_BYTES:
+        return NotRun(Reason.HEAD_TOO_LARGE, f'at most {MAX_HEAD_BYTES} bytes')
+    lines = data[:size] if is_whole else data[: data.rfind(b'\n') + 1]
+    fault = head_checks.find_line_fault(lines)
+    if fault is not None:
+        return head_checks.malformed(fault)
+    return lines if is_whole else None
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -12,13 +12,22 @@
     """Why a request was not answered by a backend server."""
 
     BAD_REQUEST = ('bad-request', 400, 'The request is malformed.')
+    SLOW_REQUEST = ('slow-request', 408, 'The request came too slowly.')
+    BODY_TOO_LARGE = ('body-too-large', 413, 'The request body is too large.')
+    EXPECTATION = ('expectation', 417, 'The expectation cannot be met.')
+    HEAD_TOO_LARGE = ('head-too-large', 431, 'The request head is too large.')
+    NOT_IMPLEMENTED = ('not-implemented', 501, 'The transfer coding is not known.')
+    VERSION = ('version', 505, 'The HTTP version is not spoken here.')
     UNKNOWN_SERVICE = ('unknown-service', 404, 'No such service is in the register.')
     NO_BACKEND = ('no-backend', 503, 'No backend server takes new work.')
     CONNECT_FAILED = ('connect-failed', 503, 'No backend server could be reached.')
+    CONNECTION_LIMIT = ('connection-limit', 503, 'Too many connections are open.')
     SHED = ('shed', 503, 'The backend servers refused new work.')
     TOO_LATE = ('too-late', 504, 'The deadline passed before the request was sent.')
     DEADLINE = ('deadline', 504, 'The deadline passed before the answer came.')
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
+    CROSSED = ('crossed', 502, 'The backend server answered another request.')
+    CALLER_LEFT = ('caller-left', 499, 'The caller left before the answer came.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
 
     def __init__(self, slug: str, status: int, title: str) -> None:
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -1,14 +1,22 @@
-"""Connections to backend servers, kept for reuse."""
+"""Connections to backend servers: limited, kept for reuse, trimmed when idle."""
 
 import h11
 import trio
-from attrs import Factory, define
+from attrs import Factory, define, field
 
+from catkinslip.config.documents import AcceptedConfig
 from catkinslip.models import Address
+from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.proxy.wire import Wire, client_wire
 
+CONNECT_SECONDS = 1.0
 MAX_IDLE = 16
 MAX_IDLE_SECONDS = 30.0
+TRIM_SECONDS = 5.0
+# A server's connections are shared by its home instances and one with an old answer.
+INSTANCES_PER_BACKEND = 4
+DEFAULT_LIMIT = 50
+MAX_WAITING = 100
 
 
 @define
@@ -19,44 +27,158 @@
     since: float
 
 
+@define
+class BackendConnections:
+    """The connections of this instance to one backend server."""
+
+    limit: int = DEFAULT_LIMIT
+    in_use: int = 0
+    idle: list[IdleWire] = Factory(list)
+    waiters: trio.lowlevel.ParkingLot = field(factory=trio.lowlevel.ParkingLot)
+
+    async def take_slot(self) -> bool:
+        """Wait in order for one of the limited slots; false when too many wait."""
+        if self.in_use < self.limit and not len(self.waiters):
+            self.in_use += 1
+            return True
+        if len(self.waiters) >= MAX_WAITING:
+            return False
+        await self.waiters.park()
+        return True
+
+    def give_slot(self) -> None:
+        """Hand a slot to who waits longest, or free it."""
+        self.in_use -= 1
+        while len(self.waiters) and self.in_use < self.limit:
+            self.in_use += 1
+            self.waiters.unpark()
+
+
 @define
 class BackendPool:
     """Open, reuse and close connections to backend servers."""
 
-    idle_by_address: dict[Address, list[IdleWire]] = Factory(dict)
-
-    async def acquire(self, address: Address) -> Wire:
-        """Return a connection without a request; raise OSError if none opens."""
-        idle = self.idle_by_address.get(address, [])
-        while idle:
-            entry = idle.pop()
-            age = trio.current_time() - entry.since
-            if age < MAX_IDLE_SECONDS and not is_readable(entry.wire):
-                return entry.wire
-            await entry.wire.close()
-        stream = await trio.open_tcp_stream(address.host, address.port)
-        stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        return client_wire(stream)
+    connections_by_address: dict[Address, BackendConnections] = Factory(dict)
+
+    def update(self, config: AcceptedConfig) -> None:
+        """Take over the connection limits of a new configuration."""
+        register = config.document.register
+        for backend in register.backends.values():
+            service = register.services.get(backend.service)
+            if service is None:
+                continue
+            connections = self._connections(Address(backend.host, backend.port))
+            share = service.max_connections // INSTANCES_PER_BACKEND
+            connections.limit = max(1, share)
+
+    async def acquire(
+        self, address: Address, max_idle_seconds: float = MAX_IDLE_SECONDS
+    ) -> Wire | NotRun:
+        """Return a connection without a request, or say why there is none."""
+        connections = self._connections(address)
+        if not await connections.take_slot():
+            return NotRun(Reason.CONNECTION_LIMIT, f'to {address}')
+        try:
+            wire = await self._take_idle(connections, max_idle_seconds)
+            if wire is None:
+                wire = await connect(address)
+        except BaseException:
+            connections.give_slot()
+            raise
+        if isinstance(wire, NotRun):
+            connections.give_slot()
+        return wire
 
     async def release(self, address: Address, wire: Wire) -> None:
         """Keep a connection whose exchange ended cleanly; close any other."""
-        idle = self.idle_by_address.setdefault(address, [])
-        if not ended_cleanly(wire) or len(idle) >= MAX_IDLE:
-            await wire.close()
-            return
-        wire.codec.start_next_cycle()
-        idle.append(IdleWire(wire, trio.current_time()))
+        connections = self._connections(address)
+        idle = connections.idle
+        try:
+            room = len(idle) < MAX_IDLE and (
+                len(idle) + connections.in_use <= connections.limit
+            )
+            if not room or not ended_cleanly(wire):
+                await wire.close()
+                return
+            wire.start_next_cycle()
+            wire.is_reused = True
+            idle.append(IdleWire(wire, trio.current_time()))
+        finally:
+            connections.give_slot()
+
+    async def run(self) -> None:
+        """Close connections that idled too long, until cancelled."""
+        while True:
+            await trio.sleep(TRIM_SECONDS)
+            await self.trim()
+
+    async def trim(self) -> None:
+        """Close connections that idled too long or were closed by their server."""
+        now = trio.current_time()
+        for connections in list(self.connections_by_address.values()):
+            kept, dropped = [], []
+            for entry in connections.idle:
+                old = now - entry.since >= MAX_IDLE_SECONDS
+                (dropped if old or is_readable(entry.wire) else kept).append(entry)
+            connections.idle = kept
+            for entry in dropped:
+                await entry.wire.close()
 
     async def close(self) -> None:
         """Close every idle connection."""
-        for idle in self.idle_by_address.values():
-            while idle:
-                await idle.pop().wire.close()
+        for connections in self.connections_by_address.values():
+            while connections.idle:
+                await connections.idle.pop().wire.close()
+
+    def _connections(self, address: Address) -> BackendConnections:
+        connections = self.connections_by_address.get(address)
+        if connections is None:
+            connections = BackendConnections()
+            self.connections_by_address[address] = connections
+        return connections
+
+    async def _take_idle(
+        self, connections: BackendConnections, max_idle_seconds: float
+    ) -> Wire | None:
+        idle = connections.idle
+        while idle:
+            entry = idle[-1]
+            if is_readable(entry.wire):
+                idle.pop()
+                await entry.wire.close()
+                continue
+            if trio.current_time() - entry.since < max_idle_seconds:
+                idle.pop()
+                return entry.wire
+            break
+        if idle and len(idle) + connections.in_use > connections.limit:
+            await idle.pop(0).wire.close()
+        return None
+
+
+async def connect(address: Address) -> Wire | NotRun:
+    """Open a connection."""
+    family = trio.socket.AF_INET6 if ':' in address.host else trio.socket.AF_INET
+    sock = trio.socket.socket(family)
+    try:
+        with trio.move_on_after(CONNECT_SECONDS):
+            await sock.connect((address.host, address.port))
+            return client_wire(trio.SocketStream(sock))
+    except OSError as error:
+        sock.close()
+        return NotRun(Reason.CONNECT_FAILED, str(error))
+    except BaseException:
+        sock.close()
+        raise
+    sock.close()
+    return NotRun(Reason.CONNECT_FAILED, f'no connection in {CONNECT_SECONDS:g} s')
 
 
 def ended_cleanly(wire: Wire) -> bool:
     """Tell whether both sides ended and no surplus bytes came."""
     codec = wire.codec
+    if wire.is_spoiled:
+        return False
     if codec.our_state is not h11.DONE or codec.their_state is not h11.DONE:
         return False
     surplus, closed = codec.trailing_data
--- a/catkinslip/proxy/problems.py
+++ b/catkinslip/proxy/problems.py
@@ -7,13 +7,18 @@
 from catkinslip.proxy.outcomes import NotRun, Unknown
 
 TYPE_PREFIX = 'urn:catkinslip:problem:'
+REQUEST_PREFIX = 'urn:catkinslip:request:'
 MEDIA_TYPE = b'application/problem+json'
 RETRY_AFTER_SECONDS = 1
 
 
 def problem_events(
-    outcome: NotRun | Unknown, request_id: str, *, close: bool = False
-) -> tuple[h11.Response, h11.Data, h11.EndOfMessage]:
+    outcome: NotRun | Unknown,
+    request_id: str,
+    method: bytes = b'',
+    *,
+    close: bool = False,
+) -> list[h11.Event]:
     """Return the answer that tells a caller how a request ended."""
     word = NOT_RUN if isinstance(outcome, NotRun) else b'unknown'
     reason = outcome.reason
@@ -23,6 +28,7 @@
             'title': reason.title,
             'status': reason.status,
             'detail': outcome.detail,
+            'instance': REQUEST_PREFIX + request_id,
             'outcome': word.decode(),
             'request_id': request_id,
         }
@@ -38,4 +44,5 @@
     if close:
         headers.append((b'connection', b'close'))
     response = h11.Response(status_code=reason.status, headers=headers)
-    return response, h11.Data(data=body), h11.EndOfMessage()
+    data = [] if method == b'HEAD' else [h11.Data(data=body)]
+    return [response, *data, h11.EndOfMessage()]
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -1,20 +1,33 @@
 """One HTTP/1.1 connection: h11's codec over a trio stream."""
 
+import socket
+import struct
 from typing import Any
 
 import h11
 import trio
 from attrs import define
 
+from catkinslip.proxy.chunk_checks import ChunkCheck
+
 RECEIVE_SIZE = 65536
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 1 << 20
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+ConnectionErrors = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
-@define
+@define(eq=False)
 class Wire:
     """Send and receive HTTP events on one connection."""
 
     stream: trio.abc.Stream
     codec: h11.Connection
+    peer: str = ''
+    is_reused: bool = False
+    is_spoiled: bool = False
+    chunk_check: ChunkCheck | None = None
 
     async def receive(self) -> Any:
         """Return the next event; raise h11.RemoteProtocolError or a trio error."""
@@ -24,22 +37,66 @@
                 return event
             if self.codec.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            self.codec.receive_data(await self.stream.receive_some(RECEIVE_SIZE))
+            await self.fill()
+
+    async def fill(self) -> None:
+        """Read what has come into the codec."""
+        data = await self.stream.receive_some(RECEIVE_SIZE)
+        if self.chunk_check is not None:
+            self.check_chunks(data)
+        self.codec.receive_data(data)
+
+    def check_chunks(self, data: bytes) -> None:
+        """Raise h11.RemoteProtocolError when a chunked body is framed oddly."""
+        fault = self.chunk_check.feed(data)
+        if fault is not None:
+            raise h11.RemoteProtocolError(fault)
+
+    def encode(self, *events: Any) -> bytes:
+        """Return the bytes of events, which must be sent next."""
+        return b''.join([self.codec.send(event) or b'' for event in events])
 
     async def send(self, *events: Any) -> None:
         """Send events in one write."""
-        data = b''.join(self.codec.send(event) or b'' for event in events)
+        data = self.encode(*events)
         if data:
             await self.stream.send_all(data)
 
+    def start_next_cycle(self) -> None:
+        """Make ready for the next exchange."""
+        self.chunk_check = None
+        self.codec.start_next_cycle()
+
     async def close(self) -> None:
         """Close the connection at once."""
         await trio.aclose_forcefully(self.stream)
 
+    async def reset(self) -> None:
+        """Close so that the other side sees a broken message in any framing."""
+        if isinstance(self.stream, trio.SocketStream):
+            self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await self.close()
+
+    async def close_gently(self) -> None:
+        """Close after the other side had time to read what was sent."""
+        left = LINGER_BYTES
+        with trio.move_on_after(LINGER_SECONDS):
+            await self.stream.send_eof()
+            while left > 0:
+                data = await self.stream.receive_some(RECEIVE_SIZE)
+                if not data:
+                    break
+                left -= len(data)
+        await self.close()
+
 
 def server_wire(stream: trio.abc.Stream) -> Wire:
     """Return the server's side of a connection."""
-    return Wire(stream, h11.Connection(h11.SERVER))
+    codec = h11.Connection(h11.SERVER, max_incomplete_event_size=RECEIVE_SIZE)
+    peer = ''
+    if isinstance(stream, trio.SocketStream):
+        peer = stream.socket.getpeername()[0]
+    return Wire(stream, codec, peer)
 
 
 def client_wire(stream: trio.abc.Stream) -> Wire:
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -99,6 +99,41 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--head-timeout',
+        '10',
+        number(0.05, 3600, 'seconds'),
+        'Seconds that a caller may take to send the head of a request.',
+        REQUESTS,
+    ),
+    Option(
+        '--body-timeout',
+        '10',
+        number(0.05, 3600, 'seconds'),
+        'Seconds that a caller may take to send a small body.',
+        REQUESTS,
+    ),
+    Option(
+        '--idle-timeout',
+        '75',
+        number(0.05, 86400, 'seconds'),
+        'Seconds that a connection of a caller may stay without a request.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-body-bytes',
+        str(64 << 20),
+        whole_number(0, 1 << 40, 'bytes'),
+        'Largest request body taken.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-callers',
+        '4096',
+        whole_number(1, 1_000_000, 'connections'),
+        'Most connections of callers at one time.',
+        REQUESTS,
+    ),
     Option('--log-level', 'info', one_of(*LOG_LEVELS), 'Least severity logged.', LOGS),
 )
 
@@ -121,4 +156,9 @@
     peer_interval: float
     address_lifetime: float
     request_timeout: float
+    head_timeout: float
+    body_timeout: float
+    idle_timeout: float
+    max_body_bytes: int
+    max_callers: int
     log_level: str
