--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,21 @@
 """Builders of test data."""
 
+from random import Random
+
+from attrs import Factory, define
+
+from catkinslip.addresses.answers import AddressBook
+from catkinslip.clock import Clock
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.environment import Environment
+from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
+from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.exchange import Attempt
+from catkinslip.proxy.outcomes import Outcome
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
 
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
@@ -24,3 +39,27 @@
     }
     register = {'services': {service: dict(fields)}, 'backends': backends}
     return {'register': register, 'rules': {'requests': []}}
+
+
+@define
+class OneBackendForwarder:
+    """Send every call to one backend server, once."""
+
+    address: Address
+    pool: BackendPool
+    clock: Clock
+    outcomes: list[Outcome] = Factory(list)
+
+    async def forward(self, call: Call, caller: Wire) -> Outcome:
+        attempt = Attempt(call, self.address, caller, self.pool, self.clock)
+        self.outcomes.append(await attempt.run())
+        return self.outcomes[-1]
+
+
+def caller_server(forwarder, **limits: object) -> CallerServer:
+    """Return a server of callers' connections before a forwarder."""
+    environment = Environment(clock=forwarder.clock, random=Random(1))
+    own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
+    book = AddressBook(MemberTable(own), 'zone-a', 10.0)
+    bounds = CallerLimits(**limits)
+    return CallerServer(environment, ConfigHolder(), forwarder, book, bounds)
