--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -25,6 +25,7 @@
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.topic import ConfigTopic
 from standins.fleet import TopicFleet
+from standins.registers import many_workers
 
 SIZES = ((30, 2), (300, 30), (4_600, 440))
 FLEETS = (3, 17, 300)
@@ -69,18 +70,7 @@
 
 def register(workers: int, services: int) -> Document:
     """Return a register of a size."""
-    backends = {
-        f'worker-{number:05d}': {
-            'service': f'service-{number % services}',
-            'zone': f'region-{number % 16 // 4}-zone-{number % 16}',
-            'host': f'10.{number // 65_536}.{number // 256 % 256}.{number % 256}',
-            'port': 8080,
-        }
-        for number in range(workers)
-    }
-    names = {f'service-{number}': {} for number in range(services)}
-    plain = {'register': {'services': names, 'backends': backends}}
-    return read_document(plain).unwrap()
+    return read_document(many_workers(workers, services)).unwrap()
 
 
 def drain(config: AcceptedConfig, number: int) -> AcceptedConfig:
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -30,7 +30,7 @@
 from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
 from catkinslip.platform.http import CALLER_HEADER, HttpStore
-from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.directory import Directory
@@ -105,6 +105,8 @@
             nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
+            nursery.start_soon(daemon.callers.watch.run)
+            nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(follow_list, daemon)
             announce_ready(own, environment)
@@ -125,6 +127,7 @@
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
+    config.listeners.append(pool.update)
     forwarder = Forwarder(directory, pool, environment.clock)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
@@ -144,13 +147,25 @@
             environment.random,
         ),
         callers=CallerServer(
-            environment, config, forwarder, addresses, settings.request_timeout
+            environment, config, forwarder, addresses, caller_limits(settings)
         ),
         control=ControlSurface(peers, config, settings.shared_secret),
         pool=pool,
     )
 
 
+def caller_limits(settings: DaemonSettings) -> CallerLimits:
+    """Return what callers may ask for."""
+    return CallerLimits(
+        request_timeout=settings.request_timeout,
+        head_timeout=settings.head_timeout,
+        body_timeout=settings.body_timeout,
+        idle_timeout=settings.idle_timeout,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_callers,
+    )
+
+
 def make_store(
     settings: DaemonSettings,
     environment: Environment,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,14 +1,24 @@
 """Builders of test data."""
 
+from random import Random
+
 from attrs import Factory, define
-from returns.result import Failure
 
+from catkinslip.addresses.answers import AddressBook
+from catkinslip.clock import Clock
 from catkinslip.config.checks import read_document
 from catkinslip.config.documents import AcceptedConfig, ConfigVersion, Document
-from catkinslip.config.reading import CONFIG_KEY
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.environment import Environment
+from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
-from catkinslip.platform.base import AnswerLost, ObjectKey, Unavailable
-from catkinslip.platform.embedded import EmbeddedStore
+from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.exchange import Attempt
+from catkinslip.proxy.outcomes import Outcome
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
+from standins.registers import many_workers
 
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
@@ -34,21 +44,6 @@
     return {'register': register, 'rules': {'requests': []}}
 
 
-def many_workers(workers: int, services: int, zones: int = 16) -> dict:
-    """Return a document of a size as plain data."""
-    backends = {
-        f'worker-{number:05d}': {
-            'service': f'service-{number % services}',
-            'zone': f'region-{number % zones // 4}-zone-{number % zones}',
-            'host': f'10.{number // 65_536}.{number // 256 % 256}.{number % 256}',
-            'port': 8080,
-        }
-        for number in range(workers)
-    }
-    names = {f'service-{number}': {} for number in range(services)}
-    return {'register': {'services': names, 'backends': backends}}
-
-
 def document_of(plain: dict) -> Document:
     """Return the document of plain data."""
     return read_document(plain).unwrap()
@@ -62,43 +57,24 @@
 
 
 @define
-class FaultyStore(EmbeddedStore):
-    """Play one fault for each write of the configuration, then none."""
-
-    #: 'lost' takes effect, 'dropped' does not, 'late' does before the third reading;
-    #: each is answered with AnswerLost. 'refused' is Unavailable.
-    faults: list[str] = Factory(list)
-    late: list[tuple] = Factory(list)
-    reads: int = 0
-    reads_down: int = 0
-
-    async def read(self, key: ObjectKey):
-        """Read an object, unless the platform is down."""
-        self.reads += 1
-        if self.reads_down > 0:
-            self.reads_down -= 1
-            return Failure(Unavailable('down'))
-        if self.late and self.reads >= 3:
-            await super().write(*self.late.pop())
-        return await super().read(key)
-
-    async def wait_for_change(self, key: ObjectKey, known_version: int, wait: float):
-        """Wait for a change, unless the platform is down."""
-        if self.reads_down > 0:
-            self.reads_down -= 1
-            return Failure(Unavailable('down'))
-        return await super().wait_for_change(key, known_version, wait)
-
-    async def write(self, key: ObjectKey, value, expected_version: int):
-        """Write an object and play the next fault."""
-        if key != CONFIG_KEY or not self.faults:
-            return await super().write(key, value, expected_version)
-        fault = self.faults.pop(0)
-        self.reads = 0
-        if fault == 'refused':
-            return Failure(Unavailable('down'))
-        if fault == 'late':
-            self.late.append((key, value, expected_version))
-        if fault == 'lost':
-            await super().write(key, value, expected_version)
-        return Failure(AnswerLost('no answer'))
+class OneBackendForwarder:
+    """Send every call to one backend server, once."""
+
+    address: Address
+    pool: BackendPool
+    clock: Clock
+    outcomes: list[Outcome] = Factory(list)
+
+    async def forward(self, call: Call, caller: Wire) -> Outcome:
+        attempt = Attempt(call, self.address, caller, self.pool, self.clock)
+        self.outcomes.append(await attempt.run())
+        return self.outcomes[-1]
+
+
+def caller_server(forwarder, **limits: object) -> CallerServer:
+    """Return a server of callers' connections before a forwarder."""
+    environment = Environment(clock=forwarder.clock, random=Random(1))
+    own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
+    book = AddressBook(MemberTable(own), 'zone-a', 10.0)
+    bounds = CallerLimits(**limits)
+    return CallerServer(environment, ConfigHolder(), forwarder, book, bounds)
--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -20,7 +20,9 @@
     read_config,
 )
 from catkinslip.platform.base import Conflict
-from tests.builders import FaultyStore, document_of, many_workers
+from standins.registers import many_workers
+from standins.store import FaultyStore
+from tests.builders import document_of
 
 
 class ConfigChangesTest(unittest.TestCase):
--- a/tests/test_config_checks.py
+++ b/tests/test_config_checks.py
@@ -4,7 +4,8 @@
 import unittest
 
 from catkinslip.config.checks import MAX_DOCUMENT_BYTES, parse_document, read_document
-from tests.builders import document_of, document_plain, many_workers
+from standins.registers import many_workers
+from tests.builders import document_of, document_plain
 
 ADDRESS_BY_BACKEND = {'limits-3': '127.0.0.1:80', 'limits-4': '127.0.0.1:81'}
 
--- a/tests/test_config_history.py
+++ b/tests/test_config_history.py
@@ -25,7 +25,8 @@
 from catkinslip.config.merge import merge_diff, merge_patch
 from catkinslip.config.reading import build_config
 from catkinslip.config.revision import revise_document
-from tests.builders import config_with, document_of, many_workers
+from standins.registers import many_workers
+from tests.builders import config_with, document_of
 
 KEYS = st.sampled_from('abc')
 SCALARS = st.one_of(st.integers(0, 2), st.booleans(), st.lists(st.integers(0, 1)))
--- a/tests/test_config_watcher.py
+++ b/tests/test_config_watcher.py
@@ -10,7 +10,9 @@
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.reading import CONFIG_KEY, StoredConfig, read_config
 from catkinslip.config.watcher import WATCH_SECONDS, ConfigWatcher
-from tests.builders import FaultyStore, document_of, many_workers
+from standins.registers import many_workers
+from standins.store import FaultyStore
+from tests.builders import document_of
 
 
 class ConfigWatcherTest(unittest.TestCase):
