Tell two peers of a change at once

Cause: with one exchange a second a change took 5 rounds to reach 300 instances. Change: a configuration that comes into force wakes the exchange, which then goes to two peers. Malformed news and digests are a ValueError.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -23,6 +23,7 @@
 )
 from catkinslip.config.history import Head, extend_head, follow
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.config.signal import PEERS_TOLD_AT_ONCE
 from catkinslip.config.topic import ConfigTopic
 from standins.fleet import TopicFleet
 from standins.registers import many_workers
@@ -61,7 +62,8 @@
     spread = [measure_spread(size) for size in FLEETS]
     for row in spread:
         print(
-            f'{row["instances"]:>5} instances: {row["rounds"]} rounds of exchange, '
+            f'{row["instances"]:>5} instances: {row["reached_at_once"]:.0%} at once, '
+            f'the rest in {row["rounds"]} rounds of exchange, '
             f'{row["bytes_per_instance"]:.0f} bytes an instance for one change'
         )
     plain = {'costs': [converter.unstructure(each) for each in costs], 'spread': spread}
@@ -164,19 +166,21 @@
     first = AcceptedConfig(ConfigVersion(0, 1), 'f' * 16, 'operator', document)
     second = drain(first, 0)
     head, _ = extend_head(Head(snapshot_name='s'), first, second, 1e9)
-    rounds, sent = [], []
+    reached, rounds, sent = [], [], []
     for seed in range(SEEDS):
         fleet = TopicFleet.of_size(size, seed)
         for topic in fleet.topics:
             topic.config.offer(first)
         for topic in fleet.topics[:2]:
             topic.config.offer_changes(head.changes)
+        reached.append(fleet.run_burst(second.version, PEERS_TOLD_AT_ONCE) / size)
         rounds.append(fleet.rounds_until(second.version))
         for _ in range(20):
             fleet.run_round()
         sent.append(fleet.bytes_sent / size)
     return {
         'instances': size,
+        'reached_at_once': min(reached),
         'rounds': max(rounds),
         'bytes_per_instance': statistics.fmean(sent),
     }
--- a/catkinslip/config/topic.py
+++ b/catkinslip/config/topic.py
@@ -2,12 +2,12 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 from attrs import Factory, define, frozen
 
 from catkinslip.config.bootstrap import Bootstrap
-from catkinslip.config.documents import ConfigVersion, converter
+from catkinslip.config.documents import AcceptedConfig, ConfigVersion, converter
 from catkinslip.config.history import (
     Change,
     Snapshot,
@@ -24,6 +24,8 @@
 #: Bytes of patches that one push holds at most.
 MAX_PUSH_BYTES = 2_000
 
+Message = TypeVar('Message')
+
 log = logging.getLogger('config')
 
 
@@ -69,7 +71,7 @@
         if digest is None:
             news = self._push()
         else:
-            news = self._answer(converter.structure(digest, ConfigDigest))
+            news = self._answer(parse(digest, ConfigDigest))
         return None if news is None else converter.unstructure(news)
 
     def receive(self, news: Any) -> None:
@@ -110,7 +112,7 @@
         elif news.whole is None:
             if self.config.offer_changes(news.changes) is Step.TAKEN:
                 self._log(f'from {news.sender}')
-        elif self.config.offer(from_snapshot(news.whole), news.changes):
+        elif self.config.offer(parse_snapshot(news.whole), news.changes):
             self._log(f'whole from {news.sender}')
 
     def _take_first(self, news: ConfigNews) -> None:
@@ -118,7 +120,7 @@
         later = tuple(each for each in news.changes if each.version > best.version)
         found = None
         if news.whole is not None:
-            found = from_snapshot(news.whole)
+            found = parse_snapshot(news.whole)
         elif later:
             found = follow_all(best, later)
             if found is None:
@@ -130,3 +132,19 @@
     def _log(self, source: str) -> None:
         version = self.config.current.version
         log.info('config: version %s is in force, %s.', version, source)
+
+
+def parse(plain: Any, wanted: type[Message]) -> Message:
+    """Read a peer's message; raise ValueError if it is malformed."""
+    try:
+        return converter.structure(plain, wanted)
+    except MALFORMED as error:
+        raise ValueError(f'malformed {wanted.__name__}: {error!r}') from None
+
+
+def parse_snapshot(snapshot: Snapshot) -> AcceptedConfig:
+    """Read a peer's whole configuration; raise ValueError if it is malformed."""
+    try:
+        return from_snapshot(snapshot)
+    except MALFORMED as error:
+        raise ValueError(f'malformed configuration: {error!r}') from None
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -18,6 +18,7 @@
 from catkinslip.addresses.answers import AddressBook
 from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.config.signal import PEERS_TOLD_AT_ONCE, ChangeSignal
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
@@ -80,6 +81,7 @@
     members: MemberTable
     peers: PeerExchange
     watcher: ConfigWatcher
+    change_signal: ChangeSignal
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
@@ -128,6 +130,8 @@
     config.listeners.append(directory.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
+    change_signal = ChangeSignal()
+    config.listeners.append(change_signal.update)
     forwarder = Forwarder(directory, pool, environment.clock)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
@@ -146,6 +150,7 @@
             lambda: is_watcher(members.own, members.live()),
             environment.random,
         ),
+        change_signal=change_signal,
         callers=CallerServer(
             environment, config, forwarder, addresses, caller_limits(settings)
         ),
@@ -232,9 +237,12 @@
 
 async def follow_peers(daemon: Daemon) -> None:
     """Keep members and configuration in step with peers."""
+    exchanges = 1
     while True:
-        await daemon.peers.run_once()
-        await trio.sleep(daemon.settings.peer_interval)
+        for _ in range(exchanges):
+            await daemon.peers.run_once()
+        changed = await daemon.change_signal.wait(daemon.settings.peer_interval)
+        exchanges = PEERS_TOLD_AT_ONCE if changed else 1
 
 
 async def follow_list(daemon: Daemon) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 import orjson
 from attrs import define
 
+from catkinslip.config.documents import ConfigVersion
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.topic import ConfigTopic
 
@@ -29,10 +30,26 @@
     def run_round(self) -> None:
         """Let every topic exchange once."""
         for topic in self.random.sample(self.topics, len(self.topics)):
-            peer = topic
-            while peer is topic:
-                peer = self.random.choice(self.topics)
-            self.exchange(topic, peer)
+            self.exchange(topic, self.other_than(topic))
+
+    def run_burst(self, version: ConfigVersion, fanout: int) -> int:
+        """Let each topic that has a version tell some at once; return how many have."""
+        told = [each for each in self.topics if each.config.current.version == version]
+        for topic in told:
+            for _ in range(fanout):
+                peer = self.other_than(topic)
+                before = peer.config.current.version
+                self.exchange(topic, peer)
+                if before < version:
+                    told.append(peer)
+        return len(told)
+
+    def other_than(self, topic: ConfigTopic) -> ConfigTopic:
+        """Return a random other topic."""
+        peer = topic
+        while peer is topic:
+            peer = self.random.choice(self.topics)
+        return peer
 
     def exchange(self, topic: ConfigTopic, peer: ConfigTopic) -> None:
         """Exchange as two instances do: digest and push, then the answer."""
@@ -47,7 +64,7 @@
         self.bytes_sent += len(text)
         topic.receive(orjson.loads(text))
 
-    def rounds_until(self, version, bound: int = 100) -> int:
+    def rounds_until(self, version: ConfigVersion, bound: int = 100) -> int:
         """Return the rounds until every topic has a version in force."""
         for rounds in range(bound):
             if all(each.config.current.version >= version for each in self.topics):
