--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -71,6 +71,20 @@
         'Seconds to wait for an answer of the platform.',
         PLATFORM,
     ),
+    Option(
+        '--platform-budget',
+        '100',
+        number(0.1, 100_000, 'calls a second'),
+        'Calls a second to the platform, of all instances together.',
+        PLATFORM,
+    ),
+    Option(
+        '--max-instances',
+        '20',
+        whole_number(1, 100_000, 'instances'),
+        'Most instances that run at once; each gets that part of a shared budget.',
+        PLATFORM,
+    ),
     Option(
         '--seeds',
         '',
@@ -113,6 +127,41 @@
         'Keys that this instance remembers at once; more are refused.',
         REQUESTS,
     ),
+    Option(
+        '--head-timeout',
+        '10',
+        number(0.05, 3600, 'seconds'),
+        'Seconds that a caller may take to send the head of a request.',
+        REQUESTS,
+    ),
+    Option(
+        '--body-timeout',
+        '10',
+        number(0.05, 3600, 'seconds'),
+        'Seconds that a caller may take to send a small body.',
+        REQUESTS,
+    ),
+    Option(
+        '--idle-timeout',
+        '75',
+        number(0.05, 86400, 'seconds'),
+        'Seconds that a connection of a caller may stay without a request.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-body-bytes',
+        str(64 << 20),
+        whole_number(0, 1 << 40, 'bytes'),
+        'Largest request body taken.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-callers',
+        '4096',
+        whole_number(1, 1_000_000, 'connections'),
+        'Most connections of callers at one time.',
+        REQUESTS,
+    ),
     Option('--log-level', 'info', one_of(*LOG_LEVELS), 'Least severity logged.', LOGS),
 )
 
@@ -131,10 +180,17 @@
     shared_secret: str
     platform_url: str
     platform_timeout: float
+    platform_budget: float
+    max_instances: int
     seeds: tuple[str, ...]
     peer_interval: float
     address_lifetime: float
     request_timeout: float
     key_lifetime: float
     key_capacity: int
+    head_timeout: float
+    body_timeout: float
+    idle_timeout: float
+    max_body_bytes: int
+    max_callers: int
     log_level: str
--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -10,13 +10,13 @@
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import MemberTable
 from catkinslip.proxy import headers as names
-from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.calls import Call
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.wire import Wire
 from catkinslip.tickets import table as tickets
 from catkinslip.tickets.keys import AnchoredClock, TicketKey, parse_key
-from catkinslip.tickets.passing import HomePasser, limit_deadline
+from catkinslip.tickets.passing import HomePasser
 from catkinslip.tickets.records import (
     Claim,
     OtherRequest,
@@ -67,6 +67,8 @@
     async def _forward_without_ticket(
         self, call: Call, caller: Wire, text: str, recorded: bool
     ) -> Outcome:
+        if text and not self.config.is_ready:
+            return Unknown(Reason.RECORD_UNAVAILABLE, 'no configuration yet')
         if recorded and not text:
             return NotRun(Reason.KEY_REQUIRED)
         if recorded:
@@ -78,7 +80,6 @@
     async def _forward_at_home(
         self, call: Call, caller: Wire, key: TicketKey
     ) -> Outcome:
-        limit_deadline(call, self.passer.clock)
         decision = self.table.admit(key, fingerprint(call), self.clock.now())
         log.info('tickets: %s %s.', call.request_id, describe(decision))
         match decision:
@@ -93,10 +94,10 @@
         return REASON_BY_REFUSAL[decision]
 
     async def _run(self, call: Call, caller: Wire, key: TicketKey) -> Outcome:
-        if self.passer.clock.monotonic() >= call.deadline:
+        if call.is_late(self.passer.clock):
             self.table.not_run(key)
             return NotRun(Reason.TOO_LATE)
-        recorder = RecordingWire(caller.stream, caller.codec)
+        recorder = RecordingWire(caller.stream, caller.codec, caller.peer)
         outcome: Outcome = Unknown(Reason.BROKEN)
         try:
             outcome = await self.forwarder.forward(call, recorder)
--- a/catkinslip/tickets/replay.py
+++ b/catkinslip/tickets/replay.py
@@ -11,9 +11,10 @@
 
 MAX_KEPT_ANSWER_BYTES = 4096
 NO_CONTENT = 204
+REPLACED = names.REPLACED_IN_ANSWERS | {b'content-length'}
 
 
-@define
+@define(eq=False)
 class RecordingWire(Wire):
     """A caller's connection that keeps the answer sent on it, if it is small."""
 
@@ -32,11 +33,7 @@
         """Return the answer if it was whole and small."""
         if self.response is None or not self.ended:
             return None
-        headers = tuple(
-            each
-            for each in names.end_to_end(self.response.headers)
-            if each[0] not in (names.REQUEST_ID, b'content-length')
-        )
+        headers = tuple(names.end_to_end(self.response.headers, REPLACED))
         answer = KeptAnswer(self.response.status_code, headers, b''.join(self.chunks))
         return answer if answer.size() <= MAX_KEPT_ANSWER_BYTES else None
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,7 +1,25 @@
 """Builders of test data."""
 
+from random import Random
+
+from attrs import Factory, define
+
+from catkinslip.addresses.answers import AddressBook
+from catkinslip.clock import Clock
+from catkinslip.config.checks import read_document
+from catkinslip.config.documents import AcceptedConfig, ConfigVersion, Document
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.environment import Environment
+from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
-from catkinslip.tickets.keys import MARK, TicketKey
+from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.exchange import Attempt
+from catkinslip.proxy.outcomes import Outcome
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
+from catkinslip.tickets.keys import MARK, AnchoredClock, KeyIssuer, TicketKey
+from standins.registers import many_workers
 
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
@@ -33,3 +51,40 @@
     """Return a key whose home is an instance."""
     text = f'{MARK}.{member_id}.{incarnation}.{expiry}.{name}'
     return TicketKey(text, member_id, incarnation, expiry)
+
+
+def document_of(plain: dict) -> Document:
+    """Return the document of plain data."""
+    return read_document(plain).unwrap()
+
+
+def config_with(workers: int, number: int = 1, change_id: str = '') -> AcceptedConfig:
+    """Return a configuration with some backend servers of one service."""
+    document = document_of(many_workers(workers, 1))
+    version = ConfigVersion(0, number)
+    return AcceptedConfig(version, change_id or f'change-{number}', 'ana', document)
+
+
+@define
+class OneBackendForwarder:
+    """Send every call to one backend server, once."""
+
+    address: Address
+    pool: BackendPool
+    clock: Clock
+    outcomes: list[Outcome] = Factory(list)
+
+    async def forward(self, call: Call, caller: Wire) -> Outcome:
+        attempt = Attempt(call, self.address, caller, self.pool, self.clock)
+        self.outcomes.append(await attempt.run())
+        return self.outcomes[-1]
+
+
+def caller_server(forwarder, **limits: object) -> CallerServer:
+    """Return a server of callers' connections before a forwarder."""
+    environment = Environment(clock=forwarder.clock, random=Random(1))
+    own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
+    issuer = KeyIssuer(AnchoredClock(Environment().clock), 300.0)
+    book = AddressBook(MemberTable(own), 'zone-a', 10.0, issuer)
+    bounds = CallerLimits(**limits)
+    return CallerServer(environment, ConfigHolder(), forwarder, book, bounds)
