Read a request's body before refusing it

Cause: a platform test failed once under load, a read timing out after 10 s. Hypercorn does not reuse a connection well when an answer ends before the request's body has come: with the body sent 0.2 s after its head, the next call on the connection hung for good. The stand-in answered 503 from before_request without reading the body; the control surface did the same with a wrong secret. Ruled out: load alone (the client waits 10 s) and the client (a raw socket hung in the same way). Change: both read the body first.

--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -31,6 +31,8 @@
         return app
 
     async def _check_secret(self) -> Response | None:
+        # An answer before the body's end leaves hypercorn's connection unusable.
+        await request.get_data()
         given = request.headers.get(SECRET_HEADER, '')
         if hmac.compare_digest(given.encode(), self.shared_secret.encode()):
             return None
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -84,6 +84,8 @@
         """Count the call and play the faults that come before it."""
         if request.path.startswith('/standin'):
             return
+        # An answer before the body's end leaves hypercorn's connection unusable.
+        await request.get_data()
         count = self.count_by_caller.setdefault(
             request.headers.get(CALLER_HEADER, ''), CallCount()
         )
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -184,6 +184,27 @@
         self.assertIsInstance(read.failure(), Unavailable)
         self.assertEqual(stored, Success(None))
 
+    def test_a_refusal_leaves_the_connection_usable(self):
+        # Issue 4: a refusal sent before the body came made the next call hang.
+        head = b'PUT /v1/objects/a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n'
+        get = b'GET /v1/objects/a/b HTTP/1.1\r\nHost: x\r\n\r\n'
+
+        async def act(store):
+            await self.order(store, down=True)
+            host, _, port = self.url.removeprefix('http://').rpartition(':')
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(head)
+            for _ in range(3):
+                await self.order(store, down=True)
+            await stream.send_all(b'{}' + get)
+            received = b''
+            while received.count(b'HTTP/1.1 503') < 2:
+                received += await stream.receive_some()
+            await stream.aclose()
+            await self.order(store, down=False)
+
+        self.run_async(act)
+
     def test_lost_and_cut_answers_leave_a_write_open(self):
         for fault in ('lose_answers', 'cut_answers'):
             self.key = ObjectKey('config', fault)
