--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo clean
+.PHONY: install lint format test demo bench-config clean
 
 install: $(STAMP)
 
@@ -27,5 +27,9 @@
 demo: install
 	$(RUN) -m standins.demo
 
+bench-config: install
+	$(RUN) -m benchmarks.configuration
+	$(RUN) -m benchmarks.configuration_in_force
+
 clean:
 	rm -rf $(VENV) build
