--- a/catkinslip/cli/application.py
+++ b/catkinslip/cli/application.py
@@ -8,18 +8,18 @@
 
 from catkinslip import __version__
 from catkinslip.cli.commands import StatusCommand
-from catkinslip.cli.configuration import (
-    ChangesCommand,
-    CheckCommand,
-    DiffCommand,
-    ReadCommand,
-)
 from catkinslip.cli.configuration_changes import (
     ApplyCommand,
     DrainCommand,
     UndrainCommand,
     WatchCommand,
 )
+from catkinslip.cli.configuration_reads import (
+    ChangesCommand,
+    CheckCommand,
+    DiffCommand,
+    ReadCommand,
+)
 from catkinslip.environment import Environment
 
 COMMANDS = (
--- /dev/null
+++ b/catkinslip/cli/change_outcomes.py
@@ -0,0 +1,54 @@
+"""Tell operators what became of a change."""
+
+from catkinslip.config.changes import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeNotMade,
+    ChangeOutcome,
+    ChangeUnknown,
+)
+from catkinslip.config.history import Change
+from catkinslip.status import ExitStatus
+
+
+def describe(outcome: ChangeOutcome) -> tuple[str, ExitStatus, str, dict]:
+    """Return an outcome's word, exit status, sentence and data."""
+    match outcome:
+        case ChangeAccepted(config):
+            sentence = (
+                f'Accepted as version {config.version}, change {config.change_id}.'
+            )
+            extra = {'version': str(config.version), 'change_id': config.change_id}
+            return 'accepted', ExitStatus.SUCCESS, sentence, extra
+        case ChangeConflict(winner):
+            extra = {'winner': describe_winner(winner)}
+            sentence = f'Not changed: {tell_winner(winner)} came first.'
+            return 'conflict', ExitStatus.CONFLICT, sentence, extra
+        case ChangeNotMade(reason):
+            sentence = f'Not changed: {reason}.'
+            return 'not made', ExitStatus.UNREACHABLE, sentence, {'reason': reason}
+        case ChangeUnknown(change_id, reason):
+            sentence = (
+                f'Unknown whether change {change_id} was accepted: {reason}. '
+                f'Ask later with: catkinslip changes --change {change_id}'
+            )
+            extra = {'change_id': change_id, 'reason': reason}
+            return 'unknown', ExitStatus.UNKNOWN, sentence, extra
+
+
+def describe_winner(winner: Change | None) -> dict | None:
+    """Return the change that won as plain data."""
+    if winner is None:
+        return None
+    return {
+        'version': str(winner.version),
+        'change_id': winner.change_id,
+        'author': winner.author,
+    }
+
+
+def tell_winner(winner: Change | None) -> str:
+    """Return the change that won as part of a sentence."""
+    if winner is None:
+        return 'another change, which could not be read,'
+    return f'version {winner.version} by {winner.author}, change {winner.change_id},'
--- /dev/null
+++ b/catkinslip/cli/changing.py
@@ -0,0 +1,124 @@
+"""What the commands that change the configuration share."""
+
+import secrets
+from collections.abc import Callable
+
+from cleo.helpers import option
+from returns.result import Result
+
+from catkinslip.cli.change_outcomes import describe
+from catkinslip.cli.configuration import (
+    ConfigurationCommand,
+)
+from catkinslip.cli.in_force import InForceReport
+from catkinslip.config.changes import (
+    ChangeAccepted,
+    ChangeOutcome,
+    apply_change,
+)
+from catkinslip.config.checks import DocumentRefused
+from catkinslip.config.documents import ConfigVersion, Document, to_plain
+from catkinslip.config.reading import StoredConfig
+from catkinslip.platform.base import ObjectStore
+from catkinslip.status import ExitStatus
+
+AUTHOR = option(
+    'author',
+    None,
+    'Who makes the change. Variable: CATKINSLIP_AUTHOR.',
+    flag=False,
+)
+WAIT = option(
+    'wait', None, 'Seconds to wait until it is in force on all instances.', flag=False
+)
+
+Edit = Callable[[Document], Result[Document, DocumentRefused]]
+
+
+class ChangingCommand(ConfigurationCommand):
+    """A command that makes a change."""
+
+    #: Seconds to wait until a change is in force everywhere.
+    wait: float | None = None
+
+    def handle(self) -> int:
+        """Run the command; a wrong --wait is found before anything changes."""
+        text = self.option('wait')
+        try:
+            self.wait = None if text is None else float(text)
+        except ValueError:
+            self.line_error(f'--wait: {text!r} is not a number of seconds.')
+            return ExitStatus.USAGE
+        return super().handle()
+
+    async def write(
+        self,
+        store: ObjectStore,
+        base: StoredConfig,
+        document: Document,
+        raise_epoch: bool = False,
+    ) -> ChangeOutcome:
+        """Write a document over the one it was made from."""
+        return await apply_change(
+            store,
+            base,
+            document,
+            secrets.token_hex(8),
+            self.author,
+            made_at=self.environment.clock.wall(),
+            raise_epoch=raise_epoch,
+        )
+
+    async def finish(self, store: ObjectStore, outcome: ChangeOutcome) -> int:
+        """Print the outcome and wait until the change is in force."""
+        if not isinstance(outcome, ChangeAccepted) or self.wait is None:
+            return self.tell(outcome)
+        config = outcome.config
+        if not self.option('json'):
+            self.tell(outcome)
+            return await self.follow(store, config.version, config.change_id)
+        word, _, _, extra = describe(outcome)
+        plain = {'outcome': word, **extra}
+        return await self.follow(store, config.version, config.change_id, plain)
+
+    async def follow(
+        self,
+        store: ObjectStore,
+        version: ConfigVersion,
+        change_id: str,
+        plain: dict | None = None,
+    ) -> int:
+        """Wait until a version is in force on every instance."""
+        async with self.open_fleet(store) as fleet:
+            report = await fleet.wait_in_force(version, change_id, self.wait or 0)
+        if self.option('json'):
+            self.print_plain({**(plain or {}), **to_plain(report)})
+        else:
+            self.tell_in_force(report, version)
+        return ExitStatus.SUCCESS if report.is_complete else ExitStatus.NOT_IN_FORCE
+
+    def tell_in_force(self, report: InForceReport, version: ConfigVersion) -> None:
+        """Print where a version is in force and name the stragglers."""
+        count = len(report.in_force)
+        if report.is_complete:
+            self.line(f'Version {version} is in force on all {count} instances.')
+            return
+        for straggler in report.stragglers:
+            self.line_error(f'Not in force: {straggler}.')
+        if not count and not report.stragglers:
+            self.line_error('No instance is known; name one with --control.')
+        total = count + len(report.stragglers)
+        self.line_error(
+            f'Version {version} is in force on {count} of {total} instances.'
+        )
+
+    def tell(self, outcome: ChangeOutcome) -> int:
+        """Print the outcome of a change."""
+        word, status, sentence, extra = describe(outcome)
+        if self.option('json'):
+            self.print_plain({'outcome': word, **extra})
+        elif status == ExitStatus.SUCCESS:
+            self.line(sentence)
+        else:
+            self.line_error(sentence)
+        return status
--- a/catkinslip/cli/configuration_changes.py
+++ b/catkinslip/cli/configuration_changes.py
@@ -1,31 +1,15 @@
 """The commands that change the configuration and follow a change."""
 
-import secrets
-from collections.abc import Callable
-
 from attrs import evolve
 from cleo.helpers import argument, option
 from returns.result import Failure, Result, Success
 
-from catkinslip.cli.configuration import (
-    CONTROL,
-    JSON,
-    PLATFORM,
-    ConfigurationCommand,
-)
-from catkinslip.cli.in_force import InForceReport
-from catkinslip.config.changes import (
-    ChangeAccepted,
-    ChangeConflict,
-    ChangeNotMade,
-    ChangeOutcome,
-    ChangeUnknown,
-    apply_change,
-    confirm,
-)
+from catkinslip.cli.change_outcomes import tell_winner
+from catkinslip.cli.changing import AUTHOR, WAIT, ChangingCommand
+from catkinslip.cli.configuration import CONTROL, JSON, PLATFORM
+from catkinslip.config.changes import ChangeConflict, confirm
 from catkinslip.config.checks import DocumentRefused, read_document
 from catkinslip.config.documents import ConfigVersion, Document, to_plain
-from catkinslip.config.history import Change
 from catkinslip.config.reading import StoredConfig, read_config
 from catkinslip.config.shapes import DocumentMistake
 from catkinslip.platform.base import ObjectStore
@@ -35,124 +19,6 @@
 #: Conflicts after which a change of one backend server is given up.
 MAX_CONFLICTS = 3
 
-AUTHOR = option(
-    'author',
-    None,
-    'Who makes the change. Variable: CATKINSLIP_AUTHOR.',
-    flag=False,
-)
-WAIT = option(
-    'wait', None, 'Seconds to wait until it is in force on all instances.', flag=False
-)
-
-Edit = Callable[[Document], Result[Document, DocumentRefused]]
-
-
-class ChangingCommand(ConfigurationCommand):
-    """A command that makes a change."""
-
-    async def write(
-        self, store: ObjectStore, base: StoredConfig, document: Document
-    ) -> ChangeOutcome:
-        """Write a document over the one it was made from."""
-        return await apply_change(
-            store,
-            base,
-            document,
-            secrets.token_hex(8),
-            self.author,
-            made_at=self.environment.clock.wall(),
-        )
-
-    async def finish(self, store: ObjectStore, outcome: ChangeOutcome) -> int:
-        """Print the outcome and wait until the change is in force."""
-        status = self.tell(outcome)
-        if not isinstance(outcome, ChangeAccepted) or self.option('wait') is None:
-            return status
-        config = outcome.config
-        return await self.follow(store, config.version, config.change_id)
-
-    async def follow(
-        self, store: ObjectStore, version: ConfigVersion, change_id: str
-    ) -> int:
-        """Wait until a version is in force on every instance."""
-        wait = self.parse('--wait', self.option('wait'), float)
-        async with self.open_fleet(store) as fleet:
-            report = await fleet.wait_in_force(version, change_id, wait)
-        return self.tell_in_force(report, version)
-
-    def tell_in_force(self, report: InForceReport, version: ConfigVersion) -> int:
-        """Print where a version is in force and name the stragglers."""
-        count = len(report.in_force)
-        if self.option('json'):
-            self.print_plain(to_plain(report))
-        elif report.is_complete:
-            self.line(f'Version {version} is in force on all {count} instances.')
-        else:
-            for straggler in report.stragglers:
-                self.line_error(f'Not in force: {straggler}.')
-            if not count and not report.stragglers:
-                self.line_error('No instance is known; name one with --control.')
-            total = count + len(report.stragglers)
-            self.line_error(
-                f'Version {version} is in force on {count} of {total} instances.'
-            )
-        return ExitStatus.SUCCESS if report.is_complete else ExitStatus.NOT_IN_FORCE
-
-    def tell(self, outcome: ChangeOutcome) -> int:
-        """Print the outcome of a change."""
-        word, status, sentence, extra = describe(outcome)
-        if self.option('json'):
-            self.print_plain({'outcome': word, **extra})
-        elif status == ExitStatus.SUCCESS:
-            self.line(sentence)
-        else:
-            self.line_error(sentence)
-        return status
-
-
-def describe(outcome: ChangeOutcome) -> tuple[str, ExitStatus, str, dict]:
-    """Return an outcome's word, exit status, sentence and data."""
-    match outcome:
-        case ChangeAccepted(config):
-            sentence = (
-                f'Accepted as version {config.version}, change {config.change_id}.'
-            )
-            extra = {'version': str(config.version), 'change_id': config.change_id}
-            return 'accepted', ExitStatus.SUCCESS, sentence, extra
-        case ChangeConflict(winner):
-            extra = {'winner': describe_winner(winner)}
-            sentence = f'Not changed: {tell_winner(winner)} came first.'
-            return 'conflict', ExitStatus.CONFLICT, sentence, extra
-        case ChangeNotMade(reason):
-            sentence = f'Not changed: {reason}.'
-            return 'not made', ExitStatus.UNREACHABLE, sentence, {'reason': reason}
-        case ChangeUnknown(change_id, reason):
-            sentence = (
-                f'Unknown whether change {change_id} was accepted: {reason}. '
-                f'Ask later with: catkinslip changes --change {change_id}'
-            )
-            extra = {'change_id': change_id, 'reason': reason}
-            return 'unknown', ExitStatus.UNKNOWN, sentence, extra
-
-
-def describe_winner(winner: Change | None) -> dict | None:
-    """Return the change that won as plain data."""
-    if winner is None:
-        return None
-    return {
-        'version': str(winner.version),
-        'change_id': winner.change_id,
-        'author': winner.author,
-    }
-
-
-def tell_winner(winner: Change | None) -> str:
-    """Return the change that won as part of a sentence."""
-    if winner is None:
-        return 'another change, which could not be read,'
-    return f'version {winner.version} by {winner.author}, change {winner.change_id},'
-
 
 class ApplyCommand(ChangingCommand):
     """Make a document the accepted configuration."""
@@ -198,15 +64,7 @@
             is_same = base.config.plain == to_plain(document) and not raise_epoch
             if is_same and await confirm(store, base):
                 return await self._tell_same(store, base)
-            outcome = await apply_change(
-                store,
-                base,
-                document,
-                secrets.token_hex(8),
-                self.author,
-                made_at=self.environment.clock.wall(),
-                raise_epoch=raise_epoch,
-            )
+            outcome = await self.write(store, base, document, raise_epoch)
             return await self.finish(store, outcome)
 
     def _is_base(self, version: ConfigVersion) -> bool:
@@ -219,7 +77,7 @@
             self.print_plain({'outcome': 'same', 'version': str(version)})
         else:
             self.line(f'Nothing to change: version {version} is this document.')
-        if self.option('wait') is None:
+        if self.wait is None:
             return ExitStatus.SUCCESS
         return await self.follow(store, version, base.config.change_id)
 
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -52,7 +52,7 @@
     async def _config(self) -> dict:
         current = self.config.current
         return {
-            'version': cattrs.unstructure(current.version),
+            'version': str(current.version),
             'change_id': current.change_id,
             'author': current.author,
             'document': current.plain,
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -126,6 +126,8 @@
         self.assertEqual(status, ExitStatus.REJECTED)
         places = [each['place'] for each in json.loads(said)['mistakes']]
         self.assertIn('register.backends.x.host', places)
+        status, _ = self.tool('apply', self.document('b'), '--wait', 'soon')
+        self.assertEqual(status, ExitStatus.USAGE)
         accepted = json.loads(self.tool('read', '--document')[1])
         self.assertEqual(list(accepted['register']['backends']), ['a'])
 
@@ -143,11 +145,20 @@
         fresh = self.start_daemon('entry-fresh', *daemons)
         wait_until(lambda: version_of(fresh) == 1)
         self.platform.send_signal(signal.SIGCONT)
-        status, said = self.tool('drain', 'a', '--wait', '20')
+        self.check_straggler(daemons[0])
+        status, said = self.tool('watch', '--wait', '20')
         self.assertEqual(status, ExitStatus.SUCCESS, said)
-        self.assertIn('on all 4 instances', said)
+        self.assertIn('Version 0.2 is in force on all 4 instances', said)
         self.check_budget(time.monotonic() - began)
 
+    def check_straggler(self, daemon: Process) -> None:
+        """Check that a paused instance is named and its pause is not for ever."""
+        daemon.send_signal(signal.SIGSTOP)
+        status, said = self.tool('drain', 'a', '--wait', '0.1')
+        self.assertEqual(status, ExitStatus.NOT_IN_FORCE)
+        self.assertIn(f'Not in force: {daemon.name} at', said)
+        daemon.send_signal(signal.SIGCONT)
+
     def check_budget(self, seconds: float) -> None:
         """Check the calls that the platform counted for each instance."""
         callers = httpx.get(f'{self.url}/standin/callers').json()
