--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -39,6 +39,11 @@
 from catkinslip.settings.base import SettingsError, build_parser, read_values
 from catkinslip.settings.daemon import OPTIONS, DaemonSettings
 from catkinslip.status import ExitStatus
+from catkinslip.tickets.gate import AtMostOnce
+from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
+from catkinslip.tickets.passing import HomePasser
+from catkinslip.tickets.records import PlatformRecords
+from catkinslip.tickets.table import TicketTable
 
 DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
@@ -133,7 +138,22 @@
     change_signal = ChangeSignal()
     config.listeners.append(change_signal.update)
     forwarder = Forwarder(directory, pool, environment.clock)
-    addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    ticket_clock = AnchoredClock(environment.clock)
+    gate = AtMostOnce(
+        forwarder=forwarder,
+        table=make_table(settings, own, ticket_clock),
+        records=PlatformRecords(store, environment.random),
+        passer=HomePasser(own.member_id, pool, environment.clock),
+        config=config,
+        members=members,
+        clock=ticket_clock,
+    )
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(ticket_clock, settings.key_lifetime),
+    )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
     topic_by_name = {topic.name: topic for topic in (config_topic,)}
     peers = PeerExchange(
@@ -152,13 +172,26 @@
         ),
         change_signal=change_signal,
         callers=CallerServer(
-            environment, config, forwarder, addresses, caller_limits(settings)
+            environment, config, gate, addresses, caller_limits(settings)
         ),
         control=ControlSurface(peers, config, settings.shared_secret),
         pool=pool,
     )
 
 
+def make_table(
+    settings: DaemonSettings, own: Member, clock: AnchoredClock
+) -> TicketTable:
+    """Return the table of the keys whose home is this instance."""
+    return TicketTable(
+        own.member_id,
+        own.incarnation,
+        settings.key_lifetime,
+        settings.key_capacity,
+        clock.now(),
+    )
+
+
 def caller_limits(settings: DaemonSettings) -> CallerLimits:
     """Return what callers may ask for."""
     return CallerLimits(
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -11,12 +11,12 @@
 from catkinslip.environment import Environment
 from catkinslip.proxy.bodies import BodyReader
 from catkinslip.proxy.calls import Call, CallMaker
-from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.intake import HeadReader
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.presence import CallerWatch
 from catkinslip.proxy.problems import problem_events
 from catkinslip.proxy.wire import ConnectionErrors, Wire, server_wire
+from catkinslip.tickets.gate import AtMostOnce
 
 log = logging.getLogger('request')
 
@@ -39,7 +39,7 @@
 
     environment: Environment
     config: ConfigHolder
-    forwarder: Forwarder
+    forwarder: AtMostOnce
     addresses: AddressBook
     limits: CallerLimits
     watch: CallerWatch = Factory(CallerWatch)
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -14,6 +14,9 @@
 ATTEMPT = b'catkinslip-attempt'
 OUTCOME = b'catkinslip-outcome'
 NOT_RUN = b'not-run'
+KEY = b'idempotency-key'
+PASSED_BY = b'catkinslip-passed-by'
+REPLAYED = b'catkinslip-replayed'
 
 FORWARDED_FOR = b'x-forwarded-for'
 VIA = b'via'
@@ -39,6 +42,7 @@
     DEADLINE,
     TIMEOUT,
     ATTEMPT,
+    PASSED_BY,
     FORWARDED_FOR,
     VIA,
     b'content-length',
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -18,6 +18,7 @@
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
+from catkinslip.tickets.keys import MARK, AnchoredClock, KeyIssuer, TicketKey
 from standins.registers import many_workers
 
 
@@ -44,6 +45,14 @@
     return {'register': register, 'rules': {'requests': []}}
 
 
+def ticket_key(
+    name: str = 'a', expiry: int = 100, incarnation: int = 7, member_id: str = 'entry-1'
+) -> TicketKey:
+    """Return a key whose home is an instance."""
+    text = f'{MARK}.{member_id}.{incarnation}.{expiry}.{name}'
+    return TicketKey(text, member_id, incarnation, expiry)
+
+
 def document_of(plain: dict) -> Document:
     """Return the document of plain data."""
     return read_document(plain).unwrap()
@@ -75,6 +84,7 @@
     """Return a server of callers' connections before a forwarder."""
     environment = Environment(clock=forwarder.clock, random=Random(1))
     own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
-    book = AddressBook(MemberTable(own), 'zone-a', 10.0)
+    issuer = KeyIssuer(AnchoredClock(Environment().clock), 300.0)
+    book = AddressBook(MemberTable(own), 'zone-a', 10.0, issuer)
     bounds = CallerLimits(**limits)
     return CallerServer(environment, ConfigHolder(), forwarder, book, bounds)
