Add the merged drain state, reachability and the measuring budget

Cause: nothing took a backend server's own drain sign, the list or peers' words, a refused connection was tried again by every request, and there was no probe and no budget.

Ruled out: generations made of wall-clock time (a return minted late could override a newer leaving); a share by the live view (twice the budget when membership is split); a clock slot per instance (needs equal views).

Change: drain words (generation, signs) merge by the higher generation and then by union; a return needs a probe answered without a sign after a hold. Probes are paid for with calls received here and spaced by max_instances / probes_per_second, also after a start. The hold counts from the last sign: hypothesis found a proof within the hold of a later sign.

--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -15,6 +15,11 @@
     slots: int = 1
     max_connections: int = 200
     timeout: float = 10.0
+    health_path: str = '/health'
+    #: Most probes of one backend server, from all instances; 0 turns probes off.
+    probes_per_second: float = 1.0
+    #: Calls that an instance must receive for each probe it sends.
+    calls_per_probe: int = 100
 
 
 @frozen
@@ -51,6 +56,8 @@
     """What operators add to the register."""
 
     requests: tuple[RequestRule, ...] = ()
+    #: Most instances that run at once; the budget of probes is divided by it.
+    max_instances: int = 20
 
 
 @frozen
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -21,6 +21,10 @@
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
 from catkinslip.environment import Environment
+from catkinslip.health.prober import Prober
+from catkinslip.health.spreader import DrainSpreader
+from catkinslip.health.topics import health_topics
+from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
@@ -79,6 +83,9 @@
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
+    health: HealthTracker
+    prober: Prober
+    spreader: DrainSpreader
 
 
 async def serve(settings: DaemonSettings, environment: Environment) -> None:
@@ -102,6 +109,8 @@
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(follow_peers, daemon)
+            nursery.start_soon(daemon.prober.run)
+            nursery.start_soon(daemon.spreader.run)
             announce_ready(own, environment)
         await daemon.pool.close()
 
@@ -119,10 +128,13 @@
     members = MemberTable(own)
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
+    health = make_tracker(directory, environment.clock, environment.random)
+    config.listeners.append(health.update)
     pool = BackendPool()
-    forwarder = Forwarder(directory, pool, environment.clock)
+    forwarder = Forwarder(directory, pool, environment.clock, health)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
-    topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
+    topics = (ConfigTopic(config), *health_topics(health))
+    topic_by_name = {topic.name: topic for topic in topics}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
@@ -137,6 +149,9 @@
         ),
         control=ControlSurface(peers, config, settings.shared_secret),
         pool=pool,
+        health=health,
+        prober=Prober(health, members, pool, environment.clock),
+        spreader=DrainSpreader(health, peers, environment.random),
     )
 
 
@@ -204,9 +219,14 @@
 
 async def learn_from_list(daemon: Daemon) -> None:
     """Exchange with listed instances that are not known yet."""
-    listed = (await daemon.store.list_instances()).value_or([])
+    result = await daemon.store.list_instances()
+    listed = result.value_or([])
+    if isinstance(result, Success):
+        daemon.health.learn_list(listed)
     for instance in listed:
         known = daemon.members.member_by_id.get(instance.name)
+        if daemon.health.is_backend(instance.name):
+            continue
         if instance.name == daemon.members.own.member_id or known is not None:
             continue
         await daemon.peers.exchange_with(instance.control_address)
--- /dev/null
+++ b/catkinslip/health/__init__.py
@@ -0,0 +1,1 @@
+"""Drain signs, reachability, probes and the measuring budget."""
--- /dev/null
+++ b/catkinslip/health/counters.py
@@ -0,0 +1,20 @@
+"""What the health slice counts."""
+
+from attrs import define
+
+
+@define
+class HealthCounters:
+    """Counts since the start of this instance."""
+
+    calls: int = 0
+    probes_sent: int = 0
+    probes_answered: int = 0
+    probes_over_budget: int = 0
+    drain_words_sent: int = 0
+    drain_words_received: int = 0
+    servers_left: int = 0
+    servers_returned: int = 0
+    connects_refused: int = 0
+    reports_sent: int = 0
+    reports_received: int = 0
--- /dev/null
+++ b/catkinslip/health/prober.py
@@ -0,0 +1,169 @@
+"""Probe backend servers without a recent answer, within the budget."""
+
+import logging
+
+import h11
+import trio
+from attrs import Factory, define
+
+from catkinslip.clock import Clock
+from catkinslip.health.reports import KnownReport
+from catkinslip.health.schedule import (
+    RANK_SECONDS,
+    STALE_SECONDS,
+    ProbeTarget,
+    in_order,
+    rank,
+)
+from catkinslip.health.signs import says_drain
+from catkinslip.health.tracker import HealthTracker
+from catkinslip.membership.members import MemberTable
+from catkinslip.models import Address, BackendKey
+from catkinslip.proxy import headers as names
+from catkinslip.proxy.exchange import drain_body, read_report, receive_response
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
+
+PROBE_HEADER = b'catkinslip-probe'
+TICK_SECONDS = 0.25
+TIMEOUT_SECONDS = 1.0
+MAX_AT_ONCE = 8
+
+log = logging.getLogger('health')
+
+
+@define
+class Prober:
+    """Send the probes that are due and within the budget."""
+
+    tracker: HealthTracker
+    members: MemberTable
+    pool: BackendPool
+    clock: Clock
+    limiter: trio.CapacityLimiter = Factory(lambda: trio.CapacityLimiter(MAX_AT_ONCE))
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(TICK_SECONDS)
+                self.tracker.budget.see_members(len(self.members.live()))
+                for target in in_order(self.due(self.clock.monotonic())):
+                    if self.is_affordable(target):
+                        nursery.start_soon(self.probe, target)
+                self.end_unproved()
+
+    def due(self, now: float) -> list[ProbeTarget]:
+        """Return the servers that need a probe from this instance."""
+        targets = []
+        register = self.tracker.document.register
+        for backend_id, backend in register.backends.items():
+            target = self.target(backend_id, backend.service, now)
+            if target is not None:
+                targets.append(target)
+        return targets
+
+    def target(self, backend_id: str, service: str, now: float) -> ProbeTarget | None:
+        """Return one server as a target if a probe of it is due."""
+        tracker = self.tracker
+        key = tracker.key_by_id[backend_id]
+        proves_return = tracker.drain.wants_proof(key, now)
+        if tracker.drain.is_leaving(key) and not proves_return:
+            return None
+        if tracker.reachability.is_avoided(key, now):
+            return None
+        if proves_return:
+            waited = tracker.drain.proof_wanted_for(key, now)
+        else:
+            waited = tracker.reports.silent_for(key, now) - STALE_SECONDS
+        if waited < 0:
+            return None
+        member_ids = [each.member_id for each in self.members.live()]
+        waited -= RANK_SECONDS * rank(key, self.members.own.member_id, member_ids)
+        return ProbeTarget(key, service, proves_return, waited) if waited >= 0 else None
+
+    def is_affordable(self, target: ProbeTarget) -> bool:
+        """Tell whether the budget allows a probe; count those it does not."""
+        tracker = self.tracker
+        terms = tracker.terms_by_service.get(target.service)
+        now = self.clock.monotonic()
+        if tracker.budget.may_probe(target.key.address, target.service, terms, now):
+            return True
+        tracker.counters.probes_over_budget += 1
+        return False
+
+    async def probe(self, target: ProbeTarget) -> None:
+        """Send one probe and take over what its answer says."""
+        key = target.key
+        address = Address.parse(key.address)
+        with trio.move_on_after(TIMEOUT_SECONDS):
+            async with self.limiter:
+                try:
+                    wire = await self.pool.acquire(address)
+                except OSError:
+                    self.tracker.refused(key.backend_id)
+                    return
+                try:
+                    await self.exchange(wire, target)
+                except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+                    log.info('health: probe of %s failed, %r.', key.backend_id, error)
+                finally:
+                    with trio.CancelScope(shield=True):
+                        await self.pool.release(address, wire)
+
+    async def exchange(self, wire: Wire, target: ProbeTarget) -> None:
+        """Spend from the budget, send the probe, and read its answer."""
+        tracker, key = self.tracker, target.key
+        terms = tracker.terms_by_service.get(target.service)
+        router = tracker.router(key)
+        picks_before = router.picks_since_report(key.backend_id) if router else 0
+        sent_at = self.clock.monotonic()
+        if terms is None or not tracker.budget.spend(
+            key.address, target.service, terms, sent_at
+        ):
+            return
+        tracker.counters.probes_sent += 1
+        log.info('health: probes %s, due for %.1f s.', key.backend_id, target.overdue)
+        try:
+            await wire.send(self.request(target), h11.EndOfMessage())
+            response = await receive_response(wire)
+            await drain_body(wire)
+        finally:
+            tracker.budget.ended(key.address, self.clock.monotonic())
+        self.take(response, key, sent_at, picks_before)
+
+    def request(self, target: ProbeTarget) -> h11.Request:
+        """Return the head of a probe."""
+        service = self.tracker.document.register.services[target.service]
+        headers = [
+            (b'host', target.service.encode()),
+            (PROBE_HEADER, self.members.own.member_id.encode()),
+        ]
+        return h11.Request(method='GET', target=service.health_path, headers=headers)
+
+    def take(
+        self, response: h11.Response, key: BackendKey, sent_at: float, picks_before: int
+    ) -> None:
+        """Take over the answer of a probe."""
+        tracker = self.tracker
+        now = self.clock.monotonic()
+        tracker.counters.probes_answered += 1
+        tracker.connected(key.backend_id)
+        report = read_report(response)
+        if report is not None:
+            tracker.learn_report(key, KnownReport(report, sent_at), picks_before)
+        tracker.answered(key.backend_id, response.headers, None)
+        is_well = response.status_code < 400 and not says_drain(response.headers)
+        if is_well and names.find(response.headers, names.OUTCOME) is None:
+            tracker.drain.proved(key, sent_at, now)
+            tracker.settle()
+
+    def end_unproved(self) -> None:
+        """Let servers of services without probes return by time alone."""
+        now = self.clock.monotonic()
+        backends = self.tracker.document.register.backends
+        for key in self.tracker.drain.leaving():
+            terms = self.tracker.terms_by_service.get(backends[key.backend_id].service)
+            if terms is not None and terms.probes_per_second <= 0:
+                self.tracker.drain.end_unproved(key, now)
+        self.tracker.settle()
--- /dev/null
+++ b/catkinslip/health/reachability.py
@@ -0,0 +1,56 @@
+"""Which backend servers do not accept connections, and when to try them again."""
+
+from random import Random
+
+from attrs import Factory, define
+
+from catkinslip.models import BackendKey
+
+FIRST_PAUSE_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 10.0
+JITTER = 0.5
+
+
+@define
+class Pause:
+    """Failures in a row and when the next trial may start; monotonic seconds."""
+
+    failures: int
+    until: float
+
+
+@define
+class Reachability:
+    """Keep requests from servers that refuse connections, but for one trial."""
+
+    random: Random
+    pause_by_key: dict[BackendKey, Pause] = Factory(dict)
+
+    def failed(self, key: BackendKey, now: float) -> float:
+        """Count a refused connection; return the seconds until the next trial."""
+        pause = self.pause_by_key.get(key)
+        failures = pause.failures + 1 if pause else 1
+        longest = min(FIRST_PAUSE_SECONDS * 2 ** (failures - 1), LONGEST_PAUSE_SECONDS)
+        seconds = longest * (1 - JITTER * self.random.random())
+        self.pause_by_key[key] = Pause(failures, now + seconds)
+        return seconds
+
+    def reached(self, key: BackendKey) -> bool:
+        """Take an accepted connection; tell whether the server had failed before."""
+        return self.pause_by_key.pop(key, None) is not None
+
+    def is_avoided(self, key: BackendKey, now: float) -> bool:
+        """Tell whether a server must not be tried yet."""
+        pause = self.pause_by_key.get(key)
+        return pause is not None and now < pause.until
+
+    def tried(self, key: BackendKey, now: float) -> None:
+        """Let no second trial start while one runs."""
+        pause = self.pause_by_key.get(key)
+        if pause is not None:
+            pause.until = now + FIRST_PAUSE_SECONDS
+
+    def keep(self, keys: set[BackendKey]) -> None:
+        """Forget servers that left the register."""
+        for key in set(self.pause_by_key) - keys:
+            del self.pause_by_key[key]
--- /dev/null
+++ b/catkinslip/health/signs.py
@@ -0,0 +1,48 @@
+"""Read what a backend server's answer says of its leaving."""
+
+from collections.abc import Iterable
+
+from attrs import Factory, define
+
+from catkinslip.models import BackendKey
+
+DRAIN_HEADER = b'catkinslip-drain'
+DRAIN_VALUE = b'true'
+#: Answers in a row that close their connection before it counts as a sign.
+CLOSES_IN_A_ROW = 3
+
+
+def says_drain(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Tell whether an answer carries the drain header."""
+    return any(
+        name == DRAIN_HEADER and value.strip().lower() == DRAIN_VALUE
+        for name, value in headers
+    )
+
+
+def says_close(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Tell whether an answer closes its connection."""
+    return any(
+        name == b'connection' and b'close' in value.lower() for name, value in headers
+    )
+
+
+@define
+class CloseCounter:
+    """Find servers that begin to close connections which they kept before."""
+
+    closes_by_key: dict[BackendKey, int] = Factory(dict)
+
+    def answered(self, key: BackendKey, closes: bool) -> bool:
+        """Count an answer; tell whether the closes in a row are a sign."""
+        if not closes:
+            self.closes_by_key[key] = 0
+            return False
+        if key not in self.closes_by_key:
+            return False
+        self.closes_by_key[key] += 1
+        return self.closes_by_key[key] >= CLOSES_IN_A_ROW
+
+    def forget(self, key: BackendKey) -> None:
+        """Expect connections to be kept again before closes count."""
+        self.closes_by_key.pop(key, None)
--- /dev/null
+++ b/catkinslip/health/tracker.py
@@ -0,0 +1,208 @@
+"""Keep the health of all backend servers and tell the routers."""
+
+import logging
+from collections.abc import Iterable
+from random import Random
+
+import trio
+from attrs import Factory, define
+
+from catkinslip.clock import Clock
+from catkinslip.config.documents import AcceptedConfig, Backend, Document
+from catkinslip.health.budget import ProbeBudget, ProbeTerms
+from catkinslip.health.counters import HealthCounters
+from catkinslip.health.drain import DrainSign, DrainTable
+from catkinslip.health.reachability import Reachability
+from catkinslip.health.reports import KnownReport, ReportTable
+from catkinslip.health.signs import CloseCounter, says_close, says_drain
+from catkinslip.models import BackendKey
+from catkinslip.platform.base import ListedInstance
+from catkinslip.routing.base import LoadReport
+from catkinslip.routing.directory import Directory
+from catkinslip.routing.router import ServiceRouter
+
+Headers = Iterable[tuple[bytes, bytes]]
+
+log = logging.getLogger('health')
+
+
+def key_of(backend_id: str, backend: Backend) -> BackendKey:
+    """Return the key of a backend server of the register."""
+    return BackendKey(backend_id, f'{backend.host}:{backend.port}')
+
+
+def make_terms(document: Document) -> dict[str, ProbeTerms]:
+    """Return what a configuration allows each service."""
+    return {
+        name: ProbeTerms(
+            service.probes_per_second,
+            service.calls_per_probe,
+            document.rules.max_instances,
+        )
+        for name, service in document.register.services.items()
+    }
+
+
+@define
+class HealthTracker:
+    """Take signs and answers from every source and keep the routers in step."""
+
+    directory: Directory
+    clock: Clock
+    budget: ProbeBudget
+    reachability: Reachability
+    drain: DrainTable = Factory(DrainTable)
+    reports: ReportTable = Factory(ReportTable)
+    closes: CloseCounter = Factory(CloseCounter)
+    counters: HealthCounters = Factory(HealthCounters)
+    document: Document = Factory(Document)
+    key_by_id: dict[str, BackendKey] = Factory(dict)
+    terms_by_service: dict[str, ProbeTerms] = Factory(dict)
+    leaving_keys: set[BackendKey] = Factory(set)
+    #: Set when a server began or ceased to leave, until a peer has been told.
+    drain_changed: trio.Event = Factory(trio.Event)
+
+    def update(self, config: AcceptedConfig) -> None:
+        """Take over a new configuration, after the directory did."""
+        self.document = config.document
+        backends = config.document.register.backends
+        self.key_by_id = {name: key_of(name, each) for name, each in backends.items()}
+        self.terms_by_service = make_terms(config.document)
+        keys = set(self.key_by_id.values())
+        now = self.clock.monotonic()
+        self.drain.keep(keys, now)
+        self.leaving_keys &= keys
+        self.reports.keep(keys, now)
+        self.reachability.keep(keys)
+        self.budget.keep({key.address for key in keys}, now)
+        for backend_id in backends:
+            self._tell_router(backend_id)
+
+    def count_call(self, service: str) -> None:
+        """Count one call of a caller, which pays for probes."""
+        self.counters.calls += 1
+        terms = self.terms_by_service.get(service)
+        if terms is not None:
+            self.budget.count_call(service, terms)
+
+    def answered(
+        self, backend_id: str, headers: Headers, report: LoadReport | None
+    ) -> None:
+        """Take what the head of an answer says of its backend server."""
+        key = self.key_by_id.get(backend_id)
+        if key is None:
+            return
+        now = self.clock.monotonic()
+        self.reports.answered(key, now)
+        if report is not None:
+            self.reports.learn(key, KnownReport(report, now))
+        if says_drain(headers):
+            self.drain.sign(key, DrainSign.OWN, now)
+        elif self.closes.answered(key, says_close(headers)):
+            self.drain.sign(key, DrainSign.CLOSE, now)
+        self.settle()
+
+    def connected(self, backend_id: str) -> None:
+        """Take an accepted connection."""
+        key = self.key_by_id.get(backend_id)
+        if key is not None and self.reachability.reached(key):
+            log.info('health: %s accepts connections again.', backend_id)
+
+    def refused(self, backend_id: str) -> None:
+        """Take a refused connection."""
+        key = self.key_by_id.get(backend_id)
+        if key is None:
+            return
+        self.counters.connects_refused += 1
+        pause = self.reachability.failed(key, self.clock.monotonic())
+        log.info('health: %s refuses connections, next in %.1f s.', backend_id, pause)
+
+    def avoided(self) -> list[str]:
+        """Return the servers that must not be tried yet."""
+        if not self.reachability.pause_by_key:
+            return []
+        now = self.clock.monotonic()
+        return [
+            key.backend_id
+            for key in self.reachability.pause_by_key
+            if self.reachability.is_avoided(key, now)
+        ]
+
+    def chosen(self, backend_id: str) -> None:
+        """Let no second trial of an unreachable server start with this one."""
+        key = self.key_by_id.get(backend_id)
+        if key is not None and self.reachability.pause_by_key:
+            self.reachability.tried(key, self.clock.monotonic())
+
+    def learn_list(self, listed: Iterable[ListedInstance]) -> None:
+        """Take one read of the platform's list."""
+        leaving_by_name = {each.name: each.leaving for each in listed}
+        now = self.clock.monotonic()
+        leaving = {key.backend_id for key in self.drain.leaving()}
+        for backend_id in (leaving_by_name.keys() | leaving) & self.key_by_id.keys():
+            says_leaving = leaving_by_name.get(backend_id, False)
+            self.drain.listed(self.key_by_id[backend_id], says_leaving, now)
+        self.settle()
+
+    def learn_report(
+        self, key: BackendKey, known: KnownReport, picks_before: int = 0
+    ) -> None:
+        """Give a router a report that a peer or a probe observed."""
+        router = self.router(key)
+        if router is not None and self.reports.learn(key, known):
+            router.learned(
+                key.backend_id, known.report, known.observed_at, picks_before
+            )
+
+    def router(self, key: BackendKey) -> ServiceRouter | None:
+        """Return the router that knows a registered server."""
+        if not self.is_registered(key):
+            return None
+        service = self.document.register.backends[key.backend_id].service
+        return self.directory.router_by_service.get(service)
+
+    def settle(self) -> None:
+        """Tell the routers and the spreader what changed."""
+        changed = self.drain.take_changed()
+        if not changed:
+            return
+        for key in changed:
+            self._count_change(key)
+            self._tell_router(key.backend_id)
+        self.drain_changed.set()
+
+    def is_backend(self, name: str) -> bool:
+        """Tell whether a name of the platform's list is a backend server's."""
+        return name in self.key_by_id
+
+    def is_registered(self, key: BackendKey) -> bool:
+        """Tell whether the register holds a server at its address."""
+        return self.key_by_id.get(key.backend_id) == key
+
+    def _tell_router(self, backend_id: str) -> None:
+        backend = self.document.register.backends.get(backend_id)
+        if backend is None:
+            return
+        leaving = self.drain.is_leaving(self.key_by_id[backend_id])
+        self.directory.set_draining(
+            backend.service, backend_id, backend.draining or leaving
+        )
+
+    def _count_change(self, key: BackendKey) -> None:
+        word = self.drain.held_by_key[key].word
+        if word.leaving and key not in self.leaving_keys:
+            self.leaving_keys.add(key)
+            self.counters.servers_left += 1
+            signs = ', '.join(sorted(sign.value for sign in word.signs))
+            log.info('health: %s is leaving, signs: %s.', key.backend_id, signs)
+        elif not word.leaving and key in self.leaving_keys:
+            self.leaving_keys.discard(key)
+            self.closes.forget(key)
+            self.counters.servers_returned += 1
+            log.info('health: %s has returned.', key.backend_id)
+
+
+def make_tracker(directory: Directory, clock: Clock, random: Random) -> HealthTracker:
+    """Return a tracker whose budget starts empty now."""
+    budget = ProbeBudget(clock.monotonic())
+    return HealthTracker(directory, clock, budget, Reachability(random))
--- a/catkinslip/models.py
+++ b/catkinslip/models.py
@@ -20,3 +20,11 @@
 
     def __str__(self) -> str:
         return f'{self.host}:{self.port}'
+
+
+@frozen
+class BackendKey:
+    """A backend server at an address; at another address it is another server."""
+
+    backend_id: str
+    address: str
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from catkinslip.clock import Clock
+from catkinslip.health.tracker import HealthTracker
 from catkinslip.models import Address
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -39,6 +40,8 @@
     caller: Wire
     pool: BackendPool
     clock: Clock
+    backend_id: str
+    health: HealthTracker
     is_first_byte_allowed: Callable[[], bool] = field(default=lambda: True)
 
     async def run(self) -> Outcome:
@@ -46,7 +49,9 @@
         try:
             wire = await self.pool.acquire(self.address)
         except OSError as error:
+            self.health.refused(self.backend_id)
             return NotRun(Reason.CONNECT_FAILED, str(error))
+        self.health.connected(self.backend_id)
         if self.clock.monotonic() >= self.call.deadline:
             await self.pool.release(self.address, wire)
             return NotRun(Reason.TOO_LATE)
@@ -65,6 +70,7 @@
         except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError) as error:
             return Unknown(Reason.BROKEN, repr(error))
         report = read_report(response)
+        self.health.answered(self.backend_id, response.headers, report)
         if is_refusal(response):
             await drain_body(wire)
             return NotRun(Reason.SHED, report=report)
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -6,11 +6,14 @@
 from attrs import define
 
 from catkinslip.clock import Clock
+from catkinslip.health.tracker import HealthTracker
 from catkinslip.proxy.exchange import Attempt, Call
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
+from catkinslip.routing.base import Choice
 from catkinslip.routing.directory import Directory
+from catkinslip.routing.router import ServiceRouter
 
 MAX_ATTEMPTS = 3
 
@@ -24,16 +27,18 @@
     directory: Directory
     pool: BackendPool
     clock: Clock
+    health: HealthTracker
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
         router = self.directory.router_by_service.get(call.service)
         if router is None:
             return NotRun(Reason.UNKNOWN_SERVICE, call.service)
+        self.health.count_call(call.service)
         tried: list[str] = []
         outcome: Outcome = NotRun(Reason.NO_BACKEND)
         while len(tried) < MAX_ATTEMPTS:
-            choice = router.choose(self.clock.monotonic(), tried)
+            choice = self._choose(router, tried)
             if choice is None:
                 break
             log.info(
@@ -50,9 +55,21 @@
             call.attempt += 1
         return outcome
 
+    def _choose(self, router: ServiceRouter, tried: list[str]) -> Choice | None:
+        """Choose a server; one that refuses connections only as a last resort."""
+        now = self.clock.monotonic()
+        avoided = self.health.avoided()
+        choice = router.choose(now, [*tried, *avoided]) if avoided else None
+        choice = choice or router.choose(now, tried)
+        if choice is not None:
+            self.health.chosen(choice.backend_id)
+        return choice
+
     async def _attempt(self, call, caller, router, backend_id: str) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        attempt = Attempt(call, address, caller, self.pool, self.clock)
+        attempt = Attempt(
+            call, address, caller, self.pool, self.clock, backend_id, self.health
+        )
         outcome: Outcome = Unknown(Reason.DEADLINE)
         router.started(backend_id)
         try:
--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -38,3 +38,9 @@
             backend_id: Address(backend.host, backend.port)
             for backend_id, backend in register.backends.items()
         }
+
+    def set_draining(self, service: str, backend_id: str, draining: bool) -> None:
+        """Give a backend server new work, or none."""
+        router = self.router_by_service.get(service)
+        if router is not None and backend_id in router.load_by_id:
+            router.load_by_id[backend_id].draining = draining
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -57,3 +57,21 @@
             load.report = report
             load.reported_at = now
             load.picks_since_report = 0
+
+    def learned(
+        self, backend_id: str, report: LoadReport, at: float, picks_before: int = 0
+    ) -> None:
+        """Take a report that a peer or a probe observed at an earlier time.
+
+        Only the own picks known to be in the report are taken off their count.
+        """
+        load = self.load_by_id.get(backend_id)
+        if load is not None and at > load.reported_at:
+            load.report = report
+            load.reported_at = at
+            load.picks_since_report = max(0, load.picks_since_report - picks_before)
+
+    def picks_since_report(self, backend_id: str) -> int:
+        """Return the own picks since the last report of a backend server."""
+        load = self.load_by_id.get(backend_id)
+        return 0 if load is None else load.picks_since_report
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import signal
 import time
 from random import Random
 
@@ -12,7 +13,9 @@
 REQUEST_ID = b'catkinslip-request-id'
 DEADLINE = b'catkinslip-deadline'
 OUTCOME = b'catkinslip-outcome'
+PROBE = b'catkinslip-probe'
 CONTROL_PREFIX = '/standin/'
+HEALTH_PATH = '/health'
 
 
 @define
@@ -25,6 +28,9 @@
     exponential: bool = False
     slowdown: float = 1.0
     draining: bool = False
+    drain_header: bool = True
+    refuses_when_draining: bool = False
+    linger: float = 0.0
     fail_fast: bool = False
     reports: bool = True
     reported_in_flight: float = -1.0
@@ -38,8 +44,11 @@
     behaviour: Behaviour
     random: Random
     in_flight: int = 0
+    unanswered: int = 0
     ran_by_request: dict[str, int] = Factory(dict)
     ran_by_key: dict[str, int] = Factory(dict)
+    last_started_at: float = 0.0
+    probe_times: list[float] = Factory(list)
     slots: trio.CapacityLimiter = None
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -59,13 +68,25 @@
         head, body = await self.receive(stream, codec)
         if head is None:
             return False
+        self.unanswered += 1
+        try:
+            return await self.answer(stream, codec, head, body)
+        finally:
+            self.unanswered -= 1
+
+    async def answer(self, stream, codec: h11.Connection, head, body: bytes) -> bool:
+        """Answer one request; tell whether the connection may be kept."""
         path = head.target.decode('latin-1')
         if path.startswith(CONTROL_PREFIX):
             status, headers, answer = self.control(path, body)
+        elif path == HEALTH_PATH:
+            status, headers, answer = self.probe(head)
         else:
             status, headers, answer = await self.work(head, body)
         if self.behaviour.draining:
             headers.append((b'connection', b'close'))
+            if self.behaviour.drain_header:
+                headers.append((b'catkinslip-drain', b'true'))
         headers.append((b'content-length', b'%d' % len(answer)))
         response = h11.Response(status_code=status, headers=headers)
         events = (response, h11.Data(data=answer), h11.EndOfMessage())
@@ -96,6 +117,8 @@
         limit = self.behaviour.slots + self.behaviour.queue
         if time.time() >= deadline or self.in_flight >= limit:
             return self.refusal()
+        if self.behaviour.draining and self.behaviour.refuses_when_draining:
+            return self.refusal()
         if self.behaviour.fail_fast:
             return 500, self.report(), b'failed'
         self.in_flight += 1
@@ -116,12 +139,19 @@
         headers = [*self.report(), (b'content-type', b'application/json')]
         return 200, headers, json.dumps(answer).encode()
 
+    def probe(self, head):
+        """Answer a probe and count it."""
+        if PROBE in dict(head.headers):
+            self.probe_times.append(time.time())
+        return 200, self.report(), b'well'
+
     def refusal(self):
         """Return the answer that says a request did not run."""
         return 503, [*self.report(), (OUTCOME, b'not-run')], b'not run'
 
     def record(self, request_id: str, key: bytes) -> None:
         """Write into the ledger that a request runs."""
+        self.last_started_at = time.time()
         self.ran_by_request[request_id] = self.ran_by_request.get(request_id, 0) + 1
         if key:
             name = key.decode('latin-1')
@@ -152,12 +182,29 @@
                 setattr(self.behaviour, name, value)
             self.slots.total_tokens = self.behaviour.slots
             return 200, [], b'{}'
-        ledger = {
+        return 200, [], json.dumps(self.ledger()).encode()
+
+    def ledger(self) -> dict:
+        """Return what ran and when the last request was started."""
+        return {
             'by_request': self.ran_by_request,
             'by_key': self.ran_by_key,
             'in_flight': self.in_flight,
+            'last_started_at': self.last_started_at,
+            'probes': len(self.probe_times),
+            'probe_times': self.probe_times,
         }
-        return 200, [], json.dumps(ledger).encode()
+
+    async def stop_gracefully(self, scope: trio.CancelScope) -> None:
+        """On SIGTERM refuse new work, finish what runs, print the ledger and end."""
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            await anext(signals)
+        self.behaviour.draining = self.behaviour.refuses_when_draining = True
+        end = trio.current_time() + self.behaviour.linger
+        while self.unanswered or trio.current_time() < end:
+            await trio.sleep(0.01)
+        print(json.dumps(self.ledger()), flush=True)
+        scope.cancel()
 
 
 async def main() -> None:
@@ -182,7 +229,9 @@
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1', backlog=256)
     host, port = listeners[0].socket.getsockname()
     print(json.dumps({'event': 'ready', 'address': f'{host}:{port}'}), flush=True)
-    await trio.serve_listeners(standin.serve, listeners)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(standin.stop_gracefully, nursery.cancel_scope)
+        await trio.serve_listeners(standin.serve, listeners)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/test_health_budget.py
@@ -0,0 +1,147 @@
+"""The measuring budget, counted at the backend servers on a virtual clock."""
+
+import unittest
+from random import Random
+
+from attrs import Factory, define
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinslip.health.budget import ProbeBudget, ProbeTerms
+from catkinslip.health.schedule import rank
+from catkinslip.models import BackendKey
+
+KEYS = [BackendKey(f'limits-{n}', f'10.0.0.{n}:80') for n in range(2)]
+TICK_SECONDS = 0.5
+TERMS = ProbeTerms(probes_per_second=1.0, calls_per_probe=10, max_instances=17)
+
+
+@define
+class Fleet:
+    """Instances that each believe what a test makes them believe."""
+
+    size: int
+    terms: ProbeTerms = TERMS
+    calls_per_tick: int = 20
+    calls: int = 0
+    budget_by_name: dict[str, ProbeBudget] = Factory(dict)
+    times_by_key: dict[BackendKey, list[float]] = Factory(dict)
+
+    def start(self, name: str, now: float) -> None:
+        self.budget_by_name[name] = ProbeBudget(now)
+
+    def names(self) -> list[str]:
+        return [f'entry-{n}' for n in range(self.size)]
+
+    def tick(self, now: float, view_by_name: dict[str, list[str]], paused=()) -> None:
+        """Let every instance probe whatever its rank and budget allow."""
+        for name, budget in self.budget_by_name.items():
+            if name in paused:
+                continue
+            view = view_by_name[name]
+            budget.see_members(len(view))
+            for _ in range(self.calls_per_tick):
+                budget.count_call('limits', self.terms)
+                self.calls += 1
+            for key in KEYS:
+                terms = (key.address, 'limits', self.terms, now)
+                if not budget.may_probe(*terms) or rank(key, name, view) >= 3:
+                    continue
+                if budget.spend(*terms):
+                    self.times_by_key.setdefault(key, []).append(now)
+
+    def probes(self) -> int:
+        return sum(len(times) for times in self.times_by_key.values())
+
+
+class BudgetTest(unittest.TestCase):
+    """Never over, whatever instances believe and however often they restart."""
+
+    def assert_within(self, fleet: Fleet, seconds: float) -> None:
+        """Check every window of time at each server, and the share of calls."""
+        rate = fleet.terms.probes_per_second
+        burst = max(fleet.terms.max_instances, fleet.size)
+        self.assertGreater(fleet.probes(), 0)
+        for times in fleet.times_by_key.values():
+            level, before = 0.0, 0.0
+            for at in times:
+                level = max(0.0, level - rate * (at - before)) + 1
+                before = at
+                self.assertLessEqual(level, burst)
+            self.assertLessEqual(len(times), rate * seconds)
+        most = fleet.calls / fleet.terms.calls_per_probe
+        self.assertLessEqual(fleet.probes(), most)
+
+    def run_fleet(self, fleet: Fleet, views, seconds: float = 200.0, restart=None):
+        for name in fleet.names():
+            fleet.start(name, 0.0)
+        for step in range(int(seconds / TICK_SECONDS)):
+            now = step * TICK_SECONDS
+            if restart and step % restart == 0:
+                fleet.start('entry-0', now)
+            fleet.tick(now, {name: views(name, now) for name in fleet.names()})
+        return fleet
+
+    def test_equal_views(self):
+        for size in (3, 17):
+            fleet = Fleet(size)
+            self.run_fleet(fleet, lambda name, now, f=fleet: f.names())
+            self.assert_within(fleet, 200.0)
+
+    def test_each_instance_alone(self):
+        for size in (3, 17):
+            fleet = self.run_fleet(Fleet(size), lambda name, now: [name])
+            self.assert_within(fleet, 200.0)
+
+    def test_membership_split_in_two(self):
+        def half(name, now):
+            parity = int(name.partition('-')[2]) % 2
+            return [each for each in names if int(each.partition('-')[2]) % 2 == parity]
+
+        for size in (3, 17):
+            fleet = Fleet(size)
+            names = fleet.names()
+            self.assert_within(self.run_fleet(fleet, half), 200.0)
+
+    def test_restart_loop(self):
+        for size in (1, 3, 17):
+            for ticks in (1, 7, 20, 33, 35, 40):
+                terms = ProbeTerms(1.0, 10, max_instances=size)
+                fleet = Fleet(size, terms)
+                self.run_fleet(fleet, lambda name, now, f=fleet: f.names(), 200, ticks)
+                if fleet.probes():
+                    self.assert_within(fleet, 200.0)
+
+    def test_calls_pay_for_probes(self):
+        fleet = Fleet(3, ProbeTerms(1000.0, 400, 3), calls_per_tick=1)
+        self.run_fleet(fleet, lambda name, now: [name], 1000.0)
+        self.assert_within(fleet, 1000.0)
+
+    def test_more_instances_than_configured_shrink_their_share(self):
+        fleet = Fleet(6, ProbeTerms(1.0, 10, max_instances=2))
+        self.run_fleet(fleet, lambda name, now: fleet.names())
+        self.assert_within(fleet, 200.0)
+
+    def test_no_probes_when_turned_off(self):
+        fleet = Fleet(3, ProbeTerms(0.0, 1, 3))
+        self.run_fleet(fleet, lambda name, now: [name])
+        self.assertEqual(fleet.probes(), 0)
+
+    @settings(derandomize=True, max_examples=40, deadline=None)
+    @given(st.integers(0, 1 << 30), st.integers(1, 17))
+    def test_any_views_restarts_and_pauses(self, seed, size):
+        random, fleet = Random(seed), Fleet(size, calls_per_tick=20)
+        for name in fleet.names():
+            fleet.start(name, 0.0)
+        for step in range(200):
+            now = step * TICK_SECONDS
+            if random.random() < 0.1:
+                fleet.start(random.choice(fleet.names()), now)
+            views = {
+                name: random.sample(fleet.names(), random.randint(1, size))
+                for name in fleet.names()
+            }
+            paused = {name for name in fleet.names() if random.random() < 0.2}
+            fleet.tick(now, views, paused)
+        if fleet.probes():
+            self.assert_within(fleet, 100.0)
--- /dev/null
+++ b/tests/test_health_drain.py
@@ -0,0 +1,146 @@
+"""The merged state of leaving backend servers."""
+
+import itertools
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinslip.health.drain import (
+    CLOSE_HOLD_SECONDS,
+    LIST_HOLD_SECONDS,
+    RETURN_HOLD_SECONDS,
+    UNPROVED_SECONDS,
+    DrainSign,
+    DrainTable,
+    DrainWord,
+)
+from catkinslip.health.signs import CLOSES_IN_A_ROW, CloseCounter
+from catkinslip.models import BackendKey
+
+KEY = BackendKey('limits-1', '127.0.0.1:7001')
+WORDS = st.builds(
+    DrainWord, st.integers(0, 4), st.frozensets(st.sampled_from(DrainSign))
+)
+SETTINGS = settings(derandomize=True, max_examples=300, deadline=None)
+
+
+def leaving_table(*signs: DrainSign, at: float = 0.0) -> DrainTable:
+    table = DrainTable()
+    for sign in signs:
+        if sign is DrainSign.LIST:
+            table.listed(KEY, True, at)
+        else:
+            table.sign(KEY, sign, at)
+    return table
+
+
+class MergeTest(unittest.TestCase):
+    """Words merge in any order, any number of times; leaving wins."""
+
+    @SETTINGS
+    @given(WORDS, WORDS, WORDS)
+    def test_merge_is_a_join(self, a, b, c):
+        self.assertEqual(a.merge(b), b.merge(a))
+        self.assertEqual(a.merge(a), a)
+        self.assertEqual(a.merge(b).merge(c), a.merge(b.merge(c)))
+        if a.generation == b.generation:
+            self.assertEqual(a.merge(b).leaving, a.leaving or b.leaving)
+
+    @SETTINGS
+    @given(st.lists(WORDS, max_size=6), st.randoms(use_true_random=False))
+    def test_tables_that_heard_the_same_words_agree(self, words, random):
+        other_order = [*words, *words]
+        random.shuffle(other_order)
+        tables = [DrainTable(), DrainTable()]
+        for table, heard in zip(tables, (words, other_order), strict=True):
+            for word in heard:
+                table.merge(KEY, word, 0.0)
+        self.assertEqual(tables[0].leaving(), tables[1].leaving())
+        self.assertEqual(tables[0].digest(), tables[1].digest())
+
+    @SETTINGS
+    @given(st.lists(st.sampled_from(['sign', 'list', 'live', 'prove', 'tell'])))
+    def test_a_fresh_sign_is_never_overridden(self, steps):
+        tables = [DrainTable(), DrainTable()]
+        signed_at = [-RETURN_HOLD_SECONDS] * 2
+        for now, step in enumerate(steps):
+            index = now % 2
+            mine, other = tables[index], tables[1 - index]
+            if step in ('sign', 'list'):
+                signed_at[index] = now
+            if step == 'sign':
+                mine.sign(KEY, DrainSign.OWN, now)
+            elif step in ('list', 'live'):
+                mine.listed(KEY, step == 'list', now)
+            elif step == 'prove':
+                mine.proved(KEY, now, now)
+            else:
+                for key, held in other.held_by_key.items():
+                    mine.merge(key, held.word, now)
+            if now - signed_at[index] < RETURN_HOLD_SECONDS:
+                self.assertTrue(mine.is_leaving(KEY))
+
+
+class ReturnTest(unittest.TestCase):
+    """Leaving ends by proof of a return, neither too early nor never."""
+
+    def test_a_probe_sent_within_the_hold_proves_nothing(self):
+        table = leaving_table(DrainSign.OWN)
+        table.proved(KEY, RETURN_HOLD_SECONDS - 0.1, RETURN_HOLD_SECONDS + 0.1)
+        self.assertTrue(table.is_leaving(KEY))
+        table.proved(KEY, RETURN_HOLD_SECONDS, RETURN_HOLD_SECONDS + 0.1)
+        self.assertFalse(table.is_leaving(KEY))
+
+    def test_a_stale_live_of_the_list_overrides_nothing(self):
+        table = leaving_table(DrainSign.LIST)
+        table.listed(KEY, False, 1.0)
+        table.listed(KEY, False, LIST_HOLD_SECONDS)
+        self.assertFalse(table.wants_proof(KEY, LIST_HOLD_SECONDS))
+        table.listed(KEY, True, LIST_HOLD_SECONDS + 0.5)
+        table.listed(KEY, False, LIST_HOLD_SECONDS + 1)
+        self.assertFalse(table.wants_proof(KEY, 10 * LIST_HOLD_SECONDS))
+        table.listed(KEY, False, 2 * LIST_HOLD_SECONDS + 1)
+        self.assertTrue(table.is_leaving(KEY))
+        table.proved(KEY, 40.0, 40.1)
+        self.assertFalse(table.is_leaving(KEY))
+
+    def test_a_stale_leaving_of_a_peer_does_not_come_back(self):
+        table = leaving_table(DrainSign.OWN)
+        stale = table.held_by_key[KEY].word
+        table.proved(KEY, 6.0, 6.1)
+        table.merge(KEY, stale, 7.0)
+        self.assertFalse(table.is_leaving(KEY))
+
+    def test_a_return_told_within_the_hold_of_an_own_sign_is_contradicted(self):
+        table = leaving_table(DrainSign.OWN)
+        table.merge(KEY, DrainWord(7), RETURN_HOLD_SECONDS - 1)
+        self.assertEqual(table.held_by_key[KEY].word.generation, 8)
+        self.assertTrue(table.is_leaving(KEY))
+
+    def test_closed_connections_alone_end_without_a_sign_for_a_while(self):
+        table = leaving_table(DrainSign.CLOSE)
+        self.assertFalse(table.wants_proof(KEY, CLOSE_HOLD_SECONDS - 1))
+        self.assertTrue(table.wants_proof(KEY, CLOSE_HOLD_SECONDS))
+
+    def test_a_server_that_leaves_again_soon_is_held_longer(self):
+        table = leaving_table(DrainSign.OWN)
+        table.proved(KEY, 6.0, 6.0)
+        table.sign(KEY, DrainSign.OWN, 7.0)
+        self.assertFalse(table.wants_proof(KEY, 7.0 + RETURN_HOLD_SECONDS))
+        self.assertTrue(table.wants_proof(KEY, 7.0 + 2 * RETURN_HOLD_SECONDS))
+
+    def test_without_probes_leaving_ends_by_time(self):
+        table = leaving_table(DrainSign.OWN)
+        table.end_unproved(KEY, UNPROVED_SECONDS - 1)
+        self.assertTrue(table.is_leaving(KEY))
+        table.end_unproved(KEY, UNPROVED_SECONDS)
+        self.assertFalse(table.is_leaving(KEY))
+
+    def test_only_a_server_that_kept_connections_signs_by_closing_them(self):
+        counter = CloseCounter()
+        always = [counter.answered(KEY, True) for _ in range(9)]
+        self.assertNotIn(True, always)
+        counter.answered(KEY, False)
+        begins = [counter.answered(KEY, True) for _ in range(CLOSES_IN_A_ROW)]
+        self.assertEqual(begins, [*itertools.repeat(False, 2), True])
