Measure drain by each path on real processes

Change: benchmarks/drain.py signs by the server's own header, the list, the register, SIGTERM and, with the platform down, peers alone, under load.

--- /dev/null
+++ b/benchmarks/drain.py
@@ -0,0 +1,211 @@
+"""Measure drain on real processes: from the first sign to no new work.
+
+Three instances carry a load while one backend server for each path begins to leave.
+"""
+
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import httpx
+import trio
+from attrs import Factory, define
+
+from catkinslip.cli.application import run as run_tool
+from catkinslip.models import Address
+from standins.load import LoadCaller, Tally
+from standins.processes import Process, ProcessGroup, wait_until
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+SERVICE = 'limits'
+STAYING = 'limits-stays'
+LOADED_PATHS = ('own', 'list', 'register', 'stop')
+BOUND_SECONDS = 3.0
+LOAD_SECONDS = 6.0
+PAUSE_SECONDS = 0.5
+CALLERS = 6
+LINGER_SECONDS = 3.0
+#: Terms that let a test see a return soon; the division is by three instances.
+TERMS = {'slots': 5, 'probes_per_second': 3.0, 'calls_per_probe': 10}
+MAX_INSTANCES = 3
+
+
+@define
+class DrainSystem:
+    """A system in which one backend server for each path will leave."""
+
+    group: ProcessGroup
+    daemons: list[Process] = Factory(list)
+    signed_at_by_path: dict[str, float] = Factory(dict)
+    last_start_by_path: dict[str, float] = Factory(dict)
+    tally: Tally = Factory(Tally)
+
+    def start(self) -> None:
+        """Start all processes and wait until every instance serves."""
+        self.group.start_platform()
+        for path in (*LOADED_PATHS, 'peers'):
+            self.group.start_backend(
+                f'limits-{path}', service_time=0.01, linger=LINGER_SECONDS
+            )
+        self.group.start_backend(STAYING, service_time=0.01)
+        self.apply()
+        for zone in ZONES:
+            daemon = self.group.start_daemon(
+                f'entry-{zone}', zone, platform_url=self.platform_url
+            )
+            self.daemons.append(daemon)
+        for daemon in self.daemons:
+            wait_until(lambda d=daemon: ask(d).status_code == 200)
+            wait_until(lambda d=daemon: len(status(d)['members']) == len(ZONES))
+
+    @property
+    def platform_url(self) -> str:
+        """Return the URL of the stand-in platform."""
+        return f'http://{self.group.process_by_name["platform"].address}'
+
+    def backend(self, name: str) -> Process:
+        """Return a backend server."""
+        return self.group.process_by_name[name]
+
+    def apply(self, draining: str = '') -> None:
+        """Apply the register with one server marked as draining, or none."""
+        backends = {}
+        for name, process in self.group.process_by_name.items():
+            if not name.startswith(SERVICE):
+                continue
+            address = Address.parse(process.address)
+            backends[name] = {
+                'service': SERVICE,
+                'zone': ZONES[0],
+                'host': address.host,
+                'port': address.port,
+                'draining': name == draining,
+            }
+        plain = {
+            'register': {'services': {SERVICE: TERMS}, 'backends': backends},
+            'rules': {'max_instances': MAX_INSTANCES},
+        }
+        path = self.group.folder / 'document.json'
+        path.write_text(json.dumps(plain))
+        code = run_tool(
+            ['apply', str(path), '--platform-url', self.platform_url, '--quiet']
+        )
+        if code != 0:
+            raise RuntimeError(f'apply ended with {code}')
+
+    def behave(self, name: str, **behaviour: object) -> None:
+        """Change the behaviour of a backend server."""
+        url = f'http://{self.backend(name).address}/standin/behaviour'
+        httpx.post(url, json=behaviour).raise_for_status()
+
+    def ledger(self, name: str) -> dict:
+        """Return what a backend server ran."""
+        url = f'http://{self.backend(name).address}/standin/ledger'
+        return httpx.get(url).json()
+
+    def sign(self, path: str) -> None:
+        """Let the server of a path begin to leave, by this path alone."""
+        name = f'limits-{path}'
+        self.signed_at_by_path[path] = time.time()
+        if path == 'own':
+            self.behave(name, draining=True)
+        elif path == 'register':
+            self.apply(draining=name)
+        elif path == 'stop':
+            self.backend(name).popen.terminate()
+        elif path == 'list':
+            word = {
+                'name': name,
+                'zone': ZONES[0],
+                'address': self.backend(name).address,
+                'control_address': '',
+                'leaving': True,
+            }
+            url = f'{self.platform_url}/v1/instances/{name}'
+            httpx.put(url, json=word).raise_for_status()
+
+    def run_load(self) -> None:
+        """Load all instances while servers leave, and read their ledgers."""
+        trio.run(self._load)
+        for path in LOADED_PATHS:
+            name = f'limits-{path}'
+            if path == 'stop':
+                line = self.backend(name).popen.stdout.readline()
+                ledger = json.loads(line)
+            else:
+                ledger = self.ledger(name)
+            self.last_start_by_path[path] = ledger['last_started_at']
+
+    async def _load(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(CALLERS):
+                caller = LoadCaller(
+                    name=f'{SERVICE}-caller-{number}',
+                    service=SERVICE,
+                    ask=[each.address for each in self.daemons],
+                    tally=self.tally,
+                    method='POST',
+                )
+                nursery.start_soon(caller.run, LOAD_SECONDS)
+            for path in LOADED_PATHS:
+                await trio.sleep(PAUSE_SECONDS)
+                await trio.to_thread.run_sync(self.sign, path)
+
+    def seconds_by_path(self) -> dict[str, float]:
+        """Return the seconds from the first sign to the last started request."""
+        return {
+            path: max(0.0, last - self.signed_at_by_path[path])
+            for path, last in self.last_start_by_path.items()
+        }
+
+    def measure_peers(self) -> float:
+        """Return how long peers take to learn a sign that one instance saw.
+
+        The platform is down, and the others get no request meanwhile.
+        """
+        httpx.post(f'{self.platform_url}/standin/faults', json={'down': True})
+        name = 'limits-peers'
+        self.behave(name, draining=True, drain_header=True)
+        first, *others = self.daemons
+        wait_until(lambda: ask(first) and name in status(first)['leaving_backends'])
+        began = time.monotonic()
+        for daemon in others:
+            wait_until(lambda d=daemon: name in status(d)['leaving_backends'])
+        return time.monotonic() - began
+
+
+def ask(daemon: Process) -> httpx.Response:
+    """Send one request through an instance."""
+    return httpx.get(f'http://{daemon.address}/', headers={'Host': SERVICE})
+
+
+def status(daemon: Process) -> dict:
+    """Return the status of an instance."""
+    return httpx.get(f'http://{daemon.control_address}/v1/status').json()
+
+
+def main() -> int:
+    """Print the seconds of each path; return 0 when all are within the bound."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        ProcessGroup(Path(folder)) as group,
+    ):
+        system = DrainSystem(group)
+        system.start()
+        system.run_load()
+        seconds_by_path = system.seconds_by_path()
+        seconds_by_path['peers, platform down'] = system.measure_peers()
+    for path, seconds in seconds_by_path.items():
+        print(f'{path}: {seconds:.3f} s from the first sign to no new work')
+    tally = system.tally
+    print(f'{tally.right} right, {tally.cut} cut, {tally.unknown} unknown')
+    line = {'seconds_by_path': seconds_by_path, 'cut': tally.cut}
+    print(json.dumps({**line, 'unknown': tally.unknown, 'right': tally.right}))
+    is_late = max(seconds_by_path.values()) > BOUND_SECONDS
+    return 1 if is_late or tally.cut or tally.unknown else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -8,6 +8,7 @@
 from quart_trio import QuartTrio
 
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.health.tracker import HealthTracker
 from catkinslip.membership.exchange import PATH, ExchangeMessage, PeerExchange
 
 SECRET_HEADER = 'Catkinslip-Secret'
@@ -19,6 +20,7 @@
 
     peers: PeerExchange
     config: ConfigHolder
+    health: HealthTracker
     shared_secret: str
 
     def make_app(self) -> QuartTrio:
@@ -46,4 +48,6 @@
             'members': cattrs.unstructure(self.peers.members.live()),
             'config_version': cattrs.unstructure(current.version),
             'change_id': current.change_id,
+            'leaving_backends': self.health.leaving_ids(),
+            'health': cattrs.unstructure(self.health.counters),
         }
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -147,7 +147,7 @@
         callers=CallerServer(
             environment, config, forwarder, addresses, settings.request_timeout
         ),
-        control=ControlSurface(peers, config, settings.shared_secret),
+        control=ControlSurface(peers, config, health, settings.shared_secret),
         pool=pool,
         health=health,
         prober=Prober(health, members, pool, environment.clock),
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -171,6 +171,12 @@
             self._tell_router(key.backend_id)
         self.drain_changed.set()
 
+    def leaving_ids(self) -> list[str]:
+        """Return the servers that take no new work, by any sign or the register."""
+        backends = self.document.register.backends
+        marked = {name for name, each in backends.items() if each.draining}
+        return sorted(marked | {key.backend_id for key in self.drain.leaving()})
+
     def is_backend(self, name: str) -> bool:
         """Tell whether a name of the platform's list is a backend server's."""
         return name in self.key_by_id
