Let only a sign seen after a proof contradict a return

Cause: an instance whose own sign was under 5 s old contradicted a return that was proved after it, and the contradiction counted as a flap; the others returned 10 s after the first instance did.

Change: the proof's age travels with the word; a sign counts against it when it was seen after the proof (less 1 s under way). Accepting a return clears the own signs, else a later peer's word could revive them.

--- a/catkinslip/health/drain.py
+++ b/catkinslip/health/drain.py
@@ -17,6 +17,8 @@
 RETURN_HOLD_SECONDS = 5.0
 CLOSE_HOLD_SECONDS = 30.0
 LIST_HOLD_SECONDS = 10.0
+#: The age of a word misses the time it was under way, at most a peer's timeout.
+TRANSIT_SECONDS = 1.0
 FLAP_WINDOW_SECONDS = 60.0
 MAX_FLAP_DOUBLINGS = 4
 #: A return is remembered this long, to override words of peers cut off meanwhile.
@@ -76,12 +78,10 @@
         """Return when this instance last saw or learned of a sign."""
         return max(self.learned_at, *self.seen_at_by_sign.values(), self.learned_at)
 
-    def fresh_signs(self, now: float) -> frozenset[DrainSign]:
-        """Return the signs that this instance saw itself moments ago."""
+    def signs_since(self, at: float) -> frozenset[DrainSign]:
+        """Return the signs that this instance saw itself since a time."""
         return frozenset(
-            sign
-            for sign, seen_at in self.seen_at_by_sign.items()
-            if now - seen_at < RETURN_HOLD_SECONDS
+            sign for sign, seen_at in self.seen_at_by_sign.items() if seen_at >= at
         )
 
 
@@ -128,16 +128,16 @@
     def merge(
         self, key: BackendKey, word: DrainWord, now: float, age: float = 0.0
     ) -> None:
-        """Take a peer's word; contradict a return by signs of moments ago."""
+        """Take a peer's word; contradict a return by signs seen after its proof."""
         held = self.held_by_key.get(key)
         before = held.word if held else DrainWord(0)
         joined = before.merge(word)
         if joined == before:
             return
-        held = self._hold(key, joined, now, age)
-        fresh = held.fresh_signs(now)
-        if fresh and not joined.leaving:
-            self._hold(key, DrainWord(joined.generation + 1, fresh), now)
+        newer = held.signs_since(now - age - TRANSIT_SECONDS) if held else frozenset()
+        if newer and not joined.leaving:
+            joined, age = DrainWord(joined.generation + 1, newer), 0.0
+        self._hold(key, joined, now, age)
 
     def proof_wanted_for(self, key: BackendKey, now: float) -> float:
         """Return the seconds since a return may be proved; negative before."""
@@ -156,7 +156,7 @@
     def proved(self, key: BackendKey, sent_at: float, now: float) -> None:
         """End leaving by a probe answered without a sign, sent at a given time."""
         if self.wants_proof(key, sent_at) and self.wants_proof(key, now):
-            self._end(key, now)
+            self._end(key, now, now - sent_at)
 
     def end_unproved(self, key: BackendKey, now: float) -> None:
         """End leaving by time alone, for a service without probes."""
@@ -189,10 +189,9 @@
         changed, self.changed = self.changed, set()
         return changed
 
-    def _end(self, key: BackendKey, now: float) -> None:
+    def _end(self, key: BackendKey, now: float, age: float = 0.0) -> None:
         held = self.held_by_key[key]
-        held.seen_at_by_sign.clear()
-        self._hold(key, DrainWord(held.word.generation + 1), now)
+        self._hold(key, DrainWord(held.word.generation + 1), now, age)
 
     def _hold(
         self, key: BackendKey, word: DrainWord, now: float, age: float = 0.0
@@ -206,6 +205,8 @@
         if word.generation != held.word.generation:
             held.flaps = next_flaps(held, word, now)
             held.learned_at = now
+        if not word.leaving:
+            held.seen_at_by_sign.clear()
         held.word = word
         held.changed_at = now - age
         self.changed.add(key)
@@ -214,7 +215,7 @@
 
 def next_flaps(held: HeldWord, word: DrainWord, now: float) -> int:
     """Return how often in a row a server left again soon after it returned."""
-    if not word.leaving:
+    if not word.leaving or held.word.leaving:
         return held.flaps
     soon = now - held.learned_at < FLAP_WINDOW_SECONDS
     return held.flaps + 1 if soon and held.word.generation else 0
