--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -31,7 +31,7 @@
 from catkinslip.platform.base import ListedInstance, ObjectStore
 from catkinslip.platform.embedded import EmbeddedStore
 from catkinslip.platform.http import HttpStore
-from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.directory import Directory
@@ -108,6 +108,8 @@
             nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
+            nursery.start_soon(daemon.callers.watch.run)
+            nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(daemon.prober.run)
             nursery.start_soon(daemon.spreader.run)
@@ -131,6 +133,7 @@
     health = make_tracker(directory, environment.clock, environment.random)
     config.listeners.append(health.update)
     pool = BackendPool()
+    config.listeners.append(pool.update)
     forwarder = Forwarder(directory, pool, environment.clock, health)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
     topics = (ConfigTopic(config), *health_topics(health))
@@ -145,7 +148,7 @@
         peers=peers,
         watcher=ConfigWatcher(store, config),
         callers=CallerServer(
-            environment, config, forwarder, addresses, settings.request_timeout
+            environment, config, forwarder, addresses, caller_limits(settings)
         ),
         control=ControlSurface(peers, config, health, settings.shared_secret),
         pool=pool,
@@ -155,6 +158,18 @@
     )
 
 
+def caller_limits(settings: DaemonSettings) -> CallerLimits:
+    """Return what callers may ask for."""
+    return CallerLimits(
+        request_timeout=settings.request_timeout,
+        head_timeout=settings.head_timeout,
+        body_timeout=settings.body_timeout,
+        idle_timeout=settings.idle_timeout,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_callers,
+    )
+
+
 def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
--- a/catkinslip/health/prober.py
+++ b/catkinslip/health/prober.py
@@ -20,9 +20,10 @@
 from catkinslip.membership.members import MemberTable
 from catkinslip.models import Address, BackendKey
 from catkinslip.proxy import headers as names
-from catkinslip.proxy.exchange import drain_body, read_report, receive_response
+from catkinslip.proxy.answers import drain_body, read_report, receive_response
+from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.proxy.pool import BackendPool
-from catkinslip.proxy.wire import Wire
+from catkinslip.proxy.wire import ConnectionErrors, Wire
 
 PROBE_HEADER = b'catkinslip-probe'
 TICK_SECONDS = 0.25
@@ -98,14 +99,14 @@
         address = Address.parse(key.address)
         with trio.move_on_after(TIMEOUT_SECONDS):
             async with self.limiter:
-                try:
-                    wire = await self.pool.acquire(address)
-                except OSError:
-                    self.tracker.refused(key.backend_id)
+                wire = await self.pool.acquire(address)
+                if isinstance(wire, NotRun):
+                    if wire.reason is Reason.CONNECT_FAILED:
+                        self.tracker.refused(key.backend_id)
                     return
                 try:
                     await self.exchange(wire, target)
-                except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+                except (*ConnectionErrors, h11.ProtocolError) as error:
                     log.info('health: probe of %s failed, %r.', key.backend_id, error)
                 finally:
                     with trio.CancelScope(shield=True):
@@ -148,7 +149,6 @@
         tracker = self.tracker
         now = self.clock.monotonic()
         tracker.counters.probes_answered += 1
-        tracker.connected(key.backend_id)
         report = read_report(response)
         if report is not None:
             tracker.learn_report(key, KnownReport(report, sent_at), picks_before)
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -94,6 +94,8 @@
             return
         now = self.clock.monotonic()
         self.reports.answered(key, now)
+        if self.reachability.reached(key):
+            log.info('health: %s answers again.', backend_id)
         if report is not None:
             self.reports.learn(key, KnownReport(report, now))
         if says_drain(headers):
@@ -102,12 +104,6 @@
             self.drain.sign(key, DrainSign.CLOSE, now)
         self.settle()
 
-    def connected(self, backend_id: str) -> None:
-        """Take an accepted connection."""
-        key = self.key_by_id.get(backend_id)
-        if key is not None and self.reachability.reached(key):
-            log.info('health: %s accepts connections again.', backend_id)
-
     def refused(self, backend_id: str) -> None:
         """Take a refused connection."""
         key = self.key_by_id.get(backend_id)
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,6 +1,7 @@
 """Forward a call: choose a backend server, attempt, and try elsewhere if not run."""
 
 import logging
+from functools import partial
 
 import trio
 from attrs import define
@@ -49,10 +50,11 @@
                 choice.reason,
             )
             tried.append(choice.backend_id)
-            outcome = await self._attempt(call, caller, router, choice.backend_id)
-            if not isinstance(outcome, NotRun):
+            outcome = await self._attempt(
+                call, caller, router, choice.backend_id, len(tried)
+            )
+            if not isinstance(outcome, NotRun) or not call.is_resendable:
                 break
-            call.attempt += 1
         return outcome
 
     def _choose(self, router: ServiceRouter, tried: list[str]) -> Choice | None:
@@ -65,17 +67,25 @@
             self.health.chosen(choice.backend_id)
         return choice
 
-    async def _attempt(self, call, caller, router, backend_id: str) -> Outcome:
+    async def _attempt(
+        self, call, caller, router, backend_id: str, number: int
+    ) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        attempt = Attempt(
-            call, address, caller, self.pool, self.clock, backend_id, self.health
-        )
+        on_head = partial(self.health.answered, backend_id)
+        attempt = Attempt(call, address, caller, self.pool, self.clock, number, on_head)
         outcome: Outcome = Unknown(Reason.DEADLINE)
         router.started(backend_id)
         try:
             with trio.move_on_after(call.deadline - self.clock.monotonic()):
                 outcome = await attempt.run()
         finally:
+            if is_connect_failure(outcome):
+                self.health.refused(backend_id)
             report = outcome.report if isinstance(outcome, Answered | NotRun) else None
             router.finished(backend_id, report, self.clock.monotonic())
         return outcome
+
+
+def is_connect_failure(outcome: Outcome) -> bool:
+    """Tell whether no connection to the backend server could be opened."""
+    return isinstance(outcome, NotRun) and outcome.reason is Reason.CONNECT_FAILED
