--- a/catkinslip/health/prober.py
+++ b/catkinslip/health/prober.py
@@ -59,6 +59,8 @@
         targets = []
         register = self.tracker.document.register
         for backend_id, backend in register.backends.items():
+            if backend.draining:
+                continue
             target = self.target(backend_id, backend.service, now)
             if target is not None:
                 targets.append(target)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -18,6 +18,9 @@
 SIZE_BY_SERVICE = {'limits': 6, 'claims': 3}
 METHOD_BY_SERVICE = {'limits': 'GET', 'claims': 'POST'}
 CALLERS = 4
+CALLS_PER_PROBE = 100
+#: One service is measured by probes too, the other by its answers alone.
+PROBES_BY_SERVICE = {'limits': 1.0, 'claims': 0.0}
 
 
 def main() -> int:
@@ -68,8 +71,16 @@
             'port': address.port,
             'draining': name == draining,
         }
-    services = {service: {'slots': 5} for service in SIZE_BY_SERVICE}
-    return {'register': {'services': services, 'backends': backends}}
+    services = {
+        service: {
+            'slots': 5,
+            'probes_per_second': PROBES_BY_SERVICE[service],
+            'calls_per_probe': CALLS_PER_PROBE,
+        }
+        for service in SIZE_BY_SERVICE
+    }
+    rules = {'max_instances': len(ZONES)}
+    return {'register': {'services': services, 'backends': backends}, 'rules': rules}
 
 
 def apply(group: ProcessGroup, platform_url: str, plain: dict) -> None:
@@ -130,22 +141,41 @@
         )
         held = held and tally.right > 0 and not tally.wrong and not tally.cut
     calls = httpx.get(f'{platform_url}/standin/calls').json()
-    print('probes: 0')
+    held = report_probes(group, tallies) and held
     print(f'platform calls: {sum(calls.values())}, {calls}')
     held = held and repeats['claims'] == 0
     print('everything that must hold held' if held else 'something did not hold')
     return 0 if held else 1
 
 
+def report_probes(group: ProcessGroup, tallies: dict[str, Tally]) -> bool:
+    """Print the probes that servers counted; tell whether they were within budget."""
+    held = True
+    for service, tally in tallies.items():
+        calls = tally.histogram.get_total_count()
+        probes = sum(ledger['probes'] for ledger in ledgers(group, service))
+        most = calls / CALLS_PER_PROBE if PROBES_BY_SERVICE[service] else 0
+        print(f'{service}: {probes} probes for {calls} calls, at most {most:.0f}')
+        held = held and probes <= most
+    return held
+
+
+def ledgers(group: ProcessGroup, service: str) -> list[dict]:
+    """Return the ledgers of a service's servers that still run."""
+    return [
+        httpx.get(f'http://{process.address}/standin/ledger').json()
+        for name, process in group.process_by_name.items()
+        if name.partition('-')[0] == service and process.popen.poll() is None
+    ]
+
+
 def count_repeats(group: ProcessGroup) -> dict[str, int]:
     """Count requests that ran more than once, by service."""
     runs_by_request: dict[str, int] = {}
-    for name, process in group.process_by_name.items():
-        if name.partition('-')[0] not in SIZE_BY_SERVICE or process.popen.poll():
-            continue
-        ledger = httpx.get(f'http://{process.address}/standin/ledger').json()
-        for request_id, runs in ledger['by_request'].items():
-            runs_by_request[request_id] = runs_by_request.get(request_id, 0) + runs
+    for service in SIZE_BY_SERVICE:
+        for ledger in ledgers(group, service):
+            for request_id, runs in ledger['by_request'].items():
+                runs_by_request[request_id] = runs_by_request.get(request_id, 0) + runs
     repeats = dict.fromkeys(SIZE_BY_SERVICE, 0)
     for request_id, runs in runs_by_request.items():
         service = request_id.partition('-')[0]
