--- a/benchmarks/drain.py
+++ b/benchmarks/drain.py
@@ -89,6 +89,10 @@
             'register': {'services': {SERVICE: TERMS}, 'backends': backends},
             'rules': {'max_instances': MAX_INSTANCES},
         }
+        self.apply_plain(plain)
+
+    def apply_plain(self, plain: dict) -> None:
+        """Apply a document with the operators' tool."""
         path = self.group.folder / 'document.json'
         path.write_text(json.dumps(plain))
         code = run_tool(
