--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; none of them is imported by the product."""
+"""Measurements; the product imports none of them."""
--- a/benchmarks/drain.py
+++ b/benchmarks/drain.py
@@ -55,7 +55,10 @@
         self.apply()
         for zone in ZONES:
             daemon = self.group.start_daemon(
-                f'entry-{zone}', zone, platform_url=self.platform_url
+                f'entry-{zone}',
+                zone,
+                platform_url=self.platform_url,
+                max_instances=MAX_INSTANCES,
             )
             self.daemons.append(daemon)
         for daemon in self.daemons:
@@ -85,11 +88,8 @@
                 'port': address.port,
                 'draining': name == draining,
             }
-        plain = {
-            'register': {'services': {SERVICE: TERMS}, 'backends': backends},
-            'rules': {'max_instances': MAX_INSTANCES},
-        }
-        self.apply_plain(plain)
+        services = {SERVICE: TERMS}
+        self.apply_plain({'register': {'services': services, 'backends': backends}})
 
     def apply_plain(self, plain: dict) -> None:
         """Apply a document with the operators' tool."""
--- a/benchmarks/probes.py
+++ b/benchmarks/probes.py
@@ -47,8 +47,8 @@
         platform_url = f'http://{group.start_platform().address}'
         group.start_backend('limits-1')
         silent = group.start_backend('limits-2', service_time=SILENT_SERVICE_SECONDS)
-        write_config(group, size, platform_url)
-        daemons = [start_daemon(group, arm, n, platform_url) for n in range(size)]
+        write_config(group)
+        daemons = [start_daemon(group, arm, n, size) for n in range(size)]
         for daemon in daemons:
             wait_until(lambda d=daemon: ask_briefly(d))
         faults = f'{platform_url}/standin/faults'
@@ -63,7 +63,7 @@
     return judge(arm, size, times, elapsed, members)
 
 
-def write_config(group: ProcessGroup, size: int, platform_url: str) -> None:
+def write_config(group: ProcessGroup) -> None:
     """Put the register in force with the budget of the measurement."""
     system = DrainSystem(group)
     terms = {'probes_per_second': RATE, 'calls_per_probe': CALLS_PER_PROBE}
@@ -77,23 +77,23 @@
                 'host': address.host,
                 'port': address.port,
             }
-    system.apply_plain(
-        {
-            'register': {'services': {'limits': terms}, 'backends': backends},
-            'rules': {'max_instances': size},
-        }
-    )
+    services = {'limits': terms}
+    system.apply_plain({'register': {'services': services, 'backends': backends}})
 
 
-def start_daemon(group: ProcessGroup, arm: str, number: int, url: str) -> Process:
+def start_daemon(
+    group: ProcessGroup, arm: str, number: int, size: int, seeds: str = ''
+) -> Process:
     """Start an instance."""
     return group.start_daemon(
         f'entry-{number}',
         'zone-a',
-        platform_url=url,
+        platform_url=f'http://{group.process_by_name["platform"].address}',
         platform_timeout=0.2,
         shared_secret=secret_of(arm, number),
         request_timeout=1.0,
+        max_instances=size,
+        seeds=seeds,
     )
 
 
@@ -124,20 +124,12 @@
 
 async def restart(group: ProcessGroup, arm: str, daemons: list[Process]) -> None:
     """Kill and start the first instance again and again."""
-    url = f'http://{group.process_by_name["platform"].address}'
     seeds = daemons[1].control_address
     while True:
         await trio.sleep(RESTART_SECONDS)
         daemons[0].kill()
         daemons[0] = await trio.to_thread.run_sync(
-            lambda: group.start_daemon(
-                'entry-0',
-                'zone-a',
-                platform_url=url,
-                shared_secret='whole',
-                seeds=seeds,
-                request_timeout=1.0,
-            )
+            start_daemon, group, arm, 0, len(daemons), seeds
         )
 
 
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -31,15 +31,15 @@
     return BackendKey(backend_id, f'{backend.host}:{backend.port}')
 
 
-def make_terms(document: Document) -> dict[str, ProbeTerms]:
-    """Return what a configuration allows each service."""
+def make_terms(document: Document, max_instances: int) -> dict[str, ProbeTerms]:
+    """Return what a configuration and the settings allow each service."""
     return {
         name: ProbeTerms(
             service.probes_per_second,
             service.calls_per_probe,
-            document.rules.max_instances,
+            max_instances,
         )
-        for name, service in document.register.services.items()
+        for name, service in document.effective_services().items()
     }
 
 
@@ -51,6 +51,7 @@
     clock: Clock
     budget: ProbeBudget
     reachability: Reachability
+    max_instances: int
     drain: DrainTable = Factory(DrainTable)
     reports: ReportTable = Factory(ReportTable)
     closes: CloseCounter = Factory(CloseCounter)
@@ -67,7 +68,7 @@
         self.document = config.document
         backends = config.document.register.backends
         self.key_by_id = {name: key_of(name, each) for name, each in backends.items()}
-        self.terms_by_service = make_terms(config.document)
+        self.terms_by_service = make_terms(config.document, self.max_instances)
         keys = set(self.key_by_id.values())
         now = self.clock.monotonic()
         self.drain.keep(keys, now)
@@ -204,7 +205,9 @@
             log.info('health: %s has returned.', key.backend_id)
 
 
-def make_tracker(directory: Directory, clock: Clock, random: Random) -> HealthTracker:
+def make_tracker(
+    directory: Directory, clock: Clock, random: Random, max_instances: int
+) -> HealthTracker:
     """Return a tracker whose budget starts empty now."""
     budget = ProbeBudget(clock.monotonic())
-    return HealthTracker(directory, clock, budget, Reachability(random))
+    return HealthTracker(directory, clock, budget, Reachability(random), max_instances)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -38,7 +38,12 @@
     start_backends(group)
     apply(group, platform_url, document(group))
     daemons = [
-        group.start_daemon(f'entry-{zone}', zone, platform_url=platform_url)
+        group.start_daemon(
+            f'entry-{zone}',
+            zone,
+            platform_url=platform_url,
+            max_instances=len(ZONES),
+        )
         for zone in ZONES
     ]
     for daemon in daemons:
@@ -79,8 +84,7 @@
         }
         for service in SIZE_BY_SERVICE
     }
-    rules = {'max_instances': len(ZONES)}
-    return {'register': {'services': services, 'backends': backends}, 'rules': rules}
+    return {'register': {'services': services, 'backends': backends}}
 
 
 def apply(group: ProcessGroup, platform_url: str, plain: dict) -> None:
