Check peers' health news and test the tracker

Cause: a malformed drain word raised an error that is no ValueError, and a last-resort trial shortened the pause of an unreachable server.

Change: messages check generation, amounts and ages; a trial only extends a pause.

--- a/catkinslip/health/reachability.py
+++ b/catkinslip/health/reachability.py
@@ -48,7 +48,7 @@
         """Let no second trial start while one runs."""
         pause = self.pause_by_key.get(key)
         if pause is not None:
-            pause.until = now + FIRST_PAUSE_SECONDS
+            pause.until = max(pause.until, now + FIRST_PAUSE_SECONDS)
 
     def keep(self, keys: set[BackendKey]) -> None:
         """Forget servers that left the register."""
--- a/catkinslip/health/topics.py
+++ b/catkinslip/health/topics.py
@@ -1,10 +1,11 @@
 """Carry drain words and load reports between peers."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import cattrs
-from attrs import define, frozen
+from attrs import define, field, frozen
+from attrs.validators import and_, ge, lt
 
 from catkinslip.health.counters import HealthCounters
 from catkinslip.health.drain import DrainSign, DrainTable, DrainWord
@@ -14,6 +15,11 @@
 from catkinslip.models import BackendKey
 from catkinslip.routing.base import LoadReport
 
+Message = TypeVar('Message')
+MALFORMED = (cattrs.BaseValidationError, AttributeError, TypeError, ValueError)
+#: Not below zero, not infinite and not NaN.
+IS_AMOUNT = and_(ge(0), lt(float('inf')))
+
 #: A peer whose digest is not known is told what changed this lately.
 RECENT_SECONDS = 10.0
 
@@ -24,9 +30,9 @@
 
     backend_id: str
     address: str
-    generation: int
+    generation: int = field(validator=ge(0))
     signs: tuple[DrainSign, ...]
-    age: float
+    age: float = field(validator=IS_AMOUNT)
 
 
 @frozen
@@ -35,9 +41,9 @@
 
     backend_id: str
     address: str
-    in_flight: float
+    in_flight: float = field(validator=IS_AMOUNT)
     speed: float | None
-    age: float
+    age: float = field(validator=IS_AMOUNT)
 
 
 @define
@@ -77,7 +83,7 @@
     def receive(self, news: Any) -> None:
         """Merge a peer's words on servers of the register."""
         now = self.monotonic()
-        messages = cattrs.structure(news, list[DrainMessage])
+        messages = structure(news, DrainMessage)
         self.counters.drain_words_received += len(messages)
         for message in messages:
             key = BackendKey(message.backend_id, message.address)
@@ -120,15 +126,23 @@
     def receive(self, news: Any) -> None:
         """Take over reports that are younger than the known ones."""
         now = self.monotonic()
-        messages = cattrs.structure(news, list[ReportMessage])
+        messages = structure(news, ReportMessage)
         self.counters.reports_received += len(messages)
         for message in messages:
             key = BackendKey(message.backend_id, message.address)
             report = LoadReport(message.in_flight, message.speed)
-            known = KnownReport(report, now - max(0.0, message.age))
+            known = KnownReport(report, now - message.age)
             self.learn(key, known)
 
 
+def structure(news: Any, kind: type[Message]) -> list[Message]:
+    """Return a peer's messages; raise ValueError when one is malformed."""
+    try:
+        return cattrs.structure(news, list[kind])
+    except MALFORMED as error:
+        raise ValueError(f'malformed news of health: {error!r}') from None
+
+
 def health_topics(tracker: HealthTracker) -> tuple[PeerTopic, ...]:
     """Return the topics of a tracker."""
     monotonic, counters = tracker.clock.monotonic, tracker.counters
--- /dev/null
+++ b/tests/test_health_tracker.py
@@ -0,0 +1,172 @@
+"""Reachability, peers' words and reports in one instance."""
+
+import unittest
+from random import Random
+
+from attrs import define
+
+from catkinslip.clock import Clock
+from catkinslip.config.documents import AcceptedConfig, Document, converter
+from catkinslip.health.drain import RETURN_HOLD_SECONDS
+from catkinslip.health.prober import Prober
+from catkinslip.health.reachability import LONGEST_PAUSE_SECONDS, Reachability
+from catkinslip.health.topics import health_topics
+from catkinslip.health.tracker import HealthTracker, make_tracker
+from catkinslip.membership.members import Member, MemberTable
+from catkinslip.models import BackendKey
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.routing.base import LoadReport
+from catkinslip.routing.directory import Directory
+from catkinslip.routing.policies import LeastInFlight
+from tests.builders import document_plain
+
+KEY = BackendKey('limits-1', '10.0.0.1:80')
+ADDRESSES = {'limits-1': '10.0.0.1:80', 'limits-2': '10.0.0.2:80'}
+DRAIN = [(b'catkinslip-drain', b'true')]
+
+
+@define
+class ManualClock(Clock):
+    """A clock that a test moves."""
+
+    now: float = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+def tracker(clock: Clock, addresses: dict | None = None, **fields) -> HealthTracker:
+    directory = Directory(lambda: LeastInFlight(Random(1)))
+    made = make_tracker(directory, clock, Random(1), max_instances=2)
+    plain = document_plain(addresses or ADDRESSES, **fields)
+    config = AcceptedConfig(document=converter.structure(plain, Document))
+    directory.update(config)
+    made.update(config)
+    return made
+
+
+def choose(made: HealthTracker, now: float) -> str | None:
+    choice = made.directory.router_by_service['limits'].choose(now)
+    return choice.backend_id if choice else None
+
+
+class ReachabilityTest(unittest.TestCase):
+    """A server that refuses connections is tried once in a while."""
+
+    def test_pauses_grow_within_their_jitter_and_end_by_an_answer(self):
+        state, now = Reachability(Random(1)), 0.0
+        for failures in range(1, 9):
+            pause = state.failed(KEY, now)
+            longest = min(0.5 * 2 ** (failures - 1), LONGEST_PAUSE_SECONDS)
+            self.assertTrue(longest / 2 <= pause <= longest)
+            self.assertTrue(state.is_avoided(KEY, now + pause * 0.99))
+            now += pause
+            self.assertFalse(state.is_avoided(KEY, now))
+        self.assertTrue(state.reached(KEY))
+        self.assertFalse(state.reached(KEY))
+
+    def test_one_trial_at_a_time_which_never_shortens_a_pause(self):
+        state = Reachability(Random(1))
+        pause = max(state.failed(KEY, 0.0) for _ in range(6))
+        state.tried(KEY, 0.0)
+        self.assertTrue(state.is_avoided(KEY, pause / 2))
+        state.tried(KEY, pause)
+        self.assertTrue(state.is_avoided(KEY, pause))
+
+
+class TrackerTest(unittest.TestCase):
+    """What one instance learns decides its choice and reaches its peers."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.first, self.second = tracker(self.clock), tracker(self.clock)
+
+    def tell(self, teller: HealthTracker, hearer: HealthTracker) -> None:
+        """Let one instance tell another what its digest shows it lacks."""
+        topics = zip(health_topics(teller), health_topics(hearer), strict=True)
+        for source, target in topics:
+            news = source.news_for(target.digest())
+            if news is not None:
+                target.receive(news)
+
+    def test_words_reach_a_peer_long_after_and_a_return_too(self):
+        self.first.answered('limits-1', DRAIN, None)
+        self.clock.now += 60
+        self.tell(self.first, self.second)
+        self.assertEqual(choose(self.second, self.clock.now), 'limits-2')
+        self.first.drain.proved(KEY, self.clock.now, self.clock.now)
+        self.first.settle()
+        self.tell(self.second, self.first)
+        self.assertEqual(self.first.leaving_ids(), [])
+        self.tell(self.first, self.second)
+        self.assertEqual(self.second.leaving_ids(), [])
+
+    def test_the_last_server_gets_no_work_and_another_address_is_another_server(self):
+        only = tracker(self.clock, {'limits-1': KEY.address})
+        only.answered('limits-1', DRAIN, None)
+        self.assertIsNone(choose(only, self.clock.now))
+        plain = document_plain({'limits-1': '10.0.0.9:80'})
+        config = AcceptedConfig(document=converter.structure(plain, Document))
+        only.directory.update(config)
+        only.update(config)
+        self.assertEqual(choose(only, self.clock.now), 'limits-1')
+
+    def test_a_new_configuration_keeps_a_server_out(self):
+        self.first.answered('limits-1', DRAIN, None)
+        plain = document_plain(ADDRESSES, slots=3)
+        config = AcceptedConfig(document=converter.structure(plain, Document))
+        self.first.directory.update(config)
+        self.first.update(config)
+        self.assertEqual(choose(self.first, self.clock.now), 'limits-2')
+
+    def test_malformed_news_is_a_value_error_and_changes_nothing(self):
+        drain, load = health_topics(self.first)
+        word = {'backend_id': 'limits-1', 'address': KEY.address, 'age': 0.0}
+        report = {**word, 'in_flight': 1.0, 'speed': None}
+        signed = {**word, 'generation': 1, 'signs': ['own']}
+        bad = [
+            (drain, [{**signed, 'generation': -1}]),
+            (drain, [{**signed, 'signs': ['gone']}]),
+            (drain, [{**signed, 'age': float('nan')}]),
+            (drain, 7),
+            (load, [{**report, 'in_flight': float('inf')}]),
+            (load, [{**report, 'age': -5.0}]),
+            (load, [{}]),
+        ]
+        for topic, news in bad:
+            with self.subTest(news=news), self.assertRaises(ValueError):
+                topic.receive(news)
+        self.assertEqual(self.first.leaving_ids(), [])
+
+    def test_a_report_of_a_peer_keeps_own_picks_and_its_age(self):
+        self.first.answered('limits-1', [], LoadReport(7.0))
+        self.clock.now += 1
+        router = self.second.directory.router_by_service['limits']
+        load = router.load_by_id['limits-1']
+        load.picks_since_report = 3
+        self.tell(self.first, self.second)
+        self.assertEqual(load.report, LoadReport(7.0))
+        self.assertEqual(load.reported_at, self.clock.now - 1)
+        self.assertEqual(load.picks_since_report, 3)
+        router.learned('limits-1', LoadReport(4.0), self.clock.now, picks_before=2)
+        self.assertEqual(load.picks_since_report, 1)
+        router.learned('limits-1', LoadReport(9.0), self.clock.now - 2)
+        self.assertEqual(load.report, LoadReport(4.0))
+
+    def test_probes_are_due_for_silent_servers_and_for_proofs(self):
+        own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
+        prober = Prober(self.first, MemberTable(own), BackendPool(), self.clock)
+        self.assertEqual(prober.due(self.clock.now), [])
+        self.clock.now += 3
+        self.first.answered('limits-2', [], None)
+        self.assertEqual([each.key for each in prober.due(self.clock.now)], [KEY])
+        self.first.answered('limits-1', DRAIN, None)
+        self.clock.now += RETURN_HOLD_SECONDS - 1
+        due = {each.key: each.proves_return for each in prober.due(self.clock.now)}
+        self.assertNotIn(KEY, due)
+        self.clock.now += 1
+        due = {each.key: each.proves_return for each in prober.due(self.clock.now)}
+        self.assertTrue(due[KEY])
