Look at the servers in parts and keep their keys

Cause: at 4,600 servers a look at all of them held the loop 12.9 ms, four times a second, and 93 ms when all were silent; a new configuration 68 ms.

Change: eight parts a second, the budget is asked before the rendezvous order, keys cache their hash and are kept while the address stays.

--- a/catkinslip/health/counters.py
+++ b/catkinslip/health/counters.py
@@ -10,7 +10,7 @@
     calls: int = 0
     probes_sent: int = 0
     probes_answered: int = 0
-    probes_over_budget: int = 0
+    probes_held_back: int = 0
     drain_words_sent: int = 0
     drain_words_received: int = 0
     servers_left: int = 0
--- a/catkinslip/health/prober.py
+++ b/catkinslip/health/prober.py
@@ -26,7 +26,9 @@
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 
 PROBE_HEADER = b'catkinslip-probe'
-TICK_SECONDS = 0.25
+#: All servers are looked at once in a round, in parts that hold the loop briefly.
+ROUND_SECONDS = 1.0
+PARTS = 8
 TIMEOUT_SECONDS = 1.0
 MAX_AT_ONCE = 8
 
@@ -44,55 +46,53 @@
     limiter: trio.CapacityLimiter = Factory(lambda: trio.CapacityLimiter(MAX_AT_ONCE))
 
     async def run(self) -> None:
-        """Probe until cancelled."""
+        """Probe until cancelled; look at a part of the servers at a time."""
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(TICK_SECONDS)
                 self.tracker.budget.see_members(len(self.members.live()))
-                for target in in_order(self.due(self.clock.monotonic())):
-                    if self.is_affordable(target):
+                for part in range(PARTS):
+                    await trio.sleep(ROUND_SECONDS / PARTS)
+                    for target in self.due(self.clock.monotonic(), part):
                         nursery.start_soon(self.probe, target)
                 self.end_unproved()
 
-    def due(self, now: float) -> list[ProbeTarget]:
-        """Return the servers that need a probe from this instance."""
-        targets = []
-        register = self.tracker.document.register
-        for backend_id, backend in register.backends.items():
-            if backend.draining:
-                continue
-            target = self.target(backend_id, backend.service, now)
-            if target is not None:
-                targets.append(target)
-        return targets
-
-    def target(self, backend_id: str, service: str, now: float) -> ProbeTarget | None:
-        """Return one server as a target if a probe of it is due."""
+    def due(self, now: float, part: int = 0, parts: int = PARTS) -> list[ProbeTarget]:
+        """Return what to probe of one part of the servers, the most urgent first."""
+        member_ids = [each.member_id for each in self.members.live()]
+        keys = list(self.tracker.key_by_id.values())[part::parts]
+        targets = [self.target(key, now, member_ids) for key in keys]
+        return in_order([target for target in targets if target is not None])
+
+    def target(
+        self, key: BackendKey, now: float, member_ids: list[str]
+    ) -> ProbeTarget | None:
+        """Return one server as a target if a probe of it is due and affordable."""
         tracker = self.tracker
-        key = tracker.key_by_id[backend_id]
-        proves_return = tracker.drain.wants_proof(key, now)
-        if tracker.drain.is_leaving(key) and not proves_return:
-            return None
-        if tracker.reachability.is_avoided(key, now):
-            return None
+        proves_return = tracker.drain.is_leaving(key)
         if proves_return:
             waited = tracker.drain.proof_wanted_for(key, now)
         else:
             waited = tracker.reports.silent_for(key, now) - STALE_SECONDS
-        if waited < 0:
+        if waited < 0 or not self.is_allowed(key, now, proves_return):
             return None
-        member_ids = [each.member_id for each in self.members.live()]
         waited -= RANK_SECONDS * rank(key, self.members.own.member_id, member_ids)
-        return ProbeTarget(key, service, proves_return, waited) if waited >= 0 else None
+        if waited < 0:
+            return None
+        service = tracker.document.register.backends[key.backend_id].service
+        return ProbeTarget(key, service, proves_return, waited)
 
-    def is_affordable(self, target: ProbeTarget) -> bool:
-        """Tell whether the budget allows a probe; count those it does not."""
+    def is_allowed(self, key: BackendKey, now: float, proves_return: bool) -> bool:
+        """Tell whether a silent server may be probed; count what the budget holds."""
         tracker = self.tracker
-        terms = tracker.terms_by_service.get(target.service)
-        now = self.clock.monotonic()
-        if tracker.budget.may_probe(target.key.address, target.service, terms, now):
+        backend = tracker.document.register.backends[key.backend_id]
+        if backend.draining or tracker.reachability.is_avoided(key, now):
+            return False
+        if proves_return and not tracker.drain.wants_proof(key, now):
+            return False
+        terms = tracker.terms_by_service[backend.service]
+        if tracker.budget.may_probe(key.address, backend.service, terms, now):
             return True
-        tracker.counters.probes_over_budget += 1
+        tracker.counters.probes_held_back += 1
         return False
 
     async def probe(self, target: ProbeTarget) -> None:
--- a/catkinslip/health/signs.py
+++ b/catkinslip/health/signs.py
@@ -5,6 +5,7 @@
 from attrs import Factory, define
 
 from catkinslip.models import BackendKey
+from catkinslip.proxy.headers import find
 
 DRAIN_HEADER = b'catkinslip-drain'
 DRAIN_VALUE = b'true'
@@ -14,17 +15,14 @@
 
 def says_drain(headers: Iterable[tuple[bytes, bytes]]) -> bool:
     """Tell whether an answer carries the drain header."""
-    return any(
-        name == DRAIN_HEADER and value.strip().lower() == DRAIN_VALUE
-        for name, value in headers
-    )
+    value = find(headers, DRAIN_HEADER)
+    return value is not None and value.strip().lower() == DRAIN_VALUE
 
 
 def says_close(headers: Iterable[tuple[bytes, bytes]]) -> bool:
     """Tell whether an answer closes its connection."""
-    return any(
-        name == b'connection' and b'close' in value.lower() for name, value in headers
-    )
+    value = find(headers, b'connection')
+    return value is not None and b'close' in value.lower()
 
 
 @define
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -26,11 +26,6 @@
 log = logging.getLogger('health')
 
 
-def key_of(backend_id: str, backend: Backend) -> BackendKey:
-    """Return the key of a backend server of the register."""
-    return BackendKey(backend_id, f'{backend.host}:{backend.port}')
-
-
 def make_terms(document: Document, max_instances: int) -> dict[str, ProbeTerms]:
     """Return what a configuration and the settings allow each service."""
     return {
@@ -67,7 +62,9 @@
         """Take over a new configuration, after the directory did."""
         self.document = config.document
         backends = config.document.register.backends
-        self.key_by_id = {name: key_of(name, each) for name, each in backends.items()}
+        self.key_by_id = {
+            name: self._key(name, each) for name, each in backends.items()
+        }
         self.terms_by_service = make_terms(config.document, self.max_instances)
         keys = set(self.key_by_id.values())
         now = self.clock.monotonic()
@@ -76,8 +73,8 @@
         self.reports.keep(keys, now)
         self.reachability.keep(keys)
         self.budget.keep({key.address for key in keys}, now)
-        for backend_id in backends:
-            self._tell_router(backend_id)
+        for key in self.drain.leaving():
+            self._tell_router(key.backend_id)
 
     def count_call(self, service: str) -> None:
         """Count one call of a caller, which pays for probes."""
@@ -182,6 +179,13 @@
         """Tell whether the register holds a server at its address."""
         return self.key_by_id.get(key.backend_id) == key
 
+    def _key(self, backend_id: str, backend: Backend) -> BackendKey:
+        key = self.key_by_id.get(backend_id)
+        address = f'{backend.host}:{backend.port}'
+        if key is not None and key.address == address:
+            return key
+        return BackendKey(backend_id, address)
+
     def _tell_router(self, backend_id: str) -> None:
         backend = self.document.register.backends.get(backend_id)
         if backend is None:
--- a/catkinslip/models.py
+++ b/catkinslip/models.py
@@ -22,7 +22,7 @@
         return f'{self.host}:{self.port}'
 
 
-@frozen
+@frozen(cache_hash=True)
 class BackendKey:
     """A backend server at an address; at another address it is another server."""
 
--- a/tests/test_health_tracker.py
+++ b/tests/test_health_tracker.py
@@ -40,7 +40,7 @@
 
 def tracker(clock: Clock, addresses: dict | None = None, **fields) -> HealthTracker:
     directory = Directory(lambda: LeastInFlight(Random(1)))
-    made = make_tracker(directory, clock, Random(1), max_instances=2)
+    made = make_tracker(directory, clock, Random(1), max_instances=4)
     plain = document_plain(addresses or ADDRESSES, **fields)
     config = AcceptedConfig(document=converter.structure(plain, Document))
     directory.update(config)
@@ -158,15 +158,23 @@
 
     def test_probes_are_due_for_silent_servers_and_for_proofs(self):
         own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
+        for _ in range(100):
+            self.first.count_call('limits')
         prober = Prober(self.first, MemberTable(own), BackendPool(), self.clock)
-        self.assertEqual(prober.due(self.clock.now), [])
+        self.assertEqual(prober.due(self.clock.now, 0, 1), [])
         self.clock.now += 3
+        self.assertEqual(prober.due(self.clock.now, 0, 1), [])
+        self.clock.now += 1
         self.first.answered('limits-2', [], None)
-        self.assertEqual([each.key for each in prober.due(self.clock.now)], [KEY])
+        self.assertEqual([each.key for each in prober.due(self.clock.now, 0, 1)], [KEY])
         self.first.answered('limits-1', DRAIN, None)
         self.clock.now += RETURN_HOLD_SECONDS - 1
-        due = {each.key: each.proves_return for each in prober.due(self.clock.now)}
+        due = {
+            each.key: each.proves_return for each in prober.due(self.clock.now, 0, 1)
+        }
         self.assertNotIn(KEY, due)
         self.clock.now += 1
-        due = {each.key: each.proves_return for each in prober.due(self.clock.now)}
+        due = {
+            each.key: each.proves_return for each in prober.due(self.clock.now, 0, 1)
+        }
         self.assertTrue(due[KEY])
