--- a/benchmarks/drain.py
+++ b/benchmarks/drain.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import signal
 import sys
 import tempfile
 import time
@@ -22,11 +23,14 @@
 SERVICE = 'limits'
 STAYING = 'limits-stays'
 LOADED_PATHS = ('own', 'list', 'register', 'stop')
+TOLD_PATHS = ('peers', 'frozen')
 BOUND_SECONDS = 3.0
 LOAD_SECONDS = 6.0
 PAUSE_SECONDS = 0.5
 CALLERS = 6
 LINGER_SECONDS = 2.0
+#: Longer than a peer's timeout, so that nobody still waits for the frozen instance.
+FROZEN_SECONDS = 1.5
 #: Terms that let a test see a return soon; the division is by three instances.
 TERMS = {'slots': 5, 'probes_per_second': 3.0, 'calls_per_probe': 10}
 MAX_INSTANCES = 3
@@ -48,7 +52,7 @@
     def start(self) -> None:
         """Start all processes and wait until every instance serves."""
         self.group.start_platform()
-        for path in (*LOADED_PATHS, 'peers'):
+        for path in (*LOADED_PATHS, *TOLD_PATHS):
             linger = LINGER_SECONDS if path == 'stop' else 0.0
             self.group.start_backend(f'limits-{path}', service_time=0.01, linger=linger)
         self.group.start_backend(STAYING, service_time=0.01)
@@ -172,14 +176,23 @@
         The platform is down, and the others get no request meanwhile.
         """
         httpx.post(f'{self.platform_url}/standin/faults', json={'down': True})
-        name = 'limits-peers'
-        self.behave(name, draining=True, drain_header=True)
         first, *others = self.daemons
-        wait_until(lambda: ask(first) and name in status(first)['leaving_backends'])
-        began = time.monotonic()
-        for daemon in others:
-            wait_until(lambda d=daemon: name in status(d)['leaving_backends'])
-        return time.monotonic() - began
+        self.show_sign('limits-peers', first)
+        return seconds_until_all_know('limits-peers', others)
+
+    def measure_frozen(self) -> float:
+        """Return how long an instance, frozen during a sign, takes once it wakes."""
+        first, *_, frozen = self.daemons
+        frozen.send_signal(signal.SIGSTOP)
+        self.show_sign('limits-frozen', first)
+        time.sleep(FROZEN_SECONDS)
+        frozen.send_signal(signal.SIGCONT)
+        return seconds_until_all_know('limits-frozen', [frozen])
+
+    def show_sign(self, name: str, daemon: Process) -> None:
+        """Let a server drain and one instance see its sign."""
+        self.behave(name, draining=True)
+        wait_until(lambda: ask(daemon) and knows(daemon, name))
 
 
 def ask(daemon: Process) -> httpx.Response:
@@ -192,6 +205,19 @@
     return CLIENT.get(f'http://{daemon.control_address}/v1/status').json()
 
 
+def knows(daemon: Process, name: str) -> bool:
+    """Tell whether an instance knows that a server is leaving."""
+    return name in status(daemon)['leaving_backends']
+
+
+def seconds_until_all_know(name: str, daemons: list[Process]) -> float:
+    """Wait until instances know that a server is leaving."""
+    began = time.monotonic()
+    for daemon in daemons:
+        wait_until(lambda d=daemon: knows(d, name))
+    return time.monotonic() - began
+
+
 def main() -> int:
     """Print the seconds of each path; return 0 when all are within the bound."""
     with (
@@ -203,6 +229,7 @@
         system.run_load()
         seconds_by_path = system.seconds_by_path()
         seconds_by_path['peers, platform down'] = system.measure_peers()
+        seconds_by_path['frozen meanwhile, after it woke'] = system.measure_frozen()
     for path, seconds in seconds_by_path.items():
         print(f'{path}: {seconds:.3f} s from the first sign to no new work')
     tally = system.tally
--- a/tests/test_health_processes.py
+++ b/tests/test_health_processes.py
@@ -54,6 +54,11 @@
         self.ask_all()
         self.assertEqual(self.runs('limits-peers'), before)
 
+        system.measure_frozen()
+        before = self.runs('limits-frozen')
+        self.ask_all()
+        self.assertEqual(self.runs('limits-frozen'), before)
+
         system.behave(STAYING, draining=True)
         wait_until(lambda: ask(system.daemons[0]).status_code == 503)
         self.wait_for_leaving(STAYING)
