--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo bench-drain clean
+.PHONY: install lint format test demo model bench-drain bench-probes clean
 
 install: $(STAMP)
 
@@ -27,8 +27,14 @@
 demo: install
 	$(RUN) -m standins.demo
 
+model: install
+	$(RUN) -m model
+
 bench-drain: install
 	$(RUN) -m benchmarks.drain
 
+bench-probes: install
+	$(RUN) -m benchmarks.probes
+
 clean:
 	rm -rf $(VENV) build
