Give the first instances time to probe and tell after the interval

Cause: 17 instances that started together were all allowed their first probe at the same moment, when the server had been silent for longer than the waits of seven places: 6.2 probes at once at one server.

Change: the wait of a place counts from when the budget allowed the probe. The measurement gets an arm in which every instance is alone.

--- a/benchmarks/probes.py
+++ b/benchmarks/probes.py
@@ -24,7 +24,7 @@
 RESTART_SECONDS = 4.0
 CALL_PAUSE_SECONDS = 0.2
 SILENT_SERVICE_SECONDS = 600.0
-ARMS = ('equal', 'split', 'restarts')
+ARMS = ('equal', 'split', 'alone', 'restarts')
 
 
 def main() -> int:
@@ -134,8 +134,8 @@
 
 
 def secret_of(arm: str, number: int) -> str:
-    """Return the secret of an instance; each half has its own in the split arm."""
-    return f'half-{number % 2}' if arm == 'split' else 'whole'
+    """Return the secret of an instance; others refuse one that has another."""
+    return {'split': f'half-{number % 2}', 'alone': f'own-{number}'}.get(arm, 'whole')
 
 
 def count_members(daemon: Process, arm: str, number: int) -> int:
--- a/catkinslip/health/budget.py
+++ b/catkinslip/health/budget.py
@@ -54,10 +54,13 @@
         self, address: str, service: str, terms: ProbeTerms, now: float
     ) -> bool:
         """Tell whether a probe of a server is within the budget."""
-        if not self.has_calls(service, terms):
-            return False
+        has_calls = self.has_calls(service, terms)
+        return has_calls and self.allowed_for(address, terms, now) >= 0
+
+    def allowed_for(self, address: str, terms: ProbeTerms, now: float) -> float:
+        """Return the seconds since the interval of a server passed; else negative."""
         last = self.ended_at_by_address.get(address, self.started_at)
-        return now >= last + self.interval(terms)
+        return now - last - self.interval(terms)
 
     def has_calls(self, service: str, terms: ProbeTerms) -> bool:
         """Tell whether enough calls came to pay for a probe."""
--- a/catkinslip/health/prober.py
+++ b/catkinslip/health/prober.py
@@ -75,10 +75,14 @@
             waited = tracker.reports.silent_for(key, now) - STALE_SECONDS
         if waited < 0 or not self.is_allowed(key, now, proves_return):
             return None
+        service = tracker.document.register.backends[key.backend_id].service
+        terms = tracker.terms_by_service[service]
+        # Those before this instance get their time to probe and tell, even when the
+        # budget allows it to all of them at the same moment.
+        waited = min(waited, tracker.budget.allowed_for(key.address, terms, now))
         waited -= RANK_SECONDS * rank(key, self.members.own.member_id, member_ids)
         if waited < 0:
             return None
-        service = tracker.document.register.backends[key.backend_id].service
         return ProbeTarget(key, service, proves_return, waited)
 
     def is_allowed(self, key: BackendKey, now: float, proves_return: bool) -> bool:
