--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -33,6 +33,8 @@
         return app
 
     async def _check_secret(self) -> Response | None:
+        # An answer before the body's end leaves hypercorn's connection unusable.
+        await request.get_data()
         given = request.headers.get(SECRET_HEADER, '')
         if hmac.compare_digest(given.encode(), self.shared_secret.encode()):
             return None
@@ -56,7 +58,7 @@
     async def _config(self) -> dict:
         current = self.config.current
         return {
-            'version': cattrs.unstructure(current.version),
+            'version': str(current.version),
             'change_id': current.change_id,
             'author': current.author,
             'document': current.plain,
