Choose a reachable server in one place

Change: the forwarder asks health for the choice, so that another runner of attempts needs one line. Test: one trial among 20 choices after the pause.

--- a/catkinslip/health/reachability.py
+++ b/catkinslip/health/reachability.py
@@ -44,6 +44,14 @@
         pause = self.pause_by_key.get(key)
         return pause is not None and now < pause.until
 
+    def avoided(self, now: float) -> list[str]:
+        """Return the backend IDs of servers that must not be tried yet."""
+        if not self.pause_by_key:
+            return []
+        return [
+            key.backend_id for key in self.pause_by_key if self.is_avoided(key, now)
+        ]
+
     def tried(self, key: BackendKey, now: float) -> None:
         """Let no second trial start while one runs."""
         pause = self.pause_by_key.get(key)
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -1,7 +1,7 @@
 """Keep the health of all backend servers and tell the routers."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 
 import trio
@@ -17,7 +17,7 @@
 from catkinslip.health.signs import CloseCounter, says_close, says_drain
 from catkinslip.models import BackendKey
 from catkinslip.platform.base import ListedInstance
-from catkinslip.routing.base import LoadReport
+from catkinslip.routing.base import Choice, LoadReport
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
 
@@ -111,22 +111,15 @@
         pause = self.reachability.failed(key, self.clock.monotonic())
         log.info('health: %s refuses connections, next in %.1f s.', backend_id, pause)
 
-    def avoided(self) -> list[str]:
-        """Return the servers that must not be tried yet."""
-        if not self.reachability.pause_by_key:
-            return []
+    def choose(self, router: ServiceRouter, tried: Sequence[str]) -> Choice | None:
+        """Choose a server; one that refuses connections only as a last resort."""
         now = self.clock.monotonic()
-        return [
-            key.backend_id
-            for key in self.reachability.pause_by_key
-            if self.reachability.is_avoided(key, now)
-        ]
-
-    def chosen(self, backend_id: str) -> None:
-        """Let no second trial of an unreachable server start with this one."""
-        key = self.key_by_id.get(backend_id)
-        if key is not None and self.reachability.pause_by_key:
-            self.reachability.tried(key, self.clock.monotonic())
+        avoided = self.reachability.avoided(now)
+        choice = router.choose(now, [*tried, *avoided]) if avoided else None
+        choice = choice or router.choose(now, tried)
+        if choice is not None and self.reachability.pause_by_key:
+            self.reachability.tried(self.key_by_id[choice.backend_id], now)
+        return choice
 
     def learn_list(self, listed: Iterable[ListedInstance]) -> None:
         """Take one read of the platform's list."""
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -12,9 +12,7 @@
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
-from catkinslip.routing.base import Choice
 from catkinslip.routing.directory import Directory
-from catkinslip.routing.router import ServiceRouter
 
 MAX_ATTEMPTS = 3
 
@@ -41,7 +39,7 @@
         tried: list[str] = []
         outcome: Outcome = NotRun(Reason.NO_BACKEND)
         while len(tried) < MAX_ATTEMPTS:
-            choice = self._choose(router, tried)
+            choice = self.health.choose(router, tried)
             if choice is None:
                 break
             log.info(
@@ -59,16 +57,6 @@
                 break
         return outcome
 
-    def _choose(self, router: ServiceRouter, tried: list[str]) -> Choice | None:
-        """Choose a server; one that refuses connections only as a last resort."""
-        now = self.clock.monotonic()
-        avoided = self.health.avoided()
-        choice = router.choose(now, [*tried, *avoided]) if avoided else None
-        choice = choice or router.choose(now, tried)
-        if choice is not None:
-            self.health.chosen(choice.backend_id)
-        return choice
-
     async def _attempt(
         self, call, caller, router, backend_id: str, number: int
     ) -> Outcome:
--- a/tests/test_health_tracker.py
+++ b/tests/test_health_tracker.py
@@ -114,6 +114,16 @@
         only.update(config)
         self.assertEqual(choose(only, self.clock.now), 'limits-1')
 
+    def test_a_server_that_refuses_connections_is_the_last_resort(self):
+        router = self.first.directory.router_by_service['limits']
+        self.first.refused('limits-1')
+        chosen = {self.first.choose(router, []).backend_id for _ in range(20)}
+        self.assertEqual(chosen, {'limits-2'})
+        self.assertEqual(self.first.choose(router, ['limits-2']).backend_id, 'limits-1')
+        self.clock.now += LONGEST_PAUSE_SECONDS
+        chosen = [self.first.choose(router, []).backend_id for _ in range(20)]
+        self.assertEqual(chosen.count('limits-1'), 1)
+
     def test_a_new_configuration_keeps_a_server_out(self):
         self.first.answered('limits-1', DRAIN, None)
         plain = document_plain(ADDRESSES, slots=3)
