--- a/tests/test_health_tracker.py
+++ b/tests/test_health_tracker.py
@@ -166,6 +166,24 @@
         router.learned('limits-1', LoadReport(9.0), self.clock.now - 2)
         self.assertEqual(load.report, LoadReport(4.0))
 
+    def test_one_instance_at_a_time_probes_a_silent_server(self):
+        members = [
+            Member(f'entry-{number}', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
+            for number in range(4)
+        ]
+        probers = []
+        for own in members:
+            made = tracker(self.clock)
+            for _ in range(100):
+                made.count_call('limits')
+            by_id = {each.member_id: each for each in members if each is not own}
+            probers.append(
+                Prober(made, MemberTable(own, by_id), BackendPool(), self.clock)
+            )
+        self.clock.now += 4
+        due = [each for prober in probers for each in prober.due(self.clock.now, 0, 1)]
+        self.assertEqual(sorted(each.key.backend_id for each in due), list(ADDRESSES))
+
     def test_probes_are_due_for_silent_servers_and_for_proofs(self):
         own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
         for _ in range(100):
