--- a/catkinslip/cli/changing.py
+++ b/catkinslip/cli/changing.py
@@ -1,22 +1,13 @@
 """What the commands that change the configuration share."""
 
 import secrets
-from collections.abc import Callable
 
 from cleo.helpers import option
-from returns.result import Result
 
 from catkinslip.cli.change_outcomes import describe
-from catkinslip.cli.configuration import (
-    ConfigurationCommand,
-)
+from catkinslip.cli.configuration import ConfigurationCommand
 from catkinslip.cli.in_force import InForceReport
-from catkinslip.config.changes import (
-    ChangeAccepted,
-    ChangeOutcome,
-    apply_change,
-)
-from catkinslip.config.checks import DocumentRefused
+from catkinslip.config.changes import ChangeAccepted, ChangeOutcome, apply_change
 from catkinslip.config.documents import ConfigVersion, Document, to_plain
 from catkinslip.config.reading import StoredConfig
 from catkinslip.platform.base import ObjectStore
@@ -32,8 +23,6 @@
     'wait', None, 'Seconds to wait until it is in force on all instances.', flag=False
 )
 
-Edit = Callable[[Document], Result[Document, DocumentRefused]]
-
 
 class ChangingCommand(ConfigurationCommand):
     """A command that makes a change."""
