Judge outcomes over random faults; count the calls of 17 instances

Change: 200 random sequences (derandomised) of stale bases, lost, dropped, late and refused writes and failing reads: what is told accepted is stored, what is told not made or lost a race never is, also after every late write has landed, and nothing is stored twice. 17 budgeted stores, one restarting each 50 ms, members split in two, counted at the stand-in for two seconds.

--- a/standins/store.py
+++ b/standins/store.py
@@ -1,6 +1,7 @@
 """An object store in one process that plays the faults of a platform."""
 
 from attrs import Factory, define
+from returns.pipeline import is_successful
 from returns.result import Failure
 
 from catkinslip.config.reading import CONFIG_KEY
@@ -17,6 +18,10 @@
     faults: list[str] = Factory(list)
     late: list[tuple] = Factory(list)
     reads: int = 0
+    #: Readings after which a late write lands.
+    late_after: int = 3
+    #: Version and ID of the last change in each head that was written.
+    written: list[tuple[dict, str]] = Factory(list)
     reads_down: int = 0
 
     async def read(self, key: ObjectKey):
@@ -25,8 +30,8 @@
         if self.reads_down > 0:
             self.reads_down -= 1
             return Failure(Unavailable('down'))
-        if self.late and self.reads >= 3:
-            await super().write(*self.late.pop())
+        if self.late and self.reads >= self.late_after:
+            await self.land()
         return await super().read(key)
 
     async def wait_for_change(self, key: ObjectKey, known_version: int, wait: float):
@@ -39,7 +44,7 @@
     async def write(self, key: ObjectKey, value, expected_version: int):
         """Write an object and play the next fault."""
         if key != CONFIG_KEY or not self.faults:
-            return await super().write(key, value, expected_version)
+            return await self.take(key, value, expected_version)
         fault = self.faults.pop(0)
         self.reads = 0
         if fault == 'refused':
@@ -47,5 +52,18 @@
         if fault == 'late':
             self.late.append((key, value, expected_version))
         if fault == 'lost':
-            await super().write(key, value, expected_version)
+            await self.take(key, value, expected_version)
         return Failure(AnswerLost('no answer'))
+
+    async def land(self) -> None:
+        """Let the writes that are still on their way arrive."""
+        while self.late:
+            await self.take(*self.late.pop())
+
+    async def take(self, key: ObjectKey, value, expected_version: int):
+        """Write an object and note the change that it holds."""
+        result = await super().write(key, value, expected_version)
+        if key == CONFIG_KEY and is_successful(result) and value['changes']:
+            change = value['changes'][-1]
+            self.written.append((change['version'], change['change_id']))
+        return result
--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -3,6 +3,8 @@
 import unittest
 
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from trio.testing import MockClock
 
 from catkinslip.config.changes import (
@@ -24,6 +26,17 @@
 from standins.store import FaultyStore
 from tests.builders import document_of
 
+OPERATIONS = st.lists(
+    st.tuples(
+        st.integers(0, 3),  # Readings that the base is behind.
+        st.sampled_from(('', '', 'lost', 'dropped', 'late', 'refused')),
+        st.integers(1, 6),  # Readings until a late write lands.
+        st.sampled_from((0, 0, 0, 1, 4, 9)),  # Readings that fail.
+    ),
+    min_size=1,
+    max_size=12,
+)
+
 
 class ConfigChangesTest(unittest.TestCase):
     """Each change has one outcome, and it is the true one."""
@@ -160,3 +173,38 @@
         self.assertIsInstance(self.run_async(many), ChangeConflict)
         kinds = [key.kind for key in self.store.object_by_key]
         self.assertEqual(kinds.count(SNAPSHOT_KIND), 2)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(OPERATIONS)
+    def test_no_outcome_is_wrong_and_none_is_applied_twice(self, operations):
+        self.store = store = FaultyStore()
+
+        async def operate():
+            outcome_by_id = {}
+            readings = [await read_config(store)]
+            for number, operation in enumerate(operations):
+                behind, fault, store.late_after, down = operation
+                base = readings[-1 - min(behind, len(readings) - 1)]
+                store.faults = [fault] if fault else []
+                store.reads_down = down
+                document = document_of(many_workers(number + 1, 1))
+                change_id = f'change-{number}'
+                outcome_by_id[change_id] = await apply_change(
+                    store, base, document, change_id, 'ana'
+                )
+                store.reads_down = 0
+                readings.append(await read_config(store))
+            await store.land()
+            return outcome_by_id, readings
+
+        outcome_by_id, readings = self.run_async(operate)
+        taken = {change_id for _, change_id in store.written}
+        for change_id, outcome in outcome_by_id.items():
+            if isinstance(outcome, ChangeAccepted):
+                self.assertIn(change_id, taken)
+            elif not isinstance(outcome, ChangeUnknown):
+                self.assertNotIn(change_id, taken)
+        versions = {str(version) for version, _ in store.written}
+        self.assertEqual(len(versions), len(taken))
+        read_versions = [each.config.version for each in readings]
+        self.assertEqual(read_versions, sorted(read_versions))
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -3,6 +3,7 @@
 import tempfile
 import unittest
 from contextlib import asynccontextmanager
+from math import inf
 from pathlib import Path
 from random import Random
 
@@ -240,3 +241,30 @@
             calls, lasted = self.run_async(act)
         self.assertGreater(calls, 5)
         self.assertLessEqual(calls, 20 * lasted + 1)
+
+    def test_calls_of_17_instances_and_a_restart_loop_stay_within_the_budget(self):
+        budget, most, seen = 100.0, 17, 8  # Members are split in two.
+
+        async def call_on(store, restarts):
+            while True:
+                bucket = TokenBucket(0.0)
+                budgeted = BudgetedStore(
+                    store, SystemClock(), budget, most, lambda: seen, bucket
+                )
+                with trio.move_on_after(0.05 if restarts else inf):
+                    while True:
+                        await budgeted.read(self.key)
+
+        async def act(store):
+            began = trio.current_time()
+            with trio.move_on_after(2.0):
+                async with trio.open_nursery() as nursery:
+                    for number in range(most):
+                        nursery.start_soon(call_on, store, number == 0)
+            lasted = trio.current_time() - began
+            callers = (await store.client.get('/standin/callers')).json()
+            return callers[self.id()]['calls'], lasted
+
+        calls, lasted = self.run_async(act)
+        self.assertGreater(calls, most)
+        self.assertLessEqual(calls, budget * lasted + most)
