--- a/standins/store.py
+++ b/standins/store.py
@@ -20,8 +20,8 @@
     reads: int = 0
     #: Readings after which a late write lands.
     late_after: int = 3
-    #: Version and ID of the last change in each head that was written.
-    written: list[tuple[dict, str]] = Factory(list)
+    #: Each value of the configuration's object that took effect.
+    written: list = Factory(list)
     reads_down: int = 0
 
     async def read(self, key: ObjectKey):
@@ -63,7 +63,6 @@
     async def take(self, key: ObjectKey, value, expected_version: int):
         """Write an object and note the change that it holds."""
         result = await super().write(key, value, expected_version)
-        if key == CONFIG_KEY and is_successful(result) and value['changes']:
-            change = value['changes'][-1]
-            self.written.append((change['version'], change['change_id']))
+        if key == CONFIG_KEY and is_successful(result):
+            self.written.append(value)
         return result
--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -198,13 +198,14 @@
             return outcome_by_id, readings
 
         outcome_by_id, readings = self.run_async(operate)
-        taken = {change_id for _, change_id in store.written}
+        last = [value['changes'][-1] for value in store.written if value['changes']]
+        taken = {change['change_id'] for change in last}
         for change_id, outcome in outcome_by_id.items():
             if isinstance(outcome, ChangeAccepted):
                 self.assertIn(change_id, taken)
             elif not isinstance(outcome, ChangeUnknown):
                 self.assertNotIn(change_id, taken)
-        versions = {str(version) for version, _ in store.written}
+        versions = {str(change['version']) for change in last}
         self.assertEqual(len(versions), len(taken))
         read_versions = [each.config.version for each in readings]
         self.assertEqual(read_versions, sorted(read_versions))
