--- a/standins/processes.py
+++ b/standins/processes.py
@@ -73,7 +73,9 @@
         for process in reversed(list(self.process_by_name.values())):
             process.stop()
 
-    def start(self, name: str, module: str, *arguments: str) -> Process:
+    def start(
+        self, name: str, module: str, *arguments: str, takes_orders: bool = False
+    ) -> Process:
         """Start a Python module as a process and wait until it is ready."""
         log_path = self.folder / f'{name}.log'
         environment = {**os.environ, 'PYTHONUNBUFFERED': '1'}
@@ -82,7 +84,7 @@
                 [sys.executable, '-m', module, *arguments],
                 cwd=ROOT,
                 env=environment,
-                stdin=subprocess.DEVNULL,
+                stdin=subprocess.PIPE if takes_orders else subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=log,
             )
