--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo bench-path clean
+.PHONY: install lint format test demo model bench-path clean
 
 install: $(STAMP)
 
@@ -27,6 +27,9 @@
 demo: install
 	$(RUN) -m standins.demo
 
+model: install
+	$(RUN) -m model
+
 bench-path: install
 	$(RUN) -m benchmarks.path
 
--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the product, each ending with a line of JSON."""
+"""Measurements; the product imports none of them."""
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -71,6 +71,20 @@
         'Seconds to wait for an answer of the platform.',
         PLATFORM,
     ),
+    Option(
+        '--platform-budget',
+        '100',
+        number(0.1, 100_000, 'calls a second'),
+        'Calls a second to the platform, of all instances together.',
+        PLATFORM,
+    ),
+    Option(
+        '--max-instances',
+        '20',
+        whole_number(1, 100_000, 'instances'),
+        'Most instances that run at once; each gets that part of a shared budget.',
+        PLATFORM,
+    ),
     Option(
         '--seeds',
         '',
@@ -99,6 +113,20 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--key-lifetime',
+        '300',
+        number(1, 86400, 'seconds'),
+        'Seconds for which a key guards its request; the same on all instances.',
+        REQUESTS,
+    ),
+    Option(
+        '--key-capacity',
+        '50000',
+        whole_number(1, 10_000_000, 'keys'),
+        'Keys that this instance remembers at once; more are refused.',
+        REQUESTS,
+    ),
     Option(
         '--head-timeout',
         '10',
@@ -152,10 +180,14 @@
     shared_secret: str
     platform_url: str
     platform_timeout: float
+    platform_budget: float
+    max_instances: int
     seeds: tuple[str, ...]
     peer_interval: float
     address_lifetime: float
     request_timeout: float
+    key_lifetime: float
+    key_capacity: int
     head_timeout: float
     body_timeout: float
     idle_timeout: float
