Write and read sockets without a task switch

Cause: trio's SocketStream gives other tasks a turn after each send and tries a read that must fail before it waits; a call took four turns of the loop. Ruled out: caching descriptors; a closed one may belong to another connection. Change: Wire writes at once and waits for readability before it reads, with the descriptor asked for each time. Figures: turns of the loop a call 4.0 -> 2.1, Python function calls a call 1,509 -> 1,388 (cProfile, exact). Processor time a call, five runs each in turn on a busy machine, median 1,099 -> 1,037 us.

--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -103,7 +103,7 @@
             if self.call.is_late(self.clock):
                 return NotRun(Reason.TOO_LATE)
             self.is_sent = True
-            await wire.stream.send_all(data)
+            await wire.write(data)
             self._start_upload(wire)
             response = await answers.receive_response(wire)
         except ConnectionErrors as error:
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -1,5 +1,6 @@
 """One HTTP/1.1 connection: h11's codec over a trio stream."""
 
+import os
 import socket
 import struct
 from typing import Any
@@ -41,7 +42,7 @@
 
     async def fill(self) -> None:
         """Read what has come into the codec."""
-        data = await self.stream.receive_some(RECEIVE_SIZE)
+        data = await self._read()
         if self.chunk_check is not None:
             self.check_chunks(data)
         self.codec.receive_data(data)
@@ -60,7 +61,36 @@
         """Send events in one write."""
         data = self.encode(*events)
         if data:
-            await self.stream.send_all(data)
+            await self.write(data)
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes, without a task switch when the socket takes them at once."""
+        if isinstance(self.stream, trio.SocketStream):
+            try:
+                sent = os.write(self._descriptor(), data)
+            except BlockingIOError:
+                sent = 0
+            if sent == len(data):
+                return
+            data = data[sent:]
+        await self.stream.send_all(data)
+
+    async def _read(self) -> bytes:
+        if not isinstance(self.stream, trio.SocketStream):
+            return await self.stream.receive_some(RECEIVE_SIZE)
+        while True:
+            await trio.lowlevel.wait_readable(self._descriptor())
+            try:
+                return os.read(self._descriptor(), RECEIVE_SIZE)
+            except BlockingIOError:
+                continue
+
+    def _descriptor(self) -> int:
+        # Asked for anew each time: a closed one may belong to another connection.
+        descriptor = self.stream.socket.fileno()
+        if descriptor < 0:
+            raise trio.ClosedResourceError
+        return descriptor
 
     def start_next_cycle(self) -> None:
         """Make ready for the next exchange."""
