Shield only the close of a backend connection

Cause: each call opened a cancel scope to release its connection, though keeping one never waits. Ruled out: a synchronous close; trio's streams have none. Change: the pool shields the close alone.

--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -3,7 +3,6 @@
 import logging
 
 import h11
-import trio
 from attrs import define, frozen
 
 from catkinslip.clock import Clock
@@ -82,8 +81,7 @@
         await self._release(head.wire)
 
     async def _release(self, wire: Wire) -> None:
-        with trio.CancelScope(shield=True):
-            await self.pool.release(self.address, wire)
+        await self.pool.release(self.address, wire)
 
     async def _start(self, max_idle_seconds: float) -> AnswerHead | NotRun | Unknown:
         wire = await self.pool.acquire(self.address, max_idle_seconds)
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -46,6 +46,11 @@
         await self.waiters.park()
         return True
 
+    def has_room(self) -> bool:
+        """Tell whether one more idle connection may be kept."""
+        idle = len(self.idle)
+        return idle < MAX_IDLE and idle + self.in_use <= self.limit
+
     def give_slot(self) -> None:
         """Hand a slot to who waits longest, or free it."""
         self.in_use -= 1
@@ -90,19 +95,16 @@
         return wire
 
     async def release(self, address: Address, wire: Wire) -> None:
-        """Keep a connection whose exchange ended cleanly; close any other."""
+        """Keep a connection that ended cleanly, else close it; never cancelled."""
         connections = self._connections(address)
-        idle = connections.idle
         try:
-            room = len(idle) < MAX_IDLE and (
-                len(idle) + connections.in_use <= connections.limit
-            )
-            if not room or not ended_cleanly(wire):
-                await wire.close()
-                return
-            wire.start_next_cycle()
-            wire.is_reused = True
-            idle.append(IdleWire(wire, trio.current_time()))
+            if connections.has_room() and ended_cleanly(wire):
+                wire.start_next_cycle()
+                wire.is_reused = True
+                connections.idle.append(IdleWire(wire, trio.current_time()))
+            else:
+                with trio.CancelScope(shield=True):
+                    await wire.close()
         finally:
             connections.give_slot()
 
