--- a/catkinslip/health/prober.py
+++ b/catkinslip/health/prober.py
@@ -155,7 +155,7 @@
         tracker = self.tracker
         now = self.clock.monotonic()
         tracker.counters.probes_answered += 1
-        report = read_report(response)
+        report = read_report(response.headers)
         if report is not None:
             tracker.learn_report(key, KnownReport(report, sent_at), picks_before)
         tracker.answered(key.backend_id, response.headers, None)
