--- a/catkinslip/health/topics.py
+++ b/catkinslip/health/topics.py
@@ -5,7 +5,7 @@
 
 import cattrs
 from attrs import define, field, frozen
-from attrs.validators import and_, ge, lt
+from attrs.validators import and_, ge, lt, optional
 
 from catkinslip.health.counters import HealthCounters
 from catkinslip.health.drain import DrainSign, DrainTable, DrainWord
@@ -43,7 +43,7 @@
     backend_id: str
     address: str
     in_flight: float = field(validator=IS_AMOUNT)
-    speed: float | None
+    speed: float | None = field(validator=optional(IS_AMOUNT))
     age: float = field(validator=IS_AMOUNT)
 
 
