--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -35,6 +35,11 @@
     slots: int = ranged(1, 1, 10_000, 'requests at once')
     max_connections: int = ranged(200, 1, 100_000, 'connections')
     timeout: float = ranged(10.0, 0.05, 3600, 'seconds')
+    health_path: str = '/health'
+    #: Most probes of one backend server, from all instances; 0 turns probes off.
+    probes_per_second: float = ranged(1.0, 0, 1000, 'probes a second')
+    #: Calls that an instance must receive for each probe it sends.
+    calls_per_probe: int = ranged(100, 1, 1_000_000, 'calls')
 
 
 @frozen
@@ -82,6 +87,8 @@
     slots: int | None = ranged(None, 1, 10_000, 'requests at once')
     max_connections: int | None = ranged(None, 1, 100_000, 'connections')
     timeout: float | None = ranged(None, 0.05, 3600, 'seconds')
+    probes_per_second: float | None = ranged(None, 0, 1000, 'probes a second')
+    calls_per_probe: int | None = ranged(None, 1, 1_000_000, 'calls')
 
 
 @frozen
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -1,6 +1,7 @@
 """One attempt: send a request to a backend server and pass its answer on."""
 
 import logging
+from collections.abc import Callable, Iterable
 
 import h11
 import trio
@@ -26,6 +27,15 @@
 log = logging.getLogger('routing')
 
 
+OnHead = Callable[[Iterable[names.Header], reports.LoadReport | None], None]
+
+
+def ignore_head(
+    headers: Iterable[names.Header], report: reports.LoadReport | None
+) -> None:
+    """Take no notice of the head of an answer."""
+
+
 @frozen
 class AnswerHead:
     """The head of an answer; its body still waits on the connection."""
@@ -45,6 +55,7 @@
     pool: BackendPool
     clock: Clock
     number: int = 1
+    on_head: OnHead = ignore_head
     is_sent: bool = False
     is_stale: bool = False
 
@@ -121,6 +132,7 @@
             wire.is_spoiled = True
             return fault
         report = answers.read_report(response)
+        self.on_head(response.headers, report)
         if answers.is_refusal(response):
             await answers.drain_body(wire)
             return NotRun(Reason.SHED, report=report)
