--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model bench-config clean
+.PHONY: install lint format test demo model bench-config bench-tickets clean
 
 install: $(STAMP)
 
@@ -34,5 +34,8 @@
 model: install
 	$(RUN) -m model
 
+bench-tickets: install
+	$(RUN) -m benchmarks.tickets
+
 clean:
 	rm -rf $(VENV) build
