Let the test of a cancelled request fail at once when its guard is gone

Cause: without the settling of a cancelled request the second sending ran and waited for ever, so the test hung instead of failing (seen with the guard removed).

--- a/tests/test_tickets_gate.py
+++ b/tests/test_tickets_gate.py
@@ -142,6 +142,7 @@
                 await self.forward_async(self.own_key, b'/claim', {})
 
         trio.run(leave)
+        self.forwarder.outcome = Answered(201)
         self.assertEqual(self.forward(self.own_key).reason, Reason.ALREADY_SENT)
         self.assertEqual(len(self.forwarder.calls), 1)
 
