--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,10 @@
 bench-path: install
 	$(RUN) -m benchmarks.path
 
+.PHONY: bench-tickets
+bench-tickets: install
+	$(RUN) -m benchmarks.tickets
+
 .PHONY: clean
 clean:
 	rm -rf $(VENV) build
