--- a/catkinslip/proxy/presence.py
+++ b/catkinslip/proxy/presence.py
@@ -36,7 +36,7 @@
 
     def add(self, caller: Wire, scope: trio.CancelScope) -> int | None:
         """Watch a caller; return its descriptor, None when it has none."""
-        if not isinstance(caller.stream, trio.SocketStream):
+        if type(caller.stream) is not trio.SocketStream:
             return None
         descriptor = caller.stream.socket.fileno()
         self.scope_by_descriptor[descriptor] = scope
