--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model bench-config bench-path clean
+.PHONY: install lint format test demo model bench-config bench-drain bench-path bench-probes clean
 
 install: $(STAMP)
 
@@ -34,6 +34,12 @@
 model: install
 	$(RUN) -m model
 
+bench-drain: install
+	$(RUN) -m benchmarks.drain
+
+bench-probes: install
+	$(RUN) -m benchmarks.probes
+
 bench-path: install
 	$(RUN) -m benchmarks.path
 
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,11 +1,13 @@
 """Forward a call: choose a backend server, attempt, and try elsewhere if not run."""
 
 import logging
+from functools import partial
 
 import trio
 from attrs import define
 
 from catkinslip.clock import Clock
+from catkinslip.health.tracker import HealthTracker
 from catkinslip.proxy.exchange import Attempt, Call
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
@@ -24,6 +26,7 @@
     directory: Directory
     pool: BackendPool
     clock: Clock
+    health: HealthTracker
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -32,10 +35,11 @@
         router = self.directory.router_by_service.get(call.service)
         if router is None:
             return NotRun(Reason.UNKNOWN_SERVICE, call.service)
+        self.health.count_call(call.service)
         tried: list[str] = []
         outcome: Outcome = NotRun(Reason.NO_BACKEND)
         while len(tried) < MAX_ATTEMPTS:
-            choice = router.choose(self.clock.monotonic(), tried)
+            choice = self.health.choose(router, tried)
             if choice is None:
                 break
             log.info(
@@ -57,13 +61,21 @@
         self, call, caller, router, backend_id: str, number: int
     ) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        attempt = Attempt(call, address, caller, self.pool, self.clock, number)
+        on_head = partial(self.health.answered, backend_id)
+        attempt = Attempt(call, address, caller, self.pool, self.clock, number, on_head)
         outcome: Outcome = Unknown(Reason.DEADLINE)
         router.started(backend_id)
         try:
             with trio.move_on_after(call.deadline - self.clock.monotonic()):
                 outcome = await attempt.run()
         finally:
+            if is_connect_failure(outcome):
+                self.health.refused(backend_id)
             report = outcome.report if isinstance(outcome, Answered | NotRun) else None
             router.finished(backend_id, report, self.clock.monotonic())
         return outcome
+
+
+def is_connect_failure(outcome: Outcome) -> bool:
+    """Tell whether no connection to the backend server could be opened."""
+    return isinstance(outcome, NotRun) and outcome.reason is Reason.CONNECT_FAILED
