--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo clean
+.PHONY: install lint format test demo clean bench-policy
 
 install: $(STAMP)
 
@@ -29,3 +29,6 @@
 
 clean:
 	rm -rf $(VENV) build
+
+bench-policy: install
+	$(RUN) -m benchmarks.policy --processes 12
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each is a program."""
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -7,7 +7,7 @@
 
 from catkinslip.clock import Clock
 from catkinslip.proxy.exchange import Attempt, Call
-from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown, attempt_result
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.directory import Directory
@@ -54,11 +54,12 @@
         address = self.directory.address_by_backend[backend_id]
         attempt = Attempt(call, address, caller, self.pool, self.clock)
         outcome: Outcome = Unknown(Reason.DEADLINE)
-        router.started(backend_id)
+        began = self.clock.monotonic()
+        router.started(backend_id, began)
         try:
             with trio.move_on_after(call.deadline - self.clock.monotonic()):
                 outcome = await attempt.run()
         finally:
-            report = outcome.report if isinstance(outcome, Answered | NotRun) else None
-            router.finished(backend_id, report, self.clock.monotonic())
+            ended = self.clock.monotonic()
+            router.finished(backend_id, attempt_result(outcome, ended - began), ended)
         return outcome
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from enum import Enum, unique
 
 from attrs import define, frozen
 
@@ -14,6 +15,25 @@
     speed: float | None = None
 
 
+@unique
+class ResultKind(Enum):
+    """How an attempt ended, as far as it speaks about the backend server."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    SHED = 'shed'
+    CANCELLED = 'cancelled'
+
+
+@frozen
+class AttemptResult:
+    """How an attempt ended, after how many seconds, and the load report."""
+
+    kind: ResultKind
+    latency: float
+    report: LoadReport | None = None
+
+
 @define
 class BackendLoad:
     """What one instance knows of one backend server; times are in seconds."""
@@ -30,10 +50,10 @@
 
 @frozen
 class Choice:
-    """A chosen backend server and why it was chosen."""
+    """A chosen backend server and why; the reason is formatted when printed."""
 
     backend_id: str
-    reason: str
+    reason: object
 
 
 class Policy(ABC):
@@ -42,3 +62,11 @@
     @abstractmethod
     def choose(self, candidates: Sequence[BackendLoad], now: float) -> Choice:
         """Choose one of at least one candidate."""
+
+    def started(self, load: BackendLoad, now: float) -> None:  # noqa: B027
+        """Learn that a request was sent."""
+
+    def finished(  # noqa: B027
+        self, load: BackendLoad, result: AttemptResult, now: float
+    ) -> None:
+        """Learn how a request ended."""
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -5,7 +5,7 @@
 from attrs import Factory, define
 
 from catkinslip.config.documents import Backend, Service
-from catkinslip.routing.base import BackendLoad, Choice, LoadReport, Policy
+from catkinslip.routing.base import AttemptResult, BackendLoad, Choice, Policy
 
 
 @define
@@ -39,21 +39,23 @@
             return None
         return self.policy.choose(candidates, now)
 
-    def started(self, backend_id: str) -> None:
+    def started(self, backend_id: str, now: float) -> None:
         """Count a request sent to a backend server."""
         load = self.load_by_id.get(backend_id)
         if load is None:
             return
         load.in_flight += 1
         load.picks_since_report += 1
+        self.policy.started(load, now)
 
-    def finished(self, backend_id: str, report: LoadReport | None, now: float) -> None:
+    def finished(self, backend_id: str, result: AttemptResult, now: float) -> None:
         """Count a request that ended and take its load report."""
         load = self.load_by_id.get(backend_id)
         if load is None:
             return
         load.in_flight = max(0, load.in_flight - 1)
-        if report is not None:
-            load.report = report
+        self.policy.finished(load, result, now)
+        if result.report is not None:
+            load.report = result.report
             load.reported_at = now
             load.picks_since_report = 0
