Choose the shortest expected delay from aged reports and speed

Cause: own requests in flight say nothing of other instances' load, and none of the baselines sees a noisy neighbour.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -25,6 +25,21 @@
     'claims 5x5': (5, 5),
     'billing 10x2': (10, 2),
 }
+FIELDS_BY_KIND: dict[str, dict] = {
+    'quiet': {},
+    'noisy': {'noisy': True},
+    'noisy for longer': {'noisy': True, 'redraw_share': 0.1},
+    'straggler': {'straggler': True},
+    'fail fast': {'fail_fast': True},
+    'no speed': {'noisy': True, 'reports': 'no speed'},
+    'reports missing': {'reports': 'none'},
+    'reports idle': {'reports': 'idle'},
+    'reports busy': {'reports': 'busy'},
+    'reports late': {'report_delay': 0.05},
+    'cold start': {'cold_start': True},
+    'drain': {'drain': True},
+    'instance lost': {'lost_instance': True},
+}
 
 
 @frozen
@@ -77,10 +92,10 @@
     scenarios = []
     for size, (workers, slots) in SIZE_BY_NAME.items():
         for instances in (3, 5, 15):
-            for kind in ('quiet', 'noisy'):
+            for kind in FIELDS_BY_KIND:
                 name = f'{size}, {instances} instances, 80 %, {kind}'
                 scenario = Scenario(name, workers, slots, instances, 0.8)
-                scenarios.append(evolve(scenario, noisy=kind == 'noisy'))
+                scenarios.append(evolve(scenario, **FIELDS_BY_KIND[kind]))
     return scenarios
 
 
--- a/benchmarks/policy_arms.py
+++ b/benchmarks/policy_arms.py
@@ -7,6 +7,7 @@
 
 from benchmarks.policy_world import World
 from catkinslip.routing.base import BackendLoad, Choice, Policy
+from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.policies import (
     LeastInFlight,
     RandomChoice,
@@ -44,6 +45,10 @@
     'round robin': lambda random, world: RoundRobin(random),
     'least in flight': lambda random, world: LeastInFlight(random),
     'two choices': lambda random, world: TwoChoices(random),
+    'delay without speed': lambda random, world: ExpectedDelay(
+        random, weigh_speed=False
+    ),
+    'delay': lambda random, world: ExpectedDelay(random),
     'in-flight oracle': lambda random, world: Oracle(random, world, False),
     'speed oracle': lambda random, world: Oracle(random, world, True),
 }
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -6,6 +6,8 @@
 
 from attrs import define, frozen
 
+NEVER = float('-inf')
+
 
 @frozen
 class LoadReport:
@@ -44,8 +46,11 @@
     in_flight: int = 0
     draining: bool = False
     report: LoadReport | None = None
-    reported_at: float = 0.0
+    reported_at: float = NEVER
     picks_since_report: int = 0
+    reported_in_flight: float = 0.0
+    speed: float = 1.0
+    mean_speed: float = 1.0
 
 
 @frozen
