--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo clean bench-policy
+.PHONY: install lint format test demo model bench-config bench-policy bench-fleet clean
 
 install: $(STAMP)
 
@@ -27,8 +27,18 @@
 demo: install
 	$(RUN) -m standins.demo
 
-clean:
-	rm -rf $(VENV) build
+bench-config: install
+	$(RUN) -m benchmarks.configuration
+	$(RUN) -m benchmarks.configuration_in_force
 
 bench-policy: install
 	$(RUN) -m benchmarks.policy --processes 12
+
+bench-fleet: install
+	$(RUN) -m benchmarks.fleet
+
+model: install
+	$(RUN) -m model
+
+clean:
+	rm -rf $(VENV) build
--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks; each is a program."""
+"""Measurements; the product imports none of them."""
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -27,9 +27,12 @@
         app.before_request(self._check_secret)
         app.add_url_rule(PATH, view_func=self._exchange, methods=['POST'])
         app.add_url_rule('/v1/status', view_func=self._status)
+        app.add_url_rule('/v1/config', view_func=self._config)
         return app
 
     async def _check_secret(self) -> Response | None:
+        # An answer before the body's end leaves hypercorn's connection unusable.
+        await request.get_data()
         given = request.headers.get(SECRET_HEADER, '')
         if hmac.compare_digest(given.encode(), self.shared_secret.encode()):
             return None
@@ -47,3 +50,12 @@
             'config_version': cattrs.unstructure(current.version),
             'change_id': current.change_id,
         }
+
+    async def _config(self) -> dict:
+        current = self.config.current
+        return {
+            'version': str(current.version),
+            'change_id': current.change_id,
+            'author': current.author,
+            'document': current.plain,
+        }
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -16,7 +16,9 @@
 
 from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
+from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.config.signal import PEERS_TOLD_AT_ONCE, ChangeSignal
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
@@ -25,9 +27,11 @@
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
 from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.budget import TokenBucket
+from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
-from catkinslip.platform.http import HttpStore
-from catkinslip.proxy.callers import CallerServer
+from catkinslip.platform.http import CALLER_HEADER, HttpStore
+from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.choices import make_policy
@@ -35,10 +39,16 @@
 from catkinslip.settings.base import SettingsError, build_parser, read_values
 from catkinslip.settings.daemon import OPTIONS, DaemonSettings
 from catkinslip.status import ExitStatus
+from catkinslip.tickets.gate import AtMostOnce
+from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
+from catkinslip.tickets.passing import HomePasser
+from catkinslip.tickets.records import PlatformRecords
+from catkinslip.tickets.table import TicketTable
 
 DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
+LIST_SECONDS = 1.0
 
 log = logging.getLogger('daemon')
 
@@ -76,6 +86,7 @@
     members: MemberTable
     peers: PeerExchange
     watcher: ConfigWatcher
+    change_signal: ChangeSignal
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
@@ -101,7 +112,10 @@
             nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
+            nursery.start_soon(daemon.callers.watch.run)
+            nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
+            nursery.start_soon(follow_list, daemon)
             announce_ready(own, environment)
         await daemon.pool.close()
 
@@ -114,15 +128,34 @@
     peer_client: httpx.AsyncClient,
 ) -> Daemon:
     """Wire the parts of one daemon."""
-    store = make_store(settings, platform_client)
-    config = ConfigHolder()
     members = MemberTable(own)
+    store = make_store(settings, environment, members, platform_client)
+    config = ConfigHolder()
     directory = Directory(partial(make_policy, settings, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
+    config.listeners.append(pool.update)
+    change_signal = ChangeSignal()
+    config.listeners.append(change_signal.update)
     forwarder = Forwarder(directory, pool, environment.clock)
-    addresses = AddressBook(members, settings.zone, settings.address_lifetime)
-    topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
+    ticket_clock = AnchoredClock(environment.clock)
+    gate = AtMostOnce(
+        forwarder=forwarder,
+        table=make_table(settings, own, ticket_clock),
+        records=PlatformRecords(store, environment.random),
+        passer=HomePasser(own.member_id, pool, environment.clock),
+        config=config,
+        members=members,
+        clock=ticket_clock,
+    )
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(ticket_clock, settings.key_lifetime),
+    )
+    config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
+    topic_by_name = {topic.name: topic for topic in (config_topic,)}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
@@ -131,20 +164,63 @@
         store=store,
         members=members,
         peers=peers,
-        watcher=ConfigWatcher(store, config),
+        watcher=ConfigWatcher(
+            store,
+            config,
+            lambda: is_watcher(members.own, members.live()),
+            environment.random,
+        ),
+        change_signal=change_signal,
         callers=CallerServer(
-            environment, config, forwarder, addresses, settings.request_timeout
+            environment, config, gate, addresses, caller_limits(settings)
         ),
         control=ControlSurface(peers, config, settings.shared_secret),
         pool=pool,
     )
 
 
-def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
+def make_table(
+    settings: DaemonSettings, own: Member, clock: AnchoredClock
+) -> TicketTable:
+    """Return the table of the keys whose home is this instance."""
+    return TicketTable(
+        own.member_id,
+        own.incarnation,
+        settings.key_lifetime,
+        settings.key_capacity,
+        clock.now(),
+    )
+
+
+def caller_limits(settings: DaemonSettings) -> CallerLimits:
+    """Return what callers may ask for."""
+    return CallerLimits(
+        request_timeout=settings.request_timeout,
+        head_timeout=settings.head_timeout,
+        body_timeout=settings.body_timeout,
+        idle_timeout=settings.idle_timeout,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_callers,
+    )
+
+
+def make_store(
+    settings: DaemonSettings,
+    environment: Environment,
+    members: MemberTable,
+    client: httpx.AsyncClient,
+) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
         return EmbeddedStore()
-    return HttpStore(client, settings.platform_timeout)
+    return BudgetedStore(
+        HttpStore(client, settings.platform_timeout),
+        environment.clock,
+        settings.platform_budget,
+        settings.max_instances,
+        lambda: len(members.live()),
+        TokenBucket(0.0),
+    )
 
 
 @asynccontextmanager
@@ -153,8 +229,11 @@
 ) -> AsyncIterator[tuple[httpx.AsyncClient, httpx.AsyncClient]]:
     """Open the clients of the platform and of peers."""
     secret = {SECRET_HEADER: settings.shared_secret}
+    caller = {CALLER_HEADER: settings.instance_id}
     async with (
-        httpx.AsyncClient(base_url=settings.platform_url) as platform_client,
+        httpx.AsyncClient(
+            base_url=settings.platform_url, headers=caller
+        ) as platform_client,
         httpx.AsyncClient(headers=secret, timeout=PEER_TIMEOUT_SECONDS) as peer_client,
     ):
         yield platform_client, peer_client
@@ -190,26 +269,37 @@
 
 
 async def follow_peers(daemon: Daemon) -> None:
-    """Keep members and configuration in step with peers and the platform's list."""
+    """Keep members and configuration in step with peers."""
+    exchanges = 1
+    while True:
+        for _ in range(exchanges):
+            await daemon.peers.run_once()
+        changed = await daemon.change_signal.wait(daemon.settings.peer_interval)
+        exchanges = PEERS_TOLD_AT_ONCE if changed else 1
+
+
+async def follow_list(daemon: Daemon) -> None:
+    """Announce this instance and learn of others from the platform's list."""
     own = daemon.members.own
     listed = ListedInstance(
         own.member_id, own.zone, own.address, own.control_address, own.leaving
     )
-    await daemon.store.announce(listed)
     while True:
-        await learn_from_list(daemon)
-        await daemon.peers.run_once()
-        await trio.sleep(daemon.settings.peer_interval)
+        if not await learn_from_list(daemon):
+            await daemon.store.announce(listed)
+        await trio.sleep(LIST_SECONDS)
 
 
-async def learn_from_list(daemon: Daemon) -> None:
-    """Exchange with listed instances that are not known yet."""
+async def learn_from_list(daemon: Daemon) -> bool:
+    """Exchange with listed instances not known yet; tell whether this one is listed."""
+    own = daemon.members.own
     listed = (await daemon.store.list_instances()).value_or([])
     for instance in listed:
         known = daemon.members.member_by_id.get(instance.name)
-        if instance.name == daemon.members.own.member_id or known is not None:
-            continue
-        await daemon.peers.exchange_with(instance.control_address)
+        if instance.name != own.member_id and known is None:
+            await daemon.peers.exchange_with(instance.control_address)
+    address_by_name = {each.name: each.control_address for each in listed}
+    return address_by_name.get(own.member_id) == own.control_address
 
 
 async def stop_on_signal(scope: trio.CancelScope) -> None:
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -27,6 +27,8 @@
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
+        if not self.directory.is_ready:
+            return NotRun(Reason.NOT_READY)
         router = self.directory.router_by_service.get(call.service)
         if router is None:
             return NotRun(Reason.UNKNOWN_SERVICE, call.service)
@@ -44,15 +46,18 @@
                 choice.reason,
             )
             tried.append(choice.backend_id)
-            outcome = await self._attempt(call, caller, router, choice.backend_id)
-            if not isinstance(outcome, NotRun):
+            outcome = await self._attempt(
+                call, caller, router, choice.backend_id, len(tried)
+            )
+            if not isinstance(outcome, NotRun) or not call.is_resendable:
                 break
-            call.attempt += 1
         return outcome
 
-    async def _attempt(self, call, caller, router, backend_id: str) -> Outcome:
+    async def _attempt(
+        self, call, caller, router, backend_id: str, number: int
+    ) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        attempt = Attempt(call, address, caller, self.pool, self.clock)
+        attempt = Attempt(call, address, caller, self.pool, self.clock, number)
         outcome: Outcome = Unknown(Reason.DEADLINE)
         began = self.clock.monotonic()
         router.started(backend_id, began)
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -12,15 +12,43 @@
     """Why a request was not answered by a backend server."""
 
     BAD_REQUEST = ('bad-request', 400, 'The request is malformed.')
+    SLOW_REQUEST = ('slow-request', 408, 'The request came too slowly.')
+    BODY_TOO_LARGE = ('body-too-large', 413, 'The request body is too large.')
+    EXPECTATION = ('expectation', 417, 'The expectation cannot be met.')
+    HEAD_TOO_LARGE = ('head-too-large', 431, 'The request head is too large.')
+    NOT_IMPLEMENTED = ('not-implemented', 501, 'The transfer coding is not known.')
+    VERSION = ('version', 505, 'The HTTP version is not spoken here.')
     UNKNOWN_SERVICE = ('unknown-service', 404, 'No such service is in the register.')
     NO_BACKEND = ('no-backend', 503, 'No backend server takes new work.')
     CONNECT_FAILED = ('connect-failed', 503, 'No backend server could be reached.')
+    CONNECTION_LIMIT = ('connection-limit', 503, 'Too many connections are open.')
     SHED = ('shed', 503, 'The backend servers refused new work.')
     TOO_LATE = ('too-late', 504, 'The deadline passed before the request was sent.')
     DEADLINE = ('deadline', 504, 'The deadline passed before the answer came.')
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
+    CROSSED = ('crossed', 502, 'The backend server answered another request.')
+    CALLER_LEFT = ('caller-left', 499, 'The caller left before the answer came.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
 
+    KEY_REQUIRED = ('key-required', 400, 'The rules ask for an Idempotency-Key.')
+    KEY_NOT_ACCEPTED = ('key-not-accepted', 422, 'No address answer began this key.')
+    KEY_TOO_FAR_AHEAD = ('key-too-far-ahead', 422, 'The key expires too far ahead.')
+    KEY_OF_OTHER_REQUEST = (
+        'key-of-other-request',
+        422,
+        'The key belongs to another request.',
+    )
+    KEYS_FULL = ('keys-full', 503, 'This instance cannot take more keys now.')
+    KEY_EXPIRED = ('key-expired', 409, 'The key expired; its request may have run.')
+    ALREADY_SENT = ('already-sent', 409, 'A request with this key was sent before.')
+    HOME_GONE = ('home-gone', 409, 'The home of the key is gone.')
+    HOME_UNREACHABLE = ('home-unreachable', 503, 'The home does not answer.')
+    RECORD_UNAVAILABLE = (
+        'record-unavailable',
+        503,
+        'The platform does not tell whether the key was sent before.',
+    )
+
     def __init__(self, slug: str, status: int, title: str) -> None:
         self.slug = slug
         self.status = status
--- /dev/null
+++ b/catkinslip/tickets/passing.py
@@ -0,0 +1,101 @@
+"""Pass a request to the home of its key, at most one hop."""
+
+import h11
+import orjson
+import trio
+from attrs import define
+
+from catkinslip.clock import Clock
+from catkinslip.membership.members import Member
+from catkinslip.models import Address
+from catkinslip.proxy import headers as names
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.exchange import AnswerHead, Attempt
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.problems import TYPE_PREFIX
+from catkinslip.proxy.wire import Wire
+
+MAX_PROBLEM_BYTES = 16 << 10
+REASON_BY_TYPE = {TYPE_PREFIX + reason.slug: reason for reason in Reason}
+
+
+@define
+class HomeAttempt(Attempt):
+    """A call passed to the home of its key; the home says how it ended.
+
+    Without a word of the home the outcome is unknown: an earlier request with the
+    same key may have run there.
+    """
+
+    own_id: str = ''
+
+    async def start(self) -> AnswerHead | NotRun | Unknown:
+        """Send the request on a new connection and wait for the answer's head."""
+        result = await self._start(0.0)
+        if isinstance(result, NotRun) and not self.is_sent:
+            return Unknown(
+                Reason.HOME_UNREACHABLE, result.detail or result.reason.title
+            )
+        return result
+
+    async def _judge(
+        self, wire: Wire, response: h11.Response
+    ) -> AnswerHead | NotRun | Unknown:
+        told = names.find(response.headers, names.OUTCOME)
+        if told is None:
+            return await super()._judge(wire, response)
+        problem = await read_problem(wire)
+        reason = REASON_BY_TYPE.get(problem.get('type'))
+        detail = str(problem.get('detail', ''))
+        if told == names.NOT_RUN and reason is not None:
+            return NotRun(reason, detail)
+        return Unknown(reason or Reason.BROKEN, detail)
+
+    def _request_events(self) -> list[h11.Event]:
+        request, *rest = super()._request_events()
+        service = (names.SERVICE, self.call.service.encode())
+        passed_by = (names.PASSED_BY, self.own_id.encode())
+        headers = [*request.headers, service, passed_by]
+        request = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        return [request, *rest]
+
+
+@define
+class HomePasser:
+    """Pass requests to other instances and their answers on."""
+
+    own_id: str
+    pool: BackendPool
+    clock: Clock
+
+    async def send(self, call: Call, home: Member, caller: Wire) -> Outcome:
+        """Pass one request home within its deadline."""
+        attempt = HomeAttempt(
+            call,
+            Address.parse(home.address),
+            caller,
+            self.pool,
+            self.clock,
+            own_id=self.own_id,
+        )
+        with trio.move_on_after(call.deadline - self.clock.monotonic()):
+            return await attempt.run()
+        return Unknown(Reason.DEADLINE, 'no whole answer of the home')
+
+
+async def read_problem(wire: Wire) -> dict:
+    """Read a problem document; empty when it is none."""
+    data = b''
+    while len(data) <= MAX_PROBLEM_BYTES:
+        event = await wire.receive()
+        if type(event) is not h11.Data:
+            break
+        data += bytes(event.data)
+    try:
+        problem = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return {}
+    return problem if isinstance(problem, dict) else {}
