--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model bench-config bench-policy bench-fleet clean
+.PHONY: install lint format test demo model bench-config bench-drain bench-probes
+.PHONY: bench-policy bench-fleet clean
 
 install: $(STAMP)
 
@@ -40,5 +41,11 @@
 model: install
 	$(RUN) -m model
 
+bench-drain: install
+	$(RUN) -m benchmarks.drain
+
+bench-probes: install
+	$(RUN) -m benchmarks.probes
+
 clean:
 	rm -rf $(VENV) build
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -23,6 +23,11 @@
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
 from catkinslip.environment import Environment
+from catkinslip.health.lister import ListFollower
+from catkinslip.health.prober import Prober
+from catkinslip.health.spreader import DrainSpreader
+from catkinslip.health.topics import health_topics
+from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
@@ -90,6 +95,10 @@
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
+    health: HealthTracker
+    prober: Prober
+    spreader: DrainSpreader
+    lister: ListFollower
 
 
 async def serve(settings: DaemonSettings, environment: Environment) -> None:
@@ -116,6 +125,9 @@
             nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(follow_list, daemon)
+            nursery.start_soon(daemon.prober.run)
+            nursery.start_soon(daemon.spreader.run)
+            nursery.start_soon(daemon.lister.run)
             announce_ready(own, environment)
         await daemon.pool.close()
 
@@ -133,11 +145,15 @@
     config = ConfigHolder()
     directory = Directory(partial(make_policy, settings, environment.random))
     config.listeners.append(directory.update)
+    health = make_tracker(
+        directory, environment.clock, environment.random, settings.max_instances
+    )
+    config.listeners.append(health.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
     change_signal = ChangeSignal()
     config.listeners.append(change_signal.update)
-    forwarder = Forwarder(directory, pool, environment.clock)
+    forwarder = Forwarder(directory, pool, environment.clock, health)
     ticket_clock = AnchoredClock(environment.clock)
     gate = AtMostOnce(
         forwarder=forwarder,
@@ -155,7 +171,8 @@
         KeyIssuer(ticket_clock, settings.key_lifetime),
     )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
-    topic_by_name = {topic.name: topic for topic in (config_topic,)}
+    topics = (config_topic, *health_topics(health))
+    topic_by_name = {topic.name: topic for topic in topics}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
@@ -174,8 +191,14 @@
         callers=CallerServer(
             environment, config, gate, addresses, caller_limits(settings)
         ),
-        control=ControlSurface(peers, config, settings.shared_secret),
+        control=ControlSurface(peers, config, health, settings.shared_secret),
         pool=pool,
+        health=health,
+        prober=Prober(health, members, pool, environment.clock),
+        spreader=DrainSpreader(health, peers, environment.random),
+        lister=ListFollower(
+            store, health, lambda: is_watcher(members.own, members.live())
+        ),
     )
 
 
@@ -293,7 +316,10 @@
 async def learn_from_list(daemon: Daemon) -> bool:
     """Exchange with listed instances not known yet; tell whether this one is listed."""
     own = daemon.members.own
-    listed = (await daemon.store.list_instances()).value_or([])
+    result = await daemon.store.list_instances()
+    listed = [
+        each for each in result.value_or([]) if not daemon.health.is_backend(each.name)
+    ]
     for instance in listed:
         known = daemon.members.member_by_id.get(instance.name)
         if instance.name != own.member_id and known is None:
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -88,3 +88,8 @@
         self, load: BackendLoad, result: AttemptResult, now: float
     ) -> None:
         """Learn how a request ended."""
+
+    def reported(  # noqa: B027
+        self, load: BackendLoad, report: LoadReport, at: float
+    ) -> None:
+        """Learn from a load report, before it replaces the last."""
--- a/catkinslip/routing/delay.py
+++ b/catkinslip/routing/delay.py
@@ -15,6 +15,7 @@
     AttemptResult,
     BackendLoad,
     Choice,
+    LoadReport,
     Policy,
     ResultKind,
 )
@@ -120,18 +121,18 @@
         if result.kind is ResultKind.CANCELLED:
             return
         count_failure(load, result.kind, now)
-        report = result.report
         if result.kind is ResultKind.ANSWERED:
-            self.trust.learn(load, report)
+            self.trust.learn(load, result.report)
             self.service_time.learn(load, result, expected, now)
-        if report is None:
-            return
+
+    def reported(self, load: BackendLoad, report: LoadReport, at: float) -> None:
+        """Learn from a load report, before it replaces the last."""
         self.in_flight.learn(load, report)
         load.reported_in_flight = report.in_flight
         if not self.weigh_speed:
             return
         if report.speed is not None:
-            self.speed.learn(load, report.speed, now)
+            self.speed.learn(load, report.speed, at)
         elif load.slowness == 1:
             slowness = min(sqrt(load.inferred_slowness), MOST_INFERRED_SLOWNESS)
             load.speed = load.mean_speed = self.speed.value / slowness
