--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,7 +1,6 @@
 """Forward a call: choose a backend server, attempt, and try elsewhere if not run."""
 
 import logging
-from functools import partial
 
 import trio
 from attrs import define
@@ -61,7 +60,12 @@
         self, call, caller, router, backend_id: str, number: int
     ) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        on_head = partial(self.health.answered, backend_id)
+        head_times: list[float] = []
+
+        def on_head(headers, report) -> None:
+            head_times.append(self.clock.monotonic())
+            self.health.answered(backend_id, headers, report)
+
         attempt = Attempt(call, address, caller, self.pool, self.clock, number, on_head)
         outcome: Outcome = Unknown(Reason.DEADLINE)
         began = self.clock.monotonic()
@@ -73,7 +77,9 @@
             if is_connect_failure(outcome):
                 self.health.refused(backend_id)
             ended = self.clock.monotonic()
-            router.finished(backend_id, attempt_result(outcome, ended - began), ended)
+            # A slow caller's share of the time says nothing of the server.
+            latency = (head_times or [ended])[0] - began
+            router.finished(backend_id, attempt_result(outcome, latency), ended)
         return outcome
 
 
