--- a/tests/test_routing_policies.py
+++ b/tests/test_routing_policies.py
@@ -2,12 +2,22 @@
 
 import unittest
 from random import Random
+from types import SimpleNamespace
 
 from catkinslip.config.documents import Backend, Service
+from catkinslip.proxy.outcomes import (
+    Answered,
+    NotRun,
+    Reason,
+    Unknown,
+    attempt_result,
+)
 from catkinslip.routing.base import AttemptResult, LoadReport, ResultKind
+from catkinslip.routing.choices import make_policy
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.reports import parse_report
 from catkinslip.routing.router import WINDOW_SIZE, ServiceRouter
+from catkinslip.settings.daemon import POLICIES
 
 HONEST = LoadReport(0, 1.0)
 
@@ -187,6 +197,35 @@
         router.load_by_id['limits-1'].draining = True
         self.assertEqual(picks_by_id(router, 9, 1.0)['limits-1'], 0)
 
+    def test_a_report_from_a_peer_counts(self):
+        router = make_router(2)
+        router.learned('limits-0', LoadReport(5, 1.0), 1.0)
+        router.learned('limits-1', LoadReport(1, 1.0), 1.0)
+        self.assertEqual(pick(router, 1.001), 'limits-1')
+
+    def test_each_named_policy_chooses(self):
+        loads = make_router(3).loads
+        ids = [load.backend_id for load in loads]
+        for name in POLICIES:
+            settings = SimpleNamespace(
+                policy=name, zone='zone-0', report_memory=0.03, zone_hop=0.001
+            )
+            policy = make_policy(settings, Random(1))
+            self.assertIn(policy.choose(loads, 1.0).backend_id, ids)
+
+    def test_outcomes_speak_about_the_server(self):
+        for outcome, kind in (
+            (Answered(200), ResultKind.ANSWERED),
+            (Answered(404), ResultKind.ANSWERED),
+            (Answered(500), ResultKind.FAILED),
+            (NotRun(Reason.SHED), ResultKind.SHED),
+            (NotRun(Reason.CONNECT_FAILED), ResultKind.FAILED),
+            (NotRun(Reason.TOO_LATE), ResultKind.CANCELLED),
+            (Unknown(Reason.BROKEN), ResultKind.FAILED),
+            (Unknown(Reason.DEADLINE), ResultKind.CANCELLED),
+        ):
+            self.assertIs(attempt_result(outcome, 0.1).kind, kind, outcome)
+
     def test_many_servers_are_chosen_by_windows(self):
         router = make_router(3 * WINDOW_SIZE)
         self.assertEqual(set(picks_by_id(router, len(router.loads), 1.0).values()), {1})
