--- a/tests/test_proxy_exchange.py
+++ b/tests/test_proxy_exchange.py
@@ -213,6 +213,16 @@
             self.assertEqual((await bench.ask(GET))[0][2], b'ok')
             self.assertEqual(bench.backend.connections, 2)
 
+    @run
+    async def test_connections_that_idled_long_are_trimmed(self):
+        for idle_seconds in (0.0, GENEROUS_SECONDS):
+            async with running(RawBackend()) as bench:
+                await bench.ask(GET)
+                with mock.patch.object(pool, 'MAX_IDLE_SECONDS', idle_seconds):
+                    await bench.forwarder.pool.trim()
+                (kept,) = bench.forwarder.pool.connections_by_address.values()
+                self.assertEqual(len(kept.idle), int(idle_seconds > 0))
+
     @run
     async def test_calls_beyond_the_limit_wait_in_order(self):
         backend = RawBackend([WAIT])
@@ -281,6 +291,18 @@
                 await bench.backend.left.wait()
                 self.assertEqual(bench.backend.bodies, [])
 
+    @run
+    async def test_a_streamed_body_over_the_limit_is_stopped(self):
+        chunk = b'%x\r\n' % len(LARGE) + LARGE + b'\r\n'
+        request = POST.replace(b'Content-Length: 2', b'Transfer-Encoding: chunked')
+        request = request[:-2] + chunk + chunk + b'0\r\n\r\n'
+        async with running(RawBackend(), max_body_bytes=len(LARGE)) as bench:
+            ((status, headers, body),) = await bench.ask(request)
+            self.assertEqual(status, 413)
+            self.assertEqual(headers[b'catkinslip-outcome'], b'unknown')
+            self.assertIn(b'body-too-large', body)
+            self.assertEqual(bench.backend.bodies, [])
+
     @run
     async def test_answers_without_a_body_keep_the_connection(self):
         heads = (b'HTTP/1.1 204 None', b'HTTP/1.1 304 Same', b'HTTP/1.1 200 OK')
