Wait for both instances before the outage of a test

The tool's watch asks the instances that are known; the second had joined just then and was itself without a configuration when the platform stopped, so that two of three were fresh, which must not start. Ruled out: a slow start (both peers were asked within 0.4 s). Change: the test waits until both instances have the version in force first. Conclusion: the product refused rightly; the test's premise was missing.

--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -136,6 +136,8 @@
         daemons = [self.start_daemon(f'entry-{n}') for n in range(2)]
         self.tool('apply', self.document('a'))
         self.assertEqual(self.tool('watch', '--wait', '20')[0], ExitStatus.SUCCESS)
+        # The tool asks the instances that are known; one may have joined just now.
+        wait_until(lambda: [version_of(each) for each in daemons] == [1, 1])
         self.platform.send_signal(signal.SIGSTOP)
         alone = self.start_daemon('entry-alone')
         answer = httpx.get(f'http://{alone.address}/', headers={'Host': 'limits'})
