Declare the tool's commands once and check all settings at start

Cause: the daemon read its flags with argparse and the tool with cleo; ranges were not shown, an unknown flag ended at the first mistake, and cleo printed stack traces for mistakes of users. Ruled out: a cleo application for the daemon; it stops at the first mistake. cleo's own help; it lists flags without groups, examples or exit statuses. Change: settings of both programs are the same Option declarations, parsed by cleo, checked as a whole with flag, variable, range and unit. Commands are declared in cli/definition.py and derive from BaseCommand. status and instances print sentences or JSON. Conclusion: config commands can build on the frame.

--- a/catkinslip/cli/application.py
+++ b/catkinslip/cli/application.py
@@ -1,20 +1,44 @@
-"""The tool's application and its commands."""
+"""The tool's application."""
 
 from collections.abc import Sequence
 
 from cleo.application import Application
+from cleo.exceptions import CleoError
 from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.outputs.stream_output import StreamOutput
 
 from catkinslip import __version__
-from catkinslip.cli.commands import ApplyCommand, ReadCommand, StatusCommand
+from catkinslip.cli.configuration import ApplyCommand, ReadCommand
+from catkinslip.cli.help import HelpCommand
+from catkinslip.cli.instances import InstancesCommand, StatusCommand
 from catkinslip.environment import Environment
+from catkinslip.status import ExitStatus
+
+PROGRAM = 'catkinslip'
+COMMANDS = (ReadCommand, ApplyCommand, StatusCommand, InstancesCommand)
 
 
 def run(arguments: Sequence[str], environment: Environment | None = None) -> int:
     """Run the tool and return its exit status."""
     environment = environment or Environment()
-    application = Application('catkinslip', __version__)
+    try:
+        return build_application(environment).run(
+            ArgvInput([PROGRAM, *arguments]),
+            StreamOutput(environment.stdout),
+            StreamOutput(environment.stderr),
+        )
+    except CleoError as error:
+        hint = f'See {PROGRAM} list, or {PROGRAM} help COMMAND.'
+        print(f'{str(error).rstrip(".")}. {hint}', file=environment.stderr)
+        return ExitStatus.USAGE
+
+
+def build_application(environment: Environment) -> Application:
+    """Return the application with all commands."""
+    application = Application(PROGRAM, __version__)
     application.auto_exits(False)
-    for command in (ReadCommand, ApplyCommand, StatusCommand):
+    application.catch_exceptions(False)
+    application.add(HelpCommand())
+    for command in COMMANDS:
         application.add(command(environment))
-    return application.run(ArgvInput(['catkinslip', *arguments]))
+    return application
--- /dev/null
+++ b/catkinslip/cli/base.py
@@ -0,0 +1,94 @@
+"""What all commands share: settings, clients and printing."""
+
+from abc import abstractmethod
+from typing import Any, ClassVar
+
+import httpx
+import trio
+from cleo.commands.command import Command
+from returns.result import Failure, Success
+
+from catkinslip.cli import definition as defined
+from catkinslip.cli.definition import Definition
+from catkinslip.cli.output import Printer
+from catkinslip.control.app import SECRET_HEADER
+from catkinslip.environment import Environment
+from catkinslip.platform.http import HttpStore
+from catkinslip.settings.base import Option, read_values, with_secret_files
+from catkinslip.settings.flags import cleo_option
+from catkinslip.status import ExitStatus
+
+
+class BaseCommand(Command):
+    """A command that is declared by a definition and runs under trio."""
+
+    declared: ClassVar[Definition]
+
+    def __init__(self, environment: Environment) -> None:
+        declared = self.declared
+        self.environment = environment
+        self.name = declared.name
+        self.description = declared.summary
+        self.settings = with_secret_files(declared.settings)
+        self.arguments = list(declared.arguments)
+        self.options = [*map(cleo_option, self.settings), *declared.switches]
+        self.value_by_field: dict[str, Any] = {}
+        super().__init__()
+
+    @abstractmethod
+    async def main(self) -> ExitStatus:
+        """Do the command's work and return its exit status."""
+
+    def handle(self) -> int:
+        """Read all settings, then do the command's work."""
+        flags = {each.field: self.option(each.name) for each in self.settings}
+        match read_values(self.settings, flags, self.environment.variables):
+            case Failure(error):
+                for mistake in error.mistakes:
+                    self.printer.error(mistake)
+                return int(ExitStatus.USAGE)
+            case Success(value_by_field):
+                self.value_by_field = value_by_field
+        return int(trio.run(self.main))
+
+    @property
+    def printer(self) -> Printer:
+        """Return what prints data and errors."""
+        return Printer(self.io, self.is_json)
+
+    @property
+    def is_json(self) -> bool:
+        """Tell whether data is wanted as JSON."""
+        return self.definition.has_option('json') and self.option('json')
+
+    def value(self, option: Option) -> Any:
+        """Return the checked value of a setting."""
+        return self.value_by_field[option.field]
+
+    def open_store(self) -> 'StoreClient':
+        """Return a context that opens the platform's object API."""
+        return StoreClient(
+            self.value(defined.PLATFORM_URL), self.value(defined.PLATFORM_TIMEOUT)
+        )
+
+    def open_control(self) -> httpx.AsyncClient:
+        """Return a context that opens a client of control surfaces."""
+        return httpx.AsyncClient(
+            headers={SECRET_HEADER: self.value(defined.SHARED_SECRET)},
+            timeout=self.value(defined.CONTROL_TIMEOUT),
+        )
+
+
+class StoreClient:
+    """Open the platform's object API for one command."""
+
+    def __init__(self, url: str, timeout: float) -> None:
+        self.client = httpx.AsyncClient(base_url=url, timeout=timeout)
+        self.timeout = timeout
+
+    async def __aenter__(self) -> HttpStore:
+        await self.client.__aenter__()
+        return HttpStore(self.client, self.timeout)
+
+    async def __aexit__(self, *details: Any) -> None:
+        await self.client.__aexit__(*details)
--- /dev/null
+++ b/catkinslip/cli/help.py
@@ -0,0 +1,86 @@
+"""Write the help of a command from its definition."""
+
+from collections.abc import Iterable, Sequence
+
+from cleo.commands.help_command import HelpCommand as CleoHelpCommand
+
+from catkinslip.cli.base import BaseCommand
+from catkinslip.cli.definition import Definition
+from catkinslip.cli.output import Printer
+from catkinslip.settings.base import Option, with_secret_files
+from catkinslip.status import ExitStatus
+
+COMMON_STATUSES = (ExitStatus.SUCCESS, ExitStatus.ERROR, ExitStatus.USAGE)
+GENERAL = 'General'
+
+
+class HelpCommand(CleoHelpCommand):
+    """Show the help of a command."""
+
+    description = 'Show the help of a command.'
+
+    def handle(self) -> int:
+        """Run the command."""
+        if self._command is None:
+            self._command = self.application.find(self.argument('command_name'))
+        if not isinstance(self._command, BaseCommand):
+            return super().handle()
+        Printer(self.io).sentence(help_text(self._command.declared))
+        self._command = None
+        return int(ExitStatus.SUCCESS)
+
+
+def help_text(definition: Definition) -> str:
+    """Return the help: usage, meaning, flags by group, examples, exit statuses."""
+    parts = [usage(definition), definition.help]
+    if definition.arguments:
+        parts.append(section('Arguments', argument_lines(definition)))
+    for group, options in by_group(with_secret_files(definition.settings)).items():
+        lines = (f'--{each.name}=VALUE\n      {each.sentences}' for each in options)
+        parts.append(section(group, lines))
+    parts.append(section(GENERAL, switch_lines(definition)))
+    if definition.examples:
+        lines = (f'# {each.meaning}\n  {each.line}' for each in definition.examples)
+        parts.append(section('Examples', lines))
+    statuses = sorted({*COMMON_STATUSES, *definition.statuses})
+    lines = (f'{status.value}  {status.meaning}' for status in statuses)
+    parts.append(section('Exit statuses', lines))
+    return '\n\n'.join(parts)
+
+
+def usage(definition: Definition) -> str:
+    """Return the line that shows how to call a command."""
+    words = ['catkinslip', definition.name]
+    for each in definition.arguments:
+        name = f'<{each.name}>'
+        words.append(name if each.is_required() else f'[{name}]')
+    return 'Usage: ' + ' '.join((*words, '[flags]'))
+
+
+def argument_lines(definition: Definition) -> list[str]:
+    """Return a line for each argument."""
+    return [f'<{each.name}>\n      {each.description}' for each in definition.arguments]
+
+
+def switch_lines(definition: Definition) -> list[str]:
+    """Return a line for each flag that has no variable."""
+    lines = []
+    for each in definition.switches:
+        value = '=VALUE' if each.accepts_value() else ''
+        lines.append(f'--{each.name}{value}\n      {each.description}')
+    lines.append('--quiet, -q\n      Print errors only.')
+    lines.append('--help, -h\n      Show this help.')
+    return lines
+
+
+def section(title: str, lines: Iterable[str]) -> str:
+    """Return a titled section of the help."""
+    return '\n'.join((f'{title}:', *(f'  {line}' for line in lines)))
+
+
+def by_group(options: Sequence[Option]) -> dict[str, list[Option]]:
+    """Return the options by group, in the order of their declaration."""
+    options_by_group: dict[str, list[Option]] = {}
+    for option in options:
+        options_by_group.setdefault(option.group, []).append(option)
+    return options_by_group
--- /dev/null
+++ b/catkinslip/cli/instances.py
@@ -0,0 +1,140 @@
+"""Commands that show instances."""
+
+from abc import abstractmethod
+from collections.abc import Sequence
+from typing import Any, ClassVar
+
+import httpx
+import trio
+
+from catkinslip.cli import definition as defined
+from catkinslip.cli.base import BaseCommand
+from catkinslip.cli.output import table
+from catkinslip.status import ExitStatus
+
+STATUS_PATH = '/v1/status'
+
+
+class InstanceCommand(BaseCommand):
+    """A command that asks one instance over its control surface, then others."""
+
+    path: ClassVar[str] = STATUS_PATH
+
+    async def main(self) -> ExitStatus:
+        """Do the command's work and return its exit status."""
+        async with self.open_control() as client:
+            first = await self.ask(client, self.value(defined.CONTROL), self.path)
+            if first is None:
+                return ExitStatus.UNREACHABLE
+            return await self.show(client, first)
+
+    @abstractmethod
+    async def show(
+        self, client: httpx.AsyncClient, first: httpx.Response
+    ) -> ExitStatus:
+        """Show the first answer, and ask others where it takes them."""
+
+    async def ask(
+        self, client: httpx.AsyncClient, address: str, path: str
+    ) -> httpx.Response | None:
+        """Ask an instance; say why and return None when it gives no answer."""
+        try:
+            response = await client.get(f'http://{address}{path}')
+        except httpx.HTTPError as error:
+            self.printer.error(
+                f'{address} did not answer: {describe(error)}. Check --control, and '
+                'that the daemon runs.'
+            )
+            return None
+        if response.status_code == httpx.codes.FORBIDDEN:
+            self.printer.error(
+                f'{address} refused the shared secret. Set CATKINSLIP_SHARED_SECRET '
+                'or --shared-secret-file to the secret of the daemons.'
+            )
+            return None
+        return response
+
+
+class StatusCommand(InstanceCommand):
+    """Show what one instance knows and does."""
+
+    declared = defined.STATUS
+
+    async def show(
+        self, client: httpx.AsyncClient, first: httpx.Response
+    ) -> ExitStatus:
+        """Show the status of the instance."""
+        plain = first.json()
+        self.printer.data(plain, lambda: status_lines(plain))
+        return ExitStatus.SUCCESS
+
+
+class InstancesCommand(InstanceCommand):
+    """Show every instance and its configuration in force."""
+
+    declared = defined.INSTANCES
+
+    async def show(
+        self, client: httpx.AsyncClient, first: httpx.Response
+    ) -> ExitStatus:
+        """Show all members of the instance."""
+        members = first.json()['members']
+        plain_by_id: dict[str, Any] = {}
+        async with trio.open_nursery() as nursery:
+            for member in members:
+                nursery.start_soon(self._ask_member, client, member, plain_by_id)
+        plain = [
+            {**member, 'status': plain_by_id.get(member['member_id'])}
+            for member in sorted(members, key=lambda each: each['member_id'])
+        ]
+        self.printer.data(plain, lambda: instance_lines(plain))
+        silent = any(each['status'] is None for each in plain)
+        return ExitStatus.UNREACHABLE if silent else ExitStatus.SUCCESS
+
+    async def _ask_member(
+        self, client: httpx.AsyncClient, member: dict, plain_by_id: dict[str, Any]
+    ) -> None:
+        response = await self.ask(client, member['control_address'], STATUS_PATH)
+        if response is not None:
+            plain_by_id[member['member_id']] = response.json()
+
+
+def describe(error: httpx.HTTPError) -> str:
+    """Return what went wrong, in words."""
+    return str(error) or type(error).__name__
+
+
+def status_lines(plain: dict[str, Any]) -> Sequence[str]:
+    """Return the status of one instance for people."""
+    member = plain['member']
+    version = plain['config_version']
+    others = [each['member_id'] for each in plain['members']]
+    return (
+        f'Instance {member["member_id"]} in {member["zone"]}, '
+        f'{"leaving" if member["leaving"] else "live"}.',
+        f'Callers reach it at {member["address"]}, '
+        f'peers and operators at {member["control_address"]}.',
+        f'Configuration version {version["number"]} is in force.',
+        f'It knows {len(others)} instances: {", ".join(sorted(others))}.',
+    )
+
+
+def instance_lines(plain: Sequence[dict[str, Any]]) -> Sequence[str]:
+    """Return a table of all instances."""
+    heads = ('instance', 'zone', 'address', 'control', 'state', 'version')
+    rows = []
+    for each in plain:
+        status = each['status']
+        version = status['config_version']['number'] if status else '-'
+        state = 'leaving' if each['leaving'] else 'live'
+        rows.append(
+            (
+                each['member_id'],
+                each['zone'],
+                each['address'],
+                each['control_address'],
+                state if status else 'silent',
+                version,
+            )
+        )
+    return table(heads, rows)
--- /dev/null
+++ b/catkinslip/cli/output.py
@@ -0,0 +1,59 @@
+"""Print data and errors of commands."""
+
+from collections.abc import Callable, Sequence
+
+import orjson
+from attrs import frozen
+from cleo.io.io import IO
+from cleo.io.outputs.output import Type, Verbosity
+
+COLUMN_GAP = '  '
+
+
+@frozen
+class Printer:
+    """Print to the streams of one command."""
+
+    io: IO
+    is_json: bool = False
+
+    def sentence(self, text: str) -> None:
+        """Print a sentence for people."""
+        self.io.write_line(text, type=Type.RAW)
+
+    def error(self, text: str) -> None:
+        """Print an error, also when the command is told to be quiet."""
+        self.io.write_error_line(text, verbosity=Verbosity.QUIET, type=Type.RAW)
+
+    def data(self, plain: object, sentences: Callable[[], Sequence[str]]) -> None:
+        """Print plain data as JSON if that is wanted, else sentences about it."""
+        if self.is_json:
+            self.json(plain)
+            return
+        for line in sentences():
+            self.sentence(line)
+
+    def json(self, plain: object) -> None:
+        """Print plain data as JSON."""
+        options = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
+        self.sentence(orjson.dumps(plain, option=options).decode())
+
+
+def table(heads: Sequence[str], rows: Sequence[Sequence[object]]) -> list[str]:
+    """Return the lines of a table; columns of numbers stand to the right."""
+    texts = [[str(cell) for cell in row] for row in rows]
+    columns = list(zip(heads, *texts, strict=True))
+    widths = [max(map(len, column)) for column in columns]
+    numeric = [is_numeric(column[1:]) for column in columns]
+    return [
+        COLUMN_GAP.join(
+            cell.rjust(width) if right else cell.ljust(width)
+            for cell, width, right in zip(line, widths, numeric, strict=True)
+        ).rstrip()
+        for line in (list(heads), *texts)
+    ]
+
+
+def is_numeric(cells: Sequence[str]) -> bool:
+    """Tell whether all cells of a column are numbers or empty marks."""
+    return all(cell == '-' or cell.replace('.', '', 1).isdigit() for cell in cells)
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -1,9 +1,9 @@
-"""The daemon: read settings, wire the parts, serve until told to stop."""
+"""The daemon: wire the parts and serve until told to stop."""
 
 import logging
 import signal
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from functools import partial
 
 import httpx
@@ -12,9 +12,7 @@
 from attrs import define
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve as serve_asgi
-from returns.result import Failure, Result, Success
 
-from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.topic import ConfigTopic
@@ -32,39 +30,16 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.policies import LeastInFlight
-from catkinslip.settings.base import SettingsError, build_parser, read_values
-from catkinslip.settings.daemon import OPTIONS, DaemonSettings
-from catkinslip.status import ExitStatus
+from catkinslip.settings.daemon import DaemonSettings
 
-DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
 
 log = logging.getLogger('daemon')
 
 
-def run(arguments: Sequence[str], environment: Environment | None = None) -> ExitStatus:
-    """Run the daemon until it is told to stop."""
-    environment = environment or Environment()
-    match read_settings(arguments, environment):
-        case Failure(error):
-            for mistake in error.mistakes:
-                print(mistake, file=environment.stderr)
-            return ExitStatus.USAGE
-        case Success(settings):
-            logs.configure(settings.log_level, environment.stderr)
-            trio.run(serve, settings, environment)
-    return ExitStatus.SUCCESS
-
-
-def read_settings(
-    arguments: Sequence[str], environment: Environment
-) -> Result[DaemonSettings, SettingsError]:
-    """Read settings from flags and variables."""
-    parser = build_parser('catkinslipd', DESCRIPTION, OPTIONS)
-    flags = vars(parser.parse_args(arguments))
-    values = read_values(OPTIONS, flags, environment.variables)
-    return values.map(lambda value_by_field: DaemonSettings(**value_by_field))
+class ListenError(Exception):
+    """A listener could not be opened; the text names the settings at fault."""
 
 
 @define
@@ -83,10 +58,12 @@
 
 async def serve(settings: DaemonSettings, environment: Environment) -> None:
     """Serve callers, peers and operators until told to stop."""
-    listeners = await trio.open_tcp_listeners(
-        settings.listen_port, host=settings.listen_host, backlog=LISTEN_BACKLOG
-    )
-    control_socket = await bind_control(settings)
+    with binding('--listen-host and --listen-port'):
+        listeners = await trio.open_tcp_listeners(
+            settings.listen_port, host=settings.listen_host, backlog=LISTEN_BACKLOG
+        )
+    with binding('--control-host and --control-port'):
+        control_socket = await bind_control(settings)
     own = Member(
         settings.instance_id,
         new_incarnation(environment),
@@ -160,6 +137,15 @@
         yield platform_client, peer_client
 
 
+@contextmanager
+def binding(flags: str) -> Iterator[None]:
+    """Raise ListenError for an address that cannot be listened on."""
+    try:
+        yield
+    except OSError as error:
+        raise ListenError(f'cannot listen on {flags}: {error.strerror}') from error
+
+
 def bound_address(sock: trio.socket.SocketType) -> str:
     """Return host:port that a socket is bound to."""
     host, port = sock.getsockname()[:2]
--- a/catkinslip/daemon.py
+++ b/catkinslip/daemon.py
@@ -1,8 +1,28 @@
 """Run the daemon, one process per entry instance."""
 
+import logging
 import sys
+from collections.abc import Sequence
 
-from catkinslip.core import run
+import trio
+from returns.result import Failure, Success
+
+from catkinslip import __version__, logs
+from catkinslip.cli.definition import all_settings
+from catkinslip.core import ListenError, serve
+from catkinslip.environment import Environment
+from catkinslip.settings.base import with_secret_files
+from catkinslip.settings.daemon import OPTIONS, DaemonSettings
+from catkinslip.settings.start import (
+    PROGRAM,
+    daemon_help,
+    parse_daemon_flags,
+    read_daemon_settings,
+    unknown_variables,
+)
+from catkinslip.status import ExitStatus
+
+log = logging.getLogger('daemon')
 
 
 def main() -> None:
@@ -10,5 +30,62 @@
     sys.exit(run(sys.argv[1:]))
 
 
+def run(arguments: Sequence[str], environment: Environment | None = None) -> ExitStatus:
+    """Run the daemon until it is told to stop."""
+    environment = environment or Environment()
+    flags = parse_daemon_flags(arguments)
+    if 'help' in flags.switches:
+        print(daemon_help(), file=environment.stdout)
+        return ExitStatus.SUCCESS
+    if 'version' in flags.switches:
+        print(f'{PROGRAM} {__version__}', file=environment.stdout)
+        return ExitStatus.SUCCESS
+    match read_daemon_settings(flags, environment.variables):
+        case Failure(error):
+            for mistake in error.mistakes:
+                print(mistake, file=environment.stderr)
+            return ExitStatus.USAGE
+        case Success(settings):
+            if 'check' in flags.switches:
+                for name in stray_variables(environment):
+                    print(
+                        f'No setting reads the variable {name}.',
+                        file=environment.stderr,
+                    )
+                print('The settings are right.', file=environment.stdout)
+                return ExitStatus.SUCCESS
+            return start(settings, environment)
+
+
+def start(settings: DaemonSettings, environment: Environment) -> ExitStatus:
+    """Serve until told to stop."""
+    logs.configure(settings.log_level, environment.stderr)
+    warn(settings, environment)
+    try:
+        trio.run(serve, settings, environment)
+    except ListenError as error:
+        log.error('daemon: %s.', error)
+        return ExitStatus.USAGE
+    return ExitStatus.SUCCESS
+
+
+def warn(settings: DaemonSettings, environment: Environment) -> None:
+    """Log what is allowed but dangerous."""
+    if not settings.shared_secret:
+        log.warning(
+            'daemon: the control surface asks for no secret; anyone who reaches %s '
+            'can act as a peer. Set CATKINSLIP_SHARED_SECRET.',
+            settings.control_host,
+        )
+    for name in stray_variables(environment):
+        log.warning('daemon: no setting reads the variable %s.', name)
+
+
+def stray_variables(environment: Environment) -> list[str]:
+    """Return the names of variables with our prefix that neither program reads."""
+    known = with_secret_files((*OPTIONS, *all_settings()))
+    return unknown_variables(environment.variables, known)
+
+
 if __name__ == '__main__':
     main()
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -2,7 +2,13 @@
 
 from attrs import frozen
 
-from catkinslip.settings.base import Option, number, one_of, whole_number, words
+from catkinslip.settings.base import Option, number, one_of, whole_number
+from catkinslip.settings.values import (
+    addresses,
+    http_url_or_empty,
+    ip_number,
+    required,
+)
 
 IDENTITY = 'Identity'
 LISTENERS = 'Listeners'
@@ -14,19 +20,12 @@
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 
-def required(text: str) -> str:
-    """Return the text; raise ValueError when it is empty."""
-    if not text:
-        raise ValueError('a value is required')
-    return text
-
-
 OPTIONS = (
     Option('--instance-id', '', required, 'Name of this instance.', IDENTITY),
     Option('--zone', '', required, 'Availability zone of this instance.', IDENTITY),
     Option('--region', 'default', required, 'Region of this instance.', IDENTITY),
     Option(
-        '--listen-host', '127.0.0.1', required, 'IP number callers reach.', LISTENERS
+        '--listen-host', '127.0.0.1', ip_number, 'IP number callers reach.', LISTENERS
     ),
     Option(
         '--listen-port',
@@ -38,7 +37,7 @@
     Option(
         '--control-host',
         '127.0.0.1',
-        required,
+        ip_number,
         'IP number that peers and operators reach.',
         LISTENERS,
     ),
@@ -53,14 +52,15 @@
         '--shared-secret',
         '',
         str,
-        'Secret that peers and operators must present.',
+        'Secret that peers and operators must present; a flag shows in the process '
+        'list, so prefer the variable or the file.',
         LISTENERS,
         secret=True,
     ),
     Option(
         '--platform-url',
         '',
-        str,
+        http_url_or_empty,
         'URL of the object API; empty uses the embedded store.',
         PLATFORM,
     ),
@@ -74,7 +74,7 @@
     Option(
         '--seeds',
         '',
-        words,
+        addresses,
         'Control addresses of some peers, host:port, separated by commas.',
         PEERS,
     ),
@@ -122,3 +122,19 @@
     address_lifetime: float
     request_timeout: float
     log_level: str
+
+
+def check_together(settings: DaemonSettings) -> tuple[str, ...]:
+    """Return a sentence for each pair of settings that cannot be used together."""
+    mistakes = []
+    port = settings.listen_port
+    if port and (settings.listen_host, port) == (
+        settings.control_host,
+        settings.control_port,
+    ):
+        mistakes.append(
+            '--listen-port (CATKINSLIP_LISTEN_PORT) and --control-port '
+            f'(CATKINSLIP_CONTROL_PORT) are both {port} on {settings.listen_host}; '
+            'callers and operators need a listener each.'
+        )
+    return tuple(mistakes)
--- /dev/null
+++ b/tests/test_settings_start.py
@@ -0,0 +1,92 @@
+"""The daemon's settings, checked as a whole at its start."""
+
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from catkinslip.daemon import run
+from catkinslip.environment import Environment
+from catkinslip.settings.base import read_values, with_secret_files
+from catkinslip.settings.daemon import OPTIONS
+from catkinslip.status import ExitStatus
+
+SECRET = 'swordfish'
+
+
+def check(*arguments: str, **variables: str) -> tuple[ExitStatus, str]:
+    """Run the daemon with --check; return its status and what it said."""
+    output = io.StringIO()
+    environment = Environment(variables, output, output)
+    return run([*arguments, '--check'], environment), output.getvalue()
+
+
+class SettingsStartTest(unittest.TestCase):
+    """Every mistake is told at once, with flag, variable, unit and range."""
+
+    def test_right_settings_from_flags_and_variables(self):
+        status, said = check('--zone=zone-a', CATKINSLIP_INSTANCE_ID='entry-1')
+        self.assertEqual(
+            (status, said), (ExitStatus.SUCCESS, 'The settings are right.\n')
+        )
+
+    def test_every_mistake_is_told_at_once(self):
+        status, said = check(
+            '--instnce-id=entry-1',
+            '--zone',
+            '--platform-timeout=900',
+            '--seeds=10.0.0.1:7001,10.0.0.2',
+            '--platform-url=ftp://10.0.0.9',
+            'stray',
+            CATKINSLIP_LISTEN_HOST='example.org',
+        )
+        self.assertEqual(status, ExitStatus.USAGE)
+        for expected in (
+            '--instnce-id is not a flag. Did you mean --instance-id?',
+            '--zone needs a value.',
+            "'stray' stands behind no flag.",
+            '--instance-id (CATKINSLIP_INSTANCE_ID) is missing.',
+            "--platform-timeout (CATKINSLIP_PLATFORM_TIMEOUT): '900' is wrong; "
+            'it must be from 0.05 to 60 seconds.',
+            '--seeds (CATKINSLIP_SEEDS)',
+            '--platform-url (CATKINSLIP_PLATFORM_URL)',
+            "--listen-host (CATKINSLIP_LISTEN_HOST): 'example.org' is wrong; "
+            'it must be an IP number.',
+        ):
+            self.assertIn(expected, said)
+
+    def test_settings_that_clash_are_told_together(self):
+        status, said = check(
+            '--instance-id=entry-1',
+            '--zone=zone-a',
+            '--listen-port=7000',
+            '--control-port=7000',
+        )
+        self.assertEqual(status, ExitStatus.USAGE)
+        self.assertIn('--control-port (CATKINSLIP_CONTROL_PORT)', said)
+
+    def test_secret_comes_from_a_file_and_is_never_printed(self):
+        with tempfile.NamedTemporaryFile('w') as file:
+            file.write(SECRET + '\n')
+            file.flush()
+            variables = {'CATKINSLIP_SHARED_SECRET_FILE': file.name}
+            values = read_values(
+                with_secret_files(OPTIONS),
+                {'instance_id': 'entry-1', 'zone': 'zone-a'},
+                variables,
+            ).unwrap()
+        self.assertEqual(values['shared_secret'], SECRET)
+        _, said = check(f'--shared-secret={SECRET}', '--platform-timeout=900')
+        self.assertNotIn(SECRET, said)
+
+    def test_secret_file_that_cannot_be_read_is_a_mistake(self):
+        missing = str(Path(tempfile.gettempdir()) / 'no-such-folder' / 'secret')
+        _, said = check(CATKINSLIP_SHARED_SECRET_FILE=missing)
+        self.assertIn('--shared-secret-file', said)
+        self.assertIn('No such file', said)
+
+    def test_variable_that_no_setting_reads_is_told(self):
+        _, said = check(
+            '--zone=zone-a', CATKINSLIP_INSTANCE_ID='entry-1', CATKINSLIP_ZON='b'
+        )
+        self.assertIn('CATKINSLIP_ZON', said)
