Count, trace and explain each request; buffer log lines

Cause: nothing was measured, a request could not be explained, and each log line was written in the request path, where a reader that is stuck stops the daemon. Ruled out: logging.handlers.QueueHandler (a thread) and MemoryHandler (flushes inside the request). Change: RequestObserver tells counts and traces; services have histograms of two digits, backend servers of one; quantiles cover one to two minutes. A bounded log buffer written by one task counts what it loses. /metrics, /v1/metrics and /v1/requests/ID on the control surface; catkinslip metrics and explain. Guards removed, tests seen to fail: bound and count of the buffer, writing at the end, non-blocking pipe, bound of series, forgotten servers, trace leak.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo clean
+.PHONY: install lint format test demo bench-logs clean
 
 install: $(STAMP)
 
@@ -27,5 +27,8 @@
 demo: install
 	$(RUN) -m standins.demo
 
+bench-logs: install
+	$(RUN) -m benchmarks.logs
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of them is imported by the product."""
--- a/catkinslip/cli/application.py
+++ b/catkinslip/cli/application.py
@@ -9,13 +9,22 @@
 
 from catkinslip import __version__
 from catkinslip.cli.configuration import ApplyCommand, ReadCommand
+from catkinslip.cli.explain import ExplainCommand
 from catkinslip.cli.help import HelpCommand
 from catkinslip.cli.instances import InstancesCommand, StatusCommand
+from catkinslip.cli.metrics import MetricsCommand
 from catkinslip.environment import Environment
 from catkinslip.status import ExitStatus
 
 PROGRAM = 'catkinslip'
-COMMANDS = (ReadCommand, ApplyCommand, StatusCommand, InstancesCommand)
+COMMANDS = (
+    ReadCommand,
+    ApplyCommand,
+    StatusCommand,
+    InstancesCommand,
+    MetricsCommand,
+    ExplainCommand,
+)
 
 
 def run(arguments: Sequence[str], environment: Environment | None = None) -> int:
--- a/catkinslip/cli/definition.py
+++ b/catkinslip/cli/definition.py
@@ -136,7 +136,47 @@
     statuses=(ExitStatus.UNREACHABLE,),
 )
 
-COMMANDS = (READ, APPLY, STATUS, INSTANCES)
+METRICS = Definition(
+    'metrics',
+    'Show what one instance has measured.',
+    'Asks one instance for its counts and durations. Quantiles cover the last one to '
+    'two minutes; counts cover the time since the start of the daemon. The same '
+    'values are at /metrics of the control address in the Prometheus text format.',
+    INSTANCE,
+    switches=(JSON,),
+    examples=(
+        Example('Show one instance.', 'catkinslip metrics --control 10.0.0.1:7001'),
+        Example('Take the data into a script.', 'catkinslip metrics --json'),
+    ),
+    statuses=(ExitStatus.UNREACHABLE,),
+)
+
+EXPLAIN = Definition(
+    'explain',
+    'Explain what became of one request.',
+    'Asks one instance for its members, then asks each for the request: which servers '
+    'were chosen and why, how each attempt ended and what the caller was told. Each '
+    'instance remembers its last 2,000 requests; for older ones give a log file.',
+    INSTANCE,
+    (argument('request-id', 'Value of the answer header Catkinslip-Request-Id.'),),
+    (
+        JSON,
+        option('log', None, 'Log file to read; no instance is asked.', flag=False),
+    ),
+    (
+        Example(
+            'Ask all instances.',
+            'catkinslip explain 7f3a90c2d14b5e66 --control 10.0.0.1:7001',
+        ),
+        Example(
+            'Read a log file instead.',
+            'catkinslip explain 7f3a90c2d14b5e66 --log catkinslipd.log',
+        ),
+    ),
+    (ExitStatus.UNREACHABLE, ExitStatus.NOT_FOUND),
+)
+
+COMMANDS = (READ, APPLY, STATUS, INSTANCES, METRICS, EXPLAIN)
 
 
 def all_settings() -> tuple[Option, ...]:
--- /dev/null
+++ b/catkinslip/cli/explain.py
@@ -0,0 +1,97 @@
+"""The command that explains one request."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from catkinslip.cli import definition as defined
+from catkinslip.cli.instances import InstanceCommand
+from catkinslip.clock import utc_text
+from catkinslip.control.operators import REQUESTS_PATH, STATUS_PATH
+from catkinslip.status import ExitStatus
+
+MILLISECONDS = 1000
+
+
+class ExplainCommand(InstanceCommand):
+    """Explain what became of one request."""
+
+    declared = defined.EXPLAIN
+    path = STATUS_PATH
+
+    def handle(self) -> int:
+        """Read a log file, or do as other commands."""
+        if self.option('log') is None:
+            return super().handle()
+        return int(self._read_log(Path(self.option('log'))))
+
+    async def show(
+        self, client: httpx.AsyncClient, first: httpx.Response
+    ) -> ExitStatus:
+        """Ask all members for the request."""
+        members = first.json()['members']
+        request_id = self.argument('request-id')
+        answers = await self.ask_all(client, members, REQUESTS_PATH + request_id)
+        traces = [trace for plain in answers.values() for trace in plain['traces']]
+        traces.sort(key=lambda trace: trace['began_at'])
+        if not traces:
+            return self._tell_not_found(f'{len(answers)} of {len(members)} instances')
+        self.printer.data(traces, lambda: list(trace_lines(traces)))
+        silent = len(answers) < len(members)
+        return ExitStatus.UNREACHABLE if silent else ExitStatus.SUCCESS
+
+    def _read_log(self, path: Path) -> ExitStatus:
+        request_id = self.argument('request-id')
+        try:
+            with path.open(errors='replace') as file:
+                lines = [line.rstrip('\n') for line in file if request_id in line]
+        except OSError as error:
+            self.printer.error(f'--log: {path}: {error.strerror}.')
+            return ExitStatus.USAGE
+        if not lines:
+            return self._tell_not_found(str(path))
+        self.printer.data(lines, lambda: lines)
+        return ExitStatus.SUCCESS
+
+    def _tell_not_found(self, place: str) -> ExitStatus:
+        self.printer.error(
+            f'Request {self.argument("request-id")} is not known to {place}. Each '
+            'instance remembers its last requests only; read older ones with --log.'
+        )
+        return ExitStatus.NOT_FOUND
+
+
+def trace_lines(traces: list[dict[str, Any]]) -> Iterator[str]:
+    """Return the traces of one request as sentences."""
+    for trace in traces:
+        repeatable = 'repeatable' if trace['repeatable'] else 'not repeatable'
+        yield (
+            f'{utc_text(trace["began_at"])} {trace["instance"]} took '
+            f'{trace["method"]} {trace["path"]} for {trace["service"]}, {repeatable}.'
+        )
+        yield from attempt_lines(trace['attempts'])
+        if trace['outcome']:
+            yield (
+                f'The request ended after {trace["seconds"] * MILLISECONDS:.1f} ms; '
+                f'the caller was told: {trace["outcome"]}.'
+            )
+        else:
+            yield 'The request is in flight.'
+
+
+def attempt_lines(attempts: list[dict[str, Any]]) -> Iterator[str]:
+    """Return the attempts of one trace as sentences."""
+    if not attempts:
+        yield 'No backend server was chosen.'
+    for number, attempt in enumerate(attempts, 1):
+        yield (
+            f'Attempt {number} went to {attempt["backend_id"]}, one of '
+            f'{attempt["candidates"]} servers: {attempt["reason"]}.'
+        )
+        if attempt['outcome']:
+            yield (
+                f'Attempt {number} ended after '
+                f'{attempt["seconds"] * MILLISECONDS:.1f} ms: {attempt["outcome"]}.'
+            )
--- a/catkinslip/cli/instances.py
+++ b/catkinslip/cli/instances.py
@@ -10,10 +10,9 @@
 from catkinslip.cli import definition as defined
 from catkinslip.cli.base import BaseCommand
 from catkinslip.cli.output import table
+from catkinslip.control.operators import STATUS_PATH
 from catkinslip.status import ExitStatus
 
-STATUS_PATH = '/v1/status'
-
 
 class InstanceCommand(BaseCommand):
     """A command that asks one instance over its control surface, then others."""
@@ -54,6 +53,22 @@
             return None
         return response
 
+    async def ask_all(
+        self, client: httpx.AsyncClient, members: Sequence[dict], path: str
+    ) -> dict[str, Any]:
+        """Ask all members at once; return the plain answers by member."""
+        plain_by_id: dict[str, Any] = {}
+
+        async def ask_member(member: dict) -> None:
+            response = await self.ask(client, member['control_address'], path)
+            if response is not None:
+                plain_by_id[member['member_id']] = response.json()
+
+        async with trio.open_nursery() as nursery:
+            for member in members:
+                nursery.start_soon(ask_member, member)
+        return plain_by_id
+
 
 class StatusCommand(InstanceCommand):
     """Show what one instance knows and does."""
@@ -79,10 +94,7 @@
     ) -> ExitStatus:
         """Show all members of the instance."""
         members = first.json()['members']
-        plain_by_id: dict[str, Any] = {}
-        async with trio.open_nursery() as nursery:
-            for member in members:
-                nursery.start_soon(self._ask_member, client, member, plain_by_id)
+        plain_by_id = await self.ask_all(client, members, STATUS_PATH)
         plain = [
             {**member, 'status': plain_by_id.get(member['member_id'])}
             for member in sorted(members, key=lambda each: each['member_id'])
@@ -91,13 +103,6 @@
         silent = any(each['status'] is None for each in plain)
         return ExitStatus.UNREACHABLE if silent else ExitStatus.SUCCESS
 
-    async def _ask_member(
-        self, client: httpx.AsyncClient, member: dict, plain_by_id: dict[str, Any]
-    ) -> None:
-        response = await self.ask(client, member['control_address'], STATUS_PATH)
-        if response is not None:
-            plain_by_id[member['member_id']] = response.json()
-
 
 def describe(error: httpx.HTTPError) -> str:
     """Return what went wrong, in words."""
--- a/catkinslip/clock.py
+++ b/catkinslip/clock.py
@@ -26,3 +26,9 @@
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
         return time.time()
+
+
+def utc_text(wall: float) -> str:
+    """Return a time since the Unix epoch as text in UTC, with milliseconds."""
+    text = time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(wall))
+    return f'{text}.{int(wall % 1 * 1000):03d}Z'
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -7,7 +7,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from catkinslip.config.holder import ConfigHolder
+from catkinslip.control.operators import OperatorPages
 from catkinslip.membership.exchange import PATH, ExchangeMessage, PeerExchange
 
 SECRET_HEADER = 'Catkinslip-Secret'
@@ -18,7 +18,7 @@
     """Answer peers and operators."""
 
     peers: PeerExchange
-    config: ConfigHolder
+    operators: OperatorPages
     shared_secret: str
 
     def make_app(self) -> QuartTrio:
@@ -26,11 +26,11 @@
         app = QuartTrio('catkinslip.control')
         app.before_request(self._check_secret)
         app.add_url_rule(PATH, view_func=self._exchange, methods=['POST'])
-        app.add_url_rule('/v1/status', view_func=self._status)
+        self.operators.add_to(app)
         return app
 
     async def _check_secret(self) -> Response | None:
-        given = request.headers.get(SECRET_HEADER, '')
+        given = request.headers.get(SECRET_HEADER, '') or bearer_token()
         if hmac.compare_digest(given.encode(), self.shared_secret.encode()):
             return None
         return Response('The shared secret is missing or wrong.\n', status=403)
@@ -39,11 +39,8 @@
         message = cattrs.structure(await request.get_json(), ExchangeMessage)
         return cattrs.unstructure(self.peers.receive(message))
 
-    async def _status(self) -> dict:
-        current = self.config.current
-        return {
-            'member': cattrs.unstructure(self.peers.members.own),
-            'members': cattrs.unstructure(self.peers.members.live()),
-            'config_version': cattrs.unstructure(current.version),
-            'change_id': current.change_id,
-        }
+
+def bearer_token() -> str:
+    """Return the bearer token, which Prometheus sends, or an empty text."""
+    scheme, _, token = request.headers.get('Authorization', '').partition(' ')
+    return token if scheme.lower() == 'bearer' else ''
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -18,9 +18,13 @@
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
+from catkinslip.control.operators import OperatorPages
 from catkinslip.environment import Environment
+from catkinslip.logs.buffer import LogBuffer
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.metrics.platform import CountedStore
+from catkinslip.metrics.wiring import Metrics
 from catkinslip.models import Address
 from catkinslip.platform.base import ListedInstance, ObjectStore
 from catkinslip.platform.embedded import EmbeddedStore
@@ -54,9 +58,12 @@
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
+    metrics: Metrics
 
 
-async def serve(settings: DaemonSettings, environment: Environment) -> None:
+async def serve(
+    settings: DaemonSettings, environment: Environment, log_buffer: LogBuffer
+) -> None:
     """Serve callers, peers and operators until told to stop."""
     with binding('--listen-host and --listen-port'):
         listeners = await trio.open_tcp_listeners(
@@ -72,13 +79,16 @@
         bound_address(control_socket),
     )
     async with open_clients(settings) as (platform_client, peer_client):
-        daemon = wire(settings, environment, own, platform_client, peer_client)
+        daemon = wire(
+            settings, environment, own, platform_client, peer_client, log_buffer
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stop_on_signal, nursery.cancel_scope)
             nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(follow_peers, daemon)
+            nursery.start_soon(daemon.metrics.lag.run)
             announce_ready(own, environment)
         await daemon.pool.close()
 
@@ -89,20 +99,26 @@
     own: Member,
     platform_client: httpx.AsyncClient,
     peer_client: httpx.AsyncClient,
+    log_buffer: LogBuffer,
 ) -> Daemon:
     """Wire the parts of one daemon."""
-    store = make_store(settings, platform_client)
+    store = CountedStore(make_store(settings, platform_client))
     config = ConfigHolder()
     members = MemberTable(own)
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
-    forwarder = Forwarder(directory, pool, environment.clock)
+    metrics = Metrics.wire(
+        settings.instance_id, environment.clock, directory, config, members, log_buffer
+    )
+    forwarder = Forwarder(directory, pool, environment.clock, metrics.observer)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
     topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
+    sources = (*metrics.sources, store)
+    operators = OperatorPages(members, config, sources, metrics.traces)
     return Daemon(
         settings=settings,
         store=store,
@@ -110,10 +126,16 @@
         peers=peers,
         watcher=ConfigWatcher(store, config),
         callers=CallerServer(
-            environment, config, forwarder, addresses, settings.request_timeout
+            environment,
+            config,
+            forwarder,
+            addresses,
+            settings.request_timeout,
+            metrics.observer,
         ),
-        control=ControlSurface(peers, config, settings.shared_secret),
+        control=ControlSurface(peers, operators, settings.shared_secret),
         pool=pool,
+        metrics=metrics,
     )
 
 
--- a/catkinslip/daemon.py
+++ b/catkinslip/daemon.py
@@ -7,10 +7,14 @@
 import trio
 from returns.result import Failure, Success
 
-from catkinslip import __version__, logs
+from catkinslip import __version__
 from catkinslip.cli.definition import all_settings
 from catkinslip.core import ListenError, serve
 from catkinslip.environment import Environment
+from catkinslip.logs.buffer import LogBuffer
+from catkinslip.logs.flush import LogFlusher
+from catkinslip.logs.setup import configure_buffered
+from catkinslip.logs.writers import open_writer
 from catkinslip.settings.base import with_secret_files
 from catkinslip.settings.daemon import OPTIONS, DaemonSettings
 from catkinslip.settings.start import (
@@ -59,13 +63,25 @@
 
 def start(settings: DaemonSettings, environment: Environment) -> ExitStatus:
     """Serve until told to stop."""
-    logs.configure(settings.log_level, environment.stderr)
+    buffer = configure_buffered(settings.log_level)
     warn(settings, environment)
-    try:
-        trio.run(serve, settings, environment)
-    except ListenError as error:
-        log.error('daemon: %s.', error)
-        return ExitStatus.USAGE
+    return trio.run(serve_and_log, settings, environment, buffer)
+
+
+async def serve_and_log(
+    settings: DaemonSettings, environment: Environment, buffer: LogBuffer
+) -> ExitStatus:
+    """Serve, and write log lines until the last one."""
+    flusher = LogFlusher(buffer, open_writer(environment.stderr))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(flusher.run)
+        try:
+            await serve(settings, environment, buffer)
+        except ListenError as error:
+            log.error('daemon: %s.', error)
+            return ExitStatus.USAGE
+        finally:
+            nursery.cancel_scope.cancel()
     return ExitStatus.SUCCESS
 
 
--- /dev/null
+++ b/catkinslip/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines: buffered, written by one task, counted when lost."""
--- /dev/null
+++ b/catkinslip/logs/format.py
@@ -0,0 +1,28 @@
+"""Write a log record as one line."""
+
+import logging
+import time
+
+
+class LineFormatter(logging.Formatter):
+    """Write time in UTC, severity and sentence; reuse the text of each second."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second = -1
+        self.second_text = ''
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line, and the stack trace of an error below it."""
+        line = f'{self._time(record)} {record.levelname} {record.getMessage()}'
+        if record.exc_info:
+            line = f'{line}\n{self.formatException(record.exc_info)}'
+        return line
+
+    def _time(self, record: logging.LogRecord) -> str:
+        second = int(record.created)
+        if second != self.second:
+            self.second = second
+            parts = time.gmtime(second)
+            self.second_text = time.strftime('%Y-%m-%dT%H:%M:%S', parts)
+        return f'{self.second_text}.{int(record.msecs):03d}Z'
--- /dev/null
+++ b/catkinslip/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""What is counted, and how it is shown to operators."""
--- /dev/null
+++ b/catkinslip/metrics/traces.py
@@ -0,0 +1,100 @@
+"""Traces of recent requests, to explain one of them."""
+
+from collections import deque
+from typing import Any
+
+import cattrs
+from attrs import Factory, define
+
+from catkinslip.clock import Clock
+from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.observer import RequestObserver
+from catkinslip.proxy.outcomes import Outcome
+from catkinslip.routing.base import Choice
+from catkinslip.routing.directory import Directory
+
+
+@define
+class AttemptTrace:
+    """One attempt: where it went, why, and how it ended; times in seconds."""
+
+    backend_id: str
+    reason: str
+    candidates: int
+    outcome: str = ''
+    seconds: float = 0.0
+
+
+@define
+class RequestTrace:
+    """What one instance decided on one request; times in seconds."""
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    repeatable: bool
+    began_at: float
+    attempts: list[AttemptTrace] = Factory(list)
+    outcome: str = ''
+    seconds: float = 0.0
+
+
+@define
+class TraceRing(RequestObserver):
+    """Hold the traces of the last requests that ended, and of those in flight."""
+
+    instance_id: str
+    clock: Clock
+    directory: Directory
+    ended_traces: deque[RequestTrace]
+    trace_by_call: dict[int, RequestTrace] = Factory(dict)
+
+    def decided(self, call: Call, choice: Choice, number: int) -> None:
+        """Learn of the backend server chosen for an attempt, counted from 1."""
+        trace = self.trace_by_call.get(id(call))
+        if trace is None:
+            trace = self._begin(call)
+            self.trace_by_call[id(call)] = trace
+        router = self.directory.router_by_service.get(call.service)
+        candidates = len(router.load_by_id) if router else 0
+        attempt = AttemptTrace(choice.backend_id, choice.reason, candidates)
+        trace.attempts.append(attempt)
+
+    def attempted(
+        self, call: Call, backend_id: str, outcome: Outcome, seconds: float
+    ) -> None:
+        """Learn how an attempt ended and how long it took."""
+        trace = self.trace_by_call.get(id(call))
+        if trace is None:
+            return
+        for attempt in trace.attempts:
+            if attempt.backend_id == backend_id and not attempt.outcome:
+                attempt.outcome = str(outcome)
+                attempt.seconds = seconds
+
+    def ended(self, call: Call, outcome: Outcome, seconds: float) -> None:
+        """Learn what the caller was told and how long the request took."""
+        trace = self.trace_by_call.pop(id(call), None) or self._begin(call)
+        trace.outcome = str(outcome)
+        trace.seconds = seconds
+        self.ended_traces.append(trace)
+
+    def find(self, request_id: str) -> list[dict[str, Any]]:
+        """Return all traces of a request as plain data, the oldest first."""
+        traces = [*self.ended_traces, *self.trace_by_call.values()]
+        return [
+            {'instance': self.instance_id, **cattrs.unstructure(trace)}
+            for trace in traces
+            if trace.request_id == request_id
+        ]
+
+    def _begin(self, call: Call) -> RequestTrace:
+        return RequestTrace(
+            call.request_id,
+            call.service,
+            call.method.decode('latin-1'),
+            call.target.partition(b'?')[0].decode('latin-1'),
+            call.repeatable,
+            self.clock.wall(),
+        )
--- /dev/null
+++ b/catkinslip/metrics/wiring.py
@@ -0,0 +1,58 @@
+"""Wire what measures one daemon."""
+
+from collections import deque
+
+from attrs import frozen
+
+from catkinslip.clock import Clock
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.logs.buffer import LogBuffer
+from catkinslip.membership.members import MemberTable
+from catkinslip.metrics.base import MetricSource
+from catkinslip.metrics.instance import (
+    ConfigMetrics,
+    LogMetrics,
+    LoopLag,
+    MemberMetrics,
+)
+from catkinslip.metrics.requests import RequestMetrics
+from catkinslip.metrics.traces import TraceRing
+from catkinslip.proxy.observer import ObserverGroup, RequestObserver
+from catkinslip.routing.directory import Directory
+
+MAX_TRACES = 2_000
+
+
+@frozen
+class Metrics:
+    """What measures one daemon."""
+
+    observer: RequestObserver
+    traces: TraceRing
+    lag: LoopLag
+    sources: tuple[MetricSource, ...]
+
+    @classmethod
+    def wire(
+        cls,
+        instance_id: str,
+        clock: Clock,
+        directory: Directory,
+        config: ConfigHolder,
+        members: MemberTable,
+        log_buffer: LogBuffer,
+    ) -> 'Metrics':
+        """Wire the parts that measure."""
+        requests = RequestMetrics(clock, directory)
+        traces = TraceRing(instance_id, clock, directory, deque(maxlen=MAX_TRACES))
+        lag = LoopLag(clock)
+        versions = ConfigMetrics(clock, config)
+        config.listeners.append(versions.took)
+        sources = (
+            requests,
+            versions,
+            MemberMetrics(members),
+            lag,
+            LogMetrics(log_buffer),
+        )
+        return cls(ObserverGroup((requests, traces)), traces, lag, sources)
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -13,6 +13,7 @@
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.exchange import Call
 from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.problems import problem_events
 from catkinslip.proxy.wire import Wire, server_wire
@@ -31,6 +32,7 @@
     forwarder: Forwarder
     addresses: AddressBook
     request_timeout: float
+    observer: RequestObserver = ObserverGroup()
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until either side closes it."""
@@ -59,7 +61,12 @@
             await self._answer_addresses(wire, request)
         else:
             call = self._make_call(request, body)
-            outcome = await self.forwarder.forward(call, wire)
+            outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+            try:
+                outcome = await self.forwarder.forward(call, wire)
+            finally:
+                now = self.environment.clock.monotonic()
+                self.observer.ended(call, outcome, now - call.began_at)
             await self._report(wire, call, outcome)
         codec = wire.codec
         return codec.our_state is h11.DONE and codec.their_state is h11.DONE
@@ -73,6 +80,7 @@
         repeatable = self.config.current.document.is_repeatable(
             service_name, method, path
         )
+        now = self.environment.clock.monotonic()
         return Call(
             request_id=self._request_id(headers),
             service=service_name,
@@ -81,7 +89,8 @@
             headers=list(headers),
             body=body,
             repeatable=repeatable,
-            deadline=self.environment.clock.monotonic() + self._timeout(headers),
+            deadline=now + self._timeout(headers),
+            began_at=now,
         )
 
     def _request_id(self, headers) -> str:
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -28,6 +28,7 @@
     repeatable: bool
     deadline: float
     attempt: int = 1
+    began_at: float = 0.0
 
 
 @frozen
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -7,6 +7,7 @@
 
 from catkinslip.clock import Clock
 from catkinslip.proxy.exchange import Attempt, Call
+from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
@@ -24,6 +25,7 @@
     directory: Directory
     pool: BackendPool
     clock: Clock
+    observer: RequestObserver = ObserverGroup()
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -44,6 +46,7 @@
                 choice.reason,
             )
             tried.append(choice.backend_id)
+            self.observer.decided(call, choice, len(tried))
             outcome = await self._attempt(call, caller, router, choice.backend_id)
             if not isinstance(outcome, NotRun):
                 break
@@ -54,11 +57,14 @@
         address = self.directory.address_by_backend[backend_id]
         attempt = Attempt(call, address, caller, self.pool, self.clock)
         outcome: Outcome = Unknown(Reason.DEADLINE)
+        began_at = self.clock.monotonic()
         router.started(backend_id)
         try:
             with trio.move_on_after(call.deadline - self.clock.monotonic()):
                 outcome = await attempt.run()
         finally:
             report = outcome.report if isinstance(outcome, Answered | NotRun) else None
-            router.finished(backend_id, report, self.clock.monotonic())
+            now = self.clock.monotonic()
+            router.finished(backend_id, report, now)
+            self.observer.attempted(call, backend_id, outcome, now - began_at)
         return outcome
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -19,6 +19,7 @@
     TOO_LATE = ('too-late', 504, 'The deadline passed before the request was sent.')
     DEADLINE = ('deadline', 504, 'The deadline passed before the answer came.')
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
+    CALLER_LEFT = ('caller-left', 499, 'The caller left before the answer came.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
 
     def __init__(self, slug: str, status: int, title: str) -> None:
@@ -34,6 +35,9 @@
     status: int
     report: LoadReport | None = None
 
+    def __str__(self) -> str:
+        return f'answered with {self.status}'
+
 
 @frozen
 class NotRun:
@@ -43,6 +47,9 @@
     detail: str = ''
     report: LoadReport | None = None
 
+    def __str__(self) -> str:
+        return f'not run, {self.reason.slug}'
+
 
 @frozen
 class Unknown:
@@ -52,5 +59,8 @@
     detail: str = ''
     answer_started: bool = False
 
+    def __str__(self) -> str:
+        return f'unknown, {self.reason.slug}'
+
 
 Outcome = Answered | NotRun | Unknown
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data."""
 
 from catkinslip.models import Address
+from catkinslip.proxy.exchange import Call
 
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
@@ -24,3 +25,17 @@
     }
     register = {'services': {service: dict(fields)}, 'backends': backends}
     return {'register': register, 'rules': {'requests': []}}
+
+
+def call(service: str, request_id: str = 'r', deadline: float = 1e9) -> Call:
+    """Return a repeatable call without a body."""
+    return Call(
+        request_id=request_id,
+        service=service,
+        method=b'GET',
+        target=b'/',
+        headers=[],
+        body=b'',
+        repeatable=True,
+        deadline=deadline,
+    )
--- /dev/null
+++ b/tests/test_logs_buffer.py
@@ -0,0 +1,94 @@
+"""Log lines are buffered, and none is lost in silence."""
+
+import logging
+import os
+import unittest
+
+import trio
+import trio.testing
+
+from catkinslip.logs.buffer import BufferHandler, LogBuffer
+from catkinslip.logs.flush import LogFlusher
+from catkinslip.logs.writers import LogWriter, open_writer
+
+
+class SlowWriter(LogWriter):
+    """Take a few bytes at once, and none until there is room."""
+
+    def __init__(self):
+        self.taken = b''
+        self.has_room = True
+
+    def write(self, data: bytes) -> int:
+        part = data[:7] if self.has_room else b''
+        self.taken += part
+        return len(part)
+
+    async def wait_for_room(self) -> None:
+        while not self.has_room:
+            await trio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        pass
+
+
+def new_logger(buffer: LogBuffer) -> logging.Logger:
+    logger = logging.Logger('test')
+    logger.addHandler(BufferHandler(buffer))
+    return logger
+
+
+class LogBufferTest(unittest.TestCase):
+    """The buffer is bounded, and what finds no room is counted and told."""
+
+    def test_lines_without_room_are_counted_and_told_once(self):
+        buffer = LogBuffer(limit=2)
+        logger = new_logger(buffer)
+        for number in range(5):
+            logger.info('part: line %d.', number)
+        self.assertEqual((buffer.taken, buffer.lost), (2, 3))
+        text = buffer.take(logging.Formatter(), 10)
+        self.assertEqual(
+            text, 'part: line 0.\npart: line 1.\nlogs: 3 lines were lost, no room.\n'
+        )
+        self.assertEqual(buffer.take(logging.Formatter(), 10), '')
+
+    def test_all_lines_are_written_whole_and_in_order_at_the_end(self):
+        buffer, writer = LogBuffer(), SlowWriter()
+        logger = new_logger(buffer)
+        expected = ''.join(f'part: line {number}.\n' for number in range(300))
+
+        async def main():
+            flusher = LogFlusher(buffer, writer, logging.Formatter())
+            writer.has_room = False
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(flusher.run)
+                for number in range(300):
+                    logger.info('part: line %d.', number)
+                    await trio.lowlevel.checkpoint()
+                writer.has_room = True
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(writer.taken.decode(), expected)
+
+    def test_pipe_that_nobody_reads_holds_neither_the_loop_nor_the_end(self):
+        buffer = LogBuffer(limit=1000)
+        logger = new_logger(buffer)
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+
+        async def main():
+            with os.fdopen(writing, 'w') as stream:
+                flusher = LogFlusher(buffer, open_writer(stream), logging.Formatter())
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(flusher.run)
+                    while not buffer.lost:
+                        logger.info('part: %s.', 'x' * 1000)
+                        await trio.lowlevel.checkpoint()
+                    nursery.cancel_scope.cancel()
+                return os.get_blocking(writing)
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        self.assertTrue(trio.run(main, clock=clock))
+        self.assertGreater(buffer.lost, 0)
