--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet -r requirements-dev.txt
+	$(VENV)/bin/pip install --quiet -r requirements-dev.txt --editable .
 	touch $(STAMP)
 
 lint: install
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -164,6 +164,7 @@
     """Serve on a port that the kernel chooses, printed as JSON."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--name', default='backend')
+    parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--seed', type=int, default=0)
     for each in fields(Behaviour):
         kind = type(each.default)
@@ -176,10 +177,11 @@
             parser.add_argument(flag, type=kind, default=each.default)
     arguments = vars(parser.parse_args())
     name, seed = arguments.pop('name'), arguments.pop('seed')
+    port = arguments.pop('port')
     behaviour = Behaviour(**arguments)
     standin = BackendStandin(name, behaviour, Random(seed))
     standin.slots = trio.CapacityLimiter(behaviour.slots)
-    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1', backlog=256)
+    listeners = await trio.open_tcp_listeners(port, host='127.0.0.1', backlog=256)
     host, port = listeners[0].socket.getsockname()
     print(json.dumps({'event': 'ready', 'address': f'{host}:{port}'}), flush=True)
     await trio.serve_listeners(standin.serve, listeners)
