--- a/benchmarks/logs.py
+++ b/benchmarks/logs.py
@@ -23,7 +23,7 @@
 from catkinslip.proxy.outcomes import Answered
 from catkinslip.routing.base import Choice
 from catkinslip.routing.directory import Directory
-from tests.builders import call, document_plain
+from tests.builders import document_plain, plain_call
 
 ROUNDS = 15
 ITEMS = 2_000
@@ -106,7 +106,7 @@
     clock = SystemClock()
     traces = TraceRing('entry-1', clock, directory, deque(maxlen=2_000))
     observer = ObserverGroup((RequestMetrics(clock, directory), traces))
-    each, choice, outcome = call('limits'), Choice('limits-1', 'x'), Answered(200)
+    each, choice, outcome = plain_call('limits'), Choice('limits-1', 'x'), Answered(200)
 
     def run() -> None:
         observer.decided(each, choice, 1)
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -29,7 +29,7 @@
 from catkinslip.platform.base import ListedInstance, ObjectStore
 from catkinslip.platform.embedded import EmbeddedStore
 from catkinslip.platform.http import HttpStore
-from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.directory import Directory
@@ -87,6 +87,8 @@
             nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
+            nursery.start_soon(daemon.callers.watch.run)
+            nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(daemon.metrics.lag.run)
             announce_ready(own, environment)
@@ -108,6 +110,7 @@
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
+    config.listeners.append(pool.update)
     metrics = Metrics.wire(
         settings.instance_id, environment.clock, directory, config, members, log_buffer
     )
@@ -130,7 +133,7 @@
             config,
             forwarder,
             addresses,
-            settings.request_timeout,
+            caller_limits(settings),
             metrics.observer,
         ),
         control=ControlSurface(peers, operators, settings.shared_secret),
@@ -139,6 +142,18 @@
     )
 
 
+def caller_limits(settings: DaemonSettings) -> CallerLimits:
+    """Return what callers may ask for."""
+    return CallerLimits(
+        request_timeout=settings.request_timeout,
+        head_timeout=settings.head_timeout,
+        body_timeout=settings.body_timeout,
+        idle_timeout=settings.idle_timeout,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_callers,
+    )
+
+
 def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
--- a/catkinslip/metrics/requests.py
+++ b/catkinslip/metrics/requests.py
@@ -7,7 +7,7 @@
 from catkinslip.clock import Clock
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge, summary
 from catkinslip.metrics.durations import COARSE, FINE, Durations
-from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.calls import Call
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason
 from catkinslip.routing.base import Choice
--- a/catkinslip/metrics/traces.py
+++ b/catkinslip/metrics/traces.py
@@ -7,7 +7,7 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
-from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.calls import Call
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.routing.base import Choice
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -47,15 +47,18 @@
             )
             tried.append(choice.backend_id)
             self.observer.decided(call, choice, len(tried))
-            outcome = await self._attempt(call, caller, router, choice.backend_id)
-            if not isinstance(outcome, NotRun):
+            outcome = await self._attempt(
+                call, caller, router, choice.backend_id, len(tried)
+            )
+            if not isinstance(outcome, NotRun) or not call.is_resendable:
                 break
-            call.attempt += 1
         return outcome
 
-    async def _attempt(self, call, caller, router, backend_id: str) -> Outcome:
+    async def _attempt(
+        self, call, caller, router, backend_id: str, number: int
+    ) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        attempt = Attempt(call, address, caller, self.pool, self.clock)
+        attempt = Attempt(call, address, caller, self.pool, self.clock, number)
         outcome: Outcome = Unknown(Reason.DEADLINE)
         began_at = self.clock.monotonic()
         router.started(backend_id)
--- a/tests/test_docs_examples.py
+++ b/tests/test_docs_examples.py
@@ -18,7 +18,7 @@
 catkinslip() { python -m catkinslip "$@"; }
 catkinslipd() { exec python -m catkinslip.daemon "$@"; }
 """
-SECONDS = 120
+SECONDS = 40
 
 
 class ReadmeTest(unittest.TestCase):
@@ -64,21 +64,26 @@
 def run_script(script: str) -> str:
     """Run a script in a folder of its own; end all that it started."""
     with tempfile.TemporaryDirectory() as folder:
-        popen = subprocess.Popen(
-            ['bash', '-c', script],
-            cwd=folder,
-            env={**os.environ, 'PYTHONPATH': str(ROOT)},
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            start_new_session=True,
-        )
+        output_path = Path(folder) / 'output.log'
+        with output_path.open('w') as output:
+            popen = subprocess.Popen(
+                ['bash', '-c', script],
+                cwd=folder,
+                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
         try:
-            output, _ = popen.communicate(timeout=SECONDS)
+            status = popen.wait(SECONDS)
+        except subprocess.TimeoutExpired:
+            status = None
         finally:
             with contextlib.suppress(ProcessLookupError):
                 os.killpg(popen.pid, signal.SIGKILL)
-    if popen.returncode != 0:
-        raise AssertionError(f'exit status {popen.returncode}:\n{output}')
-    return output
+            popen.wait()
+        if status != 0:
+            logs = ''.join(path.read_text() for path in Path(folder).glob('*.log'))
+            raise AssertionError(f'exit status {status}:\n{logs}')
+        return output_path.read_text()
--- a/tests/test_metrics_requests.py
+++ b/tests/test_metrics_requests.py
@@ -12,7 +12,7 @@
 from catkinslip.proxy.outcomes import Answered, NotRun, Reason
 from catkinslip.routing.base import Choice
 from catkinslip.routing.directory import Directory
-from tests.builders import call, document_plain
+from tests.builders import document_plain, plain_call
 
 
 class FixedClock(Clock):
@@ -71,7 +71,7 @@
         return {sample.labels: sample.value for sample in family.samples}
 
     def test_retries_sheds_and_outcomes_are_counted(self):
-        tried, outcome = call('limits'), Answered(200)
+        tried, outcome = plain_call('limits'), Answered(200)
         self.metrics.decided(tried, Choice('a', 'first'), 1)
         self.metrics.attempted(tried, 'a', NotRun(Reason.SHED), 0.001)
         self.metrics.decided(tried, Choice('b', 'second'), 2)
@@ -90,14 +90,14 @@
     def test_callers_cannot_add_series(self):
         for number in range(100):
             refused = NotRun(Reason.UNKNOWN_SERVICE)
-            self.metrics.ended(call(f'made-up-{number}'), refused, 0.001)
+            self.metrics.ended(plain_call(f'made-up-{number}'), refused, 0.001)
         self.assertEqual(
             self.values('catkinslip_service_outcomes_total'),
             {(UNKNOWN_SERVICE, 'not-run-unknown-service'): 100},
         )
 
     def test_backend_that_left_the_register_is_forgotten(self):
-        self.metrics.attempted(call('limits'), 'a', Answered(200), 0.001)
+        self.metrics.attempted(plain_call('limits'), 'a', Answered(200), 0.001)
         self.metrics.directory = directory_of(b='127.0.0.1:2')
         self.assertEqual(self.values('catkinslip_backend_outcomes_total'), {})
 
@@ -108,7 +108,7 @@
     def test_oldest_ended_trace_makes_room_and_none_in_flight_leaks(self):
         directory = directory_of(a='127.0.0.1:1')
         ring = TraceRing('entry-1', FixedClock(), directory, deque(maxlen=2))
-        calls = [call('limits', request_id=f'r{number}') for number in range(3)]
+        calls = [plain_call('limits', request_id=f'r{number}') for number in range(3)]
         for each in calls:
             ring.decided(each, Choice('a', 'only one'), 1)
         self.assertEqual(ring.find('r0')[0]['outcome'], '')
