--- a/catkinslip/cli/application.py
+++ b/catkinslip/cli/application.py
@@ -8,7 +8,18 @@
 from cleo.io.outputs.stream_output import StreamOutput
 
 from catkinslip import __version__
-from catkinslip.cli.configuration import ApplyCommand, ReadCommand
+from catkinslip.cli.configuration import (
+    ChangesCommand,
+    CheckCommand,
+    DiffCommand,
+    ReadCommand,
+)
+from catkinslip.cli.configuration_changes import (
+    ApplyCommand,
+    DrainCommand,
+    UndrainCommand,
+    WatchCommand,
+)
 from catkinslip.cli.explain import ExplainCommand
 from catkinslip.cli.help import HelpCommand
 from catkinslip.cli.instances import InstancesCommand, StatusCommand
@@ -18,8 +29,14 @@
 
 PROGRAM = 'catkinslip'
 COMMANDS = (
+    CheckCommand,
     ReadCommand,
+    ChangesCommand,
+    DiffCommand,
     ApplyCommand,
+    DrainCommand,
+    UndrainCommand,
+    WatchCommand,
     StatusCommand,
     InstancesCommand,
     MetricsCommand,
--- a/catkinslip/cli/base.py
+++ b/catkinslip/cli/base.py
@@ -19,6 +19,10 @@
 from catkinslip.status import ExitStatus
 
 
+class UsageError(Exception):
+    """Arguments that are wrong or do not go together."""
+
+
 class BaseCommand(Command):
     """A command that is declared by a definition and runs under trio."""
 
@@ -49,7 +53,11 @@
                 return int(ExitStatus.USAGE)
             case Success(value_by_field):
                 self.value_by_field = value_by_field
-        return int(trio.run(self.main))
+        try:
+            return int(trio.run(self.main))
+        except UsageError as error:
+            self.printer.error(str(error))
+            return int(ExitStatus.USAGE)
 
     @property
     def printer(self) -> Printer:
--- a/catkinslip/cli/configuration.py
+++ b/catkinslip/cli/configuration.py
@@ -1,91 +1,207 @@
-"""Commands that read and change the accepted configuration."""
+"""The commands that show the configuration and check documents."""
 
-import secrets
+import os
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
-import orjson
-from returns.result import Failure, Success
+import httpx
+from returns.result import Failure, Result, Success
 
 from catkinslip.cli import definition as defined
-from catkinslip.cli.base import BaseCommand
-from catkinslip.config.changes import (
-    ChangeAccepted,
-    ChangeConflict,
-    ChangeNotMade,
-    ChangeOutcome,
+from catkinslip.cli.base import BaseCommand, UsageError
+from catkinslip.cli.in_force import Fleet
+from catkinslip.config.checks import DocumentRefused, parse_document
+from catkinslip.config.documents import ConfigVersion, Document, to_plain
+from catkinslip.config.history import Change, Head
+from catkinslip.config.merge import merge_diff
+from catkinslip.config.reading import (
     StoredConfig,
-    apply_change,
+    StoredHead,
     read_config,
+    read_head,
 )
-from catkinslip.config.checks import read_document
-from catkinslip.config.documents import Document, to_plain
+from catkinslip.config.shapes import DocumentMistake
 from catkinslip.platform.base import PlatformError
+from catkinslip.platform.http import HttpStore
 from catkinslip.status import ExitStatus
 
 
-class ReadCommand(BaseCommand):
+class ConfigurationCommand(BaseCommand):
+    """A command about the configuration."""
+
+    @property
+    def author(self) -> str:
+        """Return who makes a change."""
+        user = self.environment.variables.get('USER')
+        return self.value(defined.AUTHOR) or user or f'user-{os.getuid()}'
+
+    @asynccontextmanager
+    async def open_fleet(self, store: HttpStore) -> AsyncIterator[Fleet]:
+        """Open a client of all instances."""
+        async with self.open_control() as client:
+            yield Fleet(client, store, self.value(defined.CONTROL))
+
+    def read_file(self) -> Result[Document, DocumentRefused]:
+        """Read and check the document that the command names."""
+        try:
+            text = Path(self.argument('file')).read_bytes()
+        except OSError as error:
+            mistake = DocumentMistake(self.argument('file'), f'{error.strerror}')
+            return Failure(DocumentRefused((mistake,)))
+        return parse_document(text)
+
+    def tell_refused(self, refused: DocumentRefused) -> ExitStatus:
+        """Print every mistake of a document."""
+        if self.is_json:
+            self.printer.json(
+                {'outcome': 'refused', 'mistakes': to_plain(refused.mistakes)}
+            )
+            return ExitStatus.REJECTED
+        for mistake in refused.mistakes:
+            self.printer.error(f'{mistake.place}: {mistake.reason}.')
+        count = len(refused.mistakes)
+        self.printer.error(f'Refused, {count} to mend; nothing changed.')
+        return ExitStatus.REJECTED
+
+    def tell_unreachable(self, error: PlatformError) -> ExitStatus:
+        """Print that the platform could not be asked."""
+        self.printer.error(
+            f'The platform did not answer: {error}. Nothing changed. '
+            'Check --platform-url or CATKINSLIP_PLATFORM_URL and try again.'
+        )
+        return ExitStatus.UNREACHABLE
+
+
+class CheckCommand(ConfigurationCommand):
+    """Check a document without the platform."""
+
+    declared = defined.CHECK
+
+    async def main(self) -> ExitStatus:
+        """Do the command's work and return its exit status."""
+        match self.read_file():
+            case Success(document):
+                return self._tell_good(document)
+            case Failure(refused):
+                return self.tell_refused(refused)
+
+    def _tell_good(self, document: Document) -> ExitStatus:
+        services = len(document.register.services)
+        backends = len(document.register.backends)
+        if self.is_json:
+            counts = {'services': services, 'backends': backends}
+            self.printer.json({'outcome': 'good', **counts})
+        else:
+            self.printer.sentence(
+                f'Good: {services} services, {backends} backend servers.'
+            )
+        return ExitStatus.SUCCESS
+
+
+class ReadCommand(ConfigurationCommand):
     """Print the accepted configuration."""
 
     declared = defined.READ
 
     async def main(self) -> ExitStatus:
         """Do the command's work and return its exit status."""
+        if self.option('from'):
+            return await self._read_instance(self.option('from'))
+        if not self.value(defined.PLATFORM_URL):
+            raise UsageError(
+                'Name the platform with --platform-url (CATKINSLIP_PLATFORM_URL), or '
+                'an instance with --from.'
+            )
         async with self.open_store() as store:
             found = await read_config(store)
         if not isinstance(found, StoredConfig):
             return self.tell_unreachable(found)
-        self.printer.json(to_plain(found.config))
+        config = found.config
+        return self._tell(
+            {
+                'version': to_plain(config.version),
+                'change_id': config.change_id,
+                'author': config.author,
+                'document': config.plain,
+            }
+        )
+
+    async def _read_instance(self, address: str) -> ExitStatus:
+        async with self.open_control() as client:
+            try:
+                response = await client.get(f'http://{address}/v1/config')
+                response.raise_for_status()
+            except httpx.HTTPError as error:
+                self.printer.error(f'{address} did not answer: {error!r}.')
+                return ExitStatus.UNREACHABLE
+        return self._tell(response.json())
+
+    def _tell(self, plain: dict) -> ExitStatus:
+        self.printer.json(plain['document'] if self.option('document') else plain)
         return ExitStatus.SUCCESS
 
-    def tell_unreachable(self, error: PlatformError) -> ExitStatus:
-        """Say that the platform did not answer."""
-        self.printer.error(f'The platform did not answer: {error}.')
-        return ExitStatus.UNREACHABLE
 
+class ChangesCommand(ConfigurationCommand):
+    """Show recent changes."""
+
+    declared = defined.CHANGES
+
+    async def main(self) -> ExitStatus:
+        """Do the command's work and return its exit status."""
+        async with self.open_store() as store:
+            found = await read_head(store)
+        if not isinstance(found, StoredHead):
+            return self.tell_unreachable(found)
+        wanted = self.option('change')
+        if wanted is None:
+            self._tell(found.head.changes)
+            return ExitStatus.SUCCESS
+        change = found.head.find(wanted)
+        if change is not None:
+            self._tell((change,))
+            return ExitStatus.SUCCESS
+        return self._tell_absent(wanted, found.head)
+
+    def _tell(self, changes: tuple[Change, ...]) -> None:
+        if self.is_json:
+            self.printer.json(to_plain(changes))
+            return
+        for change in changes:
+            made_at = time.strftime('%F %T', time.gmtime(change.made_at))
+            line = f'{change.version}  {change.change_id}  {made_at}  {change.author}'
+            if self.option('patches'):
+                line += f'  {to_plain(change.patch)}'
+            self.printer.sentence(line)
 
-class ApplyCommand(ReadCommand):
-    """Make a document the accepted configuration."""
+    def _tell_absent(self, change_id: str, head: Head) -> ExitStatus:
+        if head.reaches_back_to(ConfigVersion()):
+            self.printer.error(f'Change {change_id} has not been accepted.')
+            return ExitStatus.CONFLICT
+        first = head.changes[0].version
+        self.printer.error(
+            f'Change {change_id} is not among the changes since version {first}: '
+            'it was not accepted since then; of earlier ones nothing is known.'
+        )
+        return ExitStatus.UNKNOWN
 
-    declared = defined.APPLY
+
+class DiffCommand(ConfigurationCommand):
+    """Show what a document would change."""
+
+    declared = defined.DIFF
 
     async def main(self) -> ExitStatus:
         """Do the command's work and return its exit status."""
-        plain = orjson.loads(Path(self.argument('file')).read_bytes())
-        match read_document(plain):
+        match self.read_file():
             case Failure(refused):
-                for mistake in refused.mistakes:
-                    self.printer.error(f'{mistake.place}: {mistake.reason}.')
-                return ExitStatus.REJECTED
+                return self.tell_refused(refused)
             case Success(document):
-                return await self._apply(document)
-
-    async def _apply(self, document: Document) -> ExitStatus:
+                pass
         async with self.open_store() as store:
-            base = await read_config(store)
-            if not isinstance(base, StoredConfig):
-                return self.tell_unreachable(base)
-            wanted = self.option('base')
-            if wanted is not None and int(wanted) != base.config.version.number:
-                return self._tell(ChangeConflict(base.config))
-            change_id = secrets.token_hex(8)
-            author = self.value(defined.AUTHOR)
-            return self._tell(
-                await apply_change(store, base, document, change_id, author)
-            )
-
-    def _tell(self, outcome: ChangeOutcome) -> ExitStatus:
-        match outcome:
-            case ChangeAccepted(config):
-                self.printer.sentence(f'Accepted as version {config.version.number}.')
-                return ExitStatus.SUCCESS
-            case ChangeConflict(winner):
-                self.printer.error(
-                    f'Not changed: version {winner.version.number} '
-                    f'by {winner.author} came first.'
-                )
-                return ExitStatus.CONFLICT
-            case ChangeNotMade(reason):
-                self.printer.error(f'Not changed: {reason}.')
-                return ExitStatus.UNREACHABLE
-        self.printer.error(f'Unknown whether the change was accepted: {outcome}.')
-        return ExitStatus.UNKNOWN
+            found = await read_config(store)
+        if not isinstance(found, StoredConfig):
+            return self.tell_unreachable(found)
+        self.printer.json(merge_diff(found.config.plain, to_plain(document)))
+        return ExitStatus.SUCCESS
--- a/catkinslip/cli/definition.py
+++ b/catkinslip/cli/definition.py
@@ -1,12 +1,18 @@
 """All commands of the tool: arguments, flags, help, examples and exit statuses."""
 
-from attrs import frozen
+from attrs import evolve, frozen
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option as CleoOption
 
 from catkinslip.settings.base import Option, number
-from catkinslip.settings.values import host_and_port, http_url
+from catkinslip.settings.values import (
+    addresses,
+    http_url,
+    http_url_or_empty,
+    optional,
+    some_addresses,
+)
 from catkinslip.status import ExitStatus
 
 PLATFORM_GROUP = 'Platform'
@@ -26,8 +32,8 @@
 CONTROL = Option(
     '--control',
     '',
-    host_and_port,
-    'Control address of one instance, host:port.',
+    some_addresses,
+    'Control addresses of instances; the first that answers is asked.',
     CONTROL_GROUP,
 )
 CONTROL_TIMEOUT = Option(
@@ -46,10 +52,41 @@
     CONTROL_GROUP,
     secret=True,
 )
-AUTHOR = Option('--author', 'operator', str, 'Who makes the change.', CHANGE_GROUP)
+AUTHOR = Option(
+    '--author', '', str, 'Who makes the change; your user if empty.', CHANGE_GROUP
+)
+WAIT = Option(
+    '--wait',
+    '',
+    optional(number(0, 86_400, 'seconds')),
+    'Seconds to wait until the change is in force on every instance; empty: no wait.',
+    CHANGE_GROUP,
+)
+WATCH_WAIT = evolve(WAIT, default='30', help='Seconds to wait.')
 
 PLATFORM = (PLATFORM_URL, PLATFORM_TIMEOUT)
+PLATFORM_IF_ANY = (
+    evolve(PLATFORM_URL, convert=http_url_or_empty),
+    PLATFORM_TIMEOUT,
+)
 INSTANCE = (CONTROL, CONTROL_TIMEOUT, SHARED_SECRET)
+INSTANCE_IF_ANY = (
+    evolve(
+        CONTROL,
+        convert=addresses,
+        help="Control addresses of instances that are not on the platform's list.",
+    ),
+    CONTROL_TIMEOUT,
+    SHARED_SECRET,
+)
+CHANGE = (*PLATFORM, *INSTANCE_IF_ANY, AUTHOR, WAIT)
+CHANGE_STATUSES = (
+    ExitStatus.REJECTED,
+    ExitStatus.CONFLICT,
+    ExitStatus.UNKNOWN,
+    ExitStatus.UNREACHABLE,
+    ExitStatus.NOT_IN_FORCE,
+)
 
 JSON = option('json', None, 'Print the data as JSON.')
 
@@ -76,36 +113,137 @@
     statuses: tuple[ExitStatus, ...] = ()
 
 
+FILE = argument('file', 'JSON document with the register and the rules.')
+
+CHECK = Definition(
+    'check',
+    'Check a document and print every mistake.',
+    'Reads a document as `apply` does and says where it is wrong and why. Nothing is '
+    'sent.',
+    arguments=(FILE,),
+    switches=(JSON,),
+    examples=(Example('Check before a change.', 'catkinslip check document.json'),),
+    statuses=(ExitStatus.REJECTED,),
+)
+
 READ = Definition(
     'read',
     'Print the accepted configuration.',
-    'Reads the register and the rules from the platform and prints them as JSON.',
-    PLATFORM,
-    examples=(Example('Save the configuration.', 'catkinslip read > config.json'),),
+    'Reads the register and the rules from the platform, or from one instance, and '
+    'prints them as JSON with their version.',
+    (*PLATFORM_IF_ANY, CONTROL_TIMEOUT, SHARED_SECRET),
+    switches=(
+        option('from', None, 'Control address of an instance to read.', flag=False),
+        option('document', None, 'Print only the document, fit for `apply`.'),
+    ),
+    examples=(
+        Example('Save the document.', 'catkinslip read --document > document.json'),
+        Example(
+            'Read what one instance holds.', 'catkinslip read --from 10.0.0.1:7001'
+        ),
+    ),
     statuses=(ExitStatus.UNREACHABLE,),
 )
 
+CHANGES = Definition(
+    'changes',
+    'Show the last changes, or what became of one change.',
+    'Reads the last changes from the platform: version, ID, time and author. Asked for '
+    'one change, it tells whether that was accepted.',
+    PLATFORM,
+    switches=(
+        option('change', None, 'ID of one change.', flag=False),
+        option('patches', None, 'Print what each change did.'),
+        JSON,
+    ),
+    examples=(
+        Example('Who changed what.', 'catkinslip changes --patches'),
+        Example(
+            'Learn the outcome of a change whose answer was lost.',
+            'catkinslip changes --change 5f0c1a2b3d4e5f60',
+        ),
+    ),
+    statuses=(ExitStatus.CONFLICT, ExitStatus.UNKNOWN, ExitStatus.UNREACHABLE),
+)
+
+DIFF = Definition(
+    'diff',
+    'Show what a document would change.',
+    'Compares a document with the accepted configuration and prints the difference as '
+    'a JSON merge patch.',
+    PLATFORM,
+    (FILE,),
+    (JSON,),
+    (Example('Look before a change.', 'catkinslip diff document.json'),),
+    (ExitStatus.REJECTED, ExitStatus.UNREACHABLE),
+)
+
 APPLY = Definition(
     'apply',
     'Make a document the accepted configuration.',
-    'Checks the document, then writes it to the platform on the condition that no '
-    'other change came first.',
-    (*PLATFORM, AUTHOR),
-    (argument('file', 'JSON document with the register and the rules.'),),
-    (option('base', None, 'Version the document was made from.', flag=False),),
+    'The document replaces the accepted one, unless another change was accepted since '
+    '--base. Without --base, a change that another operator made since you read the '
+    'document is overwritten.',
+    CHANGE,
+    (FILE,),
+    (
+        option('base', None, 'Version the document was made from.', flag=False),
+        option(
+            'raise-epoch',
+            None,
+            'Begin a new epoch, after the platform was restored from a backup.',
+        ),
+        JSON,
+    ),
     (
-        Example('Change the register.', 'catkinslip apply document.json'),
         Example(
-            'Refuse if version 7 is not the current one.',
-            'catkinslip apply document.json --base 7',
+            'Change and wait until it is in force everywhere.',
+            'catkinslip apply document.json --base 0.17 --wait 30',
         ),
     ),
+    CHANGE_STATUSES,
+)
+
+BACKEND = argument('backend', 'Name of the backend server in the register.')
+
+DRAIN = Definition(
+    'drain',
+    'Give a backend server no new work; requests in flight finish.',
+    'Marks the server as draining in the register.',
+    CHANGE,
+    (BACKEND,),
+    (JSON,),
+    (Example('Drain before a restart.', 'catkinslip drain limits-1 --wait 30'),),
+    CHANGE_STATUSES,
+)
+
+UNDRAIN = Definition(
+    'undrain',
+    'Give a drained backend server work again.',
+    'Marks the server as not draining in the register.',
+    CHANGE,
+    (BACKEND,),
+    (JSON,),
+    (Example('Take it back.', 'catkinslip undrain limits-1 --wait 30'),),
+    CHANGE_STATUSES,
+)
+
+WATCH = Definition(
+    'watch',
+    'Wait until a version is in force on every instance.',
+    'Asks all instances until each has the version in force, and names the others when '
+    'the time is over.',
+    (*PLATFORM, *INSTANCE_IF_ANY, WATCH_WAIT),
     (
-        ExitStatus.REJECTED,
-        ExitStatus.CONFLICT,
-        ExitStatus.UNKNOWN,
-        ExitStatus.UNREACHABLE,
+        argument(
+            'version',
+            'Version, such as 0.17; the last one if left out.',
+            optional=True,
+        ),
     ),
+    (JSON,),
+    (Example('Wait for the last change.', 'catkinslip watch --wait 60'),),
+    (ExitStatus.UNREACHABLE, ExitStatus.NOT_IN_FORCE),
 )
 
 STATUS = Definition(
@@ -176,7 +314,20 @@
     (ExitStatus.UNREACHABLE, ExitStatus.NOT_FOUND),
 )
 
-COMMANDS = (READ, APPLY, STATUS, INSTANCES, METRICS, EXPLAIN)
+COMMANDS = (
+    CHECK,
+    READ,
+    CHANGES,
+    DIFF,
+    APPLY,
+    DRAIN,
+    UNDRAIN,
+    WATCH,
+    STATUS,
+    INSTANCES,
+    METRICS,
+    EXPLAIN,
+)
 
 
 def all_settings() -> tuple[Option, ...]:
--- a/catkinslip/cli/instances.py
+++ b/catkinslip/cli/instances.py
@@ -22,10 +22,11 @@
     async def main(self) -> ExitStatus:
         """Do the command's work and return its exit status."""
         async with self.open_control() as client:
-            first = await self.ask(client, self.value(defined.CONTROL), self.path)
-            if first is None:
-                return ExitStatus.UNREACHABLE
-            return await self.show(client, first)
+            for address in self.value(defined.CONTROL):
+                first = await self.ask(client, address, self.path)
+                if first is not None:
+                    return await self.show(client, first)
+        return ExitStatus.UNREACHABLE
 
     @abstractmethod
     async def show(
@@ -109,17 +110,22 @@
     return str(error) or type(error).__name__
 
 
+def version_text(status: dict[str, Any]) -> str:
+    """Return the version in force as epoch and number."""
+    version = status['config_version']
+    return f'{version["epoch"]}.{version["number"]}'
+
+
 def status_lines(plain: dict[str, Any]) -> Sequence[str]:
     """Return the status of one instance for people."""
     member = plain['member']
-    version = plain['config_version']
     others = [each['member_id'] for each in plain['members']]
     return (
         f'Instance {member["member_id"]} in {member["zone"]}, '
         f'{"leaving" if member["leaving"] else "live"}.',
         f'Callers reach it at {member["address"]}, '
         f'peers and operators at {member["control_address"]}.',
-        f'Configuration version {version["number"]} is in force.',
+        f'Configuration version {version_text(plain)} is in force.',
         f'It knows {len(others)} instances: {", ".join(sorted(others))}.',
     )
 
@@ -130,7 +136,7 @@
     rows = []
     for each in plain:
         status = each['status']
-        version = status['config_version']['number'] if status else '-'
+        version = version_text(status) if status else '-'
         state = 'leaving' if each['leaving'] else 'live'
         rows.append(
             (
--- a/catkinslip/control/operators.py
+++ b/catkinslip/control/operators.py
@@ -16,6 +16,7 @@
 from catkinslip.metrics.traces import TraceRing
 
 STATUS_PATH = '/v1/status'
+CONFIG_PATH = '/v1/config'
 METRICS_PATH = '/v1/metrics'
 REQUESTS_PATH = '/v1/requests/'
 EXPOSITION_PATH = '/metrics'
@@ -33,6 +34,7 @@
     def add_to(self, app: QuartTrio) -> None:
         """Add the pages to an application."""
         app.add_url_rule(STATUS_PATH, view_func=self._status)
+        app.add_url_rule(CONFIG_PATH, view_func=self._config)
         app.add_url_rule(METRICS_PATH, view_func=self._metrics)
         app.add_url_rule(EXPOSITION_PATH, view_func=self._exposition)
         app.add_url_rule(f'{REQUESTS_PATH}<request_id>', view_func=self._requests)
@@ -47,6 +49,15 @@
             'author': current.author,
         }
 
+    async def _config(self) -> dict[str, Any]:
+        current = self.config.current
+        return {
+            'version': cattrs.unstructure(current.version),
+            'change_id': current.change_id,
+            'author': current.author,
+            'document': current.plain,
+        }
+
     async def _metrics(self) -> dict[str, Any]:
         families = [cattrs.unstructure(each) async for each in self._families()]
         return {'instance': self.members.own.member_id, 'families': families}
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -14,7 +14,9 @@
 from hypercorn.trio import serve as serve_asgi
 
 from catkinslip.addresses.answers import AddressBook
+from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.config.signal import PEERS_TOLD_AT_ONCE, ChangeSignal
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
@@ -27,8 +29,10 @@
 from catkinslip.metrics.wiring import Metrics
 from catkinslip.models import Address
 from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.budget import TokenBucket
+from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
-from catkinslip.platform.http import HttpStore
+from catkinslip.platform.http import CALLER_HEADER, HttpStore
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
@@ -38,6 +42,7 @@
 
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
+LIST_SECONDS = 1.0
 
 log = logging.getLogger('daemon')
 
@@ -55,6 +60,7 @@
     members: MemberTable
     peers: PeerExchange
     watcher: ConfigWatcher
+    change_signal: ChangeSignal
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
@@ -90,6 +96,7 @@
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
+            nursery.start_soon(follow_list, daemon)
             nursery.start_soon(daemon.metrics.lag.run)
             announce_ready(own, environment)
         await daemon.pool.close()
@@ -104,19 +111,22 @@
     log_buffer: LogBuffer,
 ) -> Daemon:
     """Wire the parts of one daemon."""
-    store = CountedStore(make_store(settings, platform_client))
-    config = ConfigHolder()
     members = MemberTable(own)
+    store = CountedStore(make_store(settings, environment, members, platform_client))
+    config = ConfigHolder()
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
+    change_signal = ChangeSignal()
+    config.listeners.append(change_signal.update)
     metrics = Metrics.wire(
         settings.instance_id, environment.clock, directory, config, members, log_buffer
     )
     forwarder = Forwarder(directory, pool, environment.clock, metrics.observer)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
-    topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
+    config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
+    topic_by_name = {topic.name: topic for topic in (config_topic,)}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
@@ -127,7 +137,13 @@
         store=store,
         members=members,
         peers=peers,
-        watcher=ConfigWatcher(store, config),
+        watcher=ConfigWatcher(
+            store,
+            config,
+            lambda: is_watcher(members.own, members.live()),
+            environment.random,
+        ),
+        change_signal=change_signal,
         callers=CallerServer(
             environment,
             config,
@@ -154,11 +170,23 @@
     )
 
 
-def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
+def make_store(
+    settings: DaemonSettings,
+    environment: Environment,
+    members: MemberTable,
+    client: httpx.AsyncClient,
+) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
         return EmbeddedStore()
-    return HttpStore(client, settings.platform_timeout)
+    return BudgetedStore(
+        HttpStore(client, settings.platform_timeout),
+        environment.clock,
+        settings.platform_budget,
+        settings.max_instances,
+        lambda: len(members.live()),
+        TokenBucket(0.0),
+    )
 
 
 @asynccontextmanager
@@ -167,8 +195,11 @@
 ) -> AsyncIterator[tuple[httpx.AsyncClient, httpx.AsyncClient]]:
     """Open the clients of the platform and of peers."""
     secret = {SECRET_HEADER: settings.shared_secret}
+    caller = {CALLER_HEADER: settings.instance_id}
     async with (
-        httpx.AsyncClient(base_url=settings.platform_url) as platform_client,
+        httpx.AsyncClient(
+            base_url=settings.platform_url, headers=caller
+        ) as platform_client,
         httpx.AsyncClient(headers=secret, timeout=PEER_TIMEOUT_SECONDS) as peer_client,
     ):
         yield platform_client, peer_client
@@ -213,26 +244,37 @@
 
 
 async def follow_peers(daemon: Daemon) -> None:
-    """Keep members and configuration in step with peers and the platform's list."""
+    """Keep members and configuration in step with peers."""
+    exchanges = 1
+    while True:
+        for _ in range(exchanges):
+            await daemon.peers.run_once()
+        changed = await daemon.change_signal.wait(daemon.settings.peer_interval)
+        exchanges = PEERS_TOLD_AT_ONCE if changed else 1
+
+
+async def follow_list(daemon: Daemon) -> None:
+    """Announce this instance and learn of others from the platform's list."""
     own = daemon.members.own
     listed = ListedInstance(
         own.member_id, own.zone, own.address, own.control_address, own.leaving
     )
-    await daemon.store.announce(listed)
     while True:
-        await learn_from_list(daemon)
-        await daemon.peers.run_once()
-        await trio.sleep(daemon.settings.peer_interval)
+        if not await learn_from_list(daemon):
+            await daemon.store.announce(listed)
+        await trio.sleep(LIST_SECONDS)
 
 
-async def learn_from_list(daemon: Daemon) -> None:
-    """Exchange with listed instances that are not known yet."""
+async def learn_from_list(daemon: Daemon) -> bool:
+    """Exchange with listed instances not known yet; tell whether this one is listed."""
+    own = daemon.members.own
     listed = (await daemon.store.list_instances()).value_or([])
     for instance in listed:
         known = daemon.members.member_by_id.get(instance.name)
-        if instance.name == daemon.members.own.member_id or known is not None:
-            continue
-        await daemon.peers.exchange_with(instance.control_address)
+        if instance.name != own.member_id and known is None:
+            await daemon.peers.exchange_with(instance.control_address)
+    address_by_name = {each.name: each.control_address for each in listed}
+    return address_by_name.get(own.member_id) == own.control_address
 
 
 async def stop_on_signal(scope: trio.CancelScope) -> None:
--- a/catkinslip/settings/values.py
+++ b/catkinslip/settings/values.py
@@ -60,6 +60,11 @@
     return tuple(parse_address(word) for word in words(text))
 
 
+def parse_some_addresses(text: str) -> tuple[str, ...]:
+    """Return at least one address; raise ValueError when one is wrong."""
+    return parse_addresses(parse_required(text))
+
+
 def optional_url(text: str) -> str:
     """Return a URL or an empty text; raise ValueError when it is wrong."""
     return parse_url(text) if text else ''
@@ -71,5 +76,15 @@
 http_url_or_empty = FormConversion(
     'http://host:port, https://host:port or empty', optional_url
 )
-host_and_port = FormConversion('host:port', parse_address)
 addresses = FormConversion('host:port, separated by commas', parse_addresses)
+some_addresses = FormConversion(
+    'host:port, or several separated by commas', parse_some_addresses
+)
+
+
+def optional(conversion: Conversion) -> FormConversion:
+    """Return a conversion that turns an empty text into None."""
+    return FormConversion(
+        f'{conversion.text}, or empty',
+        lambda text: conversion(text) if text else None,
+    )
--- a/catkinslip/status.py
+++ b/catkinslip/status.py
@@ -16,7 +16,8 @@
     CONFLICT = 4, 'Another operator changed the configuration first; nothing changed.'
     UNKNOWN = 5, 'The outcome could not be learned; the change may be in force.'
     UNREACHABLE = 6, 'The daemon or the platform could not be reached; nothing changed.'
-    NOT_FOUND = 7, 'What was asked for is not known.'
+    NOT_IN_FORCE = 7, 'The change is accepted, but not in force everywhere yet.'
+    NOT_FOUND = 8, 'What was asked for is not known.'
 
     def __new__(cls, value: int, meaning: str) -> 'ExitStatus':
         """Make a status with its meaning."""
