--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo bench-logs clean
+.PHONY: install lint format test demo model bench-config bench-logs clean
 
 install: $(STAMP)
 
@@ -30,5 +30,12 @@
 bench-logs: install
 	$(RUN) -m benchmarks.logs
 
+bench-config: install
+	$(RUN) -m benchmarks.configuration
+	$(RUN) -m benchmarks.configuration_in_force
+
+model: install
+	$(RUN) -m model
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/catkinslip/cli/changing.py
@@ -0,0 +1,108 @@
+"""What the commands that change the configuration share."""
+
+import secrets
+from collections.abc import Callable
+
+from returns.result import Result
+
+from catkinslip.cli import definition as defined
+from catkinslip.cli.change_outcomes import describe
+from catkinslip.cli.configuration import (
+    ConfigurationCommand,
+)
+from catkinslip.cli.in_force import InForceReport
+from catkinslip.config.changes import (
+    ChangeAccepted,
+    ChangeOutcome,
+    apply_change,
+)
+from catkinslip.config.checks import DocumentRefused
+from catkinslip.config.documents import ConfigVersion, Document, to_plain
+from catkinslip.config.reading import StoredConfig
+from catkinslip.platform.base import ObjectStore
+from catkinslip.status import ExitStatus
+
+Edit = Callable[[Document], Result[Document, DocumentRefused]]
+
+
+class ChangingCommand(ConfigurationCommand):
+    """A command that makes a change."""
+
+    @property
+    def wait(self) -> float | None:
+        """Return the seconds to wait until a change is in force, if any."""
+        return self.value(defined.WAIT)
+
+    async def write(
+        self,
+        store: ObjectStore,
+        base: StoredConfig,
+        document: Document,
+        raise_epoch: bool = False,
+    ) -> ChangeOutcome:
+        """Write a document over the one it was made from."""
+        return await apply_change(
+            store,
+            base,
+            document,
+            secrets.token_hex(8),
+            self.author,
+            made_at=self.environment.clock.wall(),
+            raise_epoch=raise_epoch,
+        )
+
+    async def finish(self, store: ObjectStore, outcome: ChangeOutcome) -> ExitStatus:
+        """Print the outcome and wait until the change is in force."""
+        if not isinstance(outcome, ChangeAccepted) or self.wait is None:
+            return self.tell(outcome)
+        config = outcome.config
+        if not self.is_json:
+            self.tell(outcome)
+            return await self.follow(store, config.version, config.change_id)
+        word, _, _, extra = describe(outcome)
+        plain = {'outcome': word, **extra}
+        return await self.follow(store, config.version, config.change_id, plain)
+
+    async def follow(
+        self,
+        store: ObjectStore,
+        version: ConfigVersion,
+        change_id: str,
+        plain: dict | None = None,
+    ) -> ExitStatus:
+        """Wait until a version is in force on every instance."""
+        async with self.open_fleet(store) as fleet:
+            report = await fleet.wait_in_force(version, change_id, self.wait or 0)
+        if self.is_json:
+            self.printer.json({**(plain or {}), **to_plain(report)})
+        else:
+            self.tell_in_force(report, version)
+        return ExitStatus.SUCCESS if report.is_complete else ExitStatus.NOT_IN_FORCE
+
+    def tell_in_force(self, report: InForceReport, version: ConfigVersion) -> None:
+        """Print where a version is in force and name the stragglers."""
+        count = len(report.in_force)
+        if report.is_complete:
+            self.printer.sentence(
+                f'Version {version} is in force on all {count} instances.'
+            )
+            return
+        for straggler in report.stragglers:
+            self.printer.error(f'Not in force: {straggler}.')
+        if not count and not report.stragglers:
+            self.printer.error('No instance is known; name one with --control.')
+        total = count + len(report.stragglers)
+        self.printer.error(
+            f'Version {version} is in force on {count} of {total} instances.'
+        )
+
+    def tell(self, outcome: ChangeOutcome) -> ExitStatus:
+        """Print the outcome of a change."""
+        word, status, sentence, extra = describe(outcome)
+        if self.is_json:
+            self.printer.json({'outcome': word, **extra})
+        elif status == ExitStatus.SUCCESS:
+            self.printer.sentence(sentence)
+        else:
+            self.printer.error(sentence)
+        return status
--- a/catkinslip/cli/configuration.py
+++ b/catkinslip/cli/configuration.py
@@ -1,27 +1,17 @@
-"""The commands that show the configuration and check documents."""
+"""What the commands about the configuration share."""
 
 import os
-import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-import httpx
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from catkinslip.cli import definition as defined
-from catkinslip.cli.base import BaseCommand, UsageError
+from catkinslip.cli.base import BaseCommand
 from catkinslip.cli.in_force import Fleet
 from catkinslip.config.checks import DocumentRefused, parse_document
-from catkinslip.config.documents import ConfigVersion, Document, to_plain
-from catkinslip.config.history import Change, Head
-from catkinslip.config.merge import merge_diff
-from catkinslip.config.reading import (
-    StoredConfig,
-    StoredHead,
-    read_config,
-    read_head,
-)
+from catkinslip.config.documents import Document, to_plain
 from catkinslip.config.shapes import DocumentMistake
 from catkinslip.platform.base import PlatformError
 from catkinslip.platform.http import HttpStore
@@ -72,136 +62,3 @@
             'Check --platform-url or CATKINSLIP_PLATFORM_URL and try again.'
         )
         return ExitStatus.UNREACHABLE
-
-
-class CheckCommand(ConfigurationCommand):
-    """Check a document without the platform."""
-
-    declared = defined.CHECK
-
-    async def main(self) -> ExitStatus:
-        """Do the command's work and return its exit status."""
-        match self.read_file():
-            case Success(document):
-                return self._tell_good(document)
-            case Failure(refused):
-                return self.tell_refused(refused)
-
-    def _tell_good(self, document: Document) -> ExitStatus:
-        services = len(document.register.services)
-        backends = len(document.register.backends)
-        if self.is_json:
-            counts = {'services': services, 'backends': backends}
-            self.printer.json({'outcome': 'good', **counts})
-        else:
-            self.printer.sentence(
-                f'Good: {services} services, {backends} backend servers.'
-            )
-        return ExitStatus.SUCCESS
-
-
-class ReadCommand(ConfigurationCommand):
-    """Print the accepted configuration."""
-
-    declared = defined.READ
-
-    async def main(self) -> ExitStatus:
-        """Do the command's work and return its exit status."""
-        if self.option('from'):
-            return await self._read_instance(self.option('from'))
-        if not self.value(defined.PLATFORM_URL):
-            raise UsageError(
-                'Name the platform with --platform-url (CATKINSLIP_PLATFORM_URL), or '
-                'an instance with --from.'
-            )
-        async with self.open_store() as store:
-            found = await read_config(store)
-        if not isinstance(found, StoredConfig):
-            return self.tell_unreachable(found)
-        config = found.config
-        return self._tell(
-            {
-                'version': to_plain(config.version),
-                'change_id': config.change_id,
-                'author': config.author,
-                'document': config.plain,
-            }
-        )
-
-    async def _read_instance(self, address: str) -> ExitStatus:
-        async with self.open_control() as client:
-            try:
-                response = await client.get(f'http://{address}/v1/config')
-                response.raise_for_status()
-            except httpx.HTTPError as error:
-                self.printer.error(f'{address} did not answer: {error!r}.')
-                return ExitStatus.UNREACHABLE
-        return self._tell(response.json())
-
-    def _tell(self, plain: dict) -> ExitStatus:
-        self.printer.json(plain['document'] if self.option('document') else plain)
-        return ExitStatus.SUCCESS
-
-
-class ChangesCommand(ConfigurationCommand):
-    """Show recent changes."""
-
-    declared = defined.CHANGES
-
-    async def main(self) -> ExitStatus:
-        """Do the command's work and return its exit status."""
-        async with self.open_store() as store:
-            found = await read_head(store)
-        if not isinstance(found, StoredHead):
-            return self.tell_unreachable(found)
-        wanted = self.option('change')
-        if wanted is None:
-            self._tell(found.head.changes)
-            return ExitStatus.SUCCESS
-        change = found.head.find(wanted)
-        if change is not None:
-            self._tell((change,))
-            return ExitStatus.SUCCESS
-        return self._tell_absent(wanted, found.head)
-
-    def _tell(self, changes: tuple[Change, ...]) -> None:
-        if self.is_json:
-            self.printer.json(to_plain(changes))
-            return
-        for change in changes:
-            made_at = time.strftime('%F %T', time.gmtime(change.made_at))
-            line = f'{change.version}  {change.change_id}  {made_at}  {change.author}'
-            if self.option('patches'):
-                line += f'  {to_plain(change.patch)}'
-            self.printer.sentence(line)
-
-    def _tell_absent(self, change_id: str, head: Head) -> ExitStatus:
-        if head.reaches_back_to(ConfigVersion()):
-            self.printer.error(f'Change {change_id} has not been accepted.')
-            return ExitStatus.CONFLICT
-        first = head.changes[0].version
-        self.printer.error(
-            f'Change {change_id} is not among the changes since version {first}: '
-            'it was not accepted since then; of earlier ones nothing is known.'
-        )
-        return ExitStatus.UNKNOWN
-
-
-class DiffCommand(ConfigurationCommand):
-    """Show what a document would change."""
-
-    declared = defined.DIFF
-
-    async def main(self) -> ExitStatus:
-        """Do the command's work and return its exit status."""
-        match self.read_file():
-            case Failure(refused):
-                return self.tell_refused(refused)
-            case Success(document):
-                pass
-        async with self.open_store() as store:
-            found = await read_config(store)
-        if not isinstance(found, StoredConfig):
-            return self.tell_unreachable(found)
-        self.printer.json(merge_diff(found.config.plain, to_plain(document)))
-        return ExitStatus.SUCCESS
--- a/catkinslip/config/shapes.py
+++ b/catkinslip/config/shapes.py
@@ -2,6 +2,7 @@
 
 import types
 from collections.abc import Iterator
+from enum import Enum
 from math import isfinite
 from typing import Any, Union, get_args, get_origin
 
@@ -101,6 +102,8 @@
         return is_number and isfinite(plain)
     if wanted is int:
         return isinstance(plain, int) and not isinstance(plain, bool)
+    if issubclass(wanted, Enum):
+        return plain in [each.value for each in wanted]
     return isinstance(plain, wanted)
 
 
@@ -108,6 +111,8 @@
     """Return the mistake of a value of the wrong type."""
     shown = repr(plain) if len(repr(plain)) <= 40 else type(plain).__name__
     word = WORD_BY_TYPE.get(wanted, wanted.__name__)
+    if issubclass(wanted, Enum):
+        word = 'one of ' + ', '.join(repr(each.value) for each in wanted)
     return DocumentMistake(place, f'{shown} is not {word}')
 
 
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -39,6 +39,11 @@
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.policies import LeastInFlight
 from catkinslip.settings.daemon import DaemonSettings
+from catkinslip.tickets.gate import AtMostOnce
+from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
+from catkinslip.tickets.passing import HomePasser
+from catkinslip.tickets.records import PlatformRecords
+from catkinslip.tickets.table import TicketTable
 
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
@@ -124,7 +129,22 @@
         settings.instance_id, environment.clock, directory, config, members, log_buffer
     )
     forwarder = Forwarder(directory, pool, environment.clock, metrics.observer)
-    addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    ticket_clock = AnchoredClock(environment.clock)
+    gate = AtMostOnce(
+        forwarder=forwarder,
+        table=make_table(settings, own, ticket_clock),
+        records=PlatformRecords(store, environment.random),
+        passer=HomePasser(own.member_id, pool, environment.clock),
+        config=config,
+        members=members,
+        clock=ticket_clock,
+    )
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(ticket_clock, settings.key_lifetime),
+    )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
     topic_by_name = {topic.name: topic for topic in (config_topic,)}
     peers = PeerExchange(
@@ -147,7 +167,7 @@
         callers=CallerServer(
             environment,
             config,
-            forwarder,
+            gate,
             addresses,
             caller_limits(settings),
             metrics.observer,
@@ -158,6 +178,19 @@
     )
 
 
+def make_table(
+    settings: DaemonSettings, own: Member, clock: AnchoredClock
+) -> TicketTable:
+    """Return the table of the keys whose home is this instance."""
+    return TicketTable(
+        own.member_id,
+        own.incarnation,
+        settings.key_lifetime,
+        settings.key_capacity,
+        clock.now(),
+    )
+
+
 def caller_limits(settings: DaemonSettings) -> CallerLimits:
     """Return what callers may ask for."""
     return CallerLimits(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -84,6 +84,8 @@
         """Count the call and play the faults that come before it."""
         if request.path.startswith('/standin'):
             return
+        # An answer before the body's end leaves hypercorn's connection unusable.
+        await request.get_data()
         count = self.count_by_caller.setdefault(
             request.headers.get(CALLER_HEADER, ''), CallCount()
         )
@@ -137,6 +139,7 @@
         if len(await request.get_data()) > MAX_VALUE_BYTES:
             return Response('the value is too large\n', status=413)
         value = await request.get_json()
+        # No await from here on: the check and the write are one step.
         found = self.object_by_path.get(path)
         version = found['version'] if found else 0
         expected = int(request.headers.get('If-Match', '0'))
