Write the operators' page, run its examples, and start the tool in half the time

Cause: no page told how to install, read, change or refuse; the tool took 1.4 s to start, as it imported quart and hypercorn for two constants. Change: docs/OPERATING.md, its blocks run with those of the README; a test finds a refusal that the page leaves out. Paths and headers of the control surface stand in control/paths.py.

--- a/catkinslip/cli/base.py
+++ b/catkinslip/cli/base.py
@@ -11,7 +11,7 @@
 from catkinslip.cli import definition as defined
 from catkinslip.cli.definition import Definition
 from catkinslip.cli.output import Printer
-from catkinslip.control.app import SECRET_HEADER
+from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.environment import Environment
 from catkinslip.platform.http import HttpStore
 from catkinslip.settings.base import Option, read_values, with_secret_files
--- a/catkinslip/cli/explain.py
+++ b/catkinslip/cli/explain.py
@@ -9,7 +9,7 @@
 from catkinslip.cli import definition as defined
 from catkinslip.cli.instances import InstanceCommand
 from catkinslip.clock import utc_text
-from catkinslip.control.operators import REQUESTS_PATH, STATUS_PATH
+from catkinslip.control.paths import REQUESTS_PATH, STATUS_PATH
 from catkinslip.status import ExitStatus
 
 MILLISECONDS = 1000
--- a/catkinslip/cli/instances.py
+++ b/catkinslip/cli/instances.py
@@ -10,7 +10,7 @@
 from catkinslip.cli import definition as defined
 from catkinslip.cli.base import BaseCommand
 from catkinslip.cli.output import table
-from catkinslip.control.operators import STATUS_PATH
+from catkinslip.control.paths import STATUS_PATH
 from catkinslip.status import ExitStatus
 
 
--- a/catkinslip/cli/metrics.py
+++ b/catkinslip/cli/metrics.py
@@ -8,7 +8,7 @@
 from catkinslip.cli import definition as defined
 from catkinslip.cli.instances import InstanceCommand
 from catkinslip.cli.output import table
-from catkinslip.control.operators import METRICS_PATH
+from catkinslip.control.paths import METRICS_PATH
 from catkinslip.metrics.base import Family, SummarySample
 from catkinslip.metrics.requests import SHED_WORD
 from catkinslip.status import ExitStatus
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -8,10 +8,9 @@
 from quart_trio import QuartTrio
 
 from catkinslip.control.operators import OperatorPages
+from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.membership.exchange import PATH, ExchangeMessage, PeerExchange
 
-SECRET_HEADER = 'Catkinslip-Secret'
-
 
 @define
 class ControlSurface:
--- a/catkinslip/control/operators.py
+++ b/catkinslip/control/operators.py
@@ -10,17 +10,18 @@
 from quart_trio import QuartTrio
 
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.control.paths import (
+    CONFIG_PATH,
+    EXPOSITION_PATH,
+    METRICS_PATH,
+    REQUESTS_PATH,
+    STATUS_PATH,
+)
 from catkinslip.membership.members import MemberTable
 from catkinslip.metrics.base import Family, MetricSource
 from catkinslip.metrics.exposition import CONTENT_TYPE, expose
 from catkinslip.metrics.traces import TraceRing
 
-STATUS_PATH = '/v1/status'
-CONFIG_PATH = '/v1/config'
-METRICS_PATH = '/v1/metrics'
-REQUESTS_PATH = '/v1/requests/'
-EXPOSITION_PATH = '/metrics'
-
 
 @define
 class OperatorPages:
--- /dev/null
+++ b/catkinslip/control/paths.py
@@ -0,0 +1,8 @@
+"""Paths and headers of the control surface, for both of its sides."""
+
+SECRET_HEADER = 'Catkinslip-Secret'
+STATUS_PATH = '/v1/status'
+CONFIG_PATH = '/v1/config'
+METRICS_PATH = '/v1/metrics'
+REQUESTS_PATH = '/v1/requests/'
+EXPOSITION_PATH = '/metrics'
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -19,8 +19,9 @@
 from catkinslip.config.signal import PEERS_TOLD_AT_ONCE, ChangeSignal
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
-from catkinslip.control.app import SECRET_HEADER, ControlSurface
+from catkinslip.control.app import ControlSurface
 from catkinslip.control.operators import OperatorPages
+from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.environment import Environment
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.membership.exchange import PeerExchange
--- a/tests/test_docs_examples.py
+++ b/tests/test_docs_examples.py
@@ -1,4 +1,4 @@
-"""The examples of the README, run as they stand there."""
+"""The examples of README and OPERATING, run as they stand there."""
 
 import contextlib
 import os
@@ -11,23 +11,28 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from catkinslip.proxy.outcomes import Reason
+
 ROOT = Path(__file__).resolve().parent.parent
 BLOCK = re.compile(r'^```sh run\n(.*?)^```$', re.DOTALL | re.MULTILINE)
 PORT = re.compile(r'\b7[0-3]0\d\b')
 ACTIVATE = '. .venv/bin/activate\n'
 PRELUDE = """set -e
 catkinslip() { python -m catkinslip "$@"; }
-catkinslipd() { exec python -m catkinslip.daemon "$@"; }
+catkinslipd() { python -m catkinslip.daemon "$@"; }
 """
 SECONDS = 120
 FIRST_KERNEL_PORT = 32_768
 
 
-class ReadmeTest(unittest.TestCase):
+class ExamplesTest(unittest.TestCase):
     """Each block ends well and shows what the text says."""
 
     def test_examples_run_as_written(self):
-        output = run_script(PRELUDE + ''.join(blocks(ROOT / 'README.md')))
+        *first, last = blocks(ROOT / 'README.md')
+        operating = blocks(ROOT / 'docs' / 'OPERATING.md')
+        found = with_free_ports([*first, *operating, last])
+        output = run_script(PRELUDE + ''.join(found))
         for expected in (
             'Good: 1 services, 2 backend servers.',
             'Accepted as version 0.1, change [0-9a-f]+.',
@@ -42,15 +47,29 @@
             r'\nlimits +\d+ +\d+ ',
             r'catkinslip_service_outcomes_total\{outcome="answered-2xx"',
             'Version 0.2 is in force on all 2 instances.',
+            'The settings are right.',
+            r'--platform-timeout \(CATKINSLIP_PLATFORM_TIMEOUT\): .900. is wrong',
+            '--sed is not a flag. Did you mean --seeds?',
+            '4  Another operator changed the configuration first',
+            r'entry-2 took GET /limits/9 for limits',
+            r'INFO routing: second limits goes to limits-\d',
             'Version 0.3 is in force on all 2 instances.',
         ):
             self.assertRegex(output, expected)
 
 
+class RefusalsTest(unittest.TestCase):
+    """Operators find each refusal with what to do."""
+
+    def test_each_refusal_is_in_the_operators_page(self):
+        text = (ROOT / 'docs' / 'OPERATING.md').read_text()
+        missing = [each.slug for each in Reason if f'`{each.slug}`' not in text]
+        self.assertEqual(missing, [])
+
+
 def blocks(path: Path) -> list[str]:
-    """Return the runnable blocks of a page, on ports that are free here."""
-    text = path.read_text()
-    return with_free_ports(BLOCK.findall(text))
+    """Return the runnable blocks of a page."""
+    return BLOCK.findall(path.read_text())
 
 
 def with_free_ports(found: list[str]) -> list[str]:
