Write trace texts only when asked, and refuse settings that cannot work

Cause: each request wrote texts of outcomes that nobody may read; an address answer could name 0.0.0.0; keys could expire while callers kept them; the resident memory of histograms depended on what the allocator reused (5.0 KB, then 0.6 KB). Change: traces keep values and write text in find(); listeners need a number that others can reach; key lifetime must exceed address lifetime; the secret is not in the repr of the settings; the benchmark counts allocated bytes.

--- a/benchmarks/logs.py
+++ b/benchmarks/logs.py
@@ -5,6 +5,7 @@
 import os
 import statistics
 import time
+import tracemalloc
 from collections import deque
 from collections.abc import Callable
 
@@ -121,21 +122,17 @@
 
 
 def histogram_bytes(precision: Precision) -> float:
-    """Return the resident bytes of one set of durations with two windows."""
-    before = resident_bytes()
+    """Return the allocated bytes of one set of durations with two windows."""
+    tracemalloc.start()
     kept = []
     for _ in range(HISTOGRAMS):
         durations = Durations(precision)
         durations.record(0.01, 0.0)
         durations.record(0.01, 61.0)
         kept.append(durations)
-    return (resident_bytes() - before) / len(kept)
-
-
-def resident_bytes() -> int:
-    """Return the resident memory of this process."""
-    with open('/proc/self/statm') as file:
-        return int(file.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / len(kept)
 
 
 if __name__ == '__main__':
--- a/catkinslip/metrics/traces.py
+++ b/catkinslip/metrics/traces.py
@@ -3,7 +3,6 @@
 from collections import deque
 from typing import Any
 
-import cattrs
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
@@ -19,11 +18,21 @@
     """One attempt: where it went, why, and how it ended; times in seconds."""
 
     backend_id: str
-    reason: str
+    reason: object
     candidates: int
-    outcome: str = ''
+    outcome: Outcome | None = None
     seconds: float = 0.0
 
+    def to_plain(self) -> dict[str, Any]:
+        """Return the attempt as plain data; only now its texts are written."""
+        return {
+            'backend_id': self.backend_id,
+            'reason': str(self.reason),
+            'candidates': self.candidates,
+            'outcome': text_of(self.outcome),
+            'seconds': self.seconds,
+        }
+
 
 @define
 class RequestTrace:
@@ -36,9 +45,23 @@
     repeatable: bool
     began_at: float
     attempts: list[AttemptTrace] = Factory(list)
-    outcome: str = ''
+    outcome: Outcome | None = None
     seconds: float = 0.0
 
+    def to_plain(self) -> dict[str, Any]:
+        """Return the trace as plain data; only now its texts are written."""
+        return {
+            'request_id': self.request_id,
+            'service': self.service,
+            'method': self.method,
+            'path': self.path,
+            'repeatable': self.repeatable,
+            'began_at': self.began_at,
+            'attempts': [attempt.to_plain() for attempt in self.attempts],
+            'outcome': text_of(self.outcome),
+            'seconds': self.seconds,
+        }
+
 
 @define
 class TraceRing(RequestObserver):
@@ -69,14 +92,14 @@
         if trace is None:
             return
         for attempt in trace.attempts:
-            if attempt.backend_id == backend_id and not attempt.outcome:
-                attempt.outcome = str(outcome)
+            if attempt.backend_id == backend_id and attempt.outcome is None:
+                attempt.outcome = outcome
                 attempt.seconds = seconds
 
     def ended(self, call: Call, outcome: Outcome, seconds: float) -> None:
         """Learn what the caller was told and how long the request took."""
         trace = self.trace_by_call.pop(id(call), None) or self._begin(call)
-        trace.outcome = str(outcome)
+        trace.outcome = outcome
         trace.seconds = seconds
         self.ended_traces.append(trace)
 
@@ -84,7 +107,7 @@
         """Return all traces of a request as plain data, the oldest first."""
         traces = [*self.ended_traces, *self.trace_by_call.values()]
         return [
-            {'instance': self.instance_id, **cattrs.unstructure(trace)}
+            {'instance': self.instance_id, **trace.to_plain()}
             for trace in traces
             if trace.request_id == request_id
         ]
@@ -98,3 +121,8 @@
             call.repeatable,
             self.clock.wall(),
         )
+
+
+def text_of(outcome: Outcome | None) -> str:
+    """Return an outcome as text; empty while there is none."""
+    return '' if outcome is None else str(outcome)
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -1,6 +1,6 @@
 """Settings of the daemon, declared once."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 from catkinslip.settings.base import Option, number, one_of, whole_number
 from catkinslip.settings.values import (
@@ -177,7 +177,7 @@
     listen_port: int
     control_host: str
     control_port: int
-    shared_secret: str
+    shared_secret: str = field(repr=False)
     platform_url: str
     platform_timeout: float
     platform_budget: float
@@ -209,4 +209,10 @@
             f'(CATKINSLIP_CONTROL_PORT) are both {port} on {settings.listen_host}; '
             'callers and operators need a listener each.'
         )
+    if settings.key_lifetime <= settings.address_lifetime:
+        mistakes.append(
+            f'--key-lifetime (CATKINSLIP_KEY_LIFETIME) of {settings.key_lifetime:g} '
+            'seconds must be above --address-lifetime (CATKINSLIP_ADDRESS_LIFETIME) '
+            f'of {settings.address_lifetime:g}; callers would hold expired keys.'
+        )
     return tuple(mistakes)
--- a/catkinslip/settings/values.py
+++ b/catkinslip/settings/values.py
@@ -1,7 +1,7 @@
 """Conversions of settings that name places and things."""
 
 from collections.abc import Callable
-from ipaddress import ip_address
+from ipaddress import IPv4Address
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -48,6 +48,14 @@
     return str(address)
 
 
+def parse_ip_number(text: str) -> str:
+    """Return the number, which others are told; raise ValueError when wrong."""
+    number = IPv4Address(text)
+    if number.is_unspecified:
+        raise ValueError(text)
+    return str(number)
+
+
 def parse_required(text: str) -> str:
     """Return the text; raise ValueError when it is empty."""
     if not text:
@@ -71,7 +79,7 @@
 
 
 required = FormConversion('a text that is not empty', parse_required)
-ip_number = FormConversion('an IP number', lambda text: str(ip_address(text)))
+ip_number = FormConversion('an IPv4 number that others can reach', parse_ip_number)
 http_url = FormConversion('http://host:port or https://host:port', parse_url)
 http_url_or_empty = FormConversion(
     'http://host:port, https://host:port or empty', optional_url
--- a/tests/test_settings_start.py
+++ b/tests/test_settings_start.py
@@ -51,7 +51,7 @@
             '--seeds (CATKINSLIP_SEEDS)',
             '--platform-url (CATKINSLIP_PLATFORM_URL)',
             "--listen-host (CATKINSLIP_LISTEN_HOST): 'example.org' is wrong; "
-            'it must be an IP number.',
+            'it must be an IPv4 number that others can reach.',
         ):
             self.assertIn(expected, said)
 
@@ -61,8 +61,11 @@
             '--zone=zone-a',
             '--listen-port=7000',
             '--control-port=7000',
+            '--key-lifetime=60',
+            '--address-lifetime=60',
         )
         self.assertEqual(status, ExitStatus.USAGE)
+        self.assertIn('--key-lifetime (CATKINSLIP_KEY_LIFETIME)', said)
         self.assertIn('--control-port (CATKINSLIP_CONTROL_PORT)', said)
 
     def test_secret_comes_from_a_file_and_is_never_printed(self):
