--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model bench-config bench-logs clean
+.PHONY: install lint format test demo model clean
+.PHONY: bench-config bench-drain bench-logs bench-probes
 
 install: $(STAMP)
 
@@ -37,5 +38,11 @@
 model: install
 	$(RUN) -m model
 
+bench-drain: install
+	$(RUN) -m benchmarks.drain
+
+bench-probes: install
+	$(RUN) -m benchmarks.probes
+
 clean:
 	rm -rf $(VENV) build
--- a/catkinslip/cli/instances.py
+++ b/catkinslip/cli/instances.py
@@ -119,6 +119,7 @@
 def status_lines(plain: dict[str, Any]) -> Sequence[str]:
     """Return the status of one instance for people."""
     member = plain['member']
+    leaving = ', '.join(plain['leaving_backends']) or 'none'
     others = [each['member_id'] for each in plain['members']]
     return (
         f'Instance {member["member_id"]} in {member["zone"]}, '
@@ -127,6 +128,7 @@
         f'peers and operators at {member["control_address"]}.',
         f'Configuration version {version_text(plain)} is in force.',
         f'It knows {len(others)} instances: {", ".join(sorted(others))}.',
+        f'Backend servers that leave: {leaving}.',
     )
 
 
--- a/catkinslip/control/operators.py
+++ b/catkinslip/control/operators.py
@@ -17,6 +17,7 @@
     REQUESTS_PATH,
     STATUS_PATH,
 )
+from catkinslip.health.tracker import HealthTracker
 from catkinslip.membership.members import MemberTable
 from catkinslip.metrics.base import Family, MetricSource
 from catkinslip.metrics.exposition import CONTENT_TYPE, expose
@@ -29,6 +30,7 @@
 
     members: MemberTable
     config: ConfigHolder
+    health: HealthTracker
     sources: tuple[MetricSource, ...]
     traces: TraceRing
 
@@ -48,6 +50,8 @@
             'config_version': cattrs.unstructure(current.version),
             'change_id': current.change_id,
             'author': current.author,
+            'leaving_backends': self.health.leaving_ids(),
+            'health': cattrs.unstructure(self.health.counters),
         }
 
     async def _config(self) -> dict[str, Any]:
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -23,9 +23,15 @@
 from catkinslip.control.operators import OperatorPages
 from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.environment import Environment
+from catkinslip.health.lister import ListFollower
+from catkinslip.health.prober import Prober
+from catkinslip.health.spreader import DrainSpreader
+from catkinslip.health.topics import health_topics
+from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.platform import CountedStore
 from catkinslip.metrics.wiring import Metrics
 from catkinslip.models import Address
@@ -70,6 +76,10 @@
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
+    health: HealthTracker
+    prober: Prober
+    spreader: DrainSpreader
+    lister: ListFollower
     metrics: Metrics
 
 
@@ -103,6 +113,9 @@
             nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(follow_list, daemon)
+            nursery.start_soon(daemon.prober.run)
+            nursery.start_soon(daemon.spreader.run)
+            nursery.start_soon(daemon.lister.run)
             nursery.start_soon(daemon.metrics.lag.run)
             announce_ready(own, environment)
         await daemon.pool.close()
@@ -122,6 +135,10 @@
     config = ConfigHolder()
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
+    health = make_tracker(
+        directory, environment.clock, environment.random, settings.max_instances
+    )
+    config.listeners.append(health.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
     change_signal = ChangeSignal()
@@ -129,7 +146,7 @@
     metrics = Metrics.wire(
         settings.instance_id, environment.clock, directory, config, members, log_buffer
     )
-    forwarder = Forwarder(directory, pool, environment.clock, metrics.observer)
+    forwarder = Forwarder(directory, pool, environment.clock, health, metrics.observer)
     ticket_clock = AnchoredClock(environment.clock)
     gate = AtMostOnce(
         forwarder=forwarder,
@@ -147,12 +164,13 @@
         KeyIssuer(ticket_clock, settings.key_lifetime),
     )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
-    topic_by_name = {topic.name: topic for topic in (config_topic,)}
+    topics = (config_topic, *health_topics(health))
+    topic_by_name = {topic.name: topic for topic in topics}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
-    sources = (*metrics.sources, store)
-    operators = OperatorPages(members, config, sources, metrics.traces)
+    sources = (*metrics.sources, store, HealthMetrics(health))
+    operators = OperatorPages(members, config, health, sources, metrics.traces)
     return Daemon(
         settings=settings,
         store=store,
@@ -175,6 +193,12 @@
         ),
         control=ControlSurface(peers, operators, settings.shared_secret),
         pool=pool,
+        health=health,
+        prober=Prober(health, members, pool, environment.clock),
+        spreader=DrainSpreader(health, peers, environment.random),
+        lister=ListFollower(
+            store, health, lambda: is_watcher(members.own, members.live())
+        ),
         metrics=metrics,
     )
 
@@ -302,7 +326,10 @@
 async def learn_from_list(daemon: Daemon) -> bool:
     """Exchange with listed instances not known yet; tell whether this one is listed."""
     own = daemon.members.own
-    listed = (await daemon.store.list_instances()).value_or([])
+    result = await daemon.store.list_instances()
+    listed = [
+        each for each in result.value_or([]) if not daemon.health.is_backend(each.name)
+    ]
     for instance in listed:
         known = daemon.members.member_by_id.get(instance.name)
         if instance.name != own.member_id and known is None:
--- /dev/null
+++ b/catkinslip/metrics/health.py
@@ -0,0 +1,29 @@
+"""Tell what the health slice counts, probes against their budget among it."""
+
+from collections.abc import Iterable
+
+from attrs import asdict, define
+
+from catkinslip.health.tracker import HealthTracker
+from catkinslip.metrics.base import Family, MetricSource, counter, gauge
+
+
+@define
+class HealthMetrics(MetricSource):
+    """Tell probes sent and held back by the budget, drain words and returns."""
+
+    health: HealthTracker
+
+    def families(self) -> Iterable[Family]:
+        """Return the measured values of now."""
+        events = counter(
+            'catkinslip_health_events_total',
+            'Probes, drain words and reports; held back probes were not sent.',
+            'event',
+        )
+        for event, count in asdict(self.health.counters).items():
+            events.add(count, event.replace('_', '-'))
+        yield events
+        leaving = gauge('catkinslip_leaving_backends', 'Backend servers that leave.')
+        leaving.add(len(self.health.leaving_ids()))
+        yield leaving
