--- a/catkinslip/cli/changing.py
+++ b/catkinslip/cli/changing.py
@@ -1,29 +1,17 @@
 """What the commands that change the configuration share."""
 
 import secrets
-from collections.abc import Callable
-
-from returns.result import Result
 
 from catkinslip.cli import definition as defined
 from catkinslip.cli.change_outcomes import describe
-from catkinslip.cli.configuration import (
-    ConfigurationCommand,
-)
+from catkinslip.cli.configuration import ConfigurationCommand
 from catkinslip.cli.in_force import InForceReport
-from catkinslip.config.changes import (
-    ChangeAccepted,
-    ChangeOutcome,
-    apply_change,
-)
-from catkinslip.config.checks import DocumentRefused
+from catkinslip.config.changes import ChangeAccepted, ChangeOutcome, apply_change
 from catkinslip.config.documents import ConfigVersion, Document, to_plain
 from catkinslip.config.reading import StoredConfig
 from catkinslip.platform.base import ObjectStore
 from catkinslip.status import ExitStatus
 
-Edit = Callable[[Document], Result[Document, DocumentRefused]]
-
 
 class ChangingCommand(ConfigurationCommand):
     """A command that makes a change."""
