--- a/catkinslip/cli/base.py
+++ b/catkinslip/cli/base.py
@@ -1,6 +1,8 @@
 """What all commands share: settings, clients and printing."""
 
 from abc import abstractmethod
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any, ClassVar
 
 import httpx
@@ -73,11 +75,13 @@
         """Return the checked value of a setting."""
         return self.value_by_field[option.field]
 
-    def open_store(self) -> 'StoreClient':
-        """Return a context that opens the platform's object API."""
-        return StoreClient(
-            self.value(defined.PLATFORM_URL), self.value(defined.PLATFORM_TIMEOUT)
-        )
+    @asynccontextmanager
+    async def open_store(self) -> AsyncIterator[HttpStore]:
+        """Open the platform's object API."""
+        timeout = self.value(defined.PLATFORM_TIMEOUT)
+        url = self.value(defined.PLATFORM_URL)
+        async with httpx.AsyncClient(base_url=url, timeout=timeout) as client:
+            yield HttpStore(client, timeout)
 
     def open_control(self) -> httpx.AsyncClient:
         """Return a context that opens a client of control surfaces."""
@@ -85,18 +89,3 @@
             headers={SECRET_HEADER: self.value(defined.SHARED_SECRET)},
             timeout=self.value(defined.CONTROL_TIMEOUT),
         )
-
-
-class StoreClient:
-    """Open the platform's object API for one command."""
-
-    def __init__(self, url: str, timeout: float) -> None:
-        self.client = httpx.AsyncClient(base_url=url, timeout=timeout)
-        self.timeout = timeout
-
-    async def __aenter__(self) -> HttpStore:
-        await self.client.__aenter__()
-        return HttpStore(self.client, self.timeout)
-
-    async def __aexit__(self, *details: Any) -> None:
-        await self.client.__aexit__(*details)
