--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model clean
-.PHONY: bench-config bench-drain bench-logs bench-probes
-
+.PHONY: install
 install: $(STAMP)
 
 $(STAMP): requirements.txt requirements-dev.txt
@@ -14,35 +12,49 @@
 	$(VENV)/bin/pip install --quiet -r requirements-dev.txt --editable .
 	touch $(STAMP)
 
+.PHONY: lint
 lint: install
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
 
+.PHONY: format
 format: install
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
 
+.PHONY: test
 test: lint
 	$(RUN) -m tests
 
+.PHONY: demo
 demo: install
 	$(RUN) -m standins.demo
 
+.PHONY: bench-logs
 bench-logs: install
 	$(RUN) -m benchmarks.logs
 
+.PHONY: bench-config
 bench-config: install
 	$(RUN) -m benchmarks.configuration
 	$(RUN) -m benchmarks.configuration_in_force
 
+.PHONY: model
 model: install
 	$(RUN) -m model
 
+.PHONY: bench-drain
 bench-drain: install
 	$(RUN) -m benchmarks.drain
 
+.PHONY: bench-probes
 bench-probes: install
 	$(RUN) -m benchmarks.probes
 
+.PHONY: bench-path
+bench-path: install
+	$(RUN) -m benchmarks.path
+
+.PHONY: clean
 clean:
 	rm -rf $(VENV) build
