--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet -r requirements-dev.txt
+	$(VENV)/bin/pip install --quiet -r requirements-dev.txt --editable .
 	touch $(STAMP)
 
 .PHONY: lint
@@ -30,6 +30,10 @@
 demo: install
 	$(RUN) -m standins.demo
 
+.PHONY: bench-logs
+bench-logs: install
+	$(RUN) -m benchmarks.logs
+
 .PHONY: bench-config
 bench-config: install
 	$(RUN) -m benchmarks.configuration
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -7,20 +7,17 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from catkinslip.config.holder import ConfigHolder
-from catkinslip.health.tracker import HealthTracker
+from catkinslip.control.operators import OperatorPages
+from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.membership.exchange import PATH, ExchangeMessage, PeerExchange
 
-SECRET_HEADER = 'Catkinslip-Secret'
-
 
 @define
 class ControlSurface:
     """Answer peers and operators."""
 
     peers: PeerExchange
-    config: ConfigHolder
-    health: HealthTracker
+    operators: OperatorPages
     shared_secret: str
 
     def make_app(self) -> QuartTrio:
@@ -28,14 +25,13 @@
         app = QuartTrio('catkinslip.control')
         app.before_request(self._check_secret)
         app.add_url_rule(PATH, view_func=self._exchange, methods=['POST'])
-        app.add_url_rule('/v1/status', view_func=self._status)
-        app.add_url_rule('/v1/config', view_func=self._config)
+        self.operators.add_to(app)
         return app
 
     async def _check_secret(self) -> Response | None:
         # An answer before the body's end leaves hypercorn's connection unusable.
         await request.get_data()
-        given = request.headers.get(SECRET_HEADER, '')
+        given = request.headers.get(SECRET_HEADER, '') or bearer_token()
         if hmac.compare_digest(given.encode(), self.shared_secret.encode()):
             return None
         return Response('The shared secret is missing or wrong.\n', status=403)
@@ -44,22 +40,8 @@
         message = cattrs.structure(await request.get_json(), ExchangeMessage)
         return cattrs.unstructure(self.peers.receive(message))
 
-    async def _status(self) -> dict:
-        current = self.config.current
-        return {
-            'member': cattrs.unstructure(self.peers.members.own),
-            'members': cattrs.unstructure(self.peers.members.live()),
-            'config_version': cattrs.unstructure(current.version),
-            'change_id': current.change_id,
-            'leaving_backends': self.health.leaving_ids(),
-            'health': cattrs.unstructure(self.health.counters),
-        }
 
-    async def _config(self) -> dict:
-        current = self.config.current
-        return {
-            'version': str(current.version),
-            'change_id': current.change_id,
-            'author': current.author,
-            'document': current.plain,
-        }
+def bearer_token() -> str:
+    """Return the bearer token, which Prometheus sends, or an empty text."""
+    scheme, _, token = request.headers.get('Authorization', '').partition(' ')
+    return token if scheme.lower() == 'bearer' else ''
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -1,10 +1,10 @@
-"""The daemon: read settings, wire the parts, serve until told to stop."""
+"""The daemon: wire the parts and serve until told to stop."""
 
 import gc
 import logging
 import signal
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from functools import partial
 
 import httpx
@@ -13,24 +13,28 @@
 from attrs import define
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve as serve_asgi
-from returns.result import Failure, Result, Success
 
-from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
 from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.signal import PEERS_TOLD_AT_ONCE, ChangeSignal
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
-from catkinslip.control.app import SECRET_HEADER, ControlSurface
+from catkinslip.control.app import ControlSurface
+from catkinslip.control.operators import OperatorPages
+from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.environment import Environment
 from catkinslip.health.lister import ListFollower
 from catkinslip.health.prober import Prober
 from catkinslip.health.spreader import DrainSpreader
 from catkinslip.health.topics import health_topics
 from catkinslip.health.tracker import HealthTracker, make_tracker
+from catkinslip.logs.buffer import LogBuffer
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.metrics.health import HealthMetrics
+from catkinslip.metrics.platform import CountedStore
+from catkinslip.metrics.wiring import Metrics
 from catkinslip.models import Address
 from catkinslip.platform.base import ListedInstance, ObjectStore
 from catkinslip.platform.budget import TokenBucket
@@ -42,16 +46,13 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.choices import make_policy
 from catkinslip.routing.directory import Directory
-from catkinslip.settings.base import SettingsError, build_parser, read_values
-from catkinslip.settings.daemon import OPTIONS, DaemonSettings
-from catkinslip.status import ExitStatus
+from catkinslip.settings.daemon import DaemonSettings
 from catkinslip.tickets.gate import AtMostOnce
 from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
 from catkinslip.tickets.passing import HomePasser
 from catkinslip.tickets.records import PlatformRecords
 from catkinslip.tickets.table import TicketTable
 
-DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
 LIST_SECONDS = 1.0
@@ -59,28 +60,8 @@
 log = logging.getLogger('daemon')
 
 
-def run(arguments: Sequence[str], environment: Environment | None = None) -> ExitStatus:
-    """Run the daemon until it is told to stop."""
-    environment = environment or Environment()
-    match read_settings(arguments, environment):
-        case Failure(error):
-            for mistake in error.mistakes:
-                print(mistake, file=environment.stderr)
-            return ExitStatus.USAGE
-        case Success(settings):
-            logs.configure(settings.log_level, environment.stderr)
-            trio.run(serve, settings, environment)
-    return ExitStatus.SUCCESS
-
-
-def read_settings(
-    arguments: Sequence[str], environment: Environment
-) -> Result[DaemonSettings, SettingsError]:
-    """Read settings from flags and variables."""
-    parser = build_parser('catkinslipd', DESCRIPTION, OPTIONS)
-    flags = vars(parser.parse_args(arguments))
-    values = read_values(OPTIONS, flags, environment.variables)
-    return values.map(lambda value_by_field: DaemonSettings(**value_by_field))
+class ListenError(Exception):
+    """A listener could not be opened; the text names the settings at fault."""
 
 
 @define
@@ -100,14 +81,19 @@
     prober: Prober
     spreader: DrainSpreader
     lister: ListFollower
+    metrics: Metrics
 
 
-async def serve(settings: DaemonSettings, environment: Environment) -> None:
+async def serve(
+    settings: DaemonSettings, environment: Environment, log_buffer: LogBuffer
+) -> None:
     """Serve callers, peers and operators until told to stop."""
-    listeners = await trio.open_tcp_listeners(
-        settings.listen_port, host=settings.listen_host, backlog=LISTEN_BACKLOG
-    )
-    control_socket = await bind_control(settings)
+    with binding('--listen-host and --listen-port'):
+        listeners = await trio.open_tcp_listeners(
+            settings.listen_port, host=settings.listen_host, backlog=LISTEN_BACKLOG
+        )
+    with binding('--control-host and --control-port'):
+        control_socket = await bind_control(settings)
     own = Member(
         settings.instance_id,
         new_incarnation(environment),
@@ -116,7 +102,9 @@
         bound_address(control_socket),
     )
     async with open_clients(settings) as (platform_client, peer_client):
-        daemon = wire(settings, environment, own, platform_client, peer_client)
+        daemon = wire(
+            settings, environment, own, platform_client, peer_client, log_buffer
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stop_on_signal, nursery.cancel_scope)
             nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
@@ -129,6 +117,7 @@
             nursery.start_soon(daemon.prober.run)
             nursery.start_soon(daemon.spreader.run)
             nursery.start_soon(daemon.lister.run)
+            nursery.start_soon(daemon.metrics.lag.run)
             freeze_start_objects()
             announce_ready(own, environment)
         await daemon.pool.close()
@@ -140,10 +129,11 @@
     own: Member,
     platform_client: httpx.AsyncClient,
     peer_client: httpx.AsyncClient,
+    log_buffer: LogBuffer,
 ) -> Daemon:
     """Wire the parts of one daemon."""
     members = MemberTable(own)
-    store = make_store(settings, environment, members, platform_client)
+    store = CountedStore(make_store(settings, environment, members, platform_client))
     config = ConfigHolder()
     directory = Directory(partial(make_policy, settings, environment.random))
     config.listeners.append(directory.update)
@@ -155,7 +145,10 @@
     config.listeners.append(pool.update)
     change_signal = ChangeSignal()
     config.listeners.append(change_signal.update)
-    forwarder = Forwarder(directory, pool, environment.clock, health)
+    metrics = Metrics.wire(
+        settings.instance_id, environment.clock, directory, config, members, log_buffer
+    )
+    forwarder = Forwarder(directory, pool, environment.clock, health, metrics.observer)
     ticket_clock = AnchoredClock(environment.clock)
     gate = AtMostOnce(
         forwarder=forwarder,
@@ -178,6 +171,8 @@
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
+    sources = (*metrics.sources, store, HealthMetrics(health))
+    operators = OperatorPages(members, config, health, sources, metrics.traces)
     return Daemon(
         settings=settings,
         store=store,
@@ -191,9 +186,14 @@
         ),
         change_signal=change_signal,
         callers=CallerServer(
-            environment, config, gate, addresses, caller_limits(settings)
+            environment,
+            config,
+            gate,
+            addresses,
+            caller_limits(settings),
+            metrics.observer,
         ),
-        control=ControlSurface(peers, config, health, settings.shared_secret),
+        control=ControlSurface(peers, operators, settings.shared_secret),
         pool=pool,
         health=health,
         prober=Prober(health, members, pool, environment.clock),
@@ -201,6 +201,7 @@
         lister=ListFollower(
             store, health, lambda: is_watcher(members.own, members.live())
         ),
+        metrics=metrics,
     )
 
 
@@ -264,6 +265,15 @@
         yield platform_client, peer_client
 
 
+@contextmanager
+def binding(flags: str) -> Iterator[None]:
+    """Raise ListenError for an address that cannot be listened on."""
+    try:
+        yield
+    except OSError as error:
+        raise ListenError(f'cannot listen on {flags}: {error.strerror}') from error
+
+
 def bound_address(sock: trio.socket.SocketType) -> str:
     """Return host:port that a socket is bound to."""
     host, port = sock.getsockname()[:2]
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -13,6 +13,7 @@
 from catkinslip.proxy.calls import Call, CallMaker
 from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.intake import HeadReader
+from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.presence import CallerWatch
 from catkinslip.proxy.problems import problem_events
@@ -43,6 +44,7 @@
     forwarder: AtMostOnce
     addresses: AddressBook
     limits: CallerLimits
+    observer: RequestObserver = ObserverGroup()
     watch: CallerWatch = Factory(CallerWatch)
     connections: int = 0
     heads: HeadReader = Factory(
@@ -105,9 +107,19 @@
         call = self.calls.make(request, body, wire.peer)
         if isinstance(call, NotRun):
             return await self._refuse(wire, call, request)
-        outcome = await self._forward(call, wire)
+        outcome = await self._forward_observed(call, wire)
         return await self._report(wire, call, outcome)
 
+    async def _forward_observed(self, call: Call, wire: Wire) -> Outcome:
+        outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+        clock = self.environment.clock
+        began_at = clock.monotonic()
+        try:
+            outcome = await self._forward(call, wire)
+        finally:
+            self.observer.ended(call, outcome, clock.monotonic() - began_at)
+        return outcome
+
     async def _forward(self, call: Call, wire: Wire) -> Outcome:
         if call.is_late(self.environment.clock):
             return NotRun(Reason.TOO_LATE)
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -8,6 +8,7 @@
 from catkinslip.clock import Clock
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.proxy.exchange import Attempt, Call
+from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown, attempt_result
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
@@ -26,6 +27,7 @@
     pool: BackendPool
     clock: Clock
     health: HealthTracker
+    observer: RequestObserver = ObserverGroup()
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -49,6 +51,7 @@
                 choice.reason,
             )
             tried.append(choice.backend_id)
+            self.observer.decided(call, choice, len(tried))
             outcome = await self._attempt(
                 call, caller, router, choice.backend_id, len(tried)
             )
@@ -80,6 +83,7 @@
             # A slow caller's share of the time says nothing of the server.
             latency = (head_times or [ended])[0] - began
             router.finished(backend_id, attempt_result(outcome, latency), ended)
+            self.observer.attempted(call, backend_id, outcome, ended - began)
         return outcome
 
 
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -62,6 +62,9 @@
     status: int
     report: LoadReport | None = None
 
+    def __str__(self) -> str:
+        return f'answered with {self.status}'
+
 
 @frozen
 class NotRun:
@@ -71,6 +74,9 @@
     detail: str = ''
     report: LoadReport | None = None
 
+    def __str__(self) -> str:
+        return f'not run, {self.reason.slug}'
+
 
 @frozen
 class Unknown:
@@ -80,6 +86,9 @@
     detail: str = ''
     answer_started: bool = False
 
+    def __str__(self) -> str:
+        return f'unknown, {self.reason.slug}'
+
 
 Outcome = Answered | NotRun | Unknown
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -88,3 +88,8 @@
     book = AddressBook(MemberTable(own), 'zone-a', 10.0, issuer)
     bounds = CallerLimits(**limits)
     return CallerServer(environment, ConfigHolder(), forwarder, book, bounds)
+
+
+def plain_call(service: str, request_id: str = 'r') -> Call:
+    """Return a repeatable call without headers or a body."""
+    return Call(request_id, service, b'GET', b'/', [], b'', True, deadline=1e9)
