End the weak sign of a server that now always closes; check probe paths

Cause: each answer of a probe that closed its connection renewed the sign, so such a server stayed out for ever.

Ruled out: that the hold of 30 s alone ends it.

Change: closed connections of a leaving server say nothing new. A health path that no request can have is refused with its place.

--- a/catkinslip/config/checks.py
+++ b/catkinslip/config/checks.py
@@ -21,6 +21,7 @@
 MAX_DOCUMENT_BYTES = 980_000
 MAX_NAME_CHARACTERS = 128
 NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*')
+HEALTH_PATH = re.compile(r'/[!-~]*')
 METHOD = re.compile(r'[A-Z][A-Z0-9-]*')
 NAME_REASON = (
     f'a name has 1 to {MAX_NAME_CHARACTERS} letters, digits, dots, dashes '
@@ -129,6 +130,14 @@
             yield DocumentMistake(place, reason)
 
 
+def check_health_paths(document: Document) -> Iterator[DocumentMistake]:
+    """Yield the paths of probes that no request can have."""
+    for name, service in document.register.services.items():
+        if not HEALTH_PATH.fullmatch(service.health_path):
+            reason = f'{service.health_path!r} is not a path such as /health'
+            yield DocumentMistake(f'register.services.{name}.health_path', reason)
+
+
 def check_requests(document: Document) -> Iterator[DocumentMistake]:
     """Yield the mistakes in rules that match requests."""
     for index, rule in enumerate(document.rules.requests):
@@ -162,6 +171,7 @@
     check_names,
     check_addresses,
     check_services,
+    check_health_paths,
     check_requests,
     check_size,
 )
--- a/catkinslip/health/drain.py
+++ b/catkinslip/health/drain.py
@@ -9,7 +9,7 @@
 from enum import Enum, unique
 
 import xxhash
-from attrs import Factory, define, evolve, field, frozen
+from attrs import Factory, define, evolve, frozen
 
 from catkinslip.health.listing import ListView
 from catkinslip.models import BackendKey
@@ -76,7 +76,7 @@
 
     def last_sign_at(self) -> float:
         """Return when this instance last saw or learned of a sign."""
-        return max(self.learned_at, *self.seen_at_by_sign.values(), self.learned_at)
+        return max([self.learned_at, *self.seen_at_by_sign.values()])
 
     def signs_since(self, at: float) -> frozenset[DrainSign]:
         """Return the signs that this instance saw itself since a time."""
@@ -92,7 +92,7 @@
     held_by_key: dict[BackendKey, HeldWord] = Factory(dict)
     list_view_by_key: dict[BackendKey, ListView] = Factory(dict)
     #: Servers whose word changed since they were last taken.
-    changed: set[BackendKey] = field(factory=set)
+    changed: set[BackendKey] = Factory(set)
 
     def is_leaving(self, key: BackendKey) -> bool:
         """Tell whether a backend server takes no new work."""
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -98,7 +98,9 @@
             self.reports.learn(key, KnownReport(report, now))
         if says_drain(headers):
             self.drain.sign(key, DrainSign.OWN, now)
-        elif self.closes.answered(key, says_close(headers)):
+        elif not self.drain.is_leaving(key) and self.closes.answered(
+            key, says_close(headers)
+        ):
             self.drain.sign(key, DrainSign.CLOSE, now)
         self.settle()
 
--- a/tests/test_health_tracker.py
+++ b/tests/test_health_tracker.py
@@ -4,12 +4,15 @@
 from random import Random
 
 from attrs import define
+from returns.pipeline import is_successful
 
 from catkinslip.clock import Clock
+from catkinslip.config.checks import read_document
 from catkinslip.config.documents import AcceptedConfig, Document, converter
-from catkinslip.health.drain import RETURN_HOLD_SECONDS
+from catkinslip.health.drain import CLOSE_HOLD_SECONDS, RETURN_HOLD_SECONDS
 from catkinslip.health.prober import Prober
 from catkinslip.health.reachability import LONGEST_PAUSE_SECONDS, Reachability
+from catkinslip.health.signs import CLOSES_IN_A_ROW
 from catkinslip.health.topics import health_topics
 from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.membership.members import Member, MemberTable
@@ -77,6 +80,20 @@
         self.assertTrue(state.is_avoided(KEY, pause))
 
 
+class HealthPathTest(unittest.TestCase):
+    """A probe's path is checked before it is accepted."""
+
+    def test_only_a_path_is_accepted(self):
+        for path, accepted in (
+            ('/health?deep=1', True),
+            ('health', False),
+            ('/ ', False),
+        ):
+            plain = document_plain(ADDRESSES, health_path=path)
+            with self.subTest(path):
+                self.assertEqual(is_successful(read_document(plain)), accepted)
+
+
 class TrackerTest(unittest.TestCase):
     """What one instance learns decides its choice and reaches its peers."""
 
@@ -132,6 +149,19 @@
         self.first.update(config)
         self.assertEqual(choose(self.first, self.clock.now), 'limits-2')
 
+    def test_a_server_that_now_always_closes_is_not_out_for_ever(self):
+        close = [(b'connection', b'close')]
+        self.first.answered('limits-1', [], None)
+        for _ in range(CLOSES_IN_A_ROW):
+            self.first.answered('limits-1', close, None)
+        self.assertEqual(self.first.leaving_ids(), ['limits-1'])
+        self.clock.now += CLOSE_HOLD_SECONDS
+        self.first.answered('limits-1', close, None)
+        self.first.drain.proved(KEY, self.clock.now, self.clock.now)
+        self.first.settle()
+        self.first.answered('limits-1', close, None)
+        self.assertEqual(self.first.leaving_ids(), [])
+
     def test_malformed_news_is_a_value_error_and_changes_nothing(self):
         drain, load = health_topics(self.first)
         word = {'backend_id': 'limits-1', 'address': KEY.address, 'age': 0.0}
