Take over only what a change of the configuration changes

Cause: at 4,600 workers each change renewed every router, address and connection limit, which held the loop for some 30 ms. Change: documents are compared by identity first, as a change shares what it leaves alone; the directory and the pool take over the services that differ. Guards removed and seen to fail: gone servers, the service that a server left, overrides.

--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -4,7 +4,8 @@
 import trio
 from attrs import Factory, define, field
 
-from catkinslip.config.documents import AcceptedConfig
+from catkinslip.config.difference import compare
+from catkinslip.config.documents import AcceptedConfig, Document
 from catkinslip.models import Address
 from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.proxy.wire import Wire, client_wire
@@ -59,13 +60,17 @@
     """Open, reuse and close connections to backend servers."""
 
     connections_by_address: dict[Address, BackendConnections] = Factory(dict)
+    document: Document = Factory(Document)
 
     def update(self, config: AcceptedConfig) -> None:
         """Take over the connection limits of a new configuration."""
-        service_by_name = config.document.effective_services()
-        for backend in config.document.register.backends.values():
+        document = config.document
+        changed = compare(self.document, document).services
+        self.document = document
+        service_by_name = document.effective_services()
+        for backend in document.register.backends.values():
             service = service_by_name.get(backend.service)
-            if service is None:
+            if service is None or backend.service not in changed:
                 continue
             connections = self._connections(Address(backend.host, backend.port))
             share = service.max_connections // INSTANCES_PER_BACKEND
--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -4,7 +4,8 @@
 
 from attrs import Factory, define
 
-from catkinslip.config.documents import AcceptedConfig, Backend
+from catkinslip.config.difference import compare
+from catkinslip.config.documents import AcceptedConfig, Backend, Document
 from catkinslip.models import Address
 from catkinslip.routing.base import Policy
 from catkinslip.routing.router import ServiceRouter
@@ -17,31 +18,42 @@
     make_policy: Callable[[], Policy]
     router_by_service: dict[str, ServiceRouter] = Factory(dict)
     address_by_backend: dict[str, Address] = Factory(dict)
+    document: Document = Factory(Document)
     #: Whether any configuration is in force.
     is_ready: bool = False
 
     def update(self, config: AcceptedConfig) -> None:
-        """Take over a new configuration."""
+        """Take over what a new configuration changes."""
+        document = config.document
+        difference = compare(self.document, document)
+        self.document = document
         self.is_ready = True
-        register = config.document.register
-        services = config.document.effective_services()
+        self._update_addresses(difference.backends)
+        services = document.effective_services()
         backends_by_service: dict[str, dict[str, Backend]] = {
-            name: {} for name in register.services
+            name: {} for name in difference.services if name in services
         }
-        for backend_id, backend in register.backends.items():
-            backends_by_service[backend.service][backend_id] = backend
-        for name in set(self.router_by_service) - set(register.services):
-            del self.router_by_service[name]
-        for name, service in services.items():
+        for backend_id, backend in document.register.backends.items():
+            if backend.service in backends_by_service:
+                backends_by_service[backend.service][backend_id] = backend
+        for name in difference.services - services.keys():
+            self.router_by_service.pop(name, None)
+        for name, backend_by_id in backends_by_service.items():
             router = self.router_by_service.get(name)
             if router is None:
                 router = ServiceRouter(self.make_policy())
                 self.router_by_service[name] = router
-            router.update(service, backends_by_service[name])
-        self.address_by_backend = {
-            backend_id: Address(backend.host, backend.port)
-            for backend_id, backend in register.backends.items()
-        }
+            router.update(services[name], backend_by_id)
+
+    def _update_addresses(self, changed: frozenset[str]) -> None:
+        backends = self.document.register.backends
+        for backend_id in changed:
+            backend = backends.get(backend_id)
+            if backend is None:
+                self.address_by_backend.pop(backend_id, None)
+            else:
+                address = Address(backend.host, backend.port)
+                self.address_by_backend[backend_id] = address
 
     def set_draining(self, service: str, backend_id: str, draining: bool) -> None:
         """Give a backend server new work, or none."""
--- /dev/null
+++ b/tests/test_config_difference.py
@@ -0,0 +1,85 @@
+"""Parts that take over only what changed hold what a fresh start would hold."""
+
+import unittest
+from random import Random
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from catkinslip.config.difference import compare
+from catkinslip.config.documents import AcceptedConfig, Document
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.routing.directory import Directory
+from catkinslip.routing.policies import LeastInFlight
+from tests.builders import document_of
+
+LIMITS = {'service': 'limits', 'port': 1, 'draining': False}
+CLAIMS = {**LIMITS, 'service': 'claims'}
+BACKENDS = st.dictionaries(
+    st.sampled_from('abcd'),
+    st.fixed_dictionaries(
+        {
+            'service': st.sampled_from(('limits', 'claims')),
+            'port': st.integers(1, 3),
+            'draining': st.booleans(),
+        }
+    ),
+)
+OVERRIDES = st.dictionaries(
+    st.sampled_from(('limits', 'claims')),
+    st.fixed_dictionaries({'max_connections': st.integers(4, 80)}),
+)
+
+
+def document(backends: dict, overrides: dict) -> Document:
+    """Return a document whose services are those that its servers carry."""
+    register = {
+        name: {**each, 'zone': 'zone-a', 'host': f'10.0.0.{ord(name)}'}
+        for name, each in backends.items()
+    }
+    services = {each['service']: {} for each in backends.values()}
+    rules = {name: each for name, each in overrides.items() if name in services}
+    return document_of(
+        {
+            'register': {'services': services, 'backends': register},
+            'rules': {'services': rules},
+        }
+    )
+
+
+def held(directory: Directory, pool: BackendPool, wanted: Document) -> tuple:
+    """Return what both parts hold for the servers of a document."""
+    loads = {
+        (service, backend_id): (load.draining, load.slots)
+        for service, router in directory.router_by_service.items()
+        for backend_id, load in router.load_by_id.items()
+    }
+    limits = {
+        name: pool.connections_by_address[address].limit
+        for name, address in directory.address_by_backend.items()
+    }
+    return loads, limits, set(wanted.register.backends) == set(limits)
+
+
+class ConfigDifferenceTest(unittest.TestCase):
+    """Random documents, one after the other."""
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @example([({'a': LIMITS, 'b': LIMITS}, {}), ({'a': CLAIMS, 'b': LIMITS}, {})])
+    @given(st.lists(st.tuples(BACKENDS, OVERRIDES), min_size=1, max_size=5))
+    def test_steps_lead_where_a_fresh_start_leads(self, steps):
+        directory = Directory(lambda: LeastInFlight(Random(1)))
+        pool = BackendPool()
+        for backends, overrides in steps:
+            wanted = document(backends, overrides)
+            directory.update(AcceptedConfig(document=wanted))
+            pool.update(AcceptedConfig(document=wanted))
+            fresh = Directory(lambda: LeastInFlight(Random(1))), BackendPool()
+            for part in fresh:
+                part.update(AcceptedConfig(document=wanted))
+            self.assertEqual(held(directory, pool, wanted), held(*fresh, wanted))
+            self.assertTrue(held(directory, pool, wanted)[2])
+
+    def test_equal_documents_differ_in_nothing(self):
+        difference = compare(document({'a': LIMITS}, {}), document({'a': LIMITS}, {}))
+        self.assertFalse(difference.backends | difference.services)
