Wait for both instances before the outage of a test begins

Ruled out: the product; a fresh instance rightly waits there. Change: the test waits until the configuration is in force on both.

--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -135,7 +135,7 @@
         began = time.monotonic()
         daemons = [self.start_daemon(f'entry-{n}') for n in range(2)]
         self.tool('apply', self.document('a'))
-        self.assertEqual(self.tool('watch', '--wait', '20')[0], ExitStatus.SUCCESS)
+        wait_until(lambda: 'on all 2 instances' in self.tool('watch')[1])
         self.platform.send_signal(signal.SIGSTOP)
         alone = self.start_daemon('entry-alone')
         answer = httpx.get(f'http://{alone.address}/', headers={'Host': 'limits'})
