--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model bench-config bench-drain bench-probes
-.PHONY: bench-policy bench-fleet clean
-
+.PHONY: install
 install: $(STAMP)
 
 $(STAMP): requirements.txt requirements-dev.txt
@@ -14,38 +12,57 @@
 	$(VENV)/bin/pip install --quiet -r requirements-dev.txt
 	touch $(STAMP)
 
+.PHONY: lint
 lint: install
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
 
+.PHONY: format
 format: install
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
 
+.PHONY: test
 test: lint
 	$(RUN) -m tests
 
+.PHONY: demo
 demo: install
 	$(RUN) -m standins.demo
 
+.PHONY: bench-config
 bench-config: install
 	$(RUN) -m benchmarks.configuration
 	$(RUN) -m benchmarks.configuration_in_force
 
+.PHONY: bench-policy
 bench-policy: install
 	$(RUN) -m benchmarks.policy --processes 12
 
+.PHONY: bench-fleet
 bench-fleet: install
 	$(RUN) -m benchmarks.fleet
 
+.PHONY: model
 model: install
 	$(RUN) -m model
 
+.PHONY: bench-drain
 bench-drain: install
 	$(RUN) -m benchmarks.drain
 
+.PHONY: bench-probes
 bench-probes: install
 	$(RUN) -m benchmarks.probes
 
+.PHONY: bench-path
+bench-path: install
+	$(RUN) -m benchmarks.path
+
+.PHONY: bench-tickets
+bench-tickets: install
+	$(RUN) -m benchmarks.tickets
+
+.PHONY: clean
 clean:
 	rm -rf $(VENV) build
--- a/catkinslip/health/prober.py
+++ b/catkinslip/health/prober.py
@@ -28,7 +28,7 @@
 PROBE_HEADER = b'catkinslip-probe'
 #: All servers are looked at once in a round, in parts that hold the loop briefly.
 ROUND_SECONDS = 1.0
-PARTS = 8
+PARTS = 20
 TIMEOUT_SECONDS = 1.0
 MAX_AT_ONCE = 8
 
@@ -155,7 +155,7 @@
         tracker = self.tracker
         now = self.clock.monotonic()
         tracker.counters.probes_answered += 1
-        report = read_report(response)
+        report = read_report(response.headers)
         if report is not None:
             tracker.learn_report(key, KnownReport(report, sent_at), picks_before)
         tracker.answered(key.backend_id, response.headers, None)
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -9,8 +9,9 @@
 from catkinslip.addresses.answers import PATH_PREFIX, AddressBook
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
-from catkinslip.proxy.bodies import BodyReader
+from catkinslip.proxy.bodies import BodyReader, RestOfBody
 from catkinslip.proxy.calls import Call, CallMaker
+from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.intake import HeadReader
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.presence import CallerWatch
@@ -109,14 +110,24 @@
 
     async def _forward(self, call: Call, wire: Wire) -> Outcome:
         outcome: Outcome = Unknown(Reason.CALLER_LEFT)
-        with self.watch.watching(wire):
-            if call.rest is None:
-                outcome = await self.forwarder.forward(call, wire)
-            else:
-                async with trio.open_nursery() as nursery:
-                    call.rest.nursery = nursery
+        with trio.CancelScope() as scope:
+            descriptor = self.watch.add(wire, scope)
+            try:
+                if call.rest is None:
                     outcome = await self.forwarder.forward(call, wire)
-                    nursery.cancel_scope.cancel()
+                else:
+                    outcome = await self._forward_streamed(call, call.rest, wire)
+            finally:
+                self.watch.remove(descriptor)
+        return outcome
+
+    async def _forward_streamed(
+        self, call: Call, rest: RestOfBody, wire: Wire
+    ) -> Outcome:
+        async with trio.open_nursery() as nursery:
+            rest.nursery = nursery
+            outcome = await self.forwarder.forward(call, wire)
+            nursery.cancel_scope.cancel()
         return outcome
 
     async def _report(self, wire: Wire, call: Call, outcome: Outcome) -> bool:
@@ -130,7 +141,7 @@
             return False
         return await self._send_problem(wire, outcome, call.request_id, call.method)
 
-    async def _answer_addresses(self, wire: Wire, request: h11.Request) -> None:
+    async def _answer_addresses(self, wire: Wire, request: RequestHead) -> None:
         target = request.target.decode('latin-1').removeprefix(PATH_PREFIX.decode())
         service, _, query = target.partition('?')
         answer = self.addresses.answer(service, query)
@@ -145,7 +156,7 @@
         await wire.send(response, *data, h11.EndOfMessage())
 
     async def _refuse(
-        self, wire: Wire, refusal: NotRun, request: h11.Request | None = None
+        self, wire: Wire, refusal: NotRun, request: RequestHead | None = None
     ) -> bool:
         request_id = self.calls.new_request_id()
         log.info(
