Admit, retry and hedge calls within limits

Cause: every call was forwarded whatever the load, tried three times with no budget, and a deadline during the answer was told as if nothing had been sent.

--- a/catkinslip/addresses/answers.py
+++ b/catkinslip/addresses/answers.py
@@ -39,6 +39,10 @@
     own_zone: str
     lifetime: float
 
+    def count_home_instances(self) -> int:
+        """Return how many instances share one service."""
+        return min(HOME_SET_SIZE, len(self.members.live()))
+
     def answer(self, service: str, query: str) -> AddressAnswer:
         """Answer one question."""
         zone = parse_qs(query).get('zone', [self.own_zone])[0]
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -21,6 +21,8 @@
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
 from catkinslip.environment import Environment
+from catkinslip.limits.base import LimitSettings
+from catkinslip.limits.service import LimitBook
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
@@ -120,8 +122,9 @@
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
-    forwarder = Forwarder(directory, pool, environment.clock)
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    limits = LimitBook(make_limit_settings(settings), addresses.count_home_instances)
+    forwarder = Forwarder(directory, pool, environment.clock, limits)
     topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
@@ -147,6 +150,18 @@
     return HttpStore(client, settings.platform_timeout)
 
 
+def make_limit_settings(settings: DaemonSettings) -> LimitSettings:
+    """Return the limits that every service has."""
+    return LimitSettings(
+        queue_depth=settings.queue_depth,
+        deadline_margin=settings.deadline_margin,
+        extra_share=settings.extra_share / 100,
+        extra_reserve=settings.extra_reserve,
+        max_attempts=settings.max_attempts,
+        hedge_percentile=settings.hedge_percentile,
+    )
+
+
 @asynccontextmanager
 async def open_clients(
     settings: DaemonSettings,
--- /dev/null
+++ b/catkinslip/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on work: admission, the budget of extra requests, retries and hedges."""
--- /dev/null
+++ b/catkinslip/limits/plan.py
@@ -0,0 +1,102 @@
+"""Decide which attempts a call makes and what its caller is told."""
+
+from enum import Enum, unique
+
+from attrs import define
+
+from catkinslip.limits.budget import ExtraBudget
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
+
+FINAL_REASONS = frozenset({Reason.TOO_LATE, Reason.DEADLINE})
+
+
+@unique
+class Step(Enum):
+    """What comes after an attempt that ended."""
+
+    RETRY = 'retry'
+    WAIT = 'wait'
+    STOP = 'stop'
+
+
+@define
+class CallPlan:
+    """The attempts of one call; the deadline is on the monotonic clock.
+
+    A call that is not repeatable has at most one attempt whose request may have
+    run. Only the first layer of balancers that a call passes retries it.
+    """
+
+    repeatable: bool
+    first_layer: bool
+    deadline: float
+    budget: ExtraBudget
+    max_attempts: int = 3
+    kept_for_retries: float = 0.0
+    started: int = 0
+    running: int = 0
+    sent: int = 0
+    doubt: Unknown | None = None
+    refusal: NotRun = NotRun(Reason.NO_BACKEND)
+
+    def start(self) -> int:
+        """Count an attempt that starts now and return its number."""
+        if self.sent:
+            self.budget.take()
+        self.started += 1
+        self.running += 1
+        return self.started
+
+    def ended(self, outcome: NotRun | Unknown, is_sent: bool, now: float) -> Step:
+        """Take an attempt that ended without an answer and return the next step."""
+        self.running -= 1
+        self.sent += is_sent
+        self._remember(outcome)
+        if isinstance(outcome, Unknown) and outcome.answer_started:
+            return Step.STOP
+        if self.running:
+            return Step.WAIT
+        return Step.RETRY if self._may_retry(outcome, now) else Step.STOP
+
+    def may_hedge(self, now: float) -> bool:
+        """Tell whether a second attempt may run beside the first."""
+        return (
+            self.repeatable
+            and self.first_layer
+            and self.started == self.running == 1
+            and self.started < self.max_attempts
+            and now < self.deadline
+            and self.budget.has(self.kept_for_retries)
+        )
+
+    def hedge(self) -> int:
+        """Count an attempt that starts beside the first and return its number."""
+        self.sent += 1
+        return self.start()
+
+    def told(self) -> NotRun | Unknown:
+        """Return what the caller of a call without an answer is told."""
+        return self.refusal if self.doubt is None else self.doubt
+
+    def expired(self, sent: int, *, answer_started: bool = False) -> Outcome:
+        """Return what the caller is told when running attempts are given up."""
+        if sent:
+            self._remember(Unknown(Reason.DEADLINE, answer_started=answer_started))
+        else:
+            self._remember(NotRun(Reason.TOO_LATE))
+        return self.told()
+
+    def _remember(self, outcome: NotRun | Unknown) -> None:
+        if isinstance(outcome, NotRun):
+            self.refusal = outcome
+        elif self.doubt is None or outcome.answer_started:
+            self.doubt = outcome
+
+    def _may_retry(self, outcome: NotRun | Unknown, now: float) -> bool:
+        if self.doubt is not None and not self.repeatable:
+            return False
+        if not self.first_layer or self.started >= self.max_attempts:
+            return False
+        if outcome.reason in FINAL_REASONS or now >= self.deadline:
+            return False
+        return not self.sent or self.budget.has()
--- /dev/null
+++ b/catkinslip/limits/service.py
@@ -0,0 +1,112 @@
+"""The limits of each service on one instance."""
+
+from collections.abc import Callable
+
+from attrs import Factory, define
+
+from catkinslip.limits.admission import DeadlineLimit
+from catkinslip.limits.base import Admission, LimitSettings
+from catkinslip.limits.budget import ExtraBudget
+from catkinslip.limits.latency import LatencyWindow
+from catkinslip.limits.load import ServiceLoad
+from catkinslip.limits.plan import CallPlan
+from catkinslip.proxy.outcomes import NotRun
+from catkinslip.routing.base import LoadReport
+from catkinslip.routing.router import ServiceRouter
+
+RESIZE_SECONDS = 0.2
+
+
+@define
+class ServiceLimits:
+    """Admission, extra requests and latencies of one service; times in seconds."""
+
+    settings: LimitSettings
+    admission: Admission
+    budget: ExtraBudget
+    latency: LatencyWindow
+    load: ServiceLoad = Factory(ServiceLoad)
+    resized_at: float = -RESIZE_SECONDS
+
+    def refuse(self, time_left: float) -> NotRun | None:
+        """Return why a call is refused; None admits it."""
+        refusal = self.admission.refuse(self.load, time_left)
+        self.load.decided(refusal is not None)
+        return refusal
+
+    def plan(self, repeatable: bool, first_layer: bool, deadline: float) -> CallPlan:
+        """Return the plan of an admitted call, which earns its share of a token."""
+        self.budget.earn()
+        return CallPlan(
+            repeatable=repeatable,
+            first_layer=first_layer,
+            deadline=deadline,
+            budget=self.budget,
+            max_attempts=self.settings.max_attempts,
+            kept_for_retries=self.settings.extra_reserve / 2,
+        )
+
+    def hedge_delay(self, now: float) -> float | None:
+        """Return after how many seconds to hedge; None when hedges are off."""
+        if not self.settings.hedge_percentile:
+            return None
+        return self.latency.read(now)
+
+    def has_idle_slots(self) -> bool:
+        """Tell whether a hedge would likely find a slot and no queue."""
+        return self.load.total < self.load.slots
+
+    def started(self, backend_id: str) -> None:
+        """Count an attempt that starts."""
+        self.load.started(backend_id)
+
+    def answered(self, backend_id: str, latency: float) -> None:
+        """Learn from the time until the head of an answer."""
+        self.latency.record(latency)
+        self.load.learn_service_time(backend_id, latency)
+
+    def abandoned(self, latency: float) -> None:
+        """Learn from an attempt that was cancelled before its answer."""
+        self.latency.record(latency)
+
+    def ended(self, backend_id: str, report: LoadReport | None, now: float) -> None:
+        """Count an attempt that ended."""
+        self.load.ended(backend_id, report, now)
+
+
+@define
+class LimitBook:
+    """Hold the limits of all services, in step with routers and members."""
+
+    settings: LimitSettings
+    count_instances: Callable[[], int]
+    limits_by_service: dict[str, ServiceLimits] = Factory(dict)
+
+    def limits_of(
+        self, service: str, router: ServiceRouter, now: float
+    ) -> ServiceLimits:
+        """Return the limits of a service, sized for its usable backend servers."""
+        limits = self.limits_by_service.get(service)
+        if limits is None:
+            limits = make_limits(self.settings)
+            self.limits_by_service[service] = limits
+        if now - limits.resized_at >= RESIZE_SECONDS:
+            limits.resized_at = now
+            self._resize(limits.load, router)
+        limits.load.sweep(now)
+        return limits
+
+    def _resize(self, load: ServiceLoad, router: ServiceRouter) -> None:
+        usable = [each for each in router.load_by_id.values() if not each.draining]
+        slots = usable[0].slots if usable else 1
+        load.resize(slots, len(usable), self.count_instances())
+
+
+def make_limits(settings: LimitSettings) -> ServiceLimits:
+    """Return the limits of a service that has had no call yet."""
+    return ServiceLimits(
+        settings,
+        DeadlineLimit(settings.queue_depth, settings.deadline_margin),
+        ExtraBudget(settings.extra_share, settings.extra_reserve),
+        LatencyWindow(settings.hedge_percentile),
+    )
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -18,6 +18,7 @@
 from catkinslip.proxy.wire import Wire, server_wire
 
 MAX_BODY_BYTES = 1 << 20
+MALFORMED_ATTEMPT = 2
 
 log = logging.getLogger('request')
 
@@ -82,6 +83,7 @@
             body=body,
             repeatable=repeatable,
             deadline=self.environment.clock.monotonic() + self._timeout(headers),
+            attempt=read_attempt(headers),
         )
 
     def _request_id(self, headers) -> str:
@@ -133,6 +135,14 @@
             await wire.send(*problem_events(refusal, '', close=True))
 
 
+def read_attempt(headers) -> int:
+    """Return which attempt a request is, counted by the layer that retries it."""
+    given = names.find(headers, names.ATTEMPT)
+    if given is None:
+        return 1
+    return int(given) if given.isdigit() and len(given) < 4 else MALFORMED_ATTEMPT
+
+
 async def receive_body(wire: Wire) -> bytes:
     """Read a request's whole body."""
     chunks = []
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,21 +1,16 @@
-"""Forward a call: choose a backend server, attempt, and try elsewhere if not run."""
+"""Forward a call: admit it or refuse it at once, then run its attempts."""
 
-import logging
-
-import trio
 from attrs import define
 
 from catkinslip.clock import Clock
-from catkinslip.proxy.exchange import Attempt, Call
-from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.limits.service import LimitBook
+from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.runner import CallRunner
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.directory import Directory
 
-MAX_ATTEMPTS = 3
-
-log = logging.getLogger('routing')
-
 
 @define
 class Forwarder:
@@ -24,44 +19,20 @@
     directory: Directory
     pool: BackendPool
     clock: Clock
+    limits: LimitBook
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
         router = self.directory.router_by_service.get(call.service)
         if router is None:
             return NotRun(Reason.UNKNOWN_SERVICE, call.service)
-        tried: list[str] = []
-        outcome: Outcome = NotRun(Reason.NO_BACKEND)
-        while len(tried) < MAX_ATTEMPTS:
-            choice = router.choose(self.clock.monotonic(), tried)
-            if choice is None:
-                break
-            log.info(
-                'routing: %s %s goes to %s, %s.',
-                call.request_id,
-                call.service,
-                choice.backend_id,
-                choice.reason,
-            )
-            tried.append(choice.backend_id)
-            outcome = await self._attempt(
-                call, caller, router, choice.backend_id, len(tried)
-            )
-            if not isinstance(outcome, NotRun):
-                break
-        return outcome
-
-    async def _attempt(
-        self, call, caller, router, backend_id: str, number: int
-    ) -> Outcome:
-        address = self.directory.address_by_backend[backend_id]
-        attempt = Attempt(call, address, caller, self.pool, self.clock, number)
-        outcome: Outcome = Unknown(Reason.DEADLINE)
-        router.started(backend_id)
-        try:
-            with trio.move_on_after(call.deadline - self.clock.monotonic()):
-                outcome = await attempt.run()
-        finally:
-            report = outcome.report if isinstance(outcome, Answered | NotRun) else None
-            router.finished(backend_id, report, self.clock.monotonic())
-        return outcome
+        now = self.clock.monotonic()
+        limits = self.limits.limits_of(call.service, router, now)
+        refusal = limits.refuse(call.deadline - now)
+        if refusal is not None:
+            return refusal
+        plan = limits.plan(call.repeatable, call.attempt == 1, call.deadline)
+        runner = CallRunner(
+            call, caller, plan, limits, router, self.directory, self.pool, self.clock
+        )
+        return await runner.run()
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -19,6 +19,8 @@
     TOO_LATE = ('too-late', 504, 'The deadline passed before the request was sent.')
     DEADLINE = ('deadline', 504, 'The deadline passed before the answer came.')
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
+    OVERLOADED = ('overloaded', 503, 'The service has more work than it can answer.')
+    DEADLINE_UNMET = ('deadline-unmet', 503, 'The answer would come too late.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
 
     def __init__(self, slug: str, status: int, title: str) -> None:
@@ -37,11 +39,12 @@
 
 @frozen
 class NotRun:
-    """The request did not run anywhere; it may be sent again."""
+    """The request did not run; it may be sent again after some seconds."""
 
     reason: Reason
     detail: str = ''
     report: LoadReport | None = None
+    retry_after: float | None = None
 
 
 @frozen
--- a/catkinslip/proxy/problems.py
+++ b/catkinslip/proxy/problems.py
@@ -1,5 +1,7 @@
 """Refusals as problem documents, https://www.rfc-editor.org/rfc/rfc9457."""
 
+import math
+
 import h11
 import orjson
 
@@ -8,7 +10,7 @@
 
 TYPE_PREFIX = 'urn:catkinslip:problem:'
 MEDIA_TYPE = b'application/problem+json'
-RETRY_AFTER_SECONDS = 1
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
 
 def problem_events(
@@ -17,25 +19,34 @@
     """Return the answer that tells a caller how a request ended."""
     word = NOT_RUN if isinstance(outcome, NotRun) else b'unknown'
     reason = outcome.reason
-    body = orjson.dumps(
-        {
-            'type': TYPE_PREFIX + reason.slug,
-            'title': reason.title,
-            'status': reason.status,
-            'detail': outcome.detail,
-            'outcome': word.decode(),
-            'request_id': request_id,
-        }
-    )
+    problem = {
+        'type': TYPE_PREFIX + reason.slug,
+        'title': reason.title,
+        'status': reason.status,
+        'detail': outcome.detail,
+        'outcome': word.decode(),
+        'request_id': request_id,
+    }
+    retry_after = retry_after_seconds(outcome)
+    if retry_after is not None:
+        problem['retry_after_ms'] = math.ceil(retry_after * 1000)
+    body = orjson.dumps(problem)
     headers = [
         (b'content-type', MEDIA_TYPE),
         (b'content-length', b'%d' % len(body)),
         (OUTCOME, word),
         (REQUEST_ID, request_id.encode()),
     ]
-    if reason.status == 503:
-        headers.append((b'retry-after', b'%d' % RETRY_AFTER_SECONDS))
+    if retry_after is not None:
+        headers.append((b'retry-after', b'%d' % max(1, math.ceil(retry_after))))
     if close:
         headers.append((b'connection', b'close'))
     response = h11.Response(status_code=reason.status, headers=headers)
     return response, h11.Data(data=body), h11.EndOfMessage()
+
+
+def retry_after_seconds(outcome: NotRun | Unknown) -> float | None:
+    """Return when to come back; None where that is not known."""
+    if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+        return outcome.retry_after
+    return DEFAULT_RETRY_AFTER_SECONDS if outcome.reason.status == 503 else None
--- /dev/null
+++ b/catkinslip/proxy/runner.py
@@ -0,0 +1,167 @@
+"""Run the attempts of one call: retry, hedge, and pass one answer on."""
+
+import logging
+
+import trio
+from attrs import Factory, define
+
+from catkinslip.clock import Clock
+from catkinslip.limits.plan import CallPlan, Step
+from catkinslip.limits.service import ServiceLimits
+from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
+from catkinslip.proxy.outcomes import NotRun, Outcome, Unknown
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
+from catkinslip.routing.base import LoadReport
+from catkinslip.routing.directory import Directory
+from catkinslip.routing.router import ServiceRouter
+
+log = logging.getLogger('routing')
+
+
+@define(eq=False)
+class Launch:
+    """One attempt that was started, and how far it came."""
+
+    backend_id: str
+    attempt: Attempt
+    began: float
+    result: AnswerHead | NotRun | Unknown | None = None
+    step: Step = Step.WAIT
+    is_open: bool = True
+
+
+@define
+class CallRunner:
+    """Carry out a call's plan; exactly one answer reaches the caller."""
+
+    call: Call
+    caller: Wire
+    plan: CallPlan
+    limits: ServiceLimits
+    router: ServiceRouter
+    directory: Directory
+    pool: BackendPool
+    clock: Clock
+    launches: list[Launch] = Factory(list)
+    passed_on: Launch | None = None
+
+    async def run(self) -> Outcome:
+        """Run attempts until one answers, none may follow, or the deadline."""
+        try:
+            with trio.move_on_after(self.call.deadline - self.clock.monotonic()):
+                return await self._run_attempts()
+            return self._expire()
+        finally:
+            for launch in self.launches:
+                await self._give_up(launch)
+
+    async def _run_attempts(self) -> Outcome:
+        while True:
+            launch = self._launch()
+            if launch is None:
+                return self.plan.told()
+            ended = await self._await_head(launch)
+            if isinstance(ended.result, AnswerHead):
+                return await self._pass_on(ended, ended.result)
+            if ended.step is Step.STOP:
+                return self.plan.told()
+
+    def _launch(self, *, hedge: bool = False) -> Launch | None:
+        now = self.clock.monotonic()
+        tried = [launch.backend_id for launch in self.launches]
+        choice = self.router.choose(now, tried)
+        if choice is None:
+            return None
+        log.info(
+            'routing: %s %s goes to %s, %s.',
+            self.call.request_id,
+            self.call.service,
+            choice.backend_id,
+            f'hedge, {choice.reason}' if hedge else choice.reason,
+        )
+        number = self.plan.hedge() if hedge else self.plan.start()
+        address = self.directory.address_by_backend[choice.backend_id]
+        attempt = Attempt(
+            self.call, address, self.caller, self.pool, self.clock, number
+        )
+        launch = Launch(choice.backend_id, attempt, now)
+        self.launches.append(launch)
+        self.router.started(launch.backend_id)
+        self.limits.started(launch.backend_id)
+        return launch
+
+    async def _await_head(self, launch: Launch) -> Launch:
+        now = self.clock.monotonic()
+        delay = self.limits.hedge_delay(now)
+        if delay is None or not self.plan.may_hedge(now):
+            await self._start(launch)
+            return launch
+        return await self._race(launch, delay)
+
+    async def _race(self, first: Launch, delay: float) -> Launch:
+        send, receive = trio.open_memory_channel(2)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._start, first, send)
+            nursery.start_soon(self._hedge, delay, send)
+            while True:
+                ended = await receive.receive()
+                if ended.step is not Step.WAIT:
+                    nursery.cancel_scope.cancel()
+                    return ended
+
+    async def _hedge(self, delay: float, send: trio.MemorySendChannel) -> None:
+        await trio.sleep(delay)
+        now = self.clock.monotonic()
+        if not self.plan.may_hedge(now) or not self.limits.has_idle_slots():
+            return
+        launch = self._launch(hedge=True)
+        if launch is not None:
+            await self._start(launch, send)
+
+    async def _start(
+        self, launch: Launch, send: trio.MemorySendChannel | None = None
+    ) -> None:
+        result = await launch.attempt.start()
+        launch.result = result
+        now = self.clock.monotonic()
+        if isinstance(result, AnswerHead):
+            launch.step = Step.STOP
+            self.limits.answered(launch.backend_id, now - launch.began)
+        else:
+            launch.step = self.plan.ended(result, launch.attempt.is_sent, now)
+            report = result.report if isinstance(result, NotRun) else None
+            self._finish(launch, report)
+        if send is not None:
+            send.send_nowait(launch)
+
+    async def _pass_on(self, launch: Launch, head: AnswerHead) -> Outcome:
+        self.passed_on = launch
+        for other in self.launches:
+            if other is not launch:
+                await self._give_up(other)
+        outcome = await launch.attempt.pass_on(head)
+        self._finish(launch, head.report)
+        return outcome
+
+    def _expire(self) -> Outcome:
+        open_attempts = [each.attempt for each in self.launches if each.is_open]
+        return self.plan.expired(
+            any(attempt.is_sent for attempt in open_attempts),
+            answer_started=self.passed_on is not None,
+        )
+
+    async def _give_up(self, launch: Launch) -> None:
+        if not launch.is_open:
+            return
+        if launch.result is None:
+            self.limits.abandoned(self.clock.monotonic() - launch.began)
+        elif launch is not self.passed_on:
+            await launch.attempt.discard(launch.result)
+        self._finish(launch, None)
+
+    def _finish(self, launch: Launch, report: LoadReport | None) -> None:
+        now = self.clock.monotonic()
+        launch.is_open = False
+        self.router.finished(launch.backend_id, report, now)
+        self.limits.ended(launch.backend_id, report, now)
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -9,6 +9,7 @@
 PLATFORM = 'Platform'
 PEERS = 'Peers'
 REQUESTS = 'Requests'
+LIMITS = 'Limits'
 LOGS = 'Logs'
 
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
@@ -99,6 +100,48 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--queue-depth',
+        '2',
+        number(1, 100, '(requests per slot)'),
+        'Requests in flight for each slot of a service before calls are refused.',
+        LIMITS,
+    ),
+    Option(
+        '--deadline-margin',
+        '1',
+        number(0, 20, '(service times)'),
+        'Mean service times that must remain after the expected wait.',
+        LIMITS,
+    ),
+    Option(
+        '--extra-share',
+        '5',
+        number(0, 50, '% of calls'),
+        'Most requests added by retries and hedges, in % of calls.',
+        LIMITS,
+    ),
+    Option(
+        '--extra-reserve',
+        '10',
+        number(1, 1000, 'requests'),
+        'Most unused extra requests that a service saves up.',
+        LIMITS,
+    ),
+    Option(
+        '--max-attempts',
+        '3',
+        whole_number(1, 5, 'attempts'),
+        'Most backend servers that one call is sent to.',
+        LIMITS,
+    ),
+    Option(
+        '--hedge-percentile',
+        '95',
+        number(0, 99.9, '% of latencies'),
+        'Latency after which a repeatable call is hedged; 0 turns hedges off.',
+        LIMITS,
+    ),
     Option('--log-level', 'info', one_of(*LOG_LEVELS), 'Least severity logged.', LOGS),
 )
 
@@ -121,4 +164,10 @@
     peer_interval: float
     address_lifetime: float
     request_timeout: float
+    queue_depth: float
+    deadline_margin: float
+    extra_share: float
+    extra_reserve: float
+    max_attempts: int
+    hedge_percentile: float
     log_level: str
