--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders of test data."""
 
+from catkinslip.config.checks import read_document
+from catkinslip.config.documents import Document
 from catkinslip.models import Address
 
 
@@ -24,3 +26,8 @@
     }
     register = {'services': {service: dict(fields)}, 'backends': backends}
     return {'register': register, 'rules': {'requests': []}}
+
+
+def document(address_by_backend: dict[str, str], **fields: object) -> Document:
+    """Return a checked document with one service."""
+    return read_document(document_plain(address_by_backend, **fields)).unwrap()
--- /dev/null
+++ b/tests/test_limits_attempts.py
@@ -0,0 +1,256 @@
+"""Attempts, retries and hedges of one call against scripted backend servers."""
+
+import unittest
+from random import Random
+
+import h11
+import trio
+import trio.testing
+from attrs import Factory, define
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinslip.clock import Clock
+from catkinslip.config.documents import AcceptedConfig
+from catkinslip.limits.base import LimitSettings
+from catkinslip.limits.service import LimitBook
+from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.outcomes import Answered, NotRun, Reason, Unknown
+from catkinslip.proxy.wire import client_wire, server_wire
+from catkinslip.routing.directory import Directory
+from catkinslip.routing.policies import LeastInFlight
+from tests.builders import document
+
+DEADLINE = 2.0
+HEDGE_DELAY = 0.1
+SLOW = 0.5
+SCRIPTS = ('answer', 'slow', 'silent', 'shed', 'break', 'cut', 'refuse', 'hang')
+RAN = {'answer', 'slow', 'silent', 'break', 'cut'}
+
+
+class TrioClock(Clock):
+    """Tell the time of the running loop."""
+
+    def monotonic(self) -> float:
+        return trio.current_time()
+
+    def wall(self) -> float:
+        return trio.current_time()
+
+
+@define
+class ScriptedPool:
+    """Open connections to backend servers that each follow a script."""
+
+    nursery: trio.Nursery
+    scripts: list[str]
+    reached: list[str] = Factory(list)
+    ledger: list[str] = Factory(list)
+    attempts: list[int] = Factory(list)
+
+    async def acquire(self, address):
+        script = self.scripts[len(self.reached) % len(self.scripts)]
+        self.reached.append(script)
+        if script == 'refuse':
+            raise OSError('refused')
+        if script == 'hang':
+            await trio.sleep_forever()
+        near, far = trio.testing.memory_stream_pair()
+        self.nursery.start_soon(self.serve, far, script)
+        return client_wire(near)
+
+    async def release(self, address, wire):
+        await wire.close()
+
+    async def serve(self, stream, script: str) -> None:
+        wire = server_wire(stream)
+        try:
+            request = await wire.receive()
+            while type(await wire.receive()) is not h11.EndOfMessage:
+                pass
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            return
+        self.attempts.append(int(dict(request.headers)[b'catkinslip-attempt']))
+        if script in RAN:
+            self.ledger.append(script)
+        try:
+            await self.answer(wire, script)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            await wire.close()
+
+    async def answer(self, wire, script: str) -> None:
+        if script == 'silent':
+            await trio.sleep_forever()
+        if script == 'break':
+            return
+        if script == 'slow':
+            await trio.sleep(SLOW)
+        status, told = (503, [('catkinslip-outcome', 'not-run')])
+        if script != 'shed':
+            status, told = 200, []
+        headers = [*told, ('content-length', '4')]
+        await wire.send(h11.Response(status_code=status, headers=headers))
+        await wire.send(h11.Data(data=b'an' if script == 'cut' else b'answ'[:4]))
+        if script != 'cut':
+            await wire.send(h11.EndOfMessage())
+
+
+@define
+class Result:
+    """What one call came to."""
+
+    outcome: object
+    pool: ScriptedPool
+    forwarder: Forwarder
+    received: bytes
+    took: float
+
+
+def forward(scripts, *, repeatable, attempt=1, tokens=5.0, limits=None) -> Result:
+    """Forward one call on a virtual clock."""
+
+    async def main() -> Result:
+        async with trio.open_nursery() as nursery:
+            pool = ScriptedPool(nursery, list(scripts))
+            forwarder = make_forwarder(pool, limits or LimitSettings())
+            router = forwarder.directory.router_by_service['limits']
+            service = forwarder.limits.limits_of('limits', router, 0.0)
+            service.budget.tokens = tokens
+            service.latency.value = HEDGE_DELAY
+            near, far = trio.testing.memory_stream_pair()
+            call = Call(
+                request_id='r1',
+                service='limits',
+                method=b'POST',
+                target=b'/',
+                headers=[(b'host', b'limits')],
+                body=b'body',
+                repeatable=repeatable,
+                deadline=trio.current_time() + DEADLINE,
+                attempt=attempt,
+            )
+            outcome = await forwarder.forward(call, await expecting_wire(near, far))
+            took = trio.current_time()
+            await near.aclose()
+            received = await read_all(far)
+            nursery.cancel_scope.cancel()
+        return Result(outcome, pool, forwarder, received, took)
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def expecting_wire(near, far):
+    """Return the caller's wire after a request came in on it."""
+    wire = server_wire(near)
+    await far.send_all(b'POST / HTTP/1.1\r\nHost: limits\r\nContent-Length: 0\r\n\r\n')
+    while type(await wire.receive()) is not h11.EndOfMessage:
+        pass
+    return wire
+
+
+async def read_all(stream) -> bytes:
+    """Return all that the caller received."""
+    data = b''
+    while chunk := await stream.receive_some(65536):
+        data += chunk
+    return data
+
+
+def make_forwarder(pool, limits: LimitSettings) -> Forwarder:
+    """Return a forwarder to four backend servers of one service."""
+    backends = {f'limits-{n}': f'127.0.0.1:{n}' for n in range(1, 5)}
+    directory = Directory(lambda: LeastInFlight(Random(0)))
+    directory.update(AcceptedConfig(document=document(backends)))
+    book = LimitBook(limits, lambda: 1)
+    return Forwarder(directory, pool, TrioClock(), book)
+
+
+class AttemptsTest(unittest.TestCase):
+    """What callers are told follows from the attempts."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(
+        scripts=st.lists(st.sampled_from(SCRIPTS), min_size=1, max_size=4),
+        repeatable=st.booleans(),
+        attempt=st.sampled_from((1, 1, 1, 2)),
+        tokens=st.sampled_from((0.0, 1.0, 5.0, 10.0)),
+    )
+    def test_outcome_is_true(self, scripts, repeatable, attempt, tokens):
+        result = forward(scripts, repeatable=repeatable, attempt=attempt, tokens=tokens)
+        pool, outcome = result.pool, result.outcome
+        if isinstance(outcome, NotRun):
+            self.assertEqual(pool.ledger, [])
+        if not repeatable:
+            self.assertLessEqual(len(pool.ledger), 1)
+        if attempt > 1:
+            self.assertEqual(len(pool.reached), 1)
+        self.assertLessEqual(len(pool.attempts) - 1, tokens)
+        self.assertEqual(len(set(pool.attempts)), len(pool.attempts))
+        self.assertLessEqual(result.took, DEADLINE + 0.001)
+        self.check_answer(result)
+        self.check_counts(result)
+
+    def check_answer(self, result: Result) -> None:
+        outcome, received = result.outcome, result.received
+        if isinstance(outcome, Answered):
+            self.assertEqual(received.count(b'HTTP/1.1'), 1)
+            self.assertTrue(received.endswith(b'\r\n\r\nansw'), received)
+        elif isinstance(outcome, Unknown) and outcome.answer_started:
+            self.assertFalse(received.endswith(b'answ'))
+        else:
+            self.assertEqual(received, b'')
+
+    def check_counts(self, result: Result) -> None:
+        router = result.forwarder.directory.router_by_service['limits']
+        limits = result.forwarder.limits.limits_by_service['limits']
+        self.assertEqual(limits.load.in_flight, 0)
+        for load in router.load_by_id.values():
+            self.assertEqual(load.in_flight, 0)
+
+    def test_not_repeatable_stops_at_the_first_unknown(self):
+        result = forward(['shed', 'break', 'answer'], repeatable=False)
+        self.assertIsInstance(result.outcome, Unknown)
+        self.assertEqual(result.pool.reached, ['shed', 'break'])
+
+    def test_unknown_stays_unknown_after_a_retry_was_refused(self):
+        result = forward(['break', 'shed', 'refuse'], repeatable=True)
+        self.assertEqual(result.outcome.reason, Reason.BROKEN)
+        self.assertIsInstance(result.outcome, Unknown)
+
+    def test_hedge_answers_for_a_silent_backend(self):
+        result = forward(['silent', 'answer'], repeatable=True, tokens=10.0)
+        self.assertEqual(result.outcome, Answered(200))
+        self.assertAlmostEqual(result.took, HEDGE_DELAY)
+        self.assertEqual(result.pool.attempts, [1, 2])
+
+    def test_first_answers_before_a_slow_hedge(self):
+        result = forward(['slow', 'silent'], repeatable=True, tokens=10.0)
+        self.assertEqual(result.outcome, Answered(200))
+        self.assertAlmostEqual(result.took, SLOW)
+
+    def test_hedge_leaves_tokens_for_retries(self):
+        result = forward(['silent', 'answer'], repeatable=True, tokens=5.0)
+        self.assertEqual(result.outcome, Unknown(Reason.DEADLINE))
+        self.assertEqual(result.pool.reached, ['silent'])
+
+    def test_deadline_before_the_first_byte_is_not_run(self):
+        result = forward(['hang'], repeatable=False)
+        self.assertEqual(result.outcome, NotRun(Reason.TOO_LATE))
+
+    def test_refused_connections_cost_no_token(self):
+        scripts = ['refuse', 'refuse', 'answer']
+        result = forward(scripts, repeatable=False, tokens=0.0)
+        self.assertEqual(result.outcome, Answered(200))
+
+    def test_spent_budget_tells_the_last_outcome(self):
+        result = forward(['shed', 'answer'], repeatable=False, tokens=0.0)
+        self.assertEqual(result.outcome.reason, Reason.SHED)
+        self.assertEqual(result.pool.reached, ['shed'])
+
+    def test_attempts_are_limited(self):
+        limits = LimitSettings(max_attempts=2)
+        result = forward(['shed'], repeatable=True, limits=limits)
+        self.assertEqual(result.pool.reached, ['shed', 'shed'])
