--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -25,8 +25,19 @@
 DEADLINE = 2.0
 HEDGE_DELAY = 0.1
 SLOW = 0.5
-SCRIPTS = ('answer', 'slow', 'silent', 'shed', 'break', 'cut', 'refuse', 'hang')
-RAN = {'answer', 'slow', 'silent', 'break', 'cut'}
+SCRIPTS = (
+    'answer',
+    'slow',
+    'silent',
+    'shed',
+    'break',
+    'cut',
+    'stall',
+    'refuse',
+    'hang',
+)
+RAN = {'answer', 'slow', 'silent', 'break', 'cut', 'stall'}
+PARTIAL = {'cut', 'stall'}
 
 
 class TrioClock(Clock):
@@ -93,7 +104,9 @@
             status, told = 200, []
         headers = [*told, ('content-length', '4')]
         await wire.send(h11.Response(status_code=status, headers=headers))
-        await wire.send(h11.Data(data=b'an' if script == 'cut' else b'answ'[:4]))
+        await wire.send(h11.Data(data=b'an' if script in PARTIAL else b'answ'))
+        if script == 'stall':
+            await trio.sleep_forever()
         if script != 'cut':
             await wire.send(h11.EndOfMessage())
 
@@ -240,6 +253,10 @@
         result = forward(['hang'], repeatable=False)
         self.assertEqual(result.outcome, NotRun(Reason.TOO_LATE))
 
+    def test_deadline_within_an_answer_is_not_answered_again(self):
+        result = forward(['stall'], repeatable=True)
+        self.assertEqual(result.outcome, Unknown(Reason.DEADLINE, answer_started=True))
+
     def test_refused_connections_cost_no_token(self):
         scripts = ['refuse', 'refuse', 'answer']
         result = forward(scripts, repeatable=False, tokens=0.0)
