Prove what callers are told, and do not cut an answer that began

Cause: an overload of real processes (24 callers, 2 x 2 slots, timeout 0.12 s) told 11 callers nothing: their answers began within the last loop pass before the deadline and were cut there. Ruled out: closed backend connections (the ledgers show one run each, answered). Change: a head that comes after the deadline is not begun but told as unknown; an answer that began in time has 1 s of grace to end.

--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -16,6 +16,8 @@
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
 
+ANSWER_GRACE_SECONDS = 1.0
+
 log = logging.getLogger('routing')
 
 
@@ -45,11 +47,13 @@
     clock: Clock
     launches: list[Launch] = Factory(list)
     passed_on: Launch | None = None
+    scope: trio.CancelScope = Factory(trio.CancelScope)
 
     async def run(self) -> Outcome:
         """Run attempts until one answers, none may follow, or the deadline."""
         try:
-            with trio.move_on_after(self.call.deadline - self.clock.monotonic()):
+            left = self.call.deadline - self.clock.monotonic()
+            with trio.move_on_after(left) as self.scope:
                 return await self._run_attempts()
             return self._expire()
         finally:
@@ -136,6 +140,10 @@
             send.send_nowait(launch)
 
     async def _pass_on(self, launch: Launch, head: AnswerHead) -> Outcome:
+        if self.scope.cancel_called:
+            # The deadline came with the head; nothing is sent to the caller yet.
+            await trio.sleep_forever()
+        self.scope.deadline += ANSWER_GRACE_SECONDS
         self.passed_on = launch
         for other in self.launches:
             if other is not launch:
--- /dev/null
+++ b/tests/test_limits_overload.py
@@ -0,0 +1,102 @@
+"""Overload of real processes: what was told not-run did not run."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import httpx
+import trio
+
+from catkinslip.cli.application import run
+from standins.load import LoadCaller, Tally
+from standins.processes import ProcessGroup, wait_until
+from tests.builders import document_plain
+
+CALLERS = 24
+SECONDS = 3.0
+TIMEOUT_SECONDS = 0.12
+
+
+class Caller(LoadCaller):
+    """Insist on being told when to come back after a refusal."""
+
+    async def exchange(self, request_id: str):
+        status, headers, body = await super().exchange(request_id)
+        if status == 503:
+            document = json.loads(body)
+            waits = int(headers[b'retry-after']), document['retry_after_ms']
+            if min(waits) < 1 or headers[b'catkinslip-outcome'] != b'not-run':
+                raise AssertionError(document)
+        return status, headers, body
+
+
+class OverloadTest(unittest.TestCase):
+    """Two instances, two backend servers with two slots, many callers."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.group = ProcessGroup(self.folder)
+        self.addCleanup(self.group.stop_all)
+
+    def start(self) -> None:
+        platform_url = f'http://{self.group.start_platform().address}'
+        self.backends = [
+            self.group.start_backend(f'limits-{n}', slots=2, service_time=0.05)
+            for n in (1, 2)
+        ]
+        self.daemons = [
+            self.group.start_daemon(
+                f'entry-{n}',
+                'zone-a',
+                platform_url=platform_url,
+                peer_interval=0.1,
+                request_timeout=TIMEOUT_SECONDS,
+            )
+            for n in (1, 2)
+        ]
+        address_by_backend = {each.name: each.address for each in self.backends}
+        path = self.folder / 'document.json'
+        path.write_text(json.dumps(document_plain(address_by_backend, slots=2)))
+        status = run(['apply', str(path), '--platform-url', platform_url, '--quiet'])
+        self.assertEqual(status, 0)
+        for daemon in self.daemons:
+            wait_until(lambda d=daemon: serves(d.address))
+
+    def test_refused_requests_did_not_run(self):
+        self.start()
+        tally = trio.run(load, [each.address for each in self.daemons])
+        ran_by_request = self.read_ledgers()
+        self.assertGreater(tally.right, 0)
+        self.assertGreater(tally.not_run, 0)
+        self.assertEqual((tally.wrong, tally.cut), (0, 0))
+        for request_id in tally.ids_by_outcome['not_run']:
+            self.assertNotIn(request_id, ran_by_request)
+        for request_id in tally.ids_by_outcome['right']:
+            self.assertEqual(ran_by_request[request_id], 1)
+        self.assertEqual(max(ran_by_request.values()), 1)
+
+    def read_ledgers(self) -> dict[str, int]:
+        ran_by_request = {}
+        for backend in self.backends:
+            url = f'http://{backend.address}/standin/ledger'
+            for request_id, ran in httpx.get(url).json()['by_request'].items():
+                ran_by_request[request_id] = ran_by_request.get(request_id, 0) + ran
+        ran_by_request.pop('', None)
+        return ran_by_request
+
+
+async def load(addresses: list[str]) -> Tally:
+    """Send requests that are not repeatable from more callers than there are slots."""
+    tally = Tally()
+    async with trio.open_nursery() as nursery:
+        for number in range(CALLERS):
+            caller = Caller(f'c{number}', 'limits', addresses, tally, 'POST')
+            nursery.start_soon(caller.run, SECONDS, 0.01)
+    return tally
+
+
+def serves(address: str) -> bool:
+    return httpx.get(f'http://{address}/', headers={'Host': 'limits'}).is_success
