--- a/catkinslip/limits/plan.py
+++ b/catkinslip/limits/plan.py
@@ -47,7 +47,14 @@
         self.running += 1
         return self.started
 
-    def ended(self, outcome: NotRun | Unknown, is_sent: bool, now: float) -> Step:
+    def ended(
+        self,
+        outcome: NotRun | Unknown,
+        now: float,
+        *,
+        is_sent: bool,
+        is_resendable: bool = True,
+    ) -> Step:
         """Take an attempt that ended without an answer and return the next step."""
         self.running -= 1
         self.sent += is_sent
@@ -56,7 +63,8 @@
             return Step.STOP
         if self.running:
             return Step.WAIT
-        return Step.RETRY if self._may_retry(outcome, now) else Step.STOP
+        may_retry = is_resendable and self._may_retry(outcome, now)
+        return Step.RETRY if may_retry else Step.STOP
 
     def may_hedge(self, now: float) -> bool:
         """Tell whether a second attempt may run beside the first."""
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -98,7 +98,7 @@
     async def _await_head(self, launch: Launch) -> Launch:
         now = self.clock.monotonic()
         delay = self.limits.hedge_delay(now)
-        if delay is None or not self.plan.may_hedge(now):
+        if delay is None or self.call.rest or not self.plan.may_hedge(now):
             await self._start(launch)
             return launch
         return await self._race(launch, delay)
@@ -133,7 +133,12 @@
             launch.step = Step.STOP
             self.limits.answered(launch.backend_id, now - launch.began)
         else:
-            launch.step = self.plan.ended(result, launch.attempt.is_sent, now)
+            launch.step = self.plan.ended(
+                result,
+                now,
+                is_sent=launch.attempt.is_sent,
+                is_resendable=self.call.is_resendable,
+            )
             report = result.report if isinstance(result, NotRun) else None
             self._finish(launch, report)
         if send is not None:
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,51 @@
+"""An object store in one process that plays the faults of a platform."""
+
+from attrs import Factory, define
+from returns.result import Failure
+
+from catkinslip.config.reading import CONFIG_KEY
+from catkinslip.platform.base import AnswerLost, ObjectKey, Unavailable
+from catkinslip.platform.embedded import EmbeddedStore
+
+
+@define
+class FaultyStore(EmbeddedStore):
+    """Play one fault for each write of the configuration, then none."""
+
+    #: 'lost' takes effect, 'dropped' does not, 'late' does before the third reading;
+    #: each is answered with AnswerLost. 'refused' is Unavailable.
+    faults: list[str] = Factory(list)
+    late: list[tuple] = Factory(list)
+    reads: int = 0
+    reads_down: int = 0
+
+    async def read(self, key: ObjectKey):
+        """Read an object, unless the platform is down."""
+        self.reads += 1
+        if self.reads_down > 0:
+            self.reads_down -= 1
+            return Failure(Unavailable('down'))
+        if self.late and self.reads >= 3:
+            await super().write(*self.late.pop())
+        return await super().read(key)
+
+    async def wait_for_change(self, key: ObjectKey, known_version: int, wait: float):
+        """Wait for a change, unless the platform is down."""
+        if self.reads_down > 0:
+            self.reads_down -= 1
+            return Failure(Unavailable('down'))
+        return await super().wait_for_change(key, known_version, wait)
+
+    async def write(self, key: ObjectKey, value, expected_version: int):
+        """Write an object and play the next fault."""
+        if key != CONFIG_KEY or not self.faults:
+            return await super().write(key, value, expected_version)
+        fault = self.faults.pop(0)
+        self.reads = 0
+        if fault == 'refused':
+            return Failure(Unavailable('down'))
+        if fault == 'late':
+            self.late.append((key, value, expected_version))
+        if fault == 'lost':
+            await super().write(key, value, expected_version)
+        return Failure(AnswerLost('no answer'))
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -14,6 +14,8 @@
 from catkinslip.clock import Clock
 from catkinslip.config.documents import AcceptedConfig
 from catkinslip.limits.base import LimitSettings
+from catkinslip.limits.budget import ExtraBudget
+from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import LimitBook
 from catkinslip.proxy.exchange import Attempt, Call
 from catkinslip.proxy.forwarder import Forwarder
@@ -22,7 +24,7 @@
 from catkinslip.proxy.wire import client_wire, server_wire
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.policies import LeastInFlight
-from tests.builders import document
+from tests.builders import document_of, document_plain
 
 DEADLINE = 2.0
 HEDGE_DELAY = 0.1
@@ -53,11 +55,11 @@
     ledger: list[str] = Factory(list)
     attempts: list[int] = Factory(list)
 
-    async def acquire(self, address):
+    async def acquire(self, address, max_idle_seconds):
         script = self.scripts[len(self.reached) % len(self.scripts)]
         self.reached.append(script)
         if script == 'refuse':
-            raise OSError('refused')
+            return NotRun(Reason.CONNECT_FAILED)
         if script == 'hang':
             await trio.sleep_forever()
         near, far = trio.testing.memory_stream_pair()
@@ -171,7 +173,7 @@
     """Return a forwarder to four backend servers of one service."""
     backends = {f'limits-{n}': f'127.0.0.1:{n}' for n in range(1, 5)}
     directory = Directory(lambda: LeastInFlight(Random(0)))
-    directory.update(AcceptedConfig(document=document(backends)))
+    directory.update(AcceptedConfig(document=document_of(document_plain(backends))))
     book = LimitBook(limits, lambda: 1)
     return Forwarder(directory, pool, TrioClock(), book)
 
@@ -285,3 +287,11 @@
         limits = LimitSettings(max_attempts=2)
         result = forward(['shed'], repeatable=True, limits=limits)
         self.assertEqual(result.pool.reached, ['shed', 'shed'])
+
+    def test_body_that_went_in_part_is_not_sent_again(self):
+        for is_resendable, step in ((True, Step.RETRY), (False, Step.STOP)):
+            plan = CallPlan(True, True, DEADLINE, ExtraBudget(0.05, 10.0, 5.0))
+            plan.start()
+            refusal = NotRun(Reason.SHED)
+            ended = plan.ended(refusal, 0.0, is_sent=True, is_resendable=is_resendable)
+            self.assertIs(ended, step)
