--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -11,7 +11,7 @@
 from catkinslip.limits.load import ServiceLoad
 from catkinslip.limits.plan import CallPlan
 from catkinslip.proxy.outcomes import NotRun
-from catkinslip.routing.base import LoadReport
+from catkinslip.routing.base import AttemptResult, ResultKind
 from catkinslip.routing.router import ServiceRouter
 
 RESIZE_SECONDS = 0.2
@@ -65,13 +65,11 @@
         self.latency.record(latency)
         self.load.learn_service_time(backend_id, latency)
 
-    def abandoned(self, latency: float) -> None:
-        """Learn from an attempt that was cancelled before its answer."""
-        self.latency.record(latency)
-
-    def ended(self, backend_id: str, report: LoadReport | None, now: float) -> None:
-        """Count an attempt that ended."""
-        self.load.ended(backend_id, report, now)
+    def ended(self, backend_id: str, result: AttemptResult, now: float) -> None:
+        """Count an attempt that ended; a cancelled one took at least so long."""
+        self.load.ended(backend_id, result.report, now)
+        if result.kind is ResultKind.CANCELLED:
+            self.latency.record(result.latency)
 
 
 @define
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -9,10 +9,15 @@
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
-from catkinslip.proxy.outcomes import NotRun, Outcome, Unknown
+from catkinslip.proxy.outcomes import (
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+    attempt_result,
+)
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
-from catkinslip.routing.base import LoadReport
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
 
@@ -91,7 +96,7 @@
         )
         launch = Launch(choice.backend_id, attempt, now)
         self.launches.append(launch)
-        self.router.started(launch.backend_id)
+        self.router.started(launch.backend_id, now)
         self.limits.started(launch.backend_id)
         return launch
 
@@ -139,8 +144,7 @@
                 is_sent=launch.attempt.is_sent,
                 is_resendable=self.call.is_resendable,
             )
-            report = result.report if isinstance(result, NotRun) else None
-            self._finish(launch, report)
+            self._finish(launch, result)
         if send is not None:
             send.send_nowait(launch)
 
@@ -154,7 +158,7 @@
             if other is not launch:
                 await self._give_up(other)
         outcome = await launch.attempt.pass_on(head)
-        self._finish(launch, head.report)
+        self._finish(launch, outcome)
         return outcome
 
     def _expire(self) -> Outcome:
@@ -167,14 +171,13 @@
     async def _give_up(self, launch: Launch) -> None:
         if not launch.is_open:
             return
-        if launch.result is None:
-            self.limits.abandoned(self.clock.monotonic() - launch.began)
-        elif launch is not self.passed_on:
+        if isinstance(launch.result, AnswerHead) and launch is not self.passed_on:
             await launch.attempt.discard(launch.result)
-        self._finish(launch, None)
+        self._finish(launch, Unknown(Reason.DEADLINE))
 
-    def _finish(self, launch: Launch, report: LoadReport | None) -> None:
+    def _finish(self, launch: Launch, outcome: Outcome) -> None:
         now = self.clock.monotonic()
         launch.is_open = False
-        self.router.finished(launch.backend_id, report, now)
-        self.limits.ended(launch.backend_id, report, now)
+        result = attempt_result(outcome, now - launch.began)
+        self.router.finished(launch.backend_id, result, now)
+        self.limits.ended(launch.backend_id, result, now)
