--- a/benchmarks/policy_world.py
+++ b/benchmarks/policy_world.py
@@ -81,6 +81,8 @@
     sent_at: float
     kind: ResultKind = ResultKind.ANSWERED
     report: LoadReport | None = None
+    is_cancelled: bool = False
+    is_running: bool = False
 
 
 @define(eq=False)
@@ -102,6 +104,8 @@
 
     def arrive(self, attempt: Attempt) -> None:
         """Take a request, or fail or refuse it at once."""
+        if attempt.is_cancelled:
+            return
         if self.fail_fast or self.draining:
             attempt.kind = ResultKind.FAILED if self.fail_fast else ResultKind.SHED
             self.answer(attempt)
@@ -115,13 +119,31 @@
     def begin(self, attempt: Attempt) -> None:
         """Run a request in a slot."""
         self.busy += 1
+        attempt.is_running = True
         self.world.after(attempt.request.demand / self.speed, self.finish, attempt)
 
     def finish(self, attempt: Attempt) -> None:
-        """End a request, answer it and take the next that is in time."""
+        """End a request that was not cancelled and answer it."""
+        if attempt.is_cancelled:
+            return
+        attempt.is_running = False
         self.busy -= 1
         self.in_flight -= 1
         self.answer(attempt)
+        self.take_next()
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Stop a request that waits or runs here."""
+        if attempt in self.waiting:
+            self.waiting.remove(attempt)
+            self.in_flight -= 1
+        elif attempt.is_running:
+            self.busy -= 1
+            self.in_flight -= 1
+            self.take_next()
+
+    def take_next(self) -> None:
+        """Run the next request that is in time."""
         while self.waiting:
             following = self.waiting.popleft()
             if following.request.deadline > self.world.now:
