Gate a hedge by the slots of its own backend server

Cause: a hedge asked for idle slots in the whole service; a straggler's queue counts there, so hedges stopped just where they help. Change: the chosen server must have an idle slot.

--- a/benchmarks/limits_world.py
+++ b/benchmarks/limits_world.py
@@ -58,13 +58,15 @@
         if request.deadline < math.inf and not self.ignores_deadlines:
             self.world.after(request.deadline - now, self.expire, call)
 
-    def launch(self, call: LimitedCall, count) -> None:
+    def launch(self, call: LimitedCall, count, *, hedge: bool = False) -> None:
         """Send one attempt to the worker that the router chooses."""
         now = self.world.now
         tried = [each.worker.worker_id for each in call.attempts]
         choice = self.router.choose(now, tried)
         if choice is None:
             return
+        if hedge and not self.limits.has_idle_slot(choice.backend_id):
+            return
         count()
         call.request.attempts += 1
         worker = self.world.worker_by_id[choice.backend_id]
@@ -84,10 +86,8 @@
 
     def hedge(self, call: LimitedCall) -> None:
         """Send a second attempt where the plan allows it."""
-        if call.request.latency is not None or not self.limits.has_idle_slots():
-            return
-        if call.plan.may_hedge(self.world.now):
-            self.launch(call, call.plan.hedge)
+        if call.request.latency is None and call.plan.may_hedge(self.world.now):
+            self.launch(call, call.plan.hedge, hedge=True)
 
     def answered(self, attempt: LimitedAttempt) -> None:
         """Take an answer; try elsewhere where the plan allows it."""
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -52,9 +52,10 @@
             return None
         return self.latency.read(now)
 
-    def has_idle_slots(self) -> bool:
+    def has_idle_slot(self, backend_id: str) -> bool:
         """Tell whether a hedge would likely find a slot and no queue."""
-        return self.load.total < self.load.slots
+        count = self.load.count_by_id.get(backend_id)
+        return count is None or count.estimate < self.load.slots_per_backend
 
     def started(self, backend_id: str) -> None:
         """Count an attempt that starts."""
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -82,6 +82,8 @@
         choice = self.router.choose(now, tried)
         if choice is None:
             return None
+        if hedge and not self.limits.has_idle_slot(choice.backend_id):
+            return None
         log.info(
             'routing: %s %s goes to %s, %s.',
             self.call.request_id,
@@ -122,7 +124,7 @@
     async def _hedge(self, delay: float, send: trio.MemorySendChannel) -> None:
         await trio.sleep(delay)
         now = self.clock.monotonic()
-        if not self.plan.may_hedge(now) or not self.limits.has_idle_slots():
+        if not self.plan.may_hedge(now):
             return
         launch = self._launch(hedge=True)
         if launch is not None:
