Count one server's long queue up to a limit only

Cause: under noise at 80 % calls were refused (Brittany 0.2 %, under two choices 8.6 %) while most servers had room: slow servers' queues filled the service's limit. Change: each server counts up to 1.5 times its share of the limit.

--- a/catkinslip/limits/load.py
+++ b/catkinslip/limits/load.py
@@ -1,11 +1,15 @@
 """What one instance knows of the load on one service."""
 
+import math
+
 from attrs import Factory, define
 
 from catkinslip.routing.base import LoadReport
 
 SERVICE_TIME_WEIGHT = 0.05
 REFUSED_WEIGHT = 0.01
+# At 1, instances that see full servers as just full admit too much; see LIMITS.md.
+LONGEST_QUEUE_FACTOR = 1.5
 REPORT_LIFETIME_SECONDS = 1.0
 
 
@@ -15,6 +19,7 @@
 
     own: int = 0
     estimate: float = 0.0
+    counted: float = 0.0
     reported_at: float = 0.0
 
 
@@ -25,6 +30,7 @@
     slots_per_backend: int = 1
     backends: int = 0
     instances: int = 1
+    full: float = math.inf
     in_flight: int = 0
     reported: float = 0.0
     service_time: float = 0.0
@@ -48,11 +54,22 @@
         queued = max(0.0, self.total + 1 - self.slots)
         return queued * self.service_time / self.slots
 
-    def resize(self, slots_per_backend: int, backends: int, instances: int) -> None:
-        """Take over the service's size and the number of instances it shares."""
+    def resize(
+        self,
+        slots_per_backend: int,
+        backends: int,
+        instances: int,
+        queue_depth: float = math.inf,
+    ) -> None:
+        """Take over the service's size and the number of instances it shares.
+
+        A long queue at one backend server says little about the others, so it counts
+        up to a limit only.
+        """
         self.slots_per_backend = slots_per_backend
         self.backends = backends
         self.instances = max(1, instances)
+        self.full = slots_per_backend * queue_depth * LONGEST_QUEUE_FACTOR
 
     def decided(self, refused: bool) -> None:
         """Count a call that was admitted or refused."""
@@ -95,5 +112,7 @@
                 del self.count_by_id[backend_id]
 
     def _estimate(self, count: BackendCount, value: float) -> None:
-        self.reported += value - count.estimate
         count.estimate = value
+        counted = min(value, self.full)
+        self.reported += counted - count.counted
+        count.counted = counted
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -98,7 +98,8 @@
     def _resize(self, load: ServiceLoad, router: ServiceRouter) -> None:
         usable = [each for each in router.load_by_id.values() if not each.draining]
         slots = usable[0].slots if usable else 1
-        load.resize(slots, len(usable), self.count_instances())
+        instances = self.count_instances()
+        load.resize(slots, len(usable), instances, self.settings.queue_depth)
 
 
 def make_limits(settings: LimitSettings) -> ServiceLimits:
