--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo clean bench-policy
+.PHONY: install lint format test demo model bench-config bench-drain bench-probes bench-policy bench-limits clean
 
 install: $(STAMP)
 
@@ -27,8 +27,24 @@
 demo: install
 	$(RUN) -m standins.demo
 
+bench-config: install
+	$(RUN) -m benchmarks.configuration
+	$(RUN) -m benchmarks.configuration_in_force
+
+model: install
+	$(RUN) -m model
+
+bench-drain: install
+	$(RUN) -m benchmarks.drain
+
+bench-probes: install
+	$(RUN) -m benchmarks.probes
+
 clean:
 	rm -rf $(VENV) build
 
 bench-policy: install
 	$(RUN) -m benchmarks.policy --processes 12
+
+bench-limits: install
+	$(RUN) -m benchmarks.limits --processes 12
--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -1,5 +1,6 @@
 """The configuration document: the asset register and the rules."""
 
+from enum import Enum, unique
 from fnmatch import fnmatchcase
 from functools import cached_property
 from typing import Any
@@ -34,6 +35,11 @@
     slots: int = ranged(1, 1, 10_000, 'requests at once')
     max_connections: int = ranged(200, 1, 100_000, 'connections')
     timeout: float = ranged(10.0, 0.05, 3600, 'seconds')
+    health_path: str = '/health'
+    #: Most probes of one backend server, from all instances; 0 turns probes off.
+    probes_per_second: float = ranged(1.0, 0, 1000, 'probes a second')
+    #: Calls that an instance must receive for each probe it sends.
+    calls_per_probe: int = ranged(100, 1, 1_000_000, 'calls')
 
 
 @frozen
@@ -55,6 +61,14 @@
     backends: dict[str, Backend] = Factory(dict)
 
 
+@unique
+class RecordPlace(Enum):
+    """Where keys that no address answer began are recorded."""
+
+    HOME = 'home'
+    PLATFORM = 'platform'
+
+
 @frozen
 class RequestRule:
     """Say whether requests of a method and a path pattern are repeatable."""
@@ -63,6 +77,7 @@
     path: str
     methods: tuple[str, ...]
     repeatable: bool
+    record: RecordPlace = RecordPlace.HOME
 
 
 @frozen
@@ -72,6 +87,8 @@
     slots: int | None = ranged(None, 1, 10_000, 'requests at once')
     max_connections: int | None = ranged(None, 1, 100_000, 'connections')
     timeout: float | None = ranged(None, 0.05, 3600, 'seconds')
+    probes_per_second: float | None = ranged(None, 0, 1000, 'probes a second')
+    calls_per_probe: int | None = ranged(None, 1, 1_000_000, 'calls')
 
 
 @frozen
@@ -91,12 +108,17 @@
 
     def is_repeatable(self, service: str, method: str, path: str) -> bool:
         """Tell whether a request may run more than once."""
+        rule = self.find_rule(service, method, path)
+        return method in SAFE_METHODS if rule is None else rule.repeatable
+
+    def find_rule(self, service: str, method: str, path: str) -> RequestRule | None:
+        """Return the first rule that matches a request."""
         for rule in self.rules.requests:
             if rule.service not in (service, '*') or method not in rule.methods:
                 continue
             if fnmatchcase(path, rule.path):
-                return rule.repeatable
-        return method in SAFE_METHODS
+                return rule
+        return None
 
     def effective_services(self) -> dict[str, Service]:
         """Return the services with the overrides of the rules."""
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -23,6 +23,11 @@
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
 from catkinslip.environment import Environment
+from catkinslip.health.lister import ListFollower
+from catkinslip.health.prober import Prober
+from catkinslip.health.spreader import DrainSpreader
+from catkinslip.health.topics import health_topics
+from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.limits.base import LimitSettings
 from catkinslip.limits.service import LimitBook
 from catkinslip.membership.exchange import PeerExchange
@@ -41,6 +46,11 @@
 from catkinslip.settings.base import SettingsError, build_parser, read_values
 from catkinslip.settings.daemon import OPTIONS, DaemonSettings
 from catkinslip.status import ExitStatus
+from catkinslip.tickets.gate import AtMostOnce
+from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
+from catkinslip.tickets.passing import HomePasser
+from catkinslip.tickets.records import PlatformRecords
+from catkinslip.tickets.table import TicketTable
 
 DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
@@ -87,6 +97,10 @@
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
+    health: HealthTracker
+    prober: Prober
+    spreader: DrainSpreader
+    lister: ListFollower
 
 
 async def serve(settings: DaemonSettings, environment: Environment) -> None:
@@ -113,6 +127,9 @@
             nursery.start_soon(daemon.pool.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(follow_list, daemon)
+            nursery.start_soon(daemon.prober.run)
+            nursery.start_soon(daemon.spreader.run)
+            nursery.start_soon(daemon.lister.run)
             announce_ready(own, environment)
         await daemon.pool.close()
 
@@ -130,15 +147,35 @@
     config = ConfigHolder()
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
+    health = make_tracker(
+        directory, environment.clock, environment.random, settings.max_instances
+    )
+    config.listeners.append(health.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
     change_signal = ChangeSignal()
     config.listeners.append(change_signal.update)
-    addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    ticket_clock = AnchoredClock(environment.clock)
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(ticket_clock, settings.key_lifetime),
+    )
     limits = LimitBook(make_limit_settings(settings), addresses.count_home_instances)
-    forwarder = Forwarder(directory, pool, environment.clock, limits)
+    forwarder = Forwarder(directory, pool, environment.clock, limits, health)
+    gate = AtMostOnce(
+        forwarder=forwarder,
+        table=make_table(settings, own, ticket_clock),
+        records=PlatformRecords(store, environment.random),
+        passer=HomePasser(own.member_id, pool, environment.clock),
+        config=config,
+        members=members,
+        clock=ticket_clock,
+    )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
-    topic_by_name = {topic.name: topic for topic in (config_topic,)}
+    topics = (config_topic, *health_topics(health))
+    topic_by_name = {topic.name: topic for topic in topics}
     peers = PeerExchange(
         members, topic_by_name, peer_client, environment.random, settings.seeds
     )
@@ -155,10 +192,29 @@
         ),
         change_signal=change_signal,
         callers=CallerServer(
-            environment, config, forwarder, addresses, caller_limits(settings)
+            environment, config, gate, addresses, caller_limits(settings)
         ),
-        control=ControlSurface(peers, config, settings.shared_secret),
+        control=ControlSurface(peers, config, health, settings.shared_secret),
         pool=pool,
+        health=health,
+        prober=Prober(health, members, pool, environment.clock),
+        spreader=DrainSpreader(health, peers, environment.random),
+        lister=ListFollower(
+            store, health, lambda: is_watcher(members.own, members.live())
+        ),
+    )
+
+
+def make_table(
+    settings: DaemonSettings, own: Member, clock: AnchoredClock
+) -> TicketTable:
+    """Return the table of the keys whose home is this instance."""
+    return TicketTable(
+        own.member_id,
+        own.incarnation,
+        settings.key_lifetime,
+        settings.key_capacity,
+        clock.now(),
     )
 
 
@@ -275,7 +331,10 @@
 async def learn_from_list(daemon: Daemon) -> bool:
     """Exchange with listed instances not known yet; tell whether this one is listed."""
     own = daemon.members.own
-    listed = (await daemon.store.list_instances()).value_or([])
+    result = await daemon.store.list_instances()
+    listed = [
+        each for each in result.value_or([]) if not daemon.health.is_backend(each.name)
+    ]
     for instance in listed:
         known = daemon.members.member_by_id.get(instance.name)
         if instance.name != own.member_id and known is None:
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 from catkinslip.clock import Clock
+from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.service import LimitBook
 from catkinslip.proxy.exchange import Call
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
@@ -20,6 +21,7 @@
     pool: BackendPool
     clock: Clock
     limits: LimitBook
+    health: HealthTracker
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -28,6 +30,7 @@
         router = self.directory.router_by_service.get(call.service)
         if router is None:
             return NotRun(Reason.UNKNOWN_SERVICE, call.service)
+        self.health.count_call(call.service)
         now = self.clock.monotonic()
         limits = self.limits.limits_of(call.service, router, now)
         refusal = limits.refuse(call.deadline - now)
@@ -35,6 +38,6 @@
             return refusal
         plan = limits.plan(call.repeatable, call.attempt == 1, call.deadline)
         runner = CallRunner(
-            call, caller, plan, limits, router, self.directory, self.pool, self.clock
+            call, caller, plan, limits, router, self.health, self.pool, self.clock
         )
         return await runner.run()
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -1,11 +1,13 @@
 """Run the attempts of one call: retry, hedge, and pass one answer on."""
 
 import logging
+from functools import partial
 
 import trio
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
+from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
@@ -18,7 +20,6 @@
 )
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
-from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
 
 ANSWER_GRACE_SECONDS = 1.0
@@ -47,7 +48,7 @@
     plan: CallPlan
     limits: ServiceLimits
     router: ServiceRouter
-    directory: Directory
+    health: HealthTracker
     pool: BackendPool
     clock: Clock
     launches: list[Launch] = Factory(list)
@@ -79,7 +80,7 @@
     def _launch(self, *, hedge: bool = False) -> Launch | None:
         now = self.clock.monotonic()
         tried = [launch.backend_id for launch in self.launches]
-        choice = self.router.choose(now, tried)
+        choice = self.health.choose(self.router, tried)
         if choice is None:
             return None
         if hedge and not self.limits.has_idle_slot(choice.backend_id):
@@ -92,9 +93,10 @@
             f'hedge, {choice.reason}' if hedge else choice.reason,
         )
         number = self.plan.hedge() if hedge else self.plan.start()
-        address = self.directory.address_by_backend[choice.backend_id]
+        address = self.health.directory.address_by_backend[choice.backend_id]
+        on_head = partial(self.health.answered, choice.backend_id)
         attempt = Attempt(
-            self.call, address, self.caller, self.pool, self.clock, number
+            self.call, address, self.caller, self.pool, self.clock, number, on_head
         )
         launch = Launch(choice.backend_id, attempt, now)
         self.launches.append(launch)
@@ -139,6 +141,8 @@
             launch.step = Step.STOP
             self.limits.answered(launch.backend_id, now - launch.began)
         else:
+            if result.reason is Reason.CONNECT_FAILED:
+                self.health.refused(launch.backend_id)
             launch.step = self.plan.ended(
                 result,
                 now,
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -5,7 +5,13 @@
 from attrs import Factory, define
 
 from catkinslip.config.documents import Backend, Service
-from catkinslip.routing.base import AttemptResult, BackendLoad, Choice, Policy
+from catkinslip.routing.base import (
+    AttemptResult,
+    BackendLoad,
+    Choice,
+    LoadReport,
+    Policy,
+)
 
 
 @define
@@ -59,3 +65,21 @@
             load.report = result.report
             load.reported_at = now
             load.picks_since_report = 0
+
+    def learned(
+        self, backend_id: str, report: LoadReport, at: float, picks_before: int = 0
+    ) -> None:
+        """Take a report that a peer or a probe observed at an earlier time.
+
+        Only the own picks known to be in the report are taken off their count.
+        """
+        load = self.load_by_id.get(backend_id)
+        if load is not None and at > load.reported_at:
+            load.report = report
+            load.reported_at = at
+            load.picks_since_report = max(0, load.picks_since_report - picks_before)
+
+    def picks_since_report(self, backend_id: str) -> int:
+        """Return the own picks since the last report of a backend server."""
+        load = self.load_by_id.get(backend_id)
+        return 0 if load is None else load.picks_since_report
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -114,6 +114,20 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--key-lifetime',
+        '300',
+        number(1, 86400, 'seconds'),
+        'Seconds for which a key guards its request; the same on all instances.',
+        REQUESTS,
+    ),
+    Option(
+        '--key-capacity',
+        '50000',
+        whole_number(1, 10_000_000, 'keys'),
+        'Keys that this instance remembers at once; more are refused.',
+        REQUESTS,
+    ),
     Option(
         '--head-timeout',
         '10',
@@ -215,6 +229,8 @@
     peer_interval: float
     address_lifetime: float
     request_timeout: float
+    key_lifetime: float
+    key_capacity: int
     head_timeout: float
     body_timeout: float
     idle_timeout: float
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -13,6 +13,7 @@
 
 from catkinslip.clock import Clock
 from catkinslip.config.documents import AcceptedConfig
+from catkinslip.health.tracker import make_tracker
 from catkinslip.limits.base import LimitSettings
 from catkinslip.limits.budget import ExtraBudget
 from catkinslip.limits.plan import CallPlan, Step
@@ -173,9 +174,12 @@
     """Return a forwarder to four backend servers of one service."""
     backends = {f'limits-{n}': f'127.0.0.1:{n}' for n in range(1, 5)}
     directory = Directory(lambda: LeastInFlight(Random(0)))
-    directory.update(AcceptedConfig(document=document_of(document_plain(backends))))
+    health = make_tracker(directory, TrioClock(), Random(0), max_instances=20)
+    config = AcceptedConfig(document=document_of(document_plain(backends)))
+    directory.update(config)
+    health.update(config)
     book = LimitBook(limits, lambda: 1)
-    return Forwarder(directory, pool, TrioClock(), book)
+    return Forwarder(directory, pool, TrioClock(), book, health)
 
 
 class AttemptsTest(unittest.TestCase):
