Race a hedge without a task for each call

Change: the first attempt runs inline; one timer of the process starts the second in its own nursery when the delay is over. A fault within a hedge is logged and leaves the first attempt.

--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -40,6 +40,7 @@
 from catkinslip.platform.http import CALLER_HEADER, HttpStore
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.policies import LeastInFlight
@@ -101,6 +102,7 @@
     prober: Prober
     spreader: DrainSpreader
     lister: ListFollower
+    hedges: HedgeTimer
 
 
 async def serve(settings: DaemonSettings, environment: Environment) -> None:
@@ -125,6 +127,7 @@
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
+            nursery.start_soon(daemon.hedges.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(follow_list, daemon)
             nursery.start_soon(daemon.prober.run)
@@ -162,8 +165,9 @@
         settings.address_lifetime,
         KeyIssuer(ticket_clock, settings.key_lifetime),
     )
+    hedges = HedgeTimer()
     limits = LimitBook(make_limit_settings(settings), addresses.count_home_instances)
-    forwarder = Forwarder(directory, pool, environment.clock, limits, health)
+    forwarder = Forwarder(directory, pool, environment.clock, limits, health, hedges)
     gate = AtMostOnce(
         forwarder=forwarder,
         table=make_table(settings, own, ticket_clock),
@@ -196,6 +200,7 @@
         ),
         control=ControlSurface(peers, config, health, settings.shared_secret),
         pool=pool,
+        hedges=hedges,
         health=health,
         prober=Prober(health, members, pool, environment.clock),
         spreader=DrainSpreader(health, peers, environment.random),
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -6,6 +6,7 @@
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.service import LimitBook
 from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.runner import CallRunner
@@ -22,6 +23,7 @@
     clock: Clock
     limits: LimitBook
     health: HealthTracker
+    hedges: HedgeTimer
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -38,6 +40,14 @@
             return refusal
         plan = limits.plan(call.repeatable, call.attempt == 1, call.deadline)
         runner = CallRunner(
-            call, caller, plan, limits, router, self.health, self.pool, self.clock
+            call=call,
+            caller=caller,
+            plan=plan,
+            limits=limits,
+            router=router,
+            health=self.health,
+            pool=self.pool,
+            clock=self.clock,
+            hedges=self.hedges,
         )
         return await runner.run()
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -11,6 +11,7 @@
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
+from catkinslip.proxy.hedges import Hedge, HedgeTimer
 from catkinslip.proxy.outcomes import (
     NotRun,
     Outcome,
@@ -51,6 +52,7 @@
     health: HealthTracker
     pool: BackendPool
     clock: Clock
+    hedges: HedgeTimer
     launches: list[Launch] = Factory(list)
     passed_on: Launch | None = None
     scope: trio.CancelScope = Factory(trio.CancelScope)
@@ -113,45 +115,46 @@
         return await self._race(launch, delay)
 
     async def _race(self, first: Launch, delay: float) -> Launch:
-        send, receive = trio.open_memory_channel(2)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._start, first, send)
-            nursery.start_soon(self._hedge, delay, send)
-            while True:
-                ended = await receive.receive()
-                if ended.step is not Step.WAIT:
-                    nursery.cancel_scope.cancel()
-                    return ended
-
-    async def _hedge(self, delay: float, send: trio.MemorySendChannel) -> None:
-        launch = None
-        while launch is None:
-            await trio.sleep(delay)
-            if self.plan.may_hedge(self.clock.monotonic()):
-                launch = self._launch(hedge=True)
-        await self._start(launch, send)
-
-    async def _start(
-        self, launch: Launch, send: trio.MemorySendChannel | None = None
+        race = Race(self, delay)
+        self.hedges.add(delay, race)
+        try:
+            with race.first_scope:
+                await self._start(first)
+            if first.step is Step.WAIT:
+                await race.second_ended.wait()
+        finally:
+            race.is_over = True
+            race.second_scope.cancel()
+        if first.step is not Step.WAIT or race.second is None:
+            return first
+        return race.second
+
+    async def _start(self, launch: Launch) -> None:
+        await self._settle(launch, await launch.attempt.start())
+
+    async def _settle(
+        self, launch: Launch, result: AnswerHead | NotRun | Unknown
     ) -> None:
-        result = await launch.attempt.start()
+        if not launch.is_open:
+            # Given up while the answer came.
+            if isinstance(result, AnswerHead):
+                await launch.attempt.discard(result)
+            return
         launch.result = result
         now = self.clock.monotonic()
         if isinstance(result, AnswerHead):
             launch.step = Step.STOP
             self.limits.answered(launch.backend_id, now - launch.began)
-        else:
-            if result.reason is Reason.CONNECT_FAILED:
-                self.health.refused(launch.backend_id)
-            launch.step = self.plan.ended(
-                result,
-                now,
-                is_sent=launch.attempt.is_sent,
-                is_resendable=self.call.is_resendable,
-            )
-            self._finish(launch, result)
-        if send is not None:
-            send.send_nowait(launch)
+            return
+        if result.reason is Reason.CONNECT_FAILED:
+            self.health.refused(launch.backend_id)
+        launch.step = self.plan.ended(
+            result,
+            now,
+            is_sent=launch.attempt.is_sent,
+            is_resendable=self.call.is_resendable,
+        )
+        self._finish(launch, result)
 
     async def _pass_on(self, launch: Launch, head: AnswerHead) -> Outcome:
         if self.scope.cancel_called:
@@ -186,3 +189,40 @@
         result = attempt_result(outcome, now - launch.began)
         self.router.finished(launch.backend_id, result, now)
         self.limits.ended(launch.backend_id, result, now)
+
+
+@define(eq=False)
+class Race(Hedge):
+    """The race of two attempts; the first head cancels the other attempt."""
+
+    runner: CallRunner
+    delay: float
+    is_over: bool = False
+    second: Launch | None = None
+    first_scope: trio.CancelScope = Factory(trio.CancelScope)
+    second_scope: trio.CancelScope = Factory(trio.CancelScope)
+    second_ended: trio.Event = Factory(trio.Event)
+
+    async def run(self) -> None:
+        """Start the second attempt, or ask for another time."""
+        runner = self.runner
+        if self.is_over:
+            return
+        if runner.plan.may_hedge(runner.clock.monotonic()):
+            self.second = runner._launch(hedge=True)
+        if self.second is None:
+            runner.hedges.add(self.delay, self)
+            return
+        with self.second_scope:
+            await self._start_second(self.second)
+        if isinstance(self.second.result, AnswerHead):
+            self.first_scope.cancel()
+        self.second_ended.set()
+
+    async def _start_second(self, launch: Launch) -> None:
+        try:
+            await self.runner._start(launch)
+        except Exception as error:
+            # One call's hedge must not stop the process.
+            log.exception('routing: a hedge failed.')
+            await self.runner._settle(launch, Unknown(Reason.BROKEN, repr(error)))
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -20,6 +20,7 @@
 from catkinslip.limits.service import LimitBook
 from catkinslip.proxy.exchange import Attempt, Call
 from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.outcomes import Answered, NotRun, Reason, Unknown
 from catkinslip.proxy.runner import ANSWER_GRACE_SECONDS
 from catkinslip.proxy.wire import client_wire, server_wire
@@ -127,6 +128,7 @@
         async with trio.open_nursery() as nursery:
             pool = ScriptedPool(nursery, list(scripts))
             forwarder = make_forwarder(pool, limits or LimitSettings())
+            nursery.start_soon(forwarder.hedges.run)
             router = forwarder.directory.router_by_service['limits']
             service = forwarder.limits.limits_of('limits', router, 0.0)
             service.budget.tokens = tokens
@@ -179,7 +181,7 @@
     directory.update(config)
     health.update(config)
     book = LimitBook(limits, lambda: 1)
-    return Forwarder(directory, pool, TrioClock(), book, health)
+    return Forwarder(directory, pool, TrioClock(), book, health, HedgeTimer())
 
 
 class AttemptsTest(unittest.TestCase):
@@ -246,6 +248,22 @@
         self.assertEqual(result.outcome, Answered(200))
         self.assertAlmostEqual(result.took, SLOW)
 
+    def test_fault_within_a_hedge_leaves_the_first_attempt(self):
+        start = Attempt.start
+
+        async def fail_second(attempt):
+            if attempt.number == 2:
+                raise RuntimeError('a fault of ours')
+            return await start(attempt)
+
+        with (
+            mock.patch.object(Attempt, 'start', fail_second),
+            self.assertLogs('routing', 'ERROR'),
+        ):
+            result = forward(['slow'], repeatable=True, tokens=10.0)
+        self.assertEqual(result.outcome, Answered(200))
+        self.check_counts(result)
+
     def test_hedge_leaves_tokens_for_retries(self):
         result = forward(['silent', 'answer'], repeatable=True, tokens=5.0)
         self.assertEqual(result.outcome, Unknown(Reason.DEADLINE))
