--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -317,3 +317,20 @@
             refusal = NotRun(Reason.SHED)
             ended = plan.ended(refusal, 0.0, is_sent=True, is_resendable=is_resendable)
             self.assertIs(ended, step)
+
+    def test_layers_do_not_multiply(self):
+        self.assertEqual(requests_at_the_last_layer(12, attempt=1), 25)
+
+
+def requests_at_the_last_layer(layers: int, attempt: int) -> int:
+    """Return how many requests reach the backend servers when all fail."""
+    if not layers:
+        return 1
+    budget = ExtraBudget(1.0, 100.0, 100.0)
+    plan = CallPlan(True, attempt == 1, DEADLINE, budget)
+    requests, step = 0, Step.RETRY
+    while step is Step.RETRY:
+        number = attempt + plan.start() - 1
+        requests += requests_at_the_last_layer(layers - 1, number)
+        step = plan.ended(Unknown(Reason.BROKEN), 0.0, is_sent=True)
+    return requests
