--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterable
 
 import h11
-import trio
 from attrs import define, frozen
 
 from catkinslip.clock import Clock
@@ -41,6 +40,7 @@
     """The head of an answer; its body still waits on the connection."""
 
     response: h11.Response
+    headers: list[names.Header]
     report: reports.LoadReport | None
     wire: Wire
 
@@ -92,8 +92,7 @@
         await self._release(head.wire)
 
     async def _release(self, wire: Wire) -> None:
-        with trio.CancelScope(shield=True):
-            await self.pool.release(self.address, wire)
+        await self.pool.release(self.address, wire)
 
     async def _start(self, max_idle_seconds: float) -> AnswerHead | NotRun | Unknown:
         wire = await self.pool.acquire(self.address, max_idle_seconds)
@@ -114,7 +113,7 @@
             if self.call.is_late(self.clock):
                 return NotRun(Reason.TOO_LATE)
             self.is_sent = True
-            await wire.stream.send_all(data)
+            await wire.write(data)
             self._start_upload(wire)
             response = await answers.receive_response(wire)
         except ConnectionErrors as error:
@@ -127,16 +126,19 @@
         self, wire: Wire, response: h11.Response
     ) -> AnswerHead | NotRun | Unknown:
         call = self.call
-        fault = answers.find_fault(response, call.method, call.request_id)
+        headers = list(response.headers)
+        fault = answers.find_fault(
+            response.status_code, headers, call.method, call.request_id
+        )
         if fault is not None:
             wire.is_spoiled = True
             return fault
-        report = answers.read_report(response)
-        self.on_head(response.headers, report)
-        if answers.is_refusal(response):
+        report = answers.read_report(headers)
+        self.on_head(headers, report)
+        if answers.is_refusal(response.status_code, headers):
             await answers.drain_body(wire)
             return NotRun(Reason.SHED, report=report)
-        return AnswerHead(response, report, wire)
+        return AnswerHead(response, headers, report, wire)
 
     def _broken(self, wire: Wire, error: Exception) -> Unknown:
         rest = self.call.rest
@@ -147,7 +149,7 @@
         return Unknown(Reason.BROKEN, str(error) or repr(error))
 
     async def _pass_on(self, head: AnswerHead) -> Outcome:
-        waiting = [self._answer_head(head.response)]
+        waiting = [self._answer_head(head)]
         wire = head.wire
         while True:
             try:
@@ -217,11 +219,11 @@
             if is_end:
                 return
 
-    def _answer_head(self, response: h11.Response) -> h11.Response:
-        headers = names.answer_headers(response.headers, self.call.request_id)
+    def _answer_head(self, head: AnswerHead) -> h11.Response:
+        headers = names.answer_headers(head.headers, self.call.request_id)
         if self.caller.codec.their_state is h11.SEND_BODY:
             headers.append((b'connection', b'close'))
-        return h11.Response(status_code=response.status_code, headers=headers)
+        return h11.Response(status_code=head.response.status_code, headers=headers)
 
 
 def framing(length: int | None) -> names.Header:
