--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -38,6 +38,7 @@
     result: AnswerHead | NotRun | Unknown | None = None
     step: Step = Step.WAIT
     is_open: bool = True
+    answered_at: float | None = None
 
 
 @define
@@ -144,6 +145,7 @@
         now = self.clock.monotonic()
         if isinstance(result, AnswerHead):
             launch.step = Step.STOP
+            launch.answered_at = now
             self.limits.answered(launch.backend_id, now - launch.began)
             return
         if result.reason is Reason.CONNECT_FAILED:
@@ -186,7 +188,9 @@
     def _finish(self, launch: Launch, outcome: Outcome) -> None:
         now = self.clock.monotonic()
         launch.is_open = False
-        result = attempt_result(outcome, now - launch.began)
+        # A slow caller's share of the time says nothing of the server.
+        ended = now if launch.answered_at is None else launch.answered_at
+        result = attempt_result(outcome, ended - launch.began)
         self.router.finished(launch.backend_id, result, now)
         self.limits.ended(launch.backend_id, result, now)
 
