--- a/Makefile
+++ b/Makefile
@@ -70,3 +70,7 @@
 .PHONY: clean
 clean:
 	rm -rf $(VENV) build
+
+.PHONY: bench-limits
+bench-limits: install
+	$(RUN) -m benchmarks.limits --seeds 3 --processes 12
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -29,6 +29,8 @@
 from catkinslip.health.spreader import DrainSpreader
 from catkinslip.health.topics import health_topics
 from catkinslip.health.tracker import HealthTracker, make_tracker
+from catkinslip.limits.base import LimitSettings
+from catkinslip.limits.service import LimitBook
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
@@ -43,6 +45,7 @@
 from catkinslip.platform.http import CALLER_HEADER, HttpStore
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.choices import make_policy
 from catkinslip.routing.directory import Directory
@@ -81,6 +84,7 @@
     prober: Prober
     spreader: DrainSpreader
     lister: ListFollower
+    hedges: HedgeTimer
     metrics: Metrics
 
 
@@ -112,6 +116,7 @@
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
+            nursery.start_soon(daemon.hedges.run)
             nursery.start_soon(follow_peers, daemon)
             nursery.start_soon(follow_list, daemon)
             nursery.start_soon(daemon.prober.run)
@@ -148,8 +153,24 @@
     metrics = Metrics.wire(
         settings.instance_id, environment.clock, directory, config, members, log_buffer
     )
-    forwarder = Forwarder(directory, pool, environment.clock, health, metrics.observer)
     ticket_clock = AnchoredClock(environment.clock)
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(ticket_clock, settings.key_lifetime),
+    )
+    hedges = HedgeTimer()
+    limits = LimitBook(make_limit_settings(settings), addresses.count_home_instances)
+    forwarder = Forwarder(
+        directory,
+        pool,
+        environment.clock,
+        limits,
+        health,
+        hedges,
+        metrics.observer,
+    )
     gate = AtMostOnce(
         forwarder=forwarder,
         table=make_table(settings, own, ticket_clock),
@@ -159,12 +180,6 @@
         members=members,
         clock=ticket_clock,
     )
-    addresses = AddressBook(
-        members,
-        settings.zone,
-        settings.address_lifetime,
-        KeyIssuer(ticket_clock, settings.key_lifetime),
-    )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
     topics = (config_topic, *health_topics(health))
     topic_by_name = {topic.name: topic for topic in topics}
@@ -195,6 +210,7 @@
         ),
         control=ControlSurface(peers, operators, settings.shared_secret),
         pool=pool,
+        hedges=hedges,
         health=health,
         prober=Prober(health, members, pool, environment.clock),
         spreader=DrainSpreader(health, peers, environment.random),
@@ -249,6 +265,18 @@
     )
 
 
+def make_limit_settings(settings: DaemonSettings) -> LimitSettings:
+    """Return the limits that every service has."""
+    return LimitSettings(
+        queue_depth=settings.queue_depth,
+        deadline_margin=settings.deadline_margin,
+        extra_share=settings.extra_share / 100,
+        extra_reserve=settings.extra_reserve,
+        max_attempts=settings.max_attempts,
+        hedge_percentile=settings.hedge_percentile,
+    )
+
+
 @asynccontextmanager
 async def open_clients(
     settings: DaemonSettings,
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,23 +1,19 @@
-"""Forward a call: choose a backend server, attempt, and try elsewhere if not run."""
+"""Forward a call: admit it or refuse it at once, then run its attempts."""
 
-import logging
-
-import trio
 from attrs import define
 
 from catkinslip.clock import Clock
 from catkinslip.health.tracker import HealthTracker
-from catkinslip.proxy.exchange import Attempt, Call
+from catkinslip.limits.service import LimitBook
+from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
-from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown, attempt_result
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.runner import CallRunner
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.directory import Directory
 
-MAX_ATTEMPTS = 3
-
-log = logging.getLogger('routing')
-
 
 @define
 class Forwarder:
@@ -26,7 +22,9 @@
     directory: Directory
     pool: BackendPool
     clock: Clock
+    limits: LimitBook
     health: HealthTracker
+    hedges: HedgeTimer
     observer: RequestObserver = ObserverGroup()
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
@@ -37,56 +35,22 @@
         if router is None:
             return NotRun(Reason.UNKNOWN_SERVICE, call.service)
         self.health.count_call(call.service)
-        tried: list[str] = []
-        outcome: Outcome = NotRun(Reason.NO_BACKEND)
-        while len(tried) < MAX_ATTEMPTS:
-            choice = self.health.choose(router, tried)
-            if choice is None:
-                break
-            log.info(
-                'routing: %s %s goes to %s, %s.',
-                call.request_id,
-                call.service,
-                choice.backend_id,
-                choice.reason,
-            )
-            tried.append(choice.backend_id)
-            self.observer.decided(call, choice, len(tried))
-            outcome = await self._attempt(
-                call, caller, router, choice.backend_id, len(tried)
-            )
-            if not isinstance(outcome, NotRun) or not call.is_resendable:
-                break
-        return outcome
-
-    async def _attempt(
-        self, call, caller, router, backend_id: str, number: int
-    ) -> Outcome:
-        address = self.directory.address_by_backend[backend_id]
-        head_times: list[float] = []
-
-        def on_head(headers, report) -> None:
-            head_times.append(self.clock.monotonic())
-            self.health.answered(backend_id, headers, report)
-
-        attempt = Attempt(call, address, caller, self.pool, self.clock, number, on_head)
-        outcome: Outcome = Unknown(Reason.DEADLINE)
-        began = self.clock.monotonic()
-        router.started(backend_id, began)
-        try:
-            with trio.move_on_after(call.deadline - self.clock.monotonic()):
-                outcome = await attempt.run()
-        finally:
-            if is_connect_failure(outcome):
-                self.health.refused(backend_id)
-            ended = self.clock.monotonic()
-            # A slow caller's share of the time says nothing of the server.
-            latency = (head_times or [ended])[0] - began
-            router.finished(backend_id, attempt_result(outcome, latency), ended)
-            self.observer.attempted(call, backend_id, outcome, ended - began)
-        return outcome
-
-
-def is_connect_failure(outcome: Outcome) -> bool:
-    """Tell whether no connection to the backend server could be opened."""
-    return isinstance(outcome, NotRun) and outcome.reason is Reason.CONNECT_FAILED
+        now = self.clock.monotonic()
+        limits = self.limits.limits_of(call.service, router, now)
+        refusal = limits.refuse(call.deadline - now)
+        if refusal is not None:
+            return refusal
+        plan = limits.plan(call.repeatable, call.attempt == 1, call.deadline)
+        runner = CallRunner(
+            call=call,
+            caller=caller,
+            plan=plan,
+            limits=limits,
+            router=router,
+            health=self.health,
+            pool=self.pool,
+            clock=self.clock,
+            hedges=self.hedges,
+            observer=self.observer,
+        )
+        return await runner.run()
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -28,6 +28,8 @@
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
     CROSSED = ('crossed', 502, 'The backend server answered another request.')
     CALLER_LEFT = ('caller-left', 499, 'The caller left before the answer came.')
+    OVERLOADED = ('overloaded', 503, 'The service has more work than it can answer.')
+    DEADLINE_UNMET = ('deadline-unmet', 503, 'The answer would come too late.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
 
     KEY_REQUIRED = ('key-required', 400, 'The rules ask for an Idempotency-Key.')
@@ -68,11 +70,12 @@
 
 @frozen
 class NotRun:
-    """The request did not run anywhere; it may be sent again."""
+    """The request did not run; it may be sent again after some seconds."""
 
     reason: Reason
     detail: str = ''
     report: LoadReport | None = None
+    retry_after: float | None = None
 
     def __str__(self) -> str:
         return f'not run, {self.reason.slug}'
