Stop an instance without cutting a request

Cause: SIGTERM cancelled the nursery that held callers' connections, so every request in flight was cut, and peers went on naming the instance in answers. Ruled out: answering `connection: close` while callers may still keep an answer; it would make each of them open a connection for every request. A second SIGTERM or SIGINT skips the wait for kept answers, not the requests.

--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -1,7 +1,6 @@
 """The daemon: read settings, wire the parts, serve until told to stop."""
 
 import logging
-import signal
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from functools import partial
@@ -21,6 +20,7 @@
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
 from catkinslip.environment import Environment
+from catkinslip.lifecycle import Lifecycle, StopRequest
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
@@ -97,12 +97,15 @@
     async with open_clients(settings) as (platform_client, peer_client):
         daemon = wire(settings, environment, own, platform_client, peer_client)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(stop_on_signal, nursery.cancel_scope)
-            nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
+            stop = StopRequest()
+            await nursery.start(stop.listen)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(follow_peers, daemon)
             announce_ready(own, environment)
+            lifecycle = make_lifecycle(daemon, stop)
+            await lifecycle.run(daemon.callers.serve, listeners)
+            nursery.cancel_scope.cancel()
         await daemon.pool.close()
 
 
@@ -191,34 +194,47 @@
 
 async def follow_peers(daemon: Daemon) -> None:
     """Keep members and configuration in step with peers and the platform's list."""
-    own = daemon.members.own
-    listed = ListedInstance(
-        own.member_id, own.zone, own.address, own.control_address, own.leaving
-    )
-    await daemon.store.announce(listed)
+    await daemon.store.announce(listed(daemon.members.own))
     while True:
         await learn_from_list(daemon)
         await daemon.peers.run_once()
         await trio.sleep(daemon.settings.peer_interval)
 
 
+def listed(own: Member) -> ListedInstance:
+    """Return the line of the platform's list for an instance."""
+    return ListedInstance(
+        own.member_id, own.zone, own.address, own.control_address, own.leaving
+    )
+
+
 async def learn_from_list(daemon: Daemon) -> None:
     """Exchange with listed instances that are not known yet."""
-    listed = (await daemon.store.list_instances()).value_or([])
-    for instance in listed:
+    instances = (await daemon.store.list_instances()).value_or([])
+    for instance in instances:
         known = daemon.members.member_by_id.get(instance.name)
         if instance.name == daemon.members.own.member_id or known is not None:
             continue
         await daemon.peers.exchange_with(instance.control_address)
 
 
-async def stop_on_signal(scope: trio.CancelScope) -> None:
-    """Cancel a scope at the first signal to stop."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            log.info('daemon: stops on signal %d.', number)
-            scope.cancel()
-            return
+def make_lifecycle(daemon: Daemon, stop: StopRequest) -> Lifecycle:
+    """Return the lifecycle of a daemon."""
+    return Lifecycle(
+        stop=stop,
+        drain=daemon.callers.drain,
+        address_lifetime=daemon.settings.address_lifetime,
+        drain_timeout=daemon.settings.drain_timeout,
+        leave=partial(leave, daemon),
+    )
+
+
+async def leave(daemon: Daemon) -> None:
+    """Tell peers and the platform's list that this instance is leaving."""
+    daemon.members.leave()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(daemon.peers.spread)
+        nursery.start_soon(daemon.store.announce, listed(daemon.members.own))
 
 
 def announce_ready(own: Member, environment: Environment) -> None:
--- a/catkinslip/membership/exchange.py
+++ b/catkinslip/membership/exchange.py
@@ -6,12 +6,14 @@
 
 import cattrs
 import httpx
+import trio
 from attrs import Factory, define, frozen
 
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.membership.topics import PeerTopic
 
 PATH = '/v1/exchange'
+SPREAD_FANOUT = 3
 
 log = logging.getLogger('membership')
 
@@ -38,11 +40,21 @@
 
     async def run_once(self) -> None:
         """Exchange with one random peer."""
+        candidates = self._candidates()
+        if candidates:
+            await self.exchange_with(self.random.choice(candidates))
+
+    async def spread(self) -> None:
+        """Exchange with several random peers at once, so that news travels fast."""
+        candidates = self._candidates()
+        chosen = self.random.sample(candidates, min(SPREAD_FANOUT, len(candidates)))
+        async with trio.open_nursery() as nursery:
+            for control_address in chosen:
+                nursery.start_soon(self.exchange_with, control_address)
+
+    def _candidates(self) -> list[str]:
         peers = [each.control_address for each in self.members.member_by_id.values()]
-        candidates = sorted({*peers, *self.seeds} - {self.members.own.control_address})
-        if not candidates:
-            return
-        await self.exchange_with(self.random.choice(candidates))
+        return sorted({*peers, *self.seeds} - {self.members.own.control_address})
 
     async def exchange_with(self, control_address: str) -> bool:
         """Exchange with one peer; tell whether it answered."""
--- a/catkinslip/membership/members.py
+++ b/catkinslip/membership/members.py
@@ -1,6 +1,6 @@
 """The members known to one instance."""
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define, evolve, frozen
 
 
 @frozen
@@ -26,6 +26,10 @@
         """Return this instance and all other members."""
         return [self.own, *self.member_by_id.values()]
 
+    def leave(self) -> None:
+        """Mark this instance as leaving."""
+        self.own = evolve(self.own, leaving=True)
+
     def merge(self, member: Member) -> bool:
         """Take newer word on a member; tell whether it was newer."""
         if member.member_id == self.own.member_id:
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -5,17 +5,18 @@
 
 import h11
 import trio
-from attrs import define
+from attrs import Factory, define
 
 from catkinslip.addresses.answers import PATH_PREFIX, AddressBook
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
 from catkinslip.proxy import headers as names
+from catkinslip.proxy.draining import CallerDrain
 from catkinslip.proxy.exchange import Call
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.problems import problem_events
-from catkinslip.proxy.wire import Wire, server_wire
+from catkinslip.proxy.wire import Wire
 
 MAX_BODY_BYTES = 1 << 20
 
@@ -31,11 +32,12 @@
     forwarder: Forwarder
     addresses: AddressBook
     request_timeout: float
+    drain: CallerDrain = Factory(CallerDrain)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until either side closes it."""
         stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        wire = server_wire(stream)
+        wire = self.drain.wire(stream)
         try:
             while await self._serve_request(wire):
                 wire.codec.start_next_cycle()
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -99,6 +99,13 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--drain-timeout',
+        '30',
+        number(0.1, 3600, 'seconds'),
+        'Seconds that a stop waits for requests in flight.',
+        REQUESTS,
+    ),
     Option('--log-level', 'info', one_of(*LOG_LEVELS), 'Least severity logged.', LOGS),
 )
 
@@ -121,4 +128,5 @@
     peer_interval: float
     address_lifetime: float
     request_timeout: float
+    drain_timeout: float
     log_level: str
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -43,11 +43,20 @@
         self.popen.kill()
         self.popen.wait()
 
-    def stop(self) -> int:
-        """Ask the process to stop, wait for it and return its exit status."""
+    def ask_to_stop(self) -> None:
+        """Ask the process to stop soon, whatever callers may still keep."""
         if self.popen.poll() is None:
             self.popen.send_signal(signal.SIGCONT)
             self.popen.send_signal(signal.SIGTERM)
+            self.popen.send_signal(signal.SIGINT)
+
+    def stop(self) -> int:
+        """Ask the process to stop, wait for it and return its exit status."""
+        self.ask_to_stop()
+        return self.wait()
+
+    def wait(self) -> int:
+        """Wait for the process to end and return its exit status."""
         try:
             return self.popen.wait(STOP_SECONDS)
         except subprocess.TimeoutExpired:
@@ -70,8 +79,11 @@
 
     def stop_all(self) -> None:
         """Stop every process that still runs."""
-        for process in reversed(list(self.process_by_name.values())):
-            process.stop()
+        processes = list(reversed(self.process_by_name.values()))
+        for process in processes:
+            process.ask_to_stop()
+        for process in processes:
+            process.wait()
 
     def start(self, name: str, module: str, *arguments: str) -> Process:
         """Start a Python module as a process and wait until it is ready."""
