Find failed peers, and exchange digests in place of the member table

Cause: each message carried the whole member table, a failed member stayed for ever, and every unknown listed instance was asked in every round. Ruled out: heartbeats to all (traffic grows with the fleet); declaring members across a cut region failed (a storm of refutations after it; the zone is left out of answers as silent instead); the incarnation as the refutation counter (it names the process, so refuting raises a revision within it). Change: a pure protocol after SWIM: random probes in cells by zone, indirect checks through three others, suspicion, refutation, tombstones with an age, updates sent 3 log2(n) times each, hashes by zone compared by gateways and every third exchange, repair of zones that differ. The control surface answers 400 to malformed messages and 413 to large ones.

--- a/catkinslip/addresses/answers.py
+++ b/catkinslip/addresses/answers.py
@@ -42,6 +42,6 @@
     def answer(self, service: str, query: str) -> AddressAnswer:
         """Answer one question."""
         zone = parse_qs(query).get('zone', [self.own_zone])[0]
-        members = home_set(service, zone, self.members.live(), HOME_SET_SIZE)
+        members = home_set(service, zone, self.members.usable(), HOME_SET_SIZE)
         addresses = tuple(member.address for member in members)
         return AddressAnswer(service, addresses, self.lifetime)
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -1,16 +1,35 @@
 """The control surface over HTTP; callers do not reach it."""
 
 import hmac
+import logging
 
 import cattrs
+import orjson
 from attrs import define
-from quart import Response, request
+from quart import Response, abort, request
 from quart_trio import QuartTrio
 
 from catkinslip.config.holder import ConfigHolder
-from catkinslip.membership.exchange import PATH, ExchangeMessage, PeerExchange
+from catkinslip.membership.exchange import (
+    PATH,
+    PING_PATH,
+    PROBE_PATH,
+    PeerExchange,
+)
+from catkinslip.membership.messages import ExchangeMessage, ProbeRequest, converter
 
 SECRET_HEADER = 'Catkinslip-Secret'
+#: A configuration of full size and its envelope fit.
+MAX_MESSAGE_BYTES = 8 << 20
+MALFORMED_ERRORS = (
+    cattrs.BaseValidationError,
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+
+log = logging.getLogger('control')
 
 
 @define
@@ -24,8 +43,11 @@
     def make_app(self) -> QuartTrio:
         """Return the ASGI application."""
         app = QuartTrio('catkinslip.control')
+        app.config['MAX_CONTENT_LENGTH'] = MAX_MESSAGE_BYTES
         app.before_request(self._check_secret)
         app.add_url_rule(PATH, view_func=self._exchange, methods=['POST'])
+        app.add_url_rule(PROBE_PATH, view_func=self._probe, methods=['POST'])
+        app.add_url_rule(PING_PATH, view_func=self._ping)
         app.add_url_rule('/v1/status', view_func=self._status)
         return app
 
@@ -35,9 +57,16 @@
             return None
         return Response('The shared secret is missing or wrong.\n', status=403)
 
-    async def _exchange(self) -> dict:
-        message = cattrs.structure(await request.get_json(), ExchangeMessage)
-        return cattrs.unstructure(self.peers.receive(message))
+    async def _exchange(self) -> Response:
+        message = await read_message(ExchangeMessage)
+        return json_response(self.peers.receive(message))
+
+    async def _probe(self) -> Response:
+        message = await read_message(ProbeRequest)
+        return json_response(await self.peers.reaches(message))
+
+    async def _ping(self) -> str:
+        return 'alive\n'
 
     async def _status(self) -> dict:
         current = self.config.current
@@ -47,3 +76,19 @@
             'config_version': cattrs.unstructure(current.version),
             'change_id': current.change_id,
         }
+
+
+async def read_message(message_type: type):
+    """Read a peer's message; answer 400 when it is malformed."""
+    try:
+        plain = orjson.loads(await request.get_data())
+        return converter.structure(plain, message_type)
+    except MALFORMED_ERRORS as error:
+        log.warning('control: a malformed message, %r.', error)
+        abort(Response('The message is malformed.\n', status=400))
+
+
+def json_response(message) -> Response:
+    """Return a message as the answer's body."""
+    body = orjson.dumps(converter.unstructure(message))
+    return Response(body, content_type='application/json')
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -39,6 +39,8 @@
 DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
+FIRST_ANNOUNCE_PAUSE_SECONDS = 0.5
+MAX_ANNOUNCE_PAUSE_SECONDS = 30.0
 
 log = logging.getLogger('daemon')
 
@@ -93,6 +95,7 @@
         settings.zone,
         bound_address(listeners[0].socket),
         bound_address(control_socket),
+        region=settings.region,
     )
     async with open_clients(settings) as (platform_client, peer_client):
         daemon = wire(settings, environment, own, platform_client, peer_client)
@@ -102,9 +105,11 @@
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(follow_peers, daemon)
+            warn_without_secret(settings)
             announce_ready(own, environment)
             lifecycle = make_lifecycle(daemon, stop)
             await lifecycle.run(daemon.callers.serve, listeners)
+            await end(daemon)
             nursery.cancel_scope.cancel()
         await daemon.pool.close()
 
@@ -127,8 +132,16 @@
     addresses = AddressBook(members, settings.zone, settings.address_lifetime)
     topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
     peers = PeerExchange(
-        members, topic_by_name, peer_client, environment.random, settings.seeds
+        members,
+        topic_by_name,
+        peer_client,
+        environment.random,
+        settings.seeds,
+        environment.clock,
+        settings.peer_interval,
+        PEER_TIMEOUT_SECONDS,
     )
+    config.listeners.append(lambda _: peers.spread_soon())
     return Daemon(
         settings=settings,
         store=store,
@@ -194,11 +207,24 @@
 
 async def follow_peers(daemon: Daemon) -> None:
     """Keep members and configuration in step with peers and the platform's list."""
-    await daemon.store.announce(listed(daemon.members.own))
+
+    async def read_list() -> list[ListedInstance]:
+        return (await daemon.store.list_instances()).value_or([])
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(announce, daemon)
+        nursery.start_soon(daemon.peers.run, read_list)
+
+
+async def announce(daemon: Daemon) -> None:
+    """Put this instance on the platform's list; try again until it is there."""
+    pause = FIRST_ANNOUNCE_PAUSE_SECONDS
     while True:
-        await learn_from_list(daemon)
-        await daemon.peers.run_once()
-        await trio.sleep(daemon.settings.peer_interval)
+        result = await daemon.store.announce(listed(daemon.members.own))
+        if isinstance(result, Success):
+            return
+        await trio.sleep(pause)
+        pause = min(pause * 2, MAX_ANNOUNCE_PAUSE_SECONDS)
 
 
 def listed(own: Member) -> ListedInstance:
@@ -208,14 +234,14 @@
     )
 
 
-async def learn_from_list(daemon: Daemon) -> None:
-    """Exchange with listed instances that are not known yet."""
-    instances = (await daemon.store.list_instances()).value_or([])
-    for instance in instances:
-        known = daemon.members.member_by_id.get(instance.name)
-        if instance.name == daemon.members.own.member_id or known is not None:
-            continue
-        await daemon.peers.exchange_with(instance.control_address)
+def warn_without_secret(settings: DaemonSettings) -> None:
+    """Warn when anyone who reaches the control surface may use it."""
+    if not settings.shared_secret:
+        log.warning(
+            'daemon: no shared secret is set, so whoever reaches %s may change '
+            'this instance: set --shared-secret.',
+            settings.control_host,
+        )
 
 
 def make_lifecycle(daemon: Daemon, stop: StopRequest) -> Lifecycle:
@@ -237,6 +263,13 @@
         nursery.start_soon(daemon.store.announce, listed(daemon.members.own))
 
 
+async def end(daemon: Daemon) -> None:
+    """Tell peers that this instance is gone."""
+    daemon.members.end()
+    with trio.move_on_after(PEER_TIMEOUT_SECONDS):
+        await daemon.peers.spread()
+
+
 def announce_ready(own: Member, environment: Environment) -> None:
     """Print the addresses that this daemon listens on, as one line of JSON."""
     line = {
--- /dev/null
+++ b/catkinslip/membership/detector.py
@@ -0,0 +1,138 @@
+"""Detect failed members: whom to probe, whom to suspect, when a suspect has failed.
+
+After SWIM, https://www.cs.cornell.edu/projects/Quicksilver/public_pdfs/SWIM.pdf
+"""
+
+import math
+from random import Random
+
+from attrs import Factory, define
+
+from catkinslip.membership.members import Member, MemberTable, Status
+from catkinslip.membership.zones import ZoneViews, gateways
+
+#: Zones with fewer members are probed by the members of all zones of their region.
+MIN_CELL_MEMBERS = 8
+INDIRECT_PROBES = 3
+#: A suspect has this many rounds to refute, times the logarithm of the cell's size.
+SUSPICION_FACTOR = 2
+MIN_SUSPICION_ROUNDS = 3
+#: One failed member is asked now and then, so that both sides of a partition meet.
+RECONNECT_ROUNDS = 10
+#: Rounds that did not run for so long: this process was paused.
+PAUSED_ROUNDS = 3
+
+
+@define
+class FailureDetector:
+    """Choose probes and judge their outcome; durations are in seconds."""
+
+    table: MemberTable
+    zones: ZoneViews
+    random: Random
+    interval: float
+    _order: list[str] = Factory(list)
+    _rounds: int = 0
+    _deadline_by_suspect: dict[str, float] = Factory(dict)
+    _ticked_at: float | None = None
+
+    def tick(self, now: float) -> None:
+        """Let time pass: suspects that did not refute have failed."""
+        self._leave_out_pause(now)
+        self._follow_suspects(now)
+        for member_id, deadline in list(self._deadline_by_suspect.items()):
+            if now >= deadline:
+                del self._deadline_by_suspect[member_id]
+                self.table.mark(member_id, Status.FAILED, now)
+        self.table.forget_old(now)
+        self.table.silent_zones = self.zones.silent(now) - self.cell_zones(now)
+
+    def targets(self, now: float) -> list[Member]:
+        """Return the members of this instance's cell."""
+        zones = self.cell_zones(now)
+        return [each for each in self.table.member_by_id.values() if each.zone in zones]
+
+    def cell_zones(self, now: float) -> set[str]:
+        """Return the zones whose members this instance probes."""
+        self.zones.refresh(now)
+        own = self.table.own
+        small = {
+            zone
+            for zone, members in self.zones.members_by_zone.items()
+            if len(members) < MIN_CELL_MEMBERS and members[0].region == own.region
+        }
+        return small | {own.zone}
+
+    def next_targets(self, now: float) -> list[Member]:
+        """Return whom to exchange with in this round."""
+        self._rounds += 1
+        chosen = [self._next_in_cell(now), self._next_across(now)]
+        if self._rounds % RECONNECT_ROUNDS == 0:
+            chosen.append(self._next_failed())
+        return [each for each in chosen if each is not None]
+
+    def helpers(self, target: Member, now: float) -> list[Member]:
+        """Return the members to ask whether they reach a target."""
+        others = [
+            each
+            for each in self.targets(now)
+            if each.status is Status.ALIVE and each.member_id != target.member_id
+        ]
+        return self.random.sample(others, min(INDIRECT_PROBES, len(others)))
+
+    def suspect(self, target: Member, now: float) -> bool:
+        """Suspect a member that nobody reached; tell whether that is new."""
+        return self.table.mark(target.member_id, Status.SUSPECT, now)
+
+    def is_gateway(self, now: float) -> bool:
+        """Tell whether this instance talks to other zones."""
+        self.zones.refresh(now)
+        own = self.table.own
+        return own in gateways(self.zones.members_by_zone[own.zone])
+
+    def _next_in_cell(self, now: float) -> Member | None:
+        target_by_id = {each.member_id: each for each in self.targets(now)}
+        self._order = [each for each in self._order if each in target_by_id]
+        if not self._order:
+            self._order = sorted(target_by_id)
+            self.random.shuffle(self._order)
+        return target_by_id[self._order.pop()] if self._order else None
+
+    def _next_across(self, now: float) -> Member | None:
+        others = sorted(self.zones.members_by_zone.keys() - self.cell_zones(now))
+        if not others or not self.is_gateway(now):
+            return None
+        members = self.zones.members_by_zone[self.random.choice(others)]
+        return self.random.choice(gateways(members) or members)
+
+    def _next_failed(self) -> Member | None:
+        failed = [
+            each.member
+            for each in self.table.tombstone_by_id.values()
+            if not each.member.leaving
+        ]
+        return self.random.choice(failed) if failed else None
+
+    def _follow_suspects(self, now: float) -> None:
+        suspects = {
+            each.member_id
+            for each in self.targets(now)
+            if each.status is Status.SUSPECT
+        }
+        for member_id in self._deadline_by_suspect.keys() - suspects:
+            del self._deadline_by_suspect[member_id]
+        for member_id in suspects - self._deadline_by_suspect.keys():
+            self._deadline_by_suspect[member_id] = now + self._suspicion_seconds(now)
+
+    def _suspicion_seconds(self, now: float) -> float:
+        size = len(self.targets(now)) + 1
+        rounds = SUSPICION_FACTOR * math.log2(size)
+        return max(MIN_SUSPICION_ROUNDS, rounds) * self.interval
+
+    def _leave_out_pause(self, now: float) -> None:
+        previous, self._ticked_at = self._ticked_at, now
+        if previous is None or now - previous <= PAUSED_ROUNDS * self.interval:
+            return
+        self.zones.shift(now - previous)
+        for member_id in self._deadline_by_suspect:
+            self._deadline_by_suspect[member_id] += now - previous
--- a/catkinslip/membership/exchange.py
+++ b/catkinslip/membership/exchange.py
@@ -1,93 +1,187 @@
-"""Exchange members and the news of all topics with peers."""
+"""Exchange members and the news of all topics with peers over HTTP."""
 
 import logging
+from collections.abc import Awaitable, Callable
 from random import Random
-from typing import Any
 
-import cattrs
 import httpx
+import orjson
 import trio
-from attrs import Factory, define, frozen
-
-from catkinslip.membership.members import Member, MemberTable
+from attrs import Factory, define
+
+from catkinslip.clock import Clock, SystemClock
+from catkinslip.membership.contacts import Contacts
+from catkinslip.membership.members import Member, MemberTable, Status
+from catkinslip.membership.messages import (
+    ExchangeMessage,
+    ProbeAnswer,
+    ProbeRequest,
+    converter,
+)
+from catkinslip.membership.protocol import PeerProtocol
 from catkinslip.membership.topics import PeerTopic
+from catkinslip.platform.base import ListedInstance
 
 PATH = '/v1/exchange'
-SPREAD_FANOUT = 3
-
-log = logging.getLogger('membership')
+PROBE_PATH = '/v1/probe'
+PING_PATH = '/v1/ping'
+JSON_HEADERS = {'Content-Type': 'application/json'}
 
+#: Peers told at once of news that cannot wait for the next round.
+SPREAD_FANOUT = 3
+#: An outcome that took so much longer than the timeout was seen by a paused process.
+PAUSE_SLACK_SECONDS = 1.0
 
-@frozen
-class ExchangeMessage:
-    """What one peer tells another; topics are named by `PeerTopic.name`."""
+ListReader = Callable[[], Awaitable[list[ListedInstance]]]
 
-    sender: str
-    members: tuple[Member, ...]
-    digest_by_topic: dict[str, Any] = Factory(dict)
-    news_by_topic: dict[str, Any] = Factory(dict)
+log = logging.getLogger('membership')
 
 
 @define
 class PeerExchange:
-    """Tell random peers what this instance knows and learn what they know."""
+    """Tell peers what this instance knows, learn what they know, find failures."""
 
     members: MemberTable
     topic_by_name: dict[str, PeerTopic]
     client: httpx.AsyncClient
     random: Random
-    seeds: tuple[str, ...]
+    seeds: tuple[str, ...] = ()
+    clock: Clock = Factory(SystemClock)
+    interval: float = 1.0
+    timeout: float = 1.0
+    protocol: PeerProtocol = Factory(
+        lambda self: PeerProtocol(
+            self.members, self.topic_by_name, self.random, self.interval
+        ),
+        takes_self=True,
+    )
+    contacts: Contacts = Factory(
+        lambda self: Contacts(self.members, self.seeds, self.random), takes_self=True
+    )
+    _wanted: trio.Event = Factory(trio.Event)
+
+    async def run(self, read_list: ListReader) -> None:
+        """Exchange with peers for ever; rounds start early for urgent news."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._spread_when_wanted)
+            while True:
+                await self.learn_from_list(read_list)
+                await self.run_once()
+                await trio.sleep(self.interval * self.random.uniform(0.9, 1.1))
 
     async def run_once(self) -> None:
-        """Exchange with one random peer."""
-        candidates = self._candidates()
-        if candidates:
-            await self.exchange_with(self.random.choice(candidates))
-
-    async def spread(self) -> None:
-        """Exchange with several random peers at once, so that news travels fast."""
-        candidates = self._candidates()
-        chosen = self.random.sample(candidates, min(SPREAD_FANOUT, len(candidates)))
+        """Run one round: exchange with peers and with addresses not known yet."""
+        now = self.clock.monotonic()
+        detector = self.protocol.detector
+        detector.tick(now)
         async with trio.open_nursery() as nursery:
-            for control_address in chosen:
+            for target in detector.next_targets(now):
+                nursery.start_soon(self._probe, target)
+            for control_address in self.contacts.due(now):
                 nursery.start_soon(self.exchange_with, control_address)
 
-    def _candidates(self) -> list[str]:
-        peers = [each.control_address for each in self.members.member_by_id.values()]
-        return sorted({*peers, *self.seeds} - {self.members.own.control_address})
+    async def learn_from_list(self, read_list: ListReader) -> None:
+        """Read the platform's list when it is time to."""
+        now = self.clock.monotonic()
+        if self.contacts.wants_list(now, self.protocol.detector.is_gateway(now)):
+            listed = await read_list()
+            if listed:
+                self.contacts.learn(listed)
+
+    def spread_soon(self) -> None:
+        """Tell several peers at once; for news that must be in force within seconds."""
+        self._wanted.set()
 
-    async def exchange_with(self, control_address: str) -> bool:
+    async def spread(self) -> None:
+        """Exchange with several random peers of the cell now."""
+        targets = self.protocol.detector.targets(self.clock.monotonic())
+        chosen = self.random.sample(targets, min(SPREAD_FANOUT, len(targets)))
+        async with trio.open_nursery() as nursery:
+            for target in chosen:
+                nursery.start_soon(self.exchange_with, target.control_address, target)
+
+    async def exchange_with(
+        self, control_address: str, target: Member | None = None
+    ) -> bool:
         """Exchange with one peer; tell whether it answered."""
-        message = cattrs.unstructure(self._message({}))
-        try:
-            response = await self.client.post(
-                f'http://{control_address}{PATH}', json=message
-            )
-            response.raise_for_status()
-        except httpx.HTTPError as error:
-            log.info('membership: %s did not answer, %r.', control_address, error)
+        request = self.protocol.request(self.clock.monotonic(), target)
+        answer = await self._post(control_address, PATH, request, ExchangeMessage)
+        if answer is None:
             return False
-        self.receive(cattrs.structure(response.json(), ExchangeMessage))
+        lacking = self.protocol.conclude(request, answer, self.clock.monotonic())
+        if lacking is not None:
+            await self._post(control_address, PATH, lacking, ExchangeMessage)
         return True
 
     def receive(self, message: ExchangeMessage) -> ExchangeMessage:
         """Take a peer's message over and return this instance's answer."""
-        for member in message.members:
-            if self.members.merge(member):
-                log.info('membership: learned of %s.', member.member_id)
-        for name, news in message.news_by_topic.items():
-            topic = self.topic_by_name.get(name)
-            if topic is not None:
-                topic.receive(news)
-        return self._message(message.digest_by_topic)
-
-    def _message(self, digest_by_topic: dict[str, Any]) -> ExchangeMessage:
-        news_by_topic = {}
-        for name, topic in self.topic_by_name.items():
-            news = topic.news_for(digest_by_topic.get(name))
-            if news is not None:
-                news_by_topic[name] = news
-        digests = {name: topic.digest() for name, topic in self.topic_by_name.items()}
-        own = self.members.own.member_id
-        members = tuple(self.members.live())
-        return ExchangeMessage(own, members, digests, news_by_topic)
+        return self.protocol.answer(message, self.clock.monotonic())
+
+    async def reaches(self, request: ProbeRequest) -> ProbeAnswer:
+        """Tell a peer whether this instance reaches a third one."""
+        try:
+            response = await self.client.get(
+                f'http://{request.control_address}{PING_PATH}', timeout=self.timeout / 2
+            )
+        except (httpx.HTTPError, httpx.InvalidURL):
+            return ProbeAnswer(False)
+        return ProbeAnswer(response.is_success)
+
+    async def _probe(self, target: Member) -> None:
+        began = self.clock.monotonic()
+        if await self.exchange_with(target.control_address, target):
+            return
+        if self._was_paused(began) or target.status is Status.FAILED:
+            return
+        now = self.clock.monotonic()
+        if target.zone not in self.protocol.detector.cell_zones(now):
+            return
+        if await self._is_reached_by_others(target) or self._was_paused(now):
+            return
+        if self.protocol.detector.suspect(target, self.clock.monotonic()):
+            log.warning('membership: suspects %s, nobody reaches it.', target.member_id)
+            self.spread_soon()
+
+    async def _is_reached_by_others(self, target: Member) -> bool:
+        request = ProbeRequest(target.control_address)
+        answers: list[ProbeAnswer | None] = []
+
+        async def ask(helper: Member) -> None:
+            answers.append(
+                await self._post(
+                    helper.control_address, PROBE_PATH, request, ProbeAnswer
+                )
+            )
+
+        async with trio.open_nursery() as nursery:
+            for helper in self.protocol.detector.helpers(
+                target, self.clock.monotonic()
+            ):
+                nursery.start_soon(ask, helper)
+        return any(each is not None and each.reached for each in answers)
+
+    def _was_paused(self, began: float) -> bool:
+        return self.clock.monotonic() - began > 2 * self.timeout + PAUSE_SLACK_SECONDS
+
+    async def _post(self, control_address: str, path: str, message, answer_type):
+        try:
+            response = await self.client.post(
+                f'http://{control_address}{path}',
+                content=orjson.dumps(converter.unstructure(message)),
+                headers=JSON_HEADERS,
+                timeout=self.timeout,
+            )
+            response.raise_for_status()
+            return converter.structure(orjson.loads(response.content), answer_type)
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            log.debug('membership: %s did not answer, %r.', control_address, error)
+        except Exception:
+            # A malformed answer is as good as none.
+            log.exception('membership: the answer of %s is malformed.', control_address)
+        return None
+
+    async def _spread_when_wanted(self) -> None:
+        while True:
+            await self._wanted.wait()
+            self._wanted = trio.Event()
+            await self.spread()
--- a/catkinslip/membership/members.py
+++ b/catkinslip/membership/members.py
@@ -1,11 +1,42 @@
-"""The members known to one instance."""
+"""The members known to one instance, and how words on them merge.
 
-from attrs import Factory, define, evolve, frozen
+Words on one member form a join semilattice: merging is commutative, associative and
+idempotent, so views that were apart come together in any order of messages.
+"""
+
+import logging
+from collections.abc import Iterable
+from enum import StrEnum, unique
+
+from attrs import Factory, define, evolve, field, frozen
+
+from catkinslip.membership.updates import UpdateQueue
+
+#: Longer than regions lose each other, so that no old word revives a dead member.
+TOMBSTONE_SECONDS = 2 * 3600.0
+
+log = logging.getLogger('membership')
+
+
+@unique
+class Status(StrEnum):
+    """What the failure detector holds of a member, in rising rank."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    FAILED = 'failed'
+
+
+RANK_BY_STATUS = {status: rank for rank, status in enumerate(Status)}
 
 
 @frozen
 class Member:
-    """One instance of the system in one incarnation."""
+    """One word on one instance.
+
+    The incarnation names the process. The revision rises within it when the
+    member refutes a suspicion.
+    """
 
     member_id: str
     incarnation: int
@@ -13,40 +44,139 @@
     address: str
     control_address: str
     leaving: bool = False
+    region: str = 'default'
+    status: Status = Status.ALIVE
+    revision: int = 0
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether callers may be sent to it."""
+        return self.status is Status.ALIVE and not self.leaving
+
+    @property
+    def standing(self) -> tuple[int, int]:
+        """Return the order of words within one incarnation."""
+        return self.revision, RANK_BY_STATUS[self.status]
+
+
+@frozen
+class Tombstone:
+    """A failed member, kept for a while; seconds on the monotonic clock."""
+
+    member: Member
+    failed_at: float
+
+
+def join(word: Member, known: Member) -> Member:
+    """Return what two words on one member say together; leaving wins."""
+    if word.incarnation != known.incarnation:
+        return max(word, known, key=lambda each: each.incarnation)
+    newer = max(word, known, key=lambda each: each.standing)
+    return evolve(newer, leaving=word.leaving or known.leaving)
 
 
 @define
 class MemberTable:
-    """Hold the newest word on each member."""
+    """Hold the merged word on each member."""
 
     own: Member
     member_by_id: dict[str, Member] = Factory(dict)
+    tombstone_by_id: dict[str, Tombstone] = Factory(dict)
+    updates: UpdateQueue = Factory(UpdateQueue)
+    silent_zones: frozenset[str] = frozenset()
+    #: Rises with each change, so that others can keep what they derived.
+    version: int = field(default=0, init=False)
 
     def live(self) -> list[Member]:
-        """Return this instance and all other members."""
+        """Return this instance and all others that have not failed."""
         return [self.own, *self.member_by_id.values()]
 
+    def usable(self) -> list[Member]:
+        """Return the instances that callers may be sent to."""
+        return [
+            each
+            for each in self.live()
+            if each.is_usable and each.zone not in self.silent_zones
+        ]
+
+    def find(self, member_id: str) -> Member | None:
+        """Return the word on a member, failed ones included."""
+        if member_id == self.own.member_id:
+            return self.own
+        tombstone = self.tombstone_by_id.get(member_id)
+        return tombstone.member if tombstone else self.member_by_id.get(member_id)
+
     def leave(self) -> None:
         """Mark this instance as leaving."""
-        self.own = evolve(self.own, leaving=True)
+        self._replace_own(evolve(self.own, leaving=True))
 
-    def merge(self, member: Member) -> bool:
-        """Take newer word on a member; tell whether it was newer."""
-        if member.member_id == self.own.member_id:
+    def end(self) -> None:
+        """Mark this instance as gone."""
+        self._replace_own(evolve(self.own, leaving=True, status=Status.FAILED))
+
+    def merge(self, word: Member, now: float = 0.0, age: float = 0.0) -> bool:
+        """Take a word over; tell whether it said something new.
+
+        `age` is the time since a failed member was found to have failed.
+        """
+        if word.member_id == self.own.member_id:
+            self._refute(word)
             return False
-        known = self.member_by_id.get(member.member_id)
-        if known is not None and not is_newer(member, known):
+        known = self.find(word.member_id)
+        joined = word if known is None else join(word, known)
+        if joined == known:
             return False
-        self.member_by_id[member.member_id] = member
+        if joined.status is Status.FAILED:
+            if age >= TOMBSTONE_SECONDS:
+                return False
+            self.member_by_id.pop(joined.member_id, None)
+            self.tombstone_by_id[joined.member_id] = Tombstone(joined, now - age)
+        else:
+            self.tombstone_by_id.pop(joined.member_id, None)
+            self.member_by_id[joined.member_id] = joined
+        self._changed(joined.member_id)
         return True
 
+    def mark(self, member_id: str, status: Status, now: float) -> bool:
+        """Hold a status of a member; tell whether it is new."""
+        known = self.member_by_id.get(member_id)
+        return known is not None and self.merge(evolve(known, status=status), now)
+
     def remove(self, member_id: str) -> None:
-        """Forget a member that failed."""
+        """Forget a member."""
         self.member_by_id.pop(member_id, None)
+        self.tombstone_by_id.pop(member_id, None)
+        self.version += 1
 
+    def forget_old(self, now: float) -> None:
+        """Forget members that failed long ago."""
+        for member_id, tombstone in list(self.tombstone_by_id.items()):
+            if now - tombstone.failed_at >= TOMBSTONE_SECONDS:
+                del self.tombstone_by_id[member_id]
 
-def is_newer(word: Member, known: Member) -> bool:
-    """Tell whether a word on a member replaces the known one; leaving wins."""
-    if word.incarnation != known.incarnation:
-        return word.incarnation > known.incarnation
-    return word.leaving and not known.leaving
+    def age_by_failed(self, words: Iterable[Member], now: float) -> dict[str, float]:
+        """Return the seconds since each failed member among words failed."""
+        return {
+            each.member_id: round(now - tombstone.failed_at, 1)
+            for each in words
+            if (tombstone := self.tombstone_by_id.get(each.member_id))
+        }
+
+    def _refute(self, word: Member) -> None:
+        own = self.own
+        if own.status is Status.FAILED:
+            return
+        if word.incarnation > own.incarnation:
+            log.error('membership: another process uses the name %s.', own.member_id)
+            self._replace_own(evolve(own, incarnation=word.incarnation + 1))
+        elif word.incarnation == own.incarnation and word.standing > own.standing:
+            log.warning('membership: refutes that it is %s.', word.status)
+            self._replace_own(evolve(own, revision=word.revision + 1))
+
+    def _replace_own(self, own: Member) -> None:
+        self.own = own
+        self._changed(own.member_id)
+
+    def _changed(self, member_id: str) -> None:
+        self.version += 1
+        self.updates.add(member_id)
--- /dev/null
+++ b/catkinslip/membership/protocol.py
@@ -0,0 +1,217 @@
+"""What two peers tell each other in one exchange, without any I/O.
+
+An exchange is a request and its answer. When the answer shows that the other
+side lacks something, one more message carries it.
+"""
+
+import logging
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+from attrs import Factory, define, evolve
+
+from catkinslip.membership.detector import FailureDetector
+from catkinslip.membership.members import Member, MemberTable, Status
+from catkinslip.membership.messages import ExchangeMessage
+from catkinslip.membership.topics import PeerTopic
+from catkinslip.membership.zones import ZoneViews
+
+#: Updates that one message carries along.
+MAX_UPDATES = 8
+#: Words after which an answer repairs no further zone.
+MAX_REPAIR_WORDS = 64
+#: One exchange in so many compares views; those across zones always do.
+ROUNDS_PER_COMPARISON = 3
+
+log = logging.getLogger('membership')
+
+
+@define
+class PeerProtocol:
+    """Make and take the messages of one instance."""
+
+    table: MemberTable
+    topic_by_name: dict[str, PeerTopic]
+    random: Random
+    interval: float
+    zones: ZoneViews = Factory(lambda self: ZoneViews(self.table), takes_self=True)
+    detector: FailureDetector = Factory(
+        lambda self: FailureDetector(
+            self.table, self.zones, self.random, self.interval
+        ),
+        takes_self=True,
+    )
+    _requests: int = 0
+
+    def request(self, now: float, target: Member | None = None) -> ExchangeMessage:
+        """Return the message that opens an exchange."""
+        self._requests += 1
+        own = self.table.own
+        is_across = target is None or target.zone != own.zone
+        message = self._message(now, self._take_updates())
+        message = evolve(message, digest_by_topic=self._digests())
+        if is_across or self._requests % ROUNDS_PER_COMPARISON == 0:
+            message = self._with_views(message, now)
+        news = {name: topic.news_for(None) for name, topic in self._topics()}
+        return evolve(message, news_by_topic=without_none(news))
+
+    def answer(self, message: ExchangeMessage, now: float) -> ExchangeMessage:
+        """Take a request over and return the answer."""
+        known = self.table.find(message.sender)
+        self._take(message, now)
+        sender = self.table.find(message.sender)
+        words = {each.member_id: each for each in self._take_updates()}
+        words |= {each.member_id: each for each in self._corrections(message.words)}
+        is_new = known is None or known.incarnation < message.incarnation
+        repaired = self._zones_to_repair(message, now, is_new)
+        for zone in repaired:
+            words |= {each.member_id: each for each in self._words_of(zone, now)}
+        answer = self._message(now, words.values())
+        if message.hash_by_zone:
+            answer = evolve(answer, age_by_zone=self.zones.age_by_zone(now))
+        return evolve(
+            answer,
+            repaired_zones=tuple(repaired),
+            is_sender_unknown=sender is None
+            or sender.incarnation < message.incarnation,
+            digest_by_topic={
+                name: digest
+                for name, digest in self._digests().items()
+                if message.digest_by_topic.get(name) != digest
+            },
+            news_by_topic=self._news(message.digest_by_topic),
+        )
+
+    def conclude(
+        self, request: ExchangeMessage, answer: ExchangeMessage, now: float
+    ) -> ExchangeMessage | None:
+        """Take an answer over; return what the other side still lacks, if anything."""
+        self._take(answer, now)
+        words = [*self._corrections(answer.words), *self._lacking(answer, now)]
+        if answer.is_sender_unknown:
+            words.append(self.table.own)
+        news = self._news(answer.digest_by_topic, request.news_by_topic.keys())
+        if not words and not news:
+            return None
+        return evolve(self._message(now, words), news_by_topic=news)
+
+    def _topics(self) -> list[tuple[str, PeerTopic]]:
+        return list(self.topic_by_name.items())
+
+    def _digests(self) -> dict[str, Any]:
+        return {name: topic.digest() for name, topic in self._topics()}
+
+    def _news(self, digest_by_topic: dict[str, Any], told=()) -> dict[str, Any]:
+        return without_none(
+            {
+                name: self.topic_by_name[name].news_for(digest)
+                for name, digest in digest_by_topic.items()
+                if name in self.topic_by_name and name not in told
+            }
+        )
+
+    def _message(self, now: float, words: Iterable[Member]) -> ExchangeMessage:
+        words = tuple(words)
+        return ExchangeMessage(
+            sender=self.table.own.member_id,
+            incarnation=self.table.own.incarnation,
+            words=words,
+            age_by_failed=self.table.age_by_failed(words, now),
+        )
+
+    def _with_views(self, message: ExchangeMessage, now: float) -> ExchangeMessage:
+        return evolve(
+            message,
+            hash_by_zone=self.zones.hash_by_zone(now),
+            age_by_zone=self.zones.age_by_zone(now),
+        )
+
+    def _take_updates(self) -> list[Member]:
+        count = len(self.table.member_by_id)
+        members = [
+            self.table.find(each)
+            for each in self.table.updates.take(MAX_UPDATES, count)
+        ]
+        return [each for each in members if each is not None]
+
+    def _take(self, message: ExchangeMessage, now: float) -> None:
+        for word in message.words:
+            age = message.age_by_failed.get(word.member_id, 0.0)
+            if self.table.merge(word, now, age):
+                log.info('membership: %s is %s.', word.member_id, standing_of(word))
+        for zone, age in message.age_by_zone.items():
+            self.zones.hear(zone, now, age)
+        sender = self.table.find(message.sender)
+        if sender is not None:
+            self.zones.hear(sender.zone, now)
+        for name, news in message.news_by_topic.items():
+            self._take_news(name, news)
+
+    def _take_news(self, name: str, news: Any) -> None:
+        topic = self.topic_by_name.get(name)
+        if topic is None:
+            return
+        try:
+            topic.receive(news)
+        except Exception:
+            # One topic's malformed news must not stop the others.
+            log.exception('membership: news of %s are malformed.', name)
+
+    def _corrections(self, words: Iterable[Member]) -> list[Member]:
+        """Return this instance's words on members that a peer holds older ones of."""
+        known = [(word, self.table.find(word.member_id)) for word in words]
+        return [own for word, own in known if own is not None and own != word]
+
+    def _zones_to_repair(
+        self, message: ExchangeMessage, now: float, is_new: bool
+    ) -> list[str]:
+        if not message.hash_by_zone and not is_new:
+            return []
+        zones = self.zones.zones_to_repair(message.hash_by_zone, now)
+        if is_new:
+            self.zones.refresh(now)
+            zones = list(self.zones.members_by_zone)
+        self.random.shuffle(zones)
+        sender = self.table.find(message.sender)
+        if sender is not None:
+            zones.sort(key=lambda zone: zone != sender.zone)
+        return self._within_limit(zones)
+
+    def _within_limit(self, zones: list[str]) -> list[str]:
+        chosen, words = [], 0
+        for zone in zones:
+            if words < MAX_REPAIR_WORDS:
+                chosen.append(zone)
+                words += len(self.zones.members_by_zone[zone])
+        return chosen
+
+    def _words_of(self, zone: str, now: float) -> list[Member]:
+        self.zones.refresh(now)
+        failed = [each.member for each in self.table.tombstone_by_id.values()]
+        return [
+            *self.zones.members_by_zone.get(zone, ()),
+            *(each for each in failed if each.zone == zone),
+        ]
+
+    def _lacking(self, answer: ExchangeMessage, now: float) -> list[Member]:
+        """Return words of repaired zones that the other side did not have."""
+        told = {each.member_id for each in answer.words}
+        return [
+            each
+            for zone in answer.repaired_zones
+            for each in self._words_of(zone, now)
+            if each.member_id not in told and each.status is not Status.FAILED
+        ]
+
+
+def without_none(news_by_topic: dict[str, Any]) -> dict[str, Any]:
+    """Return the topics that have news."""
+    return {name: news for name, news in news_by_topic.items() if news is not None}
+
+
+def standing_of(word: Member) -> str:
+    """Return what a log line says of a member."""
+    return (
+        'leaving' if word.leaving and word.status is Status.ALIVE else str(word.status)
+    )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,13 +1,21 @@
 """Builders of test data."""
 
 import json
+import tempfile
+import unittest
+from pathlib import Path
 
 import httpx
+import trio
 
 from catkinslip.cli.application import run as run_tool
+from catkinslip.membership.members import Member
 from catkinslip.models import Address
+from standins.load import LoadCaller, Tally
 from standins.processes import Process, ProcessGroup, wait_until
 
+LOAD_CALLERS = 6
+
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
     """Return a backend server of the register as plain data."""
@@ -32,6 +40,15 @@
     return {'register': register, 'rules': {'requests': []}}
 
 
+def new_process_group(test: unittest.TestCase) -> ProcessGroup:
+    """Return a group of processes that ends with a test."""
+    folder = tempfile.TemporaryDirectory()
+    test.addCleanup(folder.cleanup)
+    group = ProcessGroup(Path(folder.name))
+    test.addCleanup(group.stop_all)
+    return group
+
+
 def start_small_fleet(
     group: ProcessGroup, zones: tuple[str, ...], backend=(), **settings: object
 ) -> list[Process]:
@@ -71,3 +88,42 @@
     """Tell whether a daemon forwards requests."""
     url = f'http://{daemon.address}/'
     return httpx.get(url, headers={'Host': 'limits'}, timeout=10).status_code == 200
+
+
+def member(name: str, zone: str = 'zone-a', **fields) -> Member:
+    """Return a member whose addresses follow from its name."""
+    fields = {'incarnation': 1, 'region': 'region-1', **fields}
+    return Member(
+        member_id=name,
+        zone=zone,
+        address=f'{name}:80',
+        control_address=f'{name}:90',
+        **fields,
+    )
+
+
+async def load_while(daemons: list[Process], hurt, lifetime: float) -> Tally:
+    """Load the daemons while one of them is hurt and for a while after."""
+    tally = Tally()
+    async with trio.open_nursery() as nursery:
+        for number in range(LOAD_CALLERS):
+            caller = LoadCaller(
+                name=f'caller-{number}',
+                service='limits',
+                ask=[each.address for each in daemons],
+                tally=tally,
+                lifetime=lifetime,
+            )
+            nursery.start_soon(caller.run, 60)
+        await wait_for_answers(tally)
+        await trio.to_thread.run_sync(hurt)
+        await wait_for_answers(tally)
+        nursery.cancel_scope.cancel()
+    return tally
+
+
+async def wait_for_answers(tally: Tally) -> None:
+    """Wait until each caller got several more answers."""
+    wanted = tally.right + 10 * LOAD_CALLERS
+    while tally.right < wanted:
+        await trio.sleep(0.01)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -1,56 +1,28 @@
 """The graceful shutdown of an instance."""
 
 import signal
-import tempfile
 import unittest
-from pathlib import Path
 
 import httpx
 import trio
 
-from standins.load import LoadCaller, Tally
-from standins.processes import Process, ProcessGroup, wait_until
-from tests.builders import asked_addresses, start_small_fleet
+from standins.load import Tally
+from standins.processes import Process, wait_until
+from tests.builders import (
+    asked_addresses,
+    load_while,
+    new_process_group,
+    start_small_fleet,
+)
 
-CALLERS = 6
 LIFETIME_SECONDS = 0.6
 
 
-async def load_while(daemons: list[Process], hurt) -> Tally:
-    """Load the daemons while one of them is hurt and for a while after."""
-    tally = Tally()
-    async with trio.open_nursery() as nursery:
-        for number in range(CALLERS):
-            caller = LoadCaller(
-                name=f'caller-{number}',
-                service='limits',
-                ask=[each.address for each in daemons],
-                tally=tally,
-                lifetime=LIFETIME_SECONDS,
-            )
-            nursery.start_soon(caller.run, 60)
-        await wait_for_answers(tally)
-        await trio.to_thread.run_sync(hurt)
-        await wait_for_answers(tally)
-        nursery.cancel_scope.cancel()
-    return tally
-
-
-async def wait_for_answers(tally: Tally) -> None:
-    """Wait until each caller got several more answers."""
-    wanted = tally.right + 10 * CALLERS
-    while tally.right < wanted:
-        await trio.sleep(0.01)
-
-
 class ShutdownUnderLoadTest(unittest.TestCase):
     """One of two instances stops while callers send requests."""
 
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.group = ProcessGroup(Path(folder.name))
-        self.addCleanup(self.group.stop_all)
+        self.group = new_process_group(self)
 
     def start(self) -> list[Process]:
         return start_small_fleet(
@@ -65,6 +37,7 @@
         self.assertEqual((tally.cut, tally.wrong, tally.unknown), (0, 0, 0))
         self.assertEqual(daemons[0].popen.returncode, 0)
         self.assertEqual(asked_addresses(daemons[1]), [daemons[1].address])
+        self.assertIn('no shared secret is set', daemons[0].log_path.read_text())
 
     def test_no_request_is_cut_by_a_stop(self):
         daemons = self.start()
@@ -77,7 +50,7 @@
             self.assertIsNone(daemons[0].popen.poll())
             daemons[0].wait()
 
-        self.check(trio.run(load_while, daemons, stop), daemons)
+        self.check(trio.run(load_while, daemons, stop, LIFETIME_SECONDS), daemons)
 
     def test_second_signal_ends_sooner_and_cuts_no_request(self):
         daemons = self.start()
@@ -88,7 +61,7 @@
             daemons[0].send_signal(signal.SIGTERM)
             daemons[0].wait()
 
-        tally = trio.run(load_while, daemons, stop)
+        tally = trio.run(load_while, daemons, stop, LIFETIME_SECONDS)
         self.assertEqual((tally.wrong, tally.unknown), (0, 0))
         self.assertEqual(daemons[0].popen.returncode, 0)
         # A connection refused is no harm; a request that ran must be answered.
