Size home sets by load and spread them over a region's zones

Cause: an answer named three instances of the caller's zone, however large the service, and so a service was shared by three times the number of zones. Ruled out: one home set a zone (9 of 15 instances would share a service in three zones, and callers stand 8 ms from every zone, so a zone's set gains nothing); a round robin over zones (one instance alone in its zone would serve all). Change: one home set for a service and region, sized by slots of the register plus two to lose, within settings; no zone holds all of it; the caller's zone comes first; leaving, suspected, failed and silent ones are left out; an unknown service gets 404 once there is a configuration; the answer names instances. Guards removed, each seen to fail a test: usable only, leaving as last resort, zone cap, regions, weight by member and by service, cache, 404, zone order, size.

--- a/catkinslip/addresses/answers.py
+++ b/catkinslip/addresses/answers.py
@@ -1,36 +1,70 @@
 """Answer callers that ask which addresses to use."""
 
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 import orjson
-from attrs import define, frozen
+from attrs import Factory, asdict, define, field, frozen
 
-from catkinslip.addresses.home import home_set
-from catkinslip.membership.members import MemberTable
+from catkinslip.addresses.home import (
+    HomeSetLimits,
+    home_set,
+    home_set_size,
+    zone_first,
+)
+from catkinslip.config.documents import ConfigVersion, Service
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.membership.members import Member, MemberTable
 
 PATH_PREFIX = b'/.well-known/catkinslip/addresses/'
-HOME_SET_SIZE = 3
+
+
+@frozen
+class AddressEntry:
+    """One instance that a caller may use."""
+
+    address: str
+    zone: str
+    instance: str
 
 
 @frozen
 class AddressAnswer:
-    """Addresses to use for a service, and for how many seconds."""
+    """Instances to use for a service, the caller's zone first.
+
+    `lifetime` is the number of seconds for which the answer may be kept.
+    """
 
     service: str
-    addresses: tuple[str, ...]
+    entries: tuple[AddressEntry, ...]
     lifetime: float
+    config_version: ConfigVersion = ConfigVersion()
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses alone."""
+        return tuple(entry.address for entry in self.entries)
 
     def to_json(self) -> bytes:
         """Return the answer's body."""
         return orjson.dumps(
             {
                 'service': self.service,
-                'addresses': list(self.addresses),
+                'addresses': self.addresses,
+                'instances': self.entries,
                 'lifetime_seconds': self.lifetime,
-            }
+                'config_version': self.config_version,
+            },
+            default=asdict,
         )
 
 
+@frozen
+class UnknownService:
+    """The configuration in force has no such service."""
+
+    service: str
+
+
 @define
 class AddressBook:
     """Answer with the home set of a service."""
@@ -38,10 +72,58 @@
     members: MemberTable
     own_zone: str
     lifetime: float
+    config: ConfigHolder = Factory(ConfigHolder)
+    limits: HomeSetLimits = Factory(HomeSetLimits)
+    _home_by_question: dict[tuple[str, str], list[Member]] = field(
+        factory=dict, init=False
+    )
+    _known_state: tuple | None = field(default=None, init=False)
 
-    def answer(self, service: str, query: str) -> AddressAnswer:
-        """Answer one question."""
+    def answer(self, service: str, query: str) -> AddressAnswer | UnknownService:
+        """Answer one question: the service as in the path, and the query string."""
+        service = unquote(service)
+        current = self.config.current
+        known = current.document.register.services.get(service)
+        is_configured = current.version > ConfigVersion()
+        if known is None and is_configured:
+            return UnknownService(service)
         zone = parse_qs(query).get('zone', [self.own_zone])[0]
-        members = home_set(service, zone, self.members.usable(), HOME_SET_SIZE)
-        addresses = tuple(member.address for member in members)
-        return AddressAnswer(service, addresses, self.lifetime)
+        members = self.home_members(service, zone, known or Service())
+        entries = tuple(
+            AddressEntry(each.address, each.zone, each.member_id)
+            for each in zone_first(members, zone)
+        )
+        return AddressAnswer(service, entries, self.lifetime, current.version)
+
+    def home_members(self, service: str, zone: str, known: Service) -> list[Member]:
+        """Return the home set of a service in the region of a zone."""
+        self._forget_when_changed()
+        region = self._region_of(zone)
+        found = self._home_by_question.get((service, region))
+        if found is None:
+            # Any instance serves any service, so one that leaves is better than none.
+            usable = self.members.usable() or self.members.live()
+            size = home_set_size(known, self._count_backends(service), self.limits)
+            found = home_set(service, region, usable, size)
+            self._home_by_question[service, region] = found
+        return found
+
+    def _forget_when_changed(self) -> None:
+        state = (
+            self.members.version,
+            self.members.silent_zones,
+            self.config.current.version,
+        )
+        if self._known_state != state:
+            self._known_state = state
+            self._home_by_question = {}
+
+    def _region_of(self, zone: str) -> str:
+        for member in self.members.live():
+            if member.zone == zone:
+                return member.region
+        return self.members.own.region
+
+    def _count_backends(self, service: str) -> int:
+        backends = self.config.current.document.register.backends.values()
+        return sum(each.service == service for each in backends)
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -15,6 +15,7 @@
 
 from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
+from catkinslip.addresses.home import HomeSetLimits
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
@@ -129,7 +130,13 @@
     config.listeners.append(directory.update)
     pool = BackendPool()
     forwarder = Forwarder(directory, pool, environment.clock)
-    addresses = AddressBook(members, settings.zone, settings.address_lifetime)
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        config,
+        HomeSetLimits(settings.min_home_instances, settings.max_home_instances),
+    )
     topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
     peers = PeerExchange(
         members,
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -7,7 +7,7 @@
 import trio
 from attrs import Factory, define
 
-from catkinslip.addresses.answers import PATH_PREFIX, AddressBook
+from catkinslip.addresses.answers import PATH_PREFIX, AddressBook, UnknownService
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
 from catkinslip.proxy import headers as names
@@ -114,6 +114,10 @@
         target = request.target.decode('latin-1').removeprefix(PATH_PREFIX.decode())
         service, _, query = target.partition('?')
         answer = self.addresses.answer(service, query)
+        if isinstance(answer, UnknownService):
+            refusal = NotRun(Reason.UNKNOWN_SERVICE, answer.service)
+            await wire.send(*problem_events(refusal, ''))
+            return
         body = answer.to_json()
         headers = [
             (b'content-type', b'application/json'),
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -92,6 +92,20 @@
         'Seconds that callers may keep an address answer.',
         REQUESTS,
     ),
+    Option(
+        '--min-home-instances',
+        '3',
+        whole_number(1, 64, 'instances'),
+        'Least number of instances that share a service in a region.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-home-instances',
+        '5',
+        whole_number(1, 64, 'instances'),
+        'Greatest number of instances that share a service in a region.',
+        REQUESTS,
+    ),
     Option(
         '--request-timeout',
         '10',
@@ -127,6 +141,8 @@
     seeds: tuple[str, ...]
     peer_interval: float
     address_lifetime: float
+    min_home_instances: int
+    max_home_instances: int
     request_timeout: float
     drain_timeout: float
     log_level: str
