--- a/catkinslip/lifecycle.py
+++ b/catkinslip/lifecycle.py
@@ -83,7 +83,7 @@
             await self.stop.hurried.wait()
 
     async def _end_connections(self) -> None:
-        log.info('lifecycle: ends %d connections.', self.drain.open_count)
+        log.info('lifecycle: ends %d connections.', len(self.drain.open_wires))
         self.drain.start_closing()
         with trio.move_on_after(IDLE_GRACE_SECONDS):
             await self.drain.wait_until_closed()
@@ -95,5 +95,5 @@
         if scope.cancelled_caught:
             log.warning(
                 'lifecycle: %d connections cut at the drain timeout.',
-                self.drain.open_count,
+                len(self.drain.open_wires),
             )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,20 +1,21 @@
 """Builders of test data."""
 
-import json
-import tempfile
-import unittest
-from pathlib import Path
+from random import Random
 
-import httpx
-import trio
+from attrs import Factory, define
 
-from catkinslip.cli.application import run as run_tool
-from catkinslip.membership.members import Member
+from catkinslip.addresses.answers import AddressBook
+from catkinslip.clock import Clock
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.environment import Environment
+from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
-from standins.load import LoadCaller, Tally
-from standins.processes import Process, ProcessGroup, wait_until
-
-LOAD_CALLERS = 6
+from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.exchange import Attempt
+from catkinslip.proxy.outcomes import Outcome
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
 
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
@@ -40,54 +41,28 @@
     return {'register': register, 'rules': {'requests': []}}
 
 
-def new_process_group(test: unittest.TestCase) -> ProcessGroup:
-    """Return a group of processes that ends with a test."""
-    folder = tempfile.TemporaryDirectory()
-    test.addCleanup(folder.cleanup)
-    group = ProcessGroup(Path(folder.name))
-    test.addCleanup(group.stop_all)
-    return group
-
-
-def start_small_fleet(
-    group: ProcessGroup, zones: tuple[str, ...], backend=(), **settings: object
-) -> list[Process]:
-    """Start a platform, two backend servers and one daemon a zone; wait for all."""
-    platform_url = f'http://{group.start_platform().address}'
-    backends = [group.start_backend(f'limits-{n}', **dict(backend)) for n in (1, 2)]
-    apply_document(
-        group, document_plain({each.name: each.address for each in backends})
-    )
-    daemons = [
-        group.start_daemon(f'entry-{n}', zone, platform_url=platform_url, **settings)
-        for n, zone in enumerate(zones)
-    ]
-    for daemon in daemons:
-        wait_until(lambda each=daemon: len(asked_addresses(each)) == len(daemons))
-        wait_until(lambda each=daemon: is_serving(each))
-    return daemons
-
-
-def apply_document(group: ProcessGroup, plain: dict) -> None:
-    """Apply a document with the operators' tool."""
-    path = group.folder / 'document.json'
-    path.write_text(json.dumps(plain))
-    platform_url = f'http://{group.process_by_name["platform"].address}'
-    status = run_tool(['apply', str(path), '--platform-url', platform_url, '--quiet'])
-    if status != 0:
-        raise RuntimeError(f'apply ended with {status}')
+@define
+class OneBackendForwarder:
+    """Send every call to one backend server, once."""
 
+    address: Address
+    pool: BackendPool
+    clock: Clock
+    outcomes: list[Outcome] = Factory(list)
 
-def asked_addresses(daemon: Process, service: str = 'limits') -> list[str]:
-    """Return the addresses that a daemon answers for a service."""
-    url = f'http://{daemon.address}/.well-known/catkinslip/addresses/{service}'
-    return httpx.get(url, timeout=10).json().get('addresses', [])
+    async def forward(self, call: Call, caller: Wire) -> Outcome:
+        attempt = Attempt(call, self.address, caller, self.pool, self.clock)
+        self.outcomes.append(await attempt.run())
+        return self.outcomes[-1]
 
 
-def is_serving(daemon: Process) -> bool:
-    """Tell whether a daemon forwards requests."""
-    url = f'http://{daemon.address}/'
-    return httpx.get(url, headers={'Host': 'limits'}, timeout=10).status_code == 200
+def caller_server(forwarder, **limits: object) -> CallerServer:
+    """Return a server of callers' connections before a forwarder."""
+    environment = Environment(clock=forwarder.clock, random=Random(1))
+    own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
+    book = AddressBook(MemberTable(own), 'zone-a', 10.0)
+    bounds = CallerLimits(**limits)
+    return CallerServer(environment, ConfigHolder(), forwarder, book, bounds)
 
 
 def member(name: str, zone: str = 'zone-a', **fields) -> Member:
@@ -100,30 +75,3 @@
         control_address=f'{name}:90',
         **fields,
     )
-
-
-async def load_while(daemons: list[Process], hurt, lifetime: float) -> Tally:
-    """Load the daemons while one of them is hurt and for a while after."""
-    tally = Tally()
-    async with trio.open_nursery() as nursery:
-        for number in range(LOAD_CALLERS):
-            caller = LoadCaller(
-                name=f'caller-{number}',
-                service='limits',
-                ask=[each.address for each in daemons],
-                tally=tally,
-                lifetime=lifetime,
-            )
-            nursery.start_soon(caller.run, 60)
-        await wait_for_answers(tally)
-        await trio.to_thread.run_sync(hurt)
-        await wait_for_answers(tally)
-        nursery.cancel_scope.cancel()
-    return tally
-
-
-async def wait_for_answers(tally: Tally) -> None:
-    """Wait until each caller got several more answers."""
-    wanted = tally.right + 10 * LOAD_CALLERS
-    while tally.right < wanted:
-        await trio.sleep(0.01)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,7 +8,7 @@
 
 from standins.load import Tally
 from standins.processes import Process, wait_until
-from tests.builders import (
+from tests.small_fleet import (
     asked_addresses,
     load_while,
     new_process_group,
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -7,7 +7,7 @@
 import trio
 
 from standins.processes import wait_until
-from tests.builders import (
+from tests.small_fleet import (
     asked_addresses,
     load_while,
     new_process_group,
