Test a stop with a slow request and an idle connection

Cause: no test showed that a request longer than the grace ends, that its answer says the connection ends, and that idle connections do not hold a stop up. Change: one process test.

--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -1,13 +1,16 @@
 """The graceful shutdown of an instance."""
 
+import json
 import signal
+import socket
 import unittest
+from http.client import HTTPConnection
 
 import httpx
 import trio
 
 from standins.load import Tally
-from standins.processes import Process, wait_until
+from standins.processes import Process, ProcessGroup, wait_until
 from tests.small_fleet import (
     asked_addresses,
     load_while,
@@ -66,12 +69,41 @@
         self.assertEqual(daemons[0].popen.returncode, 0)
         # A connection refused is no harm; a request that ran must be answered.
         cut = set(tally.ids_by_outcome.get('cut', ()))
-        self.assertEqual(cut & self.requests_run(), set())
-
-    def requests_run(self) -> set[str]:
-        run = set()
-        for name in ('limits-1', 'limits-2'):
-            backend = self.group.process_by_name[name]
-            ledger = httpx.get(f'http://{backend.address}/standin/ledger').json()
-            run.update(ledger['by_request'])
-        return run
+        self.assertEqual(cut & requests_run(self.group), set())
+
+
+class SlowRequestTest(unittest.TestCase):
+    """An instance is stopped while a slow request is in flight."""
+
+    def test_request_in_flight_ends_and_idle_connections_close(self):
+        group = new_process_group(self)
+        (daemon,) = start_small_fleet(
+            group, ('zone-a',), backend={'service_time': 1.5}, drain_timeout=20
+        )
+        host, _, port = daemon.address.rpartition(':')
+        idle = socket.create_connection((host, int(port)))
+        self.addCleanup(idle.close)
+        busy = HTTPConnection(daemon.address, timeout=20)
+        self.addCleanup(busy.close)
+        headers = {'Host': 'limits', 'Catkinslip-Request-Id': 'slow'}
+        busy.request('GET', '/slow', headers=headers)
+        wait_until(lambda: 'slow' in requests_run(group))
+        daemon.send_signal(signal.SIGINT)
+        answer = busy.getresponse()
+        self.assertEqual(
+            (answer.status, answer.getheader('connection')), (200, 'close')
+        )
+        self.assertEqual(json.loads(answer.read())['path'], '/slow')
+        self.assertEqual(idle.recv(1), b'')
+        self.assertEqual(daemon.wait(), 0)
+        self.assertNotIn('cut at the drain timeout', daemon.log_path.read_text())
+
+
+def requests_run(group: ProcessGroup) -> set[str]:
+    """Return the requests that the backend servers ran."""
+    run = set()
+    for name in ('limits-1', 'limits-2'):
+        address = group.process_by_name[name].address
+        ledger = httpx.get(f'http://{address}/standin/ledger').json()
+        run.update(ledger['by_request'])
+    return run
