Measure peer exchanges, and pass on only what is news

Cause: the measurement showed that a joining instance got its zone's words twice, and would have passed on each of them 3 log2(n) times. Ruled out: a limit on the queue (it would drop true news). Change: words learned from a repair are not passed on; only messages that carry views are answered with a repair; the own word is an update from the start; gateways cross zones in every second round.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none is imported by the product."""
--- a/catkinslip/membership/detector.py
+++ b/catkinslip/membership/detector.py
@@ -21,6 +21,8 @@
 RECONNECT_ROUNDS = 10
 #: Rounds that did not run for so long: this process was paused.
 PAUSED_ROUNDS = 3
+#: A gateway talks to another zone in one round of so many.
+ROUNDS_PER_CROSSING = 2
 
 
 @define
@@ -66,7 +68,9 @@
     def next_targets(self, now: float) -> list[Member]:
         """Return whom to exchange with in this round."""
         self._rounds += 1
-        chosen = [self._next_in_cell(now), self._next_across(now)]
+        chosen = [self._next_in_cell(now)]
+        if self._rounds % ROUNDS_PER_CROSSING == 0:
+            chosen.append(self._next_across(now))
         if self._rounds % RECONNECT_ROUNDS == 0:
             chosen.append(self._next_failed())
         return [each for each in chosen if each is not None]
--- a/catkinslip/membership/members.py
+++ b/catkinslip/membership/members.py
@@ -87,6 +87,9 @@
     #: Rises with each change, so that others can keep what they derived.
     version: int = field(default=0, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        self.updates.add(self.own.member_id)
+
     def live(self) -> list[Member]:
         """Return this instance and all others that have not failed."""
         return [self.own, *self.member_by_id.values()]
@@ -114,7 +117,14 @@
         """Mark this instance as gone."""
         self._replace_own(evolve(self.own, leaving=True, status=Status.FAILED))
 
-    def merge(self, word: Member, now: float = 0.0, age: float = 0.0) -> bool:
+    def merge(
+        self,
+        word: Member,
+        now: float = 0.0,
+        age: float = 0.0,
+        *,
+        is_passed_on: bool = True,
+    ) -> bool:
         """Take a word over; tell whether it said something new.
 
         `age` is the time since a failed member was found to have failed.
@@ -134,7 +144,9 @@
         else:
             self.tombstone_by_id.pop(joined.member_id, None)
             self.member_by_id[joined.member_id] = joined
-        self._changed(joined.member_id)
+        self.version += 1
+        if is_passed_on:
+            self.updates.add(joined.member_id)
         return True
 
     def mark(self, member_id: str, status: Status, now: float) -> bool:
@@ -175,8 +187,5 @@
 
     def _replace_own(self, own: Member) -> None:
         self.own = own
-        self._changed(own.member_id)
-
-    def _changed(self, member_id: str) -> None:
         self.version += 1
-        self.updates.add(member_id)
+        self.updates.add(own.member_id)
--- a/catkinslip/membership/protocol.py
+++ b/catkinslip/membership/protocol.py
@@ -89,7 +89,7 @@
         """Take an answer over; return what the other side still lacks, if anything."""
         self._take(answer, now)
         words = [*self._corrections(answer.words), *self._lacking(answer, now)]
-        if answer.is_sender_unknown:
+        if answer.is_sender_unknown and self.table.own not in words:
             words.append(self.table.own)
         news = self._news(answer.digest_by_topic, request.news_by_topic.keys())
         if not words and not news:
@@ -138,7 +138,9 @@
     def _take(self, message: ExchangeMessage, now: float) -> None:
         for word in message.words:
             age = message.age_by_failed.get(word.member_id, 0.0)
-            if self.table.merge(word, now, age):
+            # What a repair teaches is known elsewhere, so it is not passed on.
+            is_passed_on = word.zone not in message.repaired_zones
+            if self.table.merge(word, now, age, is_passed_on=is_passed_on):
                 log.info('membership: %s is %s.', word.member_id, standing_of(word))
         for zone, age in message.age_by_zone.items():
             self.zones.hear(zone, now, age)
@@ -166,7 +168,7 @@
     def _zones_to_repair(
         self, message: ExchangeMessage, now: float, is_new: bool
     ) -> list[str]:
-        if not message.hash_by_zone and not is_new:
+        if not message.hash_by_zone:
             return []
         zones = self.zones.zones_to_repair(message.hash_by_zone, now)
         if is_new:
