--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; none is imported by the product."""
+"""Measurements; the product imports none of them."""
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -49,6 +49,7 @@
         app.add_url_rule(PROBE_PATH, view_func=self._probe, methods=['POST'])
         app.add_url_rule(PING_PATH, view_func=self._ping)
         app.add_url_rule('/v1/status', view_func=self._status)
+        app.add_url_rule('/v1/config', view_func=self._config)
         return app
 
     async def _check_secret(self) -> Response | None:
@@ -77,6 +78,15 @@
             'change_id': current.change_id,
         }
 
+    async def _config(self) -> dict:
+        current = self.config.current
+        return {
+            'version': cattrs.unstructure(current.version),
+            'change_id': current.change_id,
+            'author': current.author,
+            'document': current.plain,
+        }
+
 
 async def read_message(message_type: type):
     """Read a peer's message; answer 400 when it is malformed."""
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -16,6 +16,7 @@
 from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
 from catkinslip.addresses.home import HomeSetLimits
+from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
@@ -26,8 +27,10 @@
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
 from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.budget import TokenBucket
+from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
-from catkinslip.platform.http import HttpStore
+from catkinslip.platform.http import CALLER_HEADER, HttpStore
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
@@ -40,8 +43,6 @@
 DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
-FIRST_ANNOUNCE_PAUSE_SECONDS = 0.5
-MAX_ANNOUNCE_PAUSE_SECONDS = 30.0
 
 log = logging.getLogger('daemon')
 
@@ -107,7 +108,7 @@
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
-            nursery.start_soon(follow_peers, daemon)
+            nursery.start_soon(daemon.peers.run, partial(read_list, daemon))
             warn_without_secret(settings)
             announce_ready(own, environment)
             lifecycle = make_lifecycle(daemon, stop)
@@ -125,9 +126,9 @@
     peer_client: httpx.AsyncClient,
 ) -> Daemon:
     """Wire the parts of one daemon."""
-    store = make_store(settings, platform_client)
-    config = ConfigHolder()
     members = MemberTable(own)
+    store = make_store(settings, environment, members, platform_client)
+    config = ConfigHolder()
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
     pool = BackendPool()
@@ -140,7 +141,8 @@
         config,
         HomeSetLimits(settings.min_home_instances, settings.max_home_instances),
     )
-    topic_by_name = {topic.name: topic for topic in (ConfigTopic(config),)}
+    config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
+    topic_by_name = {topic.name: topic for topic in (config_topic,)}
     peers = PeerExchange(
         members,
         topic_by_name,
@@ -157,7 +159,12 @@
         store=store,
         members=members,
         peers=peers,
-        watcher=ConfigWatcher(store, config),
+        watcher=ConfigWatcher(
+            store,
+            config,
+            lambda: is_watcher(members.own, members.live()),
+            environment.random,
+        ),
         callers=CallerServer(
             environment, config, forwarder, addresses, caller_limits(settings)
         ),
@@ -178,11 +185,23 @@
     )
 
 
-def make_store(settings: DaemonSettings, client: httpx.AsyncClient) -> ObjectStore:
+def make_store(
+    settings: DaemonSettings,
+    environment: Environment,
+    members: MemberTable,
+    client: httpx.AsyncClient,
+) -> ObjectStore:
     """Return the platform's store, or an embedded one when there is no platform."""
     if not settings.platform_url:
         return EmbeddedStore()
-    return HttpStore(client, settings.platform_timeout)
+    return BudgetedStore(
+        HttpStore(client, settings.platform_timeout),
+        environment.clock,
+        settings.platform_budget,
+        settings.max_instances,
+        lambda: len(members.live()),
+        TokenBucket(0.0),
+    )
 
 
 @asynccontextmanager
@@ -191,8 +210,11 @@
 ) -> AsyncIterator[tuple[httpx.AsyncClient, httpx.AsyncClient]]:
     """Open the clients of the platform and of peers."""
     secret = {SECRET_HEADER: settings.shared_secret}
+    caller = {CALLER_HEADER: settings.instance_id}
     async with (
-        httpx.AsyncClient(base_url=settings.platform_url) as platform_client,
+        httpx.AsyncClient(
+            base_url=settings.platform_url, headers=caller
+        ) as platform_client,
         httpx.AsyncClient(headers=secret, timeout=PEER_TIMEOUT_SECONDS) as peer_client,
     ):
         yield platform_client, peer_client
@@ -227,26 +249,16 @@
     await serve_asgi(surface.make_app(), config, shutdown_trigger=trio.sleep_forever)
 
 
-async def follow_peers(daemon: Daemon) -> None:
-    """Keep members and configuration in step with peers and the platform's list."""
-
-    async def read_list() -> list[ListedInstance]:
-        return (await daemon.store.list_instances()).value_or([])
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(announce, daemon)
-        nursery.start_soon(daemon.peers.run, read_list)
-
+async def read_list(daemon: Daemon) -> list[ListedInstance] | None:
+    """Return the platform's list, None when it can't be read.
 
-async def announce(daemon: Daemon) -> None:
-    """Put this instance on the platform's list; try again until it is there."""
-    pause = FIRST_ANNOUNCE_PAUSE_SECONDS
-    while True:
-        result = await daemon.store.announce(listed(daemon.members.own))
-        if isinstance(result, Success):
-            return
-        await trio.sleep(pause)
-        pause = min(pause * 2, MAX_ANNOUNCE_PAUSE_SECONDS)
+    This instance is announced when the list lacks it.
+    """
+    result = await daemon.store.list_instances()
+    own = listed(daemon.members.own)
+    if isinstance(result, Success) and own not in result.unwrap():
+        await daemon.store.announce(own)
+    return result.value_or(None)
 
 
 def listed(own: Member) -> ListedInstance:
@@ -272,6 +284,7 @@
         stop=stop,
         drain=daemon.callers.drain,
         address_lifetime=daemon.settings.address_lifetime,
+        peer_interval=daemon.settings.peer_interval,
         drain_timeout=daemon.settings.drain_timeout,
         leave=partial(leave, daemon),
     )
--- a/catkinslip/lifecycle.py
+++ b/catkinslip/lifecycle.py
@@ -16,6 +16,8 @@
 
 #: Answers travel and callers' clocks differ, so an answer is kept a little longer.
 ANSWER_MARGIN_SECONDS = 0.5
+#: Rounds of the peer exchange after which every peer leaves this instance out.
+SPREAD_ROUNDS = 5
 #: A connection without a request for so long counts as idle.
 IDLE_GRACE_SECONDS = 1.0
 LEAVE_SECONDS = 3.0
@@ -48,6 +50,7 @@
     stop: StopRequest
     drain: CallerDrain
     address_lifetime: float
+    peer_interval: float
     drain_timeout: float
     leave: Callable[[], Awaitable[None]]
 
@@ -76,10 +79,12 @@
 
     async def _leave_answers(self) -> None:
         """Leave address answers and serve while callers may keep an old one."""
-        log.info('lifecycle: leaving, serves %g s more.', self.address_lifetime)
+        spread = SPREAD_ROUNDS * self.peer_interval
+        seconds = self.address_lifetime + spread + ANSWER_MARGIN_SECONDS
+        log.info('lifecycle: leaving, serves %g s more.', seconds)
         with trio.move_on_after(LEAVE_SECONDS):
             await self.leave()
-        with trio.move_on_after(self.address_lifetime + ANSWER_MARGIN_SECONDS):
+        with trio.move_on_after(seconds):
             await self.stop.hurried.wait()
 
     async def _end_connections(self) -> None:
--- a/catkinslip/membership/contacts.py
+++ b/catkinslip/membership/contacts.py
@@ -36,6 +36,7 @@
     random: Random
     contact_by_address: dict[str, Contact] = Factory(dict)
     _listed: tuple[ListedInstance, ...] = ()
+    _has_list: bool = False
     _started_at: float | None = None
     _list_at: float = 0.0
     _lonely_reads: int = 0
@@ -47,7 +48,8 @@
         if now < self._list_at:
             return False
         is_lonely = not self.table.member_by_id
-        is_early = now - self._started_at < EARLY_SECONDS
+        # Who has not read the list yet has not been put on it either.
+        is_early = not self._has_list or now - self._started_at < EARLY_SECONDS
         self._lonely_reads = self._lonely_reads + 1 if is_lonely else 0
         pause = LIST_SECONDS
         if is_early:
@@ -60,6 +62,7 @@
     def learn(self, listed: Iterable[ListedInstance]) -> None:
         """Take the platform's list over."""
         self._listed = tuple(listed)
+        self._has_list = True
         wanted = {*self.seeds, *(each.control_address for each in self._listed)}
         for address in self.contact_by_address.keys() - wanted:
             del self.contact_by_address[address]
--- a/catkinslip/membership/exchange.py
+++ b/catkinslip/membership/exchange.py
@@ -27,12 +27,12 @@
 PING_PATH = '/v1/ping'
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
-#: Peers told at once of news that cannot wait for the next round.
-SPREAD_FANOUT = 3
+#: Urgent news that come together are passed on together.
+SPREAD_PAUSE_ROUNDS = 0.2
 #: An outcome that took so much longer than the timeout was seen by a paused process.
 PAUSE_SLACK_SECONDS = 1.0
 
-ListReader = Callable[[], Awaitable[list[ListedInstance]]]
+ListReader = Callable[[], Awaitable[list[ListedInstance] | None]]
 
 log = logging.getLogger('membership')
 
@@ -61,13 +61,13 @@
     _wanted: trio.Event = Factory(trio.Event)
 
     async def run(self, read_list: ListReader) -> None:
-        """Exchange with peers for ever; rounds start early for urgent news."""
+        """Exchange with peers for ever, and learn of others from the list."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._spread_when_wanted)
+            nursery.start_soon(self._follow_list, read_list)
             while True:
-                await self.learn_from_list(read_list)
                 await self.run_once()
-                await trio.sleep(self.interval * self.random.uniform(0.9, 1.1))
+                await self._pause()
 
     async def run_once(self) -> None:
         """Run one round: exchange with peers and with addresses not known yet."""
@@ -80,24 +80,15 @@
             for control_address in self.contacts.due(now):
                 nursery.start_soon(self.exchange_with, control_address)
 
-    async def learn_from_list(self, read_list: ListReader) -> None:
-        """Read the platform's list when it is time to."""
-        now = self.clock.monotonic()
-        if self.contacts.wants_list(now, self.protocol.detector.is_gateway(now)):
-            listed = await read_list()
-            if listed:
-                self.contacts.learn(listed)
-
     def spread_soon(self) -> None:
         """Tell several peers at once; for news that must be in force within seconds."""
         self._wanted.set()
 
     async def spread(self) -> None:
-        """Exchange with several random peers of the cell now."""
-        targets = self.protocol.detector.targets(self.clock.monotonic())
-        chosen = self.random.sample(targets, min(SPREAD_FANOUT, len(targets)))
+        """Exchange with several peers now."""
+        targets = self.protocol.detector.spread_targets(self.clock.monotonic())
         async with trio.open_nursery() as nursery:
-            for target in chosen:
+            for target in targets:
                 nursery.start_soon(self.exchange_with, target.control_address, target)
 
     async def exchange_with(
@@ -109,13 +100,16 @@
         if answer is None:
             return False
         lacking = self.protocol.conclude(request, answer, self.clock.monotonic())
+        self._pass_on_urgent()
         if lacking is not None:
             await self._post(control_address, PATH, lacking, ExchangeMessage)
         return True
 
     def receive(self, message: ExchangeMessage) -> ExchangeMessage:
         """Take a peer's message over and return this instance's answer."""
-        return self.protocol.answer(message, self.clock.monotonic())
+        answer = self.protocol.answer(message, self.clock.monotonic())
+        self._pass_on_urgent()
+        return answer
 
     async def reaches(self, request: ProbeRequest) -> ProbeAnswer:
         """Tell a peer whether this instance reaches a third one."""
@@ -180,8 +174,27 @@
             log.exception('membership: the answer of %s is malformed.', control_address)
         return None
 
+    def _pass_on_urgent(self) -> None:
+        if self.protocol.has_urgent_updates:
+            self.protocol.has_urgent_updates = False
+            self.spread_soon()
+
     async def _spread_when_wanted(self) -> None:
         while True:
             await self._wanted.wait()
             self._wanted = trio.Event()
             await self.spread()
+            await trio.sleep(self.interval * SPREAD_PAUSE_ROUNDS)
+
+    async def _follow_list(self, read_list: ListReader) -> None:
+        while True:
+            now = self.clock.monotonic()
+            is_gateway = self.protocol.detector.is_gateway(now)
+            if self.contacts.wants_list(now, is_gateway):
+                listed = await read_list()
+                if listed is not None:
+                    self.contacts.learn(listed)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        await trio.sleep(self.interval * self.random.uniform(0.9, 1.1))
--- a/catkinslip/membership/protocol.py
+++ b/catkinslip/membership/protocol.py
@@ -42,6 +42,8 @@
         ),
         takes_self=True,
     )
+    #: Whether updates wait that peers must hear of before the next round.
+    has_urgent_updates: bool = False
     _requests: int = 0
 
     def request(self, now: float, target: Member | None = None) -> ExchangeMessage:
@@ -142,6 +144,7 @@
             is_passed_on = word.zone not in message.repaired_zones
             if self.table.merge(word, now, age, is_passed_on=is_passed_on):
                 log.info('membership: %s is %s.', word.member_id, standing_of(word))
+                self.has_urgent_updates |= is_passed_on and not word.is_usable
         for zone, age in message.age_by_zone.items():
             self.zones.hear(zone, now, age)
         sender = self.table.find(message.sender)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,8 @@
 
 from catkinslip.addresses.answers import AddressBook
 from catkinslip.clock import Clock
+from catkinslip.config.checks import read_document
+from catkinslip.config.documents import AcceptedConfig, ConfigVersion, Document
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
 from catkinslip.membership.members import Member, MemberTable
@@ -16,6 +18,7 @@
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
+from standins.registers import many_workers
 
 
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
@@ -41,6 +44,18 @@
     return {'register': register, 'rules': {'requests': []}}
 
 
+def document_of(plain: dict) -> Document:
+    """Return the document of plain data."""
+    return read_document(plain).unwrap()
+
+
+def config_with(workers: int, number: int = 1, change_id: str = '') -> AcceptedConfig:
+    """Return a configuration with some backend servers of one service."""
+    document = document_of(many_workers(workers, 1))
+    version = ConfigVersion(0, number)
+    return AcceptedConfig(version, change_id or f'change-{number}', 'ana', document)
+
+
 @define
 class OneBackendForwarder:
     """Send every call to one backend server, once."""
--- a/tests/test_membership_contacts.py
+++ b/tests/test_membership_contacts.py
@@ -47,6 +47,7 @@
 
     def test_list_is_read_seldom_once_peers_are_known(self):
         reads = sum(self.contacts.wants_list(float(s), True) for s in range(HOUR))
+        self.contacts.learn([])
         self.table.merge(member('known'))
         later = range(HOUR, 2 * HOUR)
         with_peers = sum(self.contacts.wants_list(float(s), True) for s in later)
