Read the list every second until a read succeeds

Cause: an instance started in an outage was put on the list late, by the pause between reads, so the operators' tool counted one instance less. Change: until one read has succeeded, the list is read every second.

--- a/catkinslip/membership/contacts.py
+++ b/catkinslip/membership/contacts.py
@@ -12,7 +12,9 @@
 MAX_PAUSE_SECONDS = 300.0
 CONTACTS_PER_ROUND = 2
 
-#: Seconds between two reads of the list: without peers, soon after the start, later.
+#: Seconds between two reads of the list: until one succeeds, without peers, soon
+#: after the start, and later.
+FIRST_LIST_SECONDS = 1.0
 LONELY_LIST_SECONDS = 2.0
 EARLY_LIST_SECONDS = 10.0
 LIST_SECONDS = 120.0
@@ -48,16 +50,16 @@
         if now < self._list_at:
             return False
         is_lonely = not self.table.member_by_id
-        # Who has not read the list yet has not been put on it either.
-        is_early = not self._has_list or now - self._started_at < EARLY_SECONDS
         self._lonely_reads = self._lonely_reads + 1 if is_lonely else 0
-        pause = LIST_SECONDS
-        if is_early:
-            pause = EARLY_LIST_SECONDS
+        is_early = now - self._started_at < EARLY_SECONDS
+        pause = EARLY_LIST_SECONDS if is_early else LIST_SECONDS
         if is_lonely:
             pause = min(pause, LONELY_LIST_SECONDS * self._lonely_reads)
+        if not self._has_list:
+            # Who has not read the list yet has not been put on it either.
+            pause = FIRST_LIST_SECONDS
         self._list_at = now + pause * self.random.uniform(0.8, 1.2)
-        return is_gateway or is_lonely or is_early
+        return is_gateway or is_lonely or is_early or not self._has_list
 
     def learn(self, listed: Iterable[ListedInstance]) -> None:
         """Take the platform's list over."""
