--- a/catkinslip/addresses/answers.py
+++ b/catkinslip/addresses/answers.py
@@ -14,17 +14,19 @@
 from catkinslip.config.documents import ConfigVersion, Service
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.tickets.keys import KeyIssuer
 
 PATH_PREFIX = b'/.well-known/catkinslip/addresses/'
 
 
 @frozen
 class AddressEntry:
-    """One instance that a caller may use."""
+    """One instance that a caller may use, and how keys begin whose home it is."""
 
     address: str
     zone: str
     instance: str
+    key_prefix: str
 
 
 @frozen
@@ -44,6 +46,11 @@
         """Return the addresses alone."""
         return tuple(entry.address for entry in self.entries)
 
+    @property
+    def key_prefix_by_address(self) -> dict[str, str]:
+        """Return the prefix of keys whose home is an address."""
+        return {entry.address: entry.key_prefix for entry in self.entries}
+
     def to_json(self) -> bytes:
         """Return the answer's body."""
         return orjson.dumps(
@@ -52,6 +59,7 @@
                 'addresses': self.addresses,
                 'instances': self.entries,
                 'lifetime_seconds': self.lifetime,
+                'key_prefix_by_address': self.key_prefix_by_address,
                 'config_version': self.config_version,
             },
             default=asdict,
@@ -72,6 +80,7 @@
     members: MemberTable
     own_zone: str
     lifetime: float
+    key_issuer: KeyIssuer
     config: ConfigHolder = Factory(ConfigHolder)
     limits: HomeSetLimits = Factory(HomeSetLimits)
     _home_by_question: dict[tuple[str, str], list[Member]] = field(
@@ -89,12 +98,13 @@
             return UnknownService(service)
         zone = parse_qs(query).get('zone', [self.own_zone])[0]
         members = self.home_members(service, zone, known or Service())
-        entries = tuple(
-            AddressEntry(each.address, each.zone, each.member_id)
-            for each in zone_first(members, zone)
-        )
+        entries = tuple(self._entry(each) for each in zone_first(members, zone))
         return AddressAnswer(service, entries, self.lifetime, current.version)
 
+    def _entry(self, member: Member) -> AddressEntry:
+        prefix = self.key_issuer.prefix(member)
+        return AddressEntry(member.address, member.zone, member.member_id, prefix)
+
     def home_members(self, service: str, zone: str, known: Service) -> list[Member]:
         """Return the home set of a service in the region of a zone."""
         self._forget_when_changed()
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -12,12 +12,12 @@
 from catkinslip.proxy.bodies import BodyReader
 from catkinslip.proxy.calls import Call, CallMaker
 from catkinslip.proxy.draining import CallerDrain
-from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.intake import HeadReader
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.presence import CallerWatch
 from catkinslip.proxy.problems import problem_events
 from catkinslip.proxy.wire import ConnectionErrors, Wire
+from catkinslip.tickets.gate import AtMostOnce
 
 log = logging.getLogger('request')
 
@@ -40,7 +40,7 @@
 
     environment: Environment
     config: ConfigHolder
-    forwarder: Forwarder
+    forwarder: AtMostOnce
     addresses: AddressBook
     limits: CallerLimits
     drain: CallerDrain = Factory(CallerDrain)
--- a/tests/test_addresses_answers.py
+++ b/tests/test_addresses_answers.py
@@ -6,13 +6,16 @@
 
 from catkinslip.addresses.answers import AddressBook, UnknownService
 from catkinslip.addresses.home import HomeSetLimits, home_set, home_set_size
+from catkinslip.clock import SystemClock
 from catkinslip.config.documents import AcceptedConfig, ConfigVersion, Service
 from catkinslip.config.documents import converter as config_converter
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import MemberTable, Status
+from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
 from tests.builders import document_plain, member
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
+ISSUER = KeyIssuer(AnchoredClock(SystemClock()), 300.0)
 SERVICES = [f'service-{number}' for number in range(2000)]
 
 
@@ -99,7 +102,7 @@
         for each in self.members[1:]:
             self.table.merge(each)
         self.config = ConfigHolder()
-        self.book = AddressBook(self.table, 'zone-a', 7.0, self.config)
+        self.book = AddressBook(self.table, 'zone-a', 7.0, ISSUER, self.config)
 
     def configure(self) -> None:
         plain = document_plain({'limits-1': 'one:1'}, slots=2)
@@ -121,6 +124,8 @@
         self.assertEqual(plain['config_version'], {'epoch': 0, 'number': 3})
         named = [each['address'] for each in plain['instances']]
         self.assertEqual(named, plain['addresses'])
+        prefixes = {each['address']: each['key_prefix'] for each in plain['instances']}
+        self.assertEqual(plain['key_prefix_by_address'], prefixes)
         for asked in ZONES:
             told = self.answer(f'zone={asked}')['instances']
             zones = [each['zone'] for each in told]
@@ -152,5 +157,5 @@
     def test_leaving_instance_is_named_when_it_is_the_only_one(self):
         table = MemberTable(member('zone-a-0'))
         table.leave()
-        answer = AddressBook(table, 'zone-a', 7.0).answer('limits', '')
+        answer = AddressBook(table, 'zone-a', 7.0, ISSUER).answer('limits', '')
         self.assertEqual(answer.addresses, ('zone-a-0:80',))
