Test urgent updates and joins, and measure exchanges across zones

Cause: no test showed that a leaving member is told at once, within its zone and to the other zones of its region, nor what a join passes on. Change: two tests; the benchmark measures exchanges across zones by themselves. Guards removed, each seen to fail a test: urgent updates, zones of the region, repairs not passed on, the own word at the start, answers to strangers.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -111,12 +111,16 @@
         relay_port = relays[0].socket.getsockname()[1]
         target = second.members.own
         await first.exchange_with(f'127.0.0.1:{relay_port}', target)
-        result = result_by_size.setdefault(size, {'bytes': [], 'cpu': []})
+        result = result_by_size.setdefault(size, {'bytes': [], 'across': [], 'cpu': []})
         before = wire.count
         count = EXCHANGES
         for _ in range(count):
             await first.exchange_with(f'127.0.0.1:{relay_port}', target)
         result['bytes'].append((wire.count - before) / count)
+        before = wire.count
+        for _ in range(count):
+            await first.exchange_with(f'127.0.0.1:{relay_port}')
+        result['across'].append((wire.count - before) / count)
         began = time.process_time()
         for _ in range(count):
             await first.exchange_with(f'127.0.0.1:{port}', target)
@@ -152,6 +156,7 @@
         cpu = sorted(result['cpu'])
         summary[size] = {
             'bytes': round(sum(result['bytes']) / ROUNDS),
+            'bytes_across_zones': round(sum(result['across']) / ROUNDS),
             'cpu_ms_both_sides': round(cpu[len(cpu) // 2] * 1000, 2),
             'cpu_ms_range': [round(cpu[0] * 1000, 2), round(cpu[-1] * 1000, 2)],
             'whole_table_bytes': result['table'],
--- a/tests/test_membership_protocol.py
+++ b/tests/test_membership_protocol.py
@@ -128,6 +128,16 @@
         request = peers.peer_by_id['zone-a-3'].request(peers.now)
         self.assertEqual(request.words, ())
 
+    def test_joining_instance_passes_on_only_itself(self):
+        peers = fleet({'zone-a': 12})
+        joining = PeerProtocol(MemberTable(member('zone-a-new')), {}, peers.random, 1.0)
+        request = joining.request(peers.now)
+        self.assertEqual(request.words, (joining.table.own,))
+        answer = peers.peer_by_id['zone-a-0'].answer(request, peers.now)
+        self.assertIsNone(joining.conclude(request, answer, peers.now))
+        self.assertEqual(len(joining.table.member_by_id), 12)
+        self.assertLessEqual(joining.table.updates.sent_by_id.keys(), {'zone-a-new'})
+
     def test_update_is_sent_a_bounded_number_of_times(self):
         peers = fleet({'zone-a': 3})
         table = peers.peer_by_id['zone-a-0'].table
@@ -154,6 +164,30 @@
     def names(self, peer: PeerProtocol) -> set[str]:
         return {each.member_id for each in peer.table.live()}
 
+    def test_leaving_is_passed_on_at_once(self):
+        peers = fleet({'zone-a': 20, 'zone-b': 20})
+        for peer in peers.peer_by_id.values():
+            peer.has_urgent_updates = False
+        for _ in range(3):
+            leaving = sorted(peers.usable('zone-b-0'))[0]
+            peers.peer_by_id[leaving].table.leave()
+            self.pass_on(peers, leaving)
+        told = [name for name in peers.peer_by_id if leaving not in peers.usable(name)]
+        # No round has run. The few that are left learn in the next ones.
+        self.assertGreater(len(told), 30)
+        peers.run_until(lambda: peers.all_see(peers.usable(leaving)), rounds=5)
+
+    def pass_on(self, peers: Peers, first: str) -> None:
+        waiting = [first]
+        while waiting:
+            peer = peers.peer_by_id[waiting.pop(0)]
+            peer.has_urgent_updates = False
+            for target in peer.detector.spread_targets(peers.now):
+                peers.exchange(peer, target.member_id)
+            for name, other in peers.peer_by_id.items():
+                if other.has_urgent_updates and name not in waiting:
+                    waiting.append(name)
+
     def test_large_zones_are_not_probed_from_other_zones(self):
         peers = fleet({'zone-a': 9, 'zone-b': 9, 'zone-c': 9})
         gateways = 0
