--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model bench-config clean
+.PHONY: install lint format test demo model bench-config bench-drain bench-probes clean
 
 install: $(STAMP)
 
@@ -34,5 +34,11 @@
 model: install
 	$(RUN) -m model
 
+bench-drain: install
+	$(RUN) -m benchmarks.drain
+
+bench-probes: install
+	$(RUN) -m benchmarks.probes
+
 clean:
 	rm -rf $(VENV) build
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -22,6 +22,11 @@
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import SECRET_HEADER, ControlSurface
 from catkinslip.environment import Environment
+from catkinslip.health.lister import ListFollower
+from catkinslip.health.prober import Prober
+from catkinslip.health.spreader import DrainSpreader
+from catkinslip.health.topics import health_topics
+from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.lifecycle import Lifecycle, StopRequest
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.members import Member, MemberTable
@@ -88,6 +93,10 @@
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
+    health: HealthTracker
+    prober: Prober
+    spreader: DrainSpreader
+    lister: ListFollower
 
 
 async def serve(settings: DaemonSettings, environment: Environment) -> None:
@@ -114,6 +123,9 @@
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
             nursery.start_soon(daemon.peers.run, partial(read_list, daemon))
+            nursery.start_soon(daemon.prober.run)
+            nursery.start_soon(daemon.spreader.run)
+            nursery.start_soon(daemon.lister.run)
             warn_without_secret(settings)
             announce_ready(own, environment)
             lifecycle = make_lifecycle(daemon, stop)
@@ -136,9 +148,13 @@
     config = ConfigHolder()
     directory = Directory(partial(LeastInFlight, environment.random))
     config.listeners.append(directory.update)
+    health = make_tracker(
+        directory, environment.clock, environment.random, settings.max_instances
+    )
+    config.listeners.append(health.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
-    forwarder = Forwarder(directory, pool, environment.clock)
+    forwarder = Forwarder(directory, pool, environment.clock, health)
     ticket_clock = AnchoredClock(environment.clock)
     gate = AtMostOnce(
         forwarder=forwarder,
@@ -158,7 +174,8 @@
         HomeSetLimits(settings.min_home_instances, settings.max_home_instances),
     )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
-    topic_by_name = {topic.name: topic for topic in (config_topic,)}
+    topics = (config_topic, *health_topics(health))
+    topic_by_name = {topic.name: topic for topic in topics}
     peers = PeerExchange(
         members,
         topic_by_name,
@@ -184,8 +201,14 @@
         callers=CallerServer(
             environment, config, gate, addresses, caller_limits(settings)
         ),
-        control=ControlSurface(peers, config, settings.shared_secret),
+        control=ControlSurface(peers, config, health, settings.shared_secret),
         pool=pool,
+        health=health,
+        prober=Prober(health, members, pool, environment.clock),
+        spreader=DrainSpreader(health, peers, environment.random),
+        lister=ListFollower(
+            store, health, lambda: is_watcher(members.own, members.live())
+        ),
     )
 
 
@@ -284,10 +307,13 @@
     This instance is announced when the list lacks it.
     """
     result = await daemon.store.list_instances()
+    if not isinstance(result, Success):
+        return None
     own = listed(daemon.members.own)
-    if isinstance(result, Success) and own not in result.unwrap():
+    if own not in result.unwrap():
         await daemon.store.announce(own)
-    return result.value_or(None)
+    is_backend = daemon.health.is_backend
+    return [each for each in result.unwrap() if not is_backend(each.name)]
 
 
 def listed(own: Member) -> ListedInstance:
