--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -29,9 +29,10 @@
 from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.lifecycle import Lifecycle, StopRequest
 from catkinslip.membership.exchange import PeerExchange
+from catkinslip.membership.listing import InstanceList
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
-from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.base import ObjectStore
 from catkinslip.platform.budget import TokenBucket
 from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
@@ -88,6 +89,7 @@
     settings: DaemonSettings
     store: ObjectStore
     members: MemberTable
+    instances: InstanceList
     peers: PeerExchange
     watcher: ConfigWatcher
     callers: CallerServer
@@ -122,7 +124,7 @@
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
-            nursery.start_soon(daemon.peers.run, partial(read_list, daemon))
+            nursery.start_soon(daemon.peers.run, daemon.instances.read)
             nursery.start_soon(daemon.prober.run)
             nursery.start_soon(daemon.spreader.run)
             nursery.start_soon(daemon.lister.run)
@@ -130,7 +132,7 @@
             announce_ready(own, environment)
             lifecycle = make_lifecycle(daemon, stop)
             await lifecycle.run(daemon.callers.serve, listeners)
-            await end(daemon)
+            await daemon.peers.end()
             nursery.cancel_scope.cancel()
         await daemon.pool.close()
 
@@ -191,6 +193,7 @@
         settings=settings,
         store=store,
         members=members,
+        instances=InstanceList(store, members, health.is_backend),
         peers=peers,
         watcher=ConfigWatcher(
             store,
@@ -301,28 +304,6 @@
     await serve_asgi(surface.make_app(), config, shutdown_trigger=trio.sleep_forever)
 
 
-async def read_list(daemon: Daemon) -> list[ListedInstance] | None:
-    """Return the platform's list, None when it can't be read.
-
-    This instance is announced when the list lacks it.
-    """
-    result = await daemon.store.list_instances()
-    if not isinstance(result, Success):
-        return None
-    own = listed(daemon.members.own)
-    if own not in result.unwrap():
-        await daemon.store.announce(own)
-    is_backend = daemon.health.is_backend
-    return [each for each in result.unwrap() if not is_backend(each.name)]
-
-
-def listed(own: Member) -> ListedInstance:
-    """Return the line of the platform's list for an instance."""
-    return ListedInstance(
-        own.member_id, own.zone, own.address, own.control_address, own.leaving
-    )
-
-
 def warn_without_secret(settings: DaemonSettings) -> None:
     """Warn when anyone who reaches the control surface may use it."""
     if not settings.shared_secret:
@@ -347,17 +328,9 @@
 
 async def leave(daemon: Daemon) -> None:
     """Tell peers and the platform's list that this instance is leaving."""
-    daemon.members.leave()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(daemon.peers.spread)
-        nursery.start_soon(daemon.store.announce, listed(daemon.members.own))
-
-
-async def end(daemon: Daemon) -> None:
-    """Tell peers that this instance is gone."""
-    daemon.members.end()
-    with trio.move_on_after(PEER_TIMEOUT_SECONDS):
-        await daemon.peers.spread()
+        nursery.start_soon(daemon.peers.leave)
+        nursery.start_soon(daemon.instances.announce)
 
 
 def announce_ready(own: Member, environment: Environment) -> None:
--- a/catkinslip/membership/exchange.py
+++ b/catkinslip/membership/exchange.py
@@ -91,6 +91,17 @@
             for target in targets:
                 nursery.start_soon(self.exchange_with, target.control_address, target)
 
+    async def leave(self) -> None:
+        """Tell several peers that this instance is leaving."""
+        self.members.leave()
+        await self.spread()
+
+    async def end(self) -> None:
+        """Tell several peers that this instance is gone."""
+        self.members.end()
+        with trio.move_on_after(self.timeout):
+            await self.spread()
+
     async def exchange_with(
         self, control_address: str, target: Member | None = None
     ) -> bool:
