--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: install lint format test demo model bench-config bench-drain bench-probes clean
+.PHONY: install lint format test demo model bench-config bench-drain bench-members bench-probes clean
 
 install: $(STAMP)
 
@@ -34,6 +34,10 @@
 model: install
 	$(RUN) -m model
 
+bench-members: install
+	$(RUN) -m benchmarks.peers
+	$(RUN) -m benchmarks.failover
+
 bench-drain: install
 	$(RUN) -m benchmarks.drain
 
