--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -1,5 +1,6 @@
 """The daemon: read settings, wire the parts, serve until told to stop."""
 
+import gc
 import logging
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
@@ -129,6 +130,7 @@
             nursery.start_soon(daemon.spreader.run)
             nursery.start_soon(daemon.lister.run)
             warn_without_secret(settings)
+            freeze_start_objects()
             announce_ready(own, environment)
             lifecycle = make_lifecycle(daemon, stop)
             await lifecycle.run(daemon.callers.serve, listeners)
@@ -333,6 +335,12 @@
         nursery.start_soon(daemon.instances.announce)
 
 
+def freeze_start_objects() -> None:
+    """Keep what was built at start out of later garbage collections."""
+    gc.collect()
+    gc.freeze()
+
+
 def announce_ready(own: Member, environment: Environment) -> None:
     """Print the addresses that this daemon listens on, as one line of JSON."""
     line = {
