--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,14 @@
 	$(RUN) -m benchmarks.configuration
 	$(RUN) -m benchmarks.configuration_in_force
 
+.PHONY: bench-policy
+bench-policy: install
+	$(RUN) -m benchmarks.policy --processes 12
+
+.PHONY: bench-fleet
+bench-fleet: install
+	$(RUN) -m benchmarks.fleet
+
 .PHONY: model
 model: install
 	$(RUN) -m model
@@ -56,6 +64,10 @@
 bench-path: install
 	$(RUN) -m benchmarks.path
 
+.PHONY: bench-tickets
+bench-tickets: install
+	$(RUN) -m benchmarks.tickets
+
 .PHONY: clean
 clean:
 	rm -rf $(VENV) build
--- a/catkinslip/config/changes.py
+++ b/catkinslip/config/changes.py
@@ -1,5 +1,7 @@
 """Change the accepted configuration, one conditional write at a time."""
 
+from typing import Any
+
 import trio
 from attrs import frozen
 from returns.pipeline import is_successful
@@ -12,7 +14,6 @@
     to_plain,
 )
 from catkinslip.config.history import Change, Head, extend_head
-from catkinslip.config.merge import merge_patch
 from catkinslip.config.reading import (
     CONFIG_KEY,
     StoredConfig,
@@ -71,7 +72,7 @@
     raise_epoch: bool = False,
 ) -> ChangeOutcome:
     """Write a document over the one it was made from."""
-    if has_unknown_fields(base.config):
+    if has_unknown_fields(base.config.plain, to_plain(base.config.document)):
         return ChangeNotMade('a newer program wrote fields that this one does not know')
     before = base.config.version
     version = ConfigVersion(before.epoch + raise_epoch, before.number + 1)
@@ -89,10 +90,16 @@
     return outcome
 
 
-def has_unknown_fields(config: AcceptedConfig) -> bool:
-    """Tell whether writing a configuration again would drop fields."""
-    known = to_plain(config.document)
-    return merge_patch(config.plain, known) != known
+def has_unknown_fields(plain: Any, known: Any) -> bool:
+    """Tell whether plain data has fields, at any depth, that known data lacks."""
+    if isinstance(plain, dict) and isinstance(known, dict):
+        return any(
+            key not in known or has_unknown_fields(value, known[key])
+            for key, value in plain.items()
+        )
+    if isinstance(plain, list | tuple) and isinstance(known, list | tuple):
+        return any(map(has_unknown_fields, plain, known))
+    return False
 
 
 async def write_head(
--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -87,6 +87,7 @@
     slots: int | None = ranged(None, 1, 10_000, 'requests at once')
     max_connections: int | None = ranged(None, 1, 100_000, 'connections')
     timeout: float | None = ranged(None, 0.05, 3600, 'seconds')
+    health_path: str | None = None
     probes_per_second: float | None = ranged(None, 0, 1000, 'probes a second')
     calls_per_probe: int | None = ranged(None, 1, 1_000_000, 'calls')
 
--- a/catkinslip/config/topic.py
+++ b/catkinslip/config/topic.py
@@ -95,6 +95,9 @@
         return ConfigNews(self.sender, changes)
 
     def _answer(self, known: ConfigDigest) -> ConfigNews | None:
+        if not self.config.is_ready:
+            # A fresh instance's silence says nothing of what is in force.
+            return None
         current = self.config.current
         if known.version >= current.version:
             return ConfigNews(self.sender) if known.waiting else None
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -41,8 +41,8 @@
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.routing.choices import make_policy
 from catkinslip.routing.directory import Directory
-from catkinslip.routing.policies import LeastInFlight
 from catkinslip.settings.base import SettingsError, build_parser, read_values
 from catkinslip.settings.daemon import OPTIONS, DaemonSettings
 from catkinslip.status import ExitStatus
@@ -150,7 +150,7 @@
     members = MemberTable(own)
     store = make_store(settings, environment, members, platform_client)
     config = ConfigHolder()
-    directory = Directory(partial(LeastInFlight, environment.random))
+    directory = Directory(partial(make_policy, settings, environment.random))
     config.listeners.append(directory.update)
     health = make_tracker(
         directory, environment.clock, environment.random, settings.max_instances
--- a/catkinslip/health/prober.py
+++ b/catkinslip/health/prober.py
@@ -28,7 +28,7 @@
 PROBE_HEADER = b'catkinslip-probe'
 #: All servers are looked at once in a round, in parts that hold the loop briefly.
 ROUND_SECONDS = 1.0
-PARTS = 8
+PARTS = 20
 TIMEOUT_SECONDS = 1.0
 MAX_AT_ONCE = 8
 
--- a/catkinslip/health/reports.py
+++ b/catkinslip/health/reports.py
@@ -9,7 +9,8 @@
 
 #: Older reports say nothing more; they are told to no peer.
 MAX_AGE_SECONDS = 5.0
-MAX_REPORTS_PER_MESSAGE = 16
+#: Some 85 bytes each, in every exchange of a node with a few KB a second for all.
+MAX_REPORTS_PER_MESSAGE = 8
 
 
 @frozen
--- a/catkinslip/health/topics.py
+++ b/catkinslip/health/topics.py
@@ -5,7 +5,7 @@
 
 import cattrs
 from attrs import define, field, frozen
-from attrs.validators import and_, ge, lt
+from attrs.validators import and_, ge, lt, optional
 
 from catkinslip.health.counters import HealthCounters
 from catkinslip.health.drain import DrainSign, DrainTable, DrainWord
@@ -20,6 +20,7 @@
 #: Not below zero, not infinite and not NaN.
 IS_AMOUNT = and_(ge(0), lt(float('inf')))
 
+AGE_DIGITS = 3
 #: A peer whose digest is not known is told what changed this lately.
 RECENT_SECONDS = 10.0
 
@@ -42,7 +43,7 @@
     backend_id: str
     address: str
     in_flight: float = field(validator=IS_AMOUNT)
-    speed: float | None
+    speed: float | None = field(validator=optional(IS_AMOUNT))
     age: float = field(validator=IS_AMOUNT)
 
 
@@ -72,7 +73,7 @@
                 key.address,
                 held.word.generation,
                 tuple(sorted(held.word.signs, key=lambda sign: sign.value)),
-                max(0.0, now - held.changed_at),
+                age_since(held.changed_at, now),
             )
             for key, held in self.table.held_by_key.items()
             if digest is not None or now - held.changed_at < RECENT_SECONDS
@@ -116,7 +117,7 @@
                 key.address,
                 known.report.in_flight,
                 known.report.speed,
-                max(0.0, now - known.observed_at),
+                age_since(known.observed_at, now),
             )
             for key, known in self.reports.youngest(now)
         ]
@@ -135,6 +136,11 @@
             self.learn(key, known)
 
 
+def age_since(at: float, now: float) -> float:
+    """Return an age in seconds, short on the wire."""
+    return round(max(0.0, now - at), AGE_DIGITS)
+
+
 def structure(news: Any, kind: type[Message]) -> list[Message]:
     """Return a peer's messages; raise ValueError when one is malformed."""
     try:
--- a/catkinslip/proxy/answers.py
+++ b/catkinslip/proxy/answers.py
@@ -13,6 +13,8 @@
 
 async def receive_response(wire: Wire) -> h11.Response:
     """Return the final response head."""
+    # Nothing of the answer can be in the codec yet.
+    await wire.fill()
     while True:
         event = await wire.receive()
         if type(event) is h11.Response:
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -9,7 +9,7 @@
 from catkinslip.addresses.answers import PATH_PREFIX, AddressBook, UnknownService
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
-from catkinslip.proxy.bodies import BodyReader
+from catkinslip.proxy.bodies import BodyReader, RestOfBody
 from catkinslip.proxy.calls import Call, CallMaker
 from catkinslip.proxy.draining import CallerDrain
 from catkinslip.proxy.headers import RequestHead
@@ -113,14 +113,24 @@
 
     async def _forward(self, call: Call, wire: Wire) -> Outcome:
         outcome: Outcome = Unknown(Reason.CALLER_LEFT)
-        with self.watch.watching(wire):
-            if call.rest is None:
-                outcome = await self.forwarder.forward(call, wire)
-            else:
-                async with trio.open_nursery() as nursery:
-                    call.rest.nursery = nursery
+        with trio.CancelScope() as scope:
+            descriptor = self.watch.add(wire, scope)
+            try:
+                if call.rest is None:
                     outcome = await self.forwarder.forward(call, wire)
-                    nursery.cancel_scope.cancel()
+                else:
+                    outcome = await self._forward_streamed(call, call.rest, wire)
+            finally:
+                self.watch.remove(descriptor)
+        return outcome
+
+    async def _forward_streamed(
+        self, call: Call, rest: RestOfBody, wire: Wire
+    ) -> Outcome:
+        async with trio.open_nursery() as nursery:
+            rest.nursery = nursery
+            outcome = await self.forwarder.forward(call, wire)
+            nursery.cancel_scope.cancel()
         return outcome
 
     async def _report(self, wire: Wire, call: Call, outcome: Outcome) -> bool:
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,7 +1,6 @@
 """Forward a call: choose a backend server, attempt, and try elsewhere if not run."""
 
 import logging
-from functools import partial
 
 import trio
 from attrs import define
@@ -9,7 +8,7 @@
 from catkinslip.clock import Clock
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.proxy.exchange import Attempt, Call
-from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown, attempt_result
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.directory import Directory
@@ -61,18 +60,26 @@
         self, call, caller, router, backend_id: str, number: int
     ) -> Outcome:
         address = self.directory.address_by_backend[backend_id]
-        on_head = partial(self.health.answered, backend_id)
+        head_times: list[float] = []
+
+        def on_head(headers, report) -> None:
+            head_times.append(self.clock.monotonic())
+            self.health.answered(backend_id, headers, report)
+
         attempt = Attempt(call, address, caller, self.pool, self.clock, number, on_head)
         outcome: Outcome = Unknown(Reason.DEADLINE)
-        router.started(backend_id)
+        began = self.clock.monotonic()
+        router.started(backend_id, began)
         try:
             with trio.move_on_after(call.deadline - self.clock.monotonic()):
                 outcome = await attempt.run()
         finally:
             if is_connect_failure(outcome):
                 self.health.refused(backend_id)
-            report = outcome.report if isinstance(outcome, Answered | NotRun) else None
-            router.finished(backend_id, report, self.clock.monotonic())
+            ended = self.clock.monotonic()
+            # A slow caller's share of the time says nothing of the server.
+            latency = (head_times or [ended])[0] - began
+            router.finished(backend_id, attempt_result(outcome, latency), ended)
         return outcome
 
 
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from catkinslip.routing.base import LoadReport
+from catkinslip.routing.base import AttemptResult, LoadReport, ResultKind
 
 
 @unique
@@ -82,3 +82,20 @@
 
 
 Outcome = Answered | NotRun | Unknown
+
+SERVER_ERRORS = range(500, 600)
+
+
+def attempt_result(outcome: Outcome, latency: float) -> AttemptResult:
+    """Return what an outcome says about its backend server."""
+    match outcome:
+        case Answered(status, report):
+            failed = status in SERVER_ERRORS
+            kind = ResultKind.FAILED if failed else ResultKind.ANSWERED
+            return AttemptResult(kind, latency, report)
+        case NotRun(Reason.SHED, _, report):
+            return AttemptResult(ResultKind.SHED, latency, report)
+        case NotRun(Reason.CONNECT_FAILED) | Unknown(Reason.BROKEN):
+            return AttemptResult(ResultKind.FAILED, latency)
+        case _:
+            return AttemptResult(ResultKind.CANCELLED, latency)
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -67,9 +67,9 @@
 
     def update(self, config: AcceptedConfig) -> None:
         """Take over the connection limits of a new configuration."""
-        register = config.document.register
-        for backend in register.backends.values():
-            service = register.services.get(backend.service)
+        service_by_name = config.document.effective_services()
+        for backend in config.document.register.backends.values():
+            service = service_by_name.get(backend.service)
             if service is None:
                 continue
             connections = self._connections(Address(backend.host, backend.port))
--- a/catkinslip/proxy/presence.py
+++ b/catkinslip/proxy/presence.py
@@ -5,8 +5,6 @@
 """
 
 import select
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 import trio
 from attrs import Factory, define
@@ -36,18 +34,17 @@
         for descriptor, _ in self.poll.poll(0):
             self.scope_by_descriptor[descriptor].cancel()
 
-    @contextmanager
-    def watching(self, caller: Wire) -> Iterator[None]:
-        """Watch one caller; its request is cancelled when it leaves."""
-        with trio.CancelScope() as scope:
-            if not isinstance(caller.stream, trio.SocketStream):
-                yield
-                return
-            descriptor = caller.stream.socket.fileno()
-            self.scope_by_descriptor[descriptor] = scope
-            self.poll.register(descriptor, select.POLLRDHUP)
-            try:
-                yield
-            finally:
-                self.poll.unregister(descriptor)
-                del self.scope_by_descriptor[descriptor]
+    def add(self, caller: Wire, scope: trio.CancelScope) -> int | None:
+        """Watch a caller; return its descriptor, None when it has none."""
+        if type(caller.stream) is not trio.SocketStream:
+            return None
+        descriptor = caller.stream.socket.fileno()
+        self.scope_by_descriptor[descriptor] = scope
+        self.poll.register(descriptor, select.POLLRDHUP)
+        return descriptor
+
+    def remove(self, descriptor: int | None) -> None:
+        """Stop watching a caller."""
+        if descriptor is not None:
+            self.poll.unregister(descriptor)
+            del self.scope_by_descriptor[descriptor]
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -65,7 +65,7 @@
 
     async def write(self, data: bytes) -> None:
         """Send bytes, without a task switch when the socket takes them at once."""
-        if isinstance(self.stream, trio.SocketStream):
+        if type(self.stream) is trio.SocketStream:
             try:
                 sent = os.write(self._descriptor(), data)
             except BlockingIOError:
@@ -76,7 +76,7 @@
         await self.stream.send_all(data)
 
     async def _read(self) -> bytes:
-        if not isinstance(self.stream, trio.SocketStream):
+        if type(self.stream) is not trio.SocketStream:
             return await self.stream.receive_some(RECEIVE_SIZE)
         while True:
             await trio.lowlevel.wait_readable(self._descriptor())
@@ -103,7 +103,7 @@
 
     async def reset(self) -> None:
         """Close so that the other side sees a broken message in any framing."""
-        if isinstance(self.stream, trio.SocketStream):
+        if type(self.stream) is trio.SocketStream:
             self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await self.close()
 
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -1,9 +1,13 @@
 """What every policy of choice knows and decides."""
 
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Sequence
+from enum import Enum, unique
 
-from attrs import define, frozen
+from attrs import Factory, define, frozen
+
+NEVER = float('-inf')
 
 
 @frozen
@@ -14,6 +18,25 @@
     speed: float | None = None
 
 
+@unique
+class ResultKind(Enum):
+    """How an attempt ended, as far as it speaks about the backend server."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    SHED = 'shed'
+    CANCELLED = 'cancelled'
+
+
+@frozen
+class AttemptResult:
+    """How an attempt ended, after how many seconds, and the load report."""
+
+    kind: ResultKind
+    latency: float
+    report: LoadReport | None = None
+
+
 @define
 class BackendLoad:
     """What one instance knows of one backend server; times are in seconds."""
@@ -24,16 +47,31 @@
     in_flight: int = 0
     draining: bool = False
     report: LoadReport | None = None
-    reported_at: float = 0.0
+    reported_at: float = NEVER
     picks_since_report: int = 0
+    reported_in_flight: float = 0.0
+    speed: float = 1.0
+    mean_speed: float = 1.0
+    expected_in_flight: float = 0.0
+    expected_by_pick: deque[float] = Factory(deque)
+    lie_share: float = 0.0
+    answered_at: float = NEVER
+    answers: float = 0.0
+    service_seconds: float = 0.0
+    inferred_slowness: float = 1.0
+    slowness: float = 1.0
+    is_irregular: bool = False
+    failure_share: float = 0.0
+    pauses: int = 0
+    paused_until: float = NEVER
 
 
 @frozen
 class Choice:
-    """A chosen backend server and why it was chosen."""
+    """A chosen backend server and why; the reason is formatted when printed."""
 
     backend_id: str
-    reason: str
+    reason: object
 
 
 class Policy(ABC):
@@ -42,3 +80,16 @@
     @abstractmethod
     def choose(self, candidates: Sequence[BackendLoad], now: float) -> Choice:
         """Choose one of at least one candidate."""
+
+    def started(self, load: BackendLoad, now: float) -> None:  # noqa: B027
+        """Learn that a request was sent."""
+
+    def finished(  # noqa: B027
+        self, load: BackendLoad, result: AttemptResult, now: float
+    ) -> None:
+        """Learn how a request ended."""
+
+    def reported(  # noqa: B027
+        self, load: BackendLoad, report: LoadReport, at: float
+    ) -> None:
+        """Learn from a load report, before it replaces the last."""
--- /dev/null
+++ b/catkinslip/routing/delay.py
@@ -0,0 +1,149 @@
+"""The policy that chooses the shortest expected delay.
+
+A report in an answer is old when the next request comes. So its requests in
+flight decay to the mean of all reports, and its speed to the mean of the same
+server, while own picks since the report count in full.
+"""
+
+from collections.abc import Sequence
+from math import exp, sqrt
+from random import Random
+
+from attrs import Factory, define, frozen
+
+from catkinslip.routing.base import (
+    AttemptResult,
+    BackendLoad,
+    Choice,
+    LoadReport,
+    Policy,
+    ResultKind,
+)
+from catkinslip.routing.evidence import (
+    HIGHEST_LIE_SHARE,
+    ServiceTime,
+    Trust,
+    count_failure,
+)
+from catkinslip.routing.learning import SPEED_FORGET_SECONDS, InFlightMean, SpeedMean
+
+ZONE_HOP_SECONDS = 0.001
+REPORT_MEMORY_SECONDS = 0.03
+MOST_INFERRED_SLOWNESS = 1.2
+IDLE_SHARE = 0.05
+PAUSED_DELAY = 20.0
+
+
+@frozen
+class DelayReason:
+    """Why a server has the shortest expected delay; delays in service times."""
+
+    delay: float
+    in_flight: float
+    next_id: str
+    next_delay: float
+
+    def __str__(self) -> str:
+        reason = f'expected delay {self.delay:.2f} with {self.in_flight:.1f} in flight'
+        if not self.next_id:
+            return reason
+        return f'{reason}, next {self.next_id} {self.next_delay:.2f}'
+
+
+@define
+class ExpectedDelay(Policy):
+    """Choose the shortest expected delay: queue ahead over slots, over speed."""
+
+    random: Random
+    zone: str = ''
+    zone_hop: float = ZONE_HOP_SECONDS
+    report_memory: float = REPORT_MEMORY_SECONDS
+    weigh_speed: bool = True
+    in_flight: InFlightMean = Factory(InFlightMean)
+    speed: SpeedMean = Factory(SpeedMean)
+    trust: Trust = Factory(Trust)
+    service_time: ServiceTime = Factory(ServiceTime)
+
+    def choose(self, candidates: Sequence[BackendLoad], now: float) -> Choice:
+        """Choose one of at least one candidate."""
+        start = self.random.randrange(len(candidates))
+        chosen = following = None
+        least = next_least = float('inf')
+        chosen_in_flight = 0.0
+        report_rate = -1 / self.report_memory
+        speed_rate = -1 / self.speed.persistence
+        mean_in_flight = self.in_flight.value
+        mean_speed = self.speed.value
+        slots = candidates[0].slots
+        zone = self.zone or candidates[0].zone
+        far_delay = self.zone_hop / self.service_time.mean if self.zone else 0.0
+        # One pass almost without calls: it runs for each request.
+        for load in (*candidates[start:], *candidates[:start]):
+            age = now - load.reported_at
+            excess = load.reported_in_flight - mean_in_flight
+            in_flight = mean_in_flight + excess * exp(age * report_rate)
+            in_flight += load.picks_since_report
+            if load.lie_share:
+                in_flight = self._distrusted(load, in_flight)
+            if in_flight < load.in_flight:
+                in_flight = load.in_flight
+            delay = 1 + IDLE_SHARE * in_flight
+            if in_flight + 1 > slots:
+                delay += (in_flight + 1 - slots) / slots
+            speed = load.mean_speed if age < SPEED_FORGET_SECONDS else mean_speed
+            delay /= speed + (load.speed - speed) * exp(age * speed_rate)
+            if load.zone != zone:
+                delay += far_delay
+            if load.is_irregular:
+                delay = irregular_delay(load, delay, now)
+            if delay < least:
+                following, next_least = chosen, least
+                chosen, least, chosen_in_flight = load, delay, in_flight
+            elif delay < next_least:
+                following, next_least = load, delay
+        chosen.expected_in_flight = chosen_in_flight
+        next_id = following.backend_id if following else ''
+        reason = DelayReason(least, chosen_in_flight, next_id, next_least)
+        return Choice(chosen.backend_id, reason)
+
+    def _distrusted(self, load: BackendLoad, in_flight: float) -> float:
+        trust = max(0.0, 1 - load.lie_share / HIGHEST_LIE_SHARE)
+        own = load.in_flight * self.trust.scale(self.in_flight.value)
+        return own + (in_flight - own) * trust
+
+    def started(self, load: BackendLoad, now: float) -> None:
+        """Remember what was expected when a request was sent."""
+        load.expected_by_pick.append(load.expected_in_flight)
+
+    def finished(self, load: BackendLoad, result: AttemptResult, now: float) -> None:
+        """Learn from an answer, its latency and its load report."""
+        expected = load.expected_by_pick.popleft() if load.expected_by_pick else 0.0
+        if result.kind is ResultKind.CANCELLED:
+            return
+        count_failure(load, result.kind, now)
+        if result.kind is ResultKind.ANSWERED:
+            self.trust.learn(load, result.report)
+            self.service_time.learn(load, result, expected, now)
+
+    def reported(self, load: BackendLoad, report: LoadReport, at: float) -> None:
+        """Learn from a load report, before it replaces the last."""
+        self.in_flight.learn(load, report)
+        load.reported_in_flight = report.in_flight
+        if not self.weigh_speed:
+            return
+        if report.speed is not None:
+            self.speed.learn(load, report.speed, at)
+        elif load.slowness == 1:
+            slowness = min(sqrt(load.inferred_slowness), MOST_INFERRED_SLOWNESS)
+            load.speed = load.mean_speed = self.speed.value / slowness
+
+
+def irregular_delay(load: BackendLoad, delay: float, now: float) -> float:
+    """Return the delay at a server that failed, shed or contradicts its reports."""
+    if now - load.answered_at > SPEED_FORGET_SECONDS:
+        load.slowness = 1.0
+    delay *= load.slowness
+    if now < load.paused_until:
+        return delay + PAUSED_DELAY
+    load.is_irregular = load.slowness != 1
+    return delay
--- /dev/null
+++ b/catkinslip/routing/evidence.py
@@ -0,0 +1,109 @@
+"""What an instance's own answers say of a backend server, beside its reports."""
+
+from math import exp
+
+from attrs import define
+
+from catkinslip.routing.base import AttemptResult, BackendLoad, LoadReport, ResultKind
+
+TRUST_WEIGHT = 0.1
+HIGHEST_LIE_SHARE = 0.1
+OWN_WEIGHT = 0.02
+LEAST_OWN = 0.05
+SERVICE_WEIGHT = 0.01
+FIRST_SERVICE_SECONDS = 0.02
+SERVICE_MEMORY_SECONDS = 0.5
+PRIOR_ANSWERS = 4.0
+LEAST_SLOWNESS = 0.33
+MOST_SLOWNESS = 20.0
+PLAIN_CONTRADICTION = 2.0
+FAILURE_WEIGHT = 0.3
+EJECTING_FAILURE_SHARE = 0.5
+FAILURE_PAUSE_SECONDS = 1.0
+LONGEST_FAILURE_PAUSE_SECONDS = 30.0
+SHED_PAUSE_SECONDS = 0.05
+LONGEST_SHED_PAUSE_SECONDS = 1.0
+
+
+@define
+class Trust:
+    """Check reports against own requests in flight.
+
+    A server that holds requests of this instance cannot hold fewer. Requests sent
+    since the last report may still be on their way and are not counted.
+    """
+
+    mean_own: float = 0.0
+
+    def learn(self, load: BackendLoad, report: LoadReport | None) -> None:
+        """Take a report, or the lack of one, before it replaces the last."""
+        self.mean_own += OWN_WEIGHT * (load.in_flight - self.mean_own)
+        if report is None:
+            load.lie_share = 1.0
+            return
+        surely_there = load.in_flight - load.picks_since_report
+        if surely_there > 0:
+            lied = report.in_flight < surely_there
+            load.lie_share += TRUST_WEIGHT * (lied - load.lie_share)
+        elif load.report is None:
+            load.lie_share = 0.0
+
+    def scale(self, mean_reported: float) -> float:
+        """Return requests in flight of all instances for each own one."""
+        return max(1.0, mean_reported / max(self.mean_own, LEAST_OWN))
+
+
+@define
+class ServiceTime:
+    """Infer how slow a server is from latency without the expected queue.
+
+    A queue of n requests before c slots takes n / c service times, so a latency
+    over that is one service time. The mean over all servers is the yardstick.
+    """
+
+    mean: float = FIRST_SERVICE_SECONDS
+    is_known: bool = False
+
+    def learn(
+        self, load: BackendLoad, result: AttemptResult, expected: float, now: float
+    ) -> None:
+        """Take an answer to a request that was expected to find some in flight."""
+        report = result.report
+        sample = result.latency / max(1.0, (expected + 1) / load.slots)
+        if report is not None and report.speed is not None:
+            sample *= load.mean_speed
+        weight = SERVICE_WEIGHT if self.is_known else 1.0
+        self.is_known = True
+        self.mean += weight * (sample - self.mean)
+        decay = exp((load.answered_at - now) / SERVICE_MEMORY_SECONDS)
+        load.answered_at = now
+        load.answers = load.answers * decay + 1
+        load.service_seconds = load.service_seconds * decay + sample
+        seen = load.service_seconds + PRIOR_ANSWERS * self.mean
+        expected_seconds = (load.answers + PRIOR_ANSWERS) * self.mean
+        slowness = seen / expected_seconds if expected_seconds else 1.0
+        load.inferred_slowness = min(max(slowness, LEAST_SLOWNESS), MOST_SLOWNESS)
+        is_plain = load.inferred_slowness > PLAIN_CONTRADICTION
+        load.slowness = load.inferred_slowness if is_plain else 1.0
+        load.is_irregular = load.is_irregular or is_plain
+
+
+def count_failure(load: BackendLoad, kind: ResultKind, now: float) -> None:
+    """Avoid a server that fails or sheds for a while, longer each time."""
+    failed = kind is ResultKind.FAILED
+    load.failure_share += FAILURE_WEIGHT * (failed - load.failure_share)
+    if kind is ResultKind.ANSWERED:
+        load.pauses = 0
+    elif kind is ResultKind.SHED:
+        pause(load, now, SHED_PAUSE_SECONDS, LONGEST_SHED_PAUSE_SECONDS)
+    elif failed and load.failure_share > EJECTING_FAILURE_SHARE:
+        pause(load, now, FAILURE_PAUSE_SECONDS, LONGEST_FAILURE_PAUSE_SECONDS)
+
+
+def pause(load: BackendLoad, now: float, shortest: float, longest: float) -> None:
+    """Pause a server; answers to requests sent before do not count twice."""
+    if now < load.paused_until:
+        return
+    load.is_irregular = True
+    load.paused_until = now + min(shortest * 2**load.pauses, longest)
+    load.pauses = min(load.pauses + 1, 10)
--- a/catkinslip/routing/reports.py
+++ b/catkinslip/routing/reports.py
@@ -7,24 +7,32 @@
 from catkinslip.routing.base import LoadReport
 
 HEADER = b'endpoint-load-metrics'
-PREFIX = 'TEXT '
-IN_FLIGHT = 'named_metrics.in_flight'
-SPEED = 'named_metrics.speed'
+PREFIX = b'TEXT '
+IN_FLIGHT = b'named_metrics.in_flight'
+SPEED = b'named_metrics.speed'
+LONGEST_BYTES = 1024
+MOST_IN_FLIGHT = 1e6
+LEAST_SPEED = 1e-3
+MOST_SPEED = 1e6
 
 
 def parse_report(value: bytes) -> LoadReport | None:
-    """Parse a load report; None for anything malformed."""
-    text = value.decode('latin-1')
-    if not text.startswith(PREFIX):
+    """Parse a load report; None for anything malformed or out of range."""
+    if len(value) > LONGEST_BYTES or not value.startswith(PREFIX):
         return None
-    value_by_name = {}
-    for field in text.removeprefix(PREFIX).split(','):
-        name, _, number = field.strip().partition('=')
-        try:
-            value_by_name[name] = float(number)
-        except ValueError:
-            return None
-    in_flight = value_by_name.get(IN_FLIGHT)
-    if in_flight is None or not 0 <= in_flight < float('inf'):
+    in_flight = speed = None
+    try:
+        for field in value[len(PREFIX) :].split(b','):
+            name, _, number = field.strip().partition(b'=')
+            if name == IN_FLIGHT:
+                in_flight = float(number)
+            elif name == SPEED:
+                speed = float(number)
+    except ValueError:
         return None
-    return LoadReport(in_flight, value_by_name.get(SPEED))
+    # Comparisons with NaN are false, so that it is refused too.
+    if in_flight is None or not 0 <= in_flight <= MOST_IN_FLIGHT:
+        return None
+    if speed is not None and not LEAST_SPEED <= speed <= MOST_SPEED:
+        return None
+    return LoadReport(in_flight, speed)
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -1,19 +1,33 @@
 """The state of the choice for one service."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 
 from attrs import Factory, define
 
 from catkinslip.config.documents import Backend, Service
-from catkinslip.routing.base import BackendLoad, Choice, LoadReport, Policy
+from catkinslip.routing.base import (
+    AttemptResult,
+    BackendLoad,
+    Choice,
+    LoadReport,
+    Policy,
+)
+
+WINDOW_SIZE = 32
 
 
 @define
 class ServiceRouter:
-    """Choose among the backend servers of one service."""
+    """Choose among the backend servers of one service.
+
+    Beyond WINDOW_SIZE servers each choice is among the next window of them, so
+    that the cost of a decision stays flat.
+    """
 
     policy: Policy
     load_by_id: dict[str, BackendLoad] = Factory(dict)
+    loads: list[BackendLoad] = Factory(list)
+    window_start: int = 0
 
     def update(self, service: Service, backend_by_id: Mapping[str, Backend]) -> None:
         """Take over the backend servers of a new configuration."""
@@ -27,34 +41,45 @@
                 self.load_by_id[backend_id] = load
             load.slots = service.slots
             load.draining = backend.draining
+        self.loads = list(self.load_by_id.values())
 
     def choose(self, now: float, excluded: Collection[str] = ()) -> Choice | None:
         """Choose a backend server that takes new work; None when there is none."""
-        candidates = [
-            load
-            for load in self.load_by_id.values()
-            if not load.draining and load.backend_id not in excluded
-        ]
+        candidates = takes_work(self._next_window(), excluded)
+        if not candidates and len(self.loads) > WINDOW_SIZE:
+            candidates = takes_work(self.loads, excluded)
         if not candidates:
             return None
         return self.policy.choose(candidates, now)
 
-    def started(self, backend_id: str) -> None:
+    def _next_window(self) -> list[BackendLoad]:
+        loads = self.loads
+        if len(loads) <= WINDOW_SIZE:
+            return loads
+        start = self.window_start % len(loads)
+        self.window_start = start + WINDOW_SIZE
+        window = loads[start : start + WINDOW_SIZE]
+        return window + loads[: WINDOW_SIZE - len(window)]
+
+    def started(self, backend_id: str, now: float) -> None:
         """Count a request sent to a backend server."""
         load = self.load_by_id.get(backend_id)
         if load is None:
             return
         load.in_flight += 1
         load.picks_since_report += 1
+        self.policy.started(load, now)
 
-    def finished(self, backend_id: str, report: LoadReport | None, now: float) -> None:
+    def finished(self, backend_id: str, result: AttemptResult, now: float) -> None:
         """Count a request that ended and take its load report."""
         load = self.load_by_id.get(backend_id)
         if load is None:
             return
         load.in_flight = max(0, load.in_flight - 1)
-        if report is not None:
-            load.report = report
+        self.policy.finished(load, result, now)
+        if result.report is not None:
+            self.policy.reported(load, result.report, now)
+            load.report = result.report
             load.reported_at = now
             load.picks_since_report = 0
 
@@ -67,6 +92,7 @@
         """
         load = self.load_by_id.get(backend_id)
         if load is not None and at > load.reported_at:
+            self.policy.reported(load, report, at)
             load.report = report
             load.reported_at = at
             load.picks_since_report = max(0, load.picks_since_report - picks_before)
@@ -75,3 +101,14 @@
         """Return the own picks since the last report of a backend server."""
         load = self.load_by_id.get(backend_id)
         return 0 if load is None else load.picks_since_report
+
+
+def takes_work(
+    loads: Sequence[BackendLoad], excluded: Collection[str]
+) -> list[BackendLoad]:
+    """Return the backend servers that take new work."""
+    if not excluded:
+        return [load for load in loads if not load.draining]
+    return [
+        load for load in loads if not load.draining and load.backend_id not in excluded
+    ]
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -9,8 +9,16 @@
 PLATFORM = 'Platform'
 PEERS = 'Peers'
 REQUESTS = 'Requests'
+ROUTING = 'Routing'
 LOGS = 'Logs'
 
+POLICIES = (
+    'expected-delay',
+    'least-in-flight',
+    'two-choices',
+    'round-robin',
+    'random',
+)
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 
@@ -134,6 +142,27 @@
         'Seconds that a stop waits for requests in flight.',
         REQUESTS,
     ),
+    Option(
+        '--policy',
+        'expected-delay',
+        one_of(*POLICIES),
+        'Policy that chooses a backend server.',
+        ROUTING,
+    ),
+    Option(
+        '--report-memory',
+        '0.03',
+        number(0.001, 10, 'seconds'),
+        'Seconds in which a load report loses two thirds of its weight.',
+        ROUTING,
+    ),
+    Option(
+        '--zone-hop',
+        '0.001',
+        number(0, 1, 'seconds'),
+        'Seconds that a request to another zone takes longer.',
+        ROUTING,
+    ),
     Option(
         '--key-lifetime',
         '300',
@@ -210,6 +239,9 @@
     max_home_instances: int
     request_timeout: float
     drain_timeout: float
+    policy: str
+    report_memory: float
+    zone_hop: float
     key_lifetime: float
     key_capacity: int
     head_timeout: float
--- a/catkinslip/tickets/passing.py
+++ b/catkinslip/tickets/passing.py
@@ -81,7 +81,7 @@
             self.clock,
             own_id=self.own_id,
         )
-        with trio.move_on_after(call.deadline - self.clock.monotonic()):
+        with trio.move_on_after(max(0.0, call.deadline - self.clock.monotonic())):
             return await attempt.run()
         return Unknown(Reason.DEADLINE, 'no whole answer of the home')
 
--- /dev/null
+++ b/model/config_changes.py
@@ -0,0 +1,251 @@
+"""Operators change the configuration: races, lost answers, stale reads, late writes.
+
+Each operator makes one change. The platform's object has a version, counted by
+every write, and the number of its last change; its head lists the changes, so a
+reader sees whether one of them is its own. Writes may be late and delivered twice.
+"""
+
+from collections.abc import Iterator
+from enum import IntEnum
+
+import z3
+from attrs import define
+
+from model.specification import Action, Guard, Specification, State, indexed
+
+OPERATORS = range(3)
+MOST_WRITES = 20
+
+TOLD_TRUE = 'what operators are told stays true'
+ONE_CHANGE = 'one change per number'
+ONCE = 'a change is accepted once'
+
+
+class Told(IntEnum):
+    """What an operator was told of the change."""
+
+    NOTHING = 0
+    ACCEPTED = 1
+    CONFLICT = 2
+    NOT_MADE = 3
+    UNKNOWN = 4
+
+
+@define
+class ConfigChangeSpecification(Specification):
+    """Conditional writes, and reading back what became of one."""
+
+    name = 'config changes'
+    bounds = f'{len(OPERATORS)} operators, up to {MOST_WRITES} writes'
+    guard_by_name = {
+        'conditional-write': Guard('two changes on one base', ONE_CHANGE),
+        'history-decides': Guard('a later change stands on an accepted one', TOLD_TRUE),
+        'unknown-after-lost-answer': Guard('the write took effect', TOLD_TRUE),
+        'fence-before-not-made': Guard('the write is still on its way', TOLD_TRUE),
+    }
+
+    def initial_values(self) -> dict[str, int | bool]:
+        """Return the variables and their first values."""
+        values: dict[str, int | bool] = {
+            'version': 0,
+            'number': 0,
+            'earlier_version': 0,
+            'earlier_number': 0,
+            'accepted_twice': False,
+        }
+        for index in OPERATORS:
+            values[indexed('writes', index)] = False
+            values[indexed('base_version', index)] = 0
+            values[indexed('base_number', index)] = 0
+            values[indexed('accepted_at', index)] = 0
+            values[indexed('told', index)] = int(Told.NOTHING)
+        return values
+
+    def properties(self, state: State) -> dict[str, z3.BoolRef]:
+        """Return what must hold in every state, by name."""
+        operators = [Operator(state, index) for index in OPERATORS]
+        numbers = [each.accepted_at for each in operators]
+        shared = [
+            z3.And(numbers[one] == numbers[other], numbers[one] > 0)
+            for one in OPERATORS
+            for other in range(one)
+        ]
+        return {
+            TOLD_TRUE: z3.And(*(each.is_told_right() for each in operators)),
+            ONE_CHANGE: z3.Not(z3.Or(*shared)),
+            ONCE: z3.Not(state['accepted_twice']),
+        }
+
+    def goals(self, state: State) -> dict[str, z3.BoolRef]:
+        """Return what some run must reach, so that no proof is empty."""
+        told = [state[indexed('told', index)] for index in OPERATORS]
+        return {
+            'two accepted, one conflict': z3.And(
+                told[0] == Told.ACCEPTED,
+                told[1] == Told.ACCEPTED,
+                told[2] == Told.CONFLICT,
+            ),
+            'not made': told[0] == Told.NOT_MADE,
+        }
+
+    def invariant(self, state: State) -> dict[str, z3.BoolRef]:
+        """Return what each step keeps, and from which the properties follow."""
+        facts = {
+            **self.properties(state),
+            'counters': z3.And(
+                state['earlier_version'] >= 0,
+                state['earlier_version'] <= state['version'],
+                state['version'] <= MOST_WRITES,
+                state['earlier_number'] >= 0,
+                state['earlier_number'] <= state['number'],
+                state['number'] <= state['version'],
+            ),
+            'same version, same number': z3.Implies(
+                state['earlier_version'] == state['version'],
+                state['earlier_number'] == state['number'],
+            ),
+        }
+        for index in OPERATORS:
+            operator = Operator(state, index)
+            facts[f'base {index}'] = operator.is_base_right()
+            facts[f'accepted {index}'] = operator.is_accepted_right()
+            facts[f'told {index}'] = operator.is_told_for_good()
+        return facts
+
+    def actions(self, state: State) -> Iterator[Action]:
+        """Yield the steps that may follow a state."""
+        for index in OPERATORS:
+            operator = Operator(state, index)
+            yield from self._write(operator)
+            yield from self._hear(operator)
+            for view in ('', 'earlier_'):
+                yield from self._read_back(operator, view)
+
+    def _write(self, operator: 'Operator') -> Iterator[Action]:
+        state, index = operator.state, operator.index
+        for view in ('', 'earlier_'):
+            base = {
+                indexed('writes', index): True,
+                indexed('base_version', index): state[f'{view}version'],
+                indexed('base_number', index): state[f'{view}number'],
+            }
+            yield operator.act(f'write_on_{view}base', z3.Not(operator.writes), base)
+        may = z3.And(operator.writes, state['version'] < MOST_WRITES)
+        if self.has('conditional-write'):
+            may = z3.And(may, state['version'] == operator.base_version)
+        number = operator.base_number + 1
+        updates = {
+            **next_version(state),
+            'number': number,
+            indexed('accepted_at', index): number,
+            'accepted_twice': z3.Or(state['accepted_twice'], operator.accepted_at > 0),
+        }
+        yield operator.act('write_applies', may, updates)
+
+    def _hear(self, operator: 'Operator') -> Iterator[Action]:
+        waits = z3.And(operator.writes, operator.told == Told.NOTHING)
+        accepted = z3.And(waits, operator.accepted_at > 0)
+        yield operator.act('hear_success', accepted, operator.tell(Told.ACCEPTED))
+        told = Told.UNKNOWN
+        if not self.has('unknown-after-lost-answer'):
+            told = Told.NOT_MADE
+        yield operator.act('answer_lost', waits, operator.tell(told))
+        state = operator.state
+        may = z3.And(
+            waits,
+            state['version'] == operator.base_version,
+            state['version'] < MOST_WRITES,
+        )
+        updates = {**next_version(state), **operator.tell(Told.NOT_MADE)}
+        yield operator.act('fence', may, updates)
+
+    def _read_back(self, operator: 'Operator', view: str) -> Iterator[Action]:
+        version, number = (
+            operator.state[f'{view}version'],
+            operator.state[f'{view}number'],
+        )
+        waits = z3.And(operator.writes, operator.told == Told.NOTHING)
+        own_version = operator.base_version + 1
+        shown = z3.And(operator.accepted_at > 0, own_version <= version)
+        if not self.has('history-decides'):
+            shown = z3.And(shown, operator.accepted_at == number)
+        name = f'read_{view}'
+        yield operator.act(
+            f'{name}own', z3.And(waits, shown), operator.tell(Told.ACCEPTED)
+        )
+        other = z3.And(waits, z3.Not(shown), version > operator.base_version)
+        later = number > operator.base_number
+        yield operator.act(
+            f'{name}other', z3.And(other, later), operator.tell(Told.CONFLICT)
+        )
+        yield operator.act(
+            f'{name}fenced', z3.And(other, z3.Not(later)), operator.tell(Told.NOT_MADE)
+        )
+        if not self.has('fence-before-not-made'):
+            unseen = z3.And(waits, z3.Not(shown))
+            yield operator.act(f'{name}unseen', unseen, operator.tell(Told.NOT_MADE))
+
+
+def next_version(state: State) -> dict:
+    """Return the updates of a write, which keep the state before for stale reads."""
+    return {
+        'version': state['version'] + 1,
+        'earlier_version': state['version'],
+        'earlier_number': state['number'],
+    }
+
+
+@define
+class Operator:
+    """One operator and the change, in one state."""
+
+    state: State
+    index: int
+
+    def __getattr__(self, name: str) -> z3.ExprRef:
+        return self.state[indexed(name, self.index)]
+
+    def act(self, name: str, guard: z3.BoolRef, updates) -> Action:
+        """Return an action of this operator."""
+        return Action(f'{name} {self.index}', guard, updates)
+
+    def tell(self, told: Told) -> dict:
+        """Return the updates that tell the operator."""
+        return {indexed('told', self.index): told.value}
+
+    def is_told_right(self) -> z3.BoolRef:
+        """Tell whether the operator's word fits what was accepted."""
+        refused = z3.Or(self.told == Told.CONFLICT, self.told == Told.NOT_MADE)
+        return z3.And(
+            z3.Implies(refused, self.accepted_at == 0),
+            z3.Implies(self.told == Told.ACCEPTED, self.accepted_at > 0),
+        )
+
+    def is_told_for_good(self) -> z3.BoolRef:
+        """Tell whether a refused change can't be accepted any more."""
+        refused = z3.Or(self.told == Told.CONFLICT, self.told == Told.NOT_MADE)
+        passed = self.state['version'] > self.base_version
+        return z3.Implies(z3.Or(refused, self.accepted_at > 0), passed)
+
+    def is_base_right(self) -> z3.BoolRef:
+        """Tell whether the base is one that was read."""
+        state = self.state
+        same = self.base_version == state['version']
+        return z3.And(
+            self.base_version >= 0,
+            self.base_version <= state['version'],
+            self.base_number >= 0,
+            self.base_number <= state['number'],
+            z3.Implies(z3.And(self.writes, same), self.base_number == state['number']),
+        )
+
+    def is_accepted_right(self) -> z3.BoolRef:
+        """Tell whether an accepted change has the number after its base."""
+        number = self.accepted_at
+        return z3.And(
+            number >= 0,
+            number <= self.state['number'],
+            z3.Implies(number > 0, number == self.base_number + 1),
+            z3.Implies(z3.Not(self.writes), number == 0),
+            z3.Implies(z3.Not(self.writes), self.told == Told.NOTHING),
+        )
--- /dev/null
+++ b/model/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay runs of the model against the product's code."""
--- /dev/null
+++ b/model/replay/stepped.py
@@ -0,0 +1,56 @@
+"""An object store whose writes take effect, and answer, when a replay says so."""
+
+from typing import Any
+
+import trio
+from attrs import Factory, define
+from returns.result import Failure, Result
+
+from catkinslip.platform.base import (
+    AnswerLost,
+    ObjectKey,
+    PlatformError,
+    StoredObject,
+    Unavailable,
+)
+from catkinslip.platform.embedded import EmbeddedStore
+
+
+@define(eq=False)
+class PendingWrite:
+    """A write on its way; it may take effect late, twice or never."""
+
+    key: ObjectKey
+    value: Any
+    expected_version: int
+    answered: trio.Event = Factory(trio.Event)
+
+
+@define(eq=False)
+class SteppedStore(EmbeddedStore):
+    """Hold back the writes of one kind of object; all their answers are lost."""
+
+    held_kind: str = ''
+    is_down: bool = False
+    pending: list[PendingWrite] = Factory(list)
+
+    async def read(self, key: ObjectKey) -> Result[StoredObject | None, PlatformError]:
+        """Read an object; None when there is none."""
+        if self.is_down:
+            return Failure(Unavailable('down'))
+        return await EmbeddedStore.read(self, key)
+
+    async def write(
+        self, key: ObjectKey, value: Any, expected_version: int
+    ) -> Result[StoredObject, PlatformError]:
+        """Write an object if it has the version, when the replay says so."""
+        if key.kind != self.held_kind:
+            return await EmbeddedStore.write(self, key, value, expected_version)
+        write = PendingWrite(key, value, expected_version)
+        self.pending.append(write)
+        await write.answered.wait()
+        return Failure(AnswerLost('held back'))
+
+    async def apply(self, write: PendingWrite) -> None:
+        """Let a write reach the store."""
+        await EmbeddedStore.write(self, write.key, write.value, write.expected_version)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -29,6 +29,7 @@
     slowdown: float = 1.0
     draining: bool = False
     drain_header: bool = True
+    closes_when_draining: bool = True
     refuses_when_draining: bool = False
     linger: float = 0.0
     fail_fast: bool = False
@@ -84,7 +85,8 @@
         else:
             status, headers, answer = await self.work(head, body)
         if self.behaviour.draining:
-            headers.append((b'connection', b'close'))
+            if self.behaviour.closes_when_draining:
+                headers.append((b'connection', b'close'))
             if self.behaviour.drain_header:
                 headers.append((b'catkinslip-drain', b'true'))
         headers.append((b'content-length', b'%d' % len(answer)))
--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -3,6 +3,7 @@
 import unittest
 
 import trio
+from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from trio.testing import MockClock
@@ -14,6 +15,7 @@
     ChangeUnknown,
     apply_change,
 )
+from catkinslip.config.documents import AcceptedConfig, Document, converter
 from catkinslip.config.history import CHANGES_PER_SNAPSHOT
 from catkinslip.config.reading import (
     CONFIG_KEY,
@@ -161,6 +163,24 @@
 
         self.assertIsInstance(self.run_async(lose), ChangeUnknown)
 
+    def test_fields_of_a_newer_program_are_not_written_over(self):
+        rule = {'service': '*', 'path': '/', 'methods': ['GET'], 'repeatable': True}
+        newer = {**rule, 'newer': 1}
+
+        async def act():
+            await self.change(1)
+            base = await read_config(self.store)
+            outcomes = []
+            for plain in ({'rules': {'newer': {}}}, {'rules': {'requests': [newer]}}):
+                document = converter.structure(plain, Document)
+                version = base.config.version
+                config = AcceptedConfig(version, 'x', 'ana', document, plain)
+                outcomes.append(await self.change(2, evolve(base, config=config)))
+            return outcomes
+
+        for outcome in self.run_async(act):
+            self.assertIsInstance(outcome, ChangeNotMade)
+
     def test_snapshots_that_no_head_names_are_deleted(self):
         async def many():
             base = await read_config(self.store)
--- a/tests/test_health_tracker.py
+++ b/tests/test_health_tracker.py
@@ -144,6 +144,7 @@
             (drain, 7),
             (load, [{**report, 'in_flight': float('inf')}]),
             (load, [{**report, 'age': -5.0}]),
+            (load, [{**report, 'speed': float('nan')}]),
             (load, [{}]),
         ]
         for topic, news in bad:
--- /dev/null
+++ b/tests/test_model_conformance.py
@@ -0,0 +1,106 @@
+"""Runs that break a mutant of the model must not break the product."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from catkinslip.config.changes import ChangeAccepted, ChangeConflict, ChangeNotMade
+from model.checker import find_counterexample, find_gaps
+from model.config_changes import ConfigChangeSpecification
+from model.config_spread import INSTANCES, ConfigSpreadSpecification
+from model.lease import LeaseSpecification
+from model.records import RecordSpecification
+from model.replay.config import ConfigChangeReplay, ConfigSpreadReplay
+from model.replay.records import RecordReplay
+from model.replay.tickets import TicketReplay
+from model.tickets import TicketSpecification
+
+#: What the home's table guards; the gate's tests show the other guards.
+TABLE_GUARDS = (
+    'compare-incarnation',
+    'refuse-expired',
+    'own-clock',
+    'keep-until-expiry',
+    'record-before-first-byte',
+    'keep-unknown',
+)
+
+
+class CheckerTest(unittest.TestCase):
+    """The checker tells a protocol from one with a hole."""
+
+    def test_sound_protocol_has_no_gaps(self):
+        self.assertEqual(find_gaps(LeaseSpecification()), [])
+
+    def test_mutant_has_gaps_and_a_counterexample(self):
+        for guard in LeaseSpecification.guard_by_name:
+            with self.subTest(guard=guard):
+                mutant = LeaseSpecification(without=guard)
+                self.assertNotEqual(find_gaps(mutant), [])
+                self.assertIsNotNone(find_counterexample(mutant))
+
+
+class ConformanceTest(unittest.TestCase):
+    """Replays of the counterexamples of all mutants that concern our code."""
+
+    def test_ticket_table(self):
+        for guard in TABLE_GUARDS:
+            with self.subTest(guard=guard):
+                run = find_counterexample(TicketSpecification(without=guard))
+                replay = TicketReplay()
+                trio.run(replay.play, run)
+                self.assertLessEqual(replay.runs, 1, run.actions())
+                for sending in replay.sending_by_index.values():
+                    self.assertIn(sending.told_not_run_after, (None, 0))
+
+    def test_records(self):
+        for guard in RecordSpecification.guard_by_name:
+            with self.subTest(guard=guard):
+                run = find_counterexample(RecordSpecification(without=guard))
+                replay = trio.run(play_records, run)
+                self.assertLessEqual(replay.runs, 1, run.actions())
+                self.assertEqual(set(replay.told_not_run_after) - {0}, set())
+
+    def test_config_changes(self):
+        for guard in ConfigChangeSpecification.guard_by_name:
+            with self.subTest(guard=guard):
+                run = find_counterexample(ConfigChangeSpecification(without=guard))
+                clock = trio.testing.MockClock(autojump_threshold=0.01)
+                told, accepted = trio.run(play_changes, run, clock=clock)
+                self.assertEqual(len(set(accepted.values())), len(accepted))
+                for change_id, outcome in told.items():
+                    if isinstance(outcome, ChangeAccepted):
+                        self.assertIn(change_id, accepted, run.actions())
+                    if isinstance(outcome, ChangeConflict | ChangeNotMade):
+                        self.assertNotIn(change_id, accepted, run.actions())
+
+    def test_config_spread(self):
+        for guard in ConfigSpreadSpecification.guard_by_name:
+            with self.subTest(guard=guard):
+                self.assert_spread_holds(guard)
+
+    def assert_spread_holds(self, guard: str):
+        run = find_counterexample(ConfigSpreadSpecification(without=guard))
+        replay = ConfigSpreadReplay(len(INSTANCES))
+        replay.start()
+        trio.run(replay.play, run)
+        self.assertEqual(replay.mistakes, [], run.actions())
+
+
+async def play_records(run) -> RecordReplay:
+    async with trio.open_nursery() as nursery:
+        replay = RecordReplay(nursery)
+        await replay.play(run)
+        nursery.cancel_scope.cancel()
+    return replay
+
+
+async def play_changes(run):
+    async with trio.open_nursery() as nursery:
+        replay = ConfigChangeReplay(nursery)
+        await replay.play(run)
+        replay.store.held_kind = ''
+        for write in replay.store.pending:
+            write.answered.set()
+    return replay.outcome_by_change, await replay.accepted()
--- /dev/null
+++ b/tests/test_proxy_process.py
@@ -0,0 +1,97 @@
+"""The request path of a whole daemon before a faulty backend server (issue 3)."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+
+from catkinslip.cli.application import run
+from catkinslip.models import Address
+from standins.processes import ProcessGroup
+from standins.raw import CLOSE, WAIT, RawAnswer, RawBackend, ok
+from tests.builders import document_plain
+
+GENEROUS_SECONDS = 30
+GET = b'GET /a HTTP/1.1\r\nHost: limits\r\n\r\n'
+POST = b'POST /a HTTP/1.1\r\nHost: limits\r\nContent-Length: 2\r\n\r\nhi'
+CUT = RawAnswer(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc', closes=True)
+
+
+class DaemonPathTest(unittest.TestCase):
+    """Callers that leave, answers cut short, connections closed when idle."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.group = ProcessGroup(Path(folder.name))
+        self.addCleanup(self.group.stop_all)
+
+    def start_daemon(self, backend_address: str) -> Address:
+        platform_url = f'http://{self.group.start_platform().address}'
+        # The deadline must not do the work of the watch on callers.
+        daemon = self.group.start_daemon(
+            'entry-1', 'zone-a', platform_url=platform_url, request_timeout=600
+        )
+        path = self.group.folder / 'document.json'
+        path.write_text(json.dumps(document_plain({'limits-1': backend_address})))
+        run(['apply', str(path), '--platform-url', platform_url, '--quiet'])
+        return Address.parse(daemon.address)
+
+    def test_faults_of_a_backend_and_a_caller(self):
+        trio.run(self.provoke, RawBackend())
+
+    async def provoke(self, backend: RawBackend):
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, backend.serve, 0)
+            port = listeners[0].socket.getsockname()[1]
+            address = await trio.to_thread.run_sync(
+                self.start_daemon, f'127.0.0.1:{port}'
+            )
+            with trio.fail_after(GENEROUS_SECONDS):
+                while not (await self.ask(address, GET)).startswith(b'HTTP/1.1 200'):
+                    await trio.sleep(0.05)
+                await self.check_cut_answer(backend, address)
+                await self.check_closed_connection(backend, address)
+                await self.check_leaving_caller(backend, address)
+            nursery.cancel_scope.cancel()
+
+    async def ask(self, address: Address, request: bytes) -> bytes:
+        """Return all bytes of an answer, and that it was reset as the last."""
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(
+            request.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+        )
+        data = b''
+        try:
+            async for part in stream:
+                data += part
+        except trio.BrokenResourceError:
+            data += b'RESET'
+        await stream.aclose()
+        return data
+
+    async def check_cut_answer(self, backend: RawBackend, address: Address):
+        backend.answers = [CUT]
+        self.assertTrue((await self.ask(address, POST)).endswith(b'RESET'))
+
+    async def check_closed_connection(self, backend: RawBackend, address: Address):
+        for request, status in ((GET, b'200'), (POST, b'502')):
+            backend.answers = [ok(), CLOSE, ok()]
+            await self.ask(address, GET)
+            answer = await self.ask(address, request)
+            self.assertEqual(answer.split(b' ')[1], status)
+            self.assertEqual(b'catkinslip-outcome: unknown' in answer, status == b'502')
+
+    async def check_leaving_caller(self, backend: RawBackend, address: Address):
+        backend.answers, backend.left, backend.asked = (
+            [WAIT],
+            trio.Event(),
+            trio.Event(),
+        )
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(POST)
+        await backend.asked.wait()
+        await stream.aclose()
+        await backend.left.wait()
