--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -78,7 +78,7 @@
     """Hold the limits of all services, in step with routers and members."""
 
     settings: LimitSettings
-    count_instances: Callable[[], int]
+    count_instances: Callable[[str], int]
     limits_by_service: dict[str, ServiceLimits] = Factory(dict)
 
     def limits_of(
@@ -91,14 +91,14 @@
             self.limits_by_service[service] = limits
         if now - limits.resized_at >= RESIZE_SECONDS:
             limits.resized_at = now
-            self._resize(limits.load, router)
+            self._resize(service, limits.load, router)
         limits.load.sweep(now)
         return limits
 
-    def _resize(self, load: ServiceLoad, router: ServiceRouter) -> None:
+    def _resize(self, service: str, load: ServiceLoad, router: ServiceRouter) -> None:
         usable = [each for each in router.load_by_id.values() if not each.draining]
         slots = usable[0].slots if usable else 1
-        instances = self.count_instances()
+        instances = self.count_instances(service)
         load.resize(slots, len(usable), instances, self.settings.queue_depth)
 
 
