--- a/catkinslip/cli/configuration_changes.py
+++ b/catkinslip/cli/configuration_changes.py
@@ -1,12 +1,12 @@
 """The commands that change the configuration and follow a change."""
 
 from attrs import evolve
-from cleo.helpers import argument, option
 from returns.result import Failure, Result, Success
 
+from catkinslip.cli import definition as defined
+from catkinslip.cli.base import UsageError
 from catkinslip.cli.change_outcomes import tell_winner
-from catkinslip.cli.changing import AUTHOR, WAIT, ChangingCommand
-from catkinslip.cli.configuration import CONTROL, JSON, PLATFORM
+from catkinslip.cli.changing import ChangingCommand
 from catkinslip.config.changes import ChangeConflict, confirm
 from catkinslip.config.checks import DocumentRefused, read_document
 from catkinslip.config.documents import ConfigVersion, Document, to_plain
@@ -15,7 +15,6 @@
 from catkinslip.platform.base import ObjectStore
 from catkinslip.status import ExitStatus
 
-DEFAULT_WAIT_SECONDS = '30'
 #: Conflicts after which a change of one backend server is given up.
 MAX_CONFLICTS = 3
 
@@ -23,32 +22,10 @@
 class ApplyCommand(ChangingCommand):
     """Make a document the accepted configuration."""
 
-    name = 'apply'
-    description = 'Make a document the accepted configuration.'
-    help = (
-        'The document replaces the accepted one, unless another change was accepted '
-        'since --base. Save the version that `read` shows with the document that you '
-        'edit and name it as --base; without it, a change that another operator made '
-        'since then is overwritten.\n\n'
-        'Example: catkinslip apply document.json --base 0.17 --wait 30'
-    )
-    arguments = [argument('file', 'JSON document with the register and the rules.')]
-    options = [
-        PLATFORM,
-        CONTROL,
-        AUTHOR,
-        WAIT,
-        JSON,
-        option('base', None, 'Version the document was made from.', flag=False),
-        option(
-            'raise-epoch',
-            None,
-            'Begin a new epoch, after the platform was restored from a backup.',
-        ),
-    ]
-
-    async def run_async(self) -> int:
-        """Do the command's work."""
+    declared = defined.APPLY
+
+    async def main(self) -> ExitStatus:
+        """Do the command's work and return its exit status."""
         match self.read_file():
             case Failure(refused):
                 return self.tell_refused(refused)
@@ -71,12 +48,14 @@
         wanted = self.option('base')
         return wanted is None or wanted in (str(version), str(version.number))
 
-    async def _tell_same(self, store: ObjectStore, base: StoredConfig) -> int:
+    async def _tell_same(self, store: ObjectStore, base: StoredConfig) -> ExitStatus:
         version = base.config.version
-        if self.option('json'):
-            self.print_plain({'outcome': 'same', 'version': str(version)})
+        if self.is_json:
+            self.printer.json({'outcome': 'same', 'version': str(version)})
         else:
-            self.line(f'Nothing to change: version {version} is this document.')
+            self.printer.sentence(
+                f'Nothing to change: version {version} is this document.'
+            )
         if self.wait is None:
             return ExitStatus.SUCCESS
         return await self.follow(store, version, base.config.change_id)
@@ -85,14 +64,11 @@
 class DrainCommand(ChangingCommand):
     """Give a backend server no new work."""
 
-    name = 'drain'
-    description = 'Give a backend server no new work; requests in flight finish.'
-    arguments = [argument('backend', 'Name of the backend server in the register.')]
-    options = [PLATFORM, CONTROL, AUTHOR, WAIT, JSON]
+    declared = defined.DRAIN
     draining = True
 
-    async def run_async(self) -> int:
-        """Do the command's work."""
+    async def main(self) -> ExitStatus:
+        """Do the command's work and return its exit status."""
         async with self.open_store() as store:
             for _ in range(MAX_CONFLICTS):
                 base = await read_config(store)
@@ -107,7 +83,9 @@
                 outcome = await self.write(store, base, document.unwrap())
                 if not isinstance(outcome, ChangeConflict):
                     break
-                self.line_error(f'Again, as {tell_winner(outcome.winner)} came first.')
+                self.printer.error(
+                    f'Again, as {tell_winner(outcome.winner)} came first.'
+                )
             return await self.finish(store, outcome)
 
     def _edit(self, document: Document) -> Result[Document, DocumentRefused]:
@@ -122,52 +100,41 @@
         register = evolve(document.register, backends=backends)
         return read_document(to_plain(evolve(document, register=register)))
 
-    def _tell_same(self, base: StoredConfig) -> int:
+    def _tell_same(self, base: StoredConfig) -> ExitStatus:
         version = base.config.version
-        if self.option('json'):
-            self.print_plain({'outcome': 'same', 'version': str(version)})
+        if self.is_json:
+            self.printer.json({'outcome': 'same', 'version': str(version)})
         else:
-            self.line(f'Nothing to change: so it is in version {version}.')
+            self.printer.sentence(f'Nothing to change: so it is in version {version}.')
         return ExitStatus.SUCCESS
 
 
 class UndrainCommand(DrainCommand):
     """Give a backend server work again."""
 
-    name = 'undrain'
-    description = 'Give a drained backend server work again.'
+    declared = defined.UNDRAIN
     draining = False
 
 
+def parse_version(text: str) -> ConfigVersion:
+    """Parse a version; raise UsageError if it is none."""
+    try:
+        return ConfigVersion.parse(text)
+    except ValueError as error:
+        raise UsageError(f'version: {error}.') from None
+
+
 class WatchCommand(ChangingCommand):
     """Wait until a version is in force everywhere."""
 
-    name = 'watch'
-    description = 'Wait until a version is in force on every instance.'
-    arguments = [
-        argument(
-            'version', 'Version, such as 0.17; the last one if left out.', optional=True
-        )
-    ]
-    options = [
-        PLATFORM,
-        CONTROL,
-        option(
-            'wait',
-            None,
-            'Seconds to wait.',
-            flag=False,
-            default=DEFAULT_WAIT_SECONDS,
-        ),
-        JSON,
-    ]
-
-    async def run_async(self) -> int:
-        """Do the command's work."""
+    declared = defined.WATCH
+
+    async def main(self) -> ExitStatus:
+        """Do the command's work and return its exit status."""
         async with self.open_store() as store:
             text = self.argument('version')
             if text is not None:
-                version = self.parse('version', text, ConfigVersion.parse)
+                version = parse_version(text)
                 return await self.follow(store, version, '')
             found = await read_config(store)
             if not isinstance(found, StoredConfig):
--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -1,9 +1,9 @@
-"""The daemon: read settings, wire the parts, serve until told to stop."""
+"""The daemon: wire the parts and serve until told to stop."""
 
+import gc
 import logging
-import signal
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from functools import partial
 
 import httpx
@@ -12,69 +12,59 @@
 from attrs import define
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve as serve_asgi
-from returns.result import Failure, Result, Success
 
-from catkinslip import logs
 from catkinslip.addresses.answers import AddressBook
+from catkinslip.addresses.home import HomeSetLimits
 from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
-from catkinslip.config.signal import PEERS_TOLD_AT_ONCE, ChangeSignal
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
-from catkinslip.control.app import SECRET_HEADER, ControlSurface
+from catkinslip.control.app import ControlSurface
+from catkinslip.control.operators import OperatorPages
+from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.environment import Environment
+from catkinslip.health.lister import ListFollower
+from catkinslip.health.prober import Prober
+from catkinslip.health.spreader import DrainSpreader
+from catkinslip.health.topics import health_topics
+from catkinslip.health.tracker import HealthTracker, make_tracker
+from catkinslip.lifecycle import Lifecycle, StopRequest
+from catkinslip.limits.base import LimitSettings
+from catkinslip.limits.service import LimitBook
+from catkinslip.logs.buffer import LogBuffer
 from catkinslip.membership.exchange import PeerExchange
+from catkinslip.membership.listing import InstanceList
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.metrics.health import HealthMetrics
+from catkinslip.metrics.platform import CountedStore
+from catkinslip.metrics.wiring import Metrics
 from catkinslip.models import Address
-from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.base import ObjectStore
 from catkinslip.platform.budget import TokenBucket
 from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
 from catkinslip.platform.http import CALLER_HEADER, HttpStore
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.routing.choices import make_policy
 from catkinslip.routing.directory import Directory
-from catkinslip.routing.policies import LeastInFlight
-from catkinslip.settings.base import SettingsError, build_parser, read_values
-from catkinslip.settings.daemon import OPTIONS, DaemonSettings
-from catkinslip.status import ExitStatus
+from catkinslip.settings.daemon import DaemonSettings
 from catkinslip.tickets.gate import AtMostOnce
 from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
 from catkinslip.tickets.passing import HomePasser
 from catkinslip.tickets.records import PlatformRecords
 from catkinslip.tickets.table import TicketTable
 
-DESCRIPTION = 'Balance the load of backend servers; one process per instance.'
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
-LIST_SECONDS = 1.0
 
 log = logging.getLogger('daemon')
 
 
-def run(arguments: Sequence[str], environment: Environment | None = None) -> ExitStatus:
-    """Run the daemon until it is told to stop."""
-    environment = environment or Environment()
-    match read_settings(arguments, environment):
-        case Failure(error):
-            for mistake in error.mistakes:
-                print(mistake, file=environment.stderr)
-            return ExitStatus.USAGE
-        case Success(settings):
-            logs.configure(settings.log_level, environment.stderr)
-            trio.run(serve, settings, environment)
-    return ExitStatus.SUCCESS
-
-
-def read_settings(
-    arguments: Sequence[str], environment: Environment
-) -> Result[DaemonSettings, SettingsError]:
-    """Read settings from flags and variables."""
-    parser = build_parser('catkinslipd', DESCRIPTION, OPTIONS)
-    flags = vars(parser.parse_args(arguments))
-    values = read_values(OPTIONS, flags, environment.variables)
-    return values.map(lambda value_by_field: DaemonSettings(**value_by_field))
+class ListenError(Exception):
+    """A listener could not be opened; the text names the settings at fault."""
 
 
 @define
@@ -84,39 +74,61 @@
     settings: DaemonSettings
     store: ObjectStore
     members: MemberTable
+    instances: InstanceList
     peers: PeerExchange
     watcher: ConfigWatcher
-    change_signal: ChangeSignal
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
+    health: HealthTracker
+    prober: Prober
+    spreader: DrainSpreader
+    lister: ListFollower
+    hedges: HedgeTimer
+    metrics: Metrics
 
 
-async def serve(settings: DaemonSettings, environment: Environment) -> None:
+async def serve(
+    settings: DaemonSettings, environment: Environment, log_buffer: LogBuffer
+) -> None:
     """Serve callers, peers and operators until told to stop."""
-    listeners = await trio.open_tcp_listeners(
-        settings.listen_port, host=settings.listen_host, backlog=LISTEN_BACKLOG
-    )
-    control_socket = await bind_control(settings)
+    with binding('--listen-host and --listen-port'):
+        listeners = await trio.open_tcp_listeners(
+            settings.listen_port, host=settings.listen_host, backlog=LISTEN_BACKLOG
+        )
+    with binding('--control-host and --control-port'):
+        control_socket = await bind_control(settings)
     own = Member(
         settings.instance_id,
         new_incarnation(environment),
         settings.zone,
         bound_address(listeners[0].socket),
         bound_address(control_socket),
+        region=settings.region,
     )
     async with open_clients(settings) as (platform_client, peer_client):
-        daemon = wire(settings, environment, own, platform_client, peer_client)
+        daemon = wire(
+            settings, environment, own, platform_client, peer_client, log_buffer
+        )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(stop_on_signal, nursery.cancel_scope)
-            nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
+            stop = StopRequest()
+            await nursery.start(stop.listen)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
-            nursery.start_soon(follow_peers, daemon)
-            nursery.start_soon(follow_list, daemon)
+            nursery.start_soon(daemon.hedges.run)
+            nursery.start_soon(daemon.peers.run, daemon.instances.read)
+            nursery.start_soon(daemon.prober.run)
+            nursery.start_soon(daemon.spreader.run)
+            nursery.start_soon(daemon.lister.run)
+            nursery.start_soon(daemon.metrics.lag.run)
+            freeze_start_objects()
             announce_ready(own, environment)
+            lifecycle = make_lifecycle(daemon, stop)
+            await lifecycle.run(daemon.callers.serve, listeners)
+            await daemon.peers.end()
+            nursery.cancel_scope.cancel()
         await daemon.pool.close()
 
 
@@ -126,19 +138,43 @@
     own: Member,
     platform_client: httpx.AsyncClient,
     peer_client: httpx.AsyncClient,
+    log_buffer: LogBuffer,
 ) -> Daemon:
     """Wire the parts of one daemon."""
     members = MemberTable(own)
-    store = make_store(settings, environment, members, platform_client)
+    store = CountedStore(make_store(settings, environment, members, platform_client))
     config = ConfigHolder()
-    directory = Directory(partial(LeastInFlight, environment.random))
+    directory = Directory(partial(make_policy, settings, environment.random))
     config.listeners.append(directory.update)
+    health = make_tracker(
+        directory, environment.clock, environment.random, settings.max_instances
+    )
+    config.listeners.append(health.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
-    change_signal = ChangeSignal()
-    config.listeners.append(change_signal.update)
-    forwarder = Forwarder(directory, pool, environment.clock)
+    metrics = Metrics.wire(
+        settings.instance_id, environment.clock, directory, config, members, log_buffer
+    )
     ticket_clock = AnchoredClock(environment.clock)
+    addresses = AddressBook(
+        members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(ticket_clock, settings.key_lifetime),
+        config,
+        HomeSetLimits(settings.min_home_instances, settings.max_home_instances),
+    )
+    hedges = HedgeTimer()
+    limits = LimitBook(make_limit_settings(settings), addresses.count_home_instances)
+    forwarder = Forwarder(
+        directory,
+        pool,
+        environment.clock,
+        limits,
+        health,
+        hedges,
+        metrics.observer,
+    )
     gate = AtMostOnce(
         forwarder=forwarder,
         table=make_table(settings, own, ticket_clock),
@@ -148,21 +184,27 @@
         members=members,
         clock=ticket_clock,
     )
-    addresses = AddressBook(
-        members,
-        settings.zone,
-        settings.address_lifetime,
-        KeyIssuer(ticket_clock, settings.key_lifetime),
-    )
     config_topic = ConfigTopic(config, own.member_id, lambda: len(members.live()) - 1)
-    topic_by_name = {topic.name: topic for topic in (config_topic,)}
+    topics = (config_topic, *health_topics(health))
+    topic_by_name = {topic.name: topic for topic in topics}
     peers = PeerExchange(
-        members, topic_by_name, peer_client, environment.random, settings.seeds
+        members,
+        topic_by_name,
+        peer_client,
+        environment.random,
+        settings.seeds,
+        environment.clock,
+        settings.peer_interval,
+        PEER_TIMEOUT_SECONDS,
     )
+    sources = (*metrics.sources, store, HealthMetrics(health))
+    operators = OperatorPages(members, config, health, sources, metrics.traces)
+    config.listeners.append(lambda _: peers.spread_soon())
     return Daemon(
         settings=settings,
         store=store,
         members=members,
+        instances=InstanceList(store, members, health.is_backend),
         peers=peers,
         watcher=ConfigWatcher(
             store,
@@ -170,12 +212,24 @@
             lambda: is_watcher(members.own, members.live()),
             environment.random,
         ),
-        change_signal=change_signal,
         callers=CallerServer(
-            environment, config, gate, addresses, caller_limits(settings)
+            environment,
+            config,
+            gate,
+            addresses,
+            caller_limits(settings),
+            metrics.observer,
         ),
-        control=ControlSurface(peers, config, settings.shared_secret),
+        control=ControlSurface(peers, operators, settings.shared_secret),
         pool=pool,
+        hedges=hedges,
+        health=health,
+        prober=Prober(health, members, pool, environment.clock),
+        spreader=DrainSpreader(health, peers, environment.random),
+        lister=ListFollower(
+            store, health, lambda: is_watcher(members.own, members.live())
+        ),
+        metrics=metrics,
     )
 
 
@@ -223,6 +277,18 @@
     )
 
 
+def make_limit_settings(settings: DaemonSettings) -> LimitSettings:
+    """Return the limits that every service has."""
+    return LimitSettings(
+        queue_depth=settings.queue_depth,
+        deadline_margin=settings.deadline_margin,
+        extra_share=settings.extra_share / 100,
+        extra_reserve=settings.extra_reserve,
+        max_attempts=settings.max_attempts,
+        hedge_percentile=settings.hedge_percentile,
+    )
+
+
 @asynccontextmanager
 async def open_clients(
     settings: DaemonSettings,
@@ -239,6 +305,15 @@
         yield platform_client, peer_client
 
 
+@contextmanager
+def binding(flags: str) -> Iterator[None]:
+    """Raise ListenError for an address that cannot be listened on."""
+    try:
+        yield
+    except OSError as error:
+        raise ListenError(f'cannot listen on {flags}: {error.strerror}') from error
+
+
 def bound_address(sock: trio.socket.SocketType) -> str:
     """Return host:port that a socket is bound to."""
     host, port = sock.getsockname()[:2]
@@ -268,47 +343,29 @@
     await serve_asgi(surface.make_app(), config, shutdown_trigger=trio.sleep_forever)
 
 
-async def follow_peers(daemon: Daemon) -> None:
-    """Keep members and configuration in step with peers."""
-    exchanges = 1
-    while True:
-        for _ in range(exchanges):
-            await daemon.peers.run_once()
-        changed = await daemon.change_signal.wait(daemon.settings.peer_interval)
-        exchanges = PEERS_TOLD_AT_ONCE if changed else 1
+def make_lifecycle(daemon: Daemon, stop: StopRequest) -> Lifecycle:
+    """Return the lifecycle of a daemon."""
+    return Lifecycle(
+        stop=stop,
+        drain=daemon.callers.drain,
+        address_lifetime=daemon.settings.address_lifetime,
+        peer_interval=daemon.settings.peer_interval,
+        drain_timeout=daemon.settings.drain_timeout,
+        leave=partial(leave, daemon),
+    )
 
 
-async def follow_list(daemon: Daemon) -> None:
-    """Announce this instance and learn of others from the platform's list."""
-    own = daemon.members.own
-    listed = ListedInstance(
-        own.member_id, own.zone, own.address, own.control_address, own.leaving
-    )
-    while True:
-        if not await learn_from_list(daemon):
-            await daemon.store.announce(listed)
-        await trio.sleep(LIST_SECONDS)
-
-
-async def learn_from_list(daemon: Daemon) -> bool:
-    """Exchange with listed instances not known yet; tell whether this one is listed."""
-    own = daemon.members.own
-    listed = (await daemon.store.list_instances()).value_or([])
-    for instance in listed:
-        known = daemon.members.member_by_id.get(instance.name)
-        if instance.name != own.member_id and known is None:
-            await daemon.peers.exchange_with(instance.control_address)
-    address_by_name = {each.name: each.control_address for each in listed}
-    return address_by_name.get(own.member_id) == own.control_address
-
-
-async def stop_on_signal(scope: trio.CancelScope) -> None:
-    """Cancel a scope at the first signal to stop."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            log.info('daemon: stops on signal %d.', number)
-            scope.cancel()
-            return
+async def leave(daemon: Daemon) -> None:
+    """Tell peers and the platform's list that this instance is leaving."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(daemon.peers.leave)
+        nursery.start_soon(daemon.instances.announce)
+
+
+def freeze_start_objects() -> None:
+    """Keep what was built at start out of later garbage collections."""
+    gc.collect()
+    gc.freeze()
 
 
 def announce_ready(own: Member, environment: Environment) -> None:
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -6,16 +6,19 @@
 import trio
 from attrs import Factory, define, frozen
 
-from catkinslip.addresses.answers import PATH_PREFIX, AddressBook
+from catkinslip.addresses.answers import PATH_PREFIX, AddressBook, UnknownService
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
-from catkinslip.proxy.bodies import BodyReader
+from catkinslip.proxy.bodies import BodyReader, RestOfBody
 from catkinslip.proxy.calls import Call, CallMaker
+from catkinslip.proxy.draining import CallerDrain
+from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.intake import HeadReader
+from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.presence import CallerWatch
 from catkinslip.proxy.problems import problem_events
-from catkinslip.proxy.wire import ConnectionErrors, Wire, server_wire
+from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.tickets.gate import AtMostOnce
 
 log = logging.getLogger('request')
@@ -42,6 +45,8 @@
     forwarder: AtMostOnce
     addresses: AddressBook
     limits: CallerLimits
+    observer: RequestObserver = ObserverGroup()
+    drain: CallerDrain = Factory(CallerDrain)
     watch: CallerWatch = Factory(CallerWatch)
     connections: int = 0
     heads: HeadReader = Factory(
@@ -67,7 +72,7 @@
         self.connections += 1
         wire = None
         try:
-            wire = server_wire(stream)
+            wire = self.drain.open(stream)
             await self._serve_requests(wire)
         except ConnectionErrors:
             pass
@@ -80,6 +85,7 @@
             self.connections -= 1
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
+            self.drain.closed(wire)
 
     async def _serve_requests(self, wire: Wire) -> None:
         if self.connections > self.limits.max_connections:
@@ -104,19 +110,41 @@
         call = self.calls.make(request, body, wire.peer)
         if isinstance(call, NotRun):
             return await self._refuse(wire, call, request)
-        outcome = await self._forward(call, wire)
+        outcome = await self._forward_observed(call, wire)
         return await self._report(wire, call, outcome)
 
+    async def _forward_observed(self, call: Call, wire: Wire) -> Outcome:
+        outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+        clock = self.environment.clock
+        began_at = clock.monotonic()
+        try:
+            outcome = await self._forward(call, wire)
+        finally:
+            self.observer.ended(call, outcome, clock.monotonic() - began_at)
+        return outcome
+
     async def _forward(self, call: Call, wire: Wire) -> Outcome:
+        if call.is_late(self.environment.clock):
+            return NotRun(Reason.TOO_LATE)
         outcome: Outcome = Unknown(Reason.CALLER_LEFT)
-        with self.watch.watching(wire):
-            if call.rest is None:
-                outcome = await self.forwarder.forward(call, wire)
-            else:
-                async with trio.open_nursery() as nursery:
-                    call.rest.nursery = nursery
+        with trio.CancelScope() as scope:
+            descriptor = self.watch.add(wire, scope)
+            try:
+                if call.rest is None:
                     outcome = await self.forwarder.forward(call, wire)
-                    nursery.cancel_scope.cancel()
+                else:
+                    outcome = await self._forward_streamed(call, call.rest, wire)
+            finally:
+                self.watch.remove(descriptor)
+        return outcome
+
+    async def _forward_streamed(
+        self, call: Call, rest: RestOfBody, wire: Wire
+    ) -> Outcome:
+        async with trio.open_nursery() as nursery:
+            rest.nursery = nursery
+            outcome = await self.forwarder.forward(call, wire)
+            nursery.cancel_scope.cancel()
         return outcome
 
     async def _report(self, wire: Wire, call: Call, outcome: Outcome) -> bool:
@@ -130,10 +158,15 @@
             return False
         return await self._send_problem(wire, outcome, call.request_id, call.method)
 
-    async def _answer_addresses(self, wire: Wire, request: h11.Request) -> None:
+    async def _answer_addresses(self, wire: Wire, request: RequestHead) -> None:
         target = request.target.decode('latin-1').removeprefix(PATH_PREFIX.decode())
         service, _, query = target.partition('?')
         answer = self.addresses.answer(service, query)
+        if isinstance(answer, UnknownService):
+            refusal = NotRun(Reason.UNKNOWN_SERVICE, answer.service)
+            request_id = self.calls.new_request_id()
+            await self._send_problem(wire, refusal, request_id, request.method)
+            return
         body = answer.to_json()
         headers = [
             (b'content-type', b'application/json'),
@@ -145,7 +178,7 @@
         await wire.send(response, *data, h11.EndOfMessage())
 
     async def _refuse(
-        self, wire: Wire, refusal: NotRun, request: h11.Request | None = None
+        self, wire: Wire, refusal: NotRun, request: RequestHead | None = None
     ) -> bool:
         request_id = self.calls.new_request_id()
         log.info(
--- /dev/null
+++ b/catkinslip/proxy/draining.py
@@ -0,0 +1,82 @@
+"""End callers' connections without cutting a request."""
+
+import socket
+
+import h11
+import trio
+from attrs import Factory, define
+
+from catkinslip.proxy.wire import Wire, server_wire
+
+CLOSE_HEADER = (b'connection', b'close')
+
+
+@define
+class CallerDrain:
+    """Know the open connections of callers and end them when asked to."""
+
+    is_closing: bool = False
+    open_wires: set[Wire] = Factory(set)
+    _none_open: trio.Event = Factory(trio.Event)
+
+    def open(self, stream: trio.abc.Stream) -> 'CallerWire':
+        """Return the wire of a new connection."""
+        wire = server_wire(stream)
+        wire = CallerWire(wire.stream, wire.codec, wire.peer, drain=self)
+        self.open_wires.add(wire)
+        return wire
+
+    def closed(self, wire: Wire) -> None:
+        """Take note that a connection was closed."""
+        self.open_wires.discard(wire)
+        self._tell_when_none_open()
+
+    def start_closing(self) -> None:
+        """Let every connection end with its next answer."""
+        self.is_closing = True
+        self._tell_when_none_open()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing was sent since the last answer."""
+        for wire in self.open_wires:
+            if is_idle(wire) and not wire.stream.socket.is_readable():
+                # The task that waits for a request reads the end of the stream.
+                wire.stream.socket.shutdown(socket.SHUT_RD)
+
+    async def wait_until_closed(self) -> None:
+        """Wait until no connection is open."""
+        await self._none_open.wait()
+
+    def _tell_when_none_open(self) -> None:
+        if self.is_closing and not self.open_wires:
+            self._none_open.set()
+
+
+@define(eq=False)
+class CallerWire(Wire):
+    """A caller's connection; its last answer says so while its instance closes."""
+
+    drain: CallerDrain = Factory(CallerDrain)
+
+    def encode(self, *events: object) -> bytes:
+        """Return the bytes of events, which must be sent next."""
+        if self.drain.is_closing:
+            events = tuple(announce_close(event) for event in events)
+        return super().encode(*events)
+
+
+def is_idle(wire: Wire) -> bool:
+    """Tell whether a connection waits for the first byte of a request."""
+    return wire.codec.their_state is h11.IDLE and not wire.codec.trailing_data[0]
+
+
+def announce_close(event: object) -> object:
+    """Return a final response's head with the sign that the connection ends."""
+    if type(event) is not h11.Response:
+        return event
+    headers = [each for each in event.headers if each[0] != b'connection']
+    return h11.Response(
+        status_code=event.status_code,
+        headers=[*headers, CLOSE_HEADER],
+        reason=event.reason,
+    )
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from catkinslip.routing.base import LoadReport
+from catkinslip.routing.base import AttemptResult, LoadReport, ResultKind
 
 
 @unique
@@ -28,6 +28,8 @@
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
     CROSSED = ('crossed', 502, 'The backend server answered another request.')
     CALLER_LEFT = ('caller-left', 499, 'The caller left before the answer came.')
+    OVERLOADED = ('overloaded', 503, 'The service has more work than it can answer.')
+    DEADLINE_UNMET = ('deadline-unmet', 503, 'The answer would come too late.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
 
     KEY_REQUIRED = ('key-required', 400, 'The rules ask for an Idempotency-Key.')
@@ -62,14 +64,21 @@
     status: int
     report: LoadReport | None = None
 
+    def __str__(self) -> str:
+        return f'answered with {self.status}'
+
 
 @frozen
 class NotRun:
-    """The request did not run anywhere; it may be sent again."""
+    """The request did not run; it may be sent again after some seconds."""
 
     reason: Reason
     detail: str = ''
     report: LoadReport | None = None
+    retry_after: float | None = None
+
+    def __str__(self) -> str:
+        return f'not run, {self.reason.slug}'
 
 
 @frozen
@@ -80,5 +89,25 @@
     detail: str = ''
     answer_started: bool = False
 
+    def __str__(self) -> str:
+        return f'unknown, {self.reason.slug}'
+
 
 Outcome = Answered | NotRun | Unknown
+
+SERVER_ERRORS = range(500, 600)
+
+
+def attempt_result(outcome: Outcome, latency: float) -> AttemptResult:
+    """Return what an outcome says about its backend server."""
+    match outcome:
+        case Answered(status, report):
+            failed = status in SERVER_ERRORS
+            kind = ResultKind.FAILED if failed else ResultKind.ANSWERED
+            return AttemptResult(kind, latency, report)
+        case NotRun(Reason.SHED, _, report):
+            return AttemptResult(ResultKind.SHED, latency, report)
+        case NotRun(Reason.CONNECT_FAILED) | Unknown(Reason.BROKEN):
+            return AttemptResult(ResultKind.FAILED, latency)
+        case _:
+            return AttemptResult(ResultKind.CANCELLED, latency)
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -4,7 +4,8 @@
 import trio
 from attrs import Factory, define, field
 
-from catkinslip.config.documents import AcceptedConfig
+from catkinslip.config.difference import compare
+from catkinslip.config.documents import AcceptedConfig, Document
 from catkinslip.models import Address
 from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.proxy.wire import Wire, client_wire
@@ -46,6 +47,11 @@
         await self.waiters.park()
         return True
 
+    def has_room(self) -> bool:
+        """Tell whether one more idle connection may be kept."""
+        idle = len(self.idle)
+        return idle < MAX_IDLE and idle + self.in_use <= self.limit
+
     def give_slot(self) -> None:
         """Hand a slot to who waits longest, or free it."""
         self.in_use -= 1
@@ -59,13 +65,17 @@
     """Open, reuse and close connections to backend servers."""
 
     connections_by_address: dict[Address, BackendConnections] = Factory(dict)
+    document: Document = Factory(Document)
 
     def update(self, config: AcceptedConfig) -> None:
         """Take over the connection limits of a new configuration."""
-        register = config.document.register
-        for backend in register.backends.values():
-            service = register.services.get(backend.service)
-            if service is None:
+        document = config.document
+        changed = compare(self.document, document).services
+        self.document = document
+        service_by_name = document.effective_services()
+        for backend in document.register.backends.values():
+            service = service_by_name.get(backend.service)
+            if service is None or backend.service not in changed:
                 continue
             connections = self._connections(Address(backend.host, backend.port))
             share = service.max_connections // INSTANCES_PER_BACKEND
@@ -90,19 +100,16 @@
         return wire
 
     async def release(self, address: Address, wire: Wire) -> None:
-        """Keep a connection whose exchange ended cleanly; close any other."""
+        """Keep a connection that ended cleanly, else close it; never cancelled."""
         connections = self._connections(address)
-        idle = connections.idle
         try:
-            room = len(idle) < MAX_IDLE and (
-                len(idle) + connections.in_use <= connections.limit
-            )
-            if not room or not ended_cleanly(wire):
-                await wire.close()
-                return
-            wire.start_next_cycle()
-            wire.is_reused = True
-            idle.append(IdleWire(wire, trio.current_time()))
+            if connections.has_room() and ended_cleanly(wire):
+                wire.start_next_cycle()
+                wire.is_reused = True
+                connections.idle.append(IdleWire(wire, trio.current_time()))
+            else:
+                with trio.CancelScope(shield=True):
+                    await wire.close()
         finally:
             connections.give_slot()
 
--- /dev/null
+++ b/catkinslip/proxy/runner.py
@@ -0,0 +1,237 @@
+"""Run the attempts of one call: retry, hedge, and pass one answer on."""
+
+import logging
+from functools import partial
+
+import trio
+from attrs import Factory, define
+
+from catkinslip.clock import Clock
+from catkinslip.health.tracker import HealthTracker
+from catkinslip.limits.plan import CallPlan, Step
+from catkinslip.limits.service import ServiceLimits
+from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
+from catkinslip.proxy.hedges import Hedge, HedgeTimer
+from catkinslip.proxy.observer import RequestObserver
+from catkinslip.proxy.outcomes import (
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+    attempt_result,
+)
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import Wire
+from catkinslip.routing.router import ServiceRouter
+
+ANSWER_GRACE_SECONDS = 1.0
+
+log = logging.getLogger('routing')
+
+
+@define(eq=False)
+class Launch:
+    """One attempt that was started, and how far it came."""
+
+    backend_id: str
+    attempt: Attempt
+    began: float
+    result: AnswerHead | NotRun | Unknown | None = None
+    step: Step = Step.WAIT
+    is_open: bool = True
+    answered_at: float | None = None
+
+
+@define
+class CallRunner:
+    """Carry out a call's plan; exactly one answer reaches the caller."""
+
+    call: Call
+    caller: Wire
+    plan: CallPlan
+    limits: ServiceLimits
+    router: ServiceRouter
+    health: HealthTracker
+    pool: BackendPool
+    clock: Clock
+    hedges: HedgeTimer
+    observer: RequestObserver
+    launches: list[Launch] = Factory(list)
+    passed_on: Launch | None = None
+    scope: trio.CancelScope = Factory(trio.CancelScope)
+
+    async def run(self) -> Outcome:
+        """Run attempts until one answers, none may follow, or the deadline."""
+        try:
+            left = max(0.0, self.call.deadline - self.clock.monotonic())
+            with trio.move_on_after(left) as self.scope:
+                return await self._run_attempts()
+            return self._expire()
+        finally:
+            for launch in self.launches:
+                await self._give_up(launch)
+
+    async def _run_attempts(self) -> Outcome:
+        while True:
+            launch = self._launch()
+            if launch is None:
+                return self.plan.told()
+            ended = await self._await_head(launch)
+            if isinstance(ended.result, AnswerHead):
+                return await self._pass_on(ended, ended.result)
+            if ended.step is Step.STOP:
+                return self.plan.told()
+
+    def _launch(self, *, hedge: bool = False) -> Launch | None:
+        now = self.clock.monotonic()
+        tried = [launch.backend_id for launch in self.launches]
+        choice = self.health.choose(self.router, tried)
+        if choice is None:
+            return None
+        if hedge and not self.limits.has_idle_slot(choice.backend_id):
+            return None
+        log.info(
+            'routing: %s %s goes to %s, %s.',
+            self.call.request_id,
+            self.call.service,
+            choice.backend_id,
+            f'hedge, {choice.reason}' if hedge else choice.reason,
+        )
+        number = self.plan.hedge() if hedge else self.plan.start()
+        self.observer.decided(self.call, choice, number)
+        address = self.health.directory.address_by_backend[choice.backend_id]
+        on_head = partial(self.health.answered, choice.backend_id)
+        attempt = Attempt(
+            self.call, address, self.caller, self.pool, self.clock, number, on_head
+        )
+        launch = Launch(choice.backend_id, attempt, now)
+        self.launches.append(launch)
+        self.router.started(launch.backend_id, now)
+        self.limits.started(launch.backend_id)
+        return launch
+
+    async def _await_head(self, launch: Launch) -> Launch:
+        now = self.clock.monotonic()
+        delay = self.limits.hedge_delay(now)
+        if delay is None or self.call.rest or not self.plan.may_hedge(now):
+            await self._start(launch)
+            return launch
+        return await self._race(launch, delay)
+
+    async def _race(self, first: Launch, delay: float) -> Launch:
+        race = Race(self, delay)
+        self.hedges.add(delay, race)
+        try:
+            with race.first_scope:
+                await self._start(first)
+            if first.step is Step.WAIT:
+                await race.second_ended.wait()
+        finally:
+            race.is_over = True
+            race.second_scope.cancel()
+        if first.step is not Step.WAIT or race.second is None:
+            return first
+        return race.second
+
+    async def _start(self, launch: Launch) -> None:
+        await self._settle(launch, await launch.attempt.start())
+
+    async def _settle(
+        self, launch: Launch, result: AnswerHead | NotRun | Unknown
+    ) -> None:
+        if not launch.is_open:
+            # Given up while the answer came.
+            if isinstance(result, AnswerHead):
+                await launch.attempt.discard(result)
+            return
+        launch.result = result
+        now = self.clock.monotonic()
+        if isinstance(result, AnswerHead):
+            launch.step = Step.STOP
+            launch.answered_at = now
+            self.limits.answered(launch.backend_id, now - launch.began)
+            return
+        if result.reason is Reason.CONNECT_FAILED:
+            self.health.refused(launch.backend_id)
+        launch.step = self.plan.ended(
+            result,
+            now,
+            is_sent=launch.attempt.is_sent,
+            is_resendable=self.call.is_resendable,
+        )
+        self._finish(launch, result)
+
+    async def _pass_on(self, launch: Launch, head: AnswerHead) -> Outcome:
+        if self.scope.cancel_called:
+            # The deadline came with the head; nothing is sent to the caller yet.
+            await trio.sleep_forever()
+        self.scope.deadline += ANSWER_GRACE_SECONDS
+        self.passed_on = launch
+        for other in self.launches:
+            if other is not launch:
+                await self._give_up(other)
+        outcome = await launch.attempt.pass_on(head)
+        self._finish(launch, outcome)
+        return outcome
+
+    def _expire(self) -> Outcome:
+        open_attempts = [each.attempt for each in self.launches if each.is_open]
+        return self.plan.expired(
+            any(attempt.is_sent for attempt in open_attempts),
+            answer_started=self.passed_on is not None,
+        )
+
+    async def _give_up(self, launch: Launch) -> None:
+        if not launch.is_open:
+            return
+        if isinstance(launch.result, AnswerHead) and launch is not self.passed_on:
+            await launch.attempt.discard(launch.result)
+        self._finish(launch, Unknown(Reason.DEADLINE))
+
+    def _finish(self, launch: Launch, outcome: Outcome) -> None:
+        now = self.clock.monotonic()
+        launch.is_open = False
+        # A slow caller's share of the time says nothing of the server.
+        ended = now if launch.answered_at is None else launch.answered_at
+        result = attempt_result(outcome, ended - launch.began)
+        self.router.finished(launch.backend_id, result, now)
+        self.limits.ended(launch.backend_id, result, now)
+        seconds = now - launch.began
+        self.observer.attempted(self.call, launch.backend_id, outcome, seconds)
+
+
+@define(eq=False)
+class Race(Hedge):
+    """The race of two attempts; the first head cancels the other attempt."""
+
+    runner: CallRunner
+    delay: float
+    is_over: bool = False
+    second: Launch | None = None
+    first_scope: trio.CancelScope = Factory(trio.CancelScope)
+    second_scope: trio.CancelScope = Factory(trio.CancelScope)
+    second_ended: trio.Event = Factory(trio.Event)
+
+    async def run(self) -> None:
+        """Start the second attempt, or ask for another time."""
+        runner = self.runner
+        if self.is_over:
+            return
+        if runner.plan.may_hedge(runner.clock.monotonic()):
+            self.second = runner._launch(hedge=True)
+        if self.second is None:
+            runner.hedges.add(self.delay, self)
+            return
+        with self.second_scope:
+            await self._start_second(self.second)
+        if isinstance(self.second.result, AnswerHead):
+            self.first_scope.cancel()
+        self.second_ended.set()
+
+    async def _start_second(self, launch: Launch) -> None:
+        try:
+            await self.runner._start(launch)
+        except Exception as error:
+            # One call's hedge must not stop the process.
+            log.exception('routing: a hedge failed.')
+            await self.runner._settle(launch, Unknown(Reason.BROKEN, repr(error)))
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -1,32 +1,40 @@
 """Settings of the daemon, declared once."""
 
-from attrs import frozen
+from attrs import field, frozen
 
-from catkinslip.settings.base import Option, number, one_of, whole_number, words
+from catkinslip.settings.base import Option, number, one_of, whole_number
+from catkinslip.settings.values import (
+    addresses,
+    http_url_or_empty,
+    ip_number,
+    required,
+)
 
 IDENTITY = 'Identity'
 LISTENERS = 'Listeners'
 PLATFORM = 'Platform'
 PEERS = 'Peers'
 REQUESTS = 'Requests'
+ROUTING = 'Routing'
+LIMITS = 'Limits'
 LOGS = 'Logs'
 
+POLICIES = (
+    'expected-delay',
+    'least-in-flight',
+    'two-choices',
+    'round-robin',
+    'random',
+)
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 
-def required(text: str) -> str:
-    """Return the text; raise ValueError when it is empty."""
-    if not text:
-        raise ValueError('a value is required')
-    return text
-
-
 OPTIONS = (
     Option('--instance-id', '', required, 'Name of this instance.', IDENTITY),
     Option('--zone', '', required, 'Availability zone of this instance.', IDENTITY),
     Option('--region', 'default', required, 'Region of this instance.', IDENTITY),
     Option(
-        '--listen-host', '127.0.0.1', required, 'IP number callers reach.', LISTENERS
+        '--listen-host', '127.0.0.1', ip_number, 'IP number callers reach.', LISTENERS
     ),
     Option(
         '--listen-port',
@@ -38,7 +46,7 @@
     Option(
         '--control-host',
         '127.0.0.1',
-        required,
+        ip_number,
         'IP number that peers and operators reach.',
         LISTENERS,
     ),
@@ -53,14 +61,15 @@
         '--shared-secret',
         '',
         str,
-        'Secret that peers and operators must present.',
+        'Secret that peers and operators must present; a flag shows in the process '
+        'list, so prefer the variable or the file.',
         LISTENERS,
         secret=True,
     ),
     Option(
         '--platform-url',
         '',
-        str,
+        http_url_or_empty,
         'URL of the object API; empty uses the embedded store.',
         PLATFORM,
     ),
@@ -88,7 +97,7 @@
     Option(
         '--seeds',
         '',
-        words,
+        addresses,
         'Control addresses of some peers, host:port, separated by commas.',
         PEERS,
     ),
@@ -106,6 +115,20 @@
         'Seconds that callers may keep an address answer.',
         REQUESTS,
     ),
+    Option(
+        '--min-home-instances',
+        '3',
+        whole_number(1, 64, 'instances'),
+        'Least number of instances that share a service in a region.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-home-instances',
+        '5',
+        whole_number(1, 64, 'instances'),
+        'Greatest number of instances that share a service in a region.',
+        REQUESTS,
+    ),
     Option(
         '--request-timeout',
         '10',
@@ -113,6 +136,34 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--drain-timeout',
+        '30',
+        number(0.1, 3600, 'seconds'),
+        'Seconds that a stop waits for requests in flight.',
+        REQUESTS,
+    ),
+    Option(
+        '--policy',
+        'expected-delay',
+        one_of(*POLICIES),
+        'Policy that chooses a backend server.',
+        ROUTING,
+    ),
+    Option(
+        '--report-memory',
+        '0.03',
+        number(0.001, 10, 'seconds'),
+        'Seconds in which a load report loses two thirds of its weight.',
+        ROUTING,
+    ),
+    Option(
+        '--zone-hop',
+        '0.001',
+        number(0, 1, 'seconds'),
+        'Seconds that a request to another zone takes longer.',
+        ROUTING,
+    ),
     Option(
         '--key-lifetime',
         '300',
@@ -162,6 +213,48 @@
         'Most connections of callers at one time.',
         REQUESTS,
     ),
+    Option(
+        '--queue-depth',
+        '2',
+        number(1, 100, '(requests per slot)'),
+        'Requests in flight for each slot of a service before calls are refused.',
+        LIMITS,
+    ),
+    Option(
+        '--deadline-margin',
+        '1',
+        number(0, 20, '(service times)'),
+        'Mean service times that must remain after the expected wait.',
+        LIMITS,
+    ),
+    Option(
+        '--extra-share',
+        '5',
+        number(0, 50, '% of calls'),
+        'Most requests added by retries and hedges, in % of calls.',
+        LIMITS,
+    ),
+    Option(
+        '--extra-reserve',
+        '10',
+        number(1, 1000, 'requests'),
+        'Most unused extra requests that a service saves up.',
+        LIMITS,
+    ),
+    Option(
+        '--max-attempts',
+        '3',
+        whole_number(1, 5, 'attempts'),
+        'Most backend servers that one call is sent to.',
+        LIMITS,
+    ),
+    Option(
+        '--hedge-percentile',
+        '99',
+        number(0, 99.9, '% of latencies'),
+        'Latency after which a repeatable call is hedged; 0 turns hedges off.',
+        LIMITS,
+    ),
     Option('--log-level', 'info', one_of(*LOG_LEVELS), 'Least severity logged.', LOGS),
 )
 
@@ -177,7 +270,7 @@
     listen_port: int
     control_host: str
     control_port: int
-    shared_secret: str
+    shared_secret: str = field(repr=False)
     platform_url: str
     platform_timeout: float
     platform_budget: float
@@ -185,7 +278,13 @@
     seeds: tuple[str, ...]
     peer_interval: float
     address_lifetime: float
+    min_home_instances: int
+    max_home_instances: int
     request_timeout: float
+    drain_timeout: float
+    policy: str
+    report_memory: float
+    zone_hop: float
     key_lifetime: float
     key_capacity: int
     head_timeout: float
@@ -193,4 +292,32 @@
     idle_timeout: float
     max_body_bytes: int
     max_callers: int
+    queue_depth: float
+    deadline_margin: float
+    extra_share: float
+    extra_reserve: float
+    max_attempts: int
+    hedge_percentile: float
     log_level: str
+
+
+def check_together(settings: DaemonSettings) -> tuple[str, ...]:
+    """Return a sentence for each pair of settings that cannot be used together."""
+    mistakes = []
+    port = settings.listen_port
+    if port and (settings.listen_host, port) == (
+        settings.control_host,
+        settings.control_port,
+    ):
+        mistakes.append(
+            '--listen-port (CATKINSLIP_LISTEN_PORT) and --control-port '
+            f'(CATKINSLIP_CONTROL_PORT) are both {port} on {settings.listen_host}; '
+            'callers and operators need a listener each.'
+        )
+    if settings.key_lifetime <= settings.address_lifetime:
+        mistakes.append(
+            f'--key-lifetime (CATKINSLIP_KEY_LIFETIME) of {settings.key_lifetime:g} '
+            'seconds must be above --address-lifetime (CATKINSLIP_ADDRESS_LIFETIME) '
+            f'of {settings.address_lifetime:g}; callers would hold expired keys.'
+        )
+    return tuple(mistakes)
