--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,11 @@
 model: install
 	$(RUN) -m model
 
+.PHONY: bench-members
+bench-members: install
+	$(RUN) -m benchmarks.peers
+	$(RUN) -m benchmarks.failover
+
 .PHONY: bench-drain
 bench-drain: install
 	$(RUN) -m benchmarks.drain
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -187,7 +187,7 @@
 
 def make_instance(arm: Arm, instances: int, *given) -> LimitedInstance:
     """Return an instance with the limits of an arm."""
-    book = LimitBook(arm.settings, lambda: instances)
+    book = LimitBook(arm.settings, lambda _: instances)
     instance = LimitedInstance(
         *given, book=book, ignores_deadlines=arm.ignores_deadlines
     )
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -6,18 +6,19 @@
 import trio
 from attrs import Factory, define, frozen
 
-from catkinslip.addresses.answers import PATH_PREFIX, AddressBook
+from catkinslip.addresses.answers import PATH_PREFIX, AddressBook, UnknownService
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
 from catkinslip.proxy.bodies import BodyReader, RestOfBody
 from catkinslip.proxy.calls import Call, CallMaker
+from catkinslip.proxy.draining import CallerDrain
 from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.intake import HeadReader
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.presence import CallerWatch
 from catkinslip.proxy.problems import problem_events
-from catkinslip.proxy.wire import ConnectionErrors, Wire, server_wire
+from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.tickets.gate import AtMostOnce
 
 log = logging.getLogger('request')
@@ -45,6 +46,7 @@
     addresses: AddressBook
     limits: CallerLimits
     observer: RequestObserver = ObserverGroup()
+    drain: CallerDrain = Factory(CallerDrain)
     watch: CallerWatch = Factory(CallerWatch)
     connections: int = 0
     heads: HeadReader = Factory(
@@ -70,7 +72,7 @@
         self.connections += 1
         wire = None
         try:
-            wire = server_wire(stream)
+            wire = self.drain.open(stream)
             await self._serve_requests(wire)
         except ConnectionErrors:
             pass
@@ -83,6 +85,7 @@
             self.connections -= 1
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
+            self.drain.closed(wire)
 
     async def _serve_requests(self, wire: Wire) -> None:
         if self.connections > self.limits.max_connections:
@@ -159,6 +162,11 @@
         target = request.target.decode('latin-1').removeprefix(PATH_PREFIX.decode())
         service, _, query = target.partition('?')
         answer = self.addresses.answer(service, query)
+        if isinstance(answer, UnknownService):
+            refusal = NotRun(Reason.UNKNOWN_SERVICE, answer.service)
+            request_id = self.calls.new_request_id()
+            await self._send_problem(wire, refusal, request_id, request.method)
+            return
         body = answer.to_json()
         headers = [
             (b'content-type', b'application/json'),
