Kill a backend while callers are served by the other instances

Cause: at the first lost request most callers waited for the stopped instance, so that nothing was in flight at the kill; retrying a request in doubt went unseen. Change: callers keep addresses for 2 s, and the kill waits for answers through the other instances. Repeats are counted for the keys of the compared sendings alone, as ledgers outlive one test. Retrying in doubt now fails the test.

--- a/standins/ledgers.py
+++ b/standins/ledgers.py
@@ -80,10 +80,10 @@
 
 def find_repeats(sendings: list[Sending], runs: list[Run]) -> list[str]:
     """Find what ran more than once and must not."""
-    once_ids = {each.request_id for each in sendings if not each.repeatable}
-    runs_by_id = Counter(
-        each.request_id for each in runs if each.request_id in once_ids
-    )
-    runs_by_key = Counter(run.key for run in runs if run.key)
+    once = [each for each in sendings if not each.repeatable]
+    ids = {sending.request_id for sending in once}
+    keys = {sending.key for sending in once if sending.key}
+    runs_by_id = Counter(run.request_id for run in runs if run.request_id in ids)
+    runs_by_key = Counter(run.key for run in runs if run.key in keys)
     counts = [*runs_by_id.items(), *runs_by_key.items()]
     return [f'{name} ran {count} times' for name, count in counts if count > 1]
--- a/tests/test_failures_combined.py
+++ b/tests/test_failures_combined.py
@@ -29,6 +29,7 @@
 REQUEST_SECONDS = 0.5
 #: Longer than a request may take, so that who loses it is past the deadline.
 PATIENCE_SECONDS = 1.0
+ADDRESS_SECONDS = 2.0
 CALLERS_OF_A_KIND = 8
 #: Long enough that requests of each kind are in flight whenever a failure begins.
 SERVICE_SECONDS = 0.1
@@ -132,7 +133,7 @@
                 ask,
                 tally,
                 patience=PATIENCE_SECONDS,
-                lifetime=0.5,
+                lifetime=ADDRESS_SECONDS,
                 **arguments,
             )
             for (name, kind, arguments), tally in zip(kinds, self.tallies, strict=True)
@@ -196,6 +197,7 @@
         async def hurt():
             self.send_signal('entry-1', signal.SIGSTOP)
             await self.more('cut', 1)
+            await self.more('right')
             self.process('claims-3').kill()
             await self.more('right')
             self.send_signal('entry-1', signal.SIGCONT)
