--- a/tests/test_failures_combined.py
+++ b/tests/test_failures_combined.py
@@ -9,6 +9,7 @@
 import httpx
 import trio
 
+from benchmarks.drain import status
 from catkinslip.status import ExitStatus
 from standins.ledgers import find_lies, read_ledger
 from standins.load import LoadCaller, ResendingCaller, Tally
@@ -92,9 +93,6 @@
     def order(self, **faults: object) -> None:
         httpx.post(f'{self.url}/standin/faults', json=faults).raise_for_status()
 
-    def send_signal(self, name: str, number: signal.Signals) -> None:
-        self.process(name).send_signal(number)
-
     def run_under_load(self, hurt) -> None:
         """Load the system while it is hurt, then compare words and ledgers."""
         trio.run(self.load, hurt)
@@ -126,16 +124,10 @@
             ('keyed', ResendingCaller, {}),
             ('recorded', ResendingCaller, {'has_own_keys': True}),
         )
+        waits = {'patience': PATIENCE_SECONDS, 'lifetime': ADDRESS_SECONDS}
+        test = self._testMethodName
         return [
-            kind(
-                f'{name}-{number}-{self._testMethodName}',
-                SERVICE,
-                ask,
-                tally,
-                patience=PATIENCE_SECONDS,
-                lifetime=ADDRESS_SECONDS,
-                **arguments,
-            )
+            kind(f'{name}-{number}-{test}', SERVICE, ask, tally, **waits, **arguments)
             for (name, kind, arguments), tally in zip(kinds, self.tallies, strict=True)
             for number in range(CALLERS_OF_A_KIND)
         ]
@@ -159,12 +151,12 @@
 
     def test_platform_stopped_and_an_instance_killed(self):
         async def hurt():
-            self.send_signal('platform', signal.SIGSTOP)
+            self.process('platform').send_signal(signal.SIGSTOP)
             await self.more('unknown', 1)
             self.process('entry-1').kill()
             await self.more('cut', 1)
             await self.more('right')
-            self.send_signal('platform', signal.SIGCONT)
+            self.process('platform').send_signal(signal.SIGCONT)
 
         self.addCleanup(self.start_daemon, 'entry-1')
         self.run_under_load(hurt)
@@ -172,12 +164,12 @@
     def test_backend_stopped_while_the_platform_loses_answers_to_an_operator(self):
         async def hurt():
             self.order(lose_answers=LOST_ANSWERS)
-            self.send_signal('claims-1', signal.SIGSTOP)
+            self.process('claims-1').send_signal(signal.SIGSTOP)
             await self.more('unknown', 1)
             self.drained = await trio.to_thread.run_sync(self.tool, 'drain', 'claims-2')
             await self.more('right')
             self.order(lose_answers=0)
-            self.send_signal('claims-1', signal.SIGCONT)
+            self.process('claims-1').send_signal(signal.SIGCONT)
 
         self.addCleanup(self.tool, 'undrain', 'claims-2')
         before = self.changes()
@@ -195,30 +187,23 @@
 
     def test_instance_stopped_past_deadlines_while_a_backend_is_killed(self):
         async def hurt():
-            self.send_signal('entry-1', signal.SIGSTOP)
+            self.process('entry-1').send_signal(signal.SIGSTOP)
             await self.more('cut', 1)
             await self.more('right')
             self.process('claims-3').kill()
             await self.more('right')
-            self.send_signal('entry-1', signal.SIGCONT)
+            self.process('entry-1').send_signal(signal.SIGCONT)
 
         port = self.process('claims-3').address.rpartition(':')[2]
         self.addCleanup(self.start_backend, 'claims-3', port)
         self.run_under_load(hurt)
 
 
-def get(address: str, path: str) -> httpx.Response:
-    return httpx.get(f'http://{address}{path}', timeout=10)
-
-
-def status(daemon: Process) -> dict:
-    return get(daemon.control_address, '/v1/status').json()
-
-
 def is_ready(daemon: Process) -> bool:
     found = status(daemon)
     return found['config_version']['number'] and len(found['members']) == len(INSTANCES)
 
 
 def is_idle(backend: Process) -> bool:
-    return get(backend.address, '/standin/ledger').json()['in_flight'] == 0
+    ledger = httpx.get(f'http://{backend.address}/standin/ledger').json()
+    return ledger['in_flight'] == 0
