--- a/standins/processes.py
+++ b/standins/processes.py
@@ -58,7 +58,9 @@
     def wait(self) -> int:
         """Wait for the process to end and return its exit status."""
         try:
-            return self.popen.wait(STOP_SECONDS)
+            # A process whose last words fill the pipe ends only when they are read.
+            self.popen.communicate(timeout=STOP_SECONDS)
+            return self.popen.returncode
         except subprocess.TimeoutExpired:
             self.kill()
             return -signal.SIGKILL
