Part the composition root by duty

Ruled out: a container of factories; plain functions read top-down. Change: wiring/shared.py builds what most parts look at, wiring/callers.py the request path, wiring/daemon.py the rest; listeners.py opens the sockets; core.py runs the parts. Behaviour, order of start and order of listeners are the same. Daemon.store and Daemon.health had no reader and are gone. Conclusion: tests of lifecycle, the whole path and settings pass.

--- a/catkinslip/daemon.py
+++ b/catkinslip/daemon.py
@@ -9,8 +9,9 @@
 
 from catkinslip import __version__
 from catkinslip.cli.definition import all_settings
-from catkinslip.core import ListenError, serve
+from catkinslip.core import serve
 from catkinslip.environment import Environment
+from catkinslip.listeners import ListenError
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.logs.flush import LogFlusher
 from catkinslip.logs.setup import configure_buffered
--- /dev/null
+++ b/catkinslip/wiring/__init__.py
@@ -0,0 +1,1 @@
+"""Build the parts of one daemon from its settings and connect them."""
--- /dev/null
+++ b/catkinslip/wiring/callers.py
@@ -0,0 +1,107 @@
+"""Build the request path: callers, at most once, limits, forwarding."""
+
+from catkinslip.addresses.answers import AddressBook
+from catkinslip.addresses.home import HomeSetLimits
+from catkinslip.environment import Environment
+from catkinslip.limits.base import LimitSettings
+from catkinslip.limits.service import LimitBook
+from catkinslip.membership.members import Member
+from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.hedges import HedgeTimer
+from catkinslip.settings.daemon import DaemonSettings
+from catkinslip.tickets.gate import AtMostOnce
+from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
+from catkinslip.tickets.passing import HomePasser
+from catkinslip.tickets.records import PlatformRecords
+from catkinslip.tickets.table import TicketTable
+from catkinslip.wiring.shared import Shared
+
+
+def wire_callers(
+    settings: DaemonSettings,
+    environment: Environment,
+    shared: Shared,
+    hedges: HedgeTimer,
+) -> CallerServer:
+    """Build the request path: callers, at most once, limits, forwarding."""
+    ticket_clock = AnchoredClock(environment.clock)
+    addresses = make_address_book(settings, shared, ticket_clock)
+    forwarder = Forwarder(
+        shared.directory,
+        shared.pool,
+        environment.clock,
+        LimitBook(make_limit_settings(settings), addresses.count_home_instances),
+        shared.health,
+        hedges,
+        shared.metrics.observer,
+    )
+    own = shared.members.own
+    gate = AtMostOnce(
+        forwarder=forwarder,
+        table=make_table(settings, own, ticket_clock),
+        records=PlatformRecords(shared.store, environment.random),
+        passer=HomePasser(own.member_id, shared.pool, environment.clock),
+        config=shared.config,
+        members=shared.members,
+        clock=ticket_clock,
+    )
+    return CallerServer(
+        environment,
+        shared.config,
+        gate,
+        addresses,
+        caller_limits(settings),
+        shared.metrics.observer,
+    )
+
+
+def make_address_book(
+    settings: DaemonSettings, shared: Shared, clock: AnchoredClock
+) -> AddressBook:
+    """Return what answers which addresses to use."""
+    return AddressBook(
+        shared.members,
+        settings.zone,
+        settings.address_lifetime,
+        KeyIssuer(clock, settings.key_lifetime),
+        shared.config,
+        HomeSetLimits(settings.min_home_instances, settings.max_home_instances),
+    )
+
+
+def make_table(
+    settings: DaemonSettings, own: Member, clock: AnchoredClock
+) -> TicketTable:
+    """Return the table of the keys whose home is this instance."""
+    return TicketTable(
+        own.member_id,
+        own.incarnation,
+        settings.key_lifetime,
+        settings.key_capacity,
+        clock.now(),
+    )
+
+
+def make_limit_settings(settings: DaemonSettings) -> LimitSettings:
+    """Return the limits that every service has."""
+    return LimitSettings(
+        queue_depth=settings.queue_depth,
+        deadline_margin=settings.deadline_margin,
+        extra_share=settings.extra_share / 100,
+        extra_reserve=settings.extra_reserve,
+        max_attempts=settings.max_attempts,
+        hedge_percentile=settings.hedge_percentile,
+    )
+
+
+def caller_limits(settings: DaemonSettings) -> CallerLimits:
+    """Return what callers may ask for."""
+    return CallerLimits(
+        request_timeout=settings.request_timeout,
+        head_timeout=settings.head_timeout,
+        body_timeout=settings.body_timeout,
+        idle_timeout=settings.idle_timeout,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_callers,
+    )
--- /dev/null
+++ b/catkinslip/wiring/daemon.py
@@ -0,0 +1,120 @@
+"""Build a daemon and connect its parts."""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+from attrs import define
+
+from catkinslip.config.topic import ConfigTopic
+from catkinslip.config.watcher import ConfigWatcher
+from catkinslip.control.app import ControlSurface
+from catkinslip.control.operators import OperatorPages
+from catkinslip.health.lister import ListFollower
+from catkinslip.health.prober import Prober
+from catkinslip.health.spreader import DrainSpreader
+from catkinslip.health.topics import health_topics
+from catkinslip.membership.exchange import PeerExchange
+from catkinslip.membership.listing import InstanceList
+from catkinslip.membership.members import Member, MemberTable
+from catkinslip.metrics.health import HealthMetrics
+from catkinslip.metrics.wiring import Metrics
+from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.hedges import HedgeTimer
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.settings.daemon import DaemonSettings
+from catkinslip.wiring.callers import wire_callers
+from catkinslip.wiring.shared import PEER_TIMEOUT_SECONDS, Outside, Shared, wire_shared
+
+
+@define
+class Daemon:
+    """The connected parts of one daemon."""
+
+    settings: DaemonSettings
+    members: MemberTable
+    instances: InstanceList
+    peers: PeerExchange
+    watcher: ConfigWatcher
+    callers: CallerServer
+    control: ControlSurface
+    pool: BackendPool
+    prober: Prober
+    spreader: DrainSpreader
+    lister: ListFollower
+    hedges: HedgeTimer
+    metrics: Metrics
+
+    def tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Return what runs beside the requests until the daemon ends."""
+        return (
+            self.watcher.run,
+            self.callers.watch.run,
+            self.pool.run,
+            self.hedges.run,
+            partial(self.peers.run, self.instances.read),
+            self.prober.run,
+            self.spreader.run,
+            self.lister.run,
+            self.metrics.lag.run,
+        )
+
+
+def wire(settings: DaemonSettings, own: Member, outside: Outside) -> Daemon:
+    """Build the parts of one daemon and connect them."""
+    environment = outside.environment
+    shared = wire_shared(settings, own, outside)
+    hedges = HedgeTimer()
+    callers = wire_callers(settings, environment, shared, hedges)
+    peers = wire_peers(settings, outside, shared)
+    shared.config.listeners.append(lambda _: peers.spread_soon())
+    health, members, store = shared.health, shared.members, shared.store
+    return Daemon(
+        settings=settings,
+        members=members,
+        instances=InstanceList(store, members, health.is_backend),
+        peers=peers,
+        watcher=ConfigWatcher(
+            store, shared.config, shared.is_reader, environment.random
+        ),
+        callers=callers,
+        control=wire_control(settings, shared, peers),
+        pool=shared.pool,
+        prober=Prober(health, members, shared.pool, environment.clock),
+        spreader=DrainSpreader(health, peers, environment.random),
+        lister=ListFollower(store, health, shared.is_reader),
+        hedges=hedges,
+        metrics=shared.metrics,
+    )
+
+
+def wire_peers(
+    settings: DaemonSettings, outside: Outside, shared: Shared
+) -> PeerExchange:
+    """Build the exchange with peers and the topics that it carries."""
+    members = shared.members
+    config_topic = ConfigTopic(
+        shared.config, members.own.member_id, lambda: len(members.live()) - 1
+    )
+    topics = (config_topic, *health_topics(shared.health))
+    return PeerExchange(
+        members,
+        {topic.name: topic for topic in topics},
+        outside.clients.peers,
+        outside.environment.random,
+        settings.seeds,
+        outside.environment.clock,
+        settings.peer_interval,
+        PEER_TIMEOUT_SECONDS,
+    )
+
+
+def wire_control(
+    settings: DaemonSettings, shared: Shared, peers: PeerExchange
+) -> ControlSurface:
+    """Build what peers and operators ask over HTTP."""
+    metrics, health = shared.metrics, shared.health
+    sources = (*metrics.sources, shared.store, HealthMetrics(health))
+    operators = OperatorPages(
+        shared.members, shared.config, health, sources, metrics.traces
+    )
+    return ControlSurface(peers, operators, settings.shared_secret)
--- /dev/null
+++ b/catkinslip/wiring/shared.py
@@ -0,0 +1,114 @@
+"""Build the parts that most others look at."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+
+import httpx
+from attrs import frozen
+
+from catkinslip.config.duty import is_watcher
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.control.paths import SECRET_HEADER
+from catkinslip.environment import Environment
+from catkinslip.health.tracker import HealthTracker, make_tracker
+from catkinslip.logs.buffer import LogBuffer
+from catkinslip.membership.members import Member, MemberTable
+from catkinslip.metrics.platform import CountedStore
+from catkinslip.metrics.wiring import Metrics
+from catkinslip.platform.base import ObjectStore
+from catkinslip.platform.budget import TokenBucket
+from catkinslip.platform.budgeted import BudgetedStore
+from catkinslip.platform.embedded import EmbeddedStore
+from catkinslip.platform.http import CALLER_HEADER, HttpStore
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.routing.choices import make_policy
+from catkinslip.routing.directory import Directory
+from catkinslip.settings.daemon import DaemonSettings
+
+PEER_TIMEOUT_SECONDS = 1.0
+
+
+@frozen
+class Clients:
+    """HTTP clients of the platform and of peers."""
+
+    platform: httpx.AsyncClient
+    peers: httpx.AsyncClient
+
+
+@frozen
+class Outside:
+    """What the parts reach beyond the daemon."""
+
+    environment: Environment
+    clients: Clients
+    log_buffer: LogBuffer
+
+
+@frozen
+class Shared:
+    """The parts that most others look at; each follows the configuration."""
+
+    store: CountedStore
+    members: MemberTable
+    config: ConfigHolder
+    directory: Directory
+    health: HealthTracker
+    pool: BackendPool
+    metrics: Metrics
+
+    def is_reader(self) -> bool:
+        """Tell whether this instance reads the platform for its zone."""
+        return is_watcher(self.members.own, self.members.live())
+
+
+@asynccontextmanager
+async def open_clients(settings: DaemonSettings) -> AsyncIterator[Clients]:
+    """Open the clients of the platform and of peers."""
+    secret = {SECRET_HEADER: settings.shared_secret}
+    caller = {CALLER_HEADER: settings.instance_id}
+    async with (
+        httpx.AsyncClient(base_url=settings.platform_url, headers=caller) as platform,
+        httpx.AsyncClient(headers=secret, timeout=PEER_TIMEOUT_SECONDS) as peers,
+    ):
+        yield Clients(platform, peers)
+
+
+def wire_shared(settings: DaemonSettings, own: Member, outside: Outside) -> Shared:
+    """Build what most parts look at, and let it follow the configuration."""
+    environment = outside.environment
+    clock, random = environment.clock, environment.random
+    members = MemberTable(own)
+    config = ConfigHolder()
+    directory = Directory(partial(make_policy, settings, random))
+    health = make_tracker(directory, clock, random, settings.max_instances)
+    pool = BackendPool()
+    config.listeners.extend((directory.update, health.update, pool.update))
+    return Shared(
+        store=CountedStore(make_store(settings, outside, members)),
+        members=members,
+        config=config,
+        directory=directory,
+        health=health,
+        pool=pool,
+        metrics=Metrics.wire(
+            settings.instance_id, clock, directory, config, members, outside.log_buffer
+        ),
+    )
+
+
+def make_store(
+    settings: DaemonSettings, outside: Outside, members: MemberTable
+) -> ObjectStore:
+    """Return the platform's store, or an embedded one when there is no platform."""
+    if not settings.platform_url:
+        return EmbeddedStore()
+    return BudgetedStore(
+        HttpStore(outside.clients.platform, settings.platform_timeout),
+        outside.environment.clock,
+        settings.platform_budget,
+        settings.max_instances,
+        lambda: len(members.live()),
+        TokenBucket(0.0),
+    )
