Part flags from settings, check the drain against the request timeout

A drain timeout below the request timeout cut requests that were in time. Ruled out: raising the drain timeout silently; a flag should do what it says. Guard removed: test_settings_that_clash_are_told_together fails.

--- a/catkinslip/cli/base.py
+++ b/catkinslip/cli/base.py
@@ -10,7 +10,7 @@
 from cleo.commands.command import Command
 from returns.result import Failure, Success
 
-from catkinslip.cli import definition as defined
+from catkinslip.cli import options
 from catkinslip.cli.definition import Definition
 from catkinslip.cli.output import Printer
 from catkinslip.control.paths import SECRET_HEADER
@@ -78,14 +78,14 @@
     @asynccontextmanager
     async def open_store(self) -> AsyncIterator[HttpStore]:
         """Open the platform's object API."""
-        timeout = self.value(defined.PLATFORM_TIMEOUT)
-        url = self.value(defined.PLATFORM_URL)
+        timeout = self.value(options.PLATFORM_TIMEOUT)
+        url = self.value(options.PLATFORM_URL)
         async with httpx.AsyncClient(base_url=url, timeout=timeout) as client:
             yield HttpStore(client, timeout)
 
     def open_control(self) -> httpx.AsyncClient:
         """Return a context that opens a client of control surfaces."""
         return httpx.AsyncClient(
-            headers={SECRET_HEADER: self.value(defined.SHARED_SECRET)},
-            timeout=self.value(defined.CONTROL_TIMEOUT),
+            headers={SECRET_HEADER: self.value(options.SHARED_SECRET)},
+            timeout=self.value(options.CONTROL_TIMEOUT),
         )
--- a/catkinslip/cli/changing.py
+++ b/catkinslip/cli/changing.py
@@ -2,7 +2,7 @@
 
 import secrets
 
-from catkinslip.cli import definition as defined
+from catkinslip.cli import options
 from catkinslip.cli.change_outcomes import describe
 from catkinslip.cli.configuration import ConfigurationCommand
 from catkinslip.cli.in_force import InForceReport
@@ -19,7 +19,7 @@
     @property
     def wait(self) -> float | None:
         """Return the seconds to wait until a change is in force, if any."""
-        return self.value(defined.WAIT)
+        return self.value(options.WAIT)
 
     async def write(
         self,
--- a/catkinslip/cli/configuration.py
+++ b/catkinslip/cli/configuration.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result
 
-from catkinslip.cli import definition as defined
+from catkinslip.cli import options
 from catkinslip.cli.base import BaseCommand
 from catkinslip.cli.in_force import Fleet
 from catkinslip.config.checks import DocumentRefused, parse_document
@@ -25,13 +25,13 @@
     def author(self) -> str:
         """Return who makes a change."""
         user = self.environment.variables.get('USER')
-        return self.value(defined.AUTHOR) or user or f'user-{os.getuid()}'
+        return self.value(options.AUTHOR) or user or f'user-{os.getuid()}'
 
     @asynccontextmanager
     async def open_fleet(self, store: HttpStore) -> AsyncIterator[Fleet]:
         """Open a client of all instances."""
         async with self.open_control() as client:
-            yield Fleet(client, store, self.value(defined.CONTROL))
+            yield Fleet(client, store, self.value(options.CONTROL))
 
     def read_file(self) -> Result[Document, DocumentRefused]:
         """Read and check the document that the command names."""
--- a/catkinslip/cli/configuration_reads.py
+++ b/catkinslip/cli/configuration_reads.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from catkinslip.cli import definition as defined
+from catkinslip.cli import options
 from catkinslip.cli.base import UsageError
 from catkinslip.cli.configuration import ConfigurationCommand
 from catkinslip.config.documents import ConfigVersion, Document, to_plain
@@ -55,7 +56,7 @@
         """Do the command's work and return its exit status."""
         if self.option('from'):
             return await self._read_instance(self.option('from'))
-        if not self.value(defined.PLATFORM_URL):
+        if not self.value(options.PLATFORM_URL):
             raise UsageError(
                 'Name the platform with --platform-url (CATKINSLIP_PLATFORM_URL), or '
                 'an instance with --from.'
--- a/catkinslip/cli/definition.py
+++ b/catkinslip/cli/definition.py
@@ -1,85 +1,23 @@
-"""All commands of the tool: arguments, flags, help, examples and exit statuses."""
+"""All commands of the tool: arguments, help, examples and exit statuses."""
 
-from attrs import evolve, frozen
+from attrs import frozen
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option as CleoOption
 
-from catkinslip.settings.base import Option, number
-from catkinslip.settings.values import (
-    addresses,
-    http_url,
-    http_url_or_empty,
-    optional,
-    some_addresses,
-)
-from catkinslip.status import ExitStatus
-
-PLATFORM_GROUP = 'Platform'
-CONTROL_GROUP = 'Control surface'
-CHANGE_GROUP = 'Change'
-
-PLATFORM_URL = Option(
-    '--platform-url', '', http_url, 'URL of the object API.', PLATFORM_GROUP
-)
-PLATFORM_TIMEOUT = Option(
-    '--platform-timeout',
-    '5',
-    number(0.05, 60, 'seconds'),
-    'Seconds to wait for an answer of the platform.',
-    PLATFORM_GROUP,
-)
-CONTROL = Option(
-    '--control',
-    '',
-    some_addresses,
-    'Control addresses of instances; the first that answers is asked.',
-    CONTROL_GROUP,
-)
-CONTROL_TIMEOUT = Option(
-    '--control-timeout',
-    '3',
-    number(0.05, 60, 'seconds'),
-    'Seconds to wait for an answer of an instance.',
-    CONTROL_GROUP,
-)
-SHARED_SECRET = Option(
-    '--shared-secret',
-    '',
-    str,
-    'Secret that instances ask for; a flag shows in the process list, so prefer '
-    'the variable or the file.',
-    CONTROL_GROUP,
-    secret=True,
-)
-AUTHOR = Option(
-    '--author', '', str, 'Who makes the change; your user if empty.', CHANGE_GROUP
-)
-WAIT = Option(
-    '--wait',
-    '',
-    optional(number(0, 86_400, 'seconds')),
-    'Seconds to wait until the change is in force on every instance; empty: no wait.',
-    CHANGE_GROUP,
-)
-WATCH_WAIT = evolve(WAIT, default='30', help='Seconds to wait.')
-
-PLATFORM = (PLATFORM_URL, PLATFORM_TIMEOUT)
-PLATFORM_IF_ANY = (
-    evolve(PLATFORM_URL, convert=http_url_or_empty),
-    PLATFORM_TIMEOUT,
-)
-INSTANCE = (CONTROL, CONTROL_TIMEOUT, SHARED_SECRET)
-INSTANCE_IF_ANY = (
-    evolve(
-        CONTROL,
-        convert=addresses,
-        help="Control addresses of instances that are not on the platform's list.",
-    ),
+from catkinslip.cli.options import (
+    CHANGE,
     CONTROL_TIMEOUT,
+    INSTANCE,
+    INSTANCE_IF_ANY,
+    PLATFORM,
+    PLATFORM_IF_ANY,
     SHARED_SECRET,
+    WATCH_WAIT,
 )
-CHANGE = (*PLATFORM, *INSTANCE_IF_ANY, AUTHOR, WAIT)
+from catkinslip.settings.base import Option
+from catkinslip.status import ExitStatus
+
 CHANGE_STATUSES = (
     ExitStatus.REJECTED,
     ExitStatus.CONFLICT,
--- a/catkinslip/cli/instances.py
+++ b/catkinslip/cli/instances.py
@@ -8,6 +8,7 @@
 import trio
 
 from catkinslip.cli import definition as defined
+from catkinslip.cli import options
 from catkinslip.cli.base import BaseCommand
 from catkinslip.cli.output import table
 from catkinslip.control.paths import STATUS_PATH
@@ -22,7 +23,7 @@
     async def main(self) -> ExitStatus:
         """Do the command's work and return its exit status."""
         async with self.open_control() as client:
-            for address in self.value(defined.CONTROL):
+            for address in self.value(options.CONTROL):
                 first = await self.ask(client, address, self.path)
                 if first is not None:
                     return await self.show(client, first)
--- a/catkinslip/daemon.py
+++ b/catkinslip/daemon.py
@@ -17,7 +17,8 @@
 from catkinslip.logs.setup import configure_buffered
 from catkinslip.logs.writers import open_writer
 from catkinslip.settings.base import with_secret_files
-from catkinslip.settings.daemon import OPTIONS, DaemonSettings
+from catkinslip.settings.daemon import DaemonSettings
+from catkinslip.settings.daemon_options import OPTIONS
 from catkinslip.settings.start import (
     PROGRAM,
     daemon_help,
--- a/catkinslip/settings/start.py
+++ b/catkinslip/settings/start.py
@@ -12,7 +12,8 @@
     read_values,
     with_secret_files,
 )
-from catkinslip.settings.daemon import OPTIONS, DaemonSettings, check_together
+from catkinslip.settings.daemon import DaemonSettings, check_together
+from catkinslip.settings.daemon_options import OPTIONS
 from catkinslip.settings.flags import ParsedFlags, parse_flags
 
 PROGRAM = 'catkinslipd'
--- a/tests/test_proxy_process.py
+++ b/tests/test_proxy_process.py
@@ -32,7 +32,11 @@
         platform_url = f'http://{self.group.start_platform().address}'
         # The deadline must not do the work of the watch on callers.
         daemon = self.group.start_daemon(
-            'entry-1', 'zone-a', platform_url=platform_url, request_timeout=600
+            'entry-1',
+            'zone-a',
+            platform_url=platform_url,
+            request_timeout=600,
+            drain_timeout=600,
         )
         path = self.group.folder / 'document.json'
         path.write_text(json.dumps(document_plain({'limits-1': backend_address})))
--- a/tests/test_routing_policies.py
+++ b/tests/test_routing_policies.py
@@ -17,7 +17,7 @@
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.reports import parse_report
 from catkinslip.routing.router import WINDOW_SIZE, ServiceRouter
-from catkinslip.settings.daemon import POLICIES
+from catkinslip.settings.daemon_options import POLICIES
 
 HONEST = LoadReport(0, 1.0)
 
--- a/tests/test_settings_start.py
+++ b/tests/test_settings_start.py
@@ -1,6 +1,7 @@
 """The daemon's settings, checked as a whole at its start."""
 
 import io
+import re
 import tempfile
 import unittest
 from pathlib import Path
@@ -8,7 +9,8 @@
 from catkinslip.daemon import run
 from catkinslip.environment import Environment
 from catkinslip.settings.base import read_values, with_secret_files
-from catkinslip.settings.daemon import OPTIONS
+from catkinslip.settings.daemon_options import OPTIONS
+from catkinslip.settings.start import daemon_help
 from catkinslip.status import ExitStatus
 
 SECRET = 'swordfish'
@@ -63,10 +65,26 @@
             '--control-port=7000',
             '--key-lifetime=60',
             '--address-lifetime=60',
+            '--request-timeout=31',
         )
         self.assertEqual(status, ExitStatus.USAGE)
         self.assertIn('--key-lifetime (CATKINSLIP_KEY_LIFETIME)', said)
         self.assertIn('--control-port (CATKINSLIP_CONTROL_PORT)', said)
+        self.assertIn('--drain-timeout (CATKINSLIP_DRAIN_TIMEOUT) of 30 seconds', said)
+
+    def test_drain_timeout_equal_to_request_timeout_is_right(self):
+        status, _ = check(
+            '--instance-id=entry-1',
+            '--zone=zone-a',
+            '--request-timeout=31',
+            '--drain-timeout=31',
+        )
+        self.assertEqual(status, ExitStatus.SUCCESS)
+
+    def test_each_heading_of_the_help_stands_once(self):
+        headings = re.findall(r'^\w+:$', daemon_help(), re.MULTILINE)
+        self.assertIn('Requests:', headings)
+        self.assertEqual(len(headings), len(set(headings)))
 
     def test_secret_comes_from_a_file_and_is_never_printed(self):
         with tempfile.NamedTemporaryFile('w') as file:
