Use one function for the group of processes of a test

Cause: five test files repeated the five lines of small_fleet.new_process_group. Change: they call it. No assertion changed.

--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -5,29 +5,24 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import time
 import unittest
-from pathlib import Path
 
 import httpx
 
 from catkinslip.cli.application import run
 from catkinslip.environment import Environment
 from catkinslip.status import ExitStatus
-from standins.processes import ROOT, Process, ProcessGroup, wait_until
+from standins.processes import ROOT, Process, wait_until
 from tests.builders import document_plain
+from tests.small_fleet import new_process_group
 
 
 class ConfigProcessesTest(unittest.TestCase):
     """Each test starts its own platform."""
 
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        self.group = ProcessGroup(self.folder)
-        self.addCleanup(self.group.stop_all)
+        self.group = new_process_group(self)
         self.platform = self.group.start_platform()
         self.url = f'http://{self.platform.address}'
 
@@ -37,7 +32,7 @@
     def document(self, *backends: str) -> str:
         """Write a document with some backend servers; return its path."""
         addresses = {name: f'127.0.0.1:{9000 + n}' for n, name in enumerate(backends)}
-        path = self.folder / f'{"-".join(backends)}.json'
+        path = self.group.folder / f'{"-".join(backends)}.json'
         path.write_text(json.dumps(document_plain(addresses)))
         return str(path)
 
@@ -120,7 +115,7 @@
             self.tool('apply', self.document('b'))[0], ExitStatus.UNREACHABLE
         )
         self.order(down=False)
-        bad = self.folder / 'bad.json'
+        bad = self.group.folder / 'bad.json'
         bad.write_text('{"register": {"backends": {"x": {"port": 1}}}}')
         status, said = self.tool('apply', str(bad), '--json')
         self.assertEqual(status, ExitStatus.REJECTED)
@@ -186,7 +181,7 @@
         self.assertEqual(status, ExitStatus.SUCCESS, said)
         wait_until(lambda: self.kept(daemon) > before)
         self.assertEqual(version_of(daemon), held)
-        saved = self.folder / 'saved.json'
+        saved = self.group.folder / 'saved.json'
         saved.write_text(
             self.tool('read', '--from', daemon.control_address, '--document')[1]
         )
--- a/tests/test_health_processes.py
+++ b/tests/test_health_processes.py
@@ -1,13 +1,12 @@
 """Drain and the measuring budget, as separate processes."""
 
-import tempfile
 import unittest
-from pathlib import Path
 
 import httpx
 
 from benchmarks.drain import LOADED_PATHS, STAYING, TERMS, DrainSystem, ask, status
-from standins.processes import Process, ProcessGroup, wait_until
+from standins.processes import Process, wait_until
+from tests.small_fleet import new_process_group
 
 REQUESTS = 12
 
@@ -16,10 +15,7 @@
     """Three instances, one backend server leaving by each path, under load."""
 
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.group = ProcessGroup(Path(folder.name))
-        self.addCleanup(self.group.stop_all)
+        self.group = new_process_group(self)
         self.system = DrainSystem(self.group, load_seconds=3.5)
         self.system.start()
 
--- a/tests/test_limits_overload.py
+++ b/tests/test_limits_overload.py
@@ -1,17 +1,16 @@
 """Overload of real processes: what was told not-run did not run."""
 
 import json
-import tempfile
 import unittest
-from pathlib import Path
 
 import httpx
 import trio
 
 from catkinslip.cli.application import run
 from standins.load import LoadCaller, Tally
-from standins.processes import ProcessGroup, wait_until
+from standins.processes import wait_until
 from tests.builders import document_plain
+from tests.small_fleet import new_process_group
 
 CALLERS = 24
 SECONDS = 3.0
@@ -35,11 +34,7 @@
     """Two instances, two backend servers with two slots, many callers."""
 
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        self.group = ProcessGroup(self.folder)
-        self.addCleanup(self.group.stop_all)
+        self.group = new_process_group(self)
 
     def start(self) -> None:
         platform_url = f'http://{self.group.start_platform().address}'
@@ -58,7 +53,7 @@
             for n in (1, 2)
         ]
         address_by_backend = {each.name: each.address for each in self.backends}
-        path = self.folder / 'document.json'
+        path = self.group.folder / 'document.json'
         path.write_text(json.dumps(document_plain(address_by_backend, slots=2)))
         status = run(['apply', str(path), '--platform-url', platform_url, '--quiet'])
         self.assertEqual(status, 0)
--- a/tests/test_proxy_process.py
+++ b/tests/test_proxy_process.py
@@ -1,17 +1,15 @@
 """The request path of a whole daemon before a faulty backend server (issue 3)."""
 
 import json
-import tempfile
 import unittest
-from pathlib import Path
 
 import trio
 
 from catkinslip.cli.application import run
 from catkinslip.models import Address
-from standins.processes import ProcessGroup
 from standins.raw import CLOSE, WAIT, RawAnswer, RawBackend, ok
 from tests.builders import document_plain
+from tests.small_fleet import new_process_group
 
 GENEROUS_SECONDS = 30
 GET = b'GET /a HTTP/1.1\r\nHost: limits\r\n\r\n'
@@ -23,10 +21,7 @@
     """Callers that leave, answers cut short, connections closed when idle."""
 
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.group = ProcessGroup(Path(folder.name))
-        self.addCleanup(self.group.stop_all)
+        self.group = new_process_group(self)
 
     def start_daemon(self, backend_address: str) -> Address:
         platform_url = f'http://{self.group.start_platform().address}'
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,15 +1,14 @@
 """The whole path, as separate processes."""
 
 import json
-import tempfile
 import unittest
-from pathlib import Path
 
 import httpx
 
 from catkinslip.cli.application import run
-from standins.processes import ProcessGroup, wait_until
+from standins.processes import wait_until
 from tests.builders import document_plain
+from tests.small_fleet import new_process_group
 
 ADDRESSES_PATH = '/.well-known/catkinslip/addresses/limits'
 
@@ -22,14 +21,10 @@
     """Callers, two instances, backend servers, the platform and the tool."""
 
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        self.group = ProcessGroup(self.folder)
-        self.addCleanup(self.group.stop_all)
+        self.group = new_process_group(self)
 
     def apply(self, platform_url: str, plain: dict) -> int:
-        path = self.folder / 'document.json'
+        path = self.group.folder / 'document.json'
         path.write_text(json.dumps(plain))
         return run(['apply', str(path), '--platform-url', platform_url, '--quiet'])
 
