Check the pages against refusals, fields and series

Cause: pages fell behind the code without a test that says so. Change: OPERATING must give each refusal with its status, CONFIGURATION each field of the document, and each series that a page names must be exported. Seen to fail: with a wrong status, a row left out and a misspelt series. Conclusion: the pages of today pass.

--- a/tests/test_docs_examples.py
+++ b/tests/test_docs_examples.py
@@ -11,10 +11,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from attrs import fields
+
+from catkinslip.config.documents import Backend, RequestRule, Service
 from catkinslip.proxy.outcomes import Reason
 
 ROOT = Path(__file__).resolve().parent.parent
 BLOCK = re.compile(r'^```sh run\n(.*?)^```$', re.DOTALL | re.MULTILINE)
+SERIES = re.compile(r'\bcatkinslip_[a-z_]+[a-z]\b')
 PORT = re.compile(r'\b7[0-3]0\d\b')
 ACTIVATE = '. .venv/bin/activate\n'
 PRELUDE = """set -e
@@ -58,14 +62,46 @@
             self.assertRegex(output, expected)
 
 
-class RefusalsTest(unittest.TestCase):
-    """Operators find each refusal with what to do."""
+class PagesTest(unittest.TestCase):
+    """Operators find each refusal, field and series."""
 
     def test_each_refusal_is_in_the_operators_page(self):
         text = (ROOT / 'docs' / 'OPERATING.md').read_text()
         missing = [each.slug for each in Reason if f'`{each.slug}`' not in text]
         self.assertEqual(missing, [])
 
+    def test_each_refusal_has_its_status_there(self):
+        rows = (ROOT / 'docs' / 'OPERATING.md').read_text().splitlines()
+        for each in Reason:
+            (row,) = (
+                row for row in rows if row.startswith('|') and each.slug in slugs(row)
+            )
+            cells = [cell.strip() for cell in row.split('|')]
+            statuses = cells[2].split(', ')
+            expected = statuses[slugs(row).index(each.slug) % len(statuses)]
+            self.assertEqual(str(each.status), expected, row)
+
+    def test_each_field_of_the_document_is_in_its_page(self):
+        text = (ROOT / 'docs' / 'CONFIGURATION.md').read_text()
+        names = {
+            field.name
+            for kind in (Service, Backend, RequestRule)
+            for field in fields(kind)
+        }
+        self.assertEqual([name for name in names if f'| `.{name}` |' not in text], [])
+
+    def test_each_series_that_a_page_names_is_exported(self):
+        code = ''.join(path.read_text() for path in ROOT.glob('catkinslip/**/*.py'))
+        for page in ROOT.glob('docs/*.md'):
+            for name in SERIES.findall(page.read_text()):
+                label = re.sub('_(service|backend)_', '_{label}_', name)
+                self.assertTrue(name in code or label in code, (page.name, name))
+
+
+def slugs(row: str) -> list[str]:
+    """Return the words in code letters in the first cell of a row."""
+    return re.findall('`([a-z-]+)`', row.split('|')[1])
+
 
 def blocks(path: Path) -> list[str]:
     """Return the runnable blocks of a page."""
