--- a/catkinslip/daemon.py
+++ b/catkinslip/daemon.py
@@ -9,14 +9,16 @@
 
 from catkinslip import __version__
 from catkinslip.cli.definition import all_settings
-from catkinslip.core import ListenError, serve
+from catkinslip.core import serve
 from catkinslip.environment import Environment
+from catkinslip.listeners import ListenError
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.logs.flush import LogFlusher
 from catkinslip.logs.setup import configure_buffered
 from catkinslip.logs.writers import open_writer
 from catkinslip.settings.base import with_secret_files
-from catkinslip.settings.daemon import OPTIONS, DaemonSettings
+from catkinslip.settings.daemon import DaemonSettings
+from catkinslip.settings.daemon_options import OPTIONS
 from catkinslip.settings.start import (
     PROGRAM,
     daemon_help,
