Wake the hedge timer at most once a tick

Change: the timer sleeps at least 2 ms unless a hedge is due more than 2 ms before it would wake; a hedge starts at most a tick late and never early. Guards: with the old timer the wake-up test fails; without waking for an earlier hedge the other one does.

--- a/catkinslip/proxy/hedges.py
+++ b/catkinslip/proxy/hedges.py
@@ -3,10 +3,15 @@
 from abc import ABC, abstractmethod
 from heapq import heappop, heappush
 from itertools import count
+from math import inf
 
 import trio
 from attrs import Factory, define, field
 
+# A hedge may start so much late; most calls end before their hedge is due, and
+# waking for each of them would cost more than the call's other timers together.
+TICK_SECONDS = 0.002
+
 
 class Hedge(ABC):
     """A second attempt that may start beside the first."""
@@ -20,17 +25,18 @@
 
 @define
 class HedgeTimer:
-    """Run each hedge after its delay unless its call ended before."""
+    """Run each hedge after its delay, or a tick later, unless its call ended before."""
 
     heap: list[tuple[float, int, Hedge]] = Factory(list)
     numbers: count = Factory(count)
     earlier: trio.lowlevel.ParkingLot = field(factory=trio.lowlevel.ParkingLot)
+    wakes_at: float = inf
 
     def add(self, delay: float, hedge: Hedge) -> None:
         """Run a hedge after some seconds."""
-        entry = (trio.current_time() + delay, next(self.numbers), hedge)
-        heappush(self.heap, entry)
-        if self.heap[0] is entry:
+        due = trio.current_time() + delay
+        heappush(self.heap, (due, next(self.numbers), hedge))
+        if due + TICK_SECONDS < self.wakes_at:
             self.earlier.unpark_all()
 
     async def run(self) -> None:
@@ -45,6 +51,8 @@
                         nursery.start_soon(hedge.run)
 
     async def _wait(self) -> None:
-        due = self.heap[0][0] if self.heap else float('inf')
-        with trio.move_on_at(due):
+        self.wakes_at = inf
+        if self.heap:
+            self.wakes_at = max(self.heap[0][0], trio.current_time() + TICK_SECONDS)
+        with trio.move_on_at(self.wakes_at):
             await self.earlier.park()
--- /dev/null
+++ b/tests/test_proxy_hedges.py
@@ -0,0 +1,92 @@
+"""Test the timer that starts hedges."""
+
+import unittest
+from random import Random
+
+import trio
+import trio.testing
+from attrs import Factory, define
+
+from catkinslip.proxy.hedges import TICK_SECONDS, Hedge, HedgeTimer
+
+CALLS = 1000
+CALL_SECONDS = 0.0005
+SEED = 7
+
+
+@define(eq=False)
+class NotedHedge(Hedge):
+    """Note when it ran."""
+
+    ran_at: list[float] = Factory(list)
+
+    async def run(self) -> None:
+        """Note the time."""
+        self.ran_at.append(trio.current_time())
+
+
+@define(eq=False)
+class StepCount(trio.abc.Instrument):
+    """Count the steps of the timer's task."""
+
+    steps: int = 0
+
+    def before_task_step(self, task) -> None:
+        """Count a step."""
+        self.steps += 'HedgeTimer' in task.name
+
+
+async def run_timer(act) -> None:
+    """Run a timer while some function adds to it."""
+    timer = HedgeTimer()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timer.run)
+        await act(timer)
+        nursery.cancel_scope.cancel()
+
+
+class HedgeTimerTest(unittest.TestCase):
+    """The timer runs each hedge once, never early and at most a tick late."""
+
+    def run_on_mock_clock(self, act, *instruments) -> None:
+        """Run on a clock that jumps when every task waits."""
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(run_timer, act, clock=clock, instruments=instruments)
+
+    def test_hedges_in_any_order_run_once_and_at_most_a_tick_late(self) -> None:
+        """A hedge that is due before the others does not wait for them."""
+        random = Random(SEED)
+
+        async def act(timer: HedgeTimer) -> None:
+            due_by_hedge = {}
+            for _ in range(CALLS):
+                delay = random.choice((0.001, 0.01, 0.5)) * random.random()
+                hedge = NotedHedge()
+                due_by_hedge[hedge] = trio.current_time() + delay
+                timer.add(delay, hedge)
+                await trio.sleep(random.random() * 0.01)
+            await trio.sleep(1.0)
+            for hedge, due in due_by_hedge.items():
+                self.assertEqual(len(hedge.ran_at), 1)
+                late = hedge.ran_at[0] - due
+                self.assertGreaterEqual(late, -1e-9)
+                self.assertLessEqual(late, TICK_SECONDS + 1e-9)
+
+        self.run_on_mock_clock(act)
+
+    def test_calls_that_end_early_wake_the_timer_at_most_once_a_tick(self) -> None:
+        """Their hedges never run."""
+        count = StepCount()
+
+        async def act(timer: HedgeTimer) -> None:
+            hedges = []
+            for _ in range(CALLS):
+                hedge = NotedHedge()
+                hedges.append(hedge)
+                timer.add(2 * CALL_SECONDS, hedge)
+                await trio.sleep(CALL_SECONDS)
+                hedge.is_over = True
+            self.assertFalse(any(hedge.ran_at for hedge in hedges))
+
+        self.run_on_mock_clock(act, count)
+        self.assertLess(count.steps, CALLS * CALL_SECONDS / TICK_SECONDS * 1.5)
