Let the codec take checked headers as they are

Cause: h11 checks and normalises each header again when a head is built: 30 us of a request to a backend server, 16 us of an answer to the caller, in a loop of the codec alone; 6 us with headers already in its own form. Ruled out: nothing new enters unchecked; these headers were read by the codec itself or are made here, and the heads of refusals, replays and passed requests are still checked. Change: build its Headers directly, which is a private name of the pinned h11.

--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -190,7 +190,9 @@
         elif call.body or call.method in METHODS_WITH_BODY:
             headers.append(framing(len(call.body)))
         events: list[h11.Event] = [
-            h11.Request(method=call.method, target=call.target, headers=headers)
+            h11.Request(
+                method=call.method, target=call.target, headers=names.checked(headers)
+            )
         ]
         if call.body:
             events.append(h11.Data(data=call.body))
@@ -223,7 +225,9 @@
         headers = names.answer_headers(head.headers, self.call.request_id)
         if self.caller.codec.their_state is h11.SEND_BODY:
             headers.append((b'connection', b'close'))
-        return h11.Response(status_code=head.response.status_code, headers=headers)
+        return h11.Response(
+            status_code=head.response.status_code, headers=names.checked(headers)
+        )
 
 
 def framing(length: int | None) -> names.Header:
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from attrs import frozen
+from h11._headers import Headers
 
 Header = tuple[bytes, bytes]
 
@@ -102,3 +103,11 @@
     passed = end_to_end(headers, REPLACED_IN_ANSWERS)
     passed.append((REQUEST_ID, request_id.encode()))
     return passed
+
+
+def checked(headers: Iterable[Header]) -> Headers:
+    """Return headers that the codec need not check again.
+
+    Only for those that it read itself, with names in lower case, and for ours.
+    """
+    return Headers([(name, name, value) for name, value in headers])
