--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -2,7 +2,6 @@
 
 import gc
 import logging
-import signal
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from functools import partial
@@ -15,9 +14,9 @@
 from hypercorn.trio import serve as serve_asgi
 
 from catkinslip.addresses.answers import AddressBook
+from catkinslip.addresses.home import HomeSetLimits
 from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
-from catkinslip.config.signal import PEERS_TOLD_AT_ONCE, ChangeSignal
 from catkinslip.config.topic import ConfigTopic
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import ControlSurface
@@ -29,16 +28,18 @@
 from catkinslip.health.spreader import DrainSpreader
 from catkinslip.health.topics import health_topics
 from catkinslip.health.tracker import HealthTracker, make_tracker
+from catkinslip.lifecycle import Lifecycle, StopRequest
 from catkinslip.limits.base import LimitSettings
 from catkinslip.limits.service import LimitBook
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.membership.exchange import PeerExchange
+from catkinslip.membership.listing import InstanceList
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.platform import CountedStore
 from catkinslip.metrics.wiring import Metrics
 from catkinslip.models import Address
-from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.platform.base import ObjectStore
 from catkinslip.platform.budget import TokenBucket
 from catkinslip.platform.budgeted import BudgetedStore
 from catkinslip.platform.embedded import EmbeddedStore
@@ -58,7 +59,6 @@
 
 LISTEN_BACKLOG = 1024
 PEER_TIMEOUT_SECONDS = 1.0
-LIST_SECONDS = 1.0
 
 log = logging.getLogger('daemon')
 
@@ -74,9 +74,9 @@
     settings: DaemonSettings
     store: ObjectStore
     members: MemberTable
+    instances: InstanceList
     peers: PeerExchange
     watcher: ConfigWatcher
-    change_signal: ChangeSignal
     callers: CallerServer
     control: ControlSurface
     pool: BackendPool
@@ -104,27 +104,31 @@
         settings.zone,
         bound_address(listeners[0].socket),
         bound_address(control_socket),
+        region=settings.region,
     )
     async with open_clients(settings) as (platform_client, peer_client):
         daemon = wire(
             settings, environment, own, platform_client, peer_client, log_buffer
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(stop_on_signal, nursery.cancel_scope)
-            nursery.start_soon(trio.serve_listeners, daemon.callers.serve, listeners)
+            stop = StopRequest()
+            await nursery.start(stop.listen)
             nursery.start_soon(serve_control, daemon.control, control_socket)
             nursery.start_soon(daemon.watcher.run)
             nursery.start_soon(daemon.callers.watch.run)
             nursery.start_soon(daemon.pool.run)
             nursery.start_soon(daemon.hedges.run)
-            nursery.start_soon(follow_peers, daemon)
-            nursery.start_soon(follow_list, daemon)
+            nursery.start_soon(daemon.peers.run, daemon.instances.read)
             nursery.start_soon(daemon.prober.run)
             nursery.start_soon(daemon.spreader.run)
             nursery.start_soon(daemon.lister.run)
             nursery.start_soon(daemon.metrics.lag.run)
             freeze_start_objects()
             announce_ready(own, environment)
+            lifecycle = make_lifecycle(daemon, stop)
+            await lifecycle.run(daemon.callers.serve, listeners)
+            await daemon.peers.end()
+            nursery.cancel_scope.cancel()
         await daemon.pool.close()
 
 
@@ -148,8 +152,6 @@
     config.listeners.append(health.update)
     pool = BackendPool()
     config.listeners.append(pool.update)
-    change_signal = ChangeSignal()
-    config.listeners.append(change_signal.update)
     metrics = Metrics.wire(
         settings.instance_id, environment.clock, directory, config, members, log_buffer
     )
@@ -159,6 +161,8 @@
         settings.zone,
         settings.address_lifetime,
         KeyIssuer(ticket_clock, settings.key_lifetime),
+        config,
+        HomeSetLimits(settings.min_home_instances, settings.max_home_instances),
     )
     hedges = HedgeTimer()
     limits = LimitBook(make_limit_settings(settings), addresses.count_home_instances)
@@ -184,14 +188,23 @@
     topics = (config_topic, *health_topics(health))
     topic_by_name = {topic.name: topic for topic in topics}
     peers = PeerExchange(
-        members, topic_by_name, peer_client, environment.random, settings.seeds
+        members,
+        topic_by_name,
+        peer_client,
+        environment.random,
+        settings.seeds,
+        environment.clock,
+        settings.peer_interval,
+        PEER_TIMEOUT_SECONDS,
     )
     sources = (*metrics.sources, store, HealthMetrics(health))
     operators = OperatorPages(members, config, health, sources, metrics.traces)
+    config.listeners.append(lambda _: peers.spread_soon())
     return Daemon(
         settings=settings,
         store=store,
         members=members,
+        instances=InstanceList(store, members, health.is_backend),
         peers=peers,
         watcher=ConfigWatcher(
             store,
@@ -199,7 +212,6 @@
             lambda: is_watcher(members.own, members.live()),
             environment.random,
         ),
-        change_signal=change_signal,
         callers=CallerServer(
             environment,
             config,
@@ -331,50 +343,23 @@
     await serve_asgi(surface.make_app(), config, shutdown_trigger=trio.sleep_forever)
 
 
-async def follow_peers(daemon: Daemon) -> None:
-    """Keep members and configuration in step with peers."""
-    exchanges = 1
-    while True:
-        for _ in range(exchanges):
-            await daemon.peers.run_once()
-        changed = await daemon.change_signal.wait(daemon.settings.peer_interval)
-        exchanges = PEERS_TOLD_AT_ONCE if changed else 1
+def make_lifecycle(daemon: Daemon, stop: StopRequest) -> Lifecycle:
+    """Return the lifecycle of a daemon."""
+    return Lifecycle(
+        stop=stop,
+        drain=daemon.callers.drain,
+        address_lifetime=daemon.settings.address_lifetime,
+        peer_interval=daemon.settings.peer_interval,
+        drain_timeout=daemon.settings.drain_timeout,
+        leave=partial(leave, daemon),
+    )
 
 
-async def follow_list(daemon: Daemon) -> None:
-    """Announce this instance and learn of others from the platform's list."""
-    own = daemon.members.own
-    listed = ListedInstance(
-        own.member_id, own.zone, own.address, own.control_address, own.leaving
-    )
-    while True:
-        if not await learn_from_list(daemon):
-            await daemon.store.announce(listed)
-        await trio.sleep(LIST_SECONDS)
-
-
-async def learn_from_list(daemon: Daemon) -> bool:
-    """Exchange with listed instances not known yet; tell whether this one is listed."""
-    own = daemon.members.own
-    result = await daemon.store.list_instances()
-    listed = [
-        each for each in result.value_or([]) if not daemon.health.is_backend(each.name)
-    ]
-    for instance in listed:
-        known = daemon.members.member_by_id.get(instance.name)
-        if instance.name != own.member_id and known is None:
-            await daemon.peers.exchange_with(instance.control_address)
-    address_by_name = {each.name: each.control_address for each in listed}
-    return address_by_name.get(own.member_id) == own.control_address
-
-
-async def stop_on_signal(scope: trio.CancelScope) -> None:
-    """Cancel a scope at the first signal to stop."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            log.info('daemon: stops on signal %d.', number)
-            scope.cancel()
-            return
+async def leave(daemon: Daemon) -> None:
+    """Tell peers and the platform's list that this instance is leaving."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(daemon.peers.leave)
+        nursery.start_soon(daemon.instances.announce)
 
 
 def freeze_start_objects() -> None:
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -115,6 +115,20 @@
         'Seconds that callers may keep an address answer.',
         REQUESTS,
     ),
+    Option(
+        '--min-home-instances',
+        '3',
+        whole_number(1, 64, 'instances'),
+        'Least number of instances that share a service in a region.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-home-instances',
+        '5',
+        whole_number(1, 64, 'instances'),
+        'Greatest number of instances that share a service in a region.',
+        REQUESTS,
+    ),
     Option(
         '--request-timeout',
         '10',
@@ -122,6 +136,13 @@
         'Seconds for one request when its caller gives no deadline.',
         REQUESTS,
     ),
+    Option(
+        '--drain-timeout',
+        '30',
+        number(0.1, 3600, 'seconds'),
+        'Seconds that a stop waits for requests in flight.',
+        REQUESTS,
+    ),
     Option(
         '--policy',
         'expected-delay',
@@ -257,7 +278,10 @@
     seeds: tuple[str, ...]
     peer_interval: float
     address_lifetime: float
+    min_home_instances: int
+    max_home_instances: int
     request_timeout: float
+    drain_timeout: float
     policy: str
     report_memory: float
     zone_hop: float
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -93,3 +93,15 @@
 def plain_call(service: str, request_id: str = 'r') -> Call:
     """Return a repeatable call without headers or a body."""
     return Call(request_id, service, b'GET', b'/', [], b'', True, deadline=1e9)
+
+
+def member(name: str, zone: str = 'zone-a', **fields) -> Member:
+    """Return a member whose addresses follow from its name."""
+    fields = {'incarnation': 1, 'region': 'region-1', **fields}
+    return Member(
+        member_id=name,
+        zone=zone,
+        address=f'{name}:80',
+        control_address=f'{name}:90',
+        **fields,
+    )
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -192,7 +192,7 @@
     config = AcceptedConfig(document=document_of(document_plain(backends)))
     directory.update(config)
     health.update(config)
-    book = LimitBook(limits, lambda: 1)
+    book = LimitBook(limits, lambda _: 1)
     return Forwarder(directory, pool, TrioClock(), book, health, HedgeTimer())
 
 
