--- a/standins/load.py
+++ b/standins/load.py
@@ -38,6 +38,10 @@
         sending.outcome = outcome
         setattr(self, outcome, getattr(self, outcome) + 1)
 
+    def ids_told(self, outcome: str) -> set[str]:
+        """Return the IDs of the requests that ended so."""
+        return {each.request_id for each in self.sendings if each.outcome == outcome}
+
 
 @define
 class LoadCaller:
