--- a/catkinslip/settings/daemon_options.py
+++ b/catkinslip/settings/daemon_options.py
@@ -130,14 +130,14 @@
         '--request-timeout',
         '10',
         number(0.05, 3600, 'seconds'),
-        'Seconds for one request when its caller gives no deadline.',
+        'Most seconds for one request; its caller may ask for fewer.',
         REQUESTS,
     ),
     Option(
         '--drain-timeout',
         '30',
         number(0.1, 3600, 'seconds'),
-        'Seconds that a stop waits for requests in flight.',
+        'Seconds that a stop waits for requests in flight; at least --request-timeout.',
         REQUESTS,
     ),
     Option(
