--- a/tests/test_limits_overload.py
+++ b/tests/test_limits_overload.py
@@ -39,7 +39,7 @@
 
     def start(self) -> None:
         platform_url = f'http://{self.group.start_platform().address}'
-        self.ledgers = [self.folder / f'limits-{n}.ledger' for n in (1, 2)]
+        self.ledgers = [self.group.folder / f'limits-{n}.ledger' for n in (1, 2)]
         self.backends = [
             self.group.start_backend(path.stem, slots=2, service_time=0.05, ledger=path)
             for path in self.ledgers
