Apply the register's timeout of a service to its requests

An operator who sets it expects it to hold. The test of the path that must not end by a deadline sets the service's timeout as long as the setting.

--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -4,9 +4,10 @@
 from math import inf
 from random import Random
 
-from attrs import define, frozen
+from attrs import Factory, define
 
 from catkinslip.clock import Clock
+from catkinslip.config.documents import Document, Service
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.bodies import Body, RestOfBody
@@ -48,7 +49,7 @@
         return clock.monotonic() >= self.deadline or clock.wall() >= self.wall_deadline
 
 
-@frozen
+@define
 class CallMaker:
     """Turn requests into calls."""
 
@@ -56,6 +57,9 @@
     random: Random
     config: ConfigHolder
     request_timeout: float
+    #: The document that the services were taken from.
+    document: Document | None = None
+    service_by_name: dict[str, Service] = Factory(dict)
 
     def new_request_id(self) -> str:
         """Return an ID for a request that has none."""
@@ -67,13 +71,13 @@
         request_id = names.find(headers, names.REQUEST_ID)
         if request_id is not None and REQUEST_ID.match(request_id) is None:
             return malformed('catkinslip-request-id is not 1 to 128 visible characters')
-        timeout = self._timeout(headers)
+        service = service_name(headers)
+        timeout = self._timeout(service, headers)
         if isinstance(timeout, NotRun):
             return timeout
         attempt = names.find(headers, names.ATTEMPT) or b'1'
         if ATTEMPT.match(attempt) is None:
             return malformed('catkinslip-attempt is no number from 1 to 9999')
-        service = service_name(headers)
         target = origin_form(request.target)
         return Call(
             request_id=request_id.decode() if request_id else self.new_request_id(),
@@ -95,8 +99,8 @@
         document = self.config.current.document
         return document.is_repeatable(service, method.decode('latin-1'), path)
 
-    def _timeout(self, headers) -> float | NotRun:
-        timeout = self.request_timeout
+    def _timeout(self, service: str, headers) -> float | NotRun:
+        timeout = self._longest(service)
         given = names.find(headers, names.TIMEOUT)
         if given is not None:
             if SECONDS.match(given) is None:
@@ -109,6 +113,16 @@
             timeout = min(timeout, float(given) - self.clock.wall())
         return timeout
 
+    def _longest(self, service: str) -> float:
+        document = self.config.current.document
+        if document is not self.document:
+            self.document = document
+            self.service_by_name = document.effective_services()
+        known = self.service_by_name.get(service)
+        if known is None:
+            return self.request_timeout
+        return min(self.request_timeout, known.timeout)
+
 
 def service_name(headers) -> str:
     """Return the service that a request names."""
--- a/tests/test_proxy_process.py
+++ b/tests/test_proxy_process.py
@@ -34,7 +34,9 @@
             drain_timeout=600,
         )
         path = self.group.folder / 'document.json'
-        path.write_text(json.dumps(document_plain({'limits-1': backend_address})))
+        path.write_text(
+            json.dumps(document_plain({'limits-1': backend_address}, timeout=600))
+        )
         run(['apply', str(path), '--platform-url', platform_url, '--quiet'])
         return Address.parse(daemon.address)
 
