Run the pages' examples with the Python that runs the tests

Ruled out: taken ports (the script's own message named none) and a slow machine. Change: the test puts the directory of its own interpreter first on the search path. Conclusion: a real fault of the test, found by the clean checkout.

--- a/tests/test_docs_examples.py
+++ b/tests/test_docs_examples.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import unittest
 from collections.abc import Iterator
@@ -125,6 +126,11 @@
             yield str(port)
 
 
+def path_of_tests() -> str:
+    """Return a search path on which `python` is the one that runs the tests."""
+    return f'{Path(sys.executable).parent}{os.pathsep}{os.environ["PATH"]}'
+
+
 def run_script(script: str) -> str:
     """Run a script in a folder of its own; end all that it started."""
     with tempfile.TemporaryDirectory() as folder:
@@ -133,7 +139,7 @@
             popen = subprocess.Popen(
                 ['bash', '-c', script],
                 cwd=folder,
-                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+                env={**os.environ, 'PYTHONPATH': str(ROOT), 'PATH': path_of_tests()},
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
