Move the abstract store to a slice of its own

Cause: catkinslip/platform/ is to hold the adapter to the users' platform alone, and held the product's own store until now. Only names of modules change. Before and after: test_platform* and test_config* pass.

--- a/benchmarks/configuration_in_force.py
+++ b/benchmarks/configuration_in_force.py
@@ -17,7 +17,7 @@
 from catkinslip.config.checks import read_document
 from catkinslip.config.documents import Document
 from catkinslip.config.reading import StoredConfig, read_config
-from catkinslip.platform.http import HttpStore
+from catkinslip.store.http import HttpStore
 from standins.processes import Process, ProcessGroup
 from standins.registers import many_workers
 
--- a/catkinslip/cli/base.py
+++ b/catkinslip/cli/base.py
@@ -15,10 +15,10 @@
 from catkinslip.cli.output import Printer
 from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.environment import Environment
-from catkinslip.platform.http import HttpStore
 from catkinslip.settings.base import Option, read_values, with_secret_files
 from catkinslip.settings.flags import cleo_option
 from catkinslip.status import ExitStatus
+from catkinslip.store.http import HttpStore
 
 
 class UsageError(Exception):
--- a/catkinslip/cli/changing.py
+++ b/catkinslip/cli/changing.py
@@ -9,8 +9,8 @@
 from catkinslip.config.changes import ChangeAccepted, ChangeOutcome, apply_change
 from catkinslip.config.documents import ConfigVersion, Document, to_plain
 from catkinslip.config.reading import StoredConfig
-from catkinslip.platform.base import ObjectStore
 from catkinslip.status import ExitStatus
+from catkinslip.store.base import ObjectStore
 
 
 class ChangingCommand(ConfigurationCommand):
--- a/catkinslip/cli/configuration.py
+++ b/catkinslip/cli/configuration.py
@@ -13,9 +13,9 @@
 from catkinslip.config.checks import DocumentRefused, parse_document
 from catkinslip.config.documents import Document, to_plain
 from catkinslip.config.shapes import DocumentMistake
-from catkinslip.platform.base import PlatformError
-from catkinslip.platform.http import HttpStore
 from catkinslip.status import ExitStatus
+from catkinslip.store.base import PlatformError
+from catkinslip.store.http import HttpStore
 
 
 class ConfigurationCommand(BaseCommand):
--- a/catkinslip/cli/configuration_changes.py
+++ b/catkinslip/cli/configuration_changes.py
@@ -12,8 +12,8 @@
 from catkinslip.config.documents import ConfigVersion, Document, to_plain
 from catkinslip.config.reading import StoredConfig, read_config
 from catkinslip.config.shapes import DocumentMistake
-from catkinslip.platform.base import ObjectStore
 from catkinslip.status import ExitStatus
+from catkinslip.store.base import ObjectStore
 
 #: Conflicts after which a change of one backend server is given up.
 MAX_CONFLICTS = 3
--- a/catkinslip/cli/in_force.py
+++ b/catkinslip/cli/in_force.py
@@ -9,7 +9,7 @@
 
 from catkinslip.config.documents import ConfigVersion
 from catkinslip.config.reading import MALFORMED
-from catkinslip.platform.base import ObjectStore
+from catkinslip.store.base import ObjectStore
 
 POLL_SECONDS = 0.2
 
--- a/catkinslip/config/changes.py
+++ b/catkinslip/config/changes.py
@@ -21,7 +21,7 @@
     read_head,
     snapshot_key,
 )
-from catkinslip.platform.base import AnswerLost, Conflict, ObjectStore, PlatformError
+from catkinslip.store.base import AnswerLost, Conflict, ObjectStore, PlatformError
 
 #: Pauses after each reading back of a change whose answer was lost.
 READ_BACK_PAUSES_SECONDS = (0.05, 0.2, 0.5, 1.0, 2.0)
--- a/catkinslip/config/reading.py
+++ b/catkinslip/config/reading.py
@@ -8,7 +8,7 @@
 
 from catkinslip.config.documents import AcceptedConfig, converter
 from catkinslip.config.history import Head, Snapshot, follow_all, from_snapshot
-from catkinslip.platform.base import (
+from catkinslip.store.base import (
     ObjectKey,
     ObjectStore,
     PlatformError,
--- a/catkinslip/config/watcher.py
+++ b/catkinslip/config/watcher.py
@@ -17,8 +17,8 @@
     parse_head,
     read_document,
 )
-from catkinslip.platform.backoff import Backoff
-from catkinslip.platform.base import (
+from catkinslip.store.backoff import Backoff
+from catkinslip.store.base import (
     ObjectStore,
     OverBudget,
     PlatformError,
--- a/catkinslip/health/lister.py
+++ b/catkinslip/health/lister.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 
 from catkinslip.health.tracker import HealthTracker
-from catkinslip.platform.base import ObjectStore
+from catkinslip.store.base import ObjectStore
 
 #: Each read is a call to the platform; the readers tell their peers.
 LIST_SECONDS = 1.0
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -16,10 +16,10 @@
 from catkinslip.health.reports import KnownReport, ReportTable
 from catkinslip.health.signs import CloseCounter, says_close, says_drain
 from catkinslip.models import BackendKey
-from catkinslip.platform.base import ListedInstance
 from catkinslip.routing.base import Choice, LoadReport
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
+from catkinslip.store.base import ListedInstance
 
 Headers = Iterable[tuple[bytes, bytes]]
 
--- a/catkinslip/membership/contacts.py
+++ b/catkinslip/membership/contacts.py
@@ -6,7 +6,7 @@
 from attrs import Factory, define
 
 from catkinslip.membership.members import MemberTable
-from catkinslip.platform.base import ListedInstance
+from catkinslip.store.base import ListedInstance
 
 FIRST_PAUSE_SECONDS = 1.0
 MAX_PAUSE_SECONDS = 300.0
--- a/catkinslip/membership/exchange.py
+++ b/catkinslip/membership/exchange.py
@@ -20,7 +20,7 @@
 )
 from catkinslip.membership.protocol import PeerProtocol
 from catkinslip.membership.topics import PeerTopic
-from catkinslip.platform.base import ListedInstance
+from catkinslip.store.base import ListedInstance
 
 PATH = '/v1/exchange'
 PROBE_PATH = '/v1/probe'
--- a/catkinslip/membership/listing.py
+++ b/catkinslip/membership/listing.py
@@ -6,7 +6,7 @@
 from returns.result import Success
 
 from catkinslip.membership.members import MemberTable
-from catkinslip.platform.base import ListedInstance, ObjectStore
+from catkinslip.store.base import ListedInstance, ObjectStore
 
 LACKING_READS = 2
 
--- a/catkinslip/metrics/platform.py
+++ b/catkinslip/metrics/platform.py
@@ -6,8 +6,8 @@
 from returns.result import Failure, Result
 
 from catkinslip.metrics.base import Family, MetricSource, counter
-from catkinslip.platform.base import PlatformError
-from catkinslip.platform.wrapped import Answer, Send, WrappedStore
+from catkinslip.store.base import PlatformError
+from catkinslip.store.wrapped import Answer, Send, WrappedStore
 
 ANSWERED = 'answered'
 
--- a/catkinslip/platform/budgeted.py
+++ b/catkinslip/store/budgeted.py
@@ -7,9 +7,9 @@
 from returns.result import Failure, Result
 
 from catkinslip.clock import Clock
-from catkinslip.platform.base import OverBudget, PlatformError
-from catkinslip.platform.budget import TokenBucket, share_of
-from catkinslip.platform.wrapped import Answer, Send, WrappedStore
+from catkinslip.store.base import OverBudget, PlatformError
+from catkinslip.store.budget import TokenBucket, share_of
+from catkinslip.store.wrapped import Answer, Send, WrappedStore
 
 #: Time that a call waits for its turn before it is given up.
 MAX_WAIT_SECONDS = 2.0
--- a/catkinslip/platform/embedded.py
+++ b/catkinslip/store/embedded.py
@@ -6,7 +6,7 @@
 from attrs import Factory, define
 from returns.result import Failure, Result, Success
 
-from catkinslip.platform.base import (
+from catkinslip.store.base import (
     Conflict,
     ListedInstance,
     ObjectKey,
--- a/catkinslip/platform/http.py
+++ b/catkinslip/store/http.py
@@ -11,7 +11,7 @@
 from attrs import asdict, define
 from returns.result import Failure, Result, Success
 
-from catkinslip.platform.base import (
+from catkinslip.store.base import (
     AnswerLost,
     Conflict,
     ListedInstance,
--- a/catkinslip/platform/wrapped.py
+++ b/catkinslip/store/wrapped.py
@@ -7,7 +7,7 @@
 from attrs import define
 from returns.result import Result
 
-from catkinslip.platform.base import (
+from catkinslip.store.base import (
     ListedInstance,
     ObjectKey,
     ObjectStore,
--- a/catkinslip/tickets/records.py
+++ b/catkinslip/tickets/records.py
@@ -11,7 +11,7 @@
 from attrs import define, frozen
 from returns.result import Failure, Success
 
-from catkinslip.platform.base import (
+from catkinslip.store.base import (
     AnswerLost,
     Conflict,
     ObjectKey,
--- a/catkinslip/wiring/shared.py
+++ b/catkinslip/wiring/shared.py
@@ -16,15 +16,15 @@
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.metrics.platform import CountedStore
 from catkinslip.metrics.wiring import Metrics
-from catkinslip.platform.base import ObjectStore
-from catkinslip.platform.budget import TokenBucket
-from catkinslip.platform.budgeted import BudgetedStore
-from catkinslip.platform.embedded import EmbeddedStore
-from catkinslip.platform.http import CALLER_HEADER, HttpStore
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.choices import make_policy
 from catkinslip.routing.directory import Directory
 from catkinslip.settings.daemon import DaemonSettings
+from catkinslip.store.base import ObjectStore
+from catkinslip.store.budget import TokenBucket
+from catkinslip.store.budgeted import BudgetedStore
+from catkinslip.store.embedded import EmbeddedStore
+from catkinslip.store.http import CALLER_HEADER, HttpStore
 
 PEER_TIMEOUT_SECONDS = 1.0
 
--- a/model/replay/stepped.py
+++ b/model/replay/stepped.py
@@ -6,14 +6,14 @@
 from attrs import Factory, define
 from returns.result import Failure, Result
 
-from catkinslip.platform.base import (
+from catkinslip.store.base import (
     AnswerLost,
     ObjectKey,
     PlatformError,
     StoredObject,
     Unavailable,
 )
-from catkinslip.platform.embedded import EmbeddedStore
+from catkinslip.store.embedded import EmbeddedStore
 
 
 @define(eq=False)
--- a/standins/store.py
+++ b/standins/store.py
@@ -5,8 +5,8 @@
 from returns.result import Failure
 
 from catkinslip.config.reading import CONFIG_KEY
-from catkinslip.platform.base import AnswerLost, ObjectKey, Unavailable
-from catkinslip.platform.embedded import EmbeddedStore
+from catkinslip.store.base import AnswerLost, ObjectKey, Unavailable
+from catkinslip.store.embedded import EmbeddedStore
 
 
 @define
--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -23,7 +23,7 @@
     StoredConfig,
     read_config,
 )
-from catkinslip.platform.base import Conflict
+from catkinslip.store.base import Conflict
 from standins.registers import many_workers
 from standins.store import FaultyStore
 from tests.builders import document_of
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -7,8 +7,8 @@
 from catkinslip.config.duty import WATCHERS_PER_ZONE, is_watcher, watchers_of
 from catkinslip.config.history import Head, extend_head
 from catkinslip.membership.members import Member
-from catkinslip.platform.backoff import Backoff
-from catkinslip.platform.budget import BURST_CALLS, TokenBucket, share_of
+from catkinslip.store.backoff import Backoff
+from catkinslip.store.budget import BURST_CALLS, TokenBucket, share_of
 from standins.fleet import TopicFleet
 from tests.builders import config_with
 
--- a/tests/test_membership_contacts.py
+++ b/tests/test_membership_contacts.py
@@ -5,7 +5,7 @@
 
 from catkinslip.membership.contacts import MAX_PAUSE_SECONDS, Contacts
 from catkinslip.membership.members import MemberTable, Status
-from catkinslip.platform.base import ListedInstance
+from catkinslip.store.base import ListedInstance
 from tests.builders import member
 
 HOUR = 3600
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -14,7 +14,7 @@
 from catkinslip.clock import SystemClock
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.config.watcher import ConfigWatcher
-from catkinslip.platform.base import (
+from catkinslip.store.base import (
     AnswerLost,
     Conflict,
     ListedInstance,
@@ -22,10 +22,10 @@
     OverBudget,
     Unavailable,
 )
-from catkinslip.platform.budget import TokenBucket
-from catkinslip.platform.budgeted import BudgetedStore
-from catkinslip.platform.embedded import EmbeddedStore
-from catkinslip.platform.http import CALLER_HEADER, HttpStore
+from catkinslip.store.budget import TokenBucket
+from catkinslip.store.budgeted import BudgetedStore
+from catkinslip.store.embedded import EmbeddedStore
+from catkinslip.store.http import CALLER_HEADER, HttpStore
 from standins.platform import MAX_VALUE_BYTES
 from standins.processes import ProcessGroup
 
--- a/tests/test_tickets_gate.py
+++ b/tests/test_tickets_gate.py
@@ -12,11 +12,11 @@
 from catkinslip.config.documents import AcceptedConfig, ConfigVersion
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import Member, MemberTable
-from catkinslip.platform.embedded import EmbeddedStore
 from catkinslip.proxy.calls import Call
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import server_wire
+from catkinslip.store.embedded import EmbeddedStore
 from catkinslip.tickets.gate import AtMostOnce
 from catkinslip.tickets.keys import AnchoredClock
 from catkinslip.tickets.passing import HomePasser
