Give requests routes, and spell headers in one place

Cause: the platform routes by host and longest path prefix, splits by weight, and has headers of its own; the product knew a service by its name alone and spelled its headers where it used them. A backend server may have slots of its own. Deadlines need not hold on the wall clock.

--- a/catkinslip/config/checks.py
+++ b/catkinslip/config/checks.py
@@ -153,6 +153,26 @@
                 yield DocumentMistake(f'{place}.methods[{number}]', reason)
 
 
+def check_routes(document: Document) -> Iterator[DocumentMistake]:
+    """Yield the mistakes in routes, and routes that match the same requests."""
+    name_by_match: dict[tuple[str, str], str] = {}
+    for name, route in document.rules.routes.items():
+        place = f'rules.routes.{name}'
+        prefix = route.path_prefix
+        if not (prefix.startswith('/') and prefix.endswith('/')):
+            reason = f'{prefix!r} does not begin and end with a slash'
+            yield DocumentMistake(f'{place}.path_prefix', reason)
+        if not any(part.weight for part in route.parts):
+            yield DocumentMistake(f'{place}.parts', 'no service has a weight')
+        for index, part in enumerate(route.parts):
+            if part.service not in document.register.services:
+                reason = f'service {part.service!r} is not in the register'
+                yield DocumentMistake(f'{place}.parts[{index}].service', reason)
+        first = name_by_match.setdefault((route.host.lower(), prefix), name)
+        if first != name:
+            yield DocumentMistake(place, f'matches the same requests as {first}')
+
+
 def check_size(document: Document) -> Iterator[DocumentMistake]:
     """Yield a mistake if the platform can't hold the document."""
     size = len(canonical_json(to_plain(document)))
@@ -173,5 +193,6 @@
     check_services,
     check_health_paths,
     check_requests,
+    check_routes,
     check_size,
 )
--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -9,7 +9,7 @@
 import orjson
 import xxhash
 from attrs import Factory, evolve, field, frozen
-from cattrs.gen import make_dict_unstructure_fn
+from cattrs.gen import make_dict_unstructure_fn, override
 
 SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 
@@ -51,6 +51,8 @@
     host: str
     port: int = field(metadata={'range': Range(1, 65535, '(a TCP port)')})
     draining: bool = False
+    #: Requests at once; None where it has as many as its service says.
+    slots: int | None = ranged(None, 1, 10_000, 'requests at once')
 
 
 @frozen
@@ -80,6 +82,31 @@
     record: RecordPlace = RecordPlace.HOME
 
 
+@frozen
+class SplitPart:
+    """One service of a route and its share of the route's requests."""
+
+    service: str
+    weight: int = ranged(1, 0, 1_000_000, 'shares')
+
+
+@frozen
+class Route:
+    """Requests of one host below one path; durations are in seconds."""
+
+    host: str
+    path_prefix: str
+    parts: tuple[SplitPart, ...]
+    repeatable: bool = False
+    timeout: float = ranged(10.0, 0.001, 3600, 'seconds')
+    #: An answer later than this is worth little to the caller.
+    target_latency: float = ranged(10.0, 0.001, 3600, 'seconds')
+    #: 0 is the most urgent.
+    priority: int = ranged(0, 0, 1000, '(0 is the most urgent)')
+    #: Backend servers that one request may be sent to.
+    max_attempts: int = ranged(3, 1, 100, 'attempts')
+
+
 @frozen
 class ServiceOverride:
     """Replace some fields of a service of the register."""
@@ -98,6 +125,8 @@
 
     requests: tuple[RequestRule, ...] = ()
     services: dict[str, ServiceOverride] = Factory(dict)
+    #: By name; the longest path prefix of a request's host is its route.
+    routes: dict[str, Route] = Factory(dict)
 
 
 @frozen
@@ -177,6 +206,11 @@
     ServiceOverride,
     make_dict_unstructure_fn(ServiceOverride, converter, _cattrs_omit_if_default=True),
 )
+# Patches cannot say null, so a field without a value is left out.
+converter.register_unstructure_hook(
+    Backend,
+    make_dict_unstructure_fn(Backend, converter, slots=override(omit_if_default=True)),
+)
 
 
 def to_plain(value: object) -> Any:
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -34,7 +34,13 @@
         self.load.decided(refusal is not None)
         return refusal
 
-    def plan(self, repeatable: bool, first_layer: bool, deadline: float) -> CallPlan:
+    def plan(
+        self,
+        repeatable: bool,
+        first_layer: bool,
+        deadline: float,
+        max_attempts: int | None = None,
+    ) -> CallPlan:
         """Return the plan of an admitted call, which earns its share of a token."""
         self.budget.earn()
         return CallPlan(
@@ -42,7 +48,7 @@
             first_layer=first_layer,
             deadline=deadline,
             budget=self.budget,
-            max_attempts=self.settings.max_attempts,
+            max_attempts=max_attempts or self.settings.max_attempts,
             kept_for_retries=self.settings.extra_reserve / 2,
         )
 
--- a/catkinslip/proxy/answers.py
+++ b/catkinslip/proxy/answers.py
@@ -42,33 +42,28 @@
     return wire.codec.their_state is h11.SEND_BODY or bool(wire.codec.trailing_data[0])
 
 
-def find_fault(
-    status: int, headers: list[names.Header], method: bytes, request_id: str
-) -> Unknown | None:
-    """Return why an answer must not reach the caller; None when it may."""
-    echo = names.find(headers, names.REQUEST_ID)
-    if echo is not None and echo != request_id.encode():
-        return Unknown(Reason.CROSSED)
+def find_framing_fault(headers: list[names.Header]) -> Unknown | None:
+    """Return what is wrong with how an answer is framed; None when nothing is."""
     length = names.find(headers, b'content-length')
     coding = names.find(headers, b'transfer-encoding')
     if length is not None and coding is not None:
         return Unknown(Reason.BROKEN, 'two headers frame the answer')
-    if length is None and coding is None and may_have_body(status, method):
-        # Cut or whole, such an answer looks the same.
-        return Unknown(Reason.BROKEN, 'no header tells where the answer ends')
     return None
 
 
+def is_unframed(status: int, headers: list[names.Header], method: bytes) -> bool:
+    """Tell whether only the end of the connection ends an answer."""
+    if not may_have_body(status, method):
+        return False
+    length = names.find(headers, b'content-length')
+    return length is None and names.find(headers, b'transfer-encoding') is None
+
+
 def may_have_body(status: int, method: bytes) -> bool:
     """Tell whether a body may follow an answer's head."""
     return method != b'HEAD' and status not in STATUS_WITHOUT_BODY
 
 
-def is_refusal(status: int, headers: list[names.Header]) -> bool:
-    """Tell whether the backend server says that the request did not run."""
-    return status == 503 and names.find(headers, names.OUTCOME) == names.NOT_RUN
-
-
 def read_report(headers: list[names.Header]) -> reports.LoadReport | None:
     """Return the load report of an answer."""
     value = names.find(headers, reports.HEADER)
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -11,13 +11,14 @@
 from catkinslip.environment import Environment
 from catkinslip.proxy.bodies import BodyReader, RestOfBody
 from catkinslip.proxy.calls import Call, CallMaker
+from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.draining import CallerDrain
 from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.intake import HeadReader
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.own_dialect import OwnDialect
 from catkinslip.proxy.presence import CallerWatch
-from catkinslip.proxy.problems import problem_events
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.tickets.gate import AtMostOnce
 
@@ -34,6 +35,7 @@
     idle_timeout: float = 75.0
     max_body_bytes: int = 64 << 20
     max_connections: int = 4096
+    trusts_wall_clock: bool = True
 
 
 @define
@@ -43,9 +45,11 @@
     environment: Environment
     config: ConfigHolder
     forwarder: AtMostOnce
-    addresses: AddressBook
+    #: None where callers ask another listener for addresses.
+    addresses: AddressBook | None
     limits: CallerLimits
     observer: RequestObserver = ObserverGroup()
+    dialect: Dialect = Factory(OwnDialect)
     drain: CallerDrain = Factory(CallerDrain)
     watch: CallerWatch = Factory(CallerWatch)
     connections: int = 0
@@ -63,6 +67,8 @@
             self.environment.random,
             self.config,
             self.limits.request_timeout,
+            self.dialect,
+            self.limits.trusts_wall_clock,
         ),
         takes_self=True,
     )
@@ -104,7 +110,7 @@
         body = await self.bodies.read(wire, request)
         if isinstance(body, NotRun):
             return await self._refuse(wire, body, request)
-        if request.target.startswith(PATH_PREFIX):
+        if self.addresses and request.target.startswith(PATH_PREFIX):
             await self._answer_addresses(wire, request)
             return is_reusable(wire)
         call = self.calls.make(request, body, wire.peer)
@@ -200,7 +206,8 @@
         close: bool = False,
     ) -> bool:
         close = close or wire.codec.their_state is h11.SEND_BODY
-        await wire.send(*problem_events(outcome, request_id, method, close=close))
+        events = self.dialect.problem_events(outcome, request_id, method, close=close)
+        await wire.send(*events)
         if close:
             await wire.close_gently()
         return is_reusable(wire)
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -1,6 +1,5 @@
 """A caller's request as the request path knows it."""
 
-import re
 from math import inf
 from random import Random
 
@@ -9,14 +8,12 @@
 from catkinslip.clock import Clock
 from catkinslip.config.documents import Document, Service
 from catkinslip.config.holder import ConfigHolder
-from catkinslip.proxy import headers as names
 from catkinslip.proxy.bodies import Body, RestOfBody
-from catkinslip.proxy.head_checks import malformed, origin_form
+from catkinslip.proxy.dialect import CallTerms, Dialect
+from catkinslip.proxy.head_checks import origin_form
+from catkinslip.proxy.headers import Header, RequestHead
 from catkinslip.proxy.outcomes import NotRun
-
-REQUEST_ID = re.compile(rb'[\x21-\x7e]{1,128}\Z')
-SECONDS = re.compile(rb'[0-9]{1,12}(\.[0-9]{1,9})?\Z')
-ATTEMPT = re.compile(rb'[1-9][0-9]{0,3}\Z')
+from catkinslip.routing.routes import RouteTable
 
 
 @define
@@ -27,7 +24,7 @@
     service: str
     method: bytes
     target: bytes
-    headers: list[names.Header]
+    headers: list[Header]
     body: bytes
     repeatable: bool
     deadline: float
@@ -35,6 +32,12 @@
     wall_deadline: float = inf
     peer: str = ''
     rest: RestOfBody | None = None
+    #: When an answer ceases to be worth much, on the monotonic clock.
+    best_until: float = inf
+    #: 0 is the most urgent.
+    priority: int = 0
+    #: Backend servers that the request may be sent to; None leaves it to settings.
+    max_attempts: int | None = None
 
     @property
     def is_resendable(self) -> bool:
@@ -57,74 +60,68 @@
     random: Random
     config: ConfigHolder
     request_timeout: float
+    dialect: Dialect
+    #: Whether deadlines hold on the wall clock too; not where it is set in jumps.
+    trusts_wall_clock: bool = True
     #: The document that the services were taken from.
     document: Document | None = None
     service_by_name: dict[str, Service] = Factory(dict)
+    routes: RouteTable = Factory(lambda self: RouteTable(self.random), takes_self=True)
 
     def new_request_id(self) -> str:
         """Return an ID for a request that has none."""
         return f'{self.random.getrandbits(64):016x}'
 
-    def make(self, request: names.RequestHead, body: Body, peer: str) -> Call | NotRun:
+    def make(self, request: RequestHead, body: Body, peer: str) -> Call | NotRun:
         """Return the call, or a refusal when a header of ours is wrong."""
-        headers = request.headers
-        request_id = names.find(headers, names.REQUEST_ID)
-        if request_id is not None and REQUEST_ID.match(request_id) is None:
-            return malformed('catkinslip-request-id is not 1 to 128 visible characters')
-        service = service_name(headers)
-        timeout = self._timeout(service, headers)
-        if isinstance(timeout, NotRun):
-            return timeout
-        attempt = names.find(headers, names.ATTEMPT) or b'1'
-        if ATTEMPT.match(attempt) is None:
-            return malformed('catkinslip-attempt is no number from 1 to 9999')
+        terms = self.dialect.read_terms(request, self.clock.wall())
+        if isinstance(terms, NotRun):
+            return terms
+        self._follow_document()
         target = origin_form(request.target)
-        return Call(
-            request_id=request_id.decode() if request_id else self.new_request_id(),
-            service=service,
+        call = Call(
+            request_id=terms.request_id or self.new_request_id(),
+            service=terms.service,
             method=request.method,
             target=target,
-            headers=headers,
+            headers=request.headers,
             body=body.start,
-            repeatable=self._is_repeatable(service, request.method, target),
-            deadline=self.clock.monotonic() + timeout,
-            attempt=int(attempt),
-            wall_deadline=self.clock.wall() + timeout,
+            repeatable=False,
+            deadline=inf,
+            attempt=terms.attempt,
             peer=peer,
             rest=body.rest,
         )
-
-    def _is_repeatable(self, service: str, method: bytes, target: bytes) -> bool:
         path = target.decode('latin-1').partition('?')[0]
-        document = self.config.current.document
-        return document.is_repeatable(service, method.decode('latin-1'), path)
-
-    def _timeout(self, service: str, headers) -> float | NotRun:
-        timeout = self._longest(service)
-        given = names.find(headers, names.TIMEOUT)
-        if given is not None:
-            if SECONDS.match(given) is None:
-                return malformed('catkinslip-timeout is no number of seconds')
-            timeout = min(timeout, float(given))
-        given = names.find(headers, names.DEADLINE)
-        if given is not None:
-            if SECONDS.match(given) is None:
-                return malformed('catkinslip-deadline is no number of unix seconds')
-            timeout = min(timeout, float(given) - self.clock.wall())
-        return timeout
-
-    def _longest(self, service: str) -> float:
+        timeout = self._apply_rules(call, terms, path)
+        if terms.timeout is not None:
+            timeout = min(timeout, terms.timeout)
+        call.deadline = self.clock.monotonic() + timeout
+        if self.trusts_wall_clock:
+            call.wall_deadline = self.clock.wall() + timeout
+        return call
+
+    def _follow_document(self) -> None:
         document = self.config.current.document
         if document is not self.document:
             self.document = document
             self.service_by_name = document.effective_services()
-        known = self.service_by_name.get(service)
+            self.routes.update(document)
+
+    def _apply_rules(self, call: Call, terms: CallTerms, path: str) -> float:
+        """Set what the rules say of a call; return its longest time in seconds."""
+        turns = self.routes.find(terms.host, path)
+        if turns is not None:
+            route = turns.route
+            call.service = turns.next_service()
+            call.repeatable = route.repeatable
+            call.best_until = self.clock.monotonic() + route.target_latency
+            call.priority = route.priority
+            call.max_attempts = route.max_attempts
+            return min(self.request_timeout, route.timeout)
+        method = call.method.decode('latin-1')
+        call.repeatable = self.document.is_repeatable(call.service, method, path)
+        known = self.service_by_name.get(call.service)
         if known is None:
             return self.request_timeout
         return min(self.request_timeout, known.timeout)
-
-
-def service_name(headers) -> str:
-    """Return the service that a request names."""
-    service = names.find(headers, names.SERVICE) or names.find(headers, b'host')
-    return (service or b'').decode('latin-1').partition(':')[0]
--- /dev/null
+++ b/catkinslip/proxy/dialect.py
@@ -0,0 +1,86 @@
+"""What requests and answers say in headers, apart from how it is spelled."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+import h11
+from attrs import frozen
+
+from catkinslip.proxy.headers import Header, RequestHead
+from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
+from catkinslip.routing.base import LoadReport
+
+if TYPE_CHECKING:
+    from catkinslip.proxy.calls import Call
+
+
+@frozen
+class CallTerms:
+    """What a caller's headers ask for; durations are in seconds."""
+
+    service: str
+    host: str
+    request_id: str | None = None
+    timeout: float | None = None
+    attempt: int = 1
+
+
+@frozen
+class ProbeAnswer:
+    """What the answer to a probe says; `backend_id` is None where it is not told."""
+
+    is_well: bool
+    report: LoadReport | None
+    backend_id: str | None = None
+
+
+class Dialect(ABC):
+    """Spell the headers between callers, this instance and backend servers."""
+
+    @abstractmethod
+    def read_terms(self, request: RequestHead, wall: float) -> CallTerms | NotRun:
+        """Read a caller's headers, or refuse one that is malformed."""
+
+    @abstractmethod
+    def request_headers(
+        self, call: 'Call', backend_id: str, number: int, time_left: float
+    ) -> list[Header]:
+        """Return the headers of an attempt, without those that frame the body."""
+
+    @abstractmethod
+    def find_fault(
+        self, call: 'Call', status: int, headers: list[Header]
+    ) -> Unknown | None:
+        """Return why an answer must not reach the caller; None when it may."""
+
+    @abstractmethod
+    def find_refusal(self, status: int, headers: list[Header]) -> Reason | None:
+        """Return why the backend server did not run a request; None if it may have."""
+
+    @abstractmethod
+    def read_report(self, headers: Sequence[Header]) -> LoadReport | None:
+        """Return the load report of an answer."""
+
+    @abstractmethod
+    def answer_headers(self, call: 'Call', headers: list[Header]) -> list[Header]:
+        """Return an answer's headers for the caller."""
+
+    @abstractmethod
+    def problem_events(
+        self,
+        outcome: NotRun | Unknown,
+        request_id: str,
+        method: bytes = b'',
+        *,
+        close: bool = False,
+    ) -> list[h11.Event]:
+        """Return the answer that tells a caller how a request ended."""
+
+    @abstractmethod
+    def probe_request(self, service: str, path: str) -> h11.Request:
+        """Return the head of a probe."""
+
+    @abstractmethod
+    def read_probe(self, status: int, headers: list[Header]) -> ProbeAnswer | None:
+        """Read the answer to a probe; None when it answers something else."""
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -11,7 +11,9 @@
 from catkinslip.proxy import answers
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.calls import Call
+from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.own_dialect import OwnDialect
 from catkinslip.proxy.pool import MAX_IDLE_SECONDS, BackendPool
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.routing import reports
@@ -21,6 +23,7 @@
 # A kept connection that answered this lately is trusted with a request that may
 # not be repeated; servers close idle connections after seconds, not at once.
 RECENT_SECONDS = 1.0
+OWN_DIALECT = OwnDialect()
 METHODS_WITH_BODY = frozenset({b'POST', b'PUT', b'PATCH'})
 
 log = logging.getLogger('routing')
@@ -55,6 +58,8 @@
     pool: BackendPool
     clock: Clock
     number: int = 1
+    dialect: Dialect = OWN_DIALECT
+    backend_id: str = ''
     on_head: OnHead = ignore_head
     is_sent: bool = False
     is_stale: bool = False
@@ -127,17 +132,17 @@
     ) -> AnswerHead | NotRun | Unknown:
         call = self.call
         headers = list(response.headers)
-        fault = answers.find_fault(
-            response.status_code, headers, call.method, call.request_id
-        )
+        status = response.status_code
+        fault = self.dialect.find_fault(call, status, headers)
         if fault is not None:
             wire.is_spoiled = True
             return fault
-        report = answers.read_report(headers)
+        report = self.dialect.read_report(headers)
         self.on_head(headers, report)
-        if answers.is_refusal(response.status_code, headers):
+        refusal = self.dialect.find_refusal(status, headers)
+        if refusal is not None:
             await answers.drain_body(wire)
-            return NotRun(Reason.SHED, report=report)
+            return NotRun(refusal, report=report)
         return AnswerHead(response, headers, report, wire)
 
     def _broken(self, wire: Wire, error: Exception) -> Unknown:
@@ -181,10 +186,10 @@
 
     def _request_events(self) -> list[h11.Event]:
         call = self.call
-        headers = names.request_headers(call.headers, call.peer)
-        headers.append((names.REQUEST_ID, call.request_id.encode()))
-        headers.append((names.DEADLINE, b'%.3f' % call.wall_deadline))
-        headers.append((names.ATTEMPT, b'%d' % (call.attempt + self.number - 1)))
+        time_left = call.deadline - self.clock.monotonic()
+        headers = self.dialect.request_headers(
+            call, self.backend_id, self.number, time_left
+        )
         if call.rest is not None:
             headers.append(framing(call.rest.length))
         elif call.body or call.method in METHODS_WITH_BODY:
@@ -222,7 +227,7 @@
                 return
 
     def _answer_head(self, head: AnswerHead) -> h11.Response:
-        headers = names.answer_headers(head.headers, self.call.request_id)
+        headers = self.dialect.answer_headers(self.call, head.headers)
         if self.caller.codec.their_state is h11.SEND_BODY:
             headers.append((b'connection', b'close'))
         return h11.Response(
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -5,7 +5,8 @@
 from catkinslip.clock import Clock
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.service import LimitBook
-from catkinslip.proxy.exchange import Call
+from catkinslip.proxy.dialect import Dialect
+from catkinslip.proxy.exchange import OWN_DIALECT, Call
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
@@ -26,6 +27,7 @@
     health: HealthTracker
     hedges: HedgeTimer
     observer: RequestObserver = ObserverGroup()
+    dialect: Dialect = OWN_DIALECT
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -40,7 +42,9 @@
         refusal = limits.refuse(call.deadline - now)
         if refusal is not None:
             return refusal
-        plan = limits.plan(call.repeatable, call.attempt == 1, call.deadline)
+        plan = limits.plan(
+            call.repeatable, call.attempt == 1, call.deadline, call.max_attempts
+        )
         runner = CallRunner(
             call=call,
             caller=caller,
@@ -52,5 +56,6 @@
             clock=self.clock,
             hedges=self.hedges,
             observer=self.observer,
+            dialect=self.dialect,
         )
         return await runner.run()
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -23,6 +23,7 @@
     CONNECT_FAILED = ('connect-failed', 503, 'No backend server could be reached.')
     CONNECTION_LIMIT = ('connection-limit', 503, 'Too many connections are open.')
     SHED = ('shed', 503, 'The backend servers refused new work.')
+    MISDIRECTED = ('misdirected', 503, 'Another server has the address.')
     TOO_LATE = ('too-late', 504, 'The deadline passed before the request was sent.')
     DEADLINE = ('deadline', 504, 'The deadline passed before the answer came.')
     BROKEN = ('broken', 502, 'The connection to the backend server broke.')
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -10,6 +10,7 @@
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
+from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
 from catkinslip.proxy.hedges import Hedge, HedgeTimer
 from catkinslip.proxy.observer import RequestObserver
@@ -56,6 +57,7 @@
     clock: Clock
     hedges: HedgeTimer
     observer: RequestObserver
+    dialect: Dialect
     launches: list[Launch] = Factory(list)
     passed_on: Launch | None = None
     scope: trio.CancelScope = Factory(trio.CancelScope)
@@ -102,7 +104,15 @@
         address = self.health.directory.address_by_backend[choice.backend_id]
         on_head = partial(self.health.answered, choice.backend_id)
         attempt = Attempt(
-            self.call, address, self.caller, self.pool, self.clock, number, on_head
+            call=self.call,
+            address=address,
+            caller=self.caller,
+            pool=self.pool,
+            clock=self.clock,
+            number=number,
+            dialect=self.dialect,
+            backend_id=choice.backend_id,
+            on_head=on_head,
         )
         launch = Launch(choice.backend_id, attempt, now)
         self.launches.append(launch)
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -39,7 +39,7 @@
             if load is None:
                 load = BackendLoad(backend_id, backend.zone, service.slots)
                 self.load_by_id[backend_id] = load
-            load.slots = service.slots
+            load.slots = backend.slots or service.slots
             load.draining = backend.draining
         self.loads = list(self.load_by_id.values())
 
--- a/tests/test_proxy_calls.py
+++ b/tests/test_proxy_calls.py
@@ -10,6 +10,7 @@
 from catkinslip.proxy.bodies import NO_BODY
 from catkinslip.proxy.calls import CallMaker
 from catkinslip.proxy.headers import RequestHead
+from catkinslip.proxy.own_dialect import OwnDialect
 from tests.builders import document_plain
 
 NOW = 1000.0
@@ -30,7 +31,9 @@
 
     def setUp(self):
         self.config = ConfigHolder()
-        self.maker = CallMaker(StoppedClock(), Random(1), self.config, 30.0)
+        self.maker = CallMaker(
+            StoppedClock(), Random(1), self.config, 30.0, OwnDialect()
+        )
 
     def offer(self, number: int, rule: dict, **fields):
         plain = document_plain({}, **fields)
