--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -153,9 +153,9 @@
     def effective_services(self) -> dict[str, Service]:
         """Return the services with the overrides of the rules."""
         services = dict(self.register.services)
-        for name, override in self.rules.services.items():
+        for name, fields in self.rules.services.items():
             if name in services:
-                changes = to_plain(override)
+                changes = to_plain(fields)
                 services[name] = evolve(services[name], **changes)
         return services
 
--- /dev/null
+++ b/catkinslip/discovery/assembly.py
@@ -0,0 +1,140 @@
+"""Put rules and registered backend servers together as one configuration."""
+
+import logging
+
+import trio
+from attrs import Factory, define
+
+from catkinslip.config.documents import (
+    AcceptedConfig,
+    Backend,
+    ConfigVersion,
+    Document,
+    Register,
+    Rules,
+)
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.discovery.base import BackendEntry, RuleSet
+from catkinslip.discovery.follower import Follower
+
+#: Entries that lapsed during an outage of the store are back so soon after it.
+LAPSE_GRACE_SECONDS = 1.8
+
+log = logging.getLogger('discovery')
+
+
+@define
+class Assembler:
+    """Offer a new configuration whenever rules or backend servers change.
+
+    Rules only move forward by their version, whatever a stale read or a peer says.
+    """
+
+    config: ConfigHolder
+    rules: Follower[RuleSet]
+    backends: Follower[BackendEntry]
+    current_rules: RuleSet | None = None
+    current_backends: dict[str, BackendEntry] = Factory(dict)
+    #: Servers whose entries vanished around an outage, and until when they are kept.
+    kept_until_by_id: dict[str, float] = Factory(dict)
+    changes: int = 0
+    kept: trio.Event = Factory(trio.Event)
+
+    @property
+    def rules_version(self) -> int:
+        """Return the version of the rules in force; 0 while there are none."""
+        return self.current_rules.version if self.current_rules else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether rules and backend servers are known."""
+        return self.current_rules is not None and self.backends.is_known
+
+    def start(self) -> None:
+        """Follow both kinds from now on."""
+        self.rules.listeners.append(self.take_rules)
+        self.backends.listeners.append(self.take_backends)
+
+    async def run(self) -> None:
+        """Drop kept entries in time, until cancelled."""
+        while True:
+            if not self.kept_until_by_id:
+                await self.kept.wait()
+                self.kept = trio.Event()
+            else:
+                await trio.sleep_until(min(self.kept_until_by_id.values()))
+                self.take_backends()
+
+    def take_rules(self) -> None:
+        """Take over newer rules."""
+        for rules in self.rules.value_by_name.values():
+            self.offer_rules(rules)
+
+    def offer_rules(self, rules: RuleSet) -> bool:
+        """Take over rules if they are newer; tell whether they were."""
+        if rules.version <= self.rules_version:
+            return False
+        log.info(
+            'discovery: rules in force. version=%08x was=%08x',
+            rules.version,
+            self.rules_version,
+        )
+        self.current_rules = rules
+        self._offer()
+        return True
+
+    def take_backends(self) -> None:
+        """Take over the registered backend servers."""
+        now = trio.current_time()
+        listed = self.backends.value_by_name
+        merged = dict(listed)
+        grace_end = self.backends.regained_at + LAPSE_GRACE_SECONDS
+        for backend_id, entry in self.current_backends.items():
+            if backend_id in listed:
+                self.kept_until_by_id.pop(backend_id, None)
+                continue
+            until = self.kept_until_by_id.setdefault(backend_id, grace_end)
+            if now < until and not self._has_address(entry, listed):
+                merged[backend_id] = entry
+                self.kept.set()
+            else:
+                del self.kept_until_by_id[backend_id]
+        if merged != self.current_backends:
+            self.current_backends = merged
+            self._offer()
+
+    def _has_address(
+        self, entry: BackendEntry, listed: dict[str, BackendEntry]
+    ) -> bool:
+        return any(
+            (each.host, each.port) == (entry.host, entry.port)
+            for each in listed.values()
+        )
+
+    def _offer(self) -> None:
+        rules = self.current_rules
+        if rules is None:
+            return
+        self.changes += 1
+        backends = {
+            backend_id: to_backend(entry)
+            for backend_id, entry in self.current_backends.items()
+            if entry.service in rules.services
+        }
+        document = Document(
+            Register(dict(rules.services), backends), Rules(routes=dict(rules.routes))
+        )
+        version = ConfigVersion(rules.version, self.changes)
+        self.config.offer(AcceptedConfig(version, str(version), '', document, {}))
+
+
+def to_backend(entry: BackendEntry) -> Backend:
+    """Return a registered backend server as the register of a document holds it."""
+    return Backend(
+        service=entry.service,
+        zone=entry.zone,
+        host=entry.host,
+        port=entry.port,
+        draining=entry.is_draining,
+        slots=entry.slots,
+    )
--- /dev/null
+++ b/catkinslip/discovery/follower.py
@@ -0,0 +1,140 @@
+"""Follow one kind of value: read all, then wait for news, and read again in doubt.
+
+Silence proves nothing: after every failed wait all is read again, since changes may
+have been missed.
+"""
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Generic
+
+import trio
+from attrs import Factory, define
+from returns.result import Failure, Success
+
+from catkinslip.discovery.base import HistoryGone, Listing, News, Source, Value
+from catkinslip.store.backoff import Backoff
+
+#: A waiting call is priced, and one that hangs unnoticed hides changes for as long.
+WAIT_SECONDS = 10.0
+#: Reads after an outage must succeed well within the 2 s in which changes apply.
+FIRST_RETRY_SECONDS = 0.2
+LONGEST_RETRY_SECONDS = 0.8
+
+log = logging.getLogger('discovery')
+
+Listener = Callable[[], None]
+
+
+@define
+class Follower(Generic[Value]):
+    """Hold the newest known values of one kind."""
+
+    kind: str
+    source: Source[Value]
+    random: Random
+    value_by_name: dict[str, Value] = Factory(dict)
+    revision: int = 0
+    listeners: list[Listener] = Factory(list)
+    is_reachable: bool = False
+    #: When a failed call was last followed by a good one, on the monotonic clock.
+    regained_at: float = float('-inf')
+    backoff: Backoff = Factory(
+        lambda: Backoff(FIRST_RETRY_SECONDS, LONGEST_RETRY_SECONDS)
+    )
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether all values were read at least once."""
+        return self.revision > 0
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if await self._read_all():
+                while await self._take_news():
+                    pass
+
+    def offer(self, listing: Listing[Value], source: str) -> bool:
+        """Take over a whole listing unless it is older; tell whether it was taken."""
+        if listing.revision <= self.revision:
+            return False
+        log.info(
+            'discovery: %s read from %s. revision=%d was=%d count=%d',
+            self.kind,
+            source,
+            listing.revision,
+            self.revision,
+            len(listing.value_by_name),
+        )
+        self.revision = listing.revision
+        if listing.value_by_name != self.value_by_name or not self.listeners:
+            self.value_by_name = dict(listing.value_by_name)
+        self._tell()
+        return True
+
+    async def _read_all(self) -> bool:
+        match await self.source.read_all():
+            case Success(listing):
+                self._reached()
+                self.offer(listing, 'store')
+                return True
+            case Failure(error):
+                await self._missed(error)
+        return False
+
+    async def _take_news(self) -> bool:
+        match await self.source.wait_for_news(self.revision, WAIT_SECONDS):
+            case Success(news):
+                self._reached()
+                self._apply(news)
+                return True
+            case Failure(HistoryGone(reason)):
+                log.info(
+                    'discovery: %s must be read again. revision=%d reason=%s',
+                    self.kind,
+                    self.revision,
+                    reason,
+                )
+            case Failure(error):
+                await self._missed(error)
+        return False
+
+    def _apply(self, news: News[Value]) -> None:
+        if news.revision < self.revision:
+            # A peer told of something newer meanwhile.
+            return
+        self.revision = news.revision
+        for name, value in news.changes:
+            log.info(
+                'discovery: %s %s. name=%s revision=%d',
+                self.kind,
+                'removed' if value is None else 'changed',
+                name,
+                news.revision,
+            )
+            if value is None:
+                self.value_by_name.pop(name, None)
+            else:
+                self.value_by_name[name] = value
+        if news.changes:
+            self._tell()
+
+    def _reached(self) -> None:
+        self.backoff.reset()
+        if self.is_reachable:
+            return
+        self.is_reachable = True
+        self.regained_at = trio.current_time()
+        log.info('discovery: store regained. kind=%s', self.kind)
+
+    async def _missed(self, error: object) -> None:
+        if self.is_reachable:
+            self.is_reachable = False
+            log.warning('discovery: store lost. kind=%s error=%s', self.kind, error)
+        await trio.sleep(self.backoff.next_delay(self.random))
+
+    def _tell(self) -> None:
+        for listener in self.listeners:
+            listener()
--- /dev/null
+++ b/catkinslip/discovery/peers.py
@@ -0,0 +1,269 @@
+"""Poll the other instances: who serves, and whether one of them knows more.
+
+An instance that the store refuses or does not reach still learns of leaving servers
+and new rules from its peers.
+"""
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import cattrs
+import h11
+import orjson
+import trio
+from attrs import Factory, define, frozen
+from returns.result import Failure, Success
+
+from catkinslip.config.documents import converter
+from catkinslip.discovery.assembly import Assembler
+from catkinslip.discovery.base import (
+    BackendEntry,
+    InstanceBook,
+    InstanceEntry,
+    Listing,
+    RuleSet,
+    Source,
+)
+from catkinslip.discovery.instances import InstanceTable
+from catkinslip.models import Address
+from catkinslip.pages import Page
+from catkinslip.proxy.outcomes import NotRun
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import ConnectionErrors, Wire
+from catkinslip.store.backoff import Backoff
+
+STATE_PATH = '/peer/state'
+KNOWLEDGE_PATH = '/peer/knowledge'
+#: A dead peer leaves the address answers after two missed polls.
+POLL_SECONDS = 0.5
+#: Peers of other zones matter only when a zone has none; bytes between zones cost.
+FAR_POLL_SECONDS = 2.0
+ANSWER_SECONDS = 0.4
+MAX_ANSWER_BYTES = 4 << 20
+#: The list of instances may be seconds old: the polls tell who lives.
+LIST_SECONDS = 5.0
+FIRST_LIST_SECONDS = 0.5
+
+log = logging.getLogger('peers')
+
+READ_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
+
+
+@frozen
+class PeerState:
+    """What an instance tells of itself."""
+
+    instance: InstanceEntry
+    is_ready: bool
+    rules_version: int
+    backends_revision: int
+    known: tuple[InstanceEntry, ...] = ()
+
+
+@frozen
+class Knowledge:
+    """All that an instance knows of rules and backend servers."""
+
+    rules: RuleSet | None
+    backends: dict[str, BackendEntry]
+    backends_revision: int
+
+
+@define
+class PeerAnswers:
+    """Answer the polls of peers."""
+
+    instances: InstanceTable
+    assembler: Assembler
+
+    async def state(self, query: str) -> Page:
+        """Return what this instance tells of itself; `full` adds whom it knows."""
+        known: tuple[InstanceEntry, ...] = ()
+        if query == 'full':
+            known = tuple(each.entry for each in self.instances.peer_by_id.values())
+        state = PeerState(
+            self.instances.own,
+            self.instances.is_own_ready,
+            self.assembler.rules_version,
+            self.assembler.backends.revision,
+            known,
+        )
+        return Page(200, orjson.dumps(converter.unstructure(state)))
+
+    async def knowledge(self, query: str) -> Page:
+        """Return all that this instance knows."""
+        knowledge = Knowledge(
+            self.assembler.current_rules,
+            self.assembler.backends.value_by_name,
+            self.assembler.backends.revision,
+        )
+        return Page(200, orjson.dumps(converter.unstructure(knowledge)))
+
+
+@define
+class PeerPoller:
+    """Poll the other instances until cancelled."""
+
+    instances: InstanceTable
+    assembler: Assembler
+    pool: BackendPool
+    random: Random
+    seeds: tuple[Address, ...]
+    source: Source[InstanceEntry]
+    book: InstanceBook
+    polled: set[str] = Factory(set)
+    on_change: Callable[[], None] = lambda: None
+
+    async def run(self) -> None:
+        """Announce this instance, find the others, poll each."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._announce)
+            nursery.start_soon(self._ask_seeds)
+            nursery.start_soon(self._read_list, nursery)
+            while True:
+                self._start_polls(nursery)
+                await trio.sleep(POLL_SECONDS)
+
+    async def _announce(self) -> None:
+        backoff = Backoff(FIRST_LIST_SECONDS, LIST_SECONDS)
+        while True:
+            match await self.book.announce(self.instances.own):
+                case Success(_):
+                    log.info('peers: announced. instance=%s', self._own_id)
+                    return
+                case Failure(error):
+                    log.warning('peers: not announced yet. error=%s', error)
+            await trio.sleep(backoff.next_delay(self.random))
+
+    @property
+    def _own_id(self) -> str:
+        return self.instances.own.instance_id
+
+    async def _ask_seeds(self) -> None:
+        """Learn from the seeds whatever the store does not tell yet."""
+        for address in self.seeds:
+            if str(address) == self.instances.own.peer_address:
+                continue
+            state = await self._read_state(address, 'full')
+            if state is None:
+                continue
+            for entry in (state.instance, *state.known):
+                self.instances.learn(entry)
+            await self._catch_up(address, state)
+
+    async def _read_list(self, nursery: trio.Nursery) -> None:
+        delay = FIRST_LIST_SECONDS
+        while True:
+            match await self.source.read_all(may_be_stale=True):
+                case Success(listing):
+                    for entry in listing.value_by_name.values():
+                        self.instances.learn(entry)
+                    self.instances.keep_only(set(listing.value_by_name))
+                    self._start_polls(nursery)
+                case Failure(error):
+                    log.info('peers: the list was not read. error=%s', error)
+            await trio.sleep(delay * self.random.uniform(0.8, 1.2))
+            delay = min(2 * delay, LIST_SECONDS)
+
+    def _start_polls(self, nursery: trio.Nursery) -> None:
+        for instance_id in self.instances.peer_by_id:
+            if instance_id not in self.polled:
+                self.polled.add(instance_id)
+                nursery.start_soon(self._poll_always, instance_id)
+
+    async def _poll_always(self, instance_id: str) -> None:
+        try:
+            while (peer := self.instances.peer_by_id.get(instance_id)) is not None:
+                await self._poll(peer.entry)
+                is_near = peer.entry.zone == self.instances.own.zone
+                seconds = POLL_SECONDS if is_near else FAR_POLL_SECONDS
+                await trio.sleep(seconds * self.random.uniform(0.9, 1.1))
+        finally:
+            self.polled.discard(instance_id)
+
+    async def _poll(self, entry: InstanceEntry) -> None:
+        address = Address.parse(entry.peer_address)
+        state = await self._read_state(address)
+        if state is None or state.instance.instance_id != entry.instance_id:
+            health = self.instances.missed(entry.instance_id)
+        else:
+            health = self.instances.answered(entry.instance_id, state.is_ready)
+            await self._catch_up(address, state)
+        if health is not None:
+            log.info('peers: %s is %s.', entry.instance_id, health.name.lower())
+
+    async def _catch_up(self, address: Address, state: PeerState) -> None:
+        """Fetch what a peer knows if that is newer than what is known here."""
+        backends = self.assembler.backends
+        if (
+            state.rules_version <= self.assembler.rules_version
+            and state.backends_revision <= backends.revision
+        ):
+            return
+        plain = await self._read(address, KNOWLEDGE_PATH)
+        knowledge = structure(plain, Knowledge)
+        if knowledge is None:
+            return
+        if knowledge.rules is not None:
+            self.assembler.offer_rules(knowledge.rules)
+        if not backends.is_reachable or not backends.is_known:
+            # Where the store answers, its own news tell it in order.
+            backends.offer(
+                Listing(knowledge.backends, knowledge.backends_revision),
+                f'peer {state.instance.instance_id}',
+            )
+
+    async def _read_state(self, address: Address, query: str = '') -> PeerState | None:
+        path = f'{STATE_PATH}?{query}' if query else STATE_PATH
+        return structure(await self._read(address, path), PeerState)
+
+    async def _read(self, address: Address, path: str) -> Any | None:
+        """Return what a peer answers; None if it does not in time."""
+        with trio.move_on_after(ANSWER_SECONDS):
+            wire = await self.pool.acquire(address)
+            if isinstance(wire, NotRun):
+                return None
+            is_done = False
+            try:
+                plain = await read_page(wire, path)
+                is_done = True
+                return plain
+            except (*ConnectionErrors, h11.ProtocolError, ValueError) as error:
+                log.debug('peers: no answer. address=%s error=%r', address, error)
+                return None
+            finally:
+                wire.is_spoiled = wire.is_spoiled or not is_done
+                with trio.CancelScope(shield=True):
+                    await self.pool.release(address, wire)
+        return None
+
+
+async def read_page(wire: Wire, path: str) -> Any:
+    """Send one question and return its answer; raise ValueError for nonsense."""
+    headers = [(b'host', b'peer')]
+    request = h11.Request(method='GET', target=path, headers=headers)
+    await wire.send(request, h11.EndOfMessage())
+    data = b''
+    while True:
+        event = await wire.receive()
+        if type(event) is h11.Data:
+            data += event.data
+            if len(data) > MAX_ANSWER_BYTES:
+                raise ValueError('the answer is too long')
+        elif type(event) is h11.EndOfMessage:
+            return orjson.loads(data)
+        elif type(event) is h11.ConnectionClosed:
+            raise h11.RemoteProtocolError('closed before an answer')
+
+
+def structure(plain: Any, wanted: type) -> Any | None:
+    """Return plain data as a value of a class; None for what cannot be one."""
+    if plain is None:
+        return None
+    try:
+        return converter.structure(plain, wanted)
+    except READ_ERRORS as error:
+        log.warning('peers: an answer cannot be read. error=%r', error)
+        return None
--- /dev/null
+++ b/catkinslip/entry.py
@@ -0,0 +1,115 @@
+"""Run an instance: open its listeners, follow the store, serve until told to stop."""
+
+import gc
+import logging
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import trio
+from attrs import frozen
+
+from catkinslip.lifecycle import StopRequest
+from catkinslip.models import Address
+from catkinslip.pages import Page, PageServer
+from catkinslip.wiring.entry import Entry
+
+LISTEN_BACKLOG = 1024
+#: Callers keep an address answer up to three times as long as they were told.
+KEPT_ANSWERS = 3
+#: The end must come before the process is killed.
+STOP_MARGIN_SECONDS = 0.4
+#: Requests that came in last are given this long before connections are closed.
+LAST_REQUEST_SECONDS = 1.5
+READY_CHECK_SECONDS = 0.02
+PLAIN_TEXT = b'text/plain; version=0.0.4; charset=utf-8'
+
+log = logging.getLogger('lifecycle')
+
+Handler = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+@frozen
+class ListenAddresses:
+    """Where an instance listens; several may serve the same pages."""
+
+    callers: Address
+    peers: Address
+    metrics: Address
+
+
+async def serve(
+    entry: Entry, addresses: ListenAddresses, page_servers: dict[Address, PageServer]
+) -> None:
+    """Serve callers, peers and the platform until told to stop."""
+    stop = StopRequest()
+    pages = {
+        **page_servers,
+        addresses.peers: entry.peer_pages,
+        addresses.metrics: PageServer({'/metrics': partial(metrics_page, entry)}),
+    }
+    async with trio.open_nursery() as nursery:
+        await nursery.start(stop.listen)
+        for address, server in pages.items():
+            await nursery.start(listen, server.serve, address)
+        for task in entry.tasks():
+            nursery.start_soon(task)
+        await nursery.start(listen, entry.callers.serve, addresses.callers)
+        nursery.start_soon(become_ready, entry, stop)
+        gc.collect()
+        gc.freeze()
+        await stop.asked.wait()
+        await drain(entry)
+        nursery.cancel_scope.cancel()
+
+
+async def listen(
+    handler: Handler, address: Address, task_status=trio.TASK_STATUS_IGNORED
+) -> None:
+    """Accept connections at an address until cancelled."""
+    listeners = await trio.open_tcp_listeners(
+        address.port, host=address.host, backlog=LISTEN_BACKLOG
+    )
+    task_status.started()
+    await trio.serve_listeners(handler, listeners)
+
+
+async def become_ready(entry: Entry, stop: StopRequest) -> None:
+    """Take callers as soon as rules and backend servers are known."""
+    while not entry.assembler.is_ready:
+        await trio.sleep(READY_CHECK_SECONDS)
+    if stop.asked.is_set():
+        return
+    entry.instances.is_own_ready = True
+    log.info(
+        'lifecycle: ready. rules=%08x backends=%d',
+        entry.assembler.rules_version,
+        len(entry.assembler.current_backends),
+    )
+
+
+async def drain(entry: Entry) -> None:
+    """Leave the address answers, let connections end, and wait for the last ones."""
+    began = trio.current_time()
+    end = began + entry.settings.stop_seconds - STOP_MARGIN_SECONDS
+    entry.instances.is_own_ready = False
+    callers = entry.callers.drain
+    log.info('lifecycle: stops. connections=%d', len(callers.open_wires))
+    callers.start_closing()
+    kept = KEPT_ANSWERS * entry.settings.address_lifetime
+    with trio.move_on_after(1.0):
+        await entry.poller.book.withdraw(entry.settings.own.instance_id)
+    await trio.sleep_until(min(began + kept, end - LAST_REQUEST_SECONDS))
+    callers.close_idle()
+    with trio.move_on_at(end):
+        await callers.wait_until_closed()
+    log.info('lifecycle: ends. connections=%d', len(callers.open_wires))
+
+
+async def metrics_page(entry: Entry, query: str) -> Page:
+    """Return all measured values in the Prometheus text format."""
+    # Only scraped instances pay for the library's memory.
+    from catkinslip.metrics.exposition import expose
+
+    families = [each for source in entry.sources for each in source.families()]
+    body = b''.join(expose(family) for family in families)
+    return Page(200, body, PLAIN_TEXT)
--- /dev/null
+++ b/catkinslip/health/base.py
@@ -0,0 +1,21 @@
+"""Who learns of backend servers' load before a choice."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from catkinslip.routing.router import ServiceRouter
+
+
+class Sampler(ABC):
+    """Refresh what a router knows before it chooses."""
+
+    @abstractmethod
+    async def refresh(self, router: ServiceRouter, tried: Sequence[str]) -> None:
+        """Ask until the choice rests on a fresh report, or the budget is spent."""
+
+
+class NoSampler(Sampler):
+    """Choose from what answers have told."""
+
+    async def refresh(self, router: ServiceRouter, tried: Sequence[str]) -> None:
+        """Ask nobody."""
--- /dev/null
+++ b/catkinslip/health/sampler.py
@@ -0,0 +1,183 @@
+"""Ask backend servers for their load right before a choice.
+
+The servers that look best and have no fresh report are asked, the choice is made
+again, and so on for a few rounds: a report of a millisecond ago shows a server that
+slowed down, filled up or fell silent since its last answer.
+"""
+
+import logging
+from collections.abc import Callable, Sequence
+
+import h11
+import trio
+from attrs import Factory, define
+
+from catkinslip.clock import Clock
+from catkinslip.health.base import Sampler
+from catkinslip.health.tracker import HealthTracker
+from catkinslip.proxy.answers import drain_body, receive_response
+from catkinslip.proxy.dialect import Dialect
+from catkinslip.proxy.outcomes import NotRun, Reason
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.wire import ConnectionErrors, Wire
+from catkinslip.routing.base import BackendLoad
+from catkinslip.routing.router import ServiceRouter
+
+#: Reports younger than this are not asked for again.
+FRESH_SECONDS = 0.01
+#: Servers asked at once, and how often the choice is made again.
+ASKED_AT_ONCE = 3
+ROUNDS = 3
+#: An answer takes a round trip of a few milliseconds at most.
+ANSWER_SECONDS = 0.03
+#: A share of the budget stays unused, since instances may know of each other late.
+BUDGET_SHARE = 0.8
+#: Seconds of a server's budget that may be saved up for a rush.
+SAVED_SECONDS = 1.0
+
+log = logging.getLogger('health')
+
+
+@define
+class SampleAllowance:
+    """How many probes one instance may send to one server; monotonic seconds."""
+
+    tokens: float = 1.0
+    filled_at: float = 0.0
+
+    def take(self, rate: float, now: float) -> bool:
+        """Take one probe from the allowance; tell whether there was one."""
+        most = max(1.0, rate * SAVED_SECONDS)
+        self.tokens = min(most, self.tokens + (now - self.filled_at) * rate)
+        self.filled_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@define
+class LoadSampler(Sampler):
+    """Refresh the reports that the next choice would rest on."""
+
+    health: HealthTracker
+    pool: BackendPool
+    clock: Clock
+    dialect: Dialect
+    #: Probes of one server per second from all instances, and how many there are.
+    probes_per_second: float
+    count_instances: Callable[[], int]
+    allowance_by_id: dict[str, SampleAllowance] = Factory(dict)
+    asking: set[str] = Factory(set)
+    sent: int = 0
+    unanswered: int = 0
+
+    async def refresh(self, router: ServiceRouter, tried: Sequence[str]) -> None:
+        """Ask until the choice rests on a fresh report, or the budget is spent."""
+        for _ in range(ROUNDS):
+            leaders = self._stale_leaders(router, tried)
+            if not leaders:
+                return
+            with trio.move_on_after(ANSWER_SECONDS):
+                async with trio.open_nursery() as nursery:
+                    for load in leaders:
+                        nursery.start_soon(self._ask, router, load)
+
+    def forget_removed(self) -> None:
+        """Drop the allowances of servers that left the register."""
+        known = self.health.key_by_id
+        for backend_id in list(self.allowance_by_id):
+            if backend_id not in known:
+                del self.allowance_by_id[backend_id]
+
+    def _stale_leaders(
+        self, router: ServiceRouter, tried: Sequence[str]
+    ) -> list[BackendLoad]:
+        """Return the best servers to ask; none if the best has a fresh report."""
+        now = self.clock.monotonic()
+        rate = self.probes_per_second * BUDGET_SHARE / max(1, self.count_instances())
+        leaders: list[BackendLoad] = []
+        passed = list(tried)
+        while len(leaders) < ASKED_AT_ONCE:
+            choice = self.health.choose(router, passed)
+            if choice is None:
+                break
+            load = router.load_by_id[choice.backend_id]
+            passed.append(choice.backend_id)
+            if now - load.reported_at <= FRESH_SECONDS:
+                if not leaders:
+                    return []
+                break
+            if load.backend_id in self.asking:
+                continue
+            if self._allowance(load.backend_id).take(rate, now):
+                leaders.append(load)
+            elif len(passed) > len(tried) + 2 * ASKED_AT_ONCE:
+                break
+        return leaders
+
+    def _allowance(self, backend_id: str) -> SampleAllowance:
+        allowance = self.allowance_by_id.get(backend_id)
+        if allowance is None:
+            if len(self.allowance_by_id) > 2 * len(self.health.key_by_id):
+                self.forget_removed()
+            allowance = SampleAllowance(filled_at=self.clock.monotonic())
+            self.allowance_by_id[backend_id] = allowance
+        return allowance
+
+    async def _ask(self, router: ServiceRouter, load: BackendLoad) -> None:
+        backend_id = load.backend_id
+        self.asking.add(backend_id)
+        self.sent += 1
+        is_answered = False
+        try:
+            is_answered = await self._exchange(router, load)
+        finally:
+            self.asking.discard(backend_id)
+            if not is_answered:
+                self.unanswered += 1
+                router.unanswered(backend_id, self.clock.monotonic())
+                log.info('health: no answer to a probe. backend=%s', backend_id)
+
+    async def _exchange(self, router: ServiceRouter, load: BackendLoad) -> bool:
+        backend_id = load.backend_id
+        address = self.health.directory.address_by_backend.get(backend_id)
+        if address is None:
+            return False
+        wire = await self.pool.acquire(address)
+        if isinstance(wire, NotRun):
+            if wire.reason is Reason.CONNECT_FAILED:
+                self.health.refused(backend_id)
+            return False
+        is_done = False
+        try:
+            is_done = await self._probe(router, load, wire)
+        except (*ConnectionErrors, h11.ProtocolError) as error:
+            log.info('health: a probe broke. backend=%s error=%r', backend_id, error)
+        finally:
+            wire.is_spoiled = wire.is_spoiled or not is_done
+            await self.pool.release(address, wire)
+        return is_done
+
+    async def _probe(
+        self, router: ServiceRouter, load: BackendLoad, wire: Wire
+    ) -> bool:
+        backend = self.health.document.register.backends.get(load.backend_id)
+        if backend is None:
+            return False
+        service = self.health.document.register.services[backend.service]
+        request = self.dialect.probe_request(backend.service, service.health_path)
+        picks_before = load.picks_since_report
+        sent_at = self.clock.monotonic()
+        await wire.send(request, h11.EndOfMessage())
+        response = await receive_response(wire)
+        await drain_body(wire)
+        answer = self.dialect.read_probe(response.status_code, list(response.headers))
+        if answer is None or answer.backend_id not in (None, load.backend_id):
+            return False
+        if answer.report is not None:
+            at = (sent_at + self.clock.monotonic()) / 2
+            router.learned(load.backend_id, answer.report, at, picks_before)
+        if not answer.is_well:
+            router.unanswered(load.backend_id, self.clock.monotonic())
+        return True
--- a/catkinslip/limits/base.py
+++ b/catkinslip/limits/base.py
@@ -16,6 +16,8 @@
     deadline_margin: float = 1.0
     extra_share: float = 0.05
     extra_reserve: float = 10.0
+    #: A reserve that all instances share; replaces the reserve of each where given.
+    extra_slack: float | None = None
     max_attempts: int = 3
     hedge_percentile: float = 99.0
 
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -97,15 +97,19 @@
             self.limits_by_service[service] = limits
         if now - limits.resized_at >= RESIZE_SECONDS:
             limits.resized_at = now
-            self._resize(service, limits.load, router)
+            self._resize(service, limits, router)
         limits.load.sweep(now)
         return limits
 
-    def _resize(self, service: str, load: ServiceLoad, router: ServiceRouter) -> None:
+    def _resize(
+        self, service: str, limits: ServiceLimits, router: ServiceRouter
+    ) -> None:
         usable = [each for each in router.load_by_id.values() if not each.draining]
         slots = usable[0].slots if usable else 1
         instances = self.count_instances(service)
-        load.resize(slots, len(usable), instances, self.settings.queue_depth)
+        limits.load.resize(slots, len(usable), instances, self.settings.queue_depth)
+        if self.settings.extra_slack is not None:
+            limits.budget.reserve = self.settings.extra_slack / max(1, instances)
 
 
 def make_limits(settings: LimitSettings) -> ServiceLimits:
--- /dev/null
+++ b/catkinslip/pages.py
@@ -0,0 +1,83 @@
+"""Serve small pages over HTTP: readiness, addresses, metrics, peers' questions.
+
+The codec of the request path serves them, since quart and hypercorn add 18 MB to a
+process (resident size after import, 43 against 25 MB).
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+from attrs import define, frozen
+
+from catkinslip.proxy.head_checks import origin_form
+from catkinslip.proxy.headers import RequestHead
+from catkinslip.proxy.intake import HeadReader
+from catkinslip.proxy.wire import ConnectionErrors, server_wire
+
+IDLE_SECONDS = 15.0
+HEAD_SECONDS = 3.0
+
+log = logging.getLogger('pages')
+
+
+@frozen
+class Page:
+    """One answer."""
+
+    status: int
+    body: bytes = b''
+    content_type: bytes = b'application/json'
+
+
+NOT_FOUND = Page(404)
+PageMaker = Callable[[str], Awaitable[Page]]
+
+
+@define
+class PageServer:
+    """Answer GET requests by path; the maker of a page gets the query string."""
+
+    maker_by_path: dict[str, PageMaker]
+    heads: HeadReader = HeadReader(IDLE_SECONDS, HEAD_SECONDS)
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until either side closes it."""
+        wire = server_wire(stream)
+        try:
+            while True:
+                request = await self.heads.read(wire)
+                if not isinstance(request, RequestHead):
+                    return
+                while type(await wire.receive()) is not h11.EndOfMessage:
+                    pass
+                page = await self._make(request)
+                await wire.send(*page_events(page))
+                if wire.codec.our_state is not h11.DONE:
+                    return
+                wire.start_next_cycle()
+        except (*ConnectionErrors, h11.ProtocolError) as error:
+            log.debug('pages: a connection ended. error=%r', error)
+        except Exception:
+            # One question must not stop the process.
+            log.exception('pages: a question failed.')
+        finally:
+            with trio.CancelScope(shield=True):
+                await wire.close()
+
+    async def _make(self, request: RequestHead) -> Page:
+        target = origin_form(request.target).decode('latin-1')
+        path, _, query = target.partition('?')
+        maker = self.maker_by_path.get(path)
+        return NOT_FOUND if maker is None else await maker(query)
+
+
+def page_events(page: Page) -> list[h11.Event]:
+    """Return a page as the codec sends it."""
+    headers = [
+        (b'content-type', page.content_type),
+        (b'content-length', b'%d' % len(page.body)),
+    ]
+    response = h11.Response(status_code=page.status, headers=headers)
+    return [response, h11.Data(data=page.body), h11.EndOfMessage()]
--- /dev/null
+++ b/catkinslip/platform/client.py
@@ -0,0 +1,225 @@
+"""The client of the platform's store.
+
+No call is sent again from here. httpcore, which httpx stands on, takes 3 MB less
+memory than httpx (resident size after import, 27 against 30 MB).
+"""
+
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import httpcore
+import orjson
+import trio
+from attrs import asdict, define, frozen
+from returns.result import Failure, Result, Success
+
+from catkinslip.discovery.base import (
+    HistoryGone,
+    InstanceBook,
+    InstanceEntry,
+    Listing,
+    News,
+    Source,
+    Value,
+)
+from catkinslip.models import Address
+from catkinslip.platform.decoding import DECODE_ERRORS
+from catkinslip.platform.names import INSTANCES_KIND, OBJECTS_PATH
+from catkinslip.store.base import (
+    AnswerLost,
+    Conflict,
+    OverBudget,
+    PlatformError,
+    Unavailable,
+)
+
+CONNECT_SECONDS = 0.5
+#: The store answers in 4 ms; its slow days take some tens of times as long.
+ANSWER_SECONDS = 1.0
+MAX_CONNECTIONS = 6
+RETRY_AFTER_SECONDS = 0.5
+JSON_HEADERS = {'Content-Type': 'application/json'}
+NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+
+log = logging.getLogger('store')
+
+
+@frozen
+class Reply:
+    """Status and body of an answer of the store."""
+
+    status: int
+    body: Any
+
+
+@define
+class StoreClient:
+    """Call the store and report each outcome as a value."""
+
+    address: Address
+    pool: httpcore.AsyncConnectionPool
+    calls: int = 0
+    failures: int = 0
+
+    async def call(
+        self, method: str, path: str, body: Any = None, wait: float = 0.0
+    ) -> Result[Reply, PlatformError]:
+        """Send one call; `wait` seconds are added to the time for its answer."""
+        self.calls += 1
+        url = f'http://{self.address}{OBJECTS_PATH}/{path}'
+        content = None if body is None else orjson.dumps(body)
+        limits = {
+            'connect': CONNECT_SECONDS,
+            'pool': CONNECT_SECONDS,
+            'write': ANSWER_SECONDS,
+            'read': wait + ANSWER_SECONDS,
+        }
+        try:
+            with trio.fail_after(wait + CONNECT_SECONDS + ANSWER_SECONDS):
+                response = await self.pool.request(
+                    method,
+                    url,
+                    headers=JSON_HEADERS,
+                    content=content,
+                    extensions={'timeout': limits},
+                )
+        except NOT_SENT_ERRORS as error:
+            return self._failed(Unavailable(repr(error)))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return self._failed(AnswerLost(repr(error)))
+        except (httpcore.TimeoutException, trio.TooSlowError) as error:
+            return self._failed(AnswerLost(repr(error)))
+        result = judge(response)
+        if isinstance(result, Failure):
+            self.failures += 1
+        return result
+
+    def _failed(self, error: PlatformError) -> Failure[PlatformError]:
+        self.failures += 1
+        return Failure(error)
+
+
+def judge(response: httpcore.Response) -> Result[Reply, PlatformError]:
+    """Tell an answer from a refusal."""
+    status = response.status
+    if status == 429:
+        return Failure(OverBudget(RETRY_AFTER_SECONDS))
+    if status == 409:
+        return Failure(Conflict(0))
+    if status >= 500:
+        return Failure(Unavailable(f'the store answered {status}'))
+    try:
+        return Success(Reply(status, orjson.loads(response.content or b'null')))
+    except orjson.JSONDecodeError as error:
+        return Failure(Unavailable(f'the store answered nonsense, {error}'))
+
+
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return the connections to the store."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS, keepalive_expiry=30.0
+    )
+
+
+@define
+class KindSource(Source[Value]):
+    """Read the objects of one kind, decoded; `name` keeps all but one out."""
+
+    client: StoreClient
+    kind: str
+    decode: Callable[[str, Mapping[str, Any]], Value]
+    name: str | None = None
+
+    async def read_all(
+        self, *, may_be_stale: bool = False
+    ) -> Result[Listing[Value], PlatformError]:
+        """Read every value; a stale answer is cheaper and seconds old."""
+        value_by_name: dict[str, Value] = {}
+        after = ''
+        while True:
+            query = f'?after={after}' if after else ''
+            if may_be_stale:
+                query += f'{"&" if query else "?"}serializable=1'
+            result = await self.client.call('GET', self.kind + query)
+            if isinstance(result, Failure):
+                return result
+            reply = result.unwrap()
+            try:
+                for item in reply.body['items']:
+                    after = item['metadata']['name']
+                    self._decode_into(value_by_name, after, item)
+                if not reply.body.get('more'):
+                    return Success(Listing(value_by_name, reply.body['as_of']))
+            except DECODE_ERRORS as error:
+                return Failure(Unavailable(f'a listing cannot be read, {error!r}'))
+
+    async def wait_for_news(
+        self, revision: int, wait: float
+    ) -> Result[News[Value], PlatformError | HistoryGone]:
+        """Return the changes after a revision, at the latest after `wait` seconds."""
+        path = f'{self.kind}?watch={revision}&wait_ms={int(wait * 1000)}'
+        result = await self.client.call('GET', path, wait=wait)
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
+        if reply.status == 410:
+            return Failure(HistoryGone('the store dropped its history'))
+        try:
+            changes = [self._read_event(each) for each in reply.body['events']]
+            kept = tuple(each for each in changes if each is not None)
+            return Success(News(kept, reply.body['as_of']))
+        except DECODE_ERRORS as error:
+            # Reading all again tells what this answer would have told.
+            return Failure(HistoryGone(f'news cannot be read, {error!r}'))
+
+    def _read_event(self, event: Mapping[str, Any]) -> tuple[str, Value | None] | None:
+        item = event['object']
+        name = item['metadata']['name']
+        if event['tombstone']:
+            return None if self._is_foreign(name) else (name, None)
+        decoded: dict[str, Value] = {}
+        self._decode_into(decoded, name, item)
+        return (name, decoded[name]) if decoded else None
+
+    def _decode_into(
+        self, value_by_name: dict[str, Value], name: str, item: Mapping[str, Any]
+    ) -> None:
+        if self._is_foreign(name):
+            return
+        try:
+            value_by_name[name] = self.decode(name, item)
+        except DECODE_ERRORS as error:
+            log.warning(
+                'store: an object cannot be read, it is left out. '
+                'kind=%s name=%s error=%r',
+                self.kind,
+                name,
+                error,
+            )
+
+    def _is_foreign(self, name: str) -> bool:
+        return self.name is not None and name != self.name
+
+
+@define
+class StoredInstances(InstanceBook):
+    """Keep the entries of our instances in objects of a kind of our own."""
+
+    client: StoreClient
+
+    async def announce(self, entry: InstanceEntry) -> Result[None, PlatformError]:
+        """Put this instance there, or replace its earlier entry."""
+        name = entry.instance_id
+        body = {'metadata': {'name': name}, 'spec': asdict(entry)}
+        result = await self.client.call('POST', INSTANCES_KIND, body)
+        if isinstance(result, Failure) and isinstance(result.failure(), Conflict):
+            path = f'{INSTANCES_KIND}/{name}'
+            result = await self.client.call('PUT', path, body)
+        return result.map(lambda _: None)
+
+    async def withdraw(self, instance_id: str) -> Result[None, PlatformError]:
+        """Take an instance away."""
+        path = f'{INSTANCES_KIND}/{instance_id}'
+        result = await self.client.call('DELETE', path)
+        return result.map(lambda _: None)
--- /dev/null
+++ b/catkinslip/platform/dialect.py
@@ -0,0 +1,172 @@
+"""The platform's headers on requests and answers."""
+
+import math
+import re
+from collections.abc import Sequence
+
+import h11
+
+from catkinslip.platform import names as wire
+from catkinslip.proxy import answers
+from catkinslip.proxy import headers as names
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.dialect import CallTerms, Dialect, ProbeAnswer
+from catkinslip.proxy.head_checks import malformed
+from catkinslip.proxy.headers import Header, RequestHead
+from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
+from catkinslip.routing.base import LoadReport
+
+REQUEST_ID = re.compile(rb'[\x21-\x7e]{1,128}\Z')
+MILLISECONDS = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?\Z')
+LOAD_FIGURE = re.compile(rb'[0-9]{1,9}\Z')
+USUAL_PERCENT = 100.0
+MOST_PERCENT = 1_000_000.0
+MISDIRECTED_STATUS = 421
+#: Set anew on each request, so what the caller sent does not pass.
+REPLACED_IN_REQUESTS = names.HOP_BY_HOP | {
+    b'content-length',
+    b'expect',
+    wire.DEADLINE,
+    wire.TARGET,
+}
+REPLACED_IN_ANSWERS = names.HOP_BY_HOP | {wire.REQUEST_ID}
+#: Callers come back at most this late; more of them would never.
+MIN_RETRY_AFTER_SECONDS = 0.05
+
+
+class PlatformDialect(Dialect):
+    """Spell the platform's headers."""
+
+    def read_terms(self, request: RequestHead, wall: float) -> CallTerms | NotRun:
+        """Read a caller's headers, or refuse one that is malformed."""
+        headers = request.headers
+        request_id = names.find(headers, wire.REQUEST_ID)
+        if request_id is not None and REQUEST_ID.match(request_id) is None:
+            return malformed('the request ID is not 1 to 128 visible characters')
+        timeout = None
+        given = names.find(headers, wire.DEADLINE)
+        if given is not None:
+            if MILLISECONDS.match(given) is None:
+                return malformed('the deadline is no number of milliseconds')
+            timeout = float(given) / 1000
+        host = (names.find(headers, b'host') or b'').decode('latin-1')
+        return CallTerms(
+            service='',
+            host=host.partition(':')[0],
+            request_id=request_id.decode() if request_id else None,
+            timeout=timeout,
+        )
+
+    def request_headers(
+        self, call: Call, backend_id: str, number: int, time_left: float
+    ) -> list[Header]:
+        """Return the headers of an attempt, without those that frame the body."""
+        headers = names.end_to_end(call.headers, REPLACED_IN_REQUESTS)
+        if names.find(headers, wire.REQUEST_ID) is None:
+            headers.append((wire.REQUEST_ID, call.request_id.encode()))
+        headers.append((wire.DEADLINE, b'%d' % max(1, int(time_left * 1000))))
+        headers.append((wire.TARGET, backend_id.encode()))
+        return headers
+
+    def find_fault(
+        self, call: Call, status: int, headers: list[Header]
+    ) -> Unknown | None:
+        """Return why an answer must not reach the caller; None when it may."""
+        echo = names.find(headers, wire.REQUEST_ID)
+        is_own = echo == call.request_id.encode()
+        # A success proves itself; a refusal may come without any of its headers.
+        if echo is not None and not is_own:
+            return Unknown(Reason.CROSSED)
+        if 200 <= status < 300:
+            if not is_own or names.find(headers, wire.SIGNATURE) is None:
+                return Unknown(Reason.BROKEN, 'a success without its signature')
+            if names.find(headers, b'content-encoding') is not None:
+                return Unknown(Reason.BROKEN, "the body is not the server's own")
+        elif status < 400:
+            return Unknown(Reason.BROKEN, f'status {status} is no answer')
+        elif find_refusal(status, headers) is None and not is_own:
+            return Unknown(Reason.BROKEN, 'an answer without its request ID')
+        return answers.find_framing_fault(headers)
+
+    def find_refusal(self, status: int, headers: list[Header]) -> Reason | None:
+        """Return why the backend server did not run a request; None if it may have."""
+        return find_refusal(status, headers)
+
+    def read_report(self, headers: Sequence[Header]) -> LoadReport | None:
+        """Return the load report of an answer."""
+        value = names.find(headers, wire.SERVER_LOAD)
+        return None if value is None else parse_load(value)
+
+    def answer_headers(self, call: Call, headers: list[Header]) -> list[Header]:
+        """Return an answer's headers for the caller."""
+        passed = names.end_to_end(headers, REPLACED_IN_ANSWERS)
+        passed.append((wire.REQUEST_ID, call.request_id.encode()))
+        return passed
+
+    def problem_events(
+        self,
+        outcome: NotRun | Unknown,
+        request_id: str,
+        method: bytes = b'',
+        *,
+        close: bool = False,
+    ) -> list[h11.Event]:
+        """Return the answer that tells a caller how a request ended."""
+        status = outcome.reason.status
+        if isinstance(outcome, NotRun) and status >= 500:
+            # The only 5xx status that promises that the request has not run.
+            status = 503
+        headers = [(wire.REQUEST_ID, request_id.encode())]
+        if status == 503:
+            seconds = retry_after_seconds(outcome)
+            headers.append((b'retry-after', b'%.3f' % seconds))
+        body = b'' if method == b'HEAD' else f'{outcome}\n'.encode()
+        headers.append((b'content-type', b'text/plain'))
+        headers.append((b'content-length', b'%d' % len(body)))
+        if close:
+            headers.append((b'connection', b'close'))
+        response = h11.Response(status_code=status, headers=headers)
+        return [response, *([h11.Data(data=body)] if body else []), h11.EndOfMessage()]
+
+    def probe_request(self, service: str, path: str) -> h11.Request:
+        """Return the head of a probe."""
+        return h11.Request(
+            method='GET', target=path, headers=[(b'host', service.encode())]
+        )
+
+    def read_probe(self, status: int, headers: list[Header]) -> ProbeAnswer | None:
+        """Read the answer to a probe; None when it answers something else."""
+        server_id = names.find(headers, wire.SERVER_ID)
+        if names.find(headers, wire.REQUEST_ID) is not None or server_id is None:
+            return None
+        report = self.read_report(headers)
+        return ProbeAnswer(status == 200, report, server_id.decode('latin-1'))
+
+
+def find_refusal(status: int, headers: list[Header]) -> Reason | None:
+    """Return why the backend server did not run a request; None if it may have."""
+    if status == MISDIRECTED_STATUS:
+        return Reason.MISDIRECTED
+    refused = names.find(headers, wire.NOT_EXECUTED) is not None
+    return Reason.SHED if refused and status >= 400 else None
+
+
+def parse_load(value: bytes) -> LoadReport | None:
+    """Parse running, waiting, slots and the time that work takes; None if malformed."""
+    figures = [each.strip() for each in value.split(b',')]
+    if len(figures) < 3 or any(LOAD_FIGURE.match(each) is None for each in figures):
+        return None
+    running, waiting = int(figures[0]), int(figures[1])
+    speed = None
+    if len(figures) > 3:
+        percent = min(max(float(figures[3]), 1.0), MOST_PERCENT)
+        speed = USUAL_PERCENT / percent
+    return LoadReport(running + waiting, speed)
+
+
+def retry_after_seconds(outcome: NotRun | Unknown) -> float:
+    """Return when to come back; a time that no caller has left is of no use."""
+    seconds = outcome.retry_after if isinstance(outcome, NotRun) else None
+    if seconds is None or not math.isfinite(seconds):
+        return MIN_RETRY_AFTER_SECONDS
+    return max(seconds, MIN_RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/catkinslip/platform/names.py
@@ -0,0 +1,29 @@
+"""The platform's names on the wire, each written once."""
+
+from typing import Final
+
+PATH_PREFIX: Final = '/catkinslip'
+READY_PATH: Final = f'{PATH_PREFIX}/readyz'
+RESOLVE_PATH: Final = f'{PATH_PREFIX}/resolve'
+OBJECTS_PATH: Final = f'{PATH_PREFIX}/objects'
+
+#: Backend servers register themselves in objects of this kind.
+SERVERS_KIND: Final = 'servers'
+#: The operators' configuration is the object MAIN_NAME of this kind.
+CONFIG_KIND: Final = 'config'
+MAIN_NAME: Final = 'main'
+#: Our own kind: one object an instance.
+INSTANCES_KIND: Final = 'instances'
+
+REQUEST_ID: Final = b'request-id'
+#: Milliseconds that the caller waits; on the way to a server, those that are left.
+DEADLINE: Final = b'deadline-ms'
+#: The ID of the one server that may run the request.
+TARGET: Final = b'target-instance'
+#: On an answer: the request did not run.
+NOT_EXECUTED: Final = b'not-executed'
+SIGNATURE: Final = b'response-signature'
+#: Running, waiting, slots and, if told, the time that work takes in percent.
+SERVER_LOAD: Final = b'server-load'
+#: On answers to probes, and of a server that is not the named one.
+SERVER_ID: Final = b'instance-id'
--- /dev/null
+++ b/catkinslip/platform/pages.py
@@ -0,0 +1,34 @@
+"""The pages that the platform and its callers ask for."""
+
+from urllib.parse import parse_qs
+
+import orjson
+from attrs import define
+
+from catkinslip.addresses.zonal import ZoneAddresses
+from catkinslip.discovery.instances import InstanceTable
+from catkinslip.pages import Page, PageMaker
+from catkinslip.platform.names import READY_PATH, RESOLVE_PATH
+
+
+@define
+class PlatformPages:
+    """Answer whether this instance is ready, and which addresses to use."""
+
+    instances: InstanceTable
+    addresses: ZoneAddresses
+
+    def makers(self) -> dict[str, PageMaker]:
+        """Return the makers of the pages by path."""
+        return {READY_PATH: self.ready, RESOLVE_PATH: self.resolve}
+
+    async def ready(self, query: str) -> Page:
+        """Tell whether this instance takes new callers."""
+        return Page(200 if self.instances.is_own_ready else 503)
+
+    async def resolve(self, query: str) -> Page:
+        """Tell a caller which addresses to use, and for how long."""
+        zone = parse_qs(query).get('zone', [self.instances.own.zone])[0]
+        answer = self.addresses.answer(zone)
+        body = {'addrs': answer.addresses, 'ttl_s': answer.lifetime}
+        return Page(200, orjson.dumps(body))
--- a/catkinslip/proxy/draining.py
+++ b/catkinslip/proxy/draining.py
@@ -45,7 +45,9 @@
 
     async def wait_until_closed(self) -> None:
         """Wait until no connection is open."""
-        await self._none_open.wait()
+        while self.open_wires or not self.is_closing:
+            self._none_open = trio.Event()
+            await self._none_open.wait()
 
     def _tell_when_none_open(self) -> None:
         if self.is_closing and not self.open_wires:
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,8 +1,9 @@
 """Forward a call: admit it or refuse it at once, then run its attempts."""
 
-from attrs import define
+from attrs import Factory, define
 
 from catkinslip.clock import Clock
+from catkinslip.health.base import NoSampler, Sampler
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.service import LimitBook
 from catkinslip.proxy.dialect import Dialect
@@ -28,6 +29,7 @@
     hedges: HedgeTimer
     observer: RequestObserver = ObserverGroup()
     dialect: Dialect = OWN_DIALECT
+    sampler: Sampler = Factory(NoSampler)
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -57,5 +59,6 @@
             hedges=self.hedges,
             observer=self.observer,
             dialect=self.dialect,
+            sampler=self.sampler,
         )
         return await runner.run()
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
+from catkinslip.health.base import Sampler
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
@@ -58,6 +59,7 @@
     hedges: HedgeTimer
     observer: RequestObserver
     dialect: Dialect
+    sampler: Sampler
     launches: list[Launch] = Factory(list)
     passed_on: Launch | None = None
     scope: trio.CancelScope = Factory(trio.CancelScope)
@@ -75,6 +77,7 @@
 
     async def _run_attempts(self) -> Outcome:
         while True:
+            await self.sampler.refresh(self.router, self._tried())
             launch = self._launch()
             if launch is None:
                 return self.plan.told()
@@ -86,8 +89,7 @@
 
     def _launch(self, *, hedge: bool = False) -> Launch | None:
         now = self.clock.monotonic()
-        tried = [launch.backend_id for launch in self.launches]
-        choice = self.health.choose(self.router, tried)
+        choice = self.health.choose(self.router, self._tried())
         if choice is None:
             return None
         if hedge and not self.limits.has_idle_slot(choice.backend_id):
@@ -120,6 +122,9 @@
         self.limits.started(launch.backend_id)
         return launch
 
+    def _tried(self) -> list[str]:
+        return [launch.backend_id for launch in self.launches]
+
     async def _await_head(self, launch: Launch) -> Launch:
         now = self.clock.monotonic()
         delay = self.limits.hedge_delay(now)
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -12,8 +12,11 @@
     LoadReport,
     Policy,
 )
+from catkinslip.routing.evidence import pause
 
 WINDOW_SIZE = 32
+SILENCE_PAUSE_SECONDS = 0.2
+LONGEST_SILENCE_PAUSE_SECONDS = 2.0
 
 
 @define
@@ -97,6 +100,12 @@
             load.reported_at = at
             load.picks_since_report = max(0, load.picks_since_report - picks_before)
 
+    def unanswered(self, backend_id: str, now: float) -> None:
+        """Avoid a server that gave no good answer to a probe, for a while."""
+        load = self.load_by_id.get(backend_id)
+        if load is not None:
+            pause(load, now, SILENCE_PAUSE_SECONDS, LONGEST_SILENCE_PAUSE_SECONDS)
+
     def picks_since_report(self, backend_id: str) -> int:
         """Return the own picks since the last report of a backend server."""
         load = self.load_by_id.get(backend_id)
--- /dev/null
+++ b/catkinslip/wiring/entry.py
@@ -0,0 +1,211 @@
+"""Build an instance that an outside store tells of rules and backend servers."""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+from attrs import define, frozen
+
+from catkinslip.addresses.zonal import ZoneAddresses
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.discovery.assembly import Assembler
+from catkinslip.discovery.base import (
+    BackendEntry,
+    InstanceBook,
+    InstanceEntry,
+    RuleSet,
+    Source,
+)
+from catkinslip.discovery.follower import Follower
+from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.peers import (
+    KNOWLEDGE_PATH,
+    STATE_PATH,
+    PeerAnswers,
+    PeerPoller,
+)
+from catkinslip.environment import Environment
+from catkinslip.health.sampler import LoadSampler
+from catkinslip.health.tracker import make_tracker
+from catkinslip.limits.base import LimitSettings
+from catkinslip.limits.service import LimitBook
+from catkinslip.logs.buffer import LogBuffer
+from catkinslip.metrics.base import MetricSource
+from catkinslip.metrics.health import HealthMetrics
+from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
+from catkinslip.metrics.requests import RequestMetrics
+from catkinslip.metrics.traces import TraceRing
+from catkinslip.models import Address
+from catkinslip.pages import PageMaker, PageServer
+from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.dialect import Dialect
+from catkinslip.proxy.forwarder import Forwarder
+from catkinslip.proxy.hedges import HedgeTimer
+from catkinslip.proxy.observer import ObserverGroup
+from catkinslip.proxy.pool import BackendPool
+from catkinslip.routing.delay import ExpectedDelay
+from catkinslip.routing.directory import Directory
+
+#: Second sends stay so far below what all instances share, as a few may be
+#: unknown to each other.
+RESEND_MARGIN = 0.8
+MAX_TRACES = 200
+#: A request to another availability zone costs bytes, as much as so many seconds.
+ZONE_HOP_SECONDS = 0.01
+
+
+@frozen
+class EntrySettings:
+    """What an instance is told about itself and its share; durations in seconds."""
+
+    own: InstanceEntry
+    seeds: tuple[Address, ...]
+    address_lifetime: float
+    #: Time between being told to stop and the end.
+    stop_seconds: float
+    #: Probes of one backend server per second, from all instances.
+    probes_per_second: float
+    #: Second sends of all instances: a share of a service's requests and so many more.
+    resend_share: float
+    resend_slack: float
+
+
+@frozen
+class Outside:
+    """What an instance reaches beyond itself."""
+
+    environment: Environment
+    dialect: Dialect
+    rules: Source[RuleSet]
+    backends: Source[BackendEntry]
+    instances: Source[InstanceEntry]
+    book: InstanceBook
+    log_buffer: LogBuffer
+
+
+@define
+class Entry:
+    """The connected parts of one instance."""
+
+    settings: EntrySettings
+    config: ConfigHolder
+    assembler: Assembler
+    instances: InstanceTable
+    addresses: ZoneAddresses
+    callers: CallerServer
+    poller: PeerPoller
+    peer_pages: PageServer
+    pool: BackendPool
+    hedges: HedgeTimer
+    lag: LoopLag
+    sources: tuple[MetricSource, ...]
+
+    def tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Return what runs beside the requests until the instance ends."""
+        return (
+            self.assembler.rules.run,
+            self.assembler.backends.run,
+            self.assembler.run,
+            self.poller.run,
+            self.callers.watch.run,
+            self.pool.run,
+            self.hedges.run,
+            self.lag.run,
+        )
+
+
+def wire_entry(settings: EntrySettings, outside: Outside) -> Entry:
+    """Build the parts of one instance and connect them."""
+    environment = outside.environment
+    clock, random = environment.clock, environment.random
+    config = ConfigHolder()
+    instances = InstanceTable(settings.own)
+    assembler = Assembler(
+        config,
+        Follower('rules', outside.rules, random),
+        Follower('backends', outside.backends, random),
+    )
+    assembler.start()
+    directory = Directory(
+        lambda: ExpectedDelay(random, settings.own.zone, ZONE_HOP_SECONDS)
+    )
+    health = make_tracker(directory, clock, random, max_instances=1)
+    pool = BackendPool(instances.count)
+    config.listeners.extend((directory.update, health.update, pool.update))
+    requests = RequestMetrics(clock, directory)
+    instance_id = settings.own.instance_id
+    traces = TraceRing(instance_id, clock, directory, deque(maxlen=MAX_TRACES))
+    observer = ObserverGroup((requests, traces))
+    hedges = HedgeTimer()
+    sampler = LoadSampler(
+        health,
+        pool,
+        clock,
+        outside.dialect,
+        settings.probes_per_second,
+        instances.count,
+    )
+    forwarder = Forwarder(
+        directory,
+        pool,
+        clock,
+        LimitBook(limit_settings(settings), lambda _: instances.count()),
+        health,
+        hedges,
+        observer,
+        outside.dialect,
+        sampler,
+    )
+    callers = CallerServer(
+        environment,
+        config,
+        forwarder,
+        None,
+        CallerLimits(trusts_wall_clock=False, request_timeout=60.0),
+        observer,
+        outside.dialect,
+    )
+    answers = PeerAnswers(instances, assembler)
+    makers: dict[str, PageMaker] = {
+        STATE_PATH: answers.state,
+        KNOWLEDGE_PATH: answers.knowledge,
+    }
+    lag = LoopLag(clock)
+    versions = ConfigMetrics(clock, config)
+    config.listeners.append(versions.took)
+    return Entry(
+        settings=settings,
+        config=config,
+        assembler=assembler,
+        instances=instances,
+        addresses=ZoneAddresses(instances, settings.address_lifetime, random),
+        callers=callers,
+        poller=PeerPoller(
+            instances,
+            assembler,
+            BackendPool(),
+            random,
+            settings.seeds,
+            outside.instances,
+            outside.book,
+        ),
+        peer_pages=PageServer(makers),
+        pool=pool,
+        hedges=hedges,
+        lag=lag,
+        sources=(
+            requests,
+            versions,
+            lag,
+            LogMetrics(outside.log_buffer),
+            HealthMetrics(health),
+        ),
+    )
+
+
+def limit_settings(settings: EntrySettings) -> LimitSettings:
+    """Return the limits of every service."""
+    return LimitSettings(
+        extra_share=settings.resend_share * RESEND_MARGIN,
+        extra_slack=settings.resend_slack * RESEND_MARGIN,
+        hedge_percentile=95.0,
+    )
