Test the platform's path in one loop, with a stand-in store and stand-in servers

A request that the first server refused was told 'not run' instead of going on: an instance began without a token of the reserve that all instances share. The budget starts with half of the own share of the reserve, which is 0.6 of the users' figure, so that one restart within the window stays below it.

--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -42,19 +42,9 @@
 ) -> None:
     """Serve callers, peers and the platform until told to stop."""
     stop = StopRequest()
-    pages = {
-        **page_servers,
-        addresses.peers: entry.peer_pages,
-        addresses.metrics: PageServer({'/metrics': partial(metrics_page, entry)}),
-    }
     async with trio.open_nursery() as nursery:
         await nursery.start(stop.listen)
-        for address, server in pages.items():
-            await nursery.start(listen, server.serve, address)
-        for task in entry.tasks():
-            nursery.start_soon(task)
-        await nursery.start(listen, entry.callers.serve, addresses.callers)
-        nursery.start_soon(become_ready, entry, stop)
+        await start(nursery, entry, addresses, page_servers)
         gc.collect()
         gc.freeze()
         await stop.asked.wait()
@@ -62,6 +52,26 @@
         nursery.cancel_scope.cancel()
 
 
+async def start(
+    nursery: trio.Nursery,
+    entry: Entry,
+    addresses: ListenAddresses,
+    page_servers: dict[Address, PageServer],
+) -> None:
+    """Listen, and start the parts that run until the end."""
+    pages = {
+        **page_servers,
+        addresses.peers: entry.peer_pages,
+        addresses.metrics: PageServer({'/metrics': partial(metrics_page, entry)}),
+    }
+    for address, server in pages.items():
+        await nursery.start(listen, server.serve, address)
+    for task in entry.tasks():
+        nursery.start_soon(task)
+    await nursery.start(listen, entry.callers.serve, addresses.callers)
+    nursery.start_soon(become_ready, entry)
+
+
 async def listen(
     handler: Handler, address: Address, task_status=trio.TASK_STATUS_IGNORED
 ) -> None:
@@ -73,11 +83,11 @@
     await trio.serve_listeners(handler, listeners)
 
 
-async def become_ready(entry: Entry, stop: StopRequest) -> None:
+async def become_ready(entry: Entry) -> None:
     """Take callers as soon as rules and backend servers are known."""
     while not entry.assembler.is_ready:
         await trio.sleep(READY_CHECK_SECONDS)
-    if stop.asked.is_set():
+    if entry.callers.drain.is_closing:
         return
     entry.instances.is_own_ready = True
     log.info(
--- a/catkinslip/limits/budget.py
+++ b/catkinslip/limits/budget.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 TOKEN_TOLERANCE = 1e-9
+START_SHARE = 0.5
 
 
 @define
@@ -10,12 +11,26 @@
     """Earn a share of a token with each call; an extra request takes one.
 
     Extra requests never exceed `share` times the calls, since the budget starts
-    empty and saves at most `reserve` tokens.
+    empty and saves at most `reserve` tokens; a reserve that instances share comes on
+    top.
     """
 
     share: float
     reserve: float
     tokens: float = 0.0
+    has_started: bool = False
+
+    def set_reserve(self, reserve: float) -> None:
+        """Follow the own share of a reserve that all instances have together.
+
+        Half of it is there at the start, so that one restart within the window of
+        the bound spends at most half as much again.
+        """
+        if not self.has_started:
+            self.has_started = True
+            self.tokens = reserve * START_SHARE
+        self.reserve = reserve
+        self.tokens = min(self.tokens, reserve)
 
     def earn(self) -> None:
         """Count one call."""
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -109,7 +109,7 @@
         instances = self.count_instances(service)
         limits.load.resize(slots, len(usable), instances, self.settings.queue_depth)
         if self.settings.extra_slack is not None:
-            limits.budget.reserve = self.settings.extra_slack / max(1, instances)
+            limits.budget.set_reserve(self.settings.extra_slack / max(1, instances))
 
 
 def make_limits(settings: LimitSettings) -> ServiceLimits:
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -48,6 +48,8 @@
 #: Second sends stay so far below what all instances share, as a few may be
 #: unknown to each other.
 RESEND_MARGIN = 0.8
+#: A restart doubles half of an instance's share of the reserve.
+SLACK_MARGIN = 0.6
 MAX_TRACES = 200
 #: A request to another availability zone costs bytes, as much as so many seconds.
 ZONE_HOP_SECONDS = 0.01
@@ -206,6 +208,6 @@
     """Return the limits of every service."""
     return LimitSettings(
         extra_share=settings.resend_share * RESEND_MARGIN,
-        extra_slack=settings.resend_slack * RESEND_MARGIN,
+        extra_slack=settings.resend_slack * SLACK_MARGIN,
         hedge_percentile=95.0,
     )
--- /dev/null
+++ b/standins/workers.py
@@ -0,0 +1,163 @@
+"""Stand-ins for the users' servers: they shed, garble, fall silent, and keep count."""
+
+import math
+from collections import Counter
+from enum import Enum, auto, unique
+
+import h11
+import trio
+from attrs import Factory, define
+
+HEALTH_PATH = '/healthz'
+
+
+@unique
+class Fault(Enum):
+    """What a server does wrong with a request."""
+
+    NONE = auto()
+    #: It refuses and says that the request did not run.
+    SHED = auto()
+    #: It runs the request and resets the connection.
+    RESET = auto()
+    #: It runs the request and ends within the answer.
+    CUT = auto()
+    #: It answers with another request's ID.
+    CROSSED = auto()
+    #: It sends a second answer after the first.
+    EXTRA = auto()
+    #: It takes the request and never answers.
+    SILENT = auto()
+
+
+@define
+class Worker:
+    """Serve requests that name this server and remember which ran."""
+
+    server_id: str
+    slots: int = 2
+    work_seconds: float = 0.0
+    #: Time that work takes, in percent of the usual.
+    percent: int = 100
+    fault: Fault = Fault.NONE
+    is_deaf: bool = False
+    is_unframed: bool = False
+    running: int = 0
+    waiting: int = 0
+    probes: int = 0
+    runs_by_request: Counter[str] = Factory(Counter)
+    cancelled: list[str] = Factory(list)
+    heads: list[h11.Request] = Factory(list)
+    bodies: list[bytes] = Factory(list)
+    freed: trio.Condition = Factory(trio.Condition)
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        codec = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_request(stream, codec):
+                codec.start_next_cycle()
+        except (h11.ProtocolError, OSError, trio.BrokenResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_request(self, stream: trio.SocketStream, codec) -> bool:
+        head, body = await receive(stream, codec)
+        if head is None:
+            return False
+        if self.is_deaf:
+            await trio.sleep_forever()
+        if head.target.decode() == HEALTH_PATH:
+            self.probes += 1
+            await self._send(stream, codec, 200, [], b'')
+            return True
+        return await self._work(stream, codec, head, body)
+
+    async def _work(self, stream, codec, head: h11.Request, body: bytes) -> bool:
+        headers = dict(head.headers)
+        request_id = headers[b'request-id']
+        if headers.get(b'target-instance') != self.server_id.encode():
+            await self._send(stream, codec, 421, [], b'')
+            return True
+        if self.fault is Fault.SHED:
+            await self._send(stream, codec, 503, [(b'not-executed', b'1')], b'')
+            return True
+        self.heads.append(head)
+        self.bodies.append(body)
+        await self._run(stream, request_id.decode())
+        return await self._answer(stream, codec, request_id)
+
+    async def _run(self, stream: trio.SocketStream, request_id: str) -> None:
+        self.waiting += 1
+        async with self.freed:
+            while self.running >= self.slots:
+                await self.freed.wait()
+        self.waiting -= 1
+        self.running += 1
+        self.runs_by_request[request_id] += 1
+        seconds = self.work_seconds * self.percent / 100
+        if self.fault is Fault.SILENT:
+            seconds = math.inf
+        try:
+            with trio.move_on_after(seconds):
+                await stream.receive_some(1)
+                self.cancelled.append(request_id)
+                raise trio.BrokenResourceError
+        finally:
+            self.running -= 1
+            with trio.CancelScope(shield=True):
+                async with self.freed:
+                    self.freed.notify()
+
+    async def _answer(self, stream, codec, request_id: bytes) -> bool:
+        if self.fault is Fault.RESET:
+            return False
+        if self.fault is Fault.CROSSED:
+            request_id = b'of-another'
+        headers = [
+            (b'request-id', request_id),
+            (b'response-signature', b'signed-' + request_id),
+        ]
+        body = b'answer to ' + request_id
+        if self.fault is Fault.CUT:
+            framing = [(b'content-length', b'1000')]
+            response = h11.Response(status_code=200, headers=headers + framing)
+            await stream.send_all(codec.send(response) + body)
+            return False
+        await self._send(stream, codec, 200, headers, body)
+        if self.fault is Fault.EXTRA:
+            await stream.send_all(b'HTTP/1.1 200 OK\r\nrequest-id: x\r\n\r\n')
+        return not self.is_unframed
+
+    async def _send(self, stream, codec, status: int, headers, body: bytes) -> None:
+        load = f'{self.running},{self.waiting},{self.slots},{self.percent}'
+        headers = [*headers, (b'server-load', load.encode())]
+        headers.append((b'instance-id', self.server_id.encode()))
+        if self.is_unframed and body:
+            headers.append((b'connection', b'close'))
+        else:
+            headers.append((b'content-length', b'%d' % len(body)))
+        response = h11.Response(status_code=status, headers=headers)
+        if self.is_unframed and body:
+            # The codec would frame it in chunks for a caller of HTTP/1.1.
+            codec.their_http_version = b'1.0'
+        events = (response, h11.Data(data=body), h11.EndOfMessage())
+        await stream.send_all(b''.join(codec.send(event) or b'' for event in events))
+
+
+async def receive(stream, codec) -> tuple[h11.Request | None, bytes]:
+    """Return a request's head and body; no head when the caller left."""
+    head, body = None, b''
+    while True:
+        event = codec.next_event()
+        if event is h11.NEED_DATA:
+            codec.receive_data(await stream.receive_some(65536))
+        elif type(event) is h11.Request:
+            head = event
+        elif type(event) is h11.Data:
+            body += bytes(event.data)
+        elif type(event) is h11.EndOfMessage:
+            return head, body
+        else:
+            return None, b''
--- /dev/null
+++ b/tests/discovery_builders.py
@@ -0,0 +1,78 @@
+"""Builders of what an outside store tells."""
+
+from collections.abc import Sequence
+
+import trio
+from attrs import Factory, define
+from returns.result import Failure, Result, Success
+
+from catkinslip.config.documents import Route, Service, SplitPart
+from catkinslip.discovery.base import (
+    BackendEntry,
+    HistoryGone,
+    InstanceEntry,
+    Listing,
+    News,
+    RuleSet,
+    Source,
+)
+from catkinslip.store.base import Unavailable
+
+OUTAGE = Failure(Unavailable('test'))
+GONE = Failure(HistoryGone('test'))
+
+
+def backend_entry(
+    backend_id: str, service: str = 'limits', port: int = 80, **fields: object
+) -> BackendEntry:
+    """Return a backend server whose address follows from a port."""
+    return BackendEntry(backend_id, service, 'zone-a', '10.0.0.1', port, 2, **fields)
+
+
+def rule_set(version: int, services: Sequence[str] = ('limits',)) -> RuleSet:
+    """Return rules with one route to the first service."""
+    route = Route('a.example', '/a/', (SplitPart(services[0]),))
+    return RuleSet(version, {name: Service() for name in services}, {'a': route})
+
+
+def instance_entry(instance_id: str, zone: str = 'zone-a') -> InstanceEntry:
+    """Return an instance whose addresses follow from its ID."""
+    return InstanceEntry(
+        instance_id, zone, 'region-1', f'{instance_id}:80', f'{instance_id}:90'
+    )
+
+
+def listing(revision: int, *entries: BackendEntry) -> Listing[BackendEntry]:
+    """Return a listing of backend servers."""
+    return Listing({each.backend_id: each for each in entries}, revision)
+
+
+def news(revision: int, *changes: tuple[str, BackendEntry | None]) -> News:
+    """Return news of backend servers."""
+    return News(changes, revision)
+
+
+@define
+class ScriptedSource(Source):
+    """Answer as scripted, then wait forever."""
+
+    listings: list[Result] = Factory(list)
+    waits: list[Result] = Factory(list)
+    calls: list[str] = Factory(list)
+    ended: trio.Event = Factory(trio.Event)
+
+    async def read_all(self, *, may_be_stale: bool = False) -> Result:
+        self.calls.append('read')
+        return await self._next(self.listings)
+
+    async def wait_for_news(self, revision: int, wait: float) -> Result:
+        self.calls.append(f'wait {revision}')
+        return await self._next(self.waits)
+
+    async def _next(self, script: list[Result]) -> Result:
+        await trio.lowlevel.checkpoint()
+        if not script:
+            self.ended.set()
+            await trio.sleep_forever()
+        answer = script.pop(0)
+        return answer if isinstance(answer, Failure) else Success(answer)
--- /dev/null
+++ b/tests/platform_builders.py
@@ -0,0 +1,80 @@
+"""Builders of what the users' platform writes and sends."""
+
+SETTINGS = """
+node = "edge-1"
+zone = "zone-a"
+region = "region-1"
+seeds = ["127.0.0.1:{peer}"]
+bounds = ["grace_s=6","ttl_max_s=5","probes_per_s=60","retry_budget_ratio=0.2","retry_budget_slack=58","drain_whole=true"]
+[zones]
+zone-a = "region-1"
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{peer}"
+directory = "127.0.0.1:{directory}"
+[platform]
+addr = "127.0.0.1:{store}"
+"""  # noqa: E501 - the platform writes long lines
+
+
+def settings_text(**ports: int) -> str:
+    """Return a settings file; ports that are not given are all different."""
+    names = ('front', 'ready', 'peer', 'directory', 'store')
+    defaults = {name: 7000 + number for number, name in enumerate(names)}
+    return SETTINGS.format(**{**defaults, **ports})
+
+
+def server_item(
+    name: str, service: str, port: int, state: str = 'ready', slots: int = 2
+) -> dict:
+    """Return the object of a registered server."""
+    return {
+        'metadata': {'name': name, 'revision': 1},
+        'spec': {
+            'addr': f'127.0.0.1:{port}',
+            'info': {
+                'service': service,
+                'version': 'v1',
+                'zone': 'zone-a',
+                'slots': slots,
+            },
+        },
+        'status': {'state': state, 'seq': 4, 'cold_left_s': 0},
+    }
+
+
+ROUTE_COLUMNS = [
+    'name',
+    'host',
+    'path_prefix',
+    'kind',
+    'timeout_s',
+    'target_latency_s',
+    'priority',
+    'split',
+    'max_attempts',
+    'service',
+]
+
+
+def config_spec(version: str = '0000000a', timeout: float = 1.5) -> dict:
+    """Return the operators' configuration: a split route and a plain one."""
+    split = [{'service': 'one', 'weight': 90}, {'service': 'two', 'weight': 10}]
+    rows = [
+        ['r1', 'a.example', '/q/', 'idempotent', timeout, 0.25, 2, split, 2, None],
+        ['r2', 'a.example', '/p/', 'non_idempotent', timeout, 0.3, 1, None, 2, 'one'],
+    ]
+    columns = ['name', 'health_path', 'max_conns', 'protocol', 'tls']
+    services = [[name, '/healthz', 220, 'h1', False] for name in ('one', 'two')]
+    return {
+        'version': version,
+        'routes': {'columns': ROUTE_COLUMNS, 'rows': rows},
+        'services': {'columns': columns, 'rows': services},
+        'limits': {'max_header_bytes': 16384, 'idle_timeout_s': 15},
+    }
+
+
+def config_item(**fields: object) -> dict:
+    """Return the object of the operators' configuration."""
+    return {'metadata': {'name': 'main', 'revision': 2}, 'spec': config_spec(**fields)}
--- /dev/null
+++ b/tests/small_platform.py
@@ -0,0 +1,146 @@
+"""The users' platform in one loop: store, servers, and instances between them."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import httpx
+import trio
+from attrs import Factory, define
+
+from catkinslip.entry import ListenAddresses, start
+from catkinslip.environment import Environment
+from catkinslip.logs.buffer import LogBuffer
+from catkinslip.models import Address
+from catkinslip.pages import PageServer
+from catkinslip.platform.__main__ import make_entry
+from catkinslip.platform.client import StoreClient, make_pool
+from catkinslip.platform.pages import PlatformPages
+from catkinslip.platform.settings import read_settings
+from catkinslip.wiring.entry import Entry
+from standins.objects import ObjectsStandin, serve_objects
+from standins.workers import Worker
+from tests.platform_builders import config_spec, server_item, settings_text
+
+GENEROUS_SECONDS = 30.0
+STEP_SECONDS = 0.01
+
+
+@define
+class SmallPlatform:
+    """Hold what runs; everything ends with the nursery."""
+
+    nursery: trio.Nursery
+    pool: object
+    store: ObjectsStandin = Factory(ObjectsStandin)
+    worker_by_id: dict[str, Worker] = Factory(dict)
+    entries: list[Entry] = Factory(list)
+    store_port: int = 0
+
+    async def open_store(self) -> None:
+        """Serve the store, with a configuration in it."""
+        self.store.put('config', 'main', config_spec())
+        ports: list[int] = []
+        self.nursery.start_soon(serve_objects, self.store, ports.append)
+        await wait_for(lambda: ports)
+        self.store_port = ports[0]
+
+    async def add_worker(self, server_id: str, service: str = 'one', **fields) -> int:
+        """Serve as a server and register it; return its port."""
+        worker = Worker(server_id, **fields)
+        self.worker_by_id[server_id] = worker
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        self.nursery.start_soon(trio.serve_listeners, worker.serve, listeners)
+        self.register(server_id, service, port, slots=worker.slots)
+        return port
+
+    def register(self, server_id: str, service: str, port: int, **fields) -> None:
+        """Put a server into the store."""
+        item = server_item(server_id, service, port, **fields)
+        self.store.put('servers', server_id, item['spec'], item['status'])
+
+    async def add_entry(self) -> Entry:
+        """Run an instance in this loop and wait until it takes callers."""
+        names = ('front', 'ready', 'peer', 'directory')
+        ports = dict(zip(names, free_ports(len(names) + 1), strict=False))
+        text = settings_text(store=self.store_port, **ports)
+        text = text.replace('edge-1', f'edge-{len(self.entries) + 1}')
+        settings = read_settings(text).unwrap()
+        client = StoreClient(settings.store_address, self.pool)
+        environment = Environment(random=Random(len(self.entries)))
+        entry = make_entry(settings, environment, client, LogBuffer())
+        pages = PageServer(PlatformPages(entry.instances, entry.addresses).makers())
+        addresses = ListenAddresses(
+            settings.caller_address,
+            settings.peer_address,
+            Address('127.0.0.1', free_ports(1)[0]),
+        )
+        pages_by_address = dict.fromkeys(
+            (settings.ready_address, settings.directory_address), pages
+        )
+        await start(self.nursery, entry, addresses, pages_by_address)
+        self.entries.append(entry)
+        await wait_for(lambda: entry.instances.is_own_ready)
+        return entry
+
+    async def get(self, path: str = '/q/a', entry: int = 0, **fields) -> httpx.Response:
+        """Send one request on a connection of its own."""
+        return await self.ask('GET', path, entry, **fields)
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        entry: int = 0,
+        request_id: str = 'r1',
+        deadline_ms: int = 2000,
+        **fields,
+    ) -> httpx.Response:
+        """Send one request on a connection of its own."""
+        address = self.entries[entry].settings.own.caller_address
+        headers = {
+            'Host': 'a.example',
+            'Request-Id': request_id,
+            'Deadline-Ms': str(deadline_ms),
+        }
+        async with httpx.AsyncClient(timeout=10) as client:
+            return await client.request(
+                method, f'http://{address}{path}', headers=headers, **fields
+            )
+
+    def runs(self, request_id: str = 'r1') -> int:
+        """Return how often a request ran, on all servers."""
+        workers = self.worker_by_id.values()
+        return sum(worker.runs_by_request[request_id] for worker in workers)
+
+
+def on_platform(check: Callable[[SmallPlatform], Awaitable[None]]) -> None:
+    """Run an async check with a store and no servers or instances yet."""
+
+    async def run():
+        with trio.fail_after(GENEROUS_SECONDS):
+            async with make_pool() as pool, trio.open_nursery() as nursery:
+                platform = SmallPlatform(nursery, pool)
+                await platform.open_store()
+                await check(platform)
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+async def wait_for(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds; the test's own bound ends it otherwise."""
+    while not condition():
+        await trio.sleep(STEP_SECONDS)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(('127.0.0.1', 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
--- /dev/null
+++ b/tests/test_discovery_assembly.py
@@ -0,0 +1,122 @@
+"""Rules and registered servers become one configuration that moves forward."""
+
+import unittest
+from random import Random
+
+import trio
+import trio.testing
+
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.discovery.assembly import LAPSE_GRACE_SECONDS, Assembler
+from catkinslip.discovery.base import Listing
+from catkinslip.discovery.follower import Follower
+from tests.discovery_builders import (
+    ScriptedSource,
+    backend_entry,
+    listing,
+    rule_set,
+)
+
+ONE, TWO = backend_entry('one'), backend_entry('two', port=81)
+
+
+def started() -> Assembler:
+    """Return an assembler that follows two kinds that tell nothing yet."""
+    source = ScriptedSource()
+    assembler = Assembler(
+        ConfigHolder(),
+        Follower('rules', source, Random(1)),
+        Follower('backends', source, Random(1)),
+    )
+    assembler.start()
+    return assembler
+
+
+def run(check) -> None:
+    """Run an async check on a clock that jumps."""
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class AssemblyTest(unittest.TestCase):
+    """The configuration in force after rules and servers changed."""
+
+    def backend_ids(self, assembler: Assembler) -> list[str]:
+        return sorted(assembler.config.current.document.register.backends)
+
+    def test_needs_rules_and_servers(self):
+        async def check():
+            assembler = started()
+            assembler.backends.offer(listing(4, ONE), 'test')
+            self.assertFalse(assembler.is_ready)
+            self.assertTrue(assembler.offer_rules(rule_set(3)))
+            self.assertTrue(assembler.is_ready)
+            self.assertEqual(self.backend_ids(assembler), ['one'])
+
+        run(check)
+
+    def test_older_rules_never_replace_newer_ones(self):
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(0x10))
+            self.assertFalse(assembler.offer_rules(rule_set(0x0F)))
+            self.assertFalse(assembler.offer_rules(rule_set(0x10)))
+            assembler.rules.offer(Listing({'main': rule_set(9)}, 99), 'test')
+            self.assertEqual(assembler.rules_version, 0x10)
+            self.assertEqual(assembler.config.current.version.epoch, 0x10)
+
+        run(check)
+
+    def test_removed_server_is_gone_at_once(self):
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(1))
+            assembler.backends.offer(listing(4, ONE, TWO), 'test')
+            assembler.backends.offer(listing(5, ONE), 'test')
+            self.assertEqual(self.backend_ids(assembler), ['one'])
+
+        run(check)
+
+    def test_entry_that_lapsed_in_an_outage_is_kept_until_servers_are_back(self):
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(1))
+            assembler.backends.offer(listing(4, ONE, TWO), 'test')
+            assembler.backends.regained_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(assembler.run)
+                assembler.backends.offer(listing(5, ONE), 'test')
+                self.assertEqual(self.backend_ids(assembler), ['one', 'two'])
+                await trio.sleep(LAPSE_GRACE_SECONDS - 0.1)
+                self.assertEqual(self.backend_ids(assembler), ['one', 'two'])
+                await trio.sleep(0.2)
+                self.assertEqual(self.backend_ids(assembler), ['one'])
+                nursery.cancel_scope.cancel()
+
+        run(check)
+
+    def test_lapsed_entry_goes_when_another_server_has_its_address(self):
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(1, ('limits', 'claims')))
+            assembler.backends.offer(listing(4, ONE, TWO), 'test')
+            assembler.backends.regained_at = trio.current_time()
+            heir = backend_entry('three', 'claims', port=81)
+            assembler.backends.offer(listing(5, ONE, heir), 'test')
+            self.assertEqual(self.backend_ids(assembler), ['one', 'three'])
+
+        run(check)
+
+    def test_draining_server_is_marked(self):
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(1))
+            leaving = backend_entry('one', is_draining=True)
+            assembler.backends.offer(listing(4, leaving), 'test')
+            backends = assembler.config.current.document.register.backends
+            self.assertTrue(backends['one'].draining)
+
+        run(check)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_dialect.py
@@ -0,0 +1,103 @@
+"""Headers towards callers and backend servers as the platform spells them."""
+
+import unittest
+
+import h11
+
+from catkinslip.platform.dialect import PlatformDialect, parse_load
+from catkinslip.proxy.headers import RequestHead, find
+from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
+from catkinslip.routing.base import LoadReport
+from tests.builders import plain_call
+
+OWN_ID = (b'request-id', b'r')
+SIGNED = (b'response-signature', b'3e1b')
+LENGTH = (b'content-length', b'2')
+
+
+class DialectTest(unittest.TestCase):
+    """What is sent, what is believed, and what callers are told."""
+
+    def setUp(self):
+        self.dialect = PlatformDialect()
+        self.call = plain_call('one')
+
+    def terms(self, *headers: tuple[bytes, bytes]):
+        head = RequestHead(b'GET', b'/a/', b'1.1', [(b'host', b'a:81'), *headers])
+        return self.dialect.read_terms(head, 0.0)
+
+    def fault(self, status: int, *headers: tuple[bytes, bytes]) -> Unknown | None:
+        return self.dialect.find_fault(self.call, status, list(headers))
+
+    def problem(self, outcome: NotRun | Unknown) -> h11.Response:
+        return self.dialect.problem_events(outcome, 'r')[0]
+
+    def test_terms_of_a_request(self):
+        terms = self.terms((b'deadline-ms', b'1200'), OWN_ID)
+        self.assertEqual((terms.host, terms.service), ('a', ''))
+        self.assertEqual((terms.timeout, terms.request_id), (1.2, 'r'))
+
+    def test_malformed_deadline_is_refused(self):
+        self.assertIsInstance(self.terms((b'deadline-ms', b'-5')), NotRun)
+        self.assertIsInstance(self.terms((b'deadline-ms', b'soon')), NotRun)
+
+    def test_attempt_names_its_server_and_the_time_that_is_left(self):
+        self.call.headers = [OWN_ID, (b'deadline-ms', b'9000'), (b'x-other', b'1')]
+        headers = self.dialect.request_headers(self.call, 'i-1', 1, 0.25)
+        self.assertEqual(find(headers, b'deadline-ms'), b'250')
+        self.assertEqual(find(headers, b'target-instance'), b'i-1')
+        self.assertEqual(find(headers, b'x-other'), b'1')
+        self.assertEqual(headers.count(OWN_ID), 1)
+
+    def test_success_needs_its_signature_and_its_own_id(self):
+        self.assertIsNone(self.fault(200, OWN_ID, SIGNED, LENGTH))
+        self.assertIsNotNone(self.fault(200, OWN_ID, LENGTH))
+        self.assertIsNotNone(self.fault(200, SIGNED, LENGTH))
+        crossed = self.fault(200, (b'request-id', b'other'), SIGNED)
+        self.assertIs(crossed.reason, Reason.CROSSED)
+
+    def test_encoded_body_is_not_the_servers_own(self):
+        encoded = (b'content-encoding', b'gzip')
+        self.assertIsNotNone(self.fault(200, OWN_ID, SIGNED, encoded))
+
+    def test_answer_that_ends_with_its_connection_is_taken(self):
+        self.assertIsNone(self.fault(200, OWN_ID, SIGNED))
+
+    def test_only_the_sign_or_another_server_says_not_run(self):
+        refusal = self.dialect.find_refusal
+        self.assertIs(refusal(503, [(b'not-executed', b'1')]), Reason.SHED)
+        self.assertIs(refusal(421, []), Reason.MISDIRECTED)
+        self.assertIsNone(refusal(503, []))
+        self.assertIsNone(refusal(500, [OWN_ID]))
+
+    def test_load_report(self):
+        self.assertEqual(parse_load(b'3,1,8'), LoadReport(4, None))
+        self.assertEqual(parse_load(b'3, 0, 8, 400'), LoadReport(3, 0.25))
+        for malformed in (b'', b'1,2', b'a,b,c', b'-1,0,2', b'1,0,2,x'):
+            self.assertIsNone(parse_load(malformed))
+
+    def test_not_run_is_the_promise_and_tells_when_to_come_back(self):
+        told = self.problem(NotRun(Reason.OVERLOADED, retry_after=0.2))
+        self.assertEqual(told.status_code, 503)
+        self.assertEqual(find(told.headers, b'retry-after'), b'0.200')
+        self.assertEqual(self.problem(NotRun(Reason.TOO_LATE)).status_code, 503)
+
+    def test_unknown_promises_nothing(self):
+        self.assertEqual(self.problem(Unknown(Reason.BROKEN)).status_code, 502)
+        self.assertEqual(self.problem(Unknown(Reason.DEADLINE)).status_code, 504)
+
+    def test_request_without_a_route_is_not_found(self):
+        told = self.problem(NotRun(Reason.UNKNOWN_SERVICE))
+        self.assertEqual(told.status_code, 404)
+
+    def test_answer_to_something_else_is_no_answer_to_a_probe(self):
+        read = self.dialect.read_probe
+        load, server = (b'server-load', b'1,0,2,100'), (b'instance-id', b'i-1')
+        self.assertEqual(read(200, [load, server]).report, LoadReport(1, 1.0))
+        self.assertFalse(read(503, [load, server]).is_well)
+        self.assertIsNone(read(200, [load]))
+        self.assertIsNone(read(200, [OWN_ID, server]))
+
+
+if __name__ == '__main__':
+    unittest.main()
