Reload the settings on SIGHUP instead of ending

Change: SIGHUP reads the settings file again; a wrong file changes nothing and is told. Test: test_hangup_reloads_and_does_not_end_it failed before.

--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -8,7 +8,7 @@
 import trio
 from attrs import frozen
 
-from catkinslip.lifecycle import StopRequest
+from catkinslip.lifecycle import StopRequest, listen_for_reload
 from catkinslip.models import Address
 from catkinslip.pages import Page, PageServer
 from catkinslip.wiring.entry import Entry
@@ -38,12 +38,16 @@
 
 
 async def serve(
-    entry: Entry, addresses: ListenAddresses, page_servers: dict[Address, PageServer]
+    entry: Entry,
+    addresses: ListenAddresses,
+    page_servers: dict[Address, PageServer],
+    reload: Callable[[], None],
 ) -> None:
     """Serve callers, peers and the platform until told to stop."""
     stop = StopRequest()
     async with trio.open_nursery() as nursery:
         await nursery.start(stop.listen)
+        await nursery.start(listen_for_reload, reload)
         await start(nursery, entry, addresses, page_servers)
         gc.collect()
         gc.freeze()
--- a/catkinslip/lifecycle.py
+++ b/catkinslip/lifecycle.py
@@ -43,6 +43,17 @@
                 log.info('lifecycle: got %s.', signal.Signals(number).name)
 
 
+async def listen_for_reload(
+    reload: Callable[[], None], task_status=trio.TASK_STATUS_IGNORED
+) -> None:
+    """Call back on SIGHUP, whose default would end the process."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        task_status.started()
+        async for _ in signals:
+            log.info('lifecycle: reloads the settings.')
+            reload()
+
+
 @define
 class Lifecycle:
     """Serve callers until asked to stop, then drain; durations are in seconds."""
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -87,6 +87,13 @@
     count_instances: Callable[[str], int]
     limits_by_service: dict[str, ServiceLimits] = Factory(dict)
 
+    def use(self, settings: LimitSettings) -> None:
+        """Take over changed settings."""
+        self.settings = settings
+        for limits in self.limits_by_service.values():
+            limits.settings = settings
+            limits.budget.share = settings.extra_share
+
     def limits_of(
         self, service: str, router: ServiceRouter, now: float
     ) -> ServiceLimits:
--- a/catkinslip/platform/__main__.py
+++ b/catkinslip/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from functools import partial
 
 import trio
 from returns.result import Failure, Success
@@ -31,7 +32,13 @@
 from catkinslip.platform.pages import PlatformPages
 from catkinslip.platform.settings import PlatformSettings, read_settings_file
 from catkinslip.status import ExitStatus
-from catkinslip.wiring.entry import Entry, EntrySettings, Outside, wire_entry
+from catkinslip.wiring.entry import (
+    Entry,
+    EntrySettings,
+    Outside,
+    apply_settings,
+    wire_entry,
+)
 
 #: Written in deploy/system.toml too.
 METRICS_PORT = 9464
@@ -76,6 +83,7 @@
                 entry,
                 addresses,
                 {settings.ready_address: pages, settings.directory_address: pages},
+                partial(reload, entry, environment),
             )
         nursery.cancel_scope.cancel()
 
@@ -87,13 +95,6 @@
     buffer: LogBuffer,
 ) -> Entry:
     """Return the parts of this instance, which read the platform's store."""
-    own = InstanceEntry(
-        instance_id=settings.instance_id,
-        zone=settings.zone,
-        region=settings.region,
-        caller_address=str(settings.caller_address),
-        peer_address=str(settings.peer_address),
-    )
     outside = Outside(
         environment=environment,
         dialect=PlatformDialect(),
@@ -104,18 +105,39 @@
         log_buffer=buffer,
     )
     return wire_entry(
-        EntrySettings(
-            own=own,
-            seeds=settings.seeds,
-            address_lifetime=min(ADDRESS_SECONDS, settings.max_address_seconds),
-            stop_seconds=settings.stop_seconds,
-            probes_per_second=settings.probes_per_second,
-            resend_share=settings.resend_share,
-            resend_slack=settings.resend_slack,
-        ),
+        entry_settings(settings),
         outside,
     )
 
 
+def entry_settings(settings: PlatformSettings) -> EntrySettings:
+    """Return what the product takes from the platform's settings."""
+    return EntrySettings(
+        own=InstanceEntry(
+            instance_id=settings.instance_id,
+            zone=settings.zone,
+            region=settings.region,
+            caller_address=str(settings.caller_address),
+            peer_address=str(settings.peer_address),
+        ),
+        seeds=settings.seeds,
+        address_lifetime=min(ADDRESS_SECONDS, settings.max_address_seconds),
+        stop_seconds=settings.stop_seconds,
+        probes_per_second=settings.probes_per_second,
+        resend_share=settings.resend_share,
+        resend_slack=settings.resend_slack,
+    )
+
+
+def reload(entry: Entry, environment: Environment) -> None:
+    """Read the settings file again; a wrong one changes nothing."""
+    match read_settings_file(environment.variables):
+        case Failure(mistakes):
+            for mistake in mistakes:
+                log.error('lifecycle: settings kept as they were. %s', mistake)
+        case Success(settings):
+            apply_settings(entry, entry_settings(settings))
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
 from catkinslip.addresses.zonal import ZoneAddresses
 from catkinslip.config.holder import ConfigHolder
@@ -98,6 +98,8 @@
     peer_pages: PageServer
     pool: BackendPool
     hedges: HedgeTimer
+    limits: LimitBook
+    sampler: LoadSampler
     lag: LoopLag
     sources: tuple[MetricSource, ...]
 
@@ -115,6 +117,14 @@
         )
 
 
+def apply_settings(entry: Entry, settings: EntrySettings) -> None:
+    """Take over settings that changed; addresses stay until the next start."""
+    entry.settings = evolve(settings, own=entry.settings.own)
+    entry.addresses.lifetime = settings.address_lifetime
+    entry.sampler.probes_per_second = settings.probes_per_second
+    entry.limits.use(limit_settings(settings))
+
+
 def wire_entry(settings: EntrySettings, outside: Outside) -> Entry:
     """Build the parts of one instance and connect them."""
     environment = outside.environment
@@ -138,6 +148,7 @@
     traces = TraceRing(instance_id, clock, directory, deque(maxlen=MAX_TRACES))
     observer = ObserverGroup((requests, traces))
     hedges = HedgeTimer()
+    limits = LimitBook(limit_settings(settings), lambda _: instances.count())
     sampler = LoadSampler(
         health,
         pool,
@@ -150,7 +161,7 @@
         directory,
         pool,
         clock,
-        LimitBook(limit_settings(settings), lambda _: instances.count()),
+        limits,
         health,
         hedges,
         observer,
@@ -193,6 +204,8 @@
         peer_pages=PageServer(makers),
         pool=pool,
         hedges=hedges,
+        limits=limits,
+        sampler=sampler,
         lag=lag,
         sources=(
             requests,
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,95 @@
+"""The program of the role as a process: signals, settings, end."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import httpx
+
+from standins.processes import ROOT, wait_until
+from tests.platform_builders import settings_text
+from tests.small_platform import free_ports
+
+MODULE = 'catkinslip.platform'
+END_SECONDS = 20.0
+
+
+class ProcessTest(unittest.TestCase):
+    """One process without a store."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name, 'settings.toml')
+        names = ('front', 'ready', 'peer', 'directory', 'store')
+        self.ports = dict(zip(names, free_ports(5), strict=True))
+        self.path.write_text(settings_text(**self.ports))
+
+    def start(self) -> subprocess.Popen:
+        """Start the process and wait until it answers."""
+        process = subprocess.Popen(
+            [sys.executable, '-m', MODULE],
+            cwd=ROOT,
+            env={**os.environ, 'CATKINSLIP_NODE_FILE': str(self.path)},
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.addCleanup(process.stdout.close)
+        wait_until(lambda: self.ready_status() is not None)
+        return process
+
+    def ready_status(self) -> int | None:
+        """Return the status of the readiness page; None while nobody listens."""
+        url = f'http://127.0.0.1:{self.ports["ready"]}/catkinslip/readyz'
+        try:
+            return httpx.get(url, timeout=5).status_code
+        except httpx.HTTPError:
+            return None
+
+    def test_without_a_configuration_it_is_not_ready(self):
+        self.start()
+        self.assertEqual(self.ready_status(), 503)
+        url = f'http://127.0.0.1:{self.ports["front"]}/a/'
+        self.assertEqual(httpx.get(url, headers={'Host': 'a'}).status_code, 503)
+
+    def test_hangup_reloads_and_does_not_end_it(self):
+        process = self.start()
+        process.send_signal(signal.SIGHUP)
+        self.path.write_text('node =')
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        self.assertIsNone(process.poll())
+        self.assertEqual(self.ready_status(), 503)
+
+    def test_termination_ends_it_well_before_it_is_killed(self):
+        process = self.start()
+        began = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=END_SECONDS)
+        self.assertEqual(process.returncode, 0)
+        self.assertLess(time.monotonic() - began, 6.0)
+        self.assertIn('lifecycle: ends.', output)
+
+    def test_wrong_settings_are_told_and_refused(self):
+        self.path.write_text('node = "edge-1"\n')
+        done = subprocess.run(
+            [sys.executable, '-m', MODULE],
+            cwd=ROOT,
+            env={**os.environ, 'CATKINSLIP_NODE_FILE': str(self.path)},
+            capture_output=True,
+            text=True,
+            timeout=END_SECONDS,
+        )
+        self.assertEqual(done.returncode, 2)
+        self.assertIn('settings: listen.front: is missing.', done.stdout)
+
+
+if __name__ == '__main__':
+    unittest.main()
