Hold or refuse a call that no server is expected to answer in time

Ruled out: limits on queue lengths alone (two deep); they were in force and the queues still held more than the targets allow. Change: the choice tells the expected time until an answer, learned for each route; a call is sent if that meets its target, else held here for up to 22 % of the target, then refused with a time to come back; less urgent calls must leave more spare time. Nearly full servers count as slower.

--- a/catkinslip/limits/plan.py
+++ b/catkinslip/limits/plan.py
@@ -82,6 +82,10 @@
         self.sent += 1
         return self.start()
 
+    def refused(self, refusal: NotRun) -> None:
+        """Take the reason why no further attempt starts."""
+        self.refusal = refusal
+
     def told(self) -> NotRun | Unknown:
         """Return what the caller of a call without an answer is told."""
         return self.refusal if self.doubt is None else self.doubt
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -10,6 +10,7 @@
 from catkinslip.limits.latency import LatencyWindow
 from catkinslip.limits.load import ServiceLoad
 from catkinslip.limits.plan import CallPlan
+from catkinslip.limits.timely import WorkTimes
 from catkinslip.proxy.outcomes import NotRun
 from catkinslip.routing.base import AttemptResult, ResultKind
 from catkinslip.routing.router import ServiceRouter
@@ -25,6 +26,7 @@
     admission: Admission
     budget: ExtraBudget
     latency: LatencyWindow
+    work: WorkTimes = Factory(WorkTimes)
     load: ServiceLoad = Factory(ServiceLoad)
     resized_at: float = -RESIZE_SECONDS
 
--- /dev/null
+++ b/catkinslip/limits/timely.py
@@ -0,0 +1,87 @@
+"""Send a call only where its answer is expected in time; else hold or refuse it.
+
+A call that is sent to a full server takes the place of one that could be in time, and
+its own answer comes late. So a call waits here for a moment, and is then refused while
+its caller can still come back.
+"""
+
+from enum import Enum, auto, unique
+from random import Random
+
+from attrs import Factory, define
+
+from catkinslip.proxy.outcomes import NotRun, Reason
+
+#: A call may be held for this share of its target; later refusals cost the caller.
+HOLD_SHARE = 0.22
+#: Between two looks for a server; urgent calls look more often.
+LOOK_SECONDS = 0.015
+LOOK_SECONDS_PER_PRIORITY = 0.005
+#: A less urgent call must leave this share of its target free for each priority.
+SPARE_SHARE_PER_PRIORITY = 0.1
+WORK_WEIGHT = 0.05
+FIRST_WORK_SECONDS = 0.05
+MIN_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 0.4
+
+
+@unique
+class Verdict(Enum):
+    """What to do with a call now."""
+
+    SEND = auto()
+    HOLD = auto()
+    REFUSE = auto()
+
+
+@define
+class WorkTimes:
+    """How long the requests of each route take on an idle server, in seconds."""
+
+    seconds_by_route: dict[str, float] = Factory(dict)
+
+    def expect(self, route: str, delay: float) -> float:
+        """Return the seconds until an answer; the delay is in times of work."""
+        return delay * self.seconds_by_route.get(route, FIRST_WORK_SECONDS)
+
+    def learn(self, route: str, latency: float, delay: float) -> None:
+        """Take an answer to a request that was sent with an expected delay."""
+        sample = latency / max(1.0, delay)
+        known = self.seconds_by_route.get(route)
+        if known is not None:
+            sample = known + (sample - known) * WORK_WEIGHT
+        self.seconds_by_route[route] = sample
+
+
+@define
+class Patience:
+    """How long one call may still wait for a server; monotonic seconds."""
+
+    began: float
+    best_until: float
+    priority: int = 0
+
+    def judge(self, expected: float, now: float) -> Verdict:
+        """Return what to do with the call when its answer is expected so late."""
+        target = self.best_until - self.began
+        left = self.best_until - now
+        spare = SPARE_SHARE_PER_PRIORITY * self.priority * target
+        if expected + spare <= left:
+            return Verdict.SEND
+        if now - self.began < HOLD_SHARE * target:
+            return Verdict.HOLD
+        return Verdict.REFUSE
+
+    @property
+    def look_seconds(self) -> float:
+        """Return the time until the next look for a server."""
+        return LOOK_SECONDS + LOOK_SECONDS_PER_PRIORITY * self.priority
+
+    def refusal(self, expected: float, now: float, random: Random) -> NotRun:
+        """Return the refusal of a call whose answer would come late."""
+        late = expected - (self.best_until - now)
+        retry_after = min(max(late, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
+        detail = f'expected {expected * 1e3:.0f} ms, late by {late * 1e3:.0f} ms'
+        # Refused together, callers must not come back together.
+        spread = random.uniform(1.0, 1.5)
+        return NotRun(Reason.DEADLINE_UNMET, detail, retry_after=retry_after * spread)
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -32,6 +32,8 @@
     wall_deadline: float = inf
     peer: str = ''
     rest: RestOfBody | None = None
+    #: Name of the route, if one matched.
+    route: str = ''
     #: When an answer ceases to be worth much, on the monotonic clock.
     best_until: float = inf
     #: 0 is the most urgent.
@@ -114,6 +116,7 @@
         if turns is not None:
             route = turns.route
             call.service = turns.next_service()
+            call.route = turns.name
             call.repeatable = route.repeatable
             call.best_until = self.clock.monotonic() + route.target_latency
             call.priority = route.priority
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,5 +1,7 @@
 """Forward a call: admit it or refuse it at once, then run its attempts."""
 
+from random import Random
+
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
@@ -30,6 +32,7 @@
     observer: RequestObserver = ObserverGroup()
     dialect: Dialect = OWN_DIALECT
     sampler: Sampler = Factory(NoSampler)
+    random: Random = Factory(Random)
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
@@ -60,5 +63,6 @@
             observer=self.observer,
             dialect=self.dialect,
             sampler=self.sampler,
+            random=self.random,
         )
         return await runner.run()
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -2,6 +2,8 @@
 
 import logging
 from functools import partial
+from math import inf
+from random import Random
 
 import trio
 from attrs import Factory, define
@@ -11,6 +13,7 @@
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
+from catkinslip.limits.timely import Patience, Verdict
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
 from catkinslip.proxy.hedges import Hedge, HedgeTimer
@@ -38,6 +41,7 @@
     backend_id: str
     attempt: Attempt
     began: float
+    delay: float
     result: AnswerHead | NotRun | Unknown | None = None
     step: Step = Step.WAIT
     is_open: bool = True
@@ -60,8 +64,10 @@
     observer: RequestObserver
     dialect: Dialect
     sampler: Sampler
+    random: Random
     launches: list[Launch] = Factory(list)
     passed_on: Launch | None = None
+    began: float = Factory(lambda self: self.clock.monotonic(), takes_self=True)
     scope: trio.CancelScope = Factory(trio.CancelScope)
 
     async def run(self) -> Outcome:
@@ -77,7 +83,10 @@
 
     async def _run_attempts(self) -> Outcome:
         while True:
-            await self.sampler.refresh(self.router, self._tried())
+            refusal = await self._wait_for_server()
+            if refusal is not None:
+                self.plan.refused(refusal)
+                return self.plan.told()
             launch = self._launch()
             if launch is None:
                 return self.plan.told()
@@ -87,6 +96,24 @@
             if ended.step is Step.STOP:
                 return self.plan.told()
 
+    async def _wait_for_server(self) -> NotRun | None:
+        """Return once a server is expected to answer in time, or why none is."""
+        call = self.call
+        patience = Patience(self.began, call.best_until, call.priority)
+        while True:
+            await self.sampler.refresh(self.router, self._tried())
+            choice = self.health.choose(self.router, self._tried())
+            if choice is None or call.best_until == inf:
+                return None
+            now = self.clock.monotonic()
+            expected = self.limits.work.expect(call.route, choice.delay)
+            match patience.judge(expected, now):
+                case Verdict.SEND:
+                    return None
+                case Verdict.REFUSE:
+                    return patience.refusal(expected, now, self.random)
+            await trio.sleep(patience.look_seconds)
+
     def _launch(self, *, hedge: bool = False) -> Launch | None:
         now = self.clock.monotonic()
         choice = self.health.choose(self.router, self._tried())
@@ -116,7 +143,7 @@
             backend_id=choice.backend_id,
             on_head=on_head,
         )
-        launch = Launch(choice.backend_id, attempt, now)
+        launch = Launch(choice.backend_id, attempt, now, choice.delay)
         self.launches.append(launch)
         self.router.started(launch.backend_id, now)
         self.limits.started(launch.backend_id)
@@ -164,7 +191,9 @@
         if isinstance(result, AnswerHead):
             launch.step = Step.STOP
             launch.answered_at = now
-            self.limits.answered(launch.backend_id, now - launch.began)
+            latency = now - launch.began
+            self.limits.answered(launch.backend_id, latency)
+            self.limits.work.learn(self.call.route, latency, launch.delay)
             return
         if result.reason is Reason.CONNECT_FAILED:
             self.health.refused(launch.backend_id)
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -72,6 +72,8 @@
 
     backend_id: str
     reason: object
+    #: Expected time until an answer, in times of work on an idle server.
+    delay: float = 1.0
 
 
 class Policy(ABC):
--- a/catkinslip/routing/delay.py
+++ b/catkinslip/routing/delay.py
@@ -59,6 +59,9 @@
     zone_hop: float = ZONE_HOP_SECONDS
     report_memory: float = REPORT_MEMORY_SECONDS
     weigh_speed: bool = True
+    #: A server of which more than this share is in use takes so much longer.
+    nearly_full_share: float = 1.0
+    nearly_full_slowness: float = 1.0
     in_flight: InFlightMean = Factory(InFlightMean)
     speed: SpeedMean = Factory(SpeedMean)
     trust: Trust = Factory(Trust)
@@ -87,9 +90,7 @@
                 in_flight = self._distrusted(load, in_flight)
             if in_flight < load.in_flight:
                 in_flight = load.in_flight
-            delay = 1 + IDLE_SHARE * in_flight
-            if in_flight + 1 > slots:
-                delay += (in_flight + 1 - slots) / slots
+            delay = self._delay_in_use(in_flight, slots)
             speed = load.mean_speed if age < SPEED_FORGET_SECONDS else mean_speed
             delay /= speed + (load.speed - speed) * exp(age * speed_rate)
             if load.zone != zone:
@@ -104,7 +105,16 @@
         chosen.expected_in_flight = chosen_in_flight
         next_id = following.backend_id if following else ''
         reason = DelayReason(least, chosen_in_flight, next_id, next_least)
-        return Choice(chosen.backend_id, reason)
+        return Choice(chosen.backend_id, reason, least)
+
+    def _delay_in_use(self, in_flight: float, slots: int) -> float:
+        """Return the delay at a server of usual speed with requests in flight."""
+        delay = 1 + IDLE_SHARE * in_flight
+        if in_flight + 1 > slots:
+            delay += (in_flight + 1 - slots) / slots
+        if in_flight + 1 > slots * self.nearly_full_share:
+            delay *= self.nearly_full_slowness
+        return delay
 
     def _distrusted(self, load: BackendLoad, in_flight: float) -> float:
         trust = max(0.0, 1 - load.lie_share / HIGHEST_LIE_SHARE)
--- a/catkinslip/routing/routes.py
+++ b/catkinslip/routing/routes.py
@@ -15,6 +15,7 @@
     to within one request of each service.
     """
 
+    name: str
     route: Route
     credit_by_service: dict[str, float] = Factory(dict)
 
@@ -33,11 +34,11 @@
         return chosen.service
 
 
-def start_turns(route: Route, random: Random) -> RouteTurns:
+def start_turns(name: str, route: Route, random: Random) -> RouteTurns:
     """Return turns that begin anywhere, as many instances share one route."""
     total = sum(part.weight for part in route.parts)
     return RouteTurns(
-        route, {part.service: random.uniform(0, total) for part in route.parts}
+        name, route, {part.service: random.uniform(0, total) for part in route.parts}
     )
 
 
@@ -62,7 +63,7 @@
         for name, route in document.rules.routes.items():
             turns = known.get(name)
             if turns is None or turns.route != route:
-                turns = start_turns(route, self.random)
+                turns = start_turns(name, route, self.random)
             self.turns_by_name[name] = turns
             self.turns_by_host.setdefault(route.host.lower(), []).append(turns)
         for routes in self.turns_by_host.values():
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -53,6 +53,11 @@
 MAX_TRACES = 200
 #: A request to another availability zone costs bytes, as much as so many seconds.
 ZONE_HOP_SECONDS = 0.01
+#: Servers slow down when they are nearly full.
+NEARLY_FULL_SHARE = 0.8
+NEARLY_FULL_SLOWNESS = 1.5
+#: Calls are held or refused by their targets, not by the length of queues.
+NO_QUEUE_LIMIT = 1e6
 
 
 @frozen
@@ -138,7 +143,13 @@
     )
     assembler.start()
     directory = Directory(
-        lambda: ExpectedDelay(random, settings.own.zone, ZONE_HOP_SECONDS)
+        lambda: ExpectedDelay(
+            random,
+            settings.own.zone,
+            ZONE_HOP_SECONDS,
+            nearly_full_share=NEARLY_FULL_SHARE,
+            nearly_full_slowness=NEARLY_FULL_SLOWNESS,
+        )
     )
     health = make_tracker(directory, clock, random, max_instances=1)
     pool = BackendPool(instances.count)
@@ -167,6 +178,7 @@
         observer,
         outside.dialect,
         sampler,
+        random,
     )
     callers = CallerServer(
         environment,
@@ -220,6 +232,7 @@
 def limit_settings(settings: EntrySettings) -> LimitSettings:
     """Return the limits of every service."""
     return LimitSettings(
+        queue_depth=NO_QUEUE_LIMIT,
         extra_share=settings.resend_share * RESEND_MARGIN,
         extra_slack=settings.resend_slack * SLACK_MARGIN,
         hedge_percentile=95.0,
