--- a/catkinslip/limits/timely.py
+++ b/catkinslip/limits/timely.py
@@ -13,7 +13,7 @@
 from catkinslip.proxy.outcomes import NotRun, Reason
 
 #: A call may be held for this share of its target; later refusals cost the caller.
-HOLD_SHARE = 0.22
+HOLD_SHARE = 0.16
 #: Between two looks for a server; urgent calls look more often.
 LOOK_SECONDS = 0.015
 LOOK_SECONDS_PER_PRIORITY = 0.005
@@ -68,14 +68,19 @@
         spare = SPARE_SHARE_PER_PRIORITY * self.priority * target
         if expected + spare <= left:
             return Verdict.SEND
-        if now - self.began < HOLD_SHARE * target:
+        if now < self.hold_until:
             return Verdict.HOLD
         return Verdict.REFUSE
 
-    @property
-    def look_seconds(self) -> float:
+    def look_seconds(self, now: float) -> float:
         """Return the time until the next look for a server."""
-        return LOOK_SECONDS + LOOK_SECONDS_PER_PRIORITY * self.priority
+        usual = LOOK_SECONDS + LOOK_SECONDS_PER_PRIORITY * self.priority
+        return max(0.0, min(usual, self.hold_until - now))
+
+    @property
+    def hold_until(self) -> float:
+        """Return until when the call may be held."""
+        return self.began + HOLD_SHARE * (self.best_until - self.began)
 
     def refusal(self, expected: float, now: float, random: Random) -> NotRun:
         """Return the refusal of a call whose answer would come late."""
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -112,7 +112,7 @@
                     return None
                 case Verdict.REFUSE:
                     return patience.refusal(expected, now, self.random)
-            await trio.sleep(patience.look_seconds)
+            await trio.sleep(patience.look_seconds(now))
 
     def _launch(self, *, hedge: bool = False) -> Launch | None:
         now = self.clock.monotonic()
