Look for an idle server before a call is refused, and share reports in the zone

(2) Servers with one of two slots in use took 745 of 2,133 requests while idle ones in other zones were never asked; their answers took 1.83 times as long. Ruled out: stale reports (in_flight 0 and age 0 to 10 ms answered late in 0.7 %), hedges alone (tried: claims came later, as looks took the probes of other choices). Change: an idle server is always used; work times average over many answers; the sampler asks on, in the order of expected delay, until a known server is good; reports go to the zone's instances in datagrams; a repeatable call is hedged once its server tells that it slowed down; decision lines tell speed and age.

--- a/catkinslip/discovery/base.py
+++ b/catkinslip/discovery/base.py
@@ -34,6 +34,8 @@
     region: str
     caller_address: str
     peer_address: str
+    #: Where it takes datagrams with load reports.
+    report_address: str
 
 
 @frozen
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -73,6 +73,15 @@
         health = PeerHealth.SILENT if missed >= MISSED_POLLS else peer.health
         return self._set(instance_id, health, missed)
 
+    def near(self) -> list[InstanceEntry]:
+        """Return the other instances of the own zone that answer."""
+        return [
+            peer.entry
+            for peer in self.peer_by_id.values()
+            if peer.entry.zone == self.own.zone
+            and peer.health in (PeerHealth.READY, PeerHealth.NOT_READY)
+        ]
+
     def usable(self, zone: str) -> list[InstanceEntry]:
         """Return the instances for callers of a zone, never none if one is known.
 
--- a/catkinslip/health/base.py
+++ b/catkinslip/health/base.py
@@ -13,9 +13,16 @@
     async def refresh(self, router: ServiceRouter, tried: Sequence[str]) -> None:
         """Ask until the choice rests on a fresh report, or the budget is spent."""
 
+    @abstractmethod
+    async def look(self, router: ServiceRouter, backend_id: str) -> None:
+        """Ask one server, unless the budget is spent."""
+
 
 class NoSampler(Sampler):
     """Choose from what answers have told."""
 
     async def refresh(self, router: ServiceRouter, tried: Sequence[str]) -> None:
         """Ask nobody."""
+
+    async def look(self, router: ServiceRouter, backend_id: str) -> None:
+        """Ask nobody."""
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -15,6 +15,7 @@
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
 from catkinslip.health.tracker import HealthTracker
+from catkinslip.limits.timely import GOOD_DELAY
 from catkinslip.proxy.answers import drain_body, receive_response
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.outcomes import NotRun, Reason
@@ -83,6 +84,20 @@
                     for load in leaders:
                         nursery.start_soon(self._ask, router, load)
 
+    async def look(self, router: ServiceRouter, backend_id: str) -> None:
+        """Ask one server, unless the budget is spent."""
+        load = router.load_by_id.get(backend_id)
+        if load is None or backend_id in self.asking:
+            return
+        if self._allowance(backend_id).take(self._rate(), self.clock.monotonic()):
+            with trio.move_on_after(ANSWER_SECONDS):
+                await self._ask(router, load)
+
+    def _rate(self) -> float:
+        """Return the probes of one server per second that are this instance's own."""
+        instances = max(1, self.count_instances())
+        return self.probes_per_second * BUDGET_SHARE / instances
+
     def forget_removed(self) -> None:
         """Drop the allowances of servers that left the register."""
         known = self.health.key_by_id
@@ -93,26 +108,25 @@
     def _stale_leaders(
         self, router: ServiceRouter, tried: Sequence[str]
     ) -> list[BackendLoad]:
-        """Return the best servers to ask; none if the best has a fresh report."""
+        """Return the best servers to ask; none if the best one is known and good."""
         now = self.clock.monotonic()
-        rate = self.probes_per_second * BUDGET_SHARE / max(1, self.count_instances())
+        ranked = self.health.rank(router, tried)
+        if not ranked:
+            return []
+        best = router.load_by_id[ranked[0].backend_id]
+        if now - best.reported_at <= FRESH_SECONDS and ranked[0].delay <= GOOD_DELAY:
+            return []
+        rate = self._rate()
         leaders: list[BackendLoad] = []
-        passed = list(tried)
-        while len(leaders) < ASKED_AT_ONCE:
-            choice = self.health.choose(router, passed)
-            if choice is None:
-                break
+        for choice in ranked:
             load = router.load_by_id[choice.backend_id]
-            passed.append(choice.backend_id)
             if now - load.reported_at <= FRESH_SECONDS:
-                if not leaders:
-                    return []
-                break
+                continue
             if load.backend_id in self.asking:
                 continue
             if self._allowance(load.backend_id).take(rate, now):
                 leaders.append(load)
-            elif len(passed) > len(tried) + 2 * ASKED_AT_ONCE:
+            if len(leaders) == ASKED_AT_ONCE:
                 break
         return leaders
 
--- /dev/null
+++ b/catkinslip/health/sharing.py
@@ -0,0 +1,123 @@
+"""Tell the other instances of the zone what servers report, as it comes in.
+
+A report goes to every instance of the zone in a datagram within a few milliseconds,
+so that they all choose from what any of them learned. A lost datagram does no harm.
+"""
+
+import logging
+from collections.abc import Callable
+
+import orjson
+import trio
+from attrs import Factory, define, field
+
+from catkinslip.clock import Clock
+from catkinslip.models import Address
+from catkinslip.routing.base import BackendLoad, LoadReport
+from catkinslip.routing.directory import Directory
+
+#: Reports of this time go out together.
+FLUSH_SECONDS = 0.008
+#: Some 40 bytes each; a datagram stays below one packet of 1,500 bytes.
+MAX_REPORTS = 30
+MAX_DATAGRAM_BYTES = 1472
+#: An older report says little of a server whose speed changes many times a second.
+OLDEST_SECONDS = 0.05
+#: A request sent this much before a report is in it.
+ON_THE_WAY_SECONDS = 0.002
+READ_ERRORS = (orjson.JSONDecodeError, AttributeError, KeyError, TypeError, ValueError)
+
+log = logging.getLogger('health')
+
+
+@define
+class ReportSharer:
+    """Send new reports to the instances of the zone, and take theirs."""
+
+    own: Address
+    targets: Callable[[], list[Address]]
+    directory: Directory
+    clock: Clock
+    load_by_id: dict[str, BackendLoad] = Factory(dict)
+    has_news: trio.Event = Factory(trio.Event)
+    sent: int = 0
+    taken: int = 0
+    malformed: int = 0
+    _socket: trio.socket.SocketType | None = field(default=None, init=False)
+
+    def note(self, load: BackendLoad) -> None:
+        """Take note of a server whose load or own requests changed."""
+        self.load_by_id[load.backend_id] = load
+        self.has_news.set()
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
+            await sock.bind((self.own.host, self.own.port))
+            self._socket = sock
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive)
+                nursery.start_soon(self._send)
+
+    async def _send(self) -> None:
+        while True:
+            await self.has_news.wait()
+            await trio.sleep(FLUSH_SECONDS)
+            self.has_news = trio.Event()
+            data = self.encode()
+            if data is None:
+                continue
+            for address in self.targets():
+                try:
+                    await self._socket.sendto(data, (address.host, address.port))
+                    self.sent += 1
+                except OSError as error:
+                    # The next report is on its way within milliseconds.
+                    log.debug('health: no report sent. to=%s error=%r', address, error)
+
+    def encode(self) -> bytes | None:
+        """Return the fresh reports as a datagram; None if there are none."""
+        now = self.clock.monotonic()
+        loads = list(self.load_by_id.values())[:MAX_REPORTS]
+        self.load_by_id.clear()
+        reports = [
+            [
+                load.backend_id,
+                load.reported_in_flight + load.picks_since_report,
+                load.speed,
+                round((now - load.reported_at) * 1e3),
+            ]
+            for load in loads
+            if load.report is not None and now - load.reported_at < OLDEST_SECONDS
+        ]
+        return orjson.dumps({'reports': reports}) if reports else None
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
+                log.debug('health: no report received. error=%r', error)
+                continue
+            self.take(data)
+
+    def take(self, data: bytes) -> None:
+        """Take over the reports of a datagram that are newer than the own ones."""
+        now = self.clock.monotonic()
+        try:
+            for backend_id, in_flight, speed, age_ms in orjson.loads(data)['reports']:
+                report = LoadReport(float(in_flight), float(speed))
+                self._learn(str(backend_id), report, now - max(0.0, age_ms) / 1e3)
+        except READ_ERRORS as error:
+            self.malformed += 1
+            log.warning('health: a datagram cannot be read. error=%r', error)
+
+    def _learn(self, backend_id: str, report: LoadReport, at: float) -> None:
+        router = self.directory.find_router(backend_id)
+        if router is None:
+            return
+        load = router.load_by_id[backend_id]
+        in_report = load.picked_at < at - ON_THE_WAY_SECONDS
+        picks_before = load.picks_since_report if in_report else 0
+        router.heard(backend_id, report, at, picks_before)
+        self.taken += 1
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -123,6 +123,11 @@
             self.reachability.tried(self.key_by_id[choice.backend_id], now)
         return choice
 
+    def rank(self, router: ServiceRouter, tried: Sequence[str]) -> list[Choice]:
+        """Return the servers to choose from, the best first, but for refusing ones."""
+        now = self.clock.monotonic()
+        return router.rank(now, [*tried, *self.reachability.avoided(now)])
+
     def learn_list(self, listed: Iterable[ListedInstance]) -> None:
         """Take one read of the platform's list."""
         leaving_by_name = {each.name: each.leaving for each in listed}
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -51,7 +51,7 @@
             deadline=deadline,
             budget=self.budget,
             max_attempts=max_attempts or self.settings.max_attempts,
-            kept_for_retries=self.settings.extra_reserve / 2,
+            kept_for_retries=self.budget.reserve / 2,
         )
 
     def hedge_delay(self, now: float) -> float | None:
--- a/catkinslip/limits/timely.py
+++ b/catkinslip/limits/timely.py
@@ -20,7 +20,12 @@
 #: A less urgent call must leave this share of its target free for each priority.
 SPARE_SHARE_PER_PRIORITY = 0.1
 WORK_WEIGHT = 0.05
-FIRST_WORK_SECONDS = 0.05
+#: Share of a route's target that its work is taken for at first.
+FIRST_WORK_SHARE = 0.4
+#: One answer counts as at most so many times of the work known.
+MOST_GROWTH = 3.0
+#: A free slot at usual speed; no other server could be worth waiting for.
+GOOD_DELAY = 1.3
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.4
 
@@ -34,23 +39,37 @@
     REFUSE = auto()
 
 
+@define
+class WorkTime:
+    """The time that one route's requests take on an idle server, in seconds."""
+
+    seconds: float
+    samples: int = 1
+
+
 @define
 class WorkTimes:
-    """How long the requests of each route take on an idle server, in seconds."""
+    """How long the requests of each route take on an idle server."""
 
-    seconds_by_route: dict[str, float] = Factory(dict)
+    time_by_route: dict[str, WorkTime] = Factory(dict)
 
-    def expect(self, route: str, delay: float) -> float:
+    def expect(self, route: str, delay: float, target: float) -> float:
         """Return the seconds until an answer; the delay is in times of work."""
-        return delay * self.seconds_by_route.get(route, FIRST_WORK_SECONDS)
+        known = self.time_by_route.get(route)
+        seconds = FIRST_WORK_SHARE * target if known is None else known.seconds
+        return delay * seconds
 
-    def learn(self, route: str, latency: float, delay: float) -> None:
+    def learn(self, route: str, latency: float, delay: float, target: float) -> None:
         """Take an answer to a request that was sent with an expected delay."""
-        sample = latency / max(1.0, delay)
-        known = self.seconds_by_route.get(route)
-        if known is not None:
-            sample = known + (sample - known) * WORK_WEIGHT
-        self.seconds_by_route[route] = sample
+        known = self.time_by_route.get(route)
+        if known is None:
+            known = WorkTime(FIRST_WORK_SHARE * target)
+            self.time_by_route[route] = known
+        # A server that slowed down meanwhile says little of the route's work.
+        sample = min(latency / max(1.0, delay), known.seconds * MOST_GROWTH)
+        known.samples += 1
+        weight = max(1 / known.samples, WORK_WEIGHT)
+        known.seconds += (sample - known.seconds) * weight
 
 
 @define
@@ -61,8 +80,10 @@
     best_until: float
     priority: int = 0
 
-    def judge(self, expected: float, now: float) -> Verdict:
+    def judge(self, expected: float, delay: float, now: float) -> Verdict:
         """Return what to do with the call when its answer is expected so late."""
+        if delay <= GOOD_DELAY:
+            return Verdict.SEND
         target = self.best_until - self.began
         left = self.best_until - now
         spare = SPARE_SHARE_PER_PRIORITY * self.priority * target
--- a/catkinslip/platform/__main__.py
+++ b/catkinslip/platform/__main__.py
@@ -119,6 +119,7 @@
             region=settings.region,
             caller_address=str(settings.caller_address),
             peer_address=str(settings.peer_address),
+            report_address=str(settings.report_address),
         ),
         seeds=settings.seeds,
         address_lifetime=min(ADDRESS_SECONDS, settings.max_address_seconds),
--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -26,6 +26,8 @@
     #: Where callers ask which addresses to use.
     directory_address: Address
     peer_address: Address
+    #: Where instances send each other datagrams.
+    report_address: Address
     seeds: tuple[Address, ...]
     region_by_zone: dict[str, str]
     store_address: Address
@@ -99,6 +101,10 @@
         ready_address=reader.take('listen.ready', Address.parse, nowhere),
         directory_address=reader.take('listen.directory', Address.parse, nowhere),
         peer_address=reader.take('listen.control', Address.parse, nowhere),
+        report_address=Address(
+            reader.take('ip', str, ''),
+            reader.take('internal_port_range', lambda ports: int(ports[0]), 0),
+        ),
         seeds=reader.take('seeds', parse_addresses, ()),
         region_by_zone=reader.take('zones', dict, {}),
         store_address=reader.take('platform.addr', Address.parse, nowhere),
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -116,7 +116,17 @@
         call = self.calls.make(request, body, wire.peer)
         if isinstance(call, NotRun):
             return await self._refuse(wire, call, request)
+        began_at = self.environment.clock.monotonic()
         outcome = await self._forward_observed(call, wire)
+        seconds = self.environment.clock.monotonic() - began_at
+        log.info(
+            'request: %s %s ended as %s. route=%s ms=%.0f',
+            call.request_id,
+            call.service,
+            outcome,
+            call.route,
+            seconds * 1e3,
+        )
         return await self._report(wire, call, outcome)
 
     async def _forward_observed(self, call: Call, wire: Wire) -> Outcome:
@@ -154,7 +164,6 @@
         return outcome
 
     async def _report(self, wire: Wire, call: Call, outcome: Outcome) -> bool:
-        log.info('request: %s %s ended as %s.', call.request_id, call.service, outcome)
         if isinstance(outcome, Answered):
             if wire.codec.their_state is h11.SEND_BODY:
                 await wire.close_gently()
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -30,6 +30,10 @@
 from catkinslip.routing.router import ServiceRouter
 
 ANSWER_GRACE_SECONDS = 1.0
+#: A server that tells less than this share of its speed at the choice slowed down.
+SLOWED_SHARE = 0.6
+#: Between two looks at the server of a call that takes long.
+LOOK_AGAIN_SECONDS = 0.03
 
 log = logging.getLogger('routing')
 
@@ -106,12 +110,21 @@
             if choice is None or call.best_until == inf:
                 return None
             now = self.clock.monotonic()
-            expected = self.limits.work.expect(call.route, choice.delay)
-            match patience.judge(expected, now):
+            expected = self._expect(choice.delay)
+            match patience.judge(expected, choice.delay, now):
                 case Verdict.SEND:
                     return None
                 case Verdict.REFUSE:
-                    return patience.refusal(expected, now, self.random)
+                    refusal = patience.refusal(expected, now, self.random)
+                    log.info(
+                        'limits: %s %s is refused, %s, at %s, %s.',
+                        call.request_id,
+                        call.service,
+                        refusal.detail,
+                        choice.backend_id,
+                        choice.reason,
+                    )
+                    return refusal
             await trio.sleep(patience.look_seconds(now))
 
     def _launch(self, *, hedge: bool = False) -> Launch | None:
@@ -154,14 +167,29 @@
 
     async def _await_head(self, launch: Launch) -> Launch:
         now = self.clock.monotonic()
-        delay = self.limits.hedge_delay(now)
+        delay = self._hedge_delay(launch, now)
         if delay is None or self.call.rest or not self.plan.may_hedge(now):
             await self._start(launch)
             return launch
         return await self._race(launch, delay)
 
+    def _hedge_delay(self, launch: Launch, now: float) -> float | None:
+        """Return after how many seconds to look whether a hedge is due."""
+        if self.call.best_until == inf:
+            return self.limits.hedge_delay(now)
+        # By then most servers that kept their speed have answered.
+        return self._expect(launch.delay)
+
+    def _expect(self, delay: float) -> float:
+        """Return the expected seconds until an answer."""
+        return self.limits.work.expect(self.call.route, delay, self._target)
+
+    @property
+    def _target(self) -> float:
+        return self.call.best_until - self.began
+
     async def _race(self, first: Launch, delay: float) -> Launch:
-        race = Race(self, delay)
+        race = Race(self, delay, launched_speed=self.speed_of(first.backend_id))
         self.hedges.add(delay, race)
         try:
             with race.first_scope:
@@ -175,6 +203,12 @@
             return first
         return race.second
 
+    def speed_of(self, backend_id: str) -> float | None:
+        """Return the speed that a server told last; None if it tells none."""
+        load = self.router.load_by_id.get(backend_id)
+        known = load is not None and load.report is not None
+        return load.report.speed if known else None
+
     async def _start(self, launch: Launch) -> None:
         await self._settle(launch, await launch.attempt.start())
 
@@ -193,7 +227,7 @@
             launch.answered_at = now
             latency = now - launch.began
             self.limits.answered(launch.backend_id, latency)
-            self.limits.work.learn(self.call.route, latency, launch.delay)
+            self.limits.work.learn(self.call.route, latency, launch.delay, self._target)
             return
         if result.reason is Reason.CONNECT_FAILED:
             self.health.refused(launch.backend_id)
@@ -251,6 +285,8 @@
     runner: CallRunner
     delay: float
     is_over: bool = False
+    #: Speed that the first server told right before it was chosen.
+    launched_speed: float | None = None
     second: Launch | None = None
     first_scope: trio.CancelScope = Factory(trio.CancelScope)
     second_scope: trio.CancelScope = Factory(trio.CancelScope)
@@ -262,9 +298,14 @@
         if self.is_over:
             return
         if runner.plan.may_hedge(runner.clock.monotonic()):
-            self.second = runner._launch(hedge=True)
+            await self._look_at_first()
+            if self.is_over:
+                return
+            if self.is_first_slow():
+                self.second = runner._launch(hedge=True)
         if self.second is None:
-            runner.hedges.add(self.delay, self)
+            delay = self.delay if self.launched_speed is None else LOOK_AGAIN_SECONDS
+            runner.hedges.add(delay, self)
             return
         with self.second_scope:
             await self._start_second(self.second)
@@ -272,6 +313,19 @@
             self.first_scope.cancel()
         self.second_ended.set()
 
+    async def _look_at_first(self) -> None:
+        if self.launched_speed is not None:
+            first = self.runner.launches[0]
+            await self.runner.sampler.look(self.runner.router, first.backend_id)
+            await self.runner.sampler.refresh(self.runner.router, [first.backend_id])
+
+    def is_first_slow(self) -> bool:
+        """Tell whether the first server slowed down; it may not tell its speed."""
+        if self.launched_speed is None:
+            return True
+        speed = self.runner.speed_of(self.runner.launches[0].backend_id)
+        return speed is not None and speed < SLOWED_SHARE * self.launched_speed
+
     async def _start_second(self, launch: Launch) -> None:
         try:
             await self.runner._start(launch)
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -49,6 +49,7 @@
     report: LoadReport | None = None
     reported_at: float = NEVER
     picks_since_report: int = 0
+    picked_at: float = NEVER
     reported_in_flight: float = 0.0
     speed: float = 1.0
     mean_speed: float = 1.0
@@ -83,6 +84,10 @@
     def choose(self, candidates: Sequence[BackendLoad], now: float) -> Choice:
         """Choose one of at least one candidate."""
 
+    def rank(self, candidates: Sequence[BackendLoad], now: float) -> list[Choice]:
+        """Return the candidates as choices, the best first, as far as it is known."""
+        return [self.choose(candidates, now)]
+
     def started(self, load: BackendLoad, now: float) -> None:  # noqa: B027
         """Learn that a request was sent."""
 
--- a/catkinslip/routing/delay.py
+++ b/catkinslip/routing/delay.py
@@ -6,8 +6,11 @@
 """
 
 from collections.abc import Sequence
-from math import exp, sqrt
+from heapq import nsmallest
+from math import exp, inf, sqrt
+from operator import attrgetter
 from random import Random
+from typing import NamedTuple
 
 from attrs import Factory, define, frozen
 
@@ -42,12 +45,41 @@
     in_flight: float
     next_id: str
     next_delay: float
+    speed: float = 1.0
+    report_age: float = 0.0
 
     def __str__(self) -> str:
-        reason = f'expected delay {self.delay:.2f} with {self.in_flight:.1f} in flight'
+        reason = (
+            f'delay={self.delay:.2f} in_flight={self.in_flight:.1f} '
+            f'speed={self.speed:.2f} age_ms={self.report_age * 1e3:.0f}'
+        )
         if not self.next_id:
             return reason
-        return f'{reason}, next {self.next_id} {self.next_delay:.2f}'
+        return f'{reason} next={self.next_id} next_delay={self.next_delay:.2f}'
+
+
+class Estimate(NamedTuple):
+    """What is expected at one candidate; a tuple, as it is made for each of them."""
+
+    load: BackendLoad
+    delay: float
+    in_flight: float
+
+
+by_delay = attrgetter('delay')
+
+
+def to_choice(chosen: Estimate, following: Estimate | None, now: float) -> Choice:
+    """Return a candidate as a choice, with the next best one as its reason."""
+    reason = DelayReason(
+        chosen.delay,
+        chosen.in_flight,
+        following.load.backend_id if following else '',
+        following.delay if following else inf,
+        chosen.load.speed,
+        now - chosen.load.reported_at,
+    )
+    return Choice(chosen.load.backend_id, reason, chosen.delay)
 
 
 @define
@@ -69,17 +101,28 @@
 
     def choose(self, candidates: Sequence[BackendLoad], now: float) -> Choice:
         """Choose one of at least one candidate."""
+        # Ties go to any of them: the estimates begin at a random candidate.
+        first, *others = nsmallest(2, self._estimates(candidates, now), key=by_delay)
+        first.load.expected_in_flight = first.in_flight
+        return to_choice(first, others[0] if others else None, now)
+
+    def rank(self, candidates: Sequence[BackendLoad], now: float) -> list[Choice]:
+        """Return the candidates as choices, the best first."""
+        ranked = sorted(self._estimates(candidates, now), key=by_delay)
+        return [to_choice(each, None, now) for each in ranked]
+
+    def _estimates(
+        self, candidates: Sequence[BackendLoad], now: float
+    ) -> list[Estimate]:
+        """Return the estimate of each candidate, beginning at a random one."""
         start = self.random.randrange(len(candidates))
-        chosen = following = None
-        least = next_least = float('inf')
-        chosen_in_flight = 0.0
         report_rate = -1 / self.report_memory
         speed_rate = -1 / self.speed.persistence
         mean_in_flight = self.in_flight.value
         mean_speed = self.speed.value
-        slots = candidates[0].slots
         zone = self.zone or candidates[0].zone
         far_delay = self.zone_hop / self.service_time.mean if self.zone else 0.0
+        estimates = []
         # One pass almost without calls: it runs for each request.
         for load in (*candidates[start:], *candidates[:start]):
             age = now - load.reported_at
@@ -90,22 +133,15 @@
                 in_flight = self._distrusted(load, in_flight)
             if in_flight < load.in_flight:
                 in_flight = load.in_flight
-            delay = self._delay_in_use(in_flight, slots)
+            delay = self._delay_in_use(in_flight, load.slots)
             speed = load.mean_speed if age < SPEED_FORGET_SECONDS else mean_speed
             delay /= speed + (load.speed - speed) * exp(age * speed_rate)
             if load.zone != zone:
                 delay += far_delay
             if load.is_irregular:
                 delay = irregular_delay(load, delay, now)
-            if delay < least:
-                following, next_least = chosen, least
-                chosen, least, chosen_in_flight = load, delay, in_flight
-            elif delay < next_least:
-                following, next_least = load, delay
-        chosen.expected_in_flight = chosen_in_flight
-        next_id = following.backend_id if following else ''
-        reason = DelayReason(least, chosen_in_flight, next_id, next_least)
-        return Choice(chosen.backend_id, reason, least)
+            estimates.append(Estimate(load, delay, in_flight))
+        return estimates
 
     def _delay_in_use(self, in_flight: float, slots: int) -> float:
         """Return the delay at a server of usual speed with requests in flight."""
--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -7,8 +7,8 @@
 from catkinslip.config.difference import compare
 from catkinslip.config.documents import AcceptedConfig, Backend, Document
 from catkinslip.models import Address
-from catkinslip.routing.base import Policy
-from catkinslip.routing.router import ServiceRouter
+from catkinslip.routing.base import BackendLoad, Policy
+from catkinslip.routing.router import ServiceRouter, ignore_news
 
 
 @define
@@ -19,6 +19,7 @@
     router_by_service: dict[str, ServiceRouter] = Factory(dict)
     address_by_backend: dict[str, Address] = Factory(dict)
     document: Document = Factory(Document)
+    on_news: Callable[[BackendLoad], None] = ignore_news
     #: Whether any configuration is in force.
     is_ready: bool = False
 
@@ -41,7 +42,7 @@
         for name, backend_by_id in backends_by_service.items():
             router = self.router_by_service.get(name)
             if router is None:
-                router = ServiceRouter(self.make_policy())
+                router = ServiceRouter(self.make_policy(), on_news=self.on_news)
                 self.router_by_service[name] = router
             router.update(services[name], backend_by_id)
 
@@ -55,6 +56,11 @@
                 address = Address(backend.host, backend.port)
                 self.address_by_backend[backend_id] = address
 
+    def find_router(self, backend_id: str) -> ServiceRouter | None:
+        """Return the router that chooses among a server and others."""
+        backend = self.document.register.backends.get(backend_id)
+        return None if backend is None else self.router_by_service.get(backend.service)
+
     def set_draining(self, service: str, backend_id: str, draining: bool) -> None:
         """Give a backend server new work, or none."""
         router = self.router_by_service.get(service)
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -1,6 +1,6 @@
 """The state of the choice for one service."""
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from attrs import Factory, define
 
@@ -19,6 +19,10 @@
 LONGEST_SILENCE_PAUSE_SECONDS = 2.0
 
 
+def ignore_news(load: BackendLoad) -> None:
+    """Take no notice of a change."""
+
+
 @define
 class ServiceRouter:
     """Choose among the backend servers of one service.
@@ -31,6 +35,8 @@
     load_by_id: dict[str, BackendLoad] = Factory(dict)
     loads: list[BackendLoad] = Factory(list)
     window_start: int = 0
+    #: Learns of each server whose load or own requests changed.
+    on_news: Callable[[BackendLoad], None] = ignore_news
 
     def update(self, service: Service, backend_by_id: Mapping[str, Backend]) -> None:
         """Take over the backend servers of a new configuration."""
@@ -48,12 +54,19 @@
 
     def choose(self, now: float, excluded: Collection[str] = ()) -> Choice | None:
         """Choose a backend server that takes new work; None when there is none."""
+        candidates = self._candidates(excluded)
+        return self.policy.choose(candidates, now) if candidates else None
+
+    def rank(self, now: float, excluded: Collection[str] = ()) -> list[Choice]:
+        """Return backend servers that take new work as choices, the best first."""
+        candidates = self._candidates(excluded)
+        return self.policy.rank(candidates, now) if candidates else []
+
+    def _candidates(self, excluded: Collection[str]) -> list[BackendLoad]:
         candidates = takes_work(self._next_window(), excluded)
         if not candidates and len(self.loads) > WINDOW_SIZE:
             candidates = takes_work(self.loads, excluded)
-        if not candidates:
-            return None
-        return self.policy.choose(candidates, now)
+        return candidates
 
     def _next_window(self) -> list[BackendLoad]:
         loads = self.loads
@@ -71,7 +84,9 @@
             return
         load.in_flight += 1
         load.picks_since_report += 1
+        load.picked_at = now
         self.policy.started(load, now)
+        self.on_news(load)
 
     def finished(self, backend_id: str, result: AttemptResult, now: float) -> None:
         """Count a request that ended and take its load report."""
@@ -85,6 +100,7 @@
             load.report = result.report
             load.reported_at = now
             load.picks_since_report = 0
+            self.on_news(load)
 
     def learned(
         self, backend_id: str, report: LoadReport, at: float, picks_before: int = 0
@@ -93,12 +109,21 @@
 
         Only the own picks known to be in the report are taken off their count.
         """
+        if self.heard(backend_id, report, at, picks_before):
+            self.on_news(self.load_by_id[backend_id])
+
+    def heard(
+        self, backend_id: str, report: LoadReport, at: float, picks_before: int
+    ) -> bool:
+        """Take a report as `learned` does, but tell nobody; tell whether it is new."""
         load = self.load_by_id.get(backend_id)
-        if load is not None and at > load.reported_at:
+        is_new = load is not None and at > load.reported_at
+        if is_new:
             self.policy.reported(load, report, at)
             load.report = report
             load.reported_at = at
             load.picks_since_report = max(0, load.picks_since_report - picks_before)
+        return is_new
 
     def unanswered(self, backend_id: str, now: float) -> None:
         """Avoid a server that gave no good answer to a probe, for a while."""
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -25,6 +25,7 @@
 )
 from catkinslip.environment import Environment
 from catkinslip.health.sampler import LoadSampler
+from catkinslip.health.sharing import ReportSharer
 from catkinslip.health.tracker import make_tracker
 from catkinslip.limits.base import LimitSettings
 from catkinslip.limits.service import LimitBook
@@ -55,7 +56,7 @@
 ZONE_HOP_SECONDS = 0.01
 #: Servers slow down when they are nearly full.
 NEARLY_FULL_SHARE = 0.8
-NEARLY_FULL_SLOWNESS = 1.5
+NEARLY_FULL_SLOWNESS = 1.8
 #: Calls are held or refused by their targets, not by the length of queues.
 NO_QUEUE_LIMIT = 1e6
 
@@ -105,6 +106,7 @@
     hedges: HedgeTimer
     limits: LimitBook
     sampler: LoadSampler
+    sharer: ReportSharer
     lag: LoopLag
     sources: tuple[MetricSource, ...]
 
@@ -119,6 +121,7 @@
             self.pool.run,
             self.hedges.run,
             self.lag.run,
+            self.sharer.run,
         )
 
 
@@ -151,6 +154,13 @@
             nearly_full_slowness=NEARLY_FULL_SLOWNESS,
         )
     )
+    sharer = ReportSharer(
+        Address.parse(settings.own.report_address),
+        lambda: [Address.parse(each.report_address) for each in instances.near()],
+        directory,
+        clock,
+    )
+    directory.on_news = sharer.note
     health = make_tracker(directory, clock, random, max_instances=1)
     pool = BackendPool(instances.count)
     config.listeners.extend((directory.update, health.update, pool.update))
@@ -218,6 +228,7 @@
         hedges=hedges,
         limits=limits,
         sampler=sampler,
+        sharer=sharer,
         lag=lag,
         sources=(
             requests,
--- a/tests/discovery_builders.py
+++ b/tests/discovery_builders.py
@@ -38,7 +38,12 @@
 def instance_entry(instance_id: str, zone: str = 'zone-a') -> InstanceEntry:
     """Return an instance whose addresses follow from its ID."""
     return InstanceEntry(
-        instance_id, zone, 'region-1', f'{instance_id}:80', f'{instance_id}:90'
+        instance_id,
+        zone,
+        'region-1',
+        f'{instance_id}:80',
+        f'{instance_id}:90',
+        f'{instance_id}:91',
     )
 
 
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -4,6 +4,8 @@
 node = "edge-1"
 zone = "zone-a"
 region = "region-1"
+ip = "127.0.0.1"
+internal_port_range = [{report}, {report}]
 seeds = ["127.0.0.1:{peer}"]
 bounds = ["grace_s=6","ttl_max_s=5","probes_per_s=60","retry_budget_ratio=0.2","retry_budget_slack=58","drain_whole=true"]
 [zones]
@@ -20,7 +22,7 @@
 
 def settings_text(**ports: int) -> str:
     """Return a settings file; ports that are not given are all different."""
-    names = ('front', 'ready', 'peer', 'directory', 'store')
+    names = ('front', 'ready', 'peer', 'directory', 'store', 'report')
     defaults = {name: 7000 + number for number, name in enumerate(names)}
     return SETTINGS.format(**{**defaults, **ports})
 
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -62,8 +62,8 @@
 
     async def add_entry(self) -> Entry:
         """Run an instance in this loop and wait until it takes callers."""
-        names = ('front', 'ready', 'peer', 'directory')
-        ports = dict(zip(names, free_ports(len(names) + 1), strict=False))
+        names = ('front', 'ready', 'peer', 'directory', 'report')
+        ports = dict(zip(names, free_ports(len(names)), strict=True))
         text = settings_text(store=self.store_port, **ports)
         text = text.replace('edge-1', f'edge-{len(self.entries) + 1}')
         settings = read_settings(text).unwrap()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -26,8 +26,8 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = Path(folder.name, 'settings.toml')
-        names = ('front', 'ready', 'peer', 'directory', 'store')
-        self.ports = dict(zip(names, free_ports(5), strict=True))
+        names = ('front', 'ready', 'peer', 'directory', 'store', 'report')
+        self.ports = dict(zip(names, free_ports(6), strict=True))
         self.path.write_text(settings_text(**self.ports))
 
     def start(self) -> subprocess.Popen:
--- a/tests/test_routing_policies.py
+++ b/tests/test_routing_policies.py
@@ -186,7 +186,7 @@
         answer(router, 'limits-0', 1.0, LoadReport(5, 1.0))
         answer(router, 'limits-1', 1.0, LoadReport(1, 1.0))
         reason = str(router.choose(1.0).reason)
-        self.assertRegex(reason, r'^expected delay .* in flight, next limits-0 ')
+        self.assertRegex(reason, r'^delay=.* in_flight=.* age_ms=.* next=limits-0 ')
 
 
 class RouterTest(unittest.TestCase):
