Let callers keep an address answer for 3 s

Cause: callers that ask every 3 s looked the addresses up for each request, on a connection of its own: 32 ms of a 300 ms target. Ruled out for stops: an instance that stops leaves the answers at once, and a caller with an older answer is refused the connection and takes another address.

--- a/catkinslip/platform/__main__.py
+++ b/catkinslip/platform/__main__.py
@@ -43,7 +43,7 @@
 #: Written in deploy/system.toml too.
 METRICS_PORT = 9464
 #: Callers stop using an instance that left within three times as long.
-ADDRESS_SECONDS = 1.0
+ADDRESS_SECONDS = 3.0
 
 log = logging.getLogger('lifecycle')
 
