Soak the real programs with faults from outside them

Found at once: a second instance on one machine ended because the metrics port was taken. It now serves without the page and says so; CATKINSLIP_METRICS_PORT moves it.

--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -66,10 +66,15 @@
     pages = {
         **page_servers,
         addresses.peers: entry.peer_pages,
-        addresses.metrics: PageServer({'/metrics': partial(metrics_page, entry)}),
     }
     for address, server in pages.items():
         await nursery.start(listen, server.serve, address)
+    metrics = PageServer({'/metrics': partial(metrics_page, entry)})
+    try:
+        await nursery.start(listen, metrics.serve, addresses.metrics)
+    except OSError as error:
+        # Callers are served all the same.
+        log.error('lifecycle: no metrics at %s. error=%s', addresses.metrics, error)
     for task in entry.tasks():
         nursery.start_soon(task)
     await nursery.start(listen, entry.callers.serve, addresses.callers)
--- a/catkinslip/platform/__main__.py
+++ b/catkinslip/platform/__main__.py
@@ -42,6 +42,7 @@
 
 #: Written in deploy/system.toml too.
 METRICS_PORT = 9464
+METRICS_PORT_VARIABLE = 'CATKINSLIP_METRICS_PORT'
 #: Callers stop using an instance that left within three times as long.
 ADDRESS_SECONDS = 3.0
 
@@ -77,7 +78,9 @@
             addresses = ListenAddresses(
                 callers=settings.caller_address,
                 peers=settings.peer_address,
-                metrics=Address(settings.caller_address.host, METRICS_PORT),
+                metrics=Address(
+                    settings.caller_address.host, metrics_port(environment)
+                ),
             )
             await serve(
                 entry,
@@ -88,6 +91,12 @@
         nursery.cancel_scope.cancel()
 
 
+def metrics_port(environment: Environment) -> int:
+    """Return the port of the metrics page, which a variable may replace."""
+    text = environment.variables.get(METRICS_PORT_VARIABLE, '')
+    return int(text) if text.isdecimal() else METRICS_PORT
+
+
 def make_entry(
     settings: PlatformSettings,
     environment: Environment,
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,102 @@
+"""Callers that keep connections until the process is gone, and what they saw."""
+
+from enum import Enum, auto, unique
+from random import Random
+
+import httpx
+import trio
+from attrs import Factory, define
+
+from soak.world import Instance, World
+
+DEADLINE_MS = 1200
+ANSWER_SECONDS = 4.0
+PAUSE_SECONDS = 0.03
+PROMISES = (408, 421, 429, 503)
+
+
+@unique
+class Told(Enum):
+    """What a caller was told of a request."""
+
+    ANSWERED = auto()
+    NOT_RUN = auto()
+    FAILED = auto()
+    NOTHING = auto()
+
+
+@define
+class Request:
+    """One request as its caller saw it; times are trio's."""
+
+    request_id: str
+    is_idempotent: bool
+    instance: str
+    sent_at: float
+    told: Told | None = None
+    status: int = 0
+    ended_at: float = 0.0
+
+
+@define
+class Callers:
+    """Send requests to all instances and keep what came back."""
+
+    world: World
+    random: Random
+    requests: list[Request] = Factory(list)
+    violations: list[str] = Factory(list)
+    count: int = 0
+
+    async def run(self, callers: int) -> None:
+        """Send until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for number in range(callers):
+                instances = self.world.instances
+                nursery.start_soon(self._call, instances[number % len(instances)])
+
+    async def _call(self, instance: Instance) -> None:
+        address = f'http://127.0.0.1:{instance.port_by_name["front"]}'
+        async with httpx.AsyncClient(
+            base_url=address, timeout=ANSWER_SECONDS
+        ) as client:
+            while True:
+                await self._send(client, instance)
+                await trio.sleep(PAUSE_SECONDS * self.random.uniform(0.5, 1.5))
+
+    async def _send(self, client: httpx.AsyncClient, instance: Instance) -> None:
+        self.count += 1
+        request = Request(
+            f'r{self.count}',
+            self.random.random() < 0.5,
+            instance.name,
+            trio.current_time(),
+        )
+        self.requests.append(request)
+        headers = {
+            'Host': 'a.example',
+            'Request-Id': request.request_id,
+            'Deadline-Ms': str(DEADLINE_MS),
+        }
+        method, path = ('GET', '/q/x') if request.is_idempotent else ('POST', '/p/x')
+        try:
+            answer = await client.request(method, path, headers=headers)
+        except httpx.HTTPError:
+            request.told = Told.NOTHING
+        else:
+            self._take(request, answer)
+        request.ended_at = trio.current_time()
+
+    def _take(self, request: Request, answer: httpx.Response) -> None:
+        request.status = answer.status_code
+        if answer.is_success:
+            request.told = Told.ANSWERED
+            wanted = f'answer to {request.request_id}'.encode()
+            if answer.content != wanted:
+                self.violations.append(
+                    f'{request.request_id} got another answer: {answer.content[:60]}'
+                )
+        elif answer.status_code in PROMISES:
+            request.told = Told.NOT_RUN
+        else:
+            request.told = Told.FAILED
--- /dev/null
+++ b/soak/links.py
@@ -0,0 +1,86 @@
+"""Loopback proxies that delay, reset, cut one way or silence connections."""
+
+from enum import Enum, auto, unique
+
+import trio
+from attrs import Factory, define
+
+CHUNK_BYTES = 65536
+DELAY_SECONDS = 0.2
+
+
+@unique
+class LinkFault(Enum):
+    """What a link does to the bytes of its connections."""
+
+    NONE = auto()
+    #: Bytes come late.
+    DELAY = auto()
+    #: Connections are reset, open ones too.
+    RESET = auto()
+    #: Requests arrive and no answer comes back.
+    CUT_ANSWERS = auto()
+    #: Nothing arrives on either side.
+    SILENCE = auto()
+
+
+@define(eq=False)
+class Link:
+    """One port that leads to another one."""
+
+    target_port: int
+    port: int = 0
+    fault: LinkFault = LinkFault.NONE
+    healed: trio.Event = Factory(trio.Event)
+    streams: set[trio.SocketStream] = Factory(set)
+
+    async def open(self, nursery: trio.Nursery) -> None:
+        """Listen on a port that the kernel chooses."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self.port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+
+    async def set_fault(self, fault: LinkFault) -> None:
+        """Play a fault from now on."""
+        self.fault = fault
+        if fault is LinkFault.NONE:
+            self.healed.set()
+            self.healed = trio.Event()
+        if fault is LinkFault.RESET:
+            for stream in list(self.streams):
+                await trio.aclose_forcefully(stream)
+
+    async def _serve(self, near: trio.SocketStream) -> None:
+        self.streams.add(near)
+        try:
+            if self.fault is LinkFault.RESET:
+                raise trio.BrokenResourceError
+            far = await trio.open_tcp_stream('127.0.0.1', self.target_port)
+            self.streams.add(far)
+            async with far, trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, near, far, False)
+                await self._pump(far, near, True)
+                nursery.cancel_scope.cancel()
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The other side's end is part of the play.
+            pass
+        finally:
+            self.streams.discard(near)
+            await trio.aclose_forcefully(near)
+
+    async def _pump(
+        self, source: trio.SocketStream, target: trio.SocketStream, answers: bool
+    ) -> None:
+        while data := await source.receive_some(CHUNK_BYTES):
+            while self._holds(answers):
+                await self.healed.wait()
+            if self.fault is LinkFault.DELAY:
+                await trio.sleep(DELAY_SECONDS)
+            await target.send_all(data)
+        if not answers:
+            await target.send_eof()
+
+    def _holds(self, answers: bool) -> bool:
+        if self.fault is LinkFault.SILENCE:
+            return True
+        return answers and self.fault is LinkFault.CUT_ANSWERS
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -30,12 +30,20 @@
         self.ports = dict(zip(names, free_ports(6), strict=True))
         self.path.write_text(settings_text(**self.ports))
 
+    def variables(self) -> dict[str, str]:
+        """Return the variables of the process."""
+        return {
+            **os.environ,
+            'CATKINSLIP_NODE_FILE': str(self.path),
+            'CATKINSLIP_METRICS_PORT': '0',
+        }
+
     def start(self) -> subprocess.Popen:
         """Start the process and wait until it answers."""
         process = subprocess.Popen(
             [sys.executable, '-m', MODULE],
             cwd=ROOT,
-            env={**os.environ, 'CATKINSLIP_NODE_FILE': str(self.path)},
+            env=self.variables(),
             stdout=subprocess.PIPE,
             text=True,
         )
@@ -82,7 +90,7 @@
         done = subprocess.run(
             [sys.executable, '-m', MODULE],
             cwd=ROOT,
-            env={**os.environ, 'CATKINSLIP_NODE_FILE': str(self.path)},
+            env=self.variables(),
             capture_output=True,
             text=True,
             timeout=END_SECONDS,
