--- /dev/null
+++ b/catkinslip/proxy/launch.py
@@ -0,0 +1,21 @@
+"""One attempt of a call that was started."""
+
+from attrs import define
+
+from catkinslip.limits.plan import Step
+from catkinslip.proxy.exchange import AnswerHead, Attempt
+from catkinslip.proxy.outcomes import NotRun, Unknown
+
+
+@define(eq=False)
+class Launch:
+    """One attempt that was started, and how far it came."""
+
+    backend_id: str
+    attempt: Attempt
+    began: float
+    delay: float
+    result: AnswerHead | NotRun | Unknown | None = None
+    step: Step = Step.WAIT
+    is_open: bool = True
+    answered_at: float | None = None
--- /dev/null
+++ b/catkinslip/proxy/race.py
@@ -0,0 +1,79 @@
+"""The race of two attempts of one call."""
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+from attrs import Factory, define
+
+from catkinslip.proxy.exchange import AnswerHead
+from catkinslip.proxy.hedges import Hedge
+from catkinslip.proxy.launch import Launch
+from catkinslip.proxy.outcomes import Reason, Unknown
+
+if TYPE_CHECKING:
+    from catkinslip.proxy.runner import CallRunner
+
+#: A server that tells less than this share of its speed at the choice slowed down.
+SLOWED_SHARE = 0.6
+#: Between two looks at the server of a call that takes long.
+LOOK_AGAIN_SECONDS = 0.03
+
+log = logging.getLogger('routing')
+
+
+@define(eq=False)
+class Race(Hedge):
+    """The race of two attempts; the first head cancels the other attempt."""
+
+    runner: 'CallRunner'
+    delay: float
+    is_over: bool = False
+    #: Speed that the first server told right before it was chosen.
+    launched_speed: float | None = None
+    second: Launch | None = None
+    first_scope: trio.CancelScope = Factory(trio.CancelScope)
+    second_scope: trio.CancelScope = Factory(trio.CancelScope)
+    second_ended: trio.Event = Factory(trio.Event)
+
+    async def run(self) -> None:
+        """Start the second attempt, or ask for another time."""
+        runner = self.runner
+        if self.is_over:
+            return
+        if runner.plan.may_hedge(runner.clock.monotonic()):
+            await self._look_at_first()
+            if self.is_over:
+                return
+            if self.is_first_slow():
+                self.second = runner.launch(hedge=True)
+        if self.second is None:
+            delay = self.delay if self.launched_speed is None else LOOK_AGAIN_SECONDS
+            runner.hedges.add(delay, self)
+            return
+        with self.second_scope:
+            await self._start_second(self.second)
+        if isinstance(self.second.result, AnswerHead):
+            self.first_scope.cancel()
+        self.second_ended.set()
+
+    async def _look_at_first(self) -> None:
+        if self.launched_speed is not None:
+            first = self.runner.launches[0]
+            await self.runner.sampler.look(self.runner.router, first.backend_id)
+            await self.runner.sampler.refresh(self.runner.router, [first.backend_id])
+
+    def is_first_slow(self) -> bool:
+        """Tell whether the first server slowed down; it may not tell its speed."""
+        if self.launched_speed is None:
+            return True
+        speed = self.runner.speed_of(self.runner.launches[0].backend_id)
+        return speed is not None and speed < SLOWED_SHARE * self.launched_speed
+
+    async def _start_second(self, launch: Launch) -> None:
+        try:
+            await self.runner.start(launch)
+        except Exception as error:
+            # One call's hedge must not stop the process.
+            log.exception('routing: a hedge failed.')
+            await self.runner.settle(launch, Unknown(Reason.BROKEN, repr(error)))
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -16,7 +16,8 @@
 from catkinslip.limits.timely import Patience, Verdict
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
-from catkinslip.proxy.hedges import Hedge, HedgeTimer
+from catkinslip.proxy.hedges import HedgeTimer
+from catkinslip.proxy.launch import Launch
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import (
     NotRun,
@@ -26,32 +27,15 @@
     attempt_result,
 )
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.race import Race
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.router import ServiceRouter
 
 ANSWER_GRACE_SECONDS = 1.0
-#: A server that tells less than this share of its speed at the choice slowed down.
-SLOWED_SHARE = 0.6
-#: Between two looks at the server of a call that takes long.
-LOOK_AGAIN_SECONDS = 0.03
 
 log = logging.getLogger('routing')
 
 
-@define(eq=False)
-class Launch:
-    """One attempt that was started, and how far it came."""
-
-    backend_id: str
-    attempt: Attempt
-    began: float
-    delay: float
-    result: AnswerHead | NotRun | Unknown | None = None
-    step: Step = Step.WAIT
-    is_open: bool = True
-    answered_at: float | None = None
-
-
 @define
 class CallRunner:
     """Carry out a call's plan; exactly one answer reaches the caller."""
@@ -91,7 +75,7 @@
             if refusal is not None:
                 self.plan.refused(refusal)
                 return self.plan.told()
-            launch = self._launch()
+            launch = self.launch()
             if launch is None:
                 return self.plan.told()
             ended = await self._await_head(launch)
@@ -127,7 +111,8 @@
                     return refusal
             await trio.sleep(patience.look_seconds(now))
 
-    def _launch(self, *, hedge: bool = False) -> Launch | None:
+    def launch(self, *, hedge: bool = False) -> Launch | None:
+        """Choose a server and make an attempt of it; None when there is none."""
         now = self.clock.monotonic()
         choice = self.health.choose(self.router, self._tried())
         if choice is None:
@@ -169,7 +154,7 @@
         now = self.clock.monotonic()
         delay = self._hedge_delay(launch, now)
         if delay is None or self.call.rest or not self.plan.may_hedge(now):
-            await self._start(launch)
+            await self.start(launch)
             return launch
         return await self._race(launch, delay)
 
@@ -193,7 +178,7 @@
         self.hedges.add(delay, race)
         try:
             with race.first_scope:
-                await self._start(first)
+                await self.start(first)
             if first.step is Step.WAIT:
                 await race.second_ended.wait()
         finally:
@@ -209,12 +194,14 @@
         known = load is not None and load.report is not None
         return load.report.speed if known else None
 
-    async def _start(self, launch: Launch) -> None:
-        await self._settle(launch, await launch.attempt.start())
+    async def start(self, launch: Launch) -> None:
+        """Send an attempt's request and take what comes of it."""
+        await self.settle(launch, await launch.attempt.start())
 
-    async def _settle(
+    async def settle(
         self, launch: Launch, result: AnswerHead | NotRun | Unknown
     ) -> None:
+        """Take how an attempt ended, or that its answer began."""
         if not launch.is_open:
             # Given up while the answer came.
             if isinstance(result, AnswerHead):
@@ -276,60 +263,3 @@
         self.limits.ended(launch.backend_id, result, now)
         seconds = now - launch.began
         self.observer.attempted(self.call, launch.backend_id, outcome, seconds)
-
-
-@define(eq=False)
-class Race(Hedge):
-    """The race of two attempts; the first head cancels the other attempt."""
-
-    runner: CallRunner
-    delay: float
-    is_over: bool = False
-    #: Speed that the first server told right before it was chosen.
-    launched_speed: float | None = None
-    second: Launch | None = None
-    first_scope: trio.CancelScope = Factory(trio.CancelScope)
-    second_scope: trio.CancelScope = Factory(trio.CancelScope)
-    second_ended: trio.Event = Factory(trio.Event)
-
-    async def run(self) -> None:
-        """Start the second attempt, or ask for another time."""
-        runner = self.runner
-        if self.is_over:
-            return
-        if runner.plan.may_hedge(runner.clock.monotonic()):
-            await self._look_at_first()
-            if self.is_over:
-                return
-            if self.is_first_slow():
-                self.second = runner._launch(hedge=True)
-        if self.second is None:
-            delay = self.delay if self.launched_speed is None else LOOK_AGAIN_SECONDS
-            runner.hedges.add(delay, self)
-            return
-        with self.second_scope:
-            await self._start_second(self.second)
-        if isinstance(self.second.result, AnswerHead):
-            self.first_scope.cancel()
-        self.second_ended.set()
-
-    async def _look_at_first(self) -> None:
-        if self.launched_speed is not None:
-            first = self.runner.launches[0]
-            await self.runner.sampler.look(self.runner.router, first.backend_id)
-            await self.runner.sampler.refresh(self.runner.router, [first.backend_id])
-
-    def is_first_slow(self) -> bool:
-        """Tell whether the first server slowed down; it may not tell its speed."""
-        if self.launched_speed is None:
-            return True
-        speed = self.runner.speed_of(self.runner.launches[0].backend_id)
-        return speed is not None and speed < SLOWED_SHARE * self.launched_speed
-
-    async def _start_second(self, launch: Launch) -> None:
-        try:
-            await self.runner._start(launch)
-        except Exception as error:
-            # One call's hedge must not stop the process.
-            log.exception('routing: a hedge failed.')
-            await self.runner._settle(launch, Unknown(Reason.BROKEN, repr(error)))
