Let only the home set of a zone read the store

Ruled out for now: fewer readers than the home set; a zone's readers must outlive the store refusing a third of the machines. Change: an instance outside its zone's home set takes rules and servers from its peers at the first poll that shows newer ones, and reads itself only where none of them answers; what peers are told is encoded once a version.

--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -27,6 +27,13 @@
 log = logging.getLogger('discovery')
 
 Listener = Callable[[], None]
+#: Between two looks whether this instance must read the store itself.
+DUTY_SECONDS = 0.25
+
+
+def always() -> bool:
+    """Read the store always."""
+    return True
 
 
 @define
@@ -42,6 +49,8 @@
     is_reachable: bool = False
     #: When a failed call was last followed by a good one, on the monotonic clock.
     regained_at: float = float('-inf')
+    #: Whether this instance reads the store itself; else its peers tell it.
+    is_wanted: Callable[[], bool] = always
     backoff: Backoff = Factory(
         lambda: Backoff(FIRST_RETRY_SECONDS, LONGEST_RETRY_SECONDS)
     )
@@ -54,8 +63,11 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if await self._read_all():
-                while await self._take_news():
+            if not self.is_wanted():
+                self.is_reachable = False
+                await trio.sleep(DUTY_SECONDS)
+            elif await self._read_all():
+                while await self._take_news() and self.is_wanted():
                     pass
 
     def offer(self, listing: Listing[Value], source: str) -> bool:
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -98,6 +98,15 @@
             return homes / HOME_SHARE
         return others / (1 - HOME_SHARE)
 
+    def reads_store(self) -> bool:
+        """Tell whether this instance reads the store, or leaves that to its peers.
+
+        Each change wakes every reader, and each call is priced, so only those that
+        callers are sent to read. Where none of them answers, everybody does.
+        """
+        ranked = self._ranked(self.own.zone)[:HOME_INSTANCES]
+        return self.own in ranked or not any(map(self._is_ready, ranked))
+
     def to_poll(self) -> list[InstanceEntry]:
         """Return whom to poll: those that callers here may be sent to, and a few more.
 
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -78,6 +78,9 @@
 
     instances: InstanceTable
     assembler: Assembler
+    #: The last knowledge told, as many peers ask for the same.
+    encoded: bytes = b''
+    encoded_version: tuple[int, int] = (0, 0)
 
     async def state(self, query: str) -> Page:
         """Return what this instance tells of itself; `full` adds whom it knows."""
@@ -95,12 +98,16 @@
 
     async def knowledge(self, query: str) -> Page:
         """Return all that this instance knows."""
-        knowledge = Knowledge(
-            self.assembler.current_rules,
-            self.assembler.backends.value_by_name,
-            self.assembler.backends.revision,
-        )
-        return Page(200, orjson.dumps(converter.unstructure(knowledge)))
+        version = (self.assembler.rules_version, self.assembler.backends.revision)
+        if version != self.encoded_version:
+            knowledge = Knowledge(
+                self.assembler.current_rules,
+                self.assembler.backends.value_by_name,
+                self.assembler.backends.revision,
+            )
+            self.encoded = orjson.dumps(converter.unstructure(knowledge))
+            self.encoded_version = version
+        return Page(200, self.encoded)
 
 
 @define
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -144,8 +144,8 @@
     instances = InstanceTable(settings.own)
     assembler = Assembler(
         config,
-        Follower('rules', outside.rules, random),
-        Follower('backends', outside.backends, random),
+        Follower('rules', outside.rules, random, is_wanted=instances.reads_store),
+        Follower('backends', outside.backends, random, is_wanted=instances.reads_store),
     )
     assembler.start()
     directory = Directory(
--- a/tests/test_discovery_follower.py
+++ b/tests/test_discovery_follower.py
@@ -65,6 +65,18 @@
         self.assertEqual(follower.value_by_name, {'two': TWO})
         self.assertEqual(follower.revision, 9)
 
+    def test_instance_without_the_duty_makes_no_call(self):
+        source = ScriptedSource([listing(5, ONE)])
+        follower = Follower('backends', source, Random(1), is_wanted=lambda: False)
+
+        async def run():
+            with trio.move_on_after(60):
+                await follower.run()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(source.calls, [])
+        self.assertTrue(follower.offer(listing(7, TWO), 'peer'))
+
     def test_outage_at_the_start_is_retried(self):
         follower, source = follow([OUTAGE, OUTAGE, listing(5, ONE)], [])
         self.assertTrue(follower.is_known)
--- a/tests/test_discovery_instances.py
+++ b/tests/test_discovery_instances.py
@@ -73,6 +73,27 @@
         after = self.usable('zone-a')
         self.assertEqual(len(set(home) & set(after)), HOME_INSTANCES - 1)
 
+    def test_only_the_home_set_reads_the_store(self):
+        self.assertTrue(self.table.reads_store())
+        self.fill(4 * HOME_INSTANCES, ('zone-a',))
+        entries = [self.table.own, *(p.entry for p in self.table.peer_by_id.values())]
+        readers = 0
+        for own in entries:
+            table = InstanceTable(own, is_own_ready=True)
+            for entry in entries:
+                table.learn(entry)
+                table.answered(entry.instance_id, is_ready=True)
+            readers += table.reads_store()
+        # The far instance reads for its own zone.
+        self.assertEqual(readers, HOME_INSTANCES + 1)
+
+    def test_everybody_reads_the_store_where_no_reader_answers(self):
+        self.fill(4 * HOME_INSTANCES, ('zone-a',))
+        for instance_id in self.table.peer_by_id:
+            self.table.missed(instance_id)
+            self.table.missed(instance_id)
+        self.assertTrue(self.table.reads_store())
+
     def test_polls_do_not_grow_with_the_fleet(self):
         self.fill(50)
         self.assertEqual(len(self.table.to_poll()), NEAR_POLLED + FAR_POLLED)
