Hear late answers to probes, and send where no server answers them

Change: probes go on for 1 s in the background; an answer ends the silence; a call is refused only where the choice rests on a server that answers. Tests: test_servers_that_answer_probes_late_are_still_used told 503 before; test_hangup_is_ignored_before_the_program_is_imported failed before.

--- a/Makefile
+++ b/Makefile
@@ -79,3 +79,7 @@
 .PHONY: bench-limits
 bench-limits: install
 	$(RUN) -m benchmarks.limits --seeds 3 --processes 12
+
+.PHONY: soak
+soak: install
+	$(RUN) -m soak --seeds $(SEED)
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -10,7 +10,7 @@
 
 import h11
 import trio
-from attrs import Factory, define
+from attrs import Factory, define, field
 
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
@@ -29,8 +29,10 @@
 #: Servers asked at once, and how often the choice is made again.
 ASKED_AT_ONCE = 3
 ROUNDS = 3
-#: An answer takes a round trip of a few milliseconds at most.
+#: A choice waits so long for answers; most take a round trip of few milliseconds.
 ANSWER_SECONDS = 0.03
+#: A late answer still tells that the server lives and how loaded it is.
+LATE_ANSWER_SECONDS = 1.0
 #: A share of the budget stays unused, since instances may know of each other late.
 BUDGET_SHARE = 0.8
 #: Seconds of a server's budget that may be saved up for a rush.
@@ -74,6 +76,12 @@
     asking: set[str] = Factory(set)
     sent: int = 0
     unanswered: int = 0
+    _nursery: trio.Nursery | None = field(default=None, init=False)
+
+    async def run(self) -> None:
+        """Wait for answers to probes until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            await trio.sleep_forever()
 
     async def refresh(self, router: ServiceRouter, tried: Sequence[str]) -> None:
         """Ask until the choice rests on a fresh report, or the budget is spent."""
@@ -81,10 +89,7 @@
             leaders = self._stale_leaders(router, tried)
             if not leaders:
                 return
-            with trio.move_on_after(self.answer_seconds):
-                async with trio.open_nursery() as nursery:
-                    for load in leaders:
-                        nursery.start_soon(self._ask, router, load)
+            await self._ask_all(router, leaders)
 
     async def look(self, router: ServiceRouter, backend_id: str) -> None:
         """Ask one server, unless the budget is spent."""
@@ -92,8 +97,28 @@
         if load is None or backend_id in self.asking:
             return
         if self._allowance(backend_id).take(self._rate(), self.clock.monotonic()):
-            with trio.move_on_after(self.answer_seconds):
-                await self._ask(router, load)
+            await self._ask_all(router, [load])
+
+    async def _ask_all(self, router: ServiceRouter, loads: list[BackendLoad]) -> None:
+        """Ask servers and wait a moment; later answers still count when they come."""
+        if self._nursery is None:
+            return
+        answered_by_id = {load.backend_id: trio.Event() for load in loads}
+        for load in loads:
+            answered = answered_by_id[load.backend_id]
+            self.asking.add(load.backend_id)
+            self._nursery.start_soon(self._ask, router, load, answered)
+        with trio.move_on_after(self.answer_seconds):
+            for answered in answered_by_id.values():
+                await answered.wait()
+        for backend_id, answered in answered_by_id.items():
+            if not answered.is_set():
+                self._unanswered(router, backend_id)
+
+    def _unanswered(self, router: ServiceRouter, backend_id: str) -> None:
+        self.unanswered += 1
+        router.unanswered(backend_id, self.clock.monotonic())
+        log.info('health: no answer to a probe. backend=%s', backend_id)
 
     def _rate(self) -> float:
         """Return the probes of one server per second that are this instance's own."""
@@ -140,19 +165,23 @@
             self.allowance_by_id[backend_id] = allowance
         return allowance
 
-    async def _ask(self, router: ServiceRouter, load: BackendLoad) -> None:
+    async def _ask(
+        self, router: ServiceRouter, load: BackendLoad, answered: trio.Event
+    ) -> None:
         backend_id = load.backend_id
-        self.asking.add(backend_id)
         self.sent += 1
         is_answered = False
         try:
-            is_answered = await self._exchange(router, load)
+            with trio.move_on_after(LATE_ANSWER_SECONDS):
+                is_answered = await self._exchange(router, load)
+        except Exception:
+            # One probe must not stop the others.
+            log.exception('health: a probe failed. backend=%s', backend_id)
         finally:
             self.asking.discard(backend_id)
-            if not is_answered:
-                self.unanswered += 1
-                router.unanswered(backend_id, self.clock.monotonic())
-                log.info('health: no answer to a probe. backend=%s', backend_id)
+        if not is_answered and not answered.is_set():
+            self._unanswered(router, backend_id)
+        answered.set()
 
     async def _exchange(self, router: ServiceRouter, load: BackendLoad) -> bool:
         backend_id = load.backend_id
@@ -194,5 +223,5 @@
             at = (sent_at + self.clock.monotonic()) / 2
             router.learned(load.backend_id, answer.report, at, picks_before)
         if not answer.is_well:
-            router.unanswered(load.backend_id, self.clock.monotonic())
+            router.unwell(load.backend_id, self.clock.monotonic())
         return True
--- a/catkinslip/limits/timely.py
+++ b/catkinslip/limits/timely.py
@@ -80,8 +80,14 @@
     best_until: float
     priority: int = 0
 
-    def judge(self, expected: float, delay: float, now: float) -> Verdict:
-        """Return what to do with the call when its answer is expected so late."""
+    def judge(
+        self, expected: float, delay: float, now: float, *, is_known: bool = True
+    ) -> Verdict:
+        """Return what to do with the call when its answer is expected so late.
+
+        Where no server answers probes nothing is known, and a refusal could stand for
+        ever: probes that come late would keep it up.
+        """
         if delay <= GOOD_DELAY:
             return Verdict.SEND
         target = self.best_until - self.began
@@ -91,7 +97,7 @@
             return Verdict.SEND
         if now < self.hold_until:
             return Verdict.HOLD
-        return Verdict.REFUSE
+        return Verdict.REFUSE if is_known else Verdict.SEND
 
     def look_seconds(self, now: float) -> float:
         """Return the time until the next look for a server."""
--- /dev/null
+++ b/catkinslip/platform/program.py
@@ -0,0 +1,148 @@
+"""Run one process of a role on the users' platform."""
+
+import logging
+from functools import partial
+
+import trio
+from returns.result import Failure, Success
+
+from catkinslip.discovery.base import InstanceEntry
+from catkinslip.entry import ListenAddresses, serve
+from catkinslip.environment import Environment
+from catkinslip.logs.buffer import LogBuffer
+from catkinslip.logs.flush import LogFlusher
+from catkinslip.logs.setup import configure_buffered
+from catkinslip.logs.writers import open_writer
+from catkinslip.models import Address
+from catkinslip.pages import PageServer
+from catkinslip.platform import names
+from catkinslip.platform.client import (
+    KindSource,
+    StoreClient,
+    StoredInstances,
+    make_pool,
+)
+from catkinslip.platform.decoding import (
+    decode_backend,
+    decode_instance,
+    decode_rules,
+)
+from catkinslip.platform.dialect import PlatformDialect
+from catkinslip.platform.pages import PlatformPages
+from catkinslip.platform.settings import PlatformSettings, read_settings_file
+from catkinslip.status import ExitStatus
+from catkinslip.wiring.entry import (
+    Entry,
+    EntrySettings,
+    Outside,
+    apply_settings,
+    wire_entry,
+)
+
+#: Written in deploy/system.toml too.
+METRICS_PORT = 9464
+METRICS_PORT_VARIABLE = 'CATKINSLIP_METRICS_PORT'
+#: Callers stop using an instance that left within three times as long.
+ADDRESS_SECONDS = 3.0
+
+log = logging.getLogger('lifecycle')
+
+
+def main() -> int:
+    """Read the settings and serve until told to stop."""
+    environment = Environment()
+    match read_settings_file(environment.variables):
+        case Failure(mistakes):
+            for mistake in mistakes:
+                print(f'settings: {mistake}', file=environment.stdout, flush=True)
+            return ExitStatus.USAGE
+        case Success(settings):
+            buffer = configure_buffered('info')
+            trio.run(run, settings, environment, buffer)
+    return ExitStatus.SUCCESS
+
+
+async def run(
+    settings: PlatformSettings, environment: Environment, buffer: LogBuffer
+) -> None:
+    """Serve, and write log lines until the last one."""
+    flusher = LogFlusher(buffer, open_writer(environment.stdout))
+    log.info('lifecycle: starts. instance=%s', settings.instance_id)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(flusher.run)
+        async with make_pool() as pool:
+            client = StoreClient(settings.store_address, pool)
+            entry = make_entry(settings, environment, client, buffer)
+            pages = PageServer(PlatformPages(entry.instances, entry.addresses).makers())
+            addresses = ListenAddresses(
+                callers=settings.caller_address,
+                peers=settings.peer_address,
+                metrics=Address(
+                    settings.caller_address.host, metrics_port(environment)
+                ),
+            )
+            await serve(
+                entry,
+                addresses,
+                {settings.ready_address: pages, settings.directory_address: pages},
+                partial(reload, entry, environment),
+            )
+        nursery.cancel_scope.cancel()
+
+
+def metrics_port(environment: Environment) -> int:
+    """Return the port of the metrics page, which a variable may replace."""
+    text = environment.variables.get(METRICS_PORT_VARIABLE, '')
+    return int(text) if text.isdecimal() else METRICS_PORT
+
+
+def make_entry(
+    settings: PlatformSettings,
+    environment: Environment,
+    client: StoreClient,
+    buffer: LogBuffer,
+) -> Entry:
+    """Return the parts of this instance, which read the platform's store."""
+    outside = Outside(
+        environment=environment,
+        dialect=PlatformDialect(),
+        rules=KindSource(client, names.CONFIG_KIND, decode_rules, names.MAIN_NAME),
+        backends=KindSource(client, names.SERVERS_KIND, decode_backend),
+        instances=KindSource(client, names.INSTANCES_KIND, decode_instance),
+        book=StoredInstances(client),
+        log_buffer=buffer,
+    )
+    return wire_entry(
+        entry_settings(settings),
+        outside,
+    )
+
+
+def entry_settings(settings: PlatformSettings) -> EntrySettings:
+    """Return what the product takes from the platform's settings."""
+    return EntrySettings(
+        own=InstanceEntry(
+            instance_id=settings.instance_id,
+            zone=settings.zone,
+            region=settings.region,
+            caller_address=str(settings.caller_address),
+            peer_address=str(settings.peer_address),
+            report_address=str(settings.report_address),
+        ),
+        seeds=settings.seeds,
+        address_lifetime=min(ADDRESS_SECONDS, settings.max_address_seconds),
+        stop_seconds=settings.stop_seconds,
+        probes_per_second=settings.probes_per_second,
+        resend_share=settings.resend_share,
+        resend_slack=settings.resend_slack,
+    )
+
+
+def reload(entry: Entry, environment: Environment) -> None:
+    """Read the settings file again; a wrong one changes nothing."""
+    match read_settings_file(environment.variables):
+        case Failure(mistakes):
+            for mistake in mistakes:
+                log.error('lifecycle: settings kept as they were. %s', mistake)
+        case Success(settings):
+            apply_settings(entry, entry_settings(settings))
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -95,7 +95,8 @@
                 return None
             now = self.clock.monotonic()
             expected = self._expect(choice.delay)
-            match patience.judge(expected, choice.delay, now):
+            is_known = not self.router.is_silent(choice.backend_id)
+            match patience.judge(expected, choice.delay, now, is_known=is_known):
                 case Verdict.SEND:
                     return None
                 case Verdict.REFUSE:
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -66,6 +66,8 @@
     failure_share: float = 0.0
     pauses: int = 0
     paused_until: float = NEVER
+    #: Whether it has not answered since a probe waited for it in vain.
+    is_silent: bool = False
 
 
 class Estimate(NamedTuple):
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -96,6 +96,8 @@
         if load is None:
             return
         load.in_flight = max(0, load.in_flight - 1)
+        if result.report is not None:
+            end_silence(load, now)
         self.policy.finished(load, result, now)
         if result.report is not None:
             self.policy.reported(load, result.report, now)
@@ -121,6 +123,7 @@
         load = self.load_by_id.get(backend_id)
         is_new = load is not None and at > load.reported_at
         if is_new:
+            end_silence(load, at)
             self.policy.reported(load, report, at)
             load.report = report
             load.reported_at = at
@@ -128,17 +131,37 @@
         return is_new
 
     def unanswered(self, backend_id: str, now: float) -> None:
+        """Avoid a server that did not answer a probe in time, until it answers."""
+        load = self.load_by_id.get(backend_id)
+        if load is not None:
+            load.is_silent = True
+            self.unwell(backend_id, now)
+
+    def unwell(self, backend_id: str, now: float) -> None:
         """Avoid a server that gave no good answer to a probe, for a while."""
         load = self.load_by_id.get(backend_id)
         if load is not None:
             pause(load, now, SILENCE_PAUSE_SECONDS, LONGEST_SILENCE_PAUSE_SECONDS)
 
+    def is_silent(self, backend_id: str) -> bool:
+        """Tell whether a server has not answered since a probe waited in vain."""
+        load = self.load_by_id.get(backend_id)
+        return load is not None and load.is_silent
+
     def picks_since_report(self, backend_id: str) -> int:
         """Return the own picks since the last report of a backend server."""
         load = self.load_by_id.get(backend_id)
         return 0 if load is None else load.picks_since_report
 
 
+def end_silence(load: BackendLoad, now: float) -> None:
+    """Stop to avoid a server that answers again."""
+    if load.is_silent:
+        load.is_silent = False
+        load.paused_until = now
+        load.pauses = 0
+
+
 def takes_work(
     loads: Sequence[BackendLoad], excluded: Collection[str]
 ) -> list[BackendLoad]:
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -125,6 +125,7 @@
             self.hedges.run,
             self.lag.run,
             self.sharer.run,
+            self.sampler.run,
         )
 
 
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -37,6 +37,8 @@
     server_id: str
     slots: int = 2
     work_seconds: float = 0.0
+    #: Time until a probe is answered.
+    probe_seconds: float = 0.0
     #: Time that work takes, in percent of the usual.
     percent: int = 100
     fault: Fault = Fault.NONE
@@ -70,6 +72,7 @@
             await trio.sleep_forever()
         if head.target.decode() == HEALTH_PATH:
             self.probes += 1
+            await trio.sleep(self.probe_seconds)
             await self._send(stream, codec, 200, [], b'')
             return True
         return await self._work(stream, codec, head, body)
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -13,9 +13,9 @@
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.models import Address
 from catkinslip.pages import PageServer
-from catkinslip.platform.__main__ import make_entry
 from catkinslip.platform.client import StoreClient, make_pool
 from catkinslip.platform.pages import PlatformPages
+from catkinslip.platform.program import make_entry
 from catkinslip.platform.settings import read_settings
 from catkinslip.wiring.entry import Entry
 from standins.objects import ObjectsStandin, serve_objects
--- a/tests/test_limits_timely.py
+++ b/tests/test_limits_timely.py
@@ -56,6 +56,11 @@
         # Else a wrong estimate would refuse all calls and never be corrected.
         self.assertIs(self.patience.judge(9.0, GOOD_DELAY, 10.3), Verdict.SEND)
 
+    def test_call_is_sent_where_no_server_answers_probes(self):
+        after = self.patience.hold_until
+        verdict = self.patience.judge(9.0, 21.0, after, is_known=False)
+        self.assertIs(verdict, Verdict.SEND)
+
     def test_less_urgent_call_must_leave_time_to_spare(self):
         patience = Patience(10.0, 10.0 + TARGET, priority=2)
         self.assertIs(patience.judge(0.35, 2.0, 10.0), Verdict.HOLD)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -138,6 +138,16 @@
 
         on_platform(check)
 
+    def test_servers_that_answer_probes_late_are_still_used(self):
+        async def check(platform):
+            await two_workers(platform, probe_seconds=0.1)
+            platform.entries[0].sampler.answer_seconds = 0.02
+            for number in range(4):
+                answer = await platform.ask('POST', '/p/x', request_id=f'r{number}')
+                self.assertEqual(answer.status_code, 200)
+
+        on_platform(check)
+
     def test_slowed_server_is_not_chosen(self):
         async def check(platform):
             first, second = await two_workers(platform)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -17,6 +17,14 @@
 
 MODULE = 'catkinslip.platform'
 END_SECONDS = 20.0
+#: Starts the program with a stand-in that ends with 0 if the signal is ignored.
+START_WITH_STUB = """
+import runpy, signal, sys, types
+program = types.ModuleType('catkinslip.platform.program')
+program.main = lambda: int(signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN)
+sys.modules['catkinslip.platform.program'] = program
+runpy.run_module('catkinslip.platform', run_name='__main__')
+"""
 
 
 class ProcessTest(unittest.TestCase):
@@ -76,6 +84,12 @@
         self.assertIsNone(process.poll())
         self.assertEqual(self.ready_status(), 503)
 
+    def test_hangup_is_ignored_before_the_program_is_imported(self):
+        done = subprocess.run(
+            [sys.executable, '-c', START_WITH_STUB], cwd=ROOT, timeout=END_SECONDS
+        )
+        self.assertEqual(done.returncode, 0)
+
     def test_termination_ends_it_well_before_it_is_killed(self):
         process = self.start()
         began = time.monotonic()
