Check the resend budget again right before a retry or hedge starts

Cause: since choices wait for probes, a retry or hedge that was granted may start milliseconds later; calls that waited together could all take the last token, and the budget fell below zero. Ruled out: taking the token when the retry is granted; a call that is refused after its wait would then have spent it. Change: the plan is asked again right before the start, with no wait in between. Test: test_retry_whose_token_went_to_another_call_is_not_sent failed before (the retry was answered with a token that was gone).

--- a/catkinslip/limits/plan.py
+++ b/catkinslip/limits/plan.py
@@ -39,6 +39,10 @@
     doubt: Unknown | None = None
     refusal: NotRun = NotRun(Reason.NO_BACKEND)
 
+    def may_start(self) -> bool:
+        """Tell whether an attempt may still start; other calls may take tokens."""
+        return not self.sent or self.budget.has()
+
     def start(self) -> int:
         """Count an attempt that starts now and return its number."""
         if self.sent:
@@ -111,4 +115,4 @@
             return False
         if outcome.reason in FINAL_REASONS or now >= self.deadline:
             return False
-        return not self.sent or self.budget.has()
+        return self.may_start()
--- a/catkinslip/proxy/race.py
+++ b/catkinslip/proxy/race.py
@@ -41,12 +41,13 @@
         runner = self.runner
         if self.is_over:
             return
-        if runner.plan.may_hedge(runner.clock.monotonic()):
+        if self._may_hedge():
             await self._look_at_first()
             if self.is_over:
                 return
-            if self.is_first_slow():
-                self.second = runner.launch(hedge=True)
+            # Another call may have taken the last token during the look.
+            if self._may_hedge() and self.is_first_slow():
+                self.second = runner.launch_hedge()
         if self.second is None:
             delay = self.delay if self.launched_speed is None else LOOK_AGAIN_SECONDS
             runner.hedges.add(delay, self)
@@ -57,6 +58,9 @@
             self.first_scope.cancel()
         self.second_ended.set()
 
+    def _may_hedge(self) -> bool:
+        return self.runner.plan.may_hedge(self.runner.clock.monotonic())
+
     async def _look_at_first(self) -> None:
         if self.launched_speed is not None:
             first = self.runner.launches[0]
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -29,6 +29,7 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.race import Race
 from catkinslip.proxy.wire import Wire
+from catkinslip.routing.base import Choice
 from catkinslip.routing.router import ServiceRouter
 
 ANSWER_GRACE_SECONDS = 1.0
@@ -71,34 +72,38 @@
 
     async def _run_attempts(self) -> Outcome:
         while True:
-            refusal = await self._wait_for_server()
-            if refusal is not None:
-                self.plan.refused(refusal)
+            choice = await self._wait_for_server()
+            if isinstance(choice, NotRun):
+                self.plan.refused(choice)
                 return self.plan.told()
-            launch = self.launch()
-            if launch is None:
+            # Another call may have taken the last token during the wait.
+            if choice is None or not self.plan.may_start():
                 return self.plan.told()
+            launch = self._launch(choice, self.plan.start(), choice.reason)
             ended = await self._await_head(launch)
             if isinstance(ended.result, AnswerHead):
                 return await self._pass_on(ended, ended.result)
             if ended.step is Step.STOP:
                 return self.plan.told()
 
-    async def _wait_for_server(self) -> NotRun | None:
-        """Return once a server is expected to answer in time, or why none is."""
+    async def _wait_for_server(self) -> Choice | NotRun | None:
+        """Return a server that is expected to answer in time, or why none is.
+
+        None where no server is left to choose.
+        """
         call = self.call
         patience = Patience(self.began, call.best_until, call.priority)
         while True:
             await self.sampler.refresh(self.router, self._tried())
             choice = self.health.choose(self.router, self._tried())
             if choice is None or call.best_until == inf:
-                return None
+                return choice
             now = self.clock.monotonic()
             expected = self._expect(choice.delay)
             is_known = not self.router.is_silent(choice.backend_id)
             match patience.judge(expected, choice.delay, now, is_known=is_known):
                 case Verdict.SEND:
-                    return None
+                    return choice
                 case Verdict.REFUSE:
                     refusal = patience.refusal(expected, now, self.random)
                     log.info(
@@ -112,22 +117,23 @@
                     return refusal
             await trio.sleep(patience.look_seconds(now))
 
-    def launch(self, *, hedge: bool = False) -> Launch | None:
-        """Choose a server and make an attempt of it; None when there is none."""
-        now = self.clock.monotonic()
+    def launch_hedge(self) -> Launch | None:
+        """Make a second attempt; None when no server has an idle slot for it."""
         choice = self.health.choose(self.router, self._tried())
-        if choice is None:
-            return None
-        if hedge and not self.limits.has_idle_slot(choice.backend_id):
+        if choice is None or not self.limits.has_idle_slot(choice.backend_id):
             return None
+        return self._launch(choice, self.plan.hedge(), f'hedge, {choice.reason}')
+
+    def _launch(self, choice: Choice, number: int, reason: object) -> Launch:
+        """Make the attempt with a number of a chosen server."""
+        now = self.clock.monotonic()
         log.info(
             'routing: %s %s goes to %s, %s.',
             self.call.request_id,
             self.call.service,
             choice.backend_id,
-            f'hedge, {choice.reason}' if hedge else choice.reason,
+            reason,
         )
-        number = self.plan.hedge() if hedge else self.plan.start()
         self.observer.decided(self.call, choice, number)
         address = self.health.directory.address_by_backend[choice.backend_id]
         on_head = partial(self.health.answered, choice.backend_id)
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -13,6 +13,7 @@
 
 from catkinslip.clock import Clock
 from catkinslip.config.documents import AcceptedConfig
+from catkinslip.health.base import NoSampler
 from catkinslip.health.tracker import make_tracker
 from catkinslip.limits.base import LimitSettings
 from catkinslip.limits.budget import ExtraBudget
@@ -131,7 +132,22 @@
     in_use: int
 
 
-def forward(scripts, *, repeatable, attempt=1, tokens=5.0, limits=None) -> Result:
+@define
+class Rival(NoSampler):
+    """Take the budget's tokens, as another call may, while a retry waits."""
+
+    budget: ExtraBudget | None = None
+    waits: int = 0
+
+    async def refresh(self, router, tried) -> None:
+        self.waits += 1
+        if self.waits > 1:
+            self.budget.tokens = 0.0
+
+
+def forward(
+    scripts, *, repeatable, attempt=1, tokens=5.0, limits=None, rival=None
+) -> Result:
     """Forward one call on a virtual clock."""
 
     async def main() -> Result:
@@ -143,6 +159,9 @@
             service = forwarder.limits.limits_of('limits', router, 0.0)
             service.budget.tokens = tokens
             service.latency.value = HEDGE_DELAY
+            if rival is not None:
+                rival.budget = service.budget
+                forwarder.sampler = rival
             near, far = trio.testing.memory_stream_pair()
             call = Call(
                 request_id='r1',
@@ -345,6 +364,24 @@
             ended = plan.ended(refusal, 0.0, is_sent=True, is_resendable=is_resendable)
             self.assertIs(ended, step)
 
+    def test_retry_whose_token_went_to_another_call_is_not_sent(self):
+        rival = Rival()
+        result = forward(['shed', 'answer'], repeatable=True, tokens=1.0, rival=rival)
+        self.assertIs(result.outcome.reason, Reason.SHED)
+        self.assertEqual(result.pool.ledger, [])
+        self.assertGreaterEqual(rival.budget.tokens, 0.0)
+
+    def test_token_that_another_call_took_meanwhile_starts_no_attempt(self):
+        budget = ExtraBudget(0.0, 10.0, 1.0)
+        plans = [CallPlan(True, True, DEADLINE, budget) for _ in range(2)]
+        for plan in plans:
+            plan.start()
+            step = plan.ended(NotRun(Reason.SHED), 0.0, is_sent=True)
+            self.assertIs(step, Step.RETRY)
+        plans[0].start()
+        self.assertFalse(plans[1].may_start())
+        self.assertEqual(budget.tokens, 0.0)
+
     def test_layers_do_not_multiply(self):
         self.assertEqual(requests_at_the_last_layer(12, attempt=1), 25)
 
