Wait for an address that a connection holds instead of ending

Cause: an outgoing connection of the machine may have an instance's own port while the instance is down; its next start then ended with 1. Shown by a process test: the port is held by a connection, the process ended at once (test failed), and with the change it waits and serves once it is free. Ruled out as the only remedy: test ports below the kernel's own range, which is the test's side only; a deployment draws its ports from anywhere. Before: ended with 1. After: a line 'waits for an address in use', then ready.

--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -1,5 +1,6 @@
 """Run an instance: open its listeners, follow the store, serve until told to stop."""
 
+import errno
 import gc
 import logging
 from collections.abc import Awaitable, Callable
@@ -22,6 +23,10 @@
 #: Requests that came in last are given this long before connections are closed.
 LAST_REQUEST_SECONDS = 1.5
 READY_CHECK_SECONDS = 0.02
+#: A connection that goes out may hold an address while the instance was down; most of
+#: them are gone within seconds.
+ADDRESS_WAIT_SECONDS = 10.0
+ADDRESS_LOOK_SECONDS = 0.05
 #: The store may be away; peers learn of the stop from the next poll all the same.
 WITHDRAW_SECONDS = 1.0
 PLAIN_TEXT = b'text/plain; version=0.0.4; charset=utf-8'
@@ -74,7 +79,7 @@
         await nursery.start(listen, server.serve, address)
     metrics = PageServer({'/metrics': partial(metrics_page, entry)})
     try:
-        await nursery.start(listen, metrics.serve, addresses.metrics)
+        await nursery.start(listen, metrics.serve, addresses.metrics, 0.0)
     except OSError as error:
         # Callers are served all the same.
         log.error('lifecycle: no metrics at %s. error=%s', addresses.metrics, error)
@@ -85,16 +90,37 @@
 
 
 async def listen(
-    handler: Handler, address: Address, task_status=trio.TASK_STATUS_IGNORED
+    handler: Handler,
+    address: Address,
+    wait_seconds: float = ADDRESS_WAIT_SECONDS,
+    task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accept connections at an address until cancelled."""
-    listeners = await trio.open_tcp_listeners(
-        address.port, host=address.host, backlog=LISTEN_BACKLOG
-    )
+    listeners = await open_listeners(address, wait_seconds)
     task_status.started()
     await trio.serve_listeners(handler, listeners)
 
 
+async def open_listeners(
+    address: Address, wait_seconds: float
+) -> list[trio.SocketListener]:
+    """Open an address, once it is free; OSError if it is not in some seconds."""
+    end = trio.current_time() + wait_seconds
+    is_told = False
+    while True:
+        try:
+            return await trio.open_tcp_listeners(
+                address.port, host=address.host, backlog=LISTEN_BACKLOG
+            )
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or trio.current_time() >= end:
+                raise
+        if not is_told:
+            log.warning('lifecycle: waits for an address in use. address=%s', address)
+            is_told = True
+        await trio.sleep(ADDRESS_LOOK_SECONDS)
+
+
 async def become_ready(entry: Entry) -> None:
     """Take callers as soon as rules and backend servers are known."""
     while not entry.assembler.is_ready:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -2,6 +2,8 @@
 
 import os
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -48,6 +50,12 @@
 
     def start(self) -> subprocess.Popen:
         """Start the process and wait until it answers."""
+        process = self.launch()
+        wait_until(lambda: self.ready_status() is not None)
+        return process
+
+    def launch(self) -> subprocess.Popen:
+        """Start the process."""
         process = subprocess.Popen(
             [sys.executable, '-m', MODULE],
             cwd=ROOT,
@@ -58,7 +66,6 @@
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
         self.addCleanup(process.stdout.close)
-        wait_until(lambda: self.ready_status() is not None)
         return process
 
     def ready_status(self) -> int | None:
@@ -84,6 +91,20 @@
         self.assertIsNone(process.poll())
         self.assertEqual(self.ready_status(), 503)
 
+    def test_address_that_a_connection_holds_is_waited_for(self):
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            holder = socket.create_connection(
+                server.getsockname(), source_address=('127.0.0.1', self.ports['ready'])
+            )
+            process = self.launch()
+            while 'address in use' not in (line := process.stdout.readline()):
+                self.assertTrue(line, 'the process ended')
+            # A reset leaves no state behind that would hold the address longer.
+            linger = struct.pack('ii', 1, 0)
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            holder.close()
+            wait_until(lambda: self.ready_status() is not None)
+
     def test_hangup_is_ignored_before_the_program_is_imported(self):
         done = subprocess.run(
             [sys.executable, '-c', START_WITH_STUB], cwd=ROOT, timeout=END_SECONDS
