Take a listing of several pages as of its first page

Cause: a listing told the revision of its last page, so a change to an earlier page while later ones were read was neither in it nor in the watch that went on from there: a server that left in that moment stayed in use. Found by reading; lists of more than one page occur on the grown sites. Change: the revision of the first page. What later pages already show comes once more as news, which changes nothing. Test: a server of page 1 is removed before page 2 is read; it failed (no news) and now passes. The stand-in of the store pages as told.

--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -137,6 +137,8 @@
         """Read every value; a stale answer is cheaper and seconds old."""
         value_by_name: dict[str, Value] = {}
         after = ''
+        # Changes between two pages are news after the first of them.
+        revision = None
         while True:
             query = f'?after={after}' if after else ''
             if may_be_stale:
@@ -149,8 +151,10 @@
                 for item in reply.body['items']:
                     after = item['metadata']['name']
                     self._decode_into(value_by_name, after, item)
+                if revision is None:
+                    revision = reply.body['as_of']
                 if not reply.body.get('more'):
-                    return Success(Listing(value_by_name, reply.body['as_of']))
+                    return Success(Listing(value_by_name, revision))
             except DECODE_ERRORS as error:
                 return Failure(Unavailable(f'a listing cannot be read, {error!r}'))
 
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -38,6 +38,9 @@
     forgotten: int = 0
     faults: StoreFaults = Factory(StoreFaults)
     calls: list[str] = Factory(list)
+    page_items: int = PAGE_ITEMS
+    #: Called after each page of a listing.
+    on_page: Callable[[], None] = lambda: None
     changed: trio.Event = Factory(trio.Event)
 
     def put(self, kind: str, name: str, spec: object, status: object = None) -> dict:
@@ -105,9 +108,11 @@
         after = request.args.get('after', '')
         names = sorted(name for each, name in self.item_by_key if each == kind)
         names = [name for name in names if name > after]
-        items = [self.item_by_key[kind, name] for name in names[:PAGE_ITEMS]]
-        more = len(names) > PAGE_ITEMS
-        return jsonify({'items': items, 'more': more, 'as_of': self.revision})
+        items = [self.item_by_key[kind, name] for name in names[: self.page_items]]
+        more = len(names) > self.page_items
+        answer = jsonify({'items': items, 'more': more, 'as_of': self.revision})
+        self.on_page()
+        return answer
 
     async def _watch(self, kind: str):
         since = int(request.args['watch'])
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,48 @@
+"""What is read from the platform's store."""
+
+import unittest
+
+from catkinslip.models import Address
+from catkinslip.platform import names
+from catkinslip.platform.client import KindSource, StoreClient
+from catkinslip.platform.decoding import decode_backend
+from tests.small_platform import SmallPlatform, on_platform
+
+
+def backends(platform: SmallPlatform) -> KindSource:
+    """Return the source of the registered servers."""
+    address = Address('127.0.0.1', platform.store_port)
+    return KindSource(
+        StoreClient(address, platform.pool), names.SERVERS_KIND, decode_backend
+    )
+
+
+class ListingTest(unittest.TestCase):
+    """Listings of several pages."""
+
+    def test_change_between_two_pages_is_news_after_the_listing(self):
+        async def check(platform):
+            store = platform.store
+            for number in range(5):
+                platform.register(f'i-{number}', 'one', 9000 + number)
+            store.page_items = 2
+            pages = []
+
+            def remove_from_the_first_page():
+                pages.append(True)
+                if len(pages) == 1:
+                    store.remove('servers', 'i-0')
+
+            store.on_page = remove_from_the_first_page
+            source = backends(platform)
+            listing = (await source.read_all()).unwrap()
+            self.assertEqual(len(pages), 3)
+            self.assertEqual(len(listing.value_by_name), 5)
+            news = (await source.wait_for_news(listing.revision, 1.0)).unwrap()
+            self.assertEqual(news.changes, (('i-0', None),))
+
+        on_platform(check)
+
+
+if __name__ == '__main__':
+    unittest.main()
