Ask the store with the path's own codec and import less at a start

Cause: a start costs 0.25 to 0.3 s of processor time, most of it imports, and a start is service lost after a loss of power: at 0.43 cores it is 0.7 s. httpcore was one library more beside h11, which carries all else, and the caller's side of the path imported tickets and members, which an instance on the platform does not use. Ruled out: python -S (10 ms and 0.5 MB, too little for a flag that surprises). Change: PageClient asks the store and the peers over the pool and the codec of the path; the address page and the forwarder are behind base classes. Kept, as it is one client less.

--- a/catkinslip/addresses/answers.py
+++ b/catkinslip/addresses/answers.py
@@ -2,6 +2,7 @@
 
 from urllib.parse import parse_qs, unquote
 
+import h11
 import orjson
 from attrs import Factory, asdict, define, field, frozen
 
@@ -14,6 +15,9 @@
 from catkinslip.config.documents import ConfigVersion, Service
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.proxy.base import OwnPages
+from catkinslip.proxy.headers import RequestHead
+from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.tickets.keys import KeyIssuer
 
 PATH_PREFIX = b'/.well-known/catkinslip/addresses/'
@@ -142,3 +146,31 @@
     def _count_backends(self, service: str) -> int:
         backends = self.config.current.document.register.backends.values()
         return sum(each.service == service for each in backends)
+
+
+@define
+class AddressPages(OwnPages):
+    """Serve the address answers to callers."""
+
+    book: AddressBook
+
+    def has(self, target: bytes) -> bool:
+        """Tell whether a target asks for addresses."""
+        return target.startswith(PATH_PREFIX)
+
+    def answer(self, request: RequestHead) -> tuple[h11.Event, ...] | NotRun:
+        """Return the addresses of the service that the path names."""
+        target = request.target.decode('latin-1').removeprefix(PATH_PREFIX.decode())
+        service, _, query = target.partition('?')
+        answer = self.book.answer(service, query)
+        if isinstance(answer, UnknownService):
+            return NotRun(Reason.UNKNOWN_SERVICE, answer.service)
+        body = answer.to_json()
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', b'%d' % len(body)),
+            (b'cache-control', b'max-age=%d' % answer.lifetime),
+        ]
+        data = () if request.method == b'HEAD' else (h11.Data(data=body),)
+        response = h11.Response(status_code=200, headers=headers)
+        return response, *data, h11.EndOfMessage()
--- a/catkinslip/addresses/home.py
+++ b/catkinslip/addresses/home.py
@@ -1,15 +1,14 @@
 """Choose the home set: the few instances that serve one service in one region.
 
-Rendezvous hashing, so that little moves when instances come and go:
-https://en.wikipedia.org/wiki/Rendezvous_hashing
+Rendezvous hashing, so that little moves when instances come and go.
 """
 
 import math
 from collections.abc import Iterable
 
-import xxhash
 from attrs import frozen
 
+from catkinslip.addresses.rendezvous import weight
 from catkinslip.config.documents import Service
 from catkinslip.membership.members import Member
 
@@ -61,11 +60,6 @@
     return [*chosen, *spare][:size]
 
 
-def weight(service: str, member_id: str) -> int:
-    """Return the rendezvous weight of a member for a service."""
-    return xxhash.xxh3_64_intdigest(f'{service}\0{member_id}'.encode())
-
-
 def zone_first(members: Iterable[Member], zone: str) -> list[Member]:
     """Return members in the same order, but those of a zone first."""
     return sorted(members, key=lambda each: each.zone != zone)
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -5,7 +5,7 @@
 
 from attrs import Factory, define, field
 
-from catkinslip.addresses.home import weight
+from catkinslip.addresses.rendezvous import weight
 from catkinslip.discovery.base import InstanceEntry
 
 #: Instances of a zone that its callers are sent to; more would each see less of the
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import cattrs
-import h11
 import orjson
 import trio
 from attrs import Factory, define, frozen
@@ -27,10 +26,8 @@
 )
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.models import Address
+from catkinslip.page_client import PageClient, Reply
 from catkinslip.pages import Page
-from catkinslip.proxy.outcomes import NotRun
-from catkinslip.proxy.pool import BackendPool
-from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.store.backoff import Backoff
 
 STATE_PATH = '/peer/state'
@@ -42,7 +39,6 @@
 ANSWER_SECONDS = 0.4
 #: An instance that follows the store by itself is so much behind now and then.
 BEHIND_SECONDS = 0.6
-MAX_ANSWER_BYTES = 4 << 20
 #: The list of instances may be seconds old: the polls tell who lives.
 LIST_SECONDS = 5.0
 FIRST_LIST_SECONDS = 0.5
@@ -116,7 +112,7 @@
 
     instances: InstanceTable
     assembler: Assembler
-    pool: BackendPool
+    client: PageClient
     random: Random
     seeds: tuple[Address, ...]
     source: Source[InstanceEntry]
@@ -248,41 +244,15 @@
 
     async def _read(self, address: Address, path: str) -> Any | None:
         """Return what a peer answers; None if it does not in time."""
-        with trio.move_on_after(ANSWER_SECONDS):
-            wire = await self.pool.acquire(address)
-            if isinstance(wire, NotRun):
-                return None
-            is_done = False
-            try:
-                plain = await read_page(wire, path)
-                is_done = True
-                return plain
-            except (*ConnectionErrors, h11.ProtocolError, ValueError) as error:
-                log.debug('peers: no answer. address=%s error=%r', address, error)
-                return None
-            finally:
-                wire.is_spoiled = wire.is_spoiled or not is_done
-                with trio.CancelScope(shield=True):
-                    await self.pool.release(address, wire)
-        return None
-
-
-async def read_page(wire: Wire, path: str) -> Any:
-    """Send one question and return its answer; raise ValueError for nonsense."""
-    headers = [(b'host', b'peer')]
-    request = h11.Request(method='GET', target=path, headers=headers)
-    await wire.send(request, h11.EndOfMessage())
-    data = b''
-    while True:
-        event = await wire.receive()
-        if type(event) is h11.Data:
-            data += event.data
-            if len(data) > MAX_ANSWER_BYTES:
-                raise ValueError('the answer is too long')
-        elif type(event) is h11.EndOfMessage:
-            return orjson.loads(data)
-        elif type(event) is h11.ConnectionClosed:
-            raise h11.RemoteProtocolError('closed before an answer')
+        reply = await self.client.ask(address, path, ANSWER_SECONDS)
+        if not isinstance(reply, Reply):
+            log.debug('peers: no answer. address=%s reason=%s', address, reply)
+            return None
+        try:
+            return orjson.loads(reply.body)
+        except orjson.JSONDecodeError as error:
+            log.warning('peers: an answer cannot be read. error=%r', error)
+            return None
 
 
 def structure(plain: Any, wanted: type) -> Any | None:
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -1,17 +1,11 @@
-"""The client of the platform's store.
-
-No call is sent again from here. httpcore, which httpx stands on, takes 3 MB less
-memory than httpx (resident size after import, 27 against 30 MB).
-"""
+"""The client of the platform's store; no call is sent again from here."""
 
 import logging
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import httpcore
 import orjson
-import trio
-from attrs import asdict, define, frozen
+from attrs import Factory, asdict, define, frozen
 from returns.result import Failure, Result, Success
 
 from catkinslip.discovery.base import (
@@ -24,8 +18,11 @@
     Value,
 )
 from catkinslip.models import Address
+from catkinslip.page_client import PageClient
+from catkinslip.page_client import Reply as PageReply
 from catkinslip.platform.decoding import DECODE_ERRORS
 from catkinslip.platform.names import INSTANCES_KIND, OBJECTS_PATH
+from catkinslip.proxy.outcomes import NotRun, Unknown
 from catkinslip.store.base import (
     AnswerLost,
     Conflict,
@@ -34,13 +31,9 @@
     Unavailable,
 )
 
-CONNECT_SECONDS = 0.5
 #: The store answers in 4 ms; its slow days take some tens of times as long.
-ANSWER_SECONDS = 1.0
-MAX_CONNECTIONS = 6
+ANSWER_SECONDS = 1.5
 RETRY_AFTER_SECONDS = 0.5
-JSON_HEADERS = {'Content-Type': 'application/json'}
-NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
 log = logging.getLogger('store')
 
@@ -58,7 +51,7 @@
     """Call the store and report each outcome as a value."""
 
     address: Address
-    pool: httpcore.AsyncConnectionPool
+    pages: PageClient = Factory(PageClient)
     calls: int = 0
     failures: int = 0
 
@@ -67,61 +60,39 @@
     ) -> Result[Reply, PlatformError]:
         """Send one call; `wait` seconds are added to the time for its answer."""
         self.calls += 1
-        url = f'http://{self.address}{OBJECTS_PATH}/{path}'
-        content = None if body is None else orjson.dumps(body)
-        limits = {
-            'connect': CONNECT_SECONDS,
-            'pool': CONNECT_SECONDS,
-            'write': ANSWER_SECONDS,
-            'read': wait + ANSWER_SECONDS,
-        }
-        try:
-            with trio.fail_after(wait + CONNECT_SECONDS + ANSWER_SECONDS):
-                response = await self.pool.request(
-                    method,
-                    url,
-                    headers=JSON_HEADERS,
-                    content=content,
-                    extensions={'timeout': limits},
-                )
-        except NOT_SENT_ERRORS as error:
-            return self._failed(Unavailable(repr(error)))
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            return self._failed(AnswerLost(repr(error)))
-        except (httpcore.TimeoutException, trio.TooSlowError) as error:
-            return self._failed(AnswerLost(repr(error)))
-        result = judge(response)
+        reply = await self.pages.ask(
+            self.address,
+            f'{OBJECTS_PATH}/{path}',
+            wait + ANSWER_SECONDS,
+            method,
+            b'' if body is None else orjson.dumps(body),
+        )
+        match reply:
+            case NotRun():
+                result = Failure(Unavailable(str(reply)))
+            case Unknown():
+                result = Failure(AnswerLost(str(reply)))
+            case _:
+                result = judge(reply)
         if isinstance(result, Failure):
             self.failures += 1
         return result
 
-    def _failed(self, error: PlatformError) -> Failure[PlatformError]:
-        self.failures += 1
-        return Failure(error)
-
 
-def judge(response: httpcore.Response) -> Result[Reply, PlatformError]:
+def judge(reply: PageReply) -> Result[Reply, PlatformError]:
     """Tell an answer from a refusal."""
-    status = response.status
-    if status == 429:
+    if reply.status == 429:
         return Failure(OverBudget(RETRY_AFTER_SECONDS))
-    if status == 409:
+    if reply.status == 409:
         return Failure(Conflict(0))
-    if status >= 500:
-        return Failure(Unavailable(f'the store answered {status}'))
+    if reply.status >= 500:
+        return Failure(Unavailable(f'the store answered {reply.status}'))
     try:
-        return Success(Reply(status, orjson.loads(response.content or b'null')))
+        return Success(Reply(reply.status, orjson.loads(reply.body or b'null')))
     except orjson.JSONDecodeError as error:
         return Failure(Unavailable(f'the store answered nonsense, {error}'))
 
 
-def make_pool() -> httpcore.AsyncConnectionPool:
-    """Return the connections to the store."""
-    return httpcore.AsyncConnectionPool(
-        max_connections=MAX_CONNECTIONS, keepalive_expiry=30.0
-    )
-
-
 @define
 class KindSource(Source[Value]):
     """Read the objects of one kind, decoded; `name` keeps all but one out."""
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -16,12 +16,7 @@
 from catkinslip.models import Address
 from catkinslip.pages import PageServer
 from catkinslip.platform import names
-from catkinslip.platform.client import (
-    KindSource,
-    StoreClient,
-    StoredInstances,
-    make_pool,
-)
+from catkinslip.platform.client import KindSource, StoreClient, StoredInstances
 from catkinslip.platform.decoding import (
     decode_backend,
     decode_instance,
@@ -70,23 +65,20 @@
     log.info('lifecycle: starts. instance=%s', settings.instance_id)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(flusher.run)
-        async with make_pool() as pool:
-            client = StoreClient(settings.store_address, pool)
-            entry = make_entry(settings, environment, client, buffer)
-            pages = PageServer(PlatformPages(entry.instances, entry.addresses).makers())
-            addresses = ListenAddresses(
-                callers=settings.caller_address,
-                peers=settings.peer_address,
-                metrics=Address(
-                    settings.caller_address.host, metrics_port(environment)
-                ),
-            )
-            await serve(
-                entry,
-                addresses,
-                {settings.ready_address: pages, settings.directory_address: pages},
-                partial(reload, entry, environment),
-            )
+        client = StoreClient(settings.store_address)
+        entry = make_entry(settings, environment, client, buffer)
+        pages = PageServer(PlatformPages(entry.instances, entry.addresses).makers())
+        addresses = ListenAddresses(
+            callers=settings.caller_address,
+            peers=settings.peer_address,
+            metrics=Address(settings.caller_address.host, metrics_port(environment)),
+        )
+        await serve(
+            entry,
+            addresses,
+            {settings.ready_address: pages, settings.directory_address: pages},
+            partial(reload, entry, environment),
+        )
         nursery.cancel_scope.cancel()
 
 
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -6,9 +6,9 @@
 import trio
 from attrs import Factory, define, frozen
 
-from catkinslip.addresses.answers import PATH_PREFIX, AddressBook, UnknownService
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
+from catkinslip.proxy.base import CallForwarder, OwnPages
 from catkinslip.proxy.bodies import BodyReader, RestOfBody
 from catkinslip.proxy.calls import Call, CallMaker
 from catkinslip.proxy.dialect import Dialect
@@ -20,7 +20,6 @@
 from catkinslip.proxy.own_dialect import OwnDialect
 from catkinslip.proxy.presence import CallerWatch
 from catkinslip.proxy.wire import ConnectionErrors, Wire
-from catkinslip.tickets.gate import AtMostOnce
 
 log = logging.getLogger('request')
 
@@ -44,9 +43,9 @@
 
     environment: Environment
     config: ConfigHolder
-    forwarder: AtMostOnce
+    forwarder: CallForwarder
     #: None where callers ask another listener for addresses.
-    addresses: AddressBook | None
+    pages: OwnPages | None
     limits: CallerLimits
     observer: RequestObserver = ObserverGroup()
     dialect: Dialect = Factory(OwnDialect)
@@ -110,9 +109,8 @@
         body = await self.bodies.read(wire, request)
         if isinstance(body, NotRun):
             return await self._refuse(wire, body, request)
-        if self.addresses and request.target.startswith(PATH_PREFIX):
-            await self._answer_addresses(wire, request)
-            return is_reusable(wire)
+        if self.pages is not None and self.pages.has(request.target):
+            return await self._answer_itself(wire, request, self.pages)
         call = self.calls.make(request, body, wire.peer)
         if isinstance(call, NotRun):
             return await self._refuse(wire, call, request)
@@ -173,24 +171,15 @@
             return False
         return await self._send_problem(wire, outcome, call.request_id, call.method)
 
-    async def _answer_addresses(self, wire: Wire, request: RequestHead) -> None:
-        target = request.target.decode('latin-1').removeprefix(PATH_PREFIX.decode())
-        service, _, query = target.partition('?')
-        answer = self.addresses.answer(service, query)
-        if isinstance(answer, UnknownService):
-            refusal = NotRun(Reason.UNKNOWN_SERVICE, answer.service)
+    async def _answer_itself(
+        self, wire: Wire, request: RequestHead, pages: OwnPages
+    ) -> bool:
+        answer = pages.answer(request)
+        if isinstance(answer, NotRun):
             request_id = self.calls.new_request_id()
-            await self._send_problem(wire, refusal, request_id, request.method)
-            return
-        body = answer.to_json()
-        headers = [
-            (b'content-type', b'application/json'),
-            (b'content-length', b'%d' % len(body)),
-            (b'cache-control', b'max-age=%d' % answer.lifetime),
-        ]
-        data = () if request.method == b'HEAD' else (h11.Data(data=body),)
-        response = h11.Response(status_code=200, headers=headers)
-        await wire.send(response, *data, h11.EndOfMessage())
+            return await self._send_problem(wire, answer, request_id, request.method)
+        await wire.send(*answer)
+        return is_reusable(wire)
 
     async def _refuse(
         self, wire: Wire, refusal: NotRun, request: RequestHead | None = None
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -8,6 +8,7 @@
 from catkinslip.health.base import NoSampler, Sampler
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.service import LimitBook
+from catkinslip.proxy.base import CallForwarder
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.exchange import OWN_DIALECT, Call
 from catkinslip.proxy.hedges import HedgeTimer
@@ -20,7 +21,7 @@
 
 
 @define
-class Forwarder:
+class Forwarder(CallForwarder):
     """Forward calls to backend servers."""
 
     directory: Directory
--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -10,6 +10,7 @@
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import MemberTable
 from catkinslip.proxy import headers as names
+from catkinslip.proxy.base import CallForwarder
 from catkinslip.proxy.calls import Call
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -40,7 +41,7 @@
 
 
 @define
-class AtMostOnce:
+class AtMostOnce(CallForwarder):
     """Forward calls; run each key at most once over all instances."""
 
     forwarder: Forwarder
--- a/catkinslip/wiring/callers.py
+++ b/catkinslip/wiring/callers.py
@@ -1,6 +1,6 @@
 """Build the request path: callers, at most once, limits, forwarding."""
 
-from catkinslip.addresses.answers import AddressBook
+from catkinslip.addresses.answers import AddressBook, AddressPages
 from catkinslip.addresses.home import HomeSetLimits
 from catkinslip.environment import Environment
 from catkinslip.limits.base import LimitSettings
@@ -50,7 +50,7 @@
         environment,
         shared.config,
         gate,
-        addresses,
+        AddressPages(addresses),
         caller_limits(settings),
         shared.metrics.observer,
     )
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -36,6 +36,7 @@
 from catkinslip.metrics.requests import RequestMetrics
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.models import Address
+from catkinslip.page_client import PageClient
 from catkinslip.pages import PageMaker, PageServer
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.dialect import Dialect
@@ -226,7 +227,7 @@
         poller=PeerPoller(
             instances,
             assembler,
-            BackendPool(),
+            PageClient(),
             random,
             settings.seeds,
             outside.instances,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define
 
-from catkinslip.addresses.answers import AddressBook
+from catkinslip.addresses.answers import AddressBook, AddressPages
 from catkinslip.clock import Clock
 from catkinslip.config.checks import read_document
 from catkinslip.config.documents import AcceptedConfig, ConfigVersion, Document
@@ -87,7 +87,9 @@
     issuer = KeyIssuer(AnchoredClock(Environment().clock), 300.0)
     book = AddressBook(MemberTable(own), 'zone-a', 10.0, issuer)
     bounds = CallerLimits(**limits)
-    return CallerServer(environment, ConfigHolder(), forwarder, book, bounds)
+    return CallerServer(
+        environment, ConfigHolder(), forwarder, AddressPages(book), bounds
+    )
 
 
 def plain_call(service: str, request_id: str = 'r') -> Call:
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -14,7 +14,7 @@
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.models import Address
 from catkinslip.pages import PageServer
-from catkinslip.platform.client import StoreClient, make_pool
+from catkinslip.platform.client import StoreClient
 from catkinslip.platform.pages import PlatformPages
 from catkinslip.platform.program import make_entry
 from catkinslip.platform.settings import read_settings
@@ -35,7 +35,6 @@
     """Hold what runs; everything ends with the nursery."""
 
     nursery: trio.Nursery
-    pool: object
     store: ObjectsStandin = Factory(ObjectsStandin)
     worker_by_id: dict[str, Worker] = Factory(dict)
     entries: list[Entry] = Factory(list)
@@ -71,7 +70,7 @@
         text = settings_text(store=self.store_port, **ports)
         text = text.replace('edge-1', f'edge-{len(self.entries) + 1}')
         settings = read_settings(text).unwrap()
-        client = StoreClient(settings.store_address, self.pool)
+        client = StoreClient(settings.store_address)
         environment = Environment(random=Random(len(self.entries)))
         entry = make_entry(settings, environment, client, LogBuffer())
         pages = PageServer(PlatformPages(entry.instances, entry.addresses).makers())
@@ -126,8 +125,8 @@
 
     async def run():
         with trio.fail_after(GENEROUS_SECONDS):
-            async with make_pool() as pool, trio.open_nursery() as nursery:
-                platform = SmallPlatform(nursery, pool)
+            async with trio.open_nursery() as nursery:
+                platform = SmallPlatform(nursery)
                 await platform.open_store()
                 await check(platform)
                 nursery.cancel_scope.cancel()
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -12,9 +12,7 @@
 def backends(platform: SmallPlatform) -> KindSource:
     """Return the source of the registered servers."""
     address = Address('127.0.0.1', platform.store_port)
-    return KindSource(
-        StoreClient(address, platform.pool), names.SERVERS_KIND, decode_backend
-    )
+    return KindSource(StoreClient(address), names.SERVERS_KIND, decode_backend)
 
 
 class ListingTest(unittest.TestCase):
