Let three instances of a zone read the store, and peers tell only changes

Ruled out: stale listings with a watch after them, as it is not told whether the revision of a stale listing is that of its data. Change: the first three instances of a zone that reach the store read it; the next steps in where one lost it, which polls tell. A wait that failed goes on from the revision known; all is read again only where history is gone. A start finds its own entry in the list and writes nothing, and outside the home set waits 1.5 s for its peers. A log of changes answers peers that lack a few. A watch that tells nothing of what peers have had for 0.6 s is ended.

--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -50,6 +50,18 @@
         """Tell whether rules and backend servers are known."""
         return self.current_rules is not None and self.backends.is_known
 
+    @property
+    def reaches_store(self) -> bool:
+        """Tell whether the last calls to the store succeeded, if any were made."""
+        return not (self.rules.is_lost or self.backends.is_lost)
+
+    def doubt_store(self, rules_version: int, backends_revision: int) -> None:
+        """Ask the store again for what a peer has had for a while."""
+        if rules_version > self.rules_version:
+            self.rules.doubt()
+        if backends_revision > self.backends.revision:
+            self.backends.doubt()
+
     def start(self) -> None:
         """Follow both kinds from now on."""
         self.rules.listeners.append(self.take_rules)
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -1,7 +1,7 @@
-"""Follow one kind of value: read all, then wait for news, and read again in doubt.
+"""Follow one kind of value: read all, then wait for news.
 
-Silence proves nothing: after every failed wait all is read again, since changes may
-have been missed.
+Silence proves nothing: after every failed wait the store is asked at once what
+changed since the revision known, and all is read again where it no longer knows.
 """
 
 import logging
@@ -10,14 +10,19 @@
 from typing import Generic
 
 import trio
-from attrs import Factory, define
+from attrs import Factory, define, field
 from returns.result import Failure, Success
 
 from catkinslip.discovery.base import HistoryGone, Listing, News, Source, Value
+from catkinslip.discovery.changes import ChangeLog, difference
 from catkinslip.store.backoff import Backoff
 
 #: A waiting call is priced; one that hangs unnoticed is made up for by peers.
 WAIT_SECONDS = 20.0
+#: A wait that only asks what was missed.
+CATCH_UP_SECONDS = 0.05
+#: A start knows within this time whether others read the store for it.
+SETTLE_SECONDS = 1.0
 #: Changes within this time cost one call together instead of one each.
 BATCH_SECONDS = 0.4
 #: Reads after an outage must succeed well within the 2 s in which changes apply.
@@ -29,6 +34,7 @@
 Listener = Callable[[], None]
 #: Between two looks whether this instance must read the store itself.
 DUTY_SECONDS = 0.25
+START_DUTY_SECONDS = 0.02
 
 
 def always() -> bool:
@@ -44,9 +50,19 @@
     source: Source[Value]
     random: Random
     value_by_name: dict[str, Value] = Factory(dict)
+    #: All changes up to this revision of the store are known.
     revision: int = 0
+    #: The revision at which the last change was learned; peers need no later one.
+    changed_at: int = 0
+    changes: ChangeLog[Value] = Factory(ChangeLog)
     listeners: list[Listener] = Factory(list)
     is_reachable: bool = False
+    #: Whether the last call failed, so that others should read the store instead.
+    is_lost: bool = False
+    #: Whether all must be read, as the changes since the revision are not to be had.
+    must_read: bool = True
+    #: Whether a call failed since the last good one; a doubt alone is no outage.
+    was_out: bool = True
     #: When a failed call was last followed by a good one, on the monotonic clock.
     regained_at: float = float('-inf')
     #: Whether this instance reads the store itself; else its peers tell it.
@@ -55,6 +71,8 @@
         lambda: Backoff(FIRST_RETRY_SECONDS, LONGEST_RETRY_SECONDS)
     )
 
+    _wait_scope: trio.CancelScope = field(factory=trio.CancelScope, init=False)
+
     @property
     def is_known(self) -> bool:
         """Tell whether all values were read at least once."""
@@ -64,11 +82,19 @@
         """Follow until cancelled."""
         while True:
             if not self.is_wanted():
-                self.is_reachable = False
-                await trio.sleep(DUTY_SECONDS)
-            elif await self._read_all():
-                while await self._take_news() and self.is_wanted():
-                    pass
+                self.is_reachable = self.is_lost = False
+                await trio.sleep(DUTY_SECONDS if self.is_known else START_DUTY_SECONDS)
+            elif self.must_read:
+                await self._read_all()
+            else:
+                await self._take_news()
+
+    def doubt(self) -> None:
+        """Ask again at once, as a peer knows more than a wait has told."""
+        if self.is_reachable:
+            log.info('discovery: a wait tells nothing. kind=%s', self.kind)
+            self._lose()
+            self._wait_scope.cancel()
 
     def offer(self, listing: Listing[Value], source: str) -> bool:
         """Take over a whole listing unless it is older; tell whether it was taken."""
@@ -82,30 +108,53 @@
             self.revision,
             len(listing.value_by_name),
         )
+        self.must_read = False
+        changes = difference(self.value_by_name, listing.value_by_name)
+        if self.is_known:
+            self.changes.add(changes, listing.revision)
+        else:
+            self.changes.start(listing.revision)
         self.revision = listing.revision
-        self.value_by_name = dict(listing.value_by_name)
+        if changes or not self.changed_at:
+            self.changed_at = listing.revision
+            self.value_by_name = dict(listing.value_by_name)
         self._tell()
         return True
 
-    async def _read_all(self) -> bool:
+    def learn(self, news: News[Value], since: int) -> bool:
+        """Take over the changes that a peer told; tell whether they were taken."""
+        if news.revision <= self.revision or since > self.revision:
+            return False
+        self.must_read = False
+        self._apply(news)
+        return True
+
+    async def _read_all(self) -> None:
+        is_start = not self.is_known
         match await self.source.read_all():
             case Success(listing):
                 self._reached()
+                self.must_read = False
                 self.offer(listing, 'store')
-                return True
+                if is_start:
+                    await trio.sleep(SETTLE_SECONDS)
             case Failure(error):
                 await self._missed(error)
-        return False
 
-    async def _take_news(self) -> bool:
-        match await self.source.wait_for_news(self.revision, WAIT_SECONDS):
+    async def _take_news(self) -> None:
+        wait = WAIT_SECONDS if self.is_reachable else CATCH_UP_SECONDS
+        with trio.CancelScope() as self._wait_scope:
+            result = await self.source.wait_for_news(self.revision, wait)
+        if self._wait_scope.cancelled_caught:
+            return
+        match result:
             case Success(news):
                 self._reached()
                 self._apply(news)
                 if news.changes:
                     await trio.sleep(BATCH_SECONDS)
-                return True
             case Failure(HistoryGone(reason)):
+                self.must_read = True
                 log.info(
                     'discovery: %s must be read again. revision=%d reason=%s',
                     self.kind,
@@ -114,7 +163,6 @@
                 )
             case Failure(error):
                 await self._missed(error)
-        return False
 
     def _apply(self, news: News[Value]) -> None:
         if news.revision < self.revision:
@@ -134,22 +182,32 @@
             else:
                 self.value_by_name[name] = value
         if news.changes:
+            self.changes.add(news.changes, news.revision)
+            self.changed_at = news.revision
             self._tell()
 
     def _reached(self) -> None:
         self.backoff.reset()
+        self.is_lost = False
         if self.is_reachable:
             return
         self.is_reachable = True
-        self.regained_at = trio.current_time()
+        if self.was_out:
+            self.was_out = False
+            self.regained_at = trio.current_time()
         log.info('discovery: store regained. kind=%s', self.kind)
 
     async def _missed(self, error: object) -> None:
         if self.is_reachable:
-            self.is_reachable = False
             log.warning('discovery: store lost. kind=%s error=%s', self.kind, error)
+        self._lose()
+        self.was_out = True
         await trio.sleep(self.backoff.next_delay(self.random))
 
+    def _lose(self) -> None:
+        self.is_reachable = False
+        self.is_lost = True
+
     def _tell(self) -> None:
         for listener in self.listeners:
             listener()
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -11,6 +11,9 @@
 #: Instances of a zone that its callers are sent to; more would each see less of the
 #: servers, keep more connections and tell each other more.
 HOME_INSTANCES = 8
+#: Instances of a zone that read the store for all of it: each change wakes every
+#: reader, and each call is priced.
+READERS = 3
 #: Part of each budget that these divide where there are others.
 HOME_SHARE = 0.8
 #: Instances polled in the own zone and in each other one, silent ones not counted.
@@ -38,6 +41,8 @@
     entry: InstanceEntry
     health: PeerHealth = PeerHealth.UNKNOWN
     missed: int = 0
+    #: Whether its last call to the store succeeded, if it makes any.
+    reaches_store: bool = False
 
 
 @define
@@ -46,6 +51,10 @@
 
     own: InstanceEntry
     is_own_ready: bool = False
+    #: Whether this instance started so lately that its peers may not know more yet.
+    is_starting: bool = False
+    #: Whether the list of instances was asked for, with whatever success.
+    is_listed: bool = True
     peer_by_id: dict[str, Peer] = Factory(dict)
     #: The ranking of each zone, until an instance comes or goes.
     _ranked_by_zone: dict[str, list[InstanceEntry]] = field(factory=dict, init=False)
@@ -66,9 +75,14 @@
                 del self.peer_by_id[instance_id]
                 self._ranked_by_zone.clear()
 
-    def answered(self, instance_id: str, is_ready: bool) -> PeerHealth | None:
+    def answered(
+        self, instance_id: str, is_ready: bool, *, reaches_store: bool = True
+    ) -> PeerHealth | None:
         """Take the answer to a poll; return the health if it is new."""
         health = PeerHealth.READY if is_ready else PeerHealth.NOT_READY
+        peer = self.peer_by_id.get(instance_id)
+        if peer is not None:
+            peer.reaches_store = reaches_store
         return self._set(instance_id, health, 0)
 
     def missed(self, instance_id: str) -> PeerHealth | None:
@@ -99,11 +113,25 @@
     def reads_store(self) -> bool:
         """Tell whether this instance reads the store, or leaves that to its peers.
 
-        Each change wakes every reader, and each call is priced, so only those that
-        callers are sent to read. Where none of them answers, everybody does.
+        The first of the zone that reach the store do. Who does not know the health of
+        all before it reads only where none of those it knows does. While a zone starts
+        its home set reads at once, so that callers wait for nobody.
         """
-        ranked = self._ranked(self.own.zone)[:HOME_INSTANCES]
-        return self.own in ranked or not any(map(self._is_ready, ranked))
+        if not self.is_listed:
+            return False
+        ranked = self._ranked(self.own.zone)
+        position = ranked.index(self.own)
+        if self.is_starting and position < HOME_INSTANCES:
+            return True
+        readers = sum(map(self._tells_news, ranked[:position]))
+        return readers < (READERS if position <= NEAR_POLLED else 1)
+
+    def _tells_news(self, entry: InstanceEntry) -> bool:
+        peer = self.peer_by_id[entry.instance_id]
+        if self.is_starting:
+            # Others that start now read the store too, before they are ready.
+            return peer.health is not PeerHealth.SILENT
+        return peer.health is PeerHealth.READY and peer.reaches_store
 
     def to_poll(self) -> list[InstanceEntry]:
         """Return whom to poll: those that callers here may be sent to, and a few more.
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -21,6 +21,7 @@
     InstanceBook,
     InstanceEntry,
     Listing,
+    News,
     RuleSet,
     Source,
 )
@@ -28,7 +29,6 @@
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
 from catkinslip.pages import Page
-from catkinslip.store.backoff import Backoff
 
 STATE_PATH = '/peer/state'
 KNOWLEDGE_PATH = '/peer/knowledge'
@@ -42,6 +42,10 @@
 #: The list of instances may be seconds old: the polls tell who lives.
 LIST_SECONDS = 5.0
 FIRST_LIST_SECONDS = 0.5
+#: Until then the list may be older than the own entry in it.
+ANNOUNCE_AGAIN_SECONDS = 10.0
+#: So long others that started too may still be reading the store.
+START_SECONDS = 1.5
 
 log = logging.getLogger('peers')
 
@@ -56,16 +60,28 @@
     is_ready: bool
     rules_version: int
     backends_revision: int
+    reaches_store: bool = True
     known: tuple[InstanceEntry, ...] = ()
 
 
+@frozen
+class NamedBackend:
+    """A backend server that changed; without an entry it was removed."""
+
+    name: str
+    entry: BackendEntry | None
+
+
 @frozen
 class Knowledge:
-    """All that an instance knows of rules and backend servers."""
+    """What an instance knows of rules and backend servers, or what is newer of it."""
 
+    #: None where the asker knows them.
     rules: RuleSet | None
-    backends: dict[str, BackendEntry]
     backends_revision: int
+    #: The changes since the asker's revision; None where all servers are told.
+    changes: tuple[NamedBackend, ...] | None = None
+    backends: dict[str, BackendEntry] = Factory(dict)
 
 
 @define
@@ -74,9 +90,6 @@
 
     instances: InstanceTable
     assembler: Assembler
-    #: The last knowledge told, as many peers ask for the same.
-    encoded: bytes = b''
-    encoded_version: tuple[int, int] | None = None
 
     async def state(self, query: str) -> Page:
         """Return what this instance tells of itself; `full` adds whom it knows."""
@@ -87,23 +100,32 @@
             self.instances.own,
             self.instances.is_own_ready,
             self.assembler.rules_version,
-            self.assembler.backends.revision,
+            self.assembler.backends.changed_at,
+            self.assembler.reaches_store,
             known,
         )
         return Page(200, orjson.dumps(converter.unstructure(state)))
 
     async def knowledge(self, query: str) -> Page:
-        """Return all that this instance knows."""
-        version = (self.assembler.rules_version, self.assembler.backends.revision)
-        if version != self.encoded_version:
-            knowledge = Knowledge(
-                self.assembler.current_rules,
-                self.assembler.backends.value_by_name,
-                self.assembler.backends.revision,
+        """Return what is newer than the rules version and revision in the query."""
+        rules_version, _, revision = query.partition('.')
+        if not (rules_version.isdecimal() and revision.isdecimal()):
+            return Page(400)
+        knowledge = self.newer(int(rules_version), int(revision))
+        return Page(200, orjson.dumps(converter.unstructure(knowledge)))
+
+    def newer(self, rules_version: int, revision: int) -> Knowledge:
+        """Return what is newer than what an asker has."""
+        assembler, backends = self.assembler, self.assembler.backends
+        is_newer = assembler.rules_version > rules_version
+        rules = assembler.current_rules if is_newer else None
+        changes = backends.changes.after(revision) if revision else None
+        if changes is None:
+            return Knowledge(
+                rules, backends.changed_at, backends=backends.value_by_name
             )
-            self.encoded = orjson.dumps(converter.unstructure(knowledge))
-            self.encoded_version = version
-        return Page(200, self.encoded)
+        named = tuple(NamedBackend(name, entry) for name, entry in changes)
+        return Knowledge(rules, backends.changed_at, named)
 
 
 @define
@@ -117,6 +139,8 @@
     seeds: tuple[Address, ...]
     source: Source[InstanceEntry]
     book: InstanceBook
+    announced_at: float = float('-inf')
+    is_withdrawn: bool = False
     scope_by_id: dict[str, trio.CancelScope] = Factory(dict)
     #: Rules versions and revisions that peers had first, and when that was seen.
     seen_at_by_news: dict[tuple[int, int], float] = Factory(dict)
@@ -124,23 +148,40 @@
     async def run(self) -> None:
         """Announce this instance, find the others, poll each."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._announce)
             nursery.start_soon(self._ask_seeds)
-            nursery.start_soon(self._read_list, nursery)
+            nursery.start_soon(self._follow_list, nursery)
+            nursery.start_soon(self._end_start)
             while True:
                 self._start_polls(nursery)
                 await trio.sleep(POLL_SECONDS)
 
+    async def withdraw(self) -> None:
+        """Take this instance out of the list for good."""
+        self.is_withdrawn = True
+        match await self.book.withdraw(self._own_id):
+            case Failure(error):
+                log.warning('peers: not withdrawn. error=%s', error)
+
+    async def _end_start(self) -> None:
+        await trio.sleep(START_SECONDS)
+        self.instances.is_starting = False
+
     async def _announce(self) -> None:
-        backoff = Backoff(FIRST_LIST_SECONDS, LIST_SECONDS)
-        while True:
-            match await self.book.announce(self.instances.own):
-                case Success(_):
-                    log.info('peers: announced. instance=%s', self._own_id)
-                    return
-                case Failure(error):
-                    log.warning('peers: not announced yet. error=%s', error)
-            await trio.sleep(backoff.next_delay(self.random))
+        match await self.book.announce(self.instances.own):
+            case Success(_):
+                self.announced_at = trio.current_time()
+                log.info('peers: announced. instance=%s', self._own_id)
+            case Failure(error):
+                log.warning('peers: not announced yet. error=%s', error)
+
+    def _must_announce(self, listed: InstanceEntry | None) -> bool:
+        """Tell whether the list, which may be seconds old, should name this instance.
+
+        Most starts find their entry of before in it and save the call.
+        """
+        if self.is_withdrawn or listed == self.instances.own:
+            return False
+        return trio.current_time() - self.announced_at > ANNOUNCE_AGAIN_SECONDS
 
     @property
     def _own_id(self) -> str:
@@ -158,20 +199,27 @@
                 self.instances.learn(entry)
             await self._catch_up(address, state)
 
-    async def _read_list(self, nursery: trio.Nursery) -> None:
+    async def _follow_list(self, nursery: trio.Nursery) -> None:
         delay = FIRST_LIST_SECONDS
         while True:
-            match await self.source.read_all(may_be_stale=True):
-                case Success(listing):
-                    for entry in listing.value_by_name.values():
-                        self.instances.learn(entry)
-                    self.instances.keep_only(set(listing.value_by_name))
-                    self._start_polls(nursery)
-                case Failure(error):
-                    log.info('peers: the list was not read. error=%s', error)
+            await self._read_list(nursery)
+            self.instances.is_listed = True
             await trio.sleep(delay * self.random.uniform(0.8, 1.2))
             delay = min(2 * delay, LIST_SECONDS)
 
+    async def _read_list(self, nursery: trio.Nursery) -> None:
+        match await self.source.read_all(may_be_stale=True):
+            case Success(listing):
+                entry_by_id = listing.value_by_name
+                for entry in entry_by_id.values():
+                    self.instances.learn(entry)
+                self.instances.keep_only(set(entry_by_id))
+                self._start_polls(nursery)
+                if self._must_announce(entry_by_id.get(self._own_id)):
+                    nursery.start_soon(self._announce)
+            case Failure(error):
+                log.info('peers: the list was not read. error=%s', error)
+
     def _start_polls(self, nursery: trio.Nursery) -> None:
         wanted = {each.instance_id: each for each in self.instances.to_poll()}
         for instance_id in list(self.scope_by_id):
@@ -199,7 +247,11 @@
         if state is None or state.instance.instance_id != entry.instance_id:
             health = self.instances.missed(entry.instance_id)
         else:
-            health = self.instances.answered(entry.instance_id, state.is_ready)
+            health = self.instances.answered(
+                entry.instance_id,
+                state.is_ready,
+                reaches_store=state.reaches_store,
+            )
             await self._catch_up(address, state)
         if health is not None:
             log.info('peers: %s is %s.', entry.instance_id, health.name.lower())
@@ -219,16 +271,24 @@
         is_following = backends.is_reachable and self.assembler.is_ready
         if is_following and now - min(self.seen_at_by_news.values()) < BEHIND_SECONDS:
             return
-        plain = await self._read(address, KNOWLEDGE_PATH)
+        self.assembler.doubt_store(state.rules_version, state.backends_revision)
+        since = backends.revision
+        query = f'{self.assembler.rules_version}.{since}'
+        plain = await self._read(address, f'{KNOWLEDGE_PATH}?{query}')
         knowledge = structure(plain, Knowledge)
-        if knowledge is None:
-            return
+        if knowledge is not None:
+            self._take(knowledge, since, f'peer {state.instance.instance_id}')
+
+    def _take(self, knowledge: Knowledge, since: int, source: str) -> None:
         if knowledge.rules is not None:
             self.assembler.offer_rules(knowledge.rules)
-        backends.offer(
-            Listing(knowledge.backends, knowledge.backends_revision),
-            f'peer {state.instance.instance_id}',
-        )
+        backends = self.assembler.backends
+        revision = knowledge.backends_revision
+        if knowledge.changes is None:
+            backends.offer(Listing(knowledge.backends, revision), source)
+            return
+        changes = tuple((each.name, each.entry) for each in knowledge.changes)
+        backends.learn(News(changes, revision), since)
 
     def _forget_known(self) -> None:
         """Forget news that this instance has by now."""
--- a/tests/discovery_builders.py
+++ b/tests/discovery_builders.py
@@ -64,6 +64,7 @@
     listings: list[Result] = Factory(list)
     waits: list[Result] = Factory(list)
     calls: list[str] = Factory(list)
+    waits_seconds: list[float] = Factory(list)
     ended: trio.Event = Factory(trio.Event)
 
     async def read_all(self, *, may_be_stale: bool = False) -> Result:
@@ -72,6 +73,7 @@
 
     async def wait_for_news(self, revision: int, wait: float) -> Result:
         self.calls.append(f'wait {revision}')
+        self.waits_seconds.append(wait)
         return await self._next(self.waits)
 
     async def _next(self, script: list[Result]) -> Result:
--- /dev/null
+++ b/tests/test_discovery_changes.py
@@ -0,0 +1,149 @@
+"""Peers get just what they lack, and everything where that is not held any more."""
+
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.discovery.assembly import Assembler
+from catkinslip.discovery.base import Listing, News
+from catkinslip.discovery.changes import MAX_CHANGES, ChangeLog, difference
+from catkinslip.discovery.follower import Follower
+from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.peers import PeerAnswers
+from tests.discovery_builders import (
+    ScriptedSource,
+    backend_entry,
+    instance_entry,
+    listing,
+    news,
+    rule_set,
+)
+
+ONE, TWO = backend_entry('one'), backend_entry('two', port=81)
+NAMES = st.sampled_from('abcd')
+VALUES = st.none() | st.integers(0, 2)
+
+
+def apply(values: dict, changes: tuple) -> dict:
+    """Return values after changes."""
+    after = dict(values)
+    for name, value in changes:
+        if value is None:
+            after.pop(name, None)
+        else:
+            after[name] = value
+    return after
+
+
+class ChangeLogTest(unittest.TestCase):
+    """What a log tells of the changes after a revision."""
+
+    def test_only_later_changes_are_told(self):
+        log = ChangeLog()
+        log.start(5)
+        log.add((('a', 1), ('b', 2)), 7)
+        log.add((('a', None),), 9)
+        self.assertEqual(log.after(7), (('a', None),))
+        self.assertEqual(log.after(5), (('a', 1), ('b', 2), ('a', None)))
+        self.assertEqual(log.after(9), ())
+        self.assertIsNone(log.after(4))
+
+    def test_log_is_bounded(self):
+        log = ChangeLog()
+        for revision in range(1, MAX_CHANGES + 11):
+            log.add((('a', revision),), revision)
+        self.assertEqual(len(log.entries), MAX_CHANGES)
+        self.assertIsNone(log.after(9))
+        self.assertEqual(len(log.after(10)), MAX_CHANGES)
+
+    @given(
+        st.lists(st.lists(st.tuples(NAMES, VALUES), max_size=4), max_size=8),
+        st.integers(0, 8),
+    )
+    def test_changes_lead_from_any_known_state_to_the_last(self, batches, known):
+        log, values = ChangeLog(), {}
+        values_by_revision = [values]
+        for number, batch in enumerate(batches):
+            values = apply(values, batch)
+            values_by_revision.append(values)
+            log.add(batch, number + 1)
+        known = min(known, len(batches))
+        after = apply(values_by_revision[known], log.after(known))
+        self.assertEqual(after, values)
+
+    @given(st.dictionaries(NAMES, VALUES), st.dictionaries(NAMES, VALUES))
+    def test_difference_leads_from_one_to_the_other(self, before, after):
+        before = {name: each for name, each in before.items() if each is not None}
+        after = {name: each for name, each in after.items() if each is not None}
+        self.assertEqual(apply(before, difference(before, after)), after)
+
+
+def follower() -> Follower:
+    """Return a follower that makes no calls."""
+    return Follower('backends', ScriptedSource(), Random(1))
+
+
+class KnowledgeTest(unittest.TestCase):
+    """What an instance tells another."""
+
+    def setUp(self):
+        self.assembler = Assembler(ConfigHolder(), follower(), follower())
+        self.answers = PeerAnswers(InstanceTable(instance_entry('own')), self.assembler)
+        self.assembler.offer_rules(rule_set(3))
+        self.assembler.backends.offer(listing(5, ONE), 'test')
+
+    def test_asker_without_anything_gets_everything(self):
+        told = self.answers.newer(0, 0)
+        self.assertEqual(told.rules, rule_set(3))
+        self.assertEqual((told.backends, told.changes), ({'one': ONE}, None))
+
+    def test_asker_with_the_same_rules_gets_changes_alone(self):
+        self.assembler.backends.learn(news(8, ('two', TWO), ('one', None)), 5)
+        told = self.answers.newer(3, 5)
+        self.assertIsNone(told.rules)
+        self.assertEqual(told.backends, {})
+        names = [(each.name, each.entry) for each in told.changes]
+        self.assertEqual(names, [('two', TWO), ('one', None)])
+
+    def test_whole_list_read_anew_is_told_as_its_changes(self):
+        self.assembler.backends.offer(listing(9, TWO), 'test')
+        names = [each.name for each in self.answers.newer(3, 5).changes]
+        self.assertEqual(names, ['one', 'two'])
+
+    def test_asker_that_lacks_too_much_gets_everything(self):
+        told = self.answers.newer(3, 4)
+        self.assertEqual((told.backends, told.changes), ({'one': ONE}, None))
+
+
+class LearnTest(unittest.TestCase):
+    """What a follower takes of a peer's changes."""
+
+    def setUp(self):
+        self.follower = follower()
+        self.follower.offer(listing(5, ONE), 'test')
+
+    def test_newer_changes_are_taken(self):
+        self.assertTrue(self.follower.learn(news(8, ('two', TWO)), 5))
+        self.assertEqual(self.follower.value_by_name, {'one': ONE, 'two': TWO})
+        self.assertEqual(self.follower.revision, 8)
+
+    def test_older_changes_are_not_taken(self):
+        self.assertFalse(self.follower.learn(News((('one', None),), 5), 4))
+        self.assertEqual(self.follower.value_by_name, {'one': ONE})
+
+    def test_changes_after_an_unknown_revision_are_not_taken(self):
+        self.assertFalse(self.follower.learn(news(9, ('two', TWO)), 6))
+        self.assertEqual(self.follower.revision, 5)
+
+    def test_empty_listing_is_known_and_told(self):
+        empty = follower()
+        empty.offer(Listing({}, 4), 'test')
+        self.assertTrue(empty.is_known)
+        self.assertEqual(empty.changed_at, 4)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_discovery_peers.py
@@ -0,0 +1,115 @@
+"""An instance keeps its own entry in the list while it serves."""
+
+import unittest
+from random import Random
+
+import trio
+import trio.testing
+from attrs import Factory, define
+from returns.result import Result, Success
+
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.discovery.assembly import Assembler
+from catkinslip.discovery.base import InstanceBook, InstanceEntry, Listing
+from catkinslip.discovery.follower import Follower
+from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.peers import ANNOUNCE_AGAIN_SECONDS, PeerPoller
+from catkinslip.page_client import PageClient
+from tests.discovery_builders import OUTAGE, ScriptedSource, instance_entry
+
+OWN = instance_entry('own')
+EMPTY = Listing({}, 1)
+WITH_OWN = Listing({'own': OWN}, 2)
+
+
+@define
+class CountingBook(InstanceBook):
+    """Count what is written."""
+
+    results: list[Result] = Factory(list)
+    calls: list[str] = Factory(list)
+
+    async def announce(self, entry: InstanceEntry) -> Result:
+        self.calls.append(f'announce {entry.instance_id}')
+        return self.results.pop(0) if self.results else Success(None)
+
+    async def withdraw(self, instance_id: str) -> Result:
+        self.calls.append(f'withdraw {instance_id}')
+        return Success(None)
+
+
+def make_poller(listings: list, book: CountingBook) -> PeerPoller:
+    """Return a poller that reads the given lists of instances."""
+    random = Random(1)
+    source = ScriptedSource()
+    assembler = Assembler(
+        ConfigHolder(),
+        Follower('rules', source, random),
+        Follower('backends', source, random),
+    )
+    table = InstanceTable(OWN, is_starting=True, is_listed=False)
+    return PeerPoller(
+        table, assembler, PageClient(), random, (), ScriptedSource(listings), book
+    )
+
+
+def poll(listings: list, book: CountingBook, seconds: float = 60.0) -> PeerPoller:
+    """Poll for some seconds of a clock that jumps."""
+    poller = make_poller(listings, book)
+
+    async def run():
+        with trio.move_on_after(seconds):
+            await poller.run()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return poller
+
+
+class AnnounceTest(unittest.TestCase):
+    """What is written into the list of instances."""
+
+    def setUp(self):
+        self.book = CountingBook()
+
+    def test_start_announces_itself_once_while_the_list_is_old(self):
+        poll([EMPTY, EMPTY, EMPTY, WITH_OWN, WITH_OWN], self.book)
+        self.assertEqual(self.book.calls, ['announce own'])
+
+    def test_start_that_finds_its_entry_writes_nothing(self):
+        poll([WITH_OWN] * 5, self.book)
+        self.assertEqual(self.book.calls, [])
+
+    def test_changed_entry_is_replaced(self):
+        before = instance_entry('own', zone='zone-b')
+        poll([Listing({'own': before}, 1), WITH_OWN], self.book)
+        self.assertEqual(self.book.calls, ['announce own'])
+
+    def test_failed_announcement_is_made_again(self):
+        self.book.results = [OUTAGE, OUTAGE]
+        poll([EMPTY] * 3 + [WITH_OWN] * 3, self.book)
+        self.assertEqual(len(self.book.calls), 3)
+
+    def test_lost_entry_is_announced_again(self):
+        poll([WITH_OWN] * 6 + [EMPTY], self.book, 10 * ANNOUNCE_AGAIN_SECONDS)
+        self.assertEqual(self.book.calls, ['announce own'])
+
+    def test_instance_that_withdrew_does_not_come_back(self):
+        poller = make_poller([WITH_OWN, EMPTY, EMPTY], self.book)
+
+        async def run():
+            with trio.move_on_after(30):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(poller.run)
+                    await trio.sleep(0.1)
+                    await poller.withdraw()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(self.book.calls, ['withdraw own'])
+
+    def test_store_is_read_once_the_list_was_asked_for_whatever_it_told(self):
+        poller = poll([OUTAGE], self.book, 0.1)
+        self.assertTrue(poller.instances.reads_store())
+
+
+if __name__ == '__main__':
+    unittest.main()
