Let the watch over callers sleep while there are none

Cause: each instance woke 40 times a second to look at no callers; of 112 instances on the grown site 88 have none for most of the time, 3,500 wake-ups a second in all, each of which is charged. Change: an event wakes the watch when the first caller comes.

--- a/catkinslip/proxy/presence.py
+++ b/catkinslip/proxy/presence.py
@@ -20,10 +20,14 @@
 
     poll: select.poll = Factory(select.poll)
     scope_by_descriptor: dict[int, trio.CancelScope] = Factory(dict)
+    has_callers: trio.Event = Factory(trio.Event)
 
     async def run(self) -> None:
-        """Watch until cancelled."""
+        """Watch until cancelled; an instance without callers sleeps."""
         while True:
+            if not self.scope_by_descriptor:
+                self.has_callers = trio.Event()
+                await self.has_callers.wait()
             await trio.sleep(WATCH_SECONDS)
             self.cancel_left()
 
@@ -41,6 +45,7 @@
         descriptor = caller.stream.socket.fileno()
         self.scope_by_descriptor[descriptor] = scope
         self.poll.register(descriptor, select.POLLRDHUP)
+        self.has_callers.set()
         return descriptor
 
     def remove(self, descriptor: int | None) -> None:
