Send callers to the strong instances of a zone, and let few read at a start

Cause: on the grown sites 10 machines of 125 have 2.15 cores and 200 Mbit/s, the others 0.43 and 10; home sets were drawn by hash, so a zone's callers went mostly to weak ones, which need 0.7 s of processor time to start. And at the very first start, when nobody is listed, all 112 read the store (222 calls of 1,032 in the first 18 s, counted from logs of all instances). Change: instances with less than half of the cores of the best of their zone rank after the others; the home set is the strong ones where there are two or more. Budgets are cut for the home set, as many times two that follow, and the rest. While nobody is known only the seeds read.

--- a/catkinslip/discovery/base.py
+++ b/catkinslip/discovery/base.py
@@ -36,6 +36,8 @@
     peer_address: str
     #: Where it takes datagrams with load reports.
     report_address: str
+    #: Processor cores that it may use.
+    cores: float = 1.0
 
 
 @frozen
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -25,9 +25,10 @@
 SETTLE_SECONDS = 1.0
 #: Changes within this time cost one call together instead of one each.
 BATCH_SECONDS = 0.4
-#: Reads after an outage must succeed well within the 2 s in which changes apply.
+#: Reads after an outage must succeed well within the 2 s in which changes apply; half
+#: of this on average. Refused calls are priced too.
 FIRST_RETRY_SECONDS = 0.2
-LONGEST_RETRY_SECONDS = 0.8
+LONGEST_RETRY_SECONDS = 1.6
 
 log = logging.getLogger('discovery')
 
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -1,6 +1,7 @@
 """Which instances there are, and which of them callers may use."""
 
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum, auto, unique
 
 from attrs import Factory, define, field
@@ -11,13 +12,21 @@
 #: Instances of a zone that its callers are sent to; more would each see less of the
 #: servers, keep more connections and tell each other more.
 HOME_INSTANCES = 8
+#: Where some have more than twice the cores of the others, these alone are the home
+#: set, if there are so many: they start again in a fifth of the time.
+STRONG_INSTANCES = 2
+WEAK_SHARE = 0.5
+#: Parts of each budget: of the home sets, and of as many instances times
+#: RESERVE_INSTANCES that follow in rank; the others divide the rest.
+HOME_SHARE = 0.7
+RESERVE_SHARE = 0.2
+RESERVE_INSTANCES = 2
 #: Instances of a zone that read the store for all of it: each change wakes every
 #: reader, and each call is priced.
 READERS = 3
-#: Part of each budget that these divide where there are others.
-HOME_SHARE = 0.8
-#: Instances polled in the own zone and in each other one, silent ones not counted.
-NEAR_POLLED = 10
+#: Instances polled in the own zone beside its home set, and in each other one, silent
+#: ones not counted.
+NEAR_POLLED = 4
 FAR_POLLED = 2
 #: Polls in a row without an answer after which an instance is taken as gone.
 MISSED_POLLS = 2
@@ -34,6 +43,23 @@
     SILENT = auto()
 
 
+@unique
+class Tier(Enum):
+    """For which callers of its zone an instance is meant."""
+
+    HOME = auto()
+    #: Next in rank, for when an instance of the home set is away.
+    RESERVE = auto()
+    REST = auto()
+
+
+SHARE_BY_TIER = {
+    Tier.HOME: HOME_SHARE,
+    Tier.RESERVE: RESERVE_SHARE,
+    Tier.REST: 1 - HOME_SHARE - RESERVE_SHARE,
+}
+
+
 @define
 class Peer:
     """One other instance as this one sees it."""
@@ -55,9 +81,13 @@
     is_starting: bool = False
     #: Whether the list of instances was asked for, with whatever success.
     is_listed: bool = True
+    #: Whether others ask this instance first when they know nobody.
+    is_seed: bool = True
     peer_by_id: dict[str, Peer] = Factory(dict)
     #: The ranking of each zone, until an instance comes or goes.
     _ranked_by_zone: dict[str, list[InstanceEntry]] = field(factory=dict, init=False)
+    #: What `shares` returned last, as each probe asks for it.
+    _shares: float | None = field(default=None, init=False)
 
     def learn(self, entry: InstanceEntry) -> None:
         """Take the entry of an instance."""
@@ -66,14 +96,18 @@
         peer = self.peer_by_id.get(entry.instance_id)
         if peer is None or peer.entry != entry:
             self.peer_by_id[entry.instance_id] = Peer(entry)
-            self._ranked_by_zone.clear()
+            self._forget_ranking()
 
     def keep_only(self, instance_ids: set[str]) -> None:
         """Forget silent instances that are no longer listed."""
         for instance_id, peer in list(self.peer_by_id.items()):
             if instance_id not in instance_ids and peer.health is PeerHealth.SILENT:
                 del self.peer_by_id[instance_id]
-                self._ranked_by_zone.clear()
+                self._forget_ranking()
+
+    def _forget_ranking(self) -> None:
+        self._ranked_by_zone.clear()
+        self._shares = None
 
     def answered(
         self, instance_id: str, is_ready: bool, *, reaches_store: bool = True
@@ -97,34 +131,48 @@
     def shares(self) -> float:
         """Return into how many parts like its own a budget of all instances is cut.
 
-        Those that callers are sent to divide most of it; the others keep a little,
-        for callers with an old answer. Silent ones count: they may only be out of
-        reach and spend their parts all the same.
+        Those that callers are sent to divide most of it, those that would follow them
+        some, and the others keep a little, for callers with an old answer. Silent ones
+        count: they may only be out of reach and spend their parts all the same.
         """
-        count_by_zone = Counter(entry.zone for entry in self._entries())
-        homes = sum(min(HOME_INSTANCES, count) for count in count_by_zone.values())
-        others = sum(count_by_zone.values()) - homes
-        if not others:
-            return homes
-        if self.own in self._ranked(self.own.zone)[:HOME_INSTANCES]:
-            return homes / HOME_SHARE
-        return others / (1 - HOME_SHARE)
+        if self._shares is None:
+            counts = Counter[Tier]()
+            for zone in {entry.zone for entry in self._entries()}:
+                home = self.home_size(zone)
+                counts.update(
+                    tier(position, home) for position in range(len(self._ranked(zone)))
+                )
+            own_zone = self.own.zone
+            position = self._ranked(own_zone).index(self.own)
+            own = tier(position, self.home_size(own_zone))
+            self._shares = counts[own] / share_of(own, counts)
+        return self._shares
+
+    def home_size(self, zone: str) -> int:
+        """Return how many instances the home set of a zone has."""
+        ranked = self._ranked(zone)
+        strong = len(ranked) - sum(map(is_weak_among(ranked), ranked))
+        return max(min(strong, HOME_INSTANCES), min(STRONG_INSTANCES, len(ranked)))
 
     def reads_store(self) -> bool:
         """Tell whether this instance reads the store, or leaves that to its peers.
 
         The first of the zone that reach the store do. Who does not know the health of
         all before it reads only where none of those it knows does. While a zone starts
-        its home set reads at once, so that callers wait for nobody.
+        its home set reads at once, so that callers wait for nobody. On the very first
+        start nobody is listed, and the seeds read for all.
         """
         if not self.is_listed:
             return False
+        if self.is_starting and not self.peer_by_id and not self.is_seed:
+            return False
         ranked = self._ranked(self.own.zone)
         position = ranked.index(self.own)
-        if self.is_starting and position < HOME_INSTANCES:
+        home = self.home_size(self.own.zone)
+        if self.is_starting and position < home:
             return True
         readers = sum(map(self._tells_news, ranked[:position]))
-        return readers < (READERS if position <= NEAR_POLLED else 1)
+        return readers < (READERS if position <= home + NEAR_POLLED else 1)
 
     def _tells_news(self, entry: InstanceEntry) -> bool:
         peer = self.peer_by_id[entry.instance_id]
@@ -142,7 +190,8 @@
         zones = {entry.zone for entry in self._entries()}
         polled: list[InstanceEntry] = []
         for zone in zones:
-            count = NEAR_POLLED if zone == own_zone else FAR_POLLED
+            is_near = zone == own_zone
+            count = self.home_size(zone) + NEAR_POLLED if is_near else FAR_POLLED
             others = [each for each in self._ranked(zone) if each is not self.own]
             silent = sum(
                 self.peer_by_id[each.instance_id].health is PeerHealth.SILENT
@@ -168,7 +217,7 @@
 
     def _home(self, zone: str) -> list[InstanceEntry]:
         ready = [each for each in self._ranked(zone) if self._is_ready(each)]
-        return ready[:HOME_INSTANCES]
+        return ready[: self.home_size(zone)]
 
     def _is_ready(self, entry: InstanceEntry) -> bool:
         if entry is self.own:
@@ -183,7 +232,10 @@
         ranked = self._ranked_by_zone.get(zone)
         if ranked is None:
             ranked = [entry for entry in self._entries() if entry.zone == zone]
-            ranked.sort(key=lambda each: weight(zone, each.instance_id))
+            is_weak = is_weak_among(ranked)
+            ranked.sort(
+                key=lambda each: (is_weak(each), weight(zone, each.instance_id))
+            )
             self._ranked_by_zone[zone] = ranked
         return ranked
 
@@ -197,3 +249,24 @@
         peer.health = health
         peer.missed = missed
         return health if is_new else None
+
+
+def is_weak_among(entries: list[InstanceEntry]) -> Callable[[InstanceEntry], bool]:
+    """Return what tells instances that others of their zone far surpass."""
+    least = WEAK_SHARE * max((entry.cores for entry in entries), default=0.0)
+    return lambda entry: entry.cores < least
+
+
+def tier(position: int, home_size: int) -> Tier:
+    """Return the tier of the instance at a position of its zone's ranking."""
+    if position < home_size:
+        return Tier.HOME
+    if position < home_size * (1 + RESERVE_INSTANCES):
+        return Tier.RESERVE
+    return Tier.REST
+
+
+def share_of(tier: Tier, counts: Counter[Tier]) -> float:
+    """Return the part of a budget that a tier has where only some are occupied."""
+    occupied = sum(share for each, share in SHARE_BY_TIER.items() if counts[each])
+    return SHARE_BY_TIER[tier] / occupied
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -120,6 +120,7 @@
             caller_address=str(settings.caller_address),
             peer_address=str(settings.peer_address),
             report_address=str(settings.report_address),
+            cores=settings.cores,
         ),
         seeds=settings.seeds,
         address_lifetime=min(ADDRESS_SECONDS, settings.max_address_seconds),
--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -31,6 +31,8 @@
     seeds: tuple[Address, ...]
     region_by_zone: dict[str, str]
     store_address: Address
+    #: Processor cores that the process may use.
+    cores: float
     #: Time between SIGTERM and SIGKILL.
     stop_seconds: float
     #: The longest time that callers may be told to keep an address answer.
@@ -52,18 +54,30 @@
 
     def take(self, place: str, convert: Callable[[Any], Any], default: Any) -> Any:
         """Return a converted field; note a mistake where it is missing or wrong."""
-        value: Any = self.plain
-        for name in place.split('.'):
-            if not isinstance(value, Mapping) or name not in value:
-                self.mistakes.append(f'{place}: is missing.')
-                return default
-            value = value[name]
+        value = self._find(place)
+        if value is None:
+            self.mistakes.append(f'{place}: is missing.')
+            return default
         try:
             return convert(value)
         except (TypeError, ValueError, AttributeError) as error:
             self.mistakes.append(f'{place}: {value!r} is wrong, {error}.')
             return default
 
+    def take_number(self, place: str, default: float) -> float:
+        """Return a number that may be left out."""
+        if self._find(place) is None:
+            return default
+        return self.take(place, float, default)
+
+    def _find(self, place: str) -> Any | None:
+        value: Any = self.plain
+        for name in place.split('.'):
+            if not isinstance(value, Mapping) or name not in value:
+                return None
+            value = value[name]
+        return value
+
     def bounds(self) -> dict[str, float]:
         """Return the figures of the rules by name."""
         figure_by_name: dict[str, float] = {}
@@ -108,6 +122,9 @@
         seeds=reader.take('seeds', parse_addresses, ()),
         region_by_zone=reader.take('zones', dict, {}),
         store_address=reader.take('platform.addr', Address.parse, nowhere),
+        # A share of one core that is so many times as fast.
+        cores=reader.take_number('limits.cpu_share', 1.0)
+        * reader.take_number('limits.cpus', 1.0),
         stop_seconds=reader.bound(figures, 'grace_s'),
         max_address_seconds=reader.bound(figures, 'ttl_max_s'),
         probes_per_second=reader.bound(figures, 'probes_per_s'),
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -147,7 +147,12 @@
     environment = outside.environment
     clock, random = environment.clock, environment.random
     config = ConfigHolder()
-    instances = InstanceTable(settings.own, is_starting=True, is_listed=False)
+    instances = InstanceTable(
+        settings.own,
+        is_starting=True,
+        is_listed=False,
+        is_seed=settings.own.peer_address in map(str, settings.seeds),
+    )
     assembler = Assembler(
         config,
         Follower('rules', outside.rules, random, is_wanted=instances.reads_store),
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -21,6 +21,12 @@
         self.assertEqual(settings.stop_seconds, 6.0)
         self.assertEqual(settings.resend_slack, 58.0)
 
+    def test_cores_are_a_share_of_a_core_that_is_so_many_times_as_fast(self):
+        text = settings_text()
+        self.assertEqual(read_settings(text).unwrap().cores, 1.0)
+        text = text + '[limits]\ncpu_share = 0.7\ncpus = 3\n'
+        self.assertAlmostEqual(read_settings(text).unwrap().cores, 2.1)
+
     def test_every_mistake_is_told_with_its_place(self):
         text = settings_text()
         text = text.replace('ready = "127.0.0.1:7001"', 'ready = "nowhere"')
