End connections to the store that went silent

A watch on one tells nothing for up to 21.5 s; where it happens to all readers no peer knows more either, and a server that leaves would get work beyond the 2 s allowed. Change: the kernel asks a silent other side after 1 s and ends the connection after two more; the watch then goes on from the revision known. Test: the options are set on the store's connections.

--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -23,6 +23,7 @@
 from catkinslip.platform.decoding import DECODE_ERRORS
 from catkinslip.platform.names import INSTANCES_KIND, OBJECTS_PATH
 from catkinslip.proxy.outcomes import NotRun, Unknown
+from catkinslip.proxy.pool import BackendPool
 from catkinslip.store.base import (
     AnswerLost,
     Conflict,
@@ -51,7 +52,8 @@
     """Call the store and report each outcome as a value."""
 
     address: Address
-    pages: PageClient = Factory(PageClient)
+    #: A watch on a connection that went silent would hide changes for its whole wait.
+    pages: PageClient = Factory(lambda: PageClient(BackendPool(keeps_alive=True)))
     calls: int = 0
     failures: int = 0
 
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -1,5 +1,6 @@
 """Connections to backend servers: limited, kept for reuse, trimmed when idle."""
 
+import socket
 from collections.abc import Callable
 
 import h11
@@ -20,6 +21,13 @@
 INSTANCES_PER_BACKEND = 6
 DEFAULT_LIMIT = 50
 MAX_WAITING = 100
+#: Asks a silent other side after 1 s and twice more, and then ends the connection.
+KEEPALIVE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
 
 
 @define
@@ -68,6 +76,8 @@
 
     #: Instances that share the connections of one backend server.
     count_instances: Callable[[], float] = lambda: INSTANCES_PER_BACKEND
+    #: Whether answers may take long, so that silence alone tells nothing.
+    keeps_alive: bool = False
     connections_by_address: dict[Address, BackendConnections] = Factory(dict)
     document: Document = Factory(Document)
 
@@ -95,7 +105,7 @@
         try:
             wire = await self._take_idle(connections, max_idle_seconds)
             if wire is None:
-                wire = await connect(address)
+                wire = await connect(address, keeps_alive=self.keeps_alive)
         except BaseException:
             connections.give_slot()
             raise
@@ -167,11 +177,14 @@
         return None
 
 
-async def connect(address: Address) -> Wire | NotRun:
+async def connect(address: Address, *, keeps_alive: bool = False) -> Wire | NotRun:
     """Open a connection."""
     family = trio.socket.AF_INET6 if ':' in address.host else trio.socket.AF_INET
     sock = trio.socket.socket(family)
     try:
+        if keeps_alive:
+            for option in KEEPALIVE_OPTIONS:
+                sock.setsockopt(*option)
         with trio.move_on_after(CONNECT_SECONDS):
             await sock.connect((address.host, address.port))
             return client_wire(trio.SocketStream(sock))
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -6,6 +6,7 @@
 from catkinslip.platform import names
 from catkinslip.platform.client import KindSource, StoreClient
 from catkinslip.platform.decoding import decode_backend
+from catkinslip.proxy.pool import KEEPALIVE_OPTIONS
 from tests.small_platform import SmallPlatform, on_platform
 
 
@@ -42,5 +43,21 @@
         on_platform(check)
 
 
+class ConnectionTest(unittest.TestCase):
+    """Connections to the store."""
+
+    def test_silent_connection_is_ended_by_the_kernel(self):
+        async def check(platform):
+            source = backends(platform)
+            await source.read_all()
+            address = source.client.address
+            pool = source.client.pages.pool
+            wire = pool.connections_by_address[address].idle[0].wire
+            for level, name, value in KEEPALIVE_OPTIONS:
+                self.assertEqual(wire.stream.socket.getsockopt(level, name), value)
+
+        on_platform(check)
+
+
 if __name__ == '__main__':
     unittest.main()
