Hedge a request whose server fell silent

Cause: a request that may be repeated was sent to a second server only when the first one told a lower speed. Change: a server that does not answer the look at it counts as slow. Test: the request at a server that falls silent is answered by the other; it ended with 504 before.

--- a/catkinslip/proxy/race.py
+++ b/catkinslip/proxy/race.py
@@ -69,9 +69,10 @@
 
     def is_first_slow(self) -> bool:
         """Tell whether the first server slowed down; it may not tell its speed."""
-        if self.launched_speed is None:
+        first_id = self.runner.launches[0].backend_id
+        if self.launched_speed is None or self.runner.router.is_silent(first_id):
             return True
-        speed = self.runner.speed_of(self.runner.launches[0].backend_id)
+        speed = self.runner.speed_of(first_id)
         return speed is not None and speed < SLOWED_SHARE * self.launched_speed
 
     async def _start_second(self, launch: Launch) -> None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -138,6 +138,31 @@
 
         on_platform(check)
 
+    def test_request_at_a_server_that_falls_silent_goes_to_another(self):
+        async def check(platform):
+            workers = await two_workers(platform)
+            # Each answer earns a share of a second send.
+            for number in range(10):
+                await platform.ask('POST', '/p/x', request_id=f'before-{number}')
+            for worker in workers:
+                worker.fault = Fault.SILENT
+                worker.heads.clear()
+            answers = []
+
+            async def ask():
+                answers.append(await platform.get(deadline_ms=1400))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await wait_for(lambda: any(worker.heads for worker in workers))
+                first, other = sorted(workers, key=lambda worker: not worker.heads)
+                first.is_deaf = True
+                other.fault = Fault.NONE
+            self.assertEqual(answers[0].status_code, 200)
+            self.assertEqual(len(other.heads), 1)
+
+        on_platform(check)
+
     def test_servers_that_answer_probes_late_are_still_used(self):
         async def check(platform):
             await two_workers(platform, probe_seconds=0.1)
