Show store calls, probes, shared reports and peers on the metrics page

Cause: the store's calls were counted and shown nowhere, though each is priced; probes before choices and shared reports had counters that nobody read. Change: one family for calls, shared with the product's own store; a source for probes, reports and peers. The metrics of members moved to a module of their own, so that an instance on the platform does not import members. Test: the page of one of two instances.

--- /dev/null
+++ b/catkinslip/metrics/calls.py
@@ -0,0 +1,28 @@
+"""Show the calls of the platform, a waiting watch as one."""
+
+from collections.abc import Mapping
+
+from returns.result import Failure, Result
+
+from catkinslip.metrics.base import Family, counter
+
+ANSWERED = 'answered'
+
+
+def outcome_of(result: Result) -> str:
+    """Return how a call ended, as it is counted."""
+    failed = isinstance(result, Failure)
+    return type(result.failure()).__name__ if failed else ANSWERED
+
+
+def calls_family(count_by_call: Mapping[tuple[str, str], int]) -> Family:
+    """Return the calls that were counted by operation and outcome."""
+    family = counter(
+        'catkinslip_platform_calls_total',
+        'Calls of the platform; those over budget were not sent.',
+        'operation',
+        'outcome',
+    )
+    for (operation, outcome), count in sorted(count_by_call.items()):
+        family.add(count, operation, outcome)
+    return family
--- /dev/null
+++ b/catkinslip/metrics/discovery.py
@@ -0,0 +1,47 @@
+"""Tell what an instance learned of others, and at what cost."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from attrs import define
+
+from catkinslip.discovery.instances import InstanceTable
+from catkinslip.health.sampler import LoadSampler
+from catkinslip.health.sharing import ReportSharer
+from catkinslip.metrics.base import Family, MetricSource, counter, gauge
+
+
+@define
+class DiscoveryMetrics(MetricSource):
+    """Tell probes before choices, shared reports, and the known instances."""
+
+    instances: InstanceTable
+    sampler: LoadSampler
+    sharer: ReportSharer
+
+    def families(self) -> Iterable[Family]:
+        """Return the measured values of now."""
+        probes = counter(
+            'catkinslip_load_probes_total', 'Probes before a choice.', 'state'
+        )
+        probes.add(self.sampler.sent, 'sent')
+        probes.add(self.sampler.unanswered, 'unanswered')
+        yield probes
+        reports = counter(
+            'catkinslip_shared_reports_total',
+            'Datagrams sent or unreadable, and reports taken from them.',
+            'state',
+        )
+        reports.add(self.sharer.sent, 'sent')
+        reports.add(self.sharer.taken, 'taken')
+        reports.add(self.sharer.malformed, 'malformed')
+        yield reports
+        peers = gauge(
+            'catkinslip_peers', 'Other instances by what polls tell.', 'health'
+        )
+        health = Counter(
+            peer.health.name.lower() for peer in self.instances.peer_by_id.values()
+        )
+        for name, count in sorted(health.items()):
+            peers.add(count, name)
+        yield peers
--- a/catkinslip/metrics/instance.py
+++ b/catkinslip/metrics/instance.py
@@ -9,7 +9,6 @@
 from catkinslip.config.documents import AcceptedConfig
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.logs.buffer import LogBuffer
-from catkinslip.membership.members import MemberTable
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge, summary
 from catkinslip.metrics.durations import FINE, Durations
 
@@ -80,19 +79,3 @@
         lines.add(self.buffer.taken, 'taken')
         lines.add(self.buffer.lost, 'lost')
         yield lines
-
-
-@define
-class MemberMetrics(MetricSource):
-    """Tell how many members this instance knows."""
-
-    members: MemberTable
-
-    def families(self) -> Iterable[Family]:
-        """Return the measured values of now."""
-        family = gauge('catkinslip_members', 'Known instances by state.', 'state')
-        live = self.members.live()
-        leaving = sum(member.leaving for member in live)
-        family.add(len(live) - leaving, 'live')
-        family.add(leaving, 'leaving')
-        yield family
--- a/catkinslip/metrics/platform.py
+++ b/catkinslip/metrics/platform.py
@@ -3,14 +3,13 @@
 from collections.abc import Iterable
 
 from attrs import Factory, define
-from returns.result import Failure, Result
+from returns.result import Result
 
-from catkinslip.metrics.base import Family, MetricSource, counter
+from catkinslip.metrics.base import Family, MetricSource
+from catkinslip.metrics.calls import calls_family, outcome_of
 from catkinslip.store.base import PlatformError
 from catkinslip.store.wrapped import Answer, Send, WrappedStore
 
-ANSWERED = 'answered'
-
 
 @define
 class CountedStore(WrappedStore, MetricSource):
@@ -20,23 +19,12 @@
 
     def families(self) -> Iterable[Family]:
         """Return the measured values of now."""
-        family = counter(
-            'catkinslip_platform_calls_total',
-            'Calls of the platform; those over budget were not sent.',
-            'operation',
-            'outcome',
-        )
-        for (operation, outcome), count in sorted(self.count_by_call.items()):
-            family.add(count, operation, outcome)
-        yield family
+        yield calls_family(self.count_by_call)
 
     async def _call(
         self, operation: str, send: Send[Answer]
     ) -> Result[Answer, PlatformError]:
         result = await send()
-        outcome = ANSWERED
-        if isinstance(result, Failure):
-            outcome = type(result.failure()).__name__
-        counted = (operation, outcome)
+        counted = (operation, outcome_of(result))
         self.count_by_call[counted] = self.count_by_call.get(counted, 0) + 1
         return result
--- a/catkinslip/metrics/wiring.py
+++ b/catkinslip/metrics/wiring.py
@@ -13,8 +13,8 @@
     ConfigMetrics,
     LogMetrics,
     LoopLag,
-    MemberMetrics,
 )
+from catkinslip.metrics.members import MemberMetrics
 from catkinslip.metrics.requests import RequestMetrics
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -1,7 +1,8 @@
 """The client of the platform's store; no call is sent again from here."""
 
 import logging
-from collections.abc import Callable, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import orjson
@@ -17,6 +18,8 @@
     Source,
     Value,
 )
+from catkinslip.metrics.base import Family, MetricSource
+from catkinslip.metrics.calls import calls_family, outcome_of
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient
 from catkinslip.page_client import Reply as PageReply
@@ -35,6 +38,12 @@
 #: The store answers in 4 ms; its slow days take some tens of times as long.
 ANSWER_SECONDS = 1.5
 RETRY_AFTER_SECONDS = 0.5
+OPERATION_BY_METHOD = {
+    'GET': 'read',
+    'POST': 'create',
+    'PUT': 'replace',
+    'DELETE': 'delete',
+}
 
 log = logging.getLogger('store')
 
@@ -48,20 +57,22 @@
 
 
 @define
-class StoreClient:
-    """Call the store and report each outcome as a value."""
+class StoreClient(MetricSource):
+    """Call the store and report each outcome as a value; count the calls."""
 
     address: Address
     #: A watch on a connection that went silent would hide changes for its whole wait.
     pages: PageClient = Factory(lambda: PageClient(BackendPool(keeps_alive=True)))
-    calls: int = 0
-    failures: int = 0
+    count_by_call: Counter[tuple[str, str]] = Factory(Counter)
+
+    def families(self) -> Iterable[Family]:
+        """Return the measured values of now."""
+        yield calls_family(self.count_by_call)
 
     async def call(
         self, method: str, path: str, body: Any = None, wait: float = 0.0
     ) -> Result[Reply, PlatformError]:
         """Send one call; `wait` seconds are added to the time for its answer."""
-        self.calls += 1
         reply = await self.pages.ask(
             self.address,
             f'{OBJECTS_PATH}/{path}',
@@ -76,8 +87,8 @@
                 result = Failure(AnswerLost(str(reply)))
             case _:
                 result = judge(reply)
-        if isinstance(result, Failure):
-            self.failures += 1
+        operation = 'watch' if wait else OPERATION_BY_METHOD[method]
+        self.count_by_call[operation, outcome_of(result)] += 1
         return result
 
 
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -103,6 +103,7 @@
         instances=KindSource(client, names.INSTANCES_KIND, decode_instance),
         book=StoredInstances(client),
         log_buffer=buffer,
+        sources=(client,),
     )
     return wire_entry(
         entry_settings(settings),
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -31,6 +31,7 @@
 from catkinslip.limits.service import LimitBook
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.metrics.base import MetricSource
+from catkinslip.metrics.discovery import DiscoveryMetrics
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
 from catkinslip.metrics.requests import RequestMetrics
@@ -96,6 +97,8 @@
     instances: Source[InstanceEntry]
     book: InstanceBook
     log_buffer: LogBuffer
+    #: What else the metrics page shows.
+    sources: tuple[MetricSource, ...] = ()
 
 
 @define
@@ -251,6 +254,8 @@
             lag,
             LogMetrics(outside.log_buffer),
             HealthMetrics(health),
+            DiscoveryMetrics(instances, sampler, sharer),
+            *outside.sources,
         ),
     )
 
--- /dev/null
+++ b/tests/test_metrics_discovery.py
@@ -0,0 +1,30 @@
+"""The metrics page of an instance on the platform."""
+
+import unittest
+
+from catkinslip.entry import metrics_page
+from tests.small_platform import on_platform, wait_for
+
+
+class PageTest(unittest.TestCase):
+    """What on-call engineers read of an instance."""
+
+    def test_calls_probes_reports_and_peers_are_told(self):
+        async def check(platform):
+            await platform.add_worker('i-1')
+            await platform.add_entry()
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.instances.peer_by_id)
+            await platform.ask('POST', '/p/x', entry=1)
+            body = (await metrics_page(entry, '')).body.decode()
+            read = '{operation="read",outcome="answered"}'
+            self.assertIn(f'catkinslip_platform_calls_total{read}', body)
+            self.assertIn('catkinslip_load_probes_total{state="sent"} 1.0', body)
+            self.assertIn('catkinslip_shared_reports_total{state="malformed"} 0', body)
+            self.assertIn('catkinslip_peers{health="', body)
+
+        on_platform(check)
+
+
+if __name__ == '__main__':
+    unittest.main()
