Keep lapsed servers in instances that do not read the store too

Cause: entries that lapse while the store is away are kept for 1.8 s after its return by who saw the return; since few read the store, the others got just the removals from them and dropped the servers at once, all of them if the outage outlasted the heartbeats. Change: who tells changes also tells since when the store is back; a first read after a start no longer counts as the end of an outage. Instances that do not read the store poll other zones each 6 s instead of 2. Test: the age of the end of an outage is told and taken, the newest counts.

--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -6,6 +6,7 @@
 
 import logging
 from collections.abc import Callable
+from math import inf, isfinite
 from random import Random
 from typing import Generic
 
@@ -62,10 +63,10 @@
     is_lost: bool = False
     #: Whether all must be read, as the changes since the revision are not to be had.
     must_read: bool = True
-    #: Whether a call failed since the last good one; a doubt alone is no outage.
-    was_out: bool = True
+    #: Whether a call failed since the last good one; a doubt or a start is no outage.
+    was_out: bool = False
     #: When a failed call was last followed by a good one, on the monotonic clock.
-    regained_at: float = float('-inf')
+    regained_at: float = -inf
     #: Whether this instance reads the store itself; else its peers tell it.
     is_wanted: Callable[[], bool] = always
     backoff: Backoff = Factory(
@@ -90,6 +91,17 @@
             else:
                 await self._take_news()
 
+    def regained_seconds(self) -> float | None:
+        """Return the seconds since an outage of the store ended; None if none did."""
+        seconds = trio.current_time() - self.regained_at
+        return seconds if isfinite(seconds) else None
+
+    def heard_regained(self, seconds: float | None) -> None:
+        """Take from a peer that an outage ended so many seconds ago."""
+        if seconds is not None:
+            at = trio.current_time() - max(0.0, seconds)
+            self.regained_at = max(self.regained_at, at)
+
     def doubt(self) -> None:
         """Ask again at once, as a peer knows more than a wait has told."""
         if self.is_reachable:
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -34,8 +34,10 @@
 KNOWLEDGE_PATH = '/peer/knowledge'
 #: A dead peer leaves the address answers after two missed polls.
 POLL_SECONDS = 0.5
-#: Peers of other zones matter only when a zone has none; bytes between zones cost.
+#: Peers of other zones matter only when a zone has none; bytes between zones cost. Who
+#: does not read the store learns what happens there from those that do.
 FAR_POLL_SECONDS = 2.0
+RARE_POLL_SECONDS = 6.0
 ANSWER_SECONDS = 0.4
 #: An instance that follows the store by itself is so much behind now and then.
 BEHIND_SECONDS = 0.6
@@ -79,6 +81,8 @@
     #: None where the asker knows them.
     rules: RuleSet | None
     backends_revision: int
+    #: Seconds since an outage of the store ended, as whoever read it saw.
+    regained_seconds: float | None
     #: The changes since the asker's revision; None where all servers are told.
     changes: tuple[NamedBackend, ...] | None = None
     backends: dict[str, BackendEntry] = Factory(dict)
@@ -119,13 +123,13 @@
         assembler, backends = self.assembler, self.assembler.backends
         is_newer = assembler.rules_version > rules_version
         rules = assembler.current_rules if is_newer else None
+        regained = backends.regained_seconds()
         changes = backends.changes.after(revision) if revision else None
         if changes is None:
-            return Knowledge(
-                rules, backends.changed_at, backends=backends.value_by_name
-            )
+            everything = backends.value_by_name
+            return Knowledge(rules, backends.changed_at, regained, backends=everything)
         named = tuple(NamedBackend(name, entry) for name, entry in changes)
-        return Knowledge(rules, backends.changed_at, named)
+        return Knowledge(rules, backends.changed_at, regained, named)
 
 
 @define
@@ -235,12 +239,16 @@
         with scope:
             while entry.instance_id in self.instances.peer_by_id:
                 await self._poll(entry)
-                is_near = entry.zone == self.instances.own.zone
-                seconds = POLL_SECONDS if is_near else FAR_POLL_SECONDS
-                await trio.sleep(seconds * self.random.uniform(0.9, 1.1))
+                await trio.sleep(self._pause(entry) * self.random.uniform(0.9, 1.1))
         if self.scope_by_id.get(entry.instance_id) is scope:
             del self.scope_by_id[entry.instance_id]
 
+    def _pause(self, entry: InstanceEntry) -> float:
+        if entry.zone == self.instances.own.zone:
+            return POLL_SECONDS
+        reads = self.instances.reads_store()
+        return FAR_POLL_SECONDS if reads else RARE_POLL_SECONDS
+
     async def _poll(self, entry: InstanceEntry) -> None:
         address = Address.parse(entry.peer_address)
         state = await self._read_state(address)
@@ -284,6 +292,8 @@
             self.assembler.offer_rules(knowledge.rules)
         backends = self.assembler.backends
         revision = knowledge.backends_revision
+        # Entries that lapsed in an outage are kept for a while, here too.
+        backends.heard_regained(knowledge.regained_seconds)
         if knowledge.changes is None:
             backends.offer(Listing(knowledge.backends, revision), source)
             return
--- a/tests/test_discovery_changes.py
+++ b/tests/test_discovery_changes.py
@@ -2,6 +2,7 @@
 
 import unittest
 from random import Random
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -90,6 +91,9 @@
     """What an instance tells another."""
 
     def setUp(self):
+        clock = patch('trio.current_time', return_value=100.0)
+        clock.start()
+        self.addCleanup(clock.stop)
         self.assembler = Assembler(ConfigHolder(), follower(), follower())
         self.answers = PeerAnswers(InstanceTable(instance_entry('own')), self.assembler)
         self.assembler.offer_rules(rule_set(3))
@@ -117,6 +121,17 @@
         told = self.answers.newer(3, 4)
         self.assertEqual((told.backends, told.changes), ({'one': ONE}, None))
 
+    def test_end_of_an_outage_is_told_with_its_age(self):
+        self.assertIsNone(self.answers.newer(3, 5).regained_seconds)
+        self.assembler.backends.regained_at = 99.0
+        self.assertEqual(self.answers.newer(3, 5).regained_seconds, 1.0)
+        other = follower()
+        other.heard_regained(1.0)
+        self.assertEqual(other.regained_at, 99.0)
+        other.heard_regained(None)
+        other.heard_regained(50.0)
+        self.assertEqual(other.regained_at, 99.0)
+
 
 class LearnTest(unittest.TestCase):
     """What a follower takes of a peer's changes."""
