Split the peers' messages and answers, the registration and the ranking

Moved: messages.py (what instances tell each other), answers.py (the pages), registration.py (the own entry in the list), ranking.py (order, home set, parts of budgets). Behaviour is the same; the tests of the slice keep their assertions.

--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -1,26 +1,13 @@
 """Which instances there are, and which of them callers may use."""
 
 from collections import Counter
-from collections.abc import Callable
 from enum import Enum, auto, unique
 
 from attrs import Factory, define, field
 
-from catkinslip.addresses.rendezvous import weight
 from catkinslip.discovery.base import InstanceEntry
+from catkinslip.discovery.ranking import Tier, home_size, rank, share_of, tier
 
-#: Instances of a zone that its callers are sent to; more would each see less of the
-#: servers, keep more connections and tell each other more.
-HOME_INSTANCES = 8
-#: Where some have more than twice the cores of the others, these alone are the home
-#: set, if there are so many: they start again in a fifth of the time.
-STRONG_INSTANCES = 2
-WEAK_SHARE = 0.5
-#: Parts of each budget: of the home sets, and of as many instances times
-#: RESERVE_INSTANCES that follow in rank; the others divide the rest.
-HOME_SHARE = 0.7
-RESERVE_SHARE = 0.2
-RESERVE_INSTANCES = 2
 #: Instances of a zone that read the store for all of it: each change wakes every
 #: reader, and each call is priced.
 READERS = 3
@@ -43,23 +30,6 @@
     SILENT = auto()
 
 
-@unique
-class Tier(Enum):
-    """For which callers of its zone an instance is meant."""
-
-    HOME = auto()
-    #: Next in rank, for when an instance of the home set is away.
-    RESERVE = auto()
-    REST = auto()
-
-
-SHARE_BY_TIER = {
-    Tier.HOME: HOME_SHARE,
-    Tier.RESERVE: RESERVE_SHARE,
-    Tier.REST: 1 - HOME_SHARE - RESERVE_SHARE,
-}
-
-
 @define
 class Peer:
     """One other instance as this one sees it."""
@@ -150,9 +120,7 @@
 
     def home_size(self, zone: str) -> int:
         """Return how many instances the home set of a zone has."""
-        ranked = self._ranked(zone)
-        strong = len(ranked) - sum(map(is_weak_among(ranked), ranked))
-        return max(min(strong, HOME_INSTANCES), min(STRONG_INSTANCES, len(ranked)))
+        return home_size(self._ranked(zone))
 
     def reads_store(self) -> bool:
         """Tell whether this instance reads the store, or leaves that to its peers.
@@ -231,11 +199,8 @@
         """Return the instances of a zone in the order in which callers get them."""
         ranked = self._ranked_by_zone.get(zone)
         if ranked is None:
-            ranked = [entry for entry in self._entries() if entry.zone == zone]
-            is_weak = is_weak_among(ranked)
-            ranked.sort(
-                key=lambda each: (is_weak(each), weight(zone, each.instance_id))
-            )
+            entries = [entry for entry in self._entries() if entry.zone == zone]
+            ranked = rank(zone, entries)
             self._ranked_by_zone[zone] = ranked
         return ranked
 
@@ -249,24 +214,3 @@
         peer.health = health
         peer.missed = missed
         return health if is_new else None
-
-
-def is_weak_among(entries: list[InstanceEntry]) -> Callable[[InstanceEntry], bool]:
-    """Return what tells instances that others of their zone far surpass."""
-    least = WEAK_SHARE * max((entry.cores for entry in entries), default=0.0)
-    return lambda entry: entry.cores < least
-
-
-def tier(position: int, home_size: int) -> Tier:
-    """Return the tier of the instance at a position of its zone's ranking."""
-    if position < home_size:
-        return Tier.HOME
-    if position < home_size * (1 + RESERVE_INSTANCES):
-        return Tier.RESERVE
-    return Tier.REST
-
-
-def share_of(tier: Tier, counts: Counter[Tier]) -> float:
-    """Return the part of a budget that a tier has where only some are occupied."""
-    occupied = sum(share for each, share in SHARE_BY_TIER.items() if counts[each])
-    return SHARE_BY_TIER[tier] / occupied
--- /dev/null
+++ b/catkinslip/discovery/messages.py
@@ -0,0 +1,61 @@
+"""What instances tell each other of rules and backend servers, as JSON."""
+
+import logging
+from typing import Any
+
+import cattrs
+from attrs import Factory, frozen
+
+from catkinslip.config.documents import converter
+from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
+
+STATE_PATH = '/peer/state'
+KNOWLEDGE_PATH = '/peer/knowledge'
+READ_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
+
+log = logging.getLogger('peers')
+
+
+@frozen
+class PeerState:
+    """What an instance tells of itself."""
+
+    instance: InstanceEntry
+    is_ready: bool
+    rules_version: int
+    backends_revision: int
+    reaches_store: bool = True
+    known: tuple[InstanceEntry, ...] = ()
+
+
+@frozen
+class NamedBackend:
+    """A backend server that changed; without an entry it was removed."""
+
+    name: str
+    entry: BackendEntry | None
+
+
+@frozen
+class Knowledge:
+    """What an instance knows of rules and backend servers, or what is newer of it."""
+
+    #: None where the asker knows them.
+    rules: RuleSet | None
+    backends_revision: int
+    #: Seconds since an outage of the store ended, as whoever read it saw.
+    regained_seconds: float | None
+    #: The changes since the asker's revision; None where all servers are told.
+    changes: tuple[NamedBackend, ...] | None = None
+    backends: dict[str, BackendEntry] = Factory(dict)
+
+
+def structure(plain: Any, wanted: type) -> Any | None:
+    """Return plain data as a value of a class; None for what cannot be one."""
+    if plain is None:
+        return None
+    try:
+        return converter.structure(plain, wanted)
+    except READ_ERRORS as error:
+        log.warning('peers: an answer cannot be read. error=%r', error)
+        return None
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -8,30 +8,30 @@
 from random import Random
 from typing import Any
 
-import cattrs
 import orjson
 import trio
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 from returns.result import Failure, Success
 
-from catkinslip.config.documents import converter
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import (
-    BackendEntry,
-    InstanceBook,
     InstanceEntry,
     Listing,
     News,
-    RuleSet,
     Source,
 )
 from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.messages import (
+    KNOWLEDGE_PATH,
+    STATE_PATH,
+    Knowledge,
+    PeerState,
+    structure,
+)
+from catkinslip.discovery.registration import Registration
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
-from catkinslip.pages import Page
 
-STATE_PATH = '/peer/state'
-KNOWLEDGE_PATH = '/peer/knowledge'
 #: A dead peer leaves the address answers after two missed polls.
 POLL_SECONDS = 0.5
 #: Peers of other zones matter only when a zone has none; bytes between zones cost. Who
@@ -44,93 +44,11 @@
 #: The list of instances may be seconds old: the polls tell who lives.
 LIST_SECONDS = 5.0
 FIRST_LIST_SECONDS = 0.5
-#: Until then the list may be older than the own entry in it.
-ANNOUNCE_AGAIN_SECONDS = 10.0
 #: So long others that started too may still be reading the store.
 START_SECONDS = 1.5
 
 log = logging.getLogger('peers')
 
-READ_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
-
-
-@frozen
-class PeerState:
-    """What an instance tells of itself."""
-
-    instance: InstanceEntry
-    is_ready: bool
-    rules_version: int
-    backends_revision: int
-    reaches_store: bool = True
-    known: tuple[InstanceEntry, ...] = ()
-
-
-@frozen
-class NamedBackend:
-    """A backend server that changed; without an entry it was removed."""
-
-    name: str
-    entry: BackendEntry | None
-
-
-@frozen
-class Knowledge:
-    """What an instance knows of rules and backend servers, or what is newer of it."""
-
-    #: None where the asker knows them.
-    rules: RuleSet | None
-    backends_revision: int
-    #: Seconds since an outage of the store ended, as whoever read it saw.
-    regained_seconds: float | None
-    #: The changes since the asker's revision; None where all servers are told.
-    changes: tuple[NamedBackend, ...] | None = None
-    backends: dict[str, BackendEntry] = Factory(dict)
-
-
-@define
-class PeerAnswers:
-    """Answer the polls of peers."""
-
-    instances: InstanceTable
-    assembler: Assembler
-
-    async def state(self, query: str) -> Page:
-        """Return what this instance tells of itself; `full` adds whom it knows."""
-        known: tuple[InstanceEntry, ...] = ()
-        if query == 'full':
-            known = tuple(each.entry for each in self.instances.peer_by_id.values())
-        state = PeerState(
-            self.instances.own,
-            self.instances.is_own_ready,
-            self.assembler.rules_version,
-            self.assembler.backends.changed_at,
-            self.assembler.reaches_store,
-            known,
-        )
-        return Page(200, orjson.dumps(converter.unstructure(state)))
-
-    async def knowledge(self, query: str) -> Page:
-        """Return what is newer than the rules version and revision in the query."""
-        rules_version, _, revision = query.partition('.')
-        if not (rules_version.isdecimal() and revision.isdecimal()):
-            return Page(400)
-        knowledge = self.newer(int(rules_version), int(revision))
-        return Page(200, orjson.dumps(converter.unstructure(knowledge)))
-
-    def newer(self, rules_version: int, revision: int) -> Knowledge:
-        """Return what is newer than what an asker has."""
-        assembler, backends = self.assembler, self.assembler.backends
-        is_newer = assembler.rules_version > rules_version
-        rules = assembler.current_rules if is_newer else None
-        regained = backends.regained_seconds()
-        changes = backends.changes.after(revision) if revision else None
-        if changes is None:
-            everything = backends.value_by_name
-            return Knowledge(rules, backends.changed_at, regained, backends=everything)
-        named = tuple(NamedBackend(name, entry) for name, entry in changes)
-        return Knowledge(rules, backends.changed_at, regained, named)
-
 
 @define
 class PeerPoller:
@@ -142,9 +60,7 @@
     random: Random
     seeds: tuple[Address, ...]
     source: Source[InstanceEntry]
-    book: InstanceBook
-    announced_at: float = float('-inf')
-    is_withdrawn: bool = False
+    registration: Registration
     scope_by_id: dict[str, trio.CancelScope] = Factory(dict)
     #: Rules versions and revisions that peers had first, and when that was seen.
     seen_at_by_news: dict[tuple[int, int], float] = Factory(dict)
@@ -159,38 +75,10 @@
                 self._start_polls(nursery)
                 await trio.sleep(POLL_SECONDS)
 
-    async def withdraw(self) -> None:
-        """Take this instance out of the list for good."""
-        self.is_withdrawn = True
-        match await self.book.withdraw(self._own_id):
-            case Failure(error):
-                log.warning('peers: not withdrawn. error=%s', error)
-
     async def _end_start(self) -> None:
         await trio.sleep(START_SECONDS)
         self.instances.is_starting = False
 
-    async def _announce(self) -> None:
-        match await self.book.announce(self.instances.own):
-            case Success(_):
-                self.announced_at = trio.current_time()
-                log.info('peers: announced. instance=%s', self._own_id)
-            case Failure(error):
-                log.warning('peers: not announced yet. error=%s', error)
-
-    def _must_announce(self, listed: InstanceEntry | None) -> bool:
-        """Tell whether the list, which may be seconds old, should name this instance.
-
-        Most starts find their entry of before in it and save the call.
-        """
-        if self.is_withdrawn or listed == self.instances.own:
-            return False
-        return trio.current_time() - self.announced_at > ANNOUNCE_AGAIN_SECONDS
-
-    @property
-    def _own_id(self) -> str:
-        return self.instances.own.instance_id
-
     async def _ask_seeds(self) -> None:
         """Learn from the seeds whatever the store does not tell yet."""
         for address in self.seeds:
@@ -219,8 +107,9 @@
                     self.instances.learn(entry)
                 self.instances.keep_only(set(entry_by_id))
                 self._start_polls(nursery)
-                if self._must_announce(entry_by_id.get(self._own_id)):
-                    nursery.start_soon(self._announce)
+                own_id = self.instances.own.instance_id
+                if self.registration.is_due(entry_by_id.get(own_id)):
+                    nursery.start_soon(self.registration.announce)
             case Failure(error):
                 log.info('peers: the list was not read. error=%s', error)
 
@@ -323,14 +212,3 @@
         except orjson.JSONDecodeError as error:
             log.warning('peers: an answer cannot be read. error=%r', error)
             return None
-
-
-def structure(plain: Any, wanted: type) -> Any | None:
-    """Return plain data as a value of a class; None for what cannot be one."""
-    if plain is None:
-        return None
-    try:
-        return converter.structure(plain, wanted)
-    except READ_ERRORS as error:
-        log.warning('peers: an answer cannot be read. error=%r', error)
-        return None
--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -145,7 +145,7 @@
     callers.start_closing()
     kept = KEPT_ANSWERS * entry.settings.address_lifetime
     with trio.move_on_after(WITHDRAW_SECONDS):
-        await entry.poller.withdraw()
+        await entry.poller.registration.withdraw()
     await trio.sleep_until(min(began + kept, end - LAST_REQUEST_SECONDS))
     callers.close_idle()
     with trio.move_on_at(end):
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -7,6 +7,7 @@
 
 from catkinslip.addresses.zonal import ZoneAddresses
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.discovery.answers import PeerAnswers
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import (
     BackendEntry,
@@ -17,12 +18,9 @@
 )
 from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable
-from catkinslip.discovery.peers import (
-    KNOWLEDGE_PATH,
-    STATE_PATH,
-    PeerAnswers,
-    PeerPoller,
-)
+from catkinslip.discovery.messages import KNOWLEDGE_PATH, STATE_PATH
+from catkinslip.discovery.peers import PeerPoller
+from catkinslip.discovery.registration import Registration
 from catkinslip.environment import Environment
 from catkinslip.health.sampler import LoadSampler
 from catkinslip.health.sharing import ReportSharer
@@ -239,7 +237,7 @@
             random,
             settings.seeds,
             outside.instances,
-            outside.book,
+            Registration(outside.book, settings.own),
         ),
         peer_pages=PageServer(makers),
         pool=pool,
--- a/tests/test_discovery_changes.py
+++ b/tests/test_discovery_changes.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.discovery.answers import PeerAnswers
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import Listing, News
 from catkinslip.discovery.changes import MAX_CHANGES, ChangeLog, difference
 from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable
-from catkinslip.discovery.peers import PeerAnswers
 from tests.discovery_builders import (
     ScriptedSource,
     backend_entry,
--- a/tests/test_discovery_instances.py
+++ b/tests/test_discovery_instances.py
@@ -8,13 +8,11 @@
 from catkinslip.addresses.zonal import MAX_ADDRESSES, ZoneAddresses
 from catkinslip.discovery.instances import (
     FAR_POLLED,
-    HOME_INSTANCES,
-    HOME_SHARE,
     NEAR_POLLED,
     READERS,
-    RESERVE_SHARE,
     InstanceTable,
 )
+from catkinslip.discovery.ranking import HOME_INSTANCES, HOME_SHARE, RESERVE_SHARE
 from tests.discovery_builders import instance_entry
 
 
--- a/tests/test_discovery_peers.py
+++ b/tests/test_discovery_peers.py
@@ -13,7 +13,11 @@
 from catkinslip.discovery.base import InstanceBook, InstanceEntry, Listing
 from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable
-from catkinslip.discovery.peers import ANNOUNCE_AGAIN_SECONDS, PeerPoller
+from catkinslip.discovery.peers import PeerPoller
+from catkinslip.discovery.registration import (
+    ANNOUNCE_AGAIN_SECONDS,
+    Registration,
+)
 from catkinslip.page_client import PageClient
 from tests.discovery_builders import OUTAGE, ScriptedSource, instance_entry
 
@@ -49,7 +53,13 @@
     )
     table = InstanceTable(OWN, is_starting=True, is_listed=False)
     return PeerPoller(
-        table, assembler, PageClient(), random, (), ScriptedSource(listings), book
+        table,
+        assembler,
+        PageClient(),
+        random,
+        (),
+        ScriptedSource(listings),
+        Registration(book, OWN),
     )
 
 
@@ -101,7 +111,7 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(poller.run)
                     await trio.sleep(0.1)
-                    await poller.withdraw()
+                    await poller.registration.withdraw()
 
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual(self.book.calls, ['withdraw own'])
