--- a/catkinslip/routing/delay.py
+++ b/catkinslip/routing/delay.py
@@ -32,6 +32,9 @@
 
 ZONE_HOP_SECONDS = 0.001
 REPORT_MEMORY_SECONDS = 0.03
+#: A hop weighs more where more servers than this are near, up to so many times.
+FEW_NEAR_SERVERS = 12
+MOST_HOP_FACTOR = 4.0
 MOST_INFERRED_SLOWNESS = 1.2
 IDLE_SHARE = 0.05
 PAUSED_DELAY = 20.0
@@ -112,7 +115,7 @@
         mean_in_flight = self.in_flight.value
         mean_speed = self.speed.value
         zone = self.zone or candidates[0].zone
-        far_delay = self.zone_hop / self.service_time.mean if self.zone else 0.0
+        far_delay = self._far_delay(candidates) if self.zone else 0.0
         estimates = []
         # One pass almost without calls: it runs for each request.
         for load in (*candidates[start:], *candidates[:start]):
@@ -134,6 +137,15 @@
             estimates.append(Estimate(load, delay, in_flight))
         return estimates
 
+    def _far_delay(self, candidates: Sequence[BackendLoad]) -> float:
+        """Return what a server of another zone must be better by.
+
+        The more servers there are near, the sooner one of them is as good.
+        """
+        near = sum(load.zone == self.zone for load in candidates)
+        factor = min(max(near / FEW_NEAR_SERVERS, 1.0), MOST_HOP_FACTOR)
+        return self.zone_hop * factor / self.service_time.mean
+
     def _delay_in_use(self, in_flight: float, slots: int) -> float:
         """Return the delay at a server of usual speed with requests in flight."""
         delay = 1 + IDLE_SHARE * in_flight
