Do not take a server for silent whose own connections are all in use

Cause: a probe that waited here for one of the instance's connections to a server got no answer in 30 ms, the server counted as silent and the zone was told so. Instances outside the home sets have one or two connections a server on the grown sites. Found by reading. Change: a server is asked only where a connection is free. Test: a look at a server without a free connection marks it silent before, and is not made after.

--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -85,11 +85,21 @@
         now = self.clock.monotonic()
         rate = self._rate()
         for load in router.loads:
-            if not load.is_silent or load.draining or load.backend_id in self.asking:
+            if not load.is_silent or load.draining or not self._may_ask(load):
                 continue
             if self._take_probe(load.backend_id, rate, now):
                 self._start(router, load)
 
+    def _may_ask(self, load: BackendLoad) -> bool:
+        """Tell whether a probe would be under way at once.
+
+        One that waits here for a connection would make its server look silent.
+        """
+        address = self.health.directory.address_by_backend.get(load.backend_id)
+        if address is None or load.backend_id in self.asking:
+            return False
+        return not self.pool.is_full(address)
+
     async def refresh(self, router: ServiceRouter, tried: Sequence[str]) -> None:
         """Ask until the choice rests on a fresh report, or the budget is spent."""
         for _ in range(ROUNDS):
@@ -101,7 +111,7 @@
     async def look(self, router: ServiceRouter, backend_id: str) -> None:
         """Ask one server, unless the budget is spent."""
         load = router.load_by_id.get(backend_id)
-        if load is None or backend_id in self.asking:
+        if load is None or not self._may_ask(load):
             return
         if self._take_probe(backend_id, self._rate(), self.clock.monotonic()):
             await self._ask_all(router, [load])
@@ -163,7 +173,7 @@
         for load, _, _ in ranked:
             if now - load.reported_at <= FRESH_SECONDS or load.is_silent:
                 continue
-            if load.backend_id in self.asking:
+            if not self._may_ask(load):
                 continue
             if self._take_probe(load.backend_id, rate, now):
                 leaders.append(load)
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -95,6 +95,11 @@
             share = int(service.max_connections / max(1, self.count_instances()))
             connections.limit = max(1, share)
 
+    def is_full(self, address: Address) -> bool:
+        """Tell whether a further request would wait for one of the own connections."""
+        connections = self._connections(address)
+        return connections.in_use >= connections.limit
+
     async def acquire(
         self, address: Address, max_idle_seconds: float = MAX_IDLE_SECONDS
     ) -> Wire | NotRun:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,7 +6,12 @@
 import trio
 
 from standins.workers import Fault
-from tests.small_platform import SmallPlatform, on_platform, wait_for
+from tests.small_platform import (
+    PROBE_SECONDS,
+    SmallPlatform,
+    on_platform,
+    wait_for,
+)
 
 
 async def two_workers(platform: SmallPlatform, **fields) -> list:
@@ -173,6 +178,26 @@
 
         on_platform(check)
 
+    def test_server_without_a_free_connection_does_not_look_silent(self):
+        async def check(platform):
+            await two_workers(platform)
+            entry = platform.entries[0]
+            directory = entry.sampler.health.directory
+            router = directory.router_by_service['one']
+            address = directory.address_by_backend['i-1']
+            connections = entry.pool.connections_by_address[address]
+            connections.limit = 1
+            await connections.take_slot()
+            entry.sampler.answer_seconds = 0.02
+            await entry.sampler.look(router, 'i-1')
+            self.assertFalse(router.is_silent('i-1'))
+            connections.give_slot()
+            entry.sampler.answer_seconds = PROBE_SECONDS
+            await entry.sampler.look(router, 'i-1')
+            self.assertIsNotNone(router.load_by_id['i-1'].report)
+
+        on_platform(check)
+
     def test_slowed_server_is_not_chosen(self):
         async def check(platform):
             first, second = await two_workers(platform)
