Let large rules come from the store, not from peers

Cause: who does not read the store gets new rules from a peer. With 1,400 routes more (a trouble of the grown Limit Desk) they are some 300 KB: 0.25 s on a link of 10 Mbit/s, asked by a whole zone at once, in answers that were given up after 0.4 s; the bound is 2.5 s. Change: beyond 200 routes a peer only says that there are newer ones, and the asker reads the store once; where the store does not answer it asks the peer for all, and waits 1.5 s for it. Tests: what is told by size, questions that cannot be read, one read without the duty to read.

--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -1,15 +1,22 @@
 """Answer the polls of peers, and tell them what is newer than what they have."""
 
+import re
+
 import orjson
 from attrs import define
 
 from catkinslip.config.documents import converter
 from catkinslip.discovery.assembly import Assembler
-from catkinslip.discovery.base import InstanceEntry
+from catkinslip.discovery.base import InstanceEntry, RuleSet
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.messages import Knowledge, NamedBackend, PeerState
 from catkinslip.pages import Page
 
+QUERY_FORM = re.compile(r'([0-9]+)\.([0-9]+)(\.whole)?\Z')
+#: Some 220 bytes each; 1,400 of them take 0.25 s on a link of 10 Mbit/s, and a zone's
+#: instances would all ask at once.
+MOST_ROUTES_TOLD = 200
+
 
 @define
 class PeerAnswers:
@@ -34,22 +41,35 @@
         return Page(200, orjson.dumps(converter.unstructure(state)))
 
     async def knowledge(self, query: str) -> Page:
-        """Return what is newer than the rules version and revision in the query."""
-        rules_version, _, revision = query.partition('.')
-        if not (rules_version.isdecimal() and revision.isdecimal()):
+        """Return what is newer than the rules version and revision in the query.
+
+        `whole` after them asks for rules of any size.
+        """
+        match = QUERY_FORM.match(query)
+        if match is None:
             return Page(400)
-        knowledge = self.newer(int(rules_version), int(revision))
+        version, revision, whole = match.groups()
+        knowledge = self.newer(int(version), int(revision), is_whole=bool(whole))
         return Page(200, orjson.dumps(converter.unstructure(knowledge)))
 
-    def newer(self, rules_version: int, revision: int) -> Knowledge:
+    def newer(
+        self, rules_version: int, revision: int, *, is_whole: bool = False
+    ) -> Knowledge:
         """Return what is newer than what an asker has."""
-        assembler, backends = self.assembler, self.assembler.backends
-        is_newer = assembler.rules_version > rules_version
-        rules = assembler.current_rules if is_newer else None
-        regained = backends.regained_seconds()
+        backends = self.assembler.backends
+        rules = self._newer_rules(rules_version)
+        is_large = rules is not None and len(rules.routes) > MOST_ROUTES_TOLD
         changes = backends.changes.after(revision) if revision else None
-        if changes is None:
-            everything = backends.value_by_name
-            return Knowledge(rules, backends.changed_at, regained, backends=everything)
-        named = tuple(NamedBackend(name, entry) for name, entry in changes)
-        return Knowledge(rules, backends.changed_at, regained, named)
+        named = changes and tuple(NamedBackend(*change) for change in changes)
+        return Knowledge(
+            rules=rules if is_whole or not is_large else None,
+            backends_revision=backends.changed_at,
+            regained_seconds=backends.regained_seconds(),
+            changes=named,
+            backends=backends.value_by_name if changes is None else {},
+            are_rules_large=is_large,
+        )
+
+    def _newer_rules(self, rules_version: int) -> RuleSet | None:
+        is_newer = self.assembler.rules_version > rules_version
+        return self.assembler.current_rules if is_newer else None
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -65,6 +65,8 @@
     must_read: bool = True
     #: Whether a call failed since the last good one; a doubt or a start is no outage.
     was_out: bool = False
+    #: Whether to read all now, though others read the store for this instance.
+    reads_once: bool = False
     #: When a failed call was last followed by a good one, on the monotonic clock.
     regained_at: float = -inf
     #: Whether this instance reads the store itself; else its peers tell it.
@@ -83,7 +85,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if not self.is_wanted():
+            if not self.is_wanted() and not self.reads_once:
                 self.is_reachable = self.is_lost = False
                 await trio.sleep(DUTY_SECONDS if self.is_known else START_DUTY_SECONDS)
             elif self.must_read:
@@ -91,6 +93,10 @@
             else:
                 await self._take_news()
 
+    def read_once(self) -> None:
+        """Read all soon, as peers know more than they can tell."""
+        self.reads_once = self.must_read = True
+
     def regained_seconds(self) -> float | None:
         """Return the seconds since an outage of the store ended; None if none did."""
         seconds = trio.current_time() - self.regained_at
@@ -147,7 +153,7 @@
         match await self.source.read_all():
             case Success(listing):
                 self._reached()
-                self.must_read = False
+                self.must_read = self.reads_once = False
                 self.offer(listing, 'store')
                 if is_start:
                     await trio.sleep(SETTLE_SECONDS)
--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -48,6 +48,8 @@
     #: The changes since the asker's revision; None where all servers are told.
     changes: tuple[NamedBackend, ...] | None = None
     backends: dict[str, BackendEntry] = Factory(dict)
+    #: Whether newer rules are too large to be told; the store tells them.
+    are_rules_large: bool = False
 
 
 def structure(plain: Any, wanted: type) -> Any | None:
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -39,6 +39,8 @@
 FAR_POLL_SECONDS = 2.0
 RARE_POLL_SECONDS = 6.0
 ANSWER_SECONDS = 0.4
+#: For rules of any size, 1 MB at most, on a link of 10 Mbit/s.
+WHOLE_ANSWER_SECONDS = 1.5
 #: An instance that follows the store by itself is so much behind now and then.
 BEHIND_SECONDS = 0.6
 #: The list of instances may be seconds old: the polls tell who lives.
@@ -171,8 +173,11 @@
             return
         self.assembler.doubt_store(state.rules_version, state.backends_revision)
         since = backends.revision
-        query = f'{self.assembler.rules_version}.{since}'
-        plain = await self._read(address, f'{KNOWLEDGE_PATH}?{query}')
+        # Only where the store does not answer must a peer tell rules of any size.
+        is_whole = self.assembler.rules.is_lost
+        query = f'{self.assembler.rules_version}.{since}{".whole" * is_whole}'
+        seconds = WHOLE_ANSWER_SECONDS if is_whole else ANSWER_SECONDS
+        plain = await self._read(address, f'{KNOWLEDGE_PATH}?{query}', seconds)
         knowledge = structure(plain, Knowledge)
         if knowledge is not None:
             self._take(knowledge, since, f'peer {state.instance.instance_id}')
@@ -180,6 +185,9 @@
     def _take(self, knowledge: Knowledge, since: int, source: str) -> None:
         if knowledge.rules is not None:
             self.assembler.offer_rules(knowledge.rules)
+            self.assembler.rules.reads_once = False
+        elif knowledge.are_rules_large:
+            self.assembler.rules.read_once()
         backends = self.assembler.backends
         revision = knowledge.backends_revision
         # Entries that lapsed in an outage are kept for a while, here too.
@@ -202,9 +210,11 @@
         path = f'{STATE_PATH}?{query}' if query else STATE_PATH
         return structure(await self._read(address, path), PeerState)
 
-    async def _read(self, address: Address, path: str) -> Any | None:
+    async def _read(
+        self, address: Address, path: str, seconds: float = ANSWER_SECONDS
+    ) -> Any | None:
         """Return what a peer answers; None if it does not in time."""
-        reply = await self.client.ask(address, path, ANSWER_SECONDS)
+        reply = await self.client.ask(address, path, seconds)
         if not isinstance(reply, Reply):
             log.debug('peers: no answer. address=%s reason=%s', address, reply)
             return None
--- a/tests/test_discovery_changes.py
+++ b/tests/test_discovery_changes.py
@@ -4,6 +4,8 @@
 from random import Random
 from unittest.mock import patch
 
+import trio
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -121,6 +123,26 @@
         told = self.answers.newer(3, 4)
         self.assertEqual((told.backends, told.changes), ({'one': ONE}, None))
 
+    def test_large_rules_are_left_to_the_store_unless_it_does_not_answer(self):
+        many = evolve(
+            rule_set(9),
+            routes={str(n): rule_set(9).routes['a'] for n in range(300)},
+        )
+        self.assembler.offer_rules(many)
+        told = self.answers.newer(3, 5)
+        self.assertIsNone(told.rules)
+        self.assertTrue(told.are_rules_large)
+        self.assertEqual(self.answers.newer(3, 5, is_whole=True).rules, many)
+        self.assertFalse(self.answers.newer(9, 5).are_rules_large)
+
+    def test_question_that_cannot_be_read_is_refused(self):
+        for query in ('', '3', '3.x', '3.5.all', '3.5.whole.', '-3.5'):
+            page = trio.run(self.answers.knowledge, query)
+            self.assertEqual(page.status, 400, query)
+        for query in ('3.5', '3.5.whole'):
+            page = trio.run(self.answers.knowledge, query)
+            self.assertEqual(page.status, 200, query)
+
     def test_end_of_an_outage_is_told_with_its_age(self):
         self.assertIsNone(self.answers.newer(3, 5).regained_seconds)
         self.assembler.backends.regained_at = 99.0
--- a/tests/test_discovery_follower.py
+++ b/tests/test_discovery_follower.py
@@ -131,6 +131,19 @@
         self.assertEqual(source.calls, [])
         self.assertTrue(follower.offer(listing(7, TWO), 'peer'))
 
+    def test_instance_without_the_duty_reads_once_when_asked_to(self):
+        source = ScriptedSource([OUTAGE, listing(5, ONE), listing(9, TWO)])
+        follower = Follower('rules', source, Random(1), is_wanted=lambda: False)
+        follower.read_once()
+
+        async def run():
+            with trio.move_on_after(60):
+                await follower.run()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(source.calls, ['read', 'read'])
+        self.assertEqual(follower.value_by_name, {'one': ONE})
+
     def test_outage_at_the_start_is_retried(self):
         follower, source = follow([OUTAGE, OUTAGE, listing(5, ONE)], [])
         self.assertTrue(follower.is_known)
