--- a/tests/test_discovery_changes.py
+++ b/tests/test_discovery_changes.py
@@ -6,7 +6,7 @@
 
 import trio
 from attrs import evolve
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from catkinslip.config.holder import ConfigHolder
@@ -25,6 +25,7 @@
     rule_set,
 )
 
+SETTINGS = settings(derandomize=True, deadline=None)
 ONE, TWO = backend_entry('one'), backend_entry('two', port=81)
 NAMES = st.sampled_from('abcd')
 VALUES = st.none() | st.integers(0, 2)
@@ -62,6 +63,7 @@
         self.assertIsNone(log.after(9))
         self.assertEqual(len(log.after(10)), MAX_CHANGES)
 
+    @SETTINGS
     @given(
         st.lists(st.lists(st.tuples(NAMES, VALUES), max_size=4), max_size=8),
         st.integers(0, 8),
@@ -77,6 +79,7 @@
         after = apply(values_by_revision[known], log.after(known))
         self.assertEqual(after, values)
 
+    @SETTINGS
     @given(st.dictionaries(NAMES, VALUES), st.dictionaries(NAMES, VALUES))
     def test_difference_leads_from_one_to_the_other(self, before, after):
         before = {name: each for name, each in before.items() if each is not None}
