Walk the path on the users' platform in make demo

Cause: the demo showed the product's own interface alone. Change: make demo then runs three instances on the stand-in of the platform with six servers: one leaves, the configuration changes, an instance is killed and comes back. It prints what callers were told and ends with 1 if a promise was broken.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 .PHONY: demo
 demo: install
 	$(RUN) -m standins.demo
+	$(RUN) -m soak.demo
 
 .PHONY: bench-logs
 bench-logs: install
