Poll other zones each 2 s from the whole home set

Cause: who does not read the store asked other zones each 6 s. Where all three readers of a zone were cut from the store without a sign, the others of the zone, in touch with it and bound by the 2 s in which a leaving server must get nothing more, would have heard of it from other zones after seconds. Change: the home set asks each 2 s, as it did before; a zone of up to 8 equal instances is all home set. Only instances beyond it ask each 6 s. Found by reading.

--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -120,6 +120,11 @@
             self._shares = counts[own] / share_of(own, counts)
         return self._shares
 
+    def is_home(self) -> bool:
+        """Tell whether this instance is of its zone's home set, if all are ready."""
+        ranked = self._ranked(self.own.zone)
+        return ranked.index(self.own) < home_size(ranked)
+
     def home_size(self, zone: str) -> int:
         """Return how many instances the home set of a zone has."""
         return home_size(self._ranked(zone))
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -34,8 +34,8 @@
 
 #: A dead peer leaves the address answers after two missed polls.
 POLL_SECONDS = 0.5
-#: Peers of other zones matter only when a zone has none; bytes between zones cost. Who
-#: does not read the store learns what happens there from those that do.
+#: Peers of other zones matter when a zone has none, or none that hears from the store;
+#: bytes between zones cost. Outside the home set callers are few.
 FAR_POLL_SECONDS = 2.0
 RARE_POLL_SECONDS = 6.0
 ANSWER_SECONDS = 0.4
@@ -138,8 +138,7 @@
     def _pause(self, entry: InstanceEntry) -> float:
         if entry.zone == self.instances.own.zone:
             return POLL_SECONDS
-        reads = self.instances.reads_store()
-        return FAR_POLL_SECONDS if reads else RARE_POLL_SECONDS
+        return FAR_POLL_SECONDS if self.instances.is_home() else RARE_POLL_SECONDS
 
     async def _poll(self, entry: InstanceEntry) -> None:
         address = Address.parse(entry.peer_address)
