--- a/tests/test_config_watcher.py
+++ b/tests/test_config_watcher.py
@@ -86,36 +86,27 @@
 
         self.assertEqual(self.run_with_watcher(act), 3)
 
-    def test_restored_platform_that_counts_again_is_noticed(self):
-        async def act():
-            await self.change(2)
-            await self.change(3)
-            await self.settle(1)
-            version = self.store.object_by_key[CONFIG_KEY].version
-            self.store.object_by_key.clear()
-            self.store.reads_down = 3
+    async def restore(self, failed_reads: int) -> int:
+        """Replace the platform by one that counts again; return what is in force."""
+        await self.change(2)
+        await self.change(3)
+        await self.settle(1)
+        version = self.store.object_by_key[CONFIG_KEY].version
+        self.store.object_by_key.clear()
+        if failed_reads:
+            self.store.reads_down = failed_reads
             await self.settle()
-            await self.change(4)
-            await self.change(5, raise_epoch=True)
-            self.assertEqual(self.store.object_by_key[CONFIG_KEY].version, version)
-            return await self.settle()
+        await self.change(4)
+        await self.change(5, raise_epoch=True)
+        self.assertEqual(self.store.object_by_key[CONFIG_KEY].version, version)
+        return await self.settle()
 
+    def test_restored_platform_that_counts_again_is_noticed(self):
         with self.assertLogs('config', 'WARNING'):
-            self.assertEqual(self.run_with_watcher(act), 5)
+            self.assertEqual(self.run_with_watcher(lambda: self.restore(3)), 5)
 
     def test_restored_platform_is_noticed_though_no_call_failed(self):
-        async def act():
-            await self.change(2)
-            await self.change(3)
-            await self.settle(1)
-            version = self.store.object_by_key[CONFIG_KEY].version
-            self.store.object_by_key.clear()
-            await self.change(4)
-            await self.change(5, raise_epoch=True)
-            self.assertEqual(self.store.object_by_key[CONFIG_KEY].version, version)
-            return await self.settle()
-
-        self.assertEqual(self.run_with_watcher(act), 5)
+        self.assertEqual(self.run_with_watcher(lambda: self.restore(0)), 5)
 
     def test_damaged_objects_change_nothing_and_are_logged(self):
         async def act():
