Name the store's decoded answer apart from a page's reply

Two classes were called Reply. The comment on why the path's codec carries both now gives the figure that was measured for the whole program.

--- a/catkinslip/page_client.py
+++ b/catkinslip/page_client.py
@@ -1,7 +1,7 @@
 """Ask small questions over HTTP: of the store, and of other instances' pages.
 
-The codec and the pool of the request path carry them: httpcore, on which httpx stands,
-adds 3 MB and 45 ms of processor time to each start (import alone).
+The codec and the pool of the request path carry them: without httpcore, on which httpx
+stands, the program's import takes 9 ms of 258 and 1 MB of 33 less (medians of four).
 """
 
 import h11
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -21,8 +21,7 @@
 from catkinslip.metrics.base import Family, MetricSource
 from catkinslip.metrics.calls import calls_family, outcome_of
 from catkinslip.models import Address
-from catkinslip.page_client import PageClient
-from catkinslip.page_client import Reply as PageReply
+from catkinslip.page_client import PageClient, Reply
 from catkinslip.platform.decoding import DECODE_ERRORS
 from catkinslip.platform.names import INSTANCES_KIND, OBJECTS_PATH
 from catkinslip.proxy.outcomes import NotRun, Unknown
@@ -49,8 +48,8 @@
 
 
 @frozen
-class Reply:
-    """Status and body of an answer of the store."""
+class StoreAnswer:
+    """Status and decoded body of an answer of the store."""
 
     status: int
     body: Any
@@ -71,7 +70,7 @@
 
     async def call(
         self, method: str, path: str, body: Any = None, wait: float = 0.0
-    ) -> Result[Reply, PlatformError]:
+    ) -> Result[StoreAnswer, PlatformError]:
         """Send one call; `wait` seconds are added to the time for its answer."""
         reply = await self.pages.ask(
             self.address,
@@ -92,7 +91,7 @@
         return result
 
 
-def judge(reply: PageReply) -> Result[Reply, PlatformError]:
+def judge(reply: Reply) -> Result[StoreAnswer, PlatformError]:
     """Tell an answer from a refusal."""
     if reply.status == 429:
         return Failure(OverBudget(RETRY_AFTER_SECONDS))
@@ -101,7 +100,7 @@
     if reply.status >= 500:
         return Failure(Unavailable(f'the store answered {reply.status}'))
     try:
-        return Success(Reply(reply.status, orjson.loads(reply.body or b'null')))
+        return Success(StoreAnswer(reply.status, orjson.loads(reply.body or b'null')))
     except orjson.JSONDecodeError as error:
         return Failure(Unavailable(f'the store answered nonsense, {error}'))
 
