Let calls that are late for their target yield to fresh ones

Cause: at the worst load half of the arrivals were callers that had been refused and came back; their answers could not be in time any more, since the target counts from the first attempt, and each took the place of a fresh call. The decision took every arrival for a fresh one.

Change: the slice admission. The time that a caller has used up is estimated from the deadlines that callers give; a late call gets a free server, or an idle slow one at which a fresh call would be late, else it is refused at once and told to come back after a quarter of its own time. A kept call that cannot be in time any more is late too. The emulator of overload (make bench-overload) plays loads with callers that return.

--- a/Makefile
+++ b/Makefile
@@ -84,3 +84,7 @@
 .PHONY: soak
 soak: install
 	$(RUN) -m soak --seeds $(SEED)
+
+.PHONY: bench-overload
+bench-overload: install
+	$(RUN) -m benchmarks.overload --ablation --bound
--- /dev/null
+++ b/benchmarks/overload_instances.py
@@ -0,0 +1,324 @@
+"""Instances under a load: the product's own decisions on the virtual clock."""
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define
+
+from benchmarks.overload_callers import Request
+from benchmarks.overload_servers import Run, Server
+from catkinslip.admission.spent import SpentTimes
+from catkinslip.admission.waiting import GOOD_DELAY, Verdict, WaitingCall
+from catkinslip.admission.work import WorkTimes
+from catkinslip.health.sampler import (
+    ANSWER_SECONDS,
+    ASKED_AT_ONCE,
+    BUDGET_SHARE,
+    FRESH_SECONDS,
+    ROUNDS,
+    SAVED_SECONDS,
+    SILENT_SECONDS,
+)
+from catkinslip.health.sharing import (
+    FLUSH_SECONDS,
+    OLDEST_SECONDS,
+    ON_THE_WAY_SECONDS,
+)
+from catkinslip.routing.base import (
+    AttemptResult,
+    BackendLoad,
+    Estimate,
+    LoadReport,
+    ResultKind,
+)
+from catkinslip.routing.router import ServiceRouter
+from catkinslip.store.budget import TokenBucket
+
+if TYPE_CHECKING:
+    from benchmarks.overload_world import World
+
+#: One way between a caller and an instance, and between instances of a zone.
+CLIENT_SECONDS = 0.008
+NEAR_SECONDS = 0.0002
+
+
+@define(eq=False)
+class Call:
+    """One attempt of a caller, as the instance that serves it knows it."""
+
+    request: Request
+    waiting: WaitingCall
+    began: float
+    run: Run | None = None
+    is_open: bool = True
+    tried: list[str] = Factory(list)
+    rounds: int = 0
+
+
+@define(eq=False)
+class Desk:
+    """What one instance keeps of one service."""
+
+    router: ServiceRouter
+    work: WorkTimes = Factory(WorkTimes)
+    news: dict[str, BackendLoad] = Factory(dict)
+
+
+@define(eq=False)
+class Instance:
+    """One entry instance: the product's choice, wait and refusal."""
+
+    world: 'World'
+    zone: str
+    random: Random
+    desk_by_service: dict[str, Desk] = Factory(dict)
+    bucket_by_id: dict[str, TokenBucket] = Factory(dict)
+    spent: SpentTimes = Factory(lambda: SpentTimes(0.0))
+    is_up: bool = True
+    open_calls: set[Call] = Factory(set)
+
+    def arrive(self, request: Request) -> None:
+        """Take a caller's attempt."""
+        now, kind = self.world.now, request.kind
+        if not self.is_up:
+            self.world.lost(request)
+            return
+        given = request.deadline - now + CLIENT_SECONDS
+        known = self.spent.observe(kind.name, given, kind.target, now)
+        if self.world.knows_spent:
+            known = now - CLIENT_SECONDS - request.asked_at
+        if not self.world.settings.counts_spent:
+            known = 0.0
+        waiting = WaitingCall(
+            settings=self.world.settings,
+            began=now,
+            best_until=now + kind.target - known,
+            deadline=now + min(given, kind.timeout),
+            caller_leaves=now + given,
+            target=kind.target,
+            priority=kind.priority,
+        )
+        desk = self.desk_by_service[kind.service]
+        call = Call(request, waiting, now)
+        self.open_calls.add(call)
+        waiting.note_time(desk.work.expect(kind.name, 1.0, kind.target), now)
+        left = request.deadline + CLIENT_SECONDS - now
+        self.world.after(min(left, kind.timeout), self.expire, call)
+        self.look(call)
+
+    def look(self, call: Call) -> None:
+        """Refresh what is known, then decide."""
+        if call.is_open and call.run is None:
+            call.rounds = 0
+            self.refresh(call)
+
+    def refresh(self, call: Call) -> None:
+        """Ask servers until the choice rests on a fresh report."""
+        if not call.is_open or call.run is not None:
+            return
+        desk = self.desk_by_service[call.request.kind.service]
+        may_ask = call.rounds < ROUNDS and not call.waiting.is_late
+        asked = self.leaders(desk, call) if may_ask else []
+        if not asked:
+            self.decide(desk, call)
+            return
+        call.rounds += 1
+        slowest = 0.0
+        for load in asked:
+            server = self.world.server_by_id[load.backend_id]
+            if server.is_dark:
+                slowest = ANSWER_SECONDS
+                self.world.after(ANSWER_SECONDS, self.silent, load)
+                continue
+            hop = self.world.hop(self.zone, server.zone)
+            slowest = max(slowest, 2 * hop)
+            self.world.after(hop, self.probed, (desk, load, server, hop))
+        self.world.after(slowest, self.refresh, call)
+
+    def probed(self, probe: tuple[Desk, BackendLoad, Server, float]) -> None:
+        """Let a server tell its load."""
+        desk, load, server, hop = probe
+        told = (desk, load, server.report(), self.world.now, load.picks_since_report)
+        self.world.after(hop, self.learn, told)
+
+    def learn(self, told: tuple) -> None:
+        """Take the answer to a probe."""
+        desk, load, report, at, picks = told
+        if load.backend_id in desk.router.load_by_id:
+            desk.router.learned(load.backend_id, report, at, picks)
+
+    def silent(self, load: BackendLoad) -> None:
+        """Take a probe that was not answered."""
+        load.is_silent = load.is_irregular = True
+        self.world.after(SILENT_SECONDS, self.ask_again, load)
+
+    def ask_again(self, load: BackendLoad) -> None:
+        """Ask a silent server beside the calls."""
+        server = self.world.server_by_id[load.backend_id]
+        if server.is_dark:
+            self.world.after(SILENT_SECONDS, self.ask_again, load)
+        else:
+            load.is_silent = False
+
+    def leaders(self, desk: Desk, call: Call) -> list[BackendLoad]:
+        """Return the best servers without a fresh report, within the budget."""
+        now = self.world.now
+        ranked = desk.router.rank(now, call.tried)
+        if not ranked:
+            return []
+        best = ranked[0]
+        if now - best.load.reported_at <= FRESH_SECONDS and best.delay <= GOOD_DELAY:
+            return []
+        leaders = []
+        for load, _, _ in ranked:
+            if now - load.reported_at <= FRESH_SECONDS or load.is_silent:
+                continue
+            if self.take_probe(load.backend_id, now):
+                leaders.append(load)
+            if len(leaders) == ASKED_AT_ONCE:
+                break
+        return leaders
+
+    def take_probe(self, backend_id: str, now: float) -> bool:
+        """Take one probe from the own share of a server's budget."""
+        rate = self.world.load.probes_per_second * BUDGET_SHARE
+        rate /= len(self.world.instances)
+        bucket = self.bucket_by_id.get(backend_id)
+        if bucket is None:
+            bucket = TokenBucket(rate, tokens=1.0, filled_at=now)
+            bucket.burst = max(1.0, rate * SAVED_SECONDS)
+            self.bucket_by_id[backend_id] = bucket
+        return bucket.take(now) == 0.0
+
+    def decide(self, desk: Desk, call: Call) -> None:
+        """Send, hold or refuse a call."""
+        now, kind = self.world.now, call.request.kind
+        ranked = desk.router.rank(now, call.tried)
+        if not ranked:
+            self.refuse(call, 1.0)
+            return
+        best = ranked[0]
+        work = desk.work.expect(kind.name, 1.0, kind.target)
+        waiting, is_known = call.waiting, not best.load.is_silent
+        match waiting.judge(best.delay, work, now, is_known=is_known):
+            case Verdict.SEND:
+                self.send(desk, call, best)
+            case Verdict.HOLD:
+                self.world.after(waiting.look_seconds(now), self.look, call)
+            case Verdict.REFUSE:
+                slow = waiting.find_slow(ranked, work, now)
+                if slow is None:
+                    self.refuse(call, best.delay * work)
+                else:
+                    self.send(desk, call, slow)
+
+    def send(self, desk: Desk, call: Call, best: Estimate) -> None:
+        """Send a call to a server."""
+        now = self.world.now
+        best.load.expected_in_flight = best.in_flight
+        server = self.world.server_by_id[best.load.backend_id]
+        run = Run(call, server, self, now, best.delay, call.request.work)
+        call.run = run
+        call.tried.append(server.server_id)
+        desk.router.started(server.server_id, now)
+        self.world.after(self.world.hop(self.zone, server.zone), server.arrive, run)
+
+    def refuse(self, call: Call, expected: float) -> None:
+        """Refuse a call and tell its caller when to come back."""
+        now = self.world.now
+        refusal = call.waiting.refuse(expected, now, self.random)
+        self.close(call)
+        self.spent.turned_away(now)
+        told = (call.request, refusal.retry_after)
+        self.world.after(CLIENT_SECONDS, self.world.refused, told)
+
+    def answered(self, told: tuple[Run, ResultKind, LoadReport]) -> None:
+        """Take a server's answer."""
+        run, kind, report = told
+        call, now = run.call, self.world.now
+        if run.is_gone or not self.is_up:
+            return
+        request = call.request
+        desk = self.desk_by_service[request.kind.service]
+        latency = now - run.sent_at
+        result = AttemptResult(kind, latency, report)
+        desk.router.finished(run.server.server_id, result, now)
+        run.is_gone = True
+        if kind is ResultKind.SHED:
+            call.run = None
+            self.look(call)
+            return
+        target = request.kind.target
+        desk.work.learn(request.kind.name, latency, run.delay, target)
+        self.close(call)
+        self.world.after(CLIENT_SECONDS, self.world.done, request)
+
+    def expire(self, call: Call) -> None:
+        """Give a call up whose time is over."""
+        if not call.is_open:
+            return
+        desk = self.desk_by_service[call.request.kind.service]
+        self.close(call)
+        if call.run is not None:
+            self.give_up(desk, call.run)
+        self.world.after(CLIENT_SECONDS, self.world.failed, call.request)
+
+    def give_up(self, desk: Desk, run: Run) -> None:
+        """Cancel a run."""
+        run.is_gone = True
+        result = AttemptResult(ResultKind.CANCELLED, self.world.now - run.sent_at)
+        desk.router.finished(run.server.server_id, result, self.world.now)
+        hop = self.world.hop(self.zone, run.server.zone)
+        self.world.after(hop, run.server.cancel, run)
+
+    def close(self, call: Call) -> None:
+        """Note that a call has ended."""
+        call.is_open = False
+        self.open_calls.discard(call)
+
+    def share(self, _: None) -> None:
+        """Tell the zone's other instances what is new."""
+        now = self.world.now
+        for service, desk in self.desk_by_service.items():
+            loads, desk.news = list(desk.news.values()), {}
+            for load in loads:
+                if load.report is None or now - load.reported_at > OLDEST_SECONDS:
+                    continue
+                in_flight = load.reported_in_flight + load.picks_since_report
+                report = LoadReport(in_flight, load.speed)
+                told = (service, load.backend_id, report, load.reported_at)
+                for other in self.world.instances:
+                    if other is not self and other.zone == self.zone:
+                        self.world.after(NEAR_SECONDS, other.hear, told)
+        if now < self.world.quiet_at:
+            self.world.after(FLUSH_SECONDS, self.share, None)
+
+    def hear(self, told: tuple[str, str, LoadReport, float]) -> None:
+        """Take a report of another instance."""
+        service, backend_id, report, at = told
+        router = self.desk_by_service[service].router
+        load = router.load_by_id.get(backend_id)
+        if load is None:
+            return
+        in_report = load.picked_at < at - ON_THE_WAY_SECONDS
+        picks = load.picks_since_report if in_report else 0
+        router.heard(backend_id, report, at, picks)
+
+    def stop(self) -> None:
+        """End without a word: connections break."""
+        self.is_up = False
+        for call in list(self.open_calls):
+            self.close(call)
+            if call.run is not None:
+                run = call.run
+                run.is_gone = True
+                hop = self.world.hop(self.zone, run.server.zone)
+                self.world.after(hop, run.server.cancel, run)
+            self.world.after(CLIENT_SECONDS, self.world.broken, call.request)
+
+    def start(self, _: None) -> None:
+        """Begin again and know nothing."""
+        self.is_up = True
+        self.spent = SpentTimes(self.world.now)
+        self.bucket_by_id.clear()
+        self.world.furnish(self)
--- a/benchmarks/policy_world.py
+++ b/benchmarks/policy_world.py
@@ -6,13 +6,12 @@
 
 from collections import deque
 from collections.abc import Callable
-from heapq import heappop, heappush
-from itertools import count
 from random import Random
 from typing import Any
 
 from attrs import Factory, define, frozen
 
+from benchmarks.virtual_clock import VirtualClock
 from catkinslip.config.documents import Backend, Service
 from catkinslip.routing.base import AttemptResult, LoadReport, Policy, ResultKind
 from catkinslip.routing.router import ServiceRouter
@@ -227,21 +226,14 @@
 
 
 @define(eq=False)
-class World:
+class World(VirtualClock):
     """The virtual clock, the workers and the instances."""
 
     scenario: Scenario
     random: Random
-    now: float = 0.0
-    heap: list[tuple[float, int, Callable, Any]] = Factory(list)
-    order: count = Factory(count)
     worker_by_id: dict[str, Worker] = Factory(dict)
     instances: list[Instance] = Factory(list)
 
-    def after(self, delay: float, action: Callable[[Any], None], subject: Any) -> None:
-        """Run an action later."""
-        heappush(self.heap, (self.now + delay, next(self.order), action, subject))
-
     def hop(self, instance: Instance, worker: Worker) -> float:
         """Return the seconds between an instance and a worker."""
         near = instance.zone == worker.zone
@@ -254,9 +246,7 @@
     def run(self) -> list[Request]:
         """Run all events and return every request."""
         requests = self.draw_requests()
-        while self.heap:
-            self.now, _, action, subject = heappop(self.heap)
-            action(subject)
+        self.run_all()
         return requests
 
     def draw_requests(self) -> list[Request]:
--- /dev/null
+++ b/catkinslip/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which calls are sent, wait or are turned away when servers have no room."""
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -12,10 +12,10 @@
 import trio
 from attrs import Factory, define, field
 
+from catkinslip.admission.waiting import GOOD_DELAY
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
 from catkinslip.health.tracker import HealthTracker
-from catkinslip.limits.timely import GOOD_DELAY
 from catkinslip.proxy.answers import drain_body, receive_response
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.outcomes import NotRun, Reason
--- a/catkinslip/limits/base.py
+++ b/catkinslip/limits/base.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from catkinslip.admission.waiting import AdmissionSettings
 from catkinslip.limits.load import ServiceLoad
 from catkinslip.proxy.outcomes import NotRun
 
@@ -20,6 +21,7 @@
     extra_slack: float | None = None
     max_attempts: int = 3
     hedge_percentile: float = 99.0
+    admission: AdmissionSettings = AdmissionSettings()
 
 
 class Admission(ABC):
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -4,13 +4,13 @@
 
 from attrs import Factory, define
 
+from catkinslip.admission.work import WorkTimes
 from catkinslip.limits.admission import DeadlineLimit
 from catkinslip.limits.base import Admission, LimitSettings
 from catkinslip.limits.budget import ExtraBudget
 from catkinslip.limits.latency import LatencyWindow
 from catkinslip.limits.load import ServiceLoad
 from catkinslip.limits.plan import CallPlan
-from catkinslip.limits.timely import WorkTimes
 from catkinslip.proxy.outcomes import NotRun
 from catkinslip.routing.base import AttemptResult, ResultKind
 from catkinslip.routing.router import ServiceRouter
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -118,12 +118,14 @@
         outcome = await self._forward_observed(call, wire)
         seconds = self.environment.clock.monotonic() - began_at
         log.info(
-            'request: %s %s ended as %s. route=%s ms=%.0f',
+            'request: %s %s ended as %s. route=%s ms=%.0f left_ms=%.0f spent_ms=%.0f',
             call.request_id,
             call.service,
             outcome,
             call.route,
             seconds * 1e3,
+            (call.caller_leaves - began_at) * 1e3,
+            call.spent * 1e3,
         )
         return await self._report(wire, call, outcome)
 
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -34,13 +34,26 @@
     rest: RestOfBody | None = None
     #: Name of the route, if one matched.
     route: str = ''
-    #: When an answer ceases to be worth much, on the monotonic clock.
+    #: Seconds from the caller's first attempt after which an answer is worth little.
+    target_latency: float = inf
+    #: The end of this time, on the monotonic clock.
     best_until: float = inf
+    #: Seconds that the caller had waited before this attempt, as far as known.
+    spent: float = 0.0
+    #: Seconds that the caller says it will wait; None if it does not say.
+    patience: float | None = None
+    #: The end of this time, or the deadline where it is not known.
+    caller_leaves: float = inf
     #: 0 is the most urgent.
     priority: int = 0
     #: Backend servers that the request may be sent to; None leaves it to settings.
     max_attempts: int | None = None
 
+    def has_spent(self, seconds: float) -> None:
+        """Take note of the time that the caller had waited before this attempt."""
+        self.spent = seconds
+        self.best_until -= seconds
+
     @property
     def is_resendable(self) -> bool:
         """Tell whether the whole request can still be sent."""
@@ -91,6 +104,7 @@
             repeatable=False,
             deadline=inf,
             attempt=terms.attempt,
+            patience=terms.timeout,
             peer=peer,
             rest=body.rest,
         )
@@ -98,7 +112,9 @@
         timeout = self._apply_rules(call, terms, path)
         if terms.timeout is not None:
             timeout = min(timeout, terms.timeout)
-        call.deadline = self.clock.monotonic() + timeout
+        now = self.clock.monotonic()
+        call.deadline = now + timeout
+        call.caller_leaves = now + (terms.timeout or timeout)
         if self.trusts_wall_clock:
             call.wall_deadline = self.clock.wall() + timeout
         return call
@@ -118,6 +134,7 @@
             call.service = turns.next_service()
             call.route = turns.name
             call.repeatable = route.repeatable
+            call.target_latency = route.target_latency
             call.best_until = self.clock.monotonic() + route.target_latency
             call.priority = route.priority
             call.max_attempts = route.max_attempts
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,9 +1,11 @@
 """Forward a call: admit it or refuse it at once, then run its attempts."""
 
+from math import inf
 from random import Random
 
 from attrs import Factory, define
 
+from catkinslip.admission.spent import SpentTimes
 from catkinslip.clock import Clock
 from catkinslip.health.base import NoSampler, Sampler
 from catkinslip.health.tracker import HealthTracker
@@ -13,7 +15,7 @@
 from catkinslip.proxy.exchange import OWN_DIALECT, Call
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
-from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
+from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.runner import CallRunner
 from catkinslip.proxy.wire import Wire
@@ -34,9 +36,27 @@
     dialect: Dialect = OWN_DIALECT
     sampler: Sampler = Factory(NoSampler)
     random: Random = Factory(Random)
+    spent: SpentTimes = Factory(
+        lambda self: SpentTimes(self.clock.monotonic()), takes_self=True
+    )
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline."""
+        self._note_spent(call)
+        outcome = await self._forward(call, caller)
+        if not isinstance(outcome, Answered):
+            self.spent.turned_away(self.clock.monotonic())
+        return outcome
+
+    def _note_spent(self, call: Call) -> None:
+        is_told = call.patience is not None and call.target_latency < inf
+        if is_told and self.limits.settings.admission.counts_spent:
+            now = self.clock.monotonic()
+            call.has_spent(
+                self.spent.observe(call.route, call.patience, call.target_latency, now)
+            )
+
+    async def _forward(self, call: Call, caller: Wire) -> Outcome:
         if not self.directory.is_ready:
             return NotRun(Reason.NOT_READY)
         router = self.directory.router_by_service.get(call.service)
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -13,7 +13,6 @@
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
-from catkinslip.limits.timely import Patience, Verdict
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
 from catkinslip.proxy.hedges import HedgeTimer
@@ -28,6 +27,7 @@
 )
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.race import Race
+from catkinslip.proxy.server_wait import ServerWait
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.base import Choice
 from catkinslip.routing.router import ServiceRouter
@@ -58,6 +58,7 @@
     passed_on: Launch | None = None
     began: float = Factory(lambda self: self.clock.monotonic(), takes_self=True)
     scope: trio.CancelScope = Factory(trio.CancelScope)
+    wait: ServerWait = Factory(lambda self: self._make_wait(), takes_self=True)
 
     async def run(self) -> Outcome:
         """Run attempts until one answers, none may follow, or the deadline."""
@@ -72,51 +73,20 @@
 
     async def _run_attempts(self) -> Outcome:
         while True:
-            choice = await self._wait_for_server()
+            choice = await self.wait.choose(self._tried())
             if isinstance(choice, NotRun):
                 self.plan.refused(choice)
                 return self.plan.told()
             # Another call may have taken the last token during the wait.
             if choice is None or not self.plan.may_start():
                 return self.plan.told()
-            launch = self._launch(choice, self.plan.start(), choice.reason)
+            launch = self._launch(choice, self.plan.start(), self.wait.reason(choice))
             ended = await self._await_head(launch)
             if isinstance(ended.result, AnswerHead):
                 return await self._pass_on(ended, ended.result)
             if ended.step is Step.STOP:
                 return self.plan.told()
 
-    async def _wait_for_server(self) -> Choice | NotRun | None:
-        """Return a server that is expected to answer in time, or why none is.
-
-        None where no server is left to choose.
-        """
-        call = self.call
-        patience = Patience(self.began, call.best_until, call.priority)
-        while True:
-            await self.sampler.refresh(self.router, self._tried())
-            choice = self.health.choose(self.router, self._tried())
-            if choice is None or call.best_until == inf:
-                return choice
-            now = self.clock.monotonic()
-            expected = self._expect(choice.delay)
-            is_known = not self.router.is_silent(choice.backend_id)
-            match patience.judge(expected, choice.delay, now, is_known=is_known):
-                case Verdict.SEND:
-                    return choice
-                case Verdict.REFUSE:
-                    refusal = patience.refusal(expected, now, self.random)
-                    log.info(
-                        'limits: %s %s is refused, %s, at %s, %s.',
-                        call.request_id,
-                        call.service,
-                        refusal.detail,
-                        choice.backend_id,
-                        choice.reason,
-                    )
-                    return refusal
-            await trio.sleep(patience.look_seconds(now))
-
     def launch_hedge(self) -> Launch | None:
         """Make a second attempt; None when no server has an idle slot for it."""
         choice = self.health.choose(self.router, self._tried())
@@ -170,15 +140,19 @@
         if self.call.best_until == inf:
             return self.limits.hedge_delay(now)
         # By then most servers that kept their speed have answered.
-        return self._expect(launch.delay)
-
-    def _expect(self, delay: float) -> float:
-        """Return the expected seconds until an answer."""
-        return self.limits.work.expect(self.call.route, delay, self._target)
-
-    @property
-    def _target(self) -> float:
-        return self.call.best_until - self.began
+        return self.wait.expect(launch.delay)
+
+    def _make_wait(self) -> ServerWait:
+        return ServerWait(
+            self.call,
+            self.limits,
+            self.router,
+            self.health,
+            self.sampler,
+            self.clock,
+            self.random,
+            self.began,
+        )
 
     async def _race(self, first: Launch, delay: float) -> Launch:
         race = Race(self, delay, launched_speed=self.speed_of(first.backend_id))
@@ -221,7 +195,10 @@
             launch.answered_at = now
             latency = now - launch.began
             self.limits.answered(launch.backend_id, latency)
-            self.limits.work.learn(self.call.route, latency, launch.delay, self._target)
+            call = self.call
+            self.limits.work.learn(
+                call.route, latency, launch.delay, call.target_latency
+            )
             return
         if result.reason is Reason.CONNECT_FAILED:
             self.health.refused(launch.backend_id)
--- /dev/null
+++ b/catkinslip/proxy/server_wait.py
@@ -0,0 +1,99 @@
+"""Wait until a server of a service can take a call."""
+
+import logging
+from collections.abc import Sequence
+from math import inf
+from random import Random
+
+import trio
+from attrs import define, field
+
+from catkinslip.admission.waiting import Verdict, WaitingCall
+from catkinslip.clock import Clock
+from catkinslip.health.base import Sampler
+from catkinslip.health.tracker import HealthTracker
+from catkinslip.limits.service import ServiceLimits
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.outcomes import NotRun
+from catkinslip.routing.base import Choice
+from catkinslip.routing.router import ServiceRouter
+
+log = logging.getLogger('limits')
+
+
+@define
+class ServerWait:
+    """Find a server for one call; carry out what its waiting room decides."""
+
+    call: Call
+    limits: ServiceLimits
+    router: ServiceRouter
+    health: HealthTracker
+    sampler: Sampler
+    clock: Clock
+    random: Random
+    began: float
+    waiting: WaitingCall = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        call = self.call
+        self.waiting = WaitingCall(
+            settings=self.limits.settings.admission,
+            began=self.began,
+            best_until=call.best_until,
+            deadline=call.deadline,
+            caller_leaves=call.caller_leaves,
+            target=call.target_latency,
+            priority=call.priority,
+        )
+
+    async def choose(self, tried: Sequence[str]) -> Choice | NotRun | None:
+        """Return a server, or why the call is refused.
+
+        None where no server is left to choose.
+        """
+        self.waiting.note_time(self.expect(1.0), self.clock.monotonic())
+        while True:
+            if not self.waiting.is_late:
+                # Probes are kept for calls that can still be in time.
+                await self.sampler.refresh(self.router, tried)
+            choice = self.health.choose(self.router, tried)
+            if choice is None or self.call.best_until == inf:
+                return choice
+            now = self.clock.monotonic()
+            work = self.expect(1.0)
+            is_known = not self.router.is_silent(choice.backend_id)
+            match self.waiting.judge(choice.delay, work, now, is_known=is_known):
+                case Verdict.SEND:
+                    return choice
+                case Verdict.REFUSE:
+                    return self._find_slow(tried, now) or self._refuse(choice, now)
+            await trio.sleep(self.waiting.look_seconds(now))
+
+    def reason(self, choice: Choice) -> object:
+        """Return why a server was chosen, for the log."""
+        return f'late, {choice.reason}' if self.waiting.is_late else choice.reason
+
+    def expect(self, delay: float) -> float:
+        """Return the expected seconds until an answer."""
+        return self.limits.work.expect(self.call.route, delay, self.call.target_latency)
+
+    def _find_slow(self, tried: Sequence[str], now: float) -> Choice | None:
+        ranked = self.health.rank(self.router, tried)
+        place = self.waiting.find_slow(ranked, self.expect(1.0), now)
+        return None if place is None else self.router.choice_of(place, now)
+
+    def _refuse(self, choice: Choice, now: float) -> NotRun:
+        expected = self.expect(choice.delay)
+        refusal = self.waiting.refuse(expected, now, self.random)
+        log.info(
+            'limits: %s %s is refused, %s, spent_ms=%.0f back_ms=%.0f, at %s, %s.',
+            self.call.request_id,
+            self.call.service,
+            refusal.detail,
+            self.call.spent * 1e3,
+            refusal.retry_after * 1e3,
+            choice.backend_id,
+            choice.reason,
+        )
+        return refusal
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -100,6 +100,10 @@
         """Return what is expected at each candidate, the best first."""
         return [Estimate(load, 1.0, load.in_flight) for load in candidates]
 
+    def choice_of(self, place: Estimate, now: float) -> Choice:
+        """Return a ranked candidate as a choice."""
+        return Choice(place.load.backend_id, 'ranked', place.delay)
+
     def started(self, load: BackendLoad, now: float) -> None:  # noqa: B027
         """Learn that a request was sent."""
 
--- a/catkinslip/routing/delay.py
+++ b/catkinslip/routing/delay.py
@@ -64,8 +64,9 @@
 by_delay = attrgetter('delay')
 
 
-def to_choice(chosen: Estimate, following: Estimate | None, now: float) -> Choice:
-    """Return a candidate as a choice, with the next best one as its reason."""
+def choose_estimate(chosen: Estimate, following: Estimate | None, now: float) -> Choice:
+    """Choose a candidate, with the next best one as the reason."""
+    chosen.load.expected_in_flight = chosen.in_flight
     reason = DelayReason(
         chosen.delay,
         chosen.in_flight,
@@ -98,8 +99,11 @@
         """Choose one of at least one candidate."""
         # Ties go to any of them: the estimates begin at a random candidate.
         first, *others = nsmallest(2, self._estimates(candidates, now), key=by_delay)
-        first.load.expected_in_flight = first.in_flight
-        return to_choice(first, others[0] if others else None, now)
+        return choose_estimate(first, others[0] if others else None, now)
+
+    def choice_of(self, place: Estimate, now: float) -> Choice:
+        """Return a ranked candidate as a choice."""
+        return choose_estimate(place, None, now)
 
     def rank(self, candidates: Sequence[BackendLoad], now: float) -> list[Estimate]:
         """Return what is expected at each candidate, the best first."""
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -66,6 +66,10 @@
         candidates = self._candidates(excluded)
         return self.policy.rank(candidates, now) if candidates else []
 
+    def choice_of(self, place: Estimate, now: float) -> Choice:
+        """Return a ranked server as a choice."""
+        return self.policy.choice_of(place, now)
+
     def _candidates(self, excluded: Collection[str]) -> list[BackendLoad]:
         candidates = takes_work(self._next_window(), excluded)
         if not candidates and len(self.loads) > self.window_size:
--- /dev/null
+++ b/tests/test_admission_overload.py
@@ -0,0 +1,76 @@
+"""The worst loads, replayed on the virtual clock with and without a mechanism."""
+
+import statistics
+import tempfile
+import unittest
+from pathlib import Path
+
+from attrs import evolve
+from returns.result import Failure
+
+from benchmarks.overload import Score, score
+from benchmarks.overload_load import LOADS, named_load, read_load
+from benchmarks.overload_world import build_world
+from catkinslip.admission.waiting import AdmissionSettings
+
+SEEDS = (1, 2, 3)
+USUAL = AdmissionSettings()
+
+
+def play(name: str, settings: AdmissionSettings = USUAL) -> Score:
+    """Return the means of a load over the seeds."""
+    load = named_load(name)
+    scores = [score(build_world(load, seed, settings).run()) for seed in SEEDS]
+    return Score(
+        *(
+            statistics.mean(getattr(each, figure) for each in scores)
+            for figure in ('total', 'all', 'windows', 'worst_kind', 'served')
+        )
+    )
+
+
+class ReturningCrowdTest(unittest.TestCase):
+    """More calls than the servers can answer, and callers that come back."""
+
+    def test_fresh_calls_are_in_time_though_late_ones_come_back(self):
+        with_it, without = play('rush'), play('rush', evolve(USUAL, counts_spent=False))
+        self.assertGreater(with_it.all, without.all + 0.03)
+        self.assertGreater(with_it.windows, without.windows + 0.02)
+        self.assertGreater(with_it.worst_kind, without.worst_kind + 0.03)
+
+    def test_callers_come_back_when_there_is_room(self):
+        at_once = evolve(USUAL, late_retry_share=0.0)
+        self.assertGreater(play('rush').total, play('rush', at_once).total + 0.01)
+
+
+class LoadFileTest(unittest.TestCase):
+    """What is told of a load that cannot be played."""
+
+    def read(self, text: str) -> str:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'wrong.toml'
+            path.write_text(text)
+            outcome = read_load(path)
+        self.assertIsInstance(outcome, Failure)
+        return '\n'.join(outcome.failure())
+
+    def test_every_mistake_is_told_with_its_place(self):
+        text = (LOADS / 'rush.toml').read_text()
+        text = text.replace('kind = "dark"', 'kind = "darkness"')
+        text = text.replace('service = "till"', 'service = "tills"')
+        told = self.read(text)
+        self.assertIn("no kind 'darkness'", told)
+        self.assertIn("no service 'tills' @ $.kinds[2].service", told)
+        self.assertIn("no service 'tills' @ $.kinds[3].service", told)
+
+    def test_wrong_types_are_told_with_their_places(self):
+        text = (LOADS / 'rush.toml').read_text()
+        told = self.read(text.replace('seconds = 23.0', 'seconds = "long"', 1))
+        self.assertIn('$.seconds', told)
+
+    def test_what_is_no_toml_is_told(self):
+        self.assertIn('wrong.toml', self.read('name ='))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_admission_spent.py
@@ -0,0 +1,104 @@
+"""What callers' own deadlines tell of the time that they have waited before."""
+
+import unittest
+from random import Random
+
+from catkinslip.admission.spent import (
+    CALM_SECONDS,
+    LEAST_SAMPLES,
+    MAX_ROUTES,
+    WINDOW,
+    SpentTimes,
+)
+
+TARGET = 0.25
+#: Fresh callers of the tests wait from 1.7 to 2 s.
+LEAST, MOST = 1.7, 2.0
+
+
+class SpentTimesTest(unittest.TestCase):
+    """Fresh callers of different patience, and some that asked before."""
+
+    def setUp(self):
+        self.random = Random(4)
+        self.spent = SpentTimes(turned_away_at=0.0)
+        self.now = 10.0
+
+    def observe(self, given: float, route: str = 'a') -> float:
+        self.now += 0.01
+        return self.spent.observe(route, given, TARGET, self.now)
+
+    def see_fresh(self, count: int = 200) -> list[float]:
+        """See fresh callers; return what each is taken to have spent."""
+        given = [self.random.uniform(LEAST, MOST) for _ in range(count)]
+        return [self.observe(each) for each in given]
+
+    def test_fresh_callers_have_spent_nothing(self):
+        self.assertLess(sum(each > 0 for each in self.see_fresh()), 0.02 * 200)
+
+    def test_caller_with_less_time_than_fresh_ones_asked_before(self):
+        self.see_fresh()
+        for used in (0.4, 0.7, 1.2):
+            middling = (LEAST + MOST) / 2
+            told = self.observe(middling - used)
+            self.assertAlmostEqual(told, used, delta=0.1)
+
+    def test_caller_that_may_be_fresh_counts_as_fresh(self):
+        self.see_fresh()
+        self.assertEqual(self.observe(LEAST + 0.05), 0.0)
+
+    def test_few_requests_after_a_start_are_enough(self):
+        for _ in range(LEAST_SAMPLES):
+            self.observe(self.random.uniform(LEAST, MOST))
+        self.assertGreater(self.observe(0.8), TARGET)
+
+    def test_patience_is_learned_while_nobody_comes_back(self):
+        given = [1.0 + 1.0 * self.random.random() for _ in range(400)]
+        taken = [self.observe(each) for each in given]
+        self.assertLess(sum(each > 0 for each in taken[200:]), 0.02 * 200)
+
+    def test_crowd_that_comes_back_does_not_pass_for_impatient(self):
+        self.see_fresh()
+        for _ in range(4 * WINDOW):
+            self.spent.turned_away(self.now)
+            self.see_fresh(1)
+            self.assertGreater(self.observe(1.0), TARGET)
+
+    def test_patience_is_not_learned_until_the_crowd_has_gone(self):
+        self.spent.turned_away(self.now)
+        before = self.spent.patience_by_route.get('a')
+        self.assertIsNone(before)
+        self.see_fresh(50)
+        spread = self.spent.patience_by_route['a'].spread
+        self.assertLess(self.now, 10.0 + CALM_SECONDS)
+        self.see_fresh(50)
+        self.assertEqual(self.spent.patience_by_route['a'].spread, spread)
+
+    def test_absurd_times_do_not_make_others_late(self):
+        self.see_fresh()
+        for absurd in (1e9, 0.0, 5e5):
+            self.observe(absurd)
+        self.assertLess(sum(each > 0 for each in self.see_fresh()), 0.02 * 200)
+
+    def test_callers_with_more_time_than_before_are_soon_usual(self):
+        self.see_fresh()
+        for _ in range(WINDOW):
+            self.observe(self.random.uniform(2 * LEAST, 2 * MOST))
+        late = sum(
+            self.observe(self.random.uniform(2 * LEAST, 2 * MOST)) > 0
+            for _ in range(100)
+        )
+        self.assertLess(late, 50)
+
+    def test_routes_do_not_mix(self):
+        self.see_fresh()
+        self.assertEqual(self.observe(0.5, route='b'), 0.0)
+
+    def test_flood_of_routes_is_bounded(self):
+        for number in range(MAX_ROUTES + 100):
+            self.observe(1.0, route=f'r{number}')
+        self.assertLessEqual(len(self.spent.patience_by_route), MAX_ROUTES)
+
+
+if __name__ == '__main__':
+    unittest.main()
