Hold a call of long work like others, and switch off each mechanism in the emulator

Cause: a call counted as late when its work, as learned, left no time; with work learned too long, or longer than the target, every call would have been late: not held and without probes. Found by reading the change; the new test failed before.

Change: only a caller that is known to have waited is late on arrival.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -20,7 +20,7 @@
 
 from benchmarks.overload_callers import Request
 from benchmarks.overload_load import LOADS, Load, named_load
-from benchmarks.overload_world import build_world
+from benchmarks.overload_world import Mechanisms, build_world
 from catkinslip.admission.waiting import AdmissionSettings
 
 WINDOW_SECONDS = 2.0
@@ -30,12 +30,20 @@
 WEIGHT_ALL, WEIGHT_WINDOWS, WEIGHT_KIND, WEIGHT_SERVED = 0.28, 0.4, 0.12, 0.2
 REFUSED_AGAIN_COST = 0.3
 #: Each mechanism and the setting with which it does nothing.
-OFF_BY_NAME = {
+OFF_BY_SETTING = {
     'counts_spent': False,
     'uses_slow': False,
     'hold_share': 0.0,
+    'spare_share_per_priority': 0.0,
     'late_retry_share': 0.0,
 }
+OFF_BY_MECHANISM = {
+    'probes': False,
+    'shares_reports': False,
+    'weighs_speed': False,
+    'zone_hop': 0.0,
+    'nearly_full_slowness': 1.0,
+}
 
 
 @frozen
@@ -44,6 +52,7 @@
 
     name: str
     settings: AdmissionSettings
+    mechanisms: Mechanisms = Mechanisms()
     knows_spent: bool = False
 
 
@@ -105,8 +114,11 @@
         name, _, value = text.partition('=')
         arms.append(Arm(text, evolve(usual, **{name: json.loads(value.lower())})))
     if arguments.ablation:
-        for name, off in OFF_BY_NAME.items():
+        for name, off in OFF_BY_SETTING.items():
             arms.append(Arm(f'without {name}', evolve(usual, **{name: off})))
+        for name, off in OFF_BY_MECHANISM.items():
+            mechanisms = evolve(Mechanisms(), **{name: off})
+            arms.append(Arm(f'without {name}', usual, mechanisms))
     return arms
 
 
@@ -124,7 +136,13 @@
 def run_job(job: tuple[Load, Arm, int]) -> Score:
     """Run one load with one arm and one seed."""
     load, arm, seed = job
-    world = build_world(load, seed, arm.settings, knows_spent=arm.knows_spent)
+    world = build_world(
+        load,
+        seed,
+        arm.settings,
+        mechanisms=arm.mechanisms,
+        knows_spent=arm.knows_spent,
+    )
     return score(world.run())
 
 
--- a/benchmarks/overload_instances.py
+++ b/benchmarks/overload_instances.py
@@ -97,6 +97,7 @@
             caller_leaves=now + given,
             target=kind.target,
             priority=kind.priority,
+            spent=known,
         )
         desk = self.desk_by_service[kind.service]
         call = Call(request, waiting, now)
@@ -118,6 +119,7 @@
             return
         desk = self.desk_by_service[call.request.kind.service]
         may_ask = call.rounds < ROUNDS and not call.waiting.is_late
+        may_ask = may_ask and self.world.mechanisms.probes
         asked = self.leaders(desk, call) if may_ask else []
         if not asked:
             self.decide(desk, call)
@@ -279,6 +281,8 @@
     def share(self, _: None) -> None:
         """Tell the zone's other instances what is new."""
         now = self.world.now
+        if not self.world.mechanisms.shares_reports:
+            return
         for service, desk in self.desk_by_service.items():
             loads, desk.news = list(desk.news.values()), {}
             for load in loads:
--- a/benchmarks/overload_world.py
+++ b/benchmarks/overload_world.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Any
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from benchmarks.overload_callers import ADDRESS_SECONDS, Request, draw_requests
 from benchmarks.overload_instances import CLIENT_SECONDS, NEAR_SECONDS, Desk, Instance
@@ -34,6 +34,17 @@
 TAIL_SECONDS = 3.0
 
 
+@frozen
+class Mechanisms:
+    """Ways to know and choose servers, each of which can be switched off."""
+
+    probes: bool = True
+    shares_reports: bool = True
+    weighs_speed: bool = True
+    zone_hop: float = ZONE_HOP_SECONDS
+    nearly_full_slowness: float = NEARLY_FULL_SLOWNESS
+
+
 @define(eq=False)
 class World(VirtualClock):
     """The virtual clock, servers, instances and callers."""
@@ -41,6 +52,7 @@
     load: Load
     random: Random
     settings: AdmissionSettings
+    mechanisms: Mechanisms = Mechanisms()
     #: Whether instances are told how long each caller has waited, as a bound.
     knows_spent: bool = False
     server_by_id: dict[str, Server] = Factory(dict)
@@ -67,9 +79,10 @@
             policy = ExpectedDelay(
                 instance.random,
                 instance.zone,
-                ZONE_HOP_SECONDS,
+                self.mechanisms.zone_hop,
+                weigh_speed=self.mechanisms.weighs_speed,
                 nearly_full_share=NEARLY_FULL_SHARE,
-                nearly_full_slowness=NEARLY_FULL_SLOWNESS,
+                nearly_full_slowness=self.mechanisms.nearly_full_slowness,
             )
             router = ServiceRouter(policy, window_size=WINDOW_SIZE)
             desk = Desk(router)
--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -77,6 +77,8 @@
     target: float
     #: 0 is the most urgent.
     priority: int = 0
+    #: Seconds that the caller had waited before, as far as known.
+    spent: float = 0.0
     #: Whether its answer cannot be in time any more.
     is_late: bool = False
 
@@ -108,8 +110,12 @@
         return Verdict.REFUSE if is_known else Verdict.SEND
 
     def note_time(self, work: float, now: float) -> None:
-        """Take note of what the time leaves for a request of so many seconds."""
-        if now + work > self.best_until:
+        """Take note of what the time leaves for a request of so many seconds.
+
+        Only who comes back is late by that: where the work was learned too long, or
+        takes longer than the target, all would be.
+        """
+        if self.spent and now + work > self.best_until:
             self.is_late = True
 
     def find_slow(
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -45,6 +45,7 @@
             caller_leaves=call.caller_leaves,
             target=call.target_latency,
             priority=call.priority,
+            spent=call.spent,
         )
 
     async def choose(self, tried: Sequence[str]) -> Choice | NotRun | None:
--- a/tests/test_admission_waiting.py
+++ b/tests/test_admission_waiting.py
@@ -52,6 +52,7 @@
         'deadline': 10.0 + min(1.0, left),
         'caller_leaves': 10.0 + left,
         'target': TARGET,
+        'spent': spent,
     }
     return WaitingCall(**{**defaults, **fields})
 
@@ -78,6 +79,10 @@
         # Else a wrong estimate would refuse all calls and never be corrected.
         self.assertIs(self.call.judge(GOOD_DELAY, 9.0, 10.3), Verdict.SEND)
 
+    def test_call_whose_work_exceeds_its_target_is_held_like_others(self):
+        self.assertIs(self.call.judge(1.5, 2 * TARGET, 10.0), Verdict.HOLD)
+        self.assertFalse(self.call.is_late)
+
     def test_call_is_sent_where_no_server_answers_probes(self):
         verdict = self.call.judge(21.0, WORK, self.after, is_known=False)
         self.assertIs(verdict, Verdict.SEND)
