--- a/catkinslip/admission/spent.py
+++ b/catkinslip/admission/spent.py
@@ -32,6 +32,9 @@
 CALM_SECONDS = 2.0
 #: What a calm moment tells of the spread replaces so much of what was known.
 SPREAD_WEIGHT = 0.05
+#: And any moment so much: else callers that are new to a route, and have less time than
+#: its others, would count as late for as long as anybody is turned away.
+CROWD_WEIGHT = 0.0003
 
 
 @define
@@ -53,10 +56,10 @@
         """Return the time below which a share of the requests lies."""
         return self.ordered[round(share * (len(self.ordered) - 1))]
 
-    def learn_spread(self) -> None:
-        """Take the differences between callers, none of which asked before."""
+    def learn_spread(self, weight: float) -> None:
+        """Take the differences between callers as those between fresh ones."""
         middle = self.quantile(1 - OUTLIER_SHARE) - self.quantile(OUTLIER_SHARE)
-        self.spread += SPREAD_WEIGHT * (WIDER * middle - self.spread)
+        self.spread += weight * (WIDER * middle - self.spread)
 
     def spent(self, seconds: float) -> float:
         """Return the seconds that a caller with so much time has used up.
@@ -89,8 +92,8 @@
         patience.add(given)
         if len(patience.given) < LEAST_SAMPLES:
             return 0.0
-        if now - self.turned_away_at > CALM_SECONDS:
-            patience.learn_spread()
+        is_calm = now - self.turned_away_at > CALM_SECONDS
+        patience.learn_spread(SPREAD_WEIGHT if is_calm else CROWD_WEIGHT)
         return patience.spent(given)
 
     def _begin(self, route: str, target: float) -> RoutePatience:
