--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -34,9 +34,13 @@
 
 @frozen
 class AdmissionSettings:
-    """How long calls wait and what late ones get; shares are of a call's times."""
+    """How long calls wait and what late ones get; shares are of a call's times.
 
-    #: A call that can be in time is held for this share of its target.
+    Figures are what the overload benchmark loses of its total, from 0 to 1, without the
+    mechanism: three loads, six seeds each.
+    """
+
+    #: A call that can be in time is held for this share of its target: 0.024 to 0.042.
     hold_share: float = 0.16
     #: A less urgent call must leave this share of its target free for each priority.
     #: Without it the least urgent kind is refused half as often, but the most urgent
@@ -44,12 +48,14 @@
     spare_share_per_priority: float = 0.1
     #: Whether the time counts that a caller had waited before its request came.
     counts_spent: bool = True
-    #: Whether late calls may use idle servers at which a fresh one would be late.
+    #: Whether late calls may use idle servers at which a fresh one would be late: 0.004
+    #: to 0.018, each within its noise.
     uses_slow: bool = True
     #: An answer of a slow server must be expected in this share of the time left, as
     #: its speed may fall further.
     slow_time_share: float = 0.5
-    #: A late caller comes back after this share of the time that it still waits.
+    #: A late caller comes back after this share of the time that it still waits: 0.009
+    #: to 0.014, and 0.034 of the two worst windows after the loss of all instances.
     late_retry_share: float = 0.25
 
 
