Decode each field of the store's objects strictly

Cause: an entry may come from another writer. A field of another type, a port of 0, a state that is not known or a time that is no number went into the choice; an object without a name, or bytes that are no text, failed a whole listing for good; an unreadable change left the server that it replaces in use.

Ruled out: dropping only what raises by chance, as int(True) is 1 and float('nan') a time. A missing status stays "ready", as servers write theirs in a second call.

Change: every field is read by type and range; an unreadable change removes the name; a listing gives all others and ends where no name follows; a counter by kind, a log line an object. `born` is decoded as the server's incarnation (not used yet).

--- a/catkinslip/discovery/base.py
+++ b/catkinslip/discovery/base.py
@@ -23,6 +23,8 @@
     is_draining: bool = False
     #: How much longer the server stays slow after its start.
     cold_seconds: float = 0.0
+    #: Differs at each start of the server under the same ID; 0 where it is not told.
+    incarnation: int = 0
 
 
 @frozen
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -1,9 +1,11 @@
 """The client of the platform's store; no call is sent again from here."""
 
+import json
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
+from urllib.parse import quote
 
 import orjson
 from attrs import Factory, asdict, define, frozen
@@ -18,7 +20,7 @@
     Source,
     Value,
 )
-from catkinslip.metrics.base import Family, MetricSource
+from catkinslip.metrics.base import Family, MetricSource, counter
 from catkinslip.metrics.calls import calls_family, outcome_of
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
@@ -63,10 +65,19 @@
     #: A watch on a connection that went silent would hide changes for its whole wait.
     pages: PageClient = Factory(lambda: PageClient(BackendPool(keeps_alive=True)))
     count_by_call: Counter[tuple[str, str]] = Factory(Counter)
+    unreadable_by_kind: Counter[str] = Factory(Counter)
 
     def families(self) -> Iterable[Family]:
         """Return the measured values of now."""
         yield calls_family(self.count_by_call)
+        unreadable = counter(
+            'catkinslip_unreadable_objects_total',
+            'Objects of the store that could not be read.',
+            'kind',
+        )
+        for kind, count in sorted(self.unreadable_by_kind.items()):
+            unreadable.add(count, kind)
+        yield unreadable
 
     async def call(
         self, method: str, path: str, body: Any = None, wait: float = 0.0
@@ -100,11 +111,20 @@
     if reply.status >= 500:
         return Failure(Unavailable(f'the store answered {reply.status}'))
     try:
-        return Success(StoreAnswer(reply.status, orjson.loads(reply.body or b'null')))
-    except orjson.JSONDecodeError as error:
+        return Success(StoreAnswer(reply.status, load_json(reply.body or b'null')))
+    except (ValueError, RecursionError) as error:
         return Failure(Unavailable(f'the store answered nonsense, {error}'))
 
 
+def load_json(body: bytes) -> Any:
+    """Decode JSON; what another writer made unreadable spoils only its own object."""
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError:
+        # Bytes that are no text, and numbers that are none, are read as such.
+        return json.loads(body.decode(errors='replace'))
+
+
 @define
 class KindSource(Source[Value]):
     """Read the objects of one kind, decoded; `name` keeps all but one out."""
@@ -123,7 +143,7 @@
         # Changes between two pages are news after the first of them.
         revision = None
         while True:
-            query = f'?after={after}' if after else ''
+            query = f'?after={quote(after)}' if after else ''
             if may_be_stale:
                 query += f'{"&" if query else "?"}serializable=1'
             result = await self.client.call('GET', self.kind + query)
@@ -131,13 +151,14 @@
                 return result
             reply = result.unwrap()
             try:
-                for item in reply.body['items']:
-                    after = item['metadata']['name']
-                    self._decode_into(value_by_name, after, item)
+                last = self._read_page(value_by_name, reply.body['items'])
                 if revision is None:
                     revision = reply.body['as_of']
                 if not reply.body.get('more'):
                     return Success(Listing(value_by_name, revision))
+                if last <= after:
+                    return Failure(Unavailable(f'no name follows {after!r}'))
+                after = last
             except DECODE_ERRORS as error:
                 return Failure(Unavailable(f'a listing cannot be read, {error!r}'))
 
@@ -162,21 +183,29 @@
 
     def _read_event(self, event: Mapping[str, Any]) -> tuple[str, Value | None] | None:
         item = event['object']
-        name = item['metadata']['name']
-        if event['tombstone']:
-            return None if self._is_foreign(name) else (name, None)
-        decoded: dict[str, Value] = {}
-        self._decode_into(decoded, name, item)
-        return (name, decoded[name]) if decoded else None
-
-    def _decode_into(
-        self, value_by_name: dict[str, Value], name: str, item: Mapping[str, Any]
-    ) -> None:
-        if self._is_foreign(name):
-            return
+        name = name_of(item)
+        if not self._is_wanted(name):
+            return None
+        # What cannot be read names no value, also where it replaces one.
+        value = None if event['tombstone'] else self._decode(name, item)
+        return name, value
+
+    def _read_page(self, value_by_name: dict[str, Value], items: list[Any]) -> str:
+        """Take the objects of a page; return the last name on it."""
+        last = ''
+        for item in items:
+            name = name_of(item)
+            last = name or last
+            value = self._decode(name, item) if self._is_wanted(name) else None
+            if value is not None:
+                value_by_name[name] = value
+        return last
+
+    def _decode(self, name: str, item: Mapping[str, Any]) -> Value | None:
         try:
-            value_by_name[name] = self.decode(name, item)
+            return self.decode(name, item)
         except DECODE_ERRORS as error:
+            self.client.unreadable_by_kind[self.kind] += 1
             log.warning(
                 'store: an object cannot be read, it is left out. '
                 'kind=%s name=%s error=%r',
@@ -184,9 +213,20 @@
                 name,
                 error,
             )
+            return None
 
-    def _is_foreign(self, name: str) -> bool:
-        return self.name is not None and name != self.name
+    def _is_wanted(self, name: str) -> bool:
+        return bool(name) and self.name in (None, name)
+
+
+def name_of(item: Any) -> str:
+    """Return the name of an object; an empty one if it tells none."""
+    try:
+        name = item['metadata']['name']
+    except DECODE_ERRORS as error:
+        log.warning('store: an object without a name is left out. error=%r', error)
+        return ''
+    return name if isinstance(name, str) else ''
 
 
 @define
--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -1,6 +1,12 @@
-"""Decode the platform's objects into the product's own values."""
+"""Decode the platform's objects into the product's own values.
 
+Any writer may put an object there, so each field is checked: a server with a port of 0
+or a time that is not a number would end up in the choice.
+"""
+
+import socket
 from collections.abc import Mapping, Sequence
+from math import isfinite
 from typing import Any
 
 from catkinslip.config.documents import Route, Service, SplitPart
@@ -9,29 +15,83 @@
 
 #: What a decoder raises for an object that it cannot read.
 DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
+READY = 'ready'
 DRAINING = 'draining'
 IDEMPOTENT = 'idempotent'
+MOST_SLOTS = 10_000
+MOST_PORTS = 65_535
+#: Milliseconds since 1970 stay below this for some 280,000 years.
+MOST_MILLISECONDS = 2**53
+#: A cold start that lasts a day is none.
+MOST_COLD_SECONDS = 86_400.0
+MOST_CORES = 10_000.0
 
 
 def decode_backend(name: str, item: Mapping[str, Any]) -> BackendEntry:
-    """Decode one registered server."""
+    """Decode one registered server; raise one of DECODE_ERRORS for any other object."""
     spec = item['spec']
     info = spec['info']
     # A server writes its status in a second call, so at first there is none.
     status = spec.get('status') or item.get('status') or {}
-    address = Address.parse(spec['addr'])
+    state = status.get('state', READY)
+    if state not in (READY, DRAINING):
+        raise ValueError(f'{state!r} is no state')
+    address = read_address(spec['addr'])
     return BackendEntry(
-        backend_id=name,
-        service=info['service'],
-        zone=info['zone'],
+        backend_id=read_text(name),
+        service=read_text(info['service']),
+        zone=read_text(info['zone']),
         host=address.host,
         port=address.port,
-        slots=int(info['slots']),
-        is_draining=status.get('state') == DRAINING,
-        cold_seconds=float(status.get('cold_left_s') or 0.0),
+        slots=read_whole(info['slots'], 1, MOST_SLOTS),
+        is_draining=state == DRAINING,
+        cold_seconds=read_number(status.get('cold_left_s', 0), 0.0, MOST_COLD_SECONDS),
+        incarnation=read_incarnation(spec, item),
     )
 
 
+def read_incarnation(*places: Mapping[str, Any]) -> int:
+    """Return when the server started, in milliseconds since 1970; 0 if it tells not."""
+    for place in places:
+        if 'born' in place:
+            return read_whole(place['born'], 0, MOST_MILLISECONDS)
+    return 0
+
+
+def read_text(value: Any) -> str:
+    """Return a text that is not empty."""
+    if not isinstance(value, str) or not value:
+        raise TypeError(f'{value!r} is no text')
+    return value
+
+
+def read_whole(value: Any, least: int, most: int) -> int:
+    """Return a whole number of a range; true and false are none."""
+    if type(value) is not int or not least <= value <= most:
+        raise ValueError(f'{value!r} is no whole number of {least} to {most}')
+    return value
+
+
+def read_number(value: Any, least: float, most: float) -> float:
+    """Return a finite number of a range; true and false are none."""
+    if type(value) not in (int, float) or not isfinite(value):
+        raise ValueError(f'{value!r} is no number')
+    if not least <= value <= most:
+        raise ValueError(f'{value!r} is not of {least} to {most}')
+    return float(value)
+
+
+def read_address(value: Any) -> Address:
+    """Return an IPv4 address and a port that can be connected to."""
+    address = Address.parse(read_text(value))
+    try:
+        socket.inet_pton(socket.AF_INET, address.host)
+    except OSError:
+        raise ValueError(f'{address.host!r} is no IP number') from None
+    read_whole(address.port, 1, MOST_PORTS)
+    return address
+
+
 def decode_rules(name: str, item: Mapping[str, Any]) -> RuleSet:
     """Decode the operators' configuration."""
     spec = item['spec']
@@ -78,4 +138,13 @@
 
 def decode_instance(name: str, item: Mapping[str, Any]) -> InstanceEntry:
     """Decode the entry of one of our own instances."""
-    return InstanceEntry(**item['spec'])
+    spec = item['spec']
+    return InstanceEntry(
+        instance_id=read_text(spec['instance_id']),
+        zone=read_text(spec['zone']),
+        region=read_text(spec['region']),
+        caller_address=str(read_address(spec['caller_address'])),
+        peer_address=str(read_address(spec['peer_address'])),
+        report_address=str(read_address(spec['report_address'])),
+        cores=read_number(spec['cores'], 0.0, MOST_CORES),
+    )
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -46,6 +46,20 @@
     }
 
 
+def instance_item(name: str) -> dict:
+    """Return the object of one of our own instances."""
+    spec = {
+        'instance_id': name,
+        'zone': 'zone-a',
+        'region': 'region-1',
+        'caller_address': '127.0.0.1:80',
+        'peer_address': '127.0.0.1:90',
+        'report_address': '127.0.0.1:91',
+        'cores': 2.0,
+    }
+    return {'metadata': {'name': name, 'revision': 3}, 'spec': spec}
+
+
 ROUTE_COLUMNS = [
     'name',
     'host',
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -2,13 +2,34 @@
 
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from returns.result import Failure
 
 from catkinslip.config.documents import SplitPart
 from catkinslip.models import Address
-from catkinslip.platform.decoding import decode_backend, decode_rules
+from catkinslip.platform.decoding import (
+    DECODE_ERRORS,
+    decode_backend,
+    decode_instance,
+    decode_rules,
+)
 from catkinslip.platform.settings import read_settings, read_settings_file
-from tests.platform_builders import config_item, server_item, settings_text
+from tests.platform_builders import (
+    config_item,
+    instance_item,
+    server_item,
+    settings_text,
+)
+
+NAN, INFINITY = float('nan'), float('inf')
+#: What another writer may put where a field stands.
+ODD_VALUES = (None, True, '', 'x', -1, 0.5, NAN, INFINITY, [], {}, 2**60)
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
 
 
 class SettingsTest(unittest.TestCase):
@@ -77,6 +98,90 @@
         self.assertEqual(routes['r2'].timeout, 1.5)
         self.assertEqual(routes['r2'].priority, 1)
 
+    def test_start_tells_one_incarnation_from_another(self):
+        item = server_item('i-1', 'one', 80)
+        self.assertEqual(decode_backend('i-1', item).incarnation, 0)
+        item['spec']['born'] = 1_780_000_000_123
+        self.assertEqual(decode_backend('i-1', item).incarnation, 1_780_000_000_123)
+
+
+def replaced(item: dict, place: str, value: object) -> dict:
+    """Return an item with another value at a place of dotted names."""
+    *above, last = place.split('.')
+    target = item
+    for name in above:
+        target = target[name]
+    target[last] = value
+    return item
+
+
+class ForeignObjectsTest(unittest.TestCase):
+    """Objects of another writer name nothing to use."""
+
+    def assert_unreadable(self, decode, item: dict) -> None:
+        with self.assertRaises(DECODE_ERRORS):
+            decode('i-1', item)
+
+    def test_server_with_a_field_of_another_type_or_range(self):
+        places = (
+            'spec',
+            'spec.addr',
+            'spec.info',
+            'spec.info.service',
+            'spec.info.zone',
+            'spec.info.slots',
+        )
+        for place in places:
+            for value in ODD_VALUES:
+                if value == 'x' and place in ('spec.info.service', 'spec.info.zone'):
+                    continue
+                with self.subTest(place=place, value=value):
+                    item = replaced(server_item('i-1', 'one', 80), place, value)
+                    self.assert_unreadable(decode_backend, item)
+
+    def test_server_whose_address_cannot_be_connected_to(self):
+        for address in ('10.0.0.1:0', '10.0.0.1:65536', 'nowhere:80', '10.0.0.1:-4'):
+            with self.subTest(address):
+                item = replaced(server_item('i-1', 'one', 80), 'spec.addr', address)
+                self.assert_unreadable(decode_backend, item)
+
+    def test_server_with_a_state_that_is_not_known(self):
+        for state in ('READY', 'gone', '', None, 7, ['ready']):
+            with self.subTest(state=state):
+                item = server_item('i-1', 'one', 80, state=state)
+                self.assert_unreadable(decode_backend, item)
+
+    def test_server_with_a_start_or_a_cold_time_that_is_none(self):
+        for value in (True, 'soon', NAN, INFINITY, -1, 2**60, []):
+            with self.subTest(value=value):
+                item = replaced(server_item('i-1', 'one', 80), 'spec.born', value)
+                self.assert_unreadable(decode_backend, item)
+                item = server_item('i-1', 'one', 80)
+                item = replaced(item, 'status.cold_left_s', value)
+                self.assert_unreadable(decode_backend, item)
+
+    def test_instance_with_a_field_missing_or_of_another_type(self):
+        self.assertEqual(decode_instance('edge-1', instance_item('edge-1')).cores, 2.0)
+        for field in instance_item('edge-1')['spec']:
+            for value in (None, True, '', -1, NAN, [], {}):
+                with self.subTest(field=field, value=value):
+                    item = instance_item('edge-1')
+                    item = replaced(item, f'spec.{field}', value)
+                    self.assert_unreadable(decode_instance, item)
+            item = instance_item('edge-1')
+            del item['spec'][field]
+            self.assert_unreadable(decode_instance, item)
+
+    @settings(max_examples=300, deadline=None)
+    @given(ANY_JSON, ANY_JSON, st.sampled_from(['spec', 'spec.info', 'status']))
+    def test_any_object_is_decoded_or_known_as_unreadable(self, item, part, place):
+        for plain in (item, replaced(server_item('i-1', 'one', 80), place, part)):
+            for decode in (decode_backend, decode_instance, decode_rules):
+                try:
+                    decode('i-1', plain)
+                except DECODE_ERRORS:
+                    continue
+
 
 if __name__ == '__main__':
     unittest.main()
