Choose among a sample of servers where there are hundreds

Ruled out: the best-k kept by reports, since time changes the order too; a window that moves on with each choice, for the probes.

Change: an instance draws 48 servers each second, of its own zone first, and chooses among these while the best has room; else among all. Probes, choices and kept connections of that second meet the same servers. The window of 32 of the product's own interface is replaced by it. The test of windows is replaced by tests that all servers are chosen evenly, that a sample without room does not hide others, that the own zone comes first and that a removed server leaves the sample.

--- a/benchmarks/overload_world.py
+++ b/benchmarks/overload_world.py
@@ -20,10 +20,10 @@
 from catkinslip.health.sharing import FLUSH_SECONDS
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.router import ServiceRouter
+from catkinslip.routing.sample import Sample
 from catkinslip.wiring.entry import (
     NEARLY_FULL_SHARE,
     NEARLY_FULL_SLOWNESS,
-    WINDOW_SIZE,
     ZONE_HOP_SECONDS,
 )
 
@@ -84,7 +84,8 @@
                 nearly_full_share=NEARLY_FULL_SHARE,
                 nearly_full_slowness=self.mechanisms.nearly_full_slowness,
             )
-            router = ServiceRouter(policy, window_size=WINDOW_SIZE)
+            sample = Sample(instance.random, instance.zone)
+            router = ServiceRouter(policy, sample=sample)
             desk = Desk(router)
             router.on_news = lambda load, desk=desk: desk.news.__setitem__(
                 load.backend_id, load
--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -15,11 +15,8 @@
 from attrs import define, frozen
 
 from catkinslip.proxy.outcomes import NotRun, Reason
-from catkinslip.routing.base import Estimate
+from catkinslip.routing.base import GOOD_DELAY, Estimate
 
-#: A free slot at usual speed, in times of work on an idle server; no other server
-#: could be worth waiting for.
-GOOD_DELAY = 1.3
 #: Between two looks for a server; urgent calls look more often.
 LOOK_SECONDS = 0.015
 LOOK_SECONDS_PER_PRIORITY = 0.005
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -12,7 +12,6 @@
 import trio
 from attrs import Factory, define, field
 
-from catkinslip.admission.waiting import GOOD_DELAY
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
 from catkinslip.health.tracker import HealthTracker
@@ -21,7 +20,7 @@
 from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import ConnectionErrors, Wire
-from catkinslip.routing.base import BackendLoad
+from catkinslip.routing.base import GOOD_DELAY, BackendLoad
 from catkinslip.routing.router import ServiceRouter
 from catkinslip.store.budget import TokenBucket
 
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -9,6 +9,9 @@
 from attrs import Factory, define, frozen
 
 NEVER = float('-inf')
+#: A free slot at usual speed, in times of work on an idle server; no other server
+#: could be worth waiting for.
+GOOD_DELAY = 1.3
 
 
 @frozen
--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -1,6 +1,7 @@
 """The routers of all services, kept in step with the configuration."""
 
 from collections.abc import Callable
+from random import Random
 
 from attrs import Factory, define
 
@@ -8,7 +9,8 @@
 from catkinslip.config.documents import AcceptedConfig, Backend, Document
 from catkinslip.models import Address
 from catkinslip.routing.base import BackendLoad, Policy
-from catkinslip.routing.router import WINDOW_SIZE, ServiceRouter, ignore_news
+from catkinslip.routing.router import ServiceRouter, ignore_news
+from catkinslip.routing.sample import Sample
 
 
 @define
@@ -19,8 +21,8 @@
     router_by_service: dict[str, ServiceRouter] = Factory(dict)
     address_by_backend: dict[str, Address] = Factory(dict)
     document: Document = Factory(Document)
-    #: Backend servers of a service that one choice looks at.
-    window_size: int = WINDOW_SIZE
+    #: Where each service's choice among many servers begins.
+    make_sample: Callable[[], Sample] = lambda: Sample(Random())
     on_news: Callable[[BackendLoad], None] = ignore_news
     #: Whether any configuration is in force.
     is_ready: bool = False
@@ -45,7 +47,7 @@
         router = self.router_by_service.get(service)
         if router is None:
             router = ServiceRouter(
-                self.make_policy(), window_size=self.window_size, on_news=self.on_news
+                self.make_policy(), sample=self.make_sample(), on_news=self.on_news
             )
             self.router_by_service[service] = router
         return router
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -1,11 +1,13 @@
 """The state of the choice for one service."""
 
 from collections.abc import Callable, Collection, Mapping, Sequence
+from random import Random
 
 from attrs import Factory, define
 
 from catkinslip.config.documents import Backend, Service
 from catkinslip.routing.base import (
+    GOOD_DELAY,
     AttemptResult,
     BackendLoad,
     Choice,
@@ -14,8 +16,8 @@
     Policy,
 )
 from catkinslip.routing.evidence import pause
+from catkinslip.routing.sample import Sample
 
-WINDOW_SIZE = 32
 UNWELL_PAUSE_SECONDS = 0.2
 LONGEST_UNWELL_PAUSE_SECONDS = 2.0
 #: Another instance's word counts against a server that was not heard from so long.
@@ -28,17 +30,12 @@
 
 @define
 class ServiceRouter:
-    """Choose among the backend servers of one service.
-
-    Beyond `window_size` servers each choice is among the next window of them, so
-    that the cost of a decision stays flat.
-    """
+    """Choose among the backend servers of one service."""
 
     policy: Policy
     load_by_id: dict[str, BackendLoad] = Factory(dict)
     loads: list[BackendLoad] = Factory(list)
-    window_start: int = 0
-    window_size: int = WINDOW_SIZE
+    sample: Sample = Factory(lambda: Sample(Random()))
     #: Learns of each server whose load or own requests changed.
     on_news: Callable[[BackendLoad], None] = ignore_news
 
@@ -52,10 +49,12 @@
     ) -> None:
         """Take over backend servers that changed; None stands for one that is gone."""
         for backend_id, backend in backend_by_id.items():
+            load = self.load_by_id.get(backend_id)
             if backend is None:
-                self.load_by_id.pop(backend_id, None)
+                if load is not None:
+                    del self.load_by_id[backend_id]
+                    self.sample.drop(load)
                 continue
-            load = self.load_by_id.get(backend_id)
             if load is None:
                 load = BackendLoad(backend_id, backend.zone, service.slots)
                 self.load_by_id[backend_id] = load
@@ -65,32 +64,33 @@
 
     def choose(self, now: float, excluded: Collection[str] = ()) -> Choice | None:
         """Choose a backend server that takes new work; None when there is none."""
-        candidates = self._candidates(excluded)
+        sampled = self._sampled(excluded, now)
+        if sampled:
+            choice = self.policy.choose(sampled, now)
+            if choice.delay <= GOOD_DELAY:
+                return choice
+        candidates = takes_work(self.loads, excluded)
         return self.policy.choose(candidates, now) if candidates else None
 
     def rank(self, now: float, excluded: Collection[str] = ()) -> list[Estimate]:
         """Return what is expected at backend servers with new work, best first."""
-        candidates = self._candidates(excluded)
+        sampled = self._sampled(excluded, now)
+        if sampled:
+            ranked = self.policy.rank(sampled, now)
+            if ranked[0].delay <= GOOD_DELAY:
+                return ranked
+        candidates = takes_work(self.loads, excluded)
         return self.policy.rank(candidates, now) if candidates else []
 
     def choice_of(self, place: Estimate, now: float) -> Choice:
         """Return a ranked server as a choice."""
         return self.policy.choice_of(place, now)
 
-    def _candidates(self, excluded: Collection[str]) -> list[BackendLoad]:
-        candidates = takes_work(self._next_window(), excluded)
-        if not candidates and len(self.loads) > self.window_size:
-            candidates = takes_work(self.loads, excluded)
-        return candidates
-
-    def _next_window(self) -> list[BackendLoad]:
-        loads, size = self.loads, self.window_size
-        if len(loads) <= size:
-            return loads
-        start = self.window_start % len(loads)
-        self.window_start = start + size
-        window = loads[start : start + size]
-        return window + loads[: size - len(window)]
+    def _sampled(self, excluded: Collection[str], now: float) -> list[BackendLoad]:
+        """Return the servers of the sample; none where it would hold all of them."""
+        if len(self.loads) <= self.sample.size:
+            return []
+        return takes_work(self.sample.take(self.load_by_id, now), excluded)
 
     def started(self, backend_id: str, now: float) -> None:
         """Count a request sent to a backend server."""
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -45,6 +45,7 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.directory import Directory
+from catkinslip.routing.sample import Sample
 
 #: Second sends stay so far below what all instances share, as a few may be
 #: unknown to each other.
@@ -57,9 +58,6 @@
 #: Servers slow down when they are nearly full.
 NEARLY_FULL_SHARE = 0.8
 NEARLY_FULL_SLOWNESS = 1.8
-#: A probe must be of use to the choice after it, so both look at all servers; 250 of
-#: them take 0.3 ms a look.
-WINDOW_SIZE = 1000
 #: Calls are held or refused by their targets, not by the length of queues.
 NO_QUEUE_LIMIT = 1e6
 #: Calls without a target are hedged after this share of the latencies, in percent.
@@ -161,7 +159,7 @@
     )
     assembler.start()
     directory = Directory(
-        window_size=WINDOW_SIZE,
+        make_sample=lambda: Sample(random, settings.own.zone),
         make_policy=lambda: ExpectedDelay(
             random,
             settings.own.zone,
--- a/catkinslip/wiring/shared.py
+++ b/catkinslip/wiring/shared.py
@@ -19,6 +19,7 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.choices import make_policy
 from catkinslip.routing.directory import Directory
+from catkinslip.routing.sample import Sample
 from catkinslip.settings.daemon import DaemonSettings
 from catkinslip.store.base import ObjectStore
 from catkinslip.store.budget import TokenBucket
@@ -81,7 +82,10 @@
     clock, random = environment.clock, environment.random
     members = MemberTable(own)
     config = ConfigHolder()
-    directory = Directory(partial(make_policy, settings, random))
+    directory = Directory(
+        partial(make_policy, settings, random),
+        make_sample=lambda: Sample(random, own.zone),
+    )
     health = make_tracker(directory, clock, random, settings.max_instances)
     pool = BackendPool()
     config.listeners.extend((directory.update, health.update, pool.update))
--- a/tests/test_routing_policies.py
+++ b/tests/test_routing_policies.py
@@ -1,6 +1,7 @@
 """Properties of the policies of choice and of load reports."""
 
 import unittest
+from collections import Counter
 from random import Random
 from types import SimpleNamespace
 
@@ -16,7 +17,8 @@
 from catkinslip.routing.choices import make_policy
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.reports import parse_report
-from catkinslip.routing.router import WINDOW_SIZE, ServiceRouter
+from catkinslip.routing.router import ServiceRouter
+from catkinslip.routing.sample import SAMPLE_SECONDS, SAMPLE_SIZE
 from catkinslip.settings.daemon_options import POLICIES
 
 HONEST = LoadReport(0, 1.0)
@@ -226,12 +228,44 @@
         ):
             self.assertIs(attempt_result(outcome, 0.1).kind, kind, outcome)
 
-    def test_many_servers_are_chosen_by_windows(self):
-        router = make_router(3 * WINDOW_SIZE)
-        self.assertEqual(set(picks_by_id(router, len(router.loads), 1.0).values()), {1})
-
-    def test_a_lone_server_outside_the_window_is_found(self):
-        router = make_router(3 * WINDOW_SIZE)
+    def test_many_servers_are_chosen_evenly(self):
+        router = make_router(3 * SAMPLE_SIZE)
+        picks = Counter()
+        for number in range(200):
+            # A choice of now is even among the servers of its sample.
+            now = 1.0 + number * SAMPLE_SECONDS
+            chosen = [pick(router, now) for _ in range(SAMPLE_SIZE)]
+            self.assertEqual(len(set(chosen)), SAMPLE_SIZE)
+            picks.update(chosen)
+            result = AttemptResult(ResultKind.ANSWERED, 0.02, HONEST)
+            for backend_id in chosen:
+                router.finished(backend_id, result, now)
+        self.assertEqual(len(picks), 3 * SAMPLE_SIZE)
+        mean = 200 / 3
+        self.assertLess(max(picks.values()), 1.5 * mean)
+        self.assertGreater(min(picks.values()), 0.5 * mean)
+
+    def test_all_servers_are_looked_at_where_a_sample_has_no_room(self):
+        router = make_router(3 * SAMPLE_SIZE, slots=1)
+        chosen = [pick(router, 1.0) for _ in range(3 * SAMPLE_SIZE)]
+        self.assertEqual(len(set(chosen)), 3 * SAMPLE_SIZE)
+
+    def test_servers_of_the_own_zone_are_chosen_while_they_have_room(self):
+        router = make_router(4 * SAMPLE_SIZE, slots=1)
+        router.sample.zone = 'zone-1'
+        near = {each.backend_id for each in router.loads if each.zone == 'zone-1'}
+        chosen = [pick(router, 1.0) for _ in range(SAMPLE_SIZE)]
+        self.assertLessEqual(set(chosen), near)
+
+    def test_removed_server_leaves_the_sample(self):
+        router = make_router(3 * SAMPLE_SIZE)
+        pick(router, 1.0)
+        gone = router.sample.loads[0].backend_id
+        router.change(Service(2), {gone: None})
+        self.assertNotIn(gone, picks_by_id(router, 3 * SAMPLE_SIZE, 1.0))
+
+    def test_a_lone_server_outside_the_sample_is_found(self):
+        router = make_router(3 * SAMPLE_SIZE)
         for load in router.loads[:-1]:
             load.draining = True
         self.assertEqual(pick(router, 1.0), router.loads[-1].backend_id)
