Take a server that started again under its ID as another one

Cause: a server may start again under its ID and then knows nothing of before. Its load, speed, requests in flight, silence, pauses, signs of leaving, kept connections and the words of peers were kept under the ID alone and held on for the new start.

Ruled out: waiting for the old beliefs to fade, as a sign of leaving holds for seconds and a count of requests in flight has no end where their answers never come.

Change: a start is part of a server's identity in the document, the health's keys, the router's loads and, by its last digits, in datagrams. An attempt keeps the load that it was sent with: a late answer still reaches its caller and says nothing of the new start. Idle connections to the old one are dropped. A status of an earlier start is not read. Budgets of probes and second sends stay with the ID, so that they cannot grow.

--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -53,6 +53,8 @@
     draining: bool = False
     #: Requests at once; None where it has as many as its service says.
     slots: int | None = ranged(None, 1, 10_000, 'requests at once')
+    #: Differs at each start of the server under the same ID; 0 where it is not told.
+    incarnation: int = ranged(0, 0, 2**53, '(any number)')
 
 
 @frozen
@@ -209,7 +211,12 @@
 # Patches cannot say null, so a field without a value is left out.
 converter.register_unstructure_hook(
     Backend,
-    make_dict_unstructure_fn(Backend, converter, slots=override(omit_if_default=True)),
+    make_dict_unstructure_fn(
+        Backend,
+        converter,
+        slots=override(omit_if_default=True),
+        incarnation=override(omit_if_default=True),
+    ),
 )
 
 
--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -166,4 +166,5 @@
         port=entry.port,
         draining=entry.is_draining,
         slots=entry.slots,
+        incarnation=entry.incarnation,
     )
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -140,6 +140,8 @@
     def _unanswered(self, router: ServiceRouter, probe: Probe) -> None:
         self.unanswered += 1
         backend_id = probe.load.backend_id
+        if not router.is_known(probe.load):
+            return
         if not probe.load.is_silent:
             log.info('health: no answer to a probe. backend=%s', backend_id)
         router.unanswered(backend_id)
@@ -245,6 +247,9 @@
         answer = self.dialect.read_probe(response.status_code, list(response.headers))
         if answer is None or answer.backend_id not in (None, load.backend_id):
             return False
+        if not router.is_known(load):
+            # The server started again while it was asked.
+            return True
         if answer.report is not None:
             at = (sent_at + self.clock.monotonic()) / 2
             router.learned(load.backend_id, answer.report, at, picks_before)
--- a/catkinslip/health/sharing.py
+++ b/catkinslip/health/sharing.py
@@ -16,6 +16,7 @@
 from catkinslip.models import Address
 from catkinslip.routing.base import BackendLoad, LoadReport
 from catkinslip.routing.directory import Directory
+from catkinslip.routing.router import ServiceRouter
 
 #: Reports of this time go out together.
 FLUSH_SECONDS = 0.008
@@ -26,6 +27,8 @@
 MAX_DATAGRAM_BYTES = 1472
 #: An older report says little of a server whose speed changes many times a second.
 OLDEST_SECONDS = 0.05
+#: Starts of a server are told apart by their last digits, which take few bytes.
+START_TAGS = 1000
 #: A request sent this much before a report is in it.
 ON_THE_WAY_SECONDS = 0.002
 READ_ERRORS = (orjson.JSONDecodeError, AttributeError, KeyError, TypeError, ValueError)
@@ -82,10 +85,11 @@
         now = self.clock.monotonic()
         loads = list(self.load_by_id.values())[:MAX_REPORTS]
         self.load_by_id.clear()
-        silent = [load.backend_id for load in loads if load.is_silent]
+        silent = [[load.backend_id, tag(load)] for load in loads if load.is_silent]
         reports = [
             [
                 load.backend_id,
+                tag(load),
                 load.reported_in_flight + load.picks_since_report,
                 load.speed,
                 round((now - load.reported_at) * 1e3),
@@ -120,22 +124,32 @@
         now = self.clock.monotonic()
         try:
             told = orjson.loads(data)
-            for backend_id, in_flight, speed, age_ms in told['reports']:
+            for backend_id, start, in_flight, speed, age_ms in told['reports']:
                 report = LoadReport(float(in_flight), float(speed))
-                self._learn(str(backend_id), report, now - max(0.0, age_ms) / 1e3)
-            for backend_id in told['silent']:
-                self._learn_silence(str(backend_id), now)
+                at = now - max(0.0, age_ms) / 1e3
+                self._learn(str(backend_id), start, report, at)
+            for backend_id, start in told['silent']:
+                self._learn_silence(str(backend_id), start, now)
         except READ_ERRORS as error:
             self.malformed += 1
             log.warning('health: a datagram cannot be read. error=%r', error)
 
-    def _learn_silence(self, backend_id: str, now: float) -> None:
+    def _find_router(self, backend_id: str, start: int) -> ServiceRouter | None:
+        """Return the router of a server, if it has not started again since."""
         router = self.directory.find_router(backend_id)
+        if router is None or tag(router.load_by_id[backend_id]) != start:
+            return None
+        return router
+
+    def _learn_silence(self, backend_id: str, start: int, now: float) -> None:
+        router = self._find_router(backend_id, start)
         if router is not None:
             router.heard_silence(backend_id, now)
 
-    def _learn(self, backend_id: str, report: LoadReport, at: float) -> None:
-        router = self.directory.find_router(backend_id)
+    def _learn(
+        self, backend_id: str, start: int, report: LoadReport, at: float
+    ) -> None:
+        router = self._find_router(backend_id, start)
         if router is None:
             return
         load = router.load_by_id[backend_id]
@@ -143,3 +157,8 @@
         picks_before = load.picks_since_report if in_report else 0
         router.heard(backend_id, report, at, picks_before)
         self.taken += 1
+
+
+def tag(load: BackendLoad) -> int:
+    """Return what tells one start of a server from another in a datagram."""
+    return load.incarnation % START_TAGS
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -217,7 +217,8 @@
 
 def make_key(backend_id: str, backend: Backend) -> BackendKey:
     """Return what tells a server from others under its ID."""
-    return BackendKey(backend_id, f'{backend.host}:{backend.port}')
+    address = f'{backend.host}:{backend.port}'
+    return BackendKey(backend_id, address, backend.incarnation)
 
 
 def make_tracker(
--- a/catkinslip/models.py
+++ b/catkinslip/models.py
@@ -24,7 +24,8 @@
 
 @frozen(cache_hash=True)
 class BackendKey:
-    """A backend server at an address; at another address it is another server."""
+    """One start of a backend server at an address; any other is another server."""
 
     backend_id: str
     address: str
+    incarnation: int = 0
--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -33,6 +33,10 @@
     info = spec['info']
     # A server writes its status in a second call, so at first there is none.
     status = spec.get('status') or item.get('status') or {}
+    incarnation = max(map(read_incarnation, (spec, status, item)))
+    if read_incarnation(status) not in (0, incarnation):
+        # An earlier start of the server wrote it.
+        status = {}
     state = status.get('state', READY)
     if state not in (READY, DRAINING):
         raise ValueError(f'{state!r} is no state')
@@ -46,16 +50,13 @@
         slots=read_whole(info['slots'], 1, MOST_SLOTS),
         is_draining=state == DRAINING,
         cold_seconds=read_number(status.get('cold_left_s', 0), 0.0, MOST_COLD_SECONDS),
-        incarnation=read_incarnation(spec, item),
+        incarnation=incarnation,
     )
 
 
-def read_incarnation(*places: Mapping[str, Any]) -> int:
+def read_incarnation(place: Mapping[str, Any]) -> int:
     """Return when the server started, in milliseconds since 1970; 0 if it tells not."""
-    for place in places:
-        if 'born' in place:
-            return read_whole(place['born'], 0, MOST_MILLISECONDS)
-    return 0
+    return read_whole(place['born'], 0, MOST_MILLISECONDS) if 'born' in place else 0
 
 
 def read_text(value: Any) -> str:
--- a/catkinslip/proxy/launch.py
+++ b/catkinslip/proxy/launch.py
@@ -5,6 +5,7 @@
 from catkinslip.limits.plan import Step
 from catkinslip.proxy.exchange import AnswerHead, Attempt
 from catkinslip.proxy.outcomes import NotRun, Unknown
+from catkinslip.routing.base import BackendLoad
 
 
 @define(eq=False)
@@ -15,6 +16,8 @@
     attempt: Attempt
     began: float
     delay: float
+    #: The server as the router knew it; None if it was gone.
+    load: BackendLoad | None = None
     result: AnswerHead | NotRun | Unknown | None = None
     step: Step = Step.WAIT
     is_open: bool = True
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -79,19 +79,32 @@
     #: Whether answers may take long, so that silence alone tells nothing.
     keeps_alive: bool = False
     connections_by_address: dict[Address, BackendConnections] = Factory(dict)
+    #: Idle connections to be closed with the next trim.
+    dropped: list[IdleWire] = Factory(list)
     document: Document = Factory(Document)
 
     def update(self, config: AcceptedConfig) -> None:
         """Take over the connection limits of a new configuration."""
-        document = config.document
-        difference = compare(self.document, document)
+        before, document = self.document, config.document
+        difference = compare(before, document)
         self.document = document
         backends = document.register.backends
+        for name in difference.backends & before.register.backends.keys():
+            old, new = before.register.backends[name], backends.get(name)
+            if new is not None and new.incarnation != old.incarnation:
+                self._drop_idle(Address(old.host, old.port))
         if difference.redefined:
             self.share_limits()
             return
         self._limit(backends[name] for name in difference.backends if name in backends)
 
+    def _drop_idle(self, address: Address) -> None:
+        """Use no more of the connections to a server that started again."""
+        connections = self.connections_by_address.get(address)
+        if connections is not None:
+            self.dropped.extend(connections.idle)
+            connections.idle = []
+
     def share_limits(self) -> None:
         """Cut the connections of every server by the instances that are known now."""
         self._limit(self.document.register.backends.values())
@@ -153,6 +166,8 @@
     async def trim(self) -> None:
         """Close connections that idled too long or were closed by their server."""
         now = trio.current_time()
+        for entry in self._take_dropped():
+            await entry.wire.close()
         for connections in list(self.connections_by_address.values()):
             kept, dropped = [], []
             for entry in connections.idle:
@@ -162,8 +177,14 @@
             for entry in dropped:
                 await entry.wire.close()
 
+    def _take_dropped(self) -> list[IdleWire]:
+        dropped, self.dropped = self.dropped, []
+        return dropped
+
     async def close(self) -> None:
         """Close every idle connection."""
+        for entry in self._take_dropped():
+            await entry.wire.close()
         for connections in self.connections_by_address.values():
             while connections.idle:
                 await connections.idle.pop().wire.close()
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -10,7 +10,7 @@
 
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
-from catkinslip.health.tracker import HealthTracker
+from catkinslip.health.tracker import Headers, HealthTracker
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.dialect import Dialect
@@ -29,7 +29,7 @@
 from catkinslip.proxy.race import Race
 from catkinslip.proxy.server_wait import ServerWait
 from catkinslip.proxy.wire import Wire
-from catkinslip.routing.base import Choice
+from catkinslip.routing.base import BackendLoad, Choice, LoadReport
 from catkinslip.routing.router import ServiceRouter
 
 ANSWER_GRACE_SECONDS = 1.0
@@ -106,7 +106,7 @@
         )
         self.observer.decided(self.call, choice, number)
         address = self.health.directory.address_by_backend[choice.backend_id]
-        on_head = partial(self.health.answered, choice.backend_id)
+        load = self.router.started(choice.backend_id, now)
         attempt = Attempt(
             call=self.call,
             address=address,
@@ -116,14 +116,20 @@
             number=number,
             dialect=self.dialect,
             backend_id=choice.backend_id,
-            on_head=on_head,
+            on_head=partial(self._take_head, load),
         )
-        launch = Launch(choice.backend_id, attempt, now, choice.delay)
+        launch = Launch(choice.backend_id, attempt, now, choice.delay, load)
         self.launches.append(launch)
-        self.router.started(launch.backend_id, now)
         self.limits.started(launch.backend_id)
         return launch
 
+    def _take_head(
+        self, load: BackendLoad | None, headers: Headers, report: LoadReport | None
+    ) -> None:
+        # An answer of before the server's last start says nothing of the one of now.
+        if self.router.is_known(load):
+            self.health.answered(load.backend_id, headers, report)
+
     def _tried(self) -> list[str]:
         return [launch.backend_id for launch in self.launches]
 
@@ -200,7 +206,8 @@
                 call.route, latency, launch.delay, call.target_latency
             )
             return
-        if result.reason is Reason.CONNECT_FAILED:
+        is_known = self.router.is_known(launch.load)
+        if result.reason is Reason.CONNECT_FAILED and is_known:
             self.health.refused(launch.backend_id)
         launch.step = self.plan.ended(
             result,
@@ -243,7 +250,8 @@
         # A slow caller's share of the time says nothing of the server.
         ended = now if launch.answered_at is None else launch.answered_at
         result = attempt_result(outcome, ended - launch.began)
-        self.router.finished(launch.backend_id, result, now)
+        if self.router.is_known(launch.load):
+            self.router.finished(launch.backend_id, result, now)
         self.limits.ended(launch.backend_id, result, now)
         seconds = now - launch.began
         self.observer.attempted(self.call, launch.backend_id, outcome, seconds)
--- a/catkinslip/routing/base.py
+++ b/catkinslip/routing/base.py
@@ -48,6 +48,8 @@
     backend_id: str
     zone: str
     slots: int
+    #: The start of the server that all this is known of.
+    incarnation: int = 0
     in_flight: int = 0
     draining: bool = False
     report: LoadReport | None = None
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -50,13 +50,19 @@
         """Take over backend servers that changed; None stands for one that is gone."""
         for backend_id, backend in backend_by_id.items():
             load = self.load_by_id.get(backend_id)
+            if load is not None and not is_of(load, backend):
+                del self.load_by_id[backend_id]
+                self.sample.drop(load)
+                load = None
             if backend is None:
-                if load is not None:
-                    del self.load_by_id[backend_id]
-                    self.sample.drop(load)
                 continue
             if load is None:
-                load = BackendLoad(backend_id, backend.zone, service.slots)
+                load = BackendLoad(
+                    backend_id,
+                    backend.zone,
+                    service.slots,
+                    incarnation=backend.incarnation,
+                )
                 self.load_by_id[backend_id] = load
             load.slots = backend.slots or service.slots
             load.draining = backend.draining
@@ -92,16 +98,24 @@
             return []
         return takes_work(self.sample.take(self.load_by_id, now), excluded)
 
-    def started(self, backend_id: str, now: float) -> None:
-        """Count a request sent to a backend server."""
+    def started(self, backend_id: str, now: float) -> BackendLoad | None:
+        """Count a request sent to a backend server; return the server as it is known.
+
+        After a start of the server another value stands for it.
+        """
         load = self.load_by_id.get(backend_id)
         if load is None:
-            return
+            return None
         load.in_flight += 1
         load.picks_since_report += 1
         load.picked_at = now
         self.policy.started(load, now)
         self.on_news(load)
+        return load
+
+    def is_known(self, load: BackendLoad | None) -> bool:
+        """Tell whether a server is still registered, and has not started again."""
+        return load is not None and self.load_by_id.get(load.backend_id) is load
 
     def finished(self, backend_id: str, result: AttemptResult, now: float) -> None:
         """Count a request that ended and take its load report."""
@@ -178,6 +192,11 @@
         return 0 if load is None else load.picks_since_report
 
 
+def is_of(load: BackendLoad, backend: Backend | None) -> bool:
+    """Tell whether what is known of a server holds for it as it is registered."""
+    return backend is not None and load.incarnation == backend.incarnation
+
+
 def end_silence(load: BackendLoad) -> None:
     """Stop to avoid a server that answers again."""
     load.is_silent = False
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -28,12 +28,18 @@
 
 
 def server_item(
-    name: str, service: str, port: int, state: str = 'ready', slots: int = 2
+    name: str,
+    service: str,
+    port: int,
+    state: str = 'ready',
+    slots: int = 2,
+    **spec: object,
 ) -> dict:
-    """Return the object of a registered server."""
+    """Return the object of a registered server; more fields go beside its address."""
     return {
         'metadata': {'name': name, 'revision': 1},
         'spec': {
+            **spec,
             'addr': f'127.0.0.1:{port}',
             'info': {
                 'service': service,
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -104,6 +104,15 @@
         item['spec']['born'] = 1_780_000_000_123
         self.assertEqual(decode_backend('i-1', item).incarnation, 1_780_000_000_123)
 
+    def test_status_of_an_earlier_start_does_not_count(self):
+        item = server_item('i-1', 'one', 80, state='draining', born=8)
+        item['status']['born'] = 7
+        entry = decode_backend('i-1', item)
+        self.assertEqual((entry.incarnation, entry.is_draining), (8, False))
+        item['status']['born'] = 9
+        entry = decode_backend('i-1', item)
+        self.assertEqual((entry.incarnation, entry.is_draining), (9, True))
+
 
 def replaced(item: dict, place: str, value: object) -> dict:
     """Return an item with another value at a place of dotted names."""
