Tell only of instances that are polled, and take only newer lists

A list of instances was taken from any peer whose hash differed, so that a new entry went to and fro between those that had read it and those that had not.

Ruled out: times in each word, as the polled set of a zone is complete by itself.

Change: health is forgotten when an instance is not polled any more or not told of; a list carries the revision of the store that it was read at and only a newer one is taken.

--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -41,6 +41,7 @@
             self.assembler.backends.changed_at,
             self.assembler.reaches_store,
             instances.digest(),
+            instances.list_revision,
         )
         if query == WITH_KNOWN:
             known = tuple(each.entry for each in instances.peer_by_id.values())
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -58,6 +58,8 @@
     #: Whether others ask this instance first when they know nobody.
     is_seed: bool = True
     peer_by_id: dict[str, Peer] = Factory(dict)
+    #: The revision of the store at which the list was read that is known here.
+    list_revision: int = 0
     _digest: str | None = field(default=None, init=False)
     #: The ranking of each zone, until an instance comes or goes.
     _ranked_by_zone: dict[str, list[InstanceEntry]] = field(factory=dict, init=False)
@@ -73,6 +75,24 @@
             self.peer_by_id[entry.instance_id] = Peer(entry)
             self._forget_ranking()
 
+    def take_list(self, entries: Iterable[InstanceEntry], revision: int) -> None:
+        """Take the list of instances, as it was at a revision of the store."""
+        known = list(entries)
+        for entry in known:
+            self.learn(entry)
+        if revision >= self.list_revision:
+            self.list_revision = revision
+            self.keep_only({entry.instance_id for entry in known})
+
+    def lacks(self, digest: str, revision: int) -> bool:
+        """Tell whether a peer with a digest has a newer list with other instances."""
+        if revision <= self.list_revision:
+            return False
+        if digest == self.digest():
+            self.list_revision = revision
+            return False
+        return True
+
     def keep_only(self, instance_ids: set[str]) -> None:
         """Forget instances that are no longer listed and do not answer."""
         for instance_id, peer in list(self.peer_by_id.items()):
@@ -121,20 +141,30 @@
         ]
 
     def heard(
-        self, health_by_id: Mapping[str, PeerHealth], lost_store: Iterable[str]
+        self,
+        teller: str,
+        health_by_id: Mapping[str, PeerHealth],
+        lost_store: Iterable[str],
     ) -> list[str]:
-        """Take what an instance tells of those it polls; return whose health is new."""
+        """Take what an instance tells of those it polls; return whose health is new.
+
+        Of the others nothing newer is known, so what was known is forgotten.
+        """
         changed = []
         lost_store_ids = frozenset(lost_store)
-        for instance_id, health in health_by_id.items():
-            peer = self.peer_by_id.get(instance_id)
-            if peer is None:
+        for instance_id, peer in self.peer_by_id.items():
+            if instance_id == teller:
                 continue
+            health = health_by_id.get(instance_id, PeerHealth.UNKNOWN)
             peer.reaches_store = instance_id not in lost_store_ids
             if self._set(instance_id, health, 0) is not None:
                 changed.append(instance_id)
         return changed
 
+    def forget_health(self, instance_id: str) -> None:
+        """Forget the health of an instance that is not polled any more."""
+        self._set(instance_id, PeerHealth.UNKNOWN, 0)
+
     def missed(self, instance_id: str) -> PeerHealth | None:
         """Take a poll without an answer; return the health if it is new."""
         peer = self.peer_by_id.get(instance_id)
--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -31,6 +31,8 @@
     reaches_store: bool = True
     #: A hash of the instances that it knows.
     members: str = ''
+    #: The revision of the list that it knows them from.
+    list_revision: int = 0
     #: Those that it knows, where they were asked for.
     known: tuple[InstanceEntry, ...] = ()
     #: The health of those that it polls, by name, where that was asked for.
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -105,7 +105,10 @@
         state = await self._poll(entry, WITH_HEALTH)
         if state is None:
             return False
-        for instance_id in self.instances.heard(state.health, state.lost_store):
+        changed = self.instances.heard(
+            entry.instance_id, state.health, state.lost_store
+        )
+        for instance_id in changed:
             health = self.instances.peer_by_id[instance_id].health
             log.info(
                 'peers: %s is %s, says %s.',
@@ -134,20 +137,19 @@
     async def _compare_members(self, address: Address, state: PeerState) -> None:
         """Ask a peer for all instances where it knows others than this one does."""
         now = trio.current_time()
-        is_due = now - self.asked_members_at >= MEMBERS_SECONDS
-        if not is_due or state.members in ('', self.instances.digest()):
+        if now - self.asked_members_at < MEMBERS_SECONDS:
+            return
+        if not self.instances.lacks(state.members, state.list_revision):
             return
         self.asked_members_at = now
         told = await self._read_state(address, WITH_KNOWN)
         if told is None:
             return
         entries = (told.instance, *told.known)
-        for entry in entries:
-            self.instances.learn(entry)
-        ids = {entry.instance_id for entry in entries}
-        self.instances.keep_only(ids)
-        is_unknown = self.instances.own.instance_id not in ids
-        if is_unknown and self.registration.is_due(None):
+        self.instances.take_list(entries, told.list_revision)
+        own_id = self.instances.own.instance_id
+        is_known = any(entry.instance_id == own_id for entry in entries)
+        if not is_known and self.registration.is_due(None):
             await self.registration.announce()
 
     async def _follow_list(self, nursery: trio.Nursery) -> None:
@@ -171,9 +173,7 @@
         match await self.source.read_all(may_be_stale=True):
             case Success(listing):
                 entry_by_id = listing.value_by_name
-                for entry in entry_by_id.values():
-                    self.instances.learn(entry)
-                self.instances.keep_only(set(entry_by_id))
+                self.instances.take_list(entry_by_id.values(), listing.revision)
                 self._start_polls(nursery)
                 listed = entry_by_id.get(self.instances.own.instance_id)
                 self.instances.is_own_listed = listed is not None
@@ -183,11 +183,14 @@
                 log.info('peers: the list was not read. error=%s', error)
 
     def _start_polls(self, nursery: trio.Nursery) -> None:
-        polled = [] if self.instances.leaders() else self.instances.to_poll()
+        is_told = bool(self.instances.leaders())
+        polled = [] if is_told else self.instances.to_poll()
         wanted = {each.instance_id: each for each in polled}
         for instance_id in list(self.scope_by_id):
             if instance_id not in wanted:
                 self.scope_by_id.pop(instance_id).cancel()
+                if not is_told:
+                    self.instances.forget_health(instance_id)
         for instance_id, entry in wanted.items():
             if instance_id not in self.scope_by_id:
                 scope = trio.CancelScope()
--- a/tests/test_discovery_following.py
+++ b/tests/test_discovery_following.py
@@ -13,8 +13,9 @@
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import InstanceEntry, Listing
 from catkinslip.discovery.follower import Follower
-from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.instances import InstanceTable, PeerHealth
 from catkinslip.discovery.peers import POLL_SECONDS, PeerPoller
+from catkinslip.discovery.ranking import rank
 from catkinslip.discovery.registration import Registration
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
@@ -128,7 +129,9 @@
 
     async def read_all(self, *, may_be_stale: bool = False):
         self.calls.append('read')
-        self.listings = [Listing(dict(self.fleet.listed), 1)]
+        # Each reading is newer than the one before, as other objects change too.
+        revision = int(trio.current_time() * 1000) + 1
+        self.listings = [Listing(dict(self.fleet.listed), revision)]
         return await self._next(self.listings)
 
 
@@ -245,6 +248,24 @@
 
         run_fleet(fleet, check)
 
+    def test_leaders_forget_who_they_polled_before_they_knew_all(self):
+        fleet = Fleet()
+        fleet.fill(2, 30)
+        first = fleet.poller_by_address['i0x0:90']
+        # Known from the start, but not of the first of its zone.
+        far = [entry for entry in fleet.listed.values() if entry.zone == 'zone-1']
+        last = rank('zone-1', far)[-1]
+        first.instances.learn(last)
+
+        async def check(_):
+            await trio.sleep(SETTLED_SECONDS)
+            for table in fleet.tables():
+                if table.own.zone == 'zone-0':
+                    health = table.peer_by_id[last.instance_id].health
+                    self.assertIs(health, PeerHealth.UNKNOWN)
+
+        run_fleet(fleet, check)
+
     def test_answer_with_health_names_it(self):
         fleet = Fleet()
         fleet.fill(1, 3)
--- a/tests/test_discovery_instances.py
+++ b/tests/test_discovery_instances.py
@@ -219,15 +219,25 @@
         after = [each.instance_id for each in table.to_poll()]
         self.assertLess({each.instance_id for each in first}, set(after))
 
+    def hear(self, **health_by_id: PeerHealth) -> list[str]:
+        return self.table.heard('teller', health_by_id, ['far'])
+
     def test_health_is_taken_from_who_polls(self):
-        told = {'near': PeerHealth.SILENT, 'own': PeerHealth.SILENT}
-        self.assertEqual(self.table.heard(told, ['far']), ['near'])
+        silent, ready = PeerHealth.SILENT, PeerHealth.READY
+        self.assertEqual(self.hear(near=silent, own=silent, far=ready), ['near'])
         self.assertEqual(self.usable('zone-a'), ['far'])
-        back = {'near': PeerHealth.READY, 'far': PeerHealth.READY}
-        self.table.heard(back, ['far'])
+        self.assertEqual(self.hear(near=ready, far=ready), ['near'])
         self.assertEqual(self.usable('zone-a'), ['near'])
         self.assertEqual(self.table.lost_store_ids(), ['far'])
 
+    def test_health_that_nobody_polls_any_more_is_forgotten(self):
+        self.table.learn(instance_entry('teller', 'zone-c'))
+        self.table.answered('teller', is_ready=True)
+        self.assertEqual(self.hear(near=PeerHealth.READY), ['far'])
+        self.assertEqual(self.usable('zone-b'), ['near', 'teller'])
+        self.table.forget_health('near')
+        self.assertEqual(self.usable('zone-a'), ['teller'])
+
     def test_digest_tells_other_instances_only(self):
         twin = InstanceTable(instance_entry('far', 'zone-b'))
         for entry in (self.table.own, instance_entry('near')):
@@ -238,6 +248,22 @@
         self.table.learn(instance_entry('new'))
         self.assertNotEqual(twin.digest(), self.table.digest())
 
+    def test_newer_list_with_other_instances_is_lacked(self):
+        self.table.take_list([instance_entry('near')], 5)
+        digest = self.table.digest()
+        self.assertFalse(self.table.lacks('other', 5))
+        self.assertTrue(self.table.lacks('other', 6))
+        self.assertFalse(self.table.lacks(digest, 8))
+        self.assertFalse(self.table.lacks('other', 7))
+
+    def test_older_list_removes_nobody(self):
+        self.table.learn(instance_entry('new'))
+        self.table.take_list([instance_entry('near'), instance_entry('new')], 5)
+        self.table.take_list([instance_entry('near')], 4)
+        self.assertIn('new', self.table.peer_by_id)
+        self.table.take_list([instance_entry('near')], 6)
+        self.assertNotIn('new', self.table.peer_by_id)
+
     def test_parts_of_a_budget_add_up_to_the_whole(self):
         for count in (1, HOME_INSTANCES, 3 * HOME_INSTANCES):
             self.table.peer_by_id.clear()
