Write log lines when there are some, and measure the loop twice a second

Cause: an idle instance woke ten times a second to look for log lines and ten times to measure its loop: 256 wakes in 15 s, 0.87 % of a core (one process, 660 servers known).

Ruled out: the polls, which this process alone does not make.

Change: the buffer tells its writer; the loop is measured each 0.5 s.

Before 17 wakes a second and 0.87 % of a core, after 4.7 and 0.33 % (15 s each).

--- a/catkinslip/logs/buffer.py
+++ b/catkinslip/logs/buffer.py
@@ -3,6 +3,7 @@
 import logging
 from collections import deque
 
+import trio
 from attrs import Factory, define
 
 MAX_LINES = 10_000
@@ -17,9 +18,12 @@
     taken: int = 0
     lost: int = 0
     told: int = 0
+    #: Set while there may be something to write.
+    has_news: trio.Event = Factory(trio.Event)
 
     def add(self, record: logging.LogRecord) -> None:
         """Take a record, or count it as lost."""
+        self.has_news.set()
         if len(self.records) >= self.limit:
             self.lost += 1
             return
--- a/catkinslip/logs/flush.py
+++ b/catkinslip/logs/flush.py
@@ -24,9 +24,11 @@
     pending: bytes = b''
 
     async def run(self) -> None:
-        """Write now and then until cancelled, then write what is left."""
+        """Write what comes, now and then, until cancelled; then what is left."""
         try:
             while True:
+                await self.buffer.has_news.wait()
+                self.buffer.has_news = trio.Event()
                 await self.flush()
                 await trio.sleep(FLUSH_SECONDS)
         finally:
--- a/catkinslip/metrics/instance.py
+++ b/catkinslip/metrics/instance.py
@@ -12,7 +12,9 @@
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge, summary
 from catkinslip.metrics.durations import FINE, Durations
 
-LAG_PERIOD_SECONDS = 0.1
+#: With the log written only when there are lines, an idle instance wakes 4.7 times a
+#: second instead of 17 and takes 0.33 % of a core instead of 0.87 (one process, 15 s).
+LAG_PERIOD_SECONDS = 0.5
 
 
 @define
--- a/tests/test_logs_buffer.py
+++ b/tests/test_logs_buffer.py
@@ -32,6 +32,16 @@
         pass
 
 
+class CountingBuffer(LogBuffer):
+    """Count how often somebody looks for lines."""
+
+    looks = 0
+
+    def take(self, formatter: logging.Formatter, count: int) -> str:
+        self.looks += 1
+        return super().take(formatter, count)
+
+
 def new_logger(buffer: LogBuffer) -> logging.Logger:
     logger = logging.Logger('test')
     logger.addHandler(BufferHandler(buffer))
@@ -72,6 +82,22 @@
         trio.run(main)
         self.assertEqual(writer.taken.decode(), expected)
 
+    def test_no_line_wakes_nobody_and_the_first_one_is_written_at_once(self):
+        buffer, writer = CountingBuffer(), SlowWriter()
+
+        async def main():
+            flusher = LogFlusher(buffer, writer, logging.Formatter())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(flusher.run)
+                await trio.sleep(100)
+                self.assertEqual(buffer.looks, 0)
+                new_logger(buffer).info('part: a line.')
+                await trio.sleep(0.001)
+                self.assertEqual(writer.taken, b'part: a line.\n')
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_pipe_that_nobody_reads_holds_neither_the_loop_nor_the_end(self):
         buffer = LogBuffer(limit=1000)
         logger = new_logger(buffer)
