Ask a silent instance again only with the next round

Cause: reading the change: who follows asked all of the first of its zone, the silent one again among them, so that one poll without an answer made it silent for good; after the loss of all instances each that starts would read the store itself.

Change: the others are asked. Tests of the exchange pass as before.

--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -98,7 +98,8 @@
             return
         async with trio.open_nursery() as nursery:
             for entry in leaders:
-                nursery.start_soon(self._hear, entry)
+                if entry is not first:
+                    nursery.start_soon(self._hear, entry)
 
     async def _hear(self, entry: InstanceEntry) -> bool:
         """Poll an instance, and take what it tells of others; tell if it answers."""
