--- a/catkinslip/routing/sample.py
+++ b/catkinslip/routing/sample.py
@@ -13,8 +13,8 @@
 from catkinslip.routing.base import NEVER, BackendLoad
 
 #: Callers get 0.845 of their worth with it, 0.842 with all of 282 servers and 0.823
-#: with 24 (overload benchmark, six seeds); a choice at 660 servers takes 0.12 ms instead
-#: of 0.9 (mean of 200 beside other work).
+#: with 24 (overload benchmark, six seeds); a choice at 660 servers takes 0.12 ms
+#: instead of 0.9 (mean of 200 beside other work).
 SAMPLE_SIZE = 48
 #: A sample is kept so long that its servers' reports serve more than one choice, and
 #: connections to them are used again.
