Tell broken connections in the log, with the request's identity

Cause: the instances' lines could not tell whether servers ended under one request that came again (its ID is new each time), nor a server that ended at work from an idle connection that it had closed: 'goes again ..., the kept connection was closed' says neither how long it had worked nor what was asked. Change: each connection that ends under an attempt is one line, with the time since the first byte, kept or new, whether an answer had begun, and caller, method, host, path and body in one key; a counter by service and kind of connection. The stand-in servers can end as a process does. Conclusion: with these lines the three hypotheses can be told apart.

--- /dev/null
+++ b/catkinslip/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which backend servers ended."""
--- a/catkinslip/metrics/requests.py
+++ b/catkinslip/metrics/requests.py
@@ -1,5 +1,6 @@
 """Count requests by service and attempts by backend server."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from attrs import Factory, define, field
@@ -8,6 +9,7 @@
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge, summary
 from catkinslip.metrics.durations import COARSE, FINE, Durations
 from catkinslip.proxy.calls import Call
+from catkinslip.proxy.exchange import Break
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason
 from catkinslip.routing.base import Choice
@@ -23,6 +25,8 @@
     durations: Durations
     count_by_outcome: dict[str, int] = Factory(dict)
     retries: int = 0
+    #: Attempts whose connection ended without a whole answer, by its kind.
+    breaks: Counter[str] = Factory(Counter)
 
     def count(self, outcome: Outcome, seconds: float, now: float) -> None:
         """Count one request or attempt that ended."""
@@ -55,6 +59,11 @@
             self.tally_by_backend[backend_id] = tally
         tally.count(outcome, seconds, self.clock.monotonic())
 
+    def broke(self, call: Call, broken: Break) -> None:
+        """Learn of a connection that ended under an attempt."""
+        kind = 'kept' if broken.is_reused else 'new'
+        self._service(call.service).breaks[kind] += 1
+
     def ended(self, call: Call, outcome: Outcome, seconds: float) -> None:
         """Learn what the caller was told and how long the request took."""
         self._service(call.service).count(outcome, seconds, self.clock.monotonic())
@@ -73,6 +82,7 @@
         for service, tally in sorted(self.tally_by_service.items()):
             retries.add(tally.retries, service)
         yield retries
+        yield self._breaks()
         yield self._in_flight()
 
     def _latencies(self) -> Iterable[Family]:
@@ -99,6 +109,18 @@
                 family.add(count, name, outcome)
         return family
 
+    def _breaks(self) -> Family:
+        family = counter(
+            'catkinslip_breaks_total',
+            'Connections that ended after a request had been sent on them.',
+            'service',
+            'connection',
+        )
+        for service, tally in sorted(self.tally_by_service.items()):
+            for kind, count in sorted(tally.breaks.items()):
+                family.add(count, service, kind)
+        return family
+
     def _in_flight(self) -> Family:
         family = gauge(
             'catkinslip_in_flight',
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -38,6 +38,30 @@
     """Take no notice of the head of an answer."""
 
 
+@frozen
+class Break:
+    """A connection that ended after a request had been sent on it."""
+
+    #: Seconds from the request's first byte.
+    seconds: float
+    #: Whether it had carried an earlier request; servers close idle connections.
+    is_reused: bool
+    #: Whether bytes of an answer came.
+    has_begun: bool
+    detail: str
+
+    def __str__(self) -> str:
+        kind = 'kept' if self.is_reused else 'new'
+        return f'ms={self.seconds * 1e3:.0f} connection={kind} begun={self.has_begun}'
+
+
+OnBreak = Callable[[Break], None]
+
+
+def ignore_break(broken: Break) -> None:
+    """Take no notice of a connection that ended."""
+
+
 @frozen
 class AnswerHead:
     """The head of an answer; its body still waits on the connection."""
@@ -61,7 +85,9 @@
     dialect: Dialect = OWN_DIALECT
     backend_id: str = ''
     on_head: OnHead = ignore_head
+    on_break: OnBreak = ignore_break
     is_sent: bool = False
+    sent_at: float = 0.0
     is_stale: bool = False
 
     async def run(self) -> Outcome:
@@ -118,6 +144,7 @@
             if self.call.is_late(self.clock):
                 return NotRun(Reason.TOO_LATE)
             self.is_sent = True
+            self.sent_at = self.clock.monotonic()
             await wire.write(data)
             self._start_upload(wire)
             response = await answers.receive_response(wire)
@@ -149,9 +176,16 @@
         rest = self.call.rest
         if rest is not None and rest.fault is not None:
             return Unknown(rest.fault)
-        self.is_stale = wire.is_reused and not answers.has_begun(wire)
+        broken = Break(
+            self.clock.monotonic() - self.sent_at,
+            wire.is_reused,
+            answers.has_begun(wire),
+            str(error) or repr(error),
+        )
+        self.on_break(broken)
+        self.is_stale = broken.is_reused and not broken.has_begun
         wire.is_spoiled = True
-        return Unknown(Reason.BROKEN, str(error) or repr(error))
+        return Unknown(Reason.BROKEN, broken.detail)
 
     async def _pass_on(self, head: AnswerHead) -> Outcome:
         waiting = [self._answer_head(head)]
--- a/catkinslip/proxy/observer.py
+++ b/catkinslip/proxy/observer.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from catkinslip.proxy.calls import Call
+from catkinslip.proxy.exchange import Break
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.routing.base import Choice
 
@@ -22,6 +23,9 @@
     ) -> None:
         """Learn how an attempt ended and how long it took."""
 
+    def broke(self, call: Call, broken: Break) -> None:  # noqa: B027
+        """Learn of a connection that ended under an attempt."""
+
     @abstractmethod
     def ended(self, call: Call, outcome: Outcome, seconds: float) -> None:
         """Learn what the caller was told and how long the request took."""
@@ -45,6 +49,11 @@
         for observer in self.observers:
             observer.attempted(call, backend_id, outcome, seconds)
 
+    def broke(self, call: Call, broken: Break) -> None:
+        """Learn of a connection that ended under an attempt."""
+        for observer in self.observers:
+            observer.broke(call, broken)
+
     def ended(self, call: Call, outcome: Outcome, seconds: float) -> None:
         """Learn what the caller was told and how long the request took."""
         for observer in self.observers:
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -9,12 +9,13 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
+from catkinslip.crashes.identity import key_of
 from catkinslip.health.base import Sampler
 from catkinslip.health.tracker import Headers, HealthTracker
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.dialect import Dialect
-from catkinslip.proxy.exchange import AnswerHead, Attempt, Call
+from catkinslip.proxy.exchange import AnswerHead, Attempt, Break, Call
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.launch import Launch
 from catkinslip.proxy.observer import RequestObserver
@@ -33,6 +34,8 @@
 from catkinslip.routing.router import ServiceRouter
 
 ANSWER_GRACE_SECONDS = 1.0
+#: Enough to find a request again; a caller may send 32 kB.
+LOGGED_TARGET_BYTES = 200
 
 log = logging.getLogger('routing')
 
@@ -117,6 +120,7 @@
             dialect=self.dialect,
             backend_id=choice.backend_id,
             on_head=partial(self._take_head, load),
+            on_break=partial(self._take_break, choice.backend_id),
         )
         launch = Launch(choice.backend_id, attempt, now, choice.delay, load)
         self.launches.append(launch)
@@ -130,6 +134,18 @@
         if self.router.is_known(load):
             self.health.answered(load.backend_id, headers, report)
 
+    def _take_break(self, backend_id: str, broken: Break) -> None:
+        log.info(
+            'routing: %s the connection to %s broke. %s request=%s target=%s detail=%s',
+            self.call.request_id,
+            backend_id,
+            broken,
+            key_of(self.call),
+            self.call.target[:LOGGED_TARGET_BYTES].decode('latin-1'),
+            broken.detail,
+        )
+        self.observer.broke(self.call, broken)
+
     def _tried(self) -> list[str]:
         return [launch.backend_id for launch in self.launches]
 
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -46,6 +46,12 @@
     fault: Fault = Fault.NONE
     is_deaf: bool = False
     is_unframed: bool = False
+    #: Paths of requests that end the process once they ran.
+    crashing_paths: set[str] = Factory(set)
+    #: Times the process ended, by the path of the request that did it.
+    crashes: Counter[str] = Factory(Counter)
+    #: Ended with the process; set by whoever starts it.
+    process: trio.CancelScope = Factory(trio.CancelScope)
     running: int = 0
     waiting: int = 0
     probes: int = 0
@@ -91,6 +97,11 @@
         self.heads.append(head)
         self.bodies.append(body)
         await self._run(stream, request_id.decode())
+        path = head.target.decode().partition('?')[0]
+        if path in self.crashing_paths:
+            self.crashes[path] += 1
+            self.process.cancel()
+            await trio.sleep_forever()
         return await self._answer(stream, codec, request_id)
 
     async def _run(self, stream: trio.SocketStream, request_id: str) -> None:
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -39,6 +39,8 @@
     worker_by_id: dict[str, Worker] = Factory(dict)
     entries: list[Entry] = Factory(list)
     store_port: int = 0
+    #: Time until another server stands for one that ended; None for never.
+    restart_seconds: float | None = None
 
     async def open_store(self) -> None:
         """Serve the store, with a configuration in it."""
@@ -54,10 +56,28 @@
         self.worker_by_id[server_id] = worker
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         port = listeners[0].socket.getsockname()[1]
-        self.nursery.start_soon(trio.serve_listeners, worker.serve, listeners)
+        self.nursery.start_soon(self._run_worker, worker, listeners)
         self.register(server_id, service, port, slots=worker.slots)
         return port
 
+    async def _run_worker(
+        self, worker: Worker, listeners: list[trio.SocketListener]
+    ) -> None:
+        """Serve until the process ends, which closes its port and connections."""
+        with worker.process:
+            await trio.serve_listeners(worker.serve, listeners)
+        for listener in listeners:
+            await listener.aclose()
+        # The platform starts another in its place under another ID and port.
+        if self.restart_seconds is not None:
+            self.store.remove('servers', worker.server_id)
+            await trio.sleep(self.restart_seconds)
+            await self.add_worker(
+                f'{worker.server_id}x',
+                work_seconds=worker.work_seconds,
+                crashing_paths=worker.crashing_paths,
+            )
+
     def register(self, server_id: str, service: str, port: int, **fields) -> None:
         """Put a server into the store."""
         item = server_item(server_id, service, port, **fields)
@@ -114,6 +134,11 @@
                 method, f'http://{address}{path}', headers=headers, **fields
             )
 
+    def crashes(self, path: str) -> int:
+        """Return how many servers ended under requests for a path."""
+        workers = self.worker_by_id.values()
+        return sum(worker.crashes[path] for worker in workers)
+
     def runs(self, request_id: str = 'r1') -> int:
         """Return how often a request ran, on all servers."""
         workers = self.worker_by_id.values()
--- /dev/null
+++ b/tests/test_crashes_identity.py
@@ -0,0 +1,64 @@
+"""What makes two requests the same one, and what is logged of broken connections."""
+
+import unittest
+
+from catkinslip.crashes.identity import key_of
+from catkinslip.proxy.calls import Call
+from standins.workers import Fault
+from tests.small_platform import on_platform
+
+
+def call(target: bytes = b'/q/a', **fields) -> Call:
+    """Return a caller's request."""
+    method, body = fields.pop('method', b'POST'), fields.pop('body', b'x')
+    host = fields.pop('host', b'a.example')
+    peer = fields.pop('peer', '10.0.0.1')
+    request_id = fields.pop('request_id', 'r1')
+    headers = [(b'host', host), (b'request-id', request_id.encode())]
+    return Call(
+        request_id, 'one', method, target, headers, body, True, deadline=1, peer=peer
+    )
+
+
+class IdentityTest(unittest.TestCase):
+    """A request is known again by caller, method, host, path and body."""
+
+    def test_same_request_under_another_id_and_query(self):
+        known = key_of(call())
+        for again in (
+            call(request_id='r2'),
+            call(b'/q/a?sort=new'),
+            call(host=b'A.example'),
+        ):
+            self.assertEqual(key_of(again), known)
+
+    def test_other_requests(self):
+        known = key_of(call())
+        for other in (
+            call(peer='10.0.0.2'),
+            call(b'/q/b'),
+            call(body=b'y'),
+            call(method=b'GET'),
+            call(host=b'b.example'),
+            call(b'/q/ax', body=b''),
+        ):
+            self.assertNotEqual(key_of(other), known)
+
+
+class BreakLogTest(unittest.TestCase):
+    """A connection that ends under a request is told with the request's identity."""
+
+    def test_break_is_logged_and_counted(self):
+        async def check(platform):
+            await platform.add_worker('i-1', fault=Fault.RESET)
+            entry = await platform.add_entry()
+            with self.assertLogs('routing', 'INFO') as logs:
+                await platform.ask('POST', '/p/x')
+            line = next(each for each in logs.output if ' broke. ' in each)
+            for part in ('r1 ', 'to i-1', 'ms=', 'connection=', 'request=127.0.0.1-'):
+                self.assertIn(part, line)
+            families = {f.name: f for s in entry.sources for f in s.families()}
+            samples = families['catkinslip_breaks_total'].samples
+            self.assertEqual(sum(each.value for each in samples), 1)
+
+        on_platform(check)
