Let all instances know of a request under which servers ended

Cause: each instance counted alone; 17 of them let it end three servers each. Ruled out: a push to all instances (messages grow with the square of the fleet); only the store (0.4 s and more, and nothing while it is down); only peers (a cut between instances that both reach the store parts them). Two servers and more are written to the store, one record a request, which the readers of each zone watch and the others learn of from a poll; a start reads them. Trials are granted by a conditional write, so all instances have two together. An answer clears a request for all; an operator does so by removing the record. Conclusion: the bound is the fleet's.

--- a/catkinslip/crashes/base.py
+++ b/catkinslip/crashes/base.py
@@ -34,5 +34,5 @@
         """Write a record if the store holds the revision that it names."""
 
     @abstractmethod
-    async def delete(self, key: RequestKey) -> Result[None, PlatformError]:
-        """Delete a record if there is one."""
+    async def delete(self, record: CrashRecord) -> Result[None, PlatformError]:
+        """Delete a record if the store holds the revision that it names, or none."""
--- a/catkinslip/crashes/book.py
+++ b/catkinslip/crashes/book.py
@@ -211,7 +211,7 @@
             self.has_unsaved = trio.Event()
         return sorted(waiting, key=lambda each: -each.servers)
 
-    def forget_old(self, now: float) -> list[RequestKey]:
+    def forget_old(self, now: float) -> list[CrashRecord]:
         """Forget what came long ago; return what the store should forget too."""
         old = [
             suspect
@@ -221,7 +221,7 @@
         for suspect in old:
             if not suspect.record.revision:
                 self._forget(suspect.record.key)
-        return [each.record.key for each in old if each.record.revision]
+        return [each.record for each in old if each.record.revision]
 
     def _add(
         self,
--- a/catkinslip/crashes/keeper.py
+++ b/catkinslip/crashes/keeper.py
@@ -69,7 +69,7 @@
     async def _save(self, suspect: Suspect) -> None:
         record = suspect.record
         if not record.query_by_server:
-            await self._delete(record.key)
+            await self._delete(record)
             return
         match await self.store.write(record):
             case Success(stored):
@@ -92,16 +92,20 @@
             case Failure(error):
                 log.warning('crashes: not read. request=%s error=%s', key, error)
 
-    async def _delete(self, key: RequestKey) -> None:
-        match await self.store.delete(key):
+    async def _delete(self, record: CrashRecord) -> None:
+        match await self.store.delete(record):
             case Success(_):
-                self.book.deleted(key)
+                self.book.deleted(record.key)
+            case Failure(Conflict()):
+                await self._read(record.key)
             case Failure(error):
-                log.warning('crashes: not deleted. request=%s error=%s', key, error)
+                log.warning(
+                    'crashes: not deleted. request=%s error=%s', record.key, error
+                )
                 await trio.sleep(RETRY_SECONDS)
 
     async def _forget_old(self) -> None:
         while True:
             await trio.sleep(FORGET_SECONDS)
-            for key in self.book.forget_old(self.clock.monotonic()):
-                await self._delete(key)
+            for record in self.book.forget_old(self.clock.monotonic()):
+                await self._delete(record)
--- /dev/null
+++ b/catkinslip/crashes/telling.py
@@ -0,0 +1,90 @@
+"""Tell instances in all zones within milliseconds of servers that ended.
+
+Each datagram goes out twice, as some are lost. Whoever got none learns from the store
+once two servers ended.
+"""
+
+from collections.abc import Callable
+
+import orjson
+import trio
+from attrs import Factory, define
+
+from catkinslip.clock import Clock
+from catkinslip.crashes.book import GUILTY_SERVERS, CrashBook
+from catkinslip.crashes.guard import CrashListener
+from catkinslip.crashes.identity import RequestKey
+from catkinslip.models import Address
+
+#: Some 200 bytes each; a datagram stays below one packet of 1,500 bytes.
+MOST_TOLD = 6
+#: Requests that wait to be told; a rack that fails under more has nothing to tell.
+MOST_WAITING = 60
+#: Ends of this time go out together, so 40 instances get 12 kB from one of them in its
+#: worst second.
+FLUSH_SECONDS = 0.02
+REPEAT_SECONDS = 0.1
+
+
+Post = Callable[[bytes, list[Address]], None]
+
+
+@define
+class CrashTeller(CrashListener):
+    """Send what this instance saw, and take what others did."""
+
+    own_id: str
+    book: CrashBook
+    clock: Clock
+    targets: Callable[[], list[Address]]
+    post: Post
+    query_by_server_by_key: dict[RequestKey, dict[str, str]] = Factory(dict)
+    has_news: trio.Event = Factory(trio.Event)
+
+    def saw_end(self, key: RequestKey, query_by_server: dict[str, str]) -> None:
+        """Learn of all servers that ended under a request, as known here."""
+        if len(self.query_by_server_by_key) < MOST_WAITING:
+            first = dict(list(query_by_server.items())[-GUILTY_SERVERS:])
+            self.query_by_server_by_key[key] = first
+            self.has_news.set()
+
+    async def run(self) -> None:
+        """Send news until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self.has_news.wait()
+                for data in self._take_datagrams():
+                    self.post(data, self.targets())
+                    nursery.start_soon(self._repeat, data)
+                await trio.sleep(FLUSH_SECONDS)
+
+    async def _repeat(self, data: bytes) -> None:
+        await trio.sleep(REPEAT_SECONDS)
+        self.post(data, self.targets())
+
+    def _take_datagrams(self) -> list[bytes]:
+        self.has_news = trio.Event()
+        waiting = list(self.query_by_server_by_key.items())
+        self.query_by_server_by_key.clear()
+        return [
+            self.encode(dict(waiting[start : start + MOST_TOLD]))
+            for start in range(0, len(waiting), MOST_TOLD)
+        ]
+
+    def encode(self, query_by_server_by_key: dict[RequestKey, dict[str, str]]) -> bytes:
+        """Return a datagram."""
+        ends = [
+            [key.caller, key.digest, query_by_server]
+            for key, query_by_server in query_by_server_by_key.items()
+        ]
+        return orjson.dumps({'ends': ends, 'by': self.own_id})
+
+    def take(self, told: dict) -> None:
+        """Take over a datagram; raise a type, key or value error."""
+        teller = str(told['by'])
+        for caller, digest, query_by_server in told['ends']:
+            ends = {str(k): str(v) for k, v in query_by_server.items()}
+            if not 1 <= len(ends) <= GUILTY_SERVERS:
+                raise ValueError(f'{len(ends)} servers are told of one request')
+            key = RequestKey(str(caller), str(digest))
+            self.book.heard(key, ends, self.clock.monotonic(), teller)
--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -6,14 +6,18 @@
 from attrs import define, evolve
 
 from catkinslip.config.documents import converter
+from catkinslip.crashes.base import CrashRecord
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import RuleSet
+from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.messages import (
     WITH_HEALTH,
     WITH_KNOWN,
+    CrashNews,
     Knowledge,
     NamedBackend,
+    NamedCrash,
     PeerState,
 )
 from catkinslip.pages import Page
@@ -30,6 +34,7 @@
 
     instances: InstanceTable
     assembler: Assembler
+    crashes: Follower[CrashRecord]
 
     async def state(self, query: str) -> Page:
         """Return what this instance tells of itself, and what the query adds."""
@@ -42,6 +47,7 @@
             self.assembler.reaches_store,
             instances.digest(),
             instances.list_revision,
+            crashes_revision=self.crashes.changed_at,
         )
         if query == WITH_KNOWN:
             known = tuple(each.entry for each in instances.peer_by_id.values())
@@ -66,6 +72,19 @@
         knowledge = self.newer(int(version), int(revision), is_whole=bool(whole))
         return Page(200, orjson.dumps(converter.unstructure(knowledge)))
 
+    async def known_crashes(self, query: str) -> Page:
+        """Return the requests that end servers, newer than the revision asked for."""
+        if not query.isdecimal():
+            return Page(400)
+        crashes, revision = self.crashes, int(query)
+        changes = crashes.changes.after(revision) if revision else None
+        news = CrashNews(
+            crashes.changed_at,
+            changes and tuple(NamedCrash(*change) for change in changes),
+            crashes.value_by_name if changes is None else {},
+        )
+        return Page(200, orjson.dumps(converter.unstructure(news)))
+
     def newer(
         self, rules_version: int, revision: int, *, is_whole: bool = False
     ) -> Knowledge:
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -323,6 +323,12 @@
         """Return the other instances that share the work of the own zone."""
         return [each for each in self._home(self.own.zone) if each is not self.own]
 
+    def serving(self) -> list[InstanceEntry]:
+        """Return the other instances that callers of any zone are sent to."""
+        zones = {entry.zone for entry in self._entries()}
+        homes = [each for zone in zones for each in self._home(zone)]
+        return [each for each in homes if each is not self.own]
+
     def usable(self, zone: str) -> list[InstanceEntry]:
         """Return the instances for callers of a zone, never none if one is known.
 
--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -7,6 +7,7 @@
 from attrs import Factory, frozen
 
 from catkinslip.config.documents import converter
+from catkinslip.crashes.base import CrashRecord
 from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
 from catkinslip.discovery.instances import PeerHealth
 
@@ -15,6 +16,7 @@
 WITH_KNOWN = 'full'
 WITH_HEALTH = 'health'
 KNOWLEDGE_PATH = '/peer/knowledge'
+CRASHES_PATH = '/peer/crashes'
 READ_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
 
 log = logging.getLogger('peers')
@@ -39,6 +41,8 @@
     health: dict[str, PeerHealth] = Factory(dict)
     #: Those of them that do not reach the store.
     lost_store: tuple[str, ...] = ()
+    #: The revision at which it last learned of a request that ends servers.
+    crashes_revision: int = 0
 
 
 @frozen
@@ -65,6 +69,24 @@
     are_rules_large: bool = False
 
 
+@frozen
+class NamedCrash:
+    """A record that changed; without one it was removed."""
+
+    name: str
+    record: CrashRecord | None
+
+
+@frozen
+class CrashNews:
+    """What is newer of the requests that end servers."""
+
+    revision: int
+    #: The changes since the asker's revision; None where all records are told.
+    changes: tuple[NamedCrash, ...] | None = None
+    records: dict[str, CrashRecord] = Factory(dict)
+
+
 def structure(plain: Any, wanted: type) -> Any | None:
     """Return plain data as a value of a class; None for what cannot be one."""
     if plain is None:
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -14,6 +14,7 @@
 from attrs import Factory, define
 from returns.result import Failure, Success
 
+from catkinslip.crashes.base import CrashRecord
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import (
     InstanceEntry,
@@ -21,12 +22,15 @@
     News,
     Source,
 )
+from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable, PeerHealth
 from catkinslip.discovery.messages import (
+    CRASHES_PATH,
     KNOWLEDGE_PATH,
     STATE_PATH,
     WITH_HEALTH,
     WITH_KNOWN,
+    CrashNews,
     Knowledge,
     PeerState,
     structure,
@@ -65,6 +69,7 @@
 
     instances: InstanceTable
     assembler: Assembler
+    crashes: Follower[CrashRecord]
     client: PageClient
     random: Random
     seeds: tuple[Address, ...]
@@ -239,6 +244,7 @@
         )
         self._tell_health(entry, health)
         await self._catch_up(address, state)
+        await self._learn_crashes(address, state)
         if entry.zone == self.instances.own.zone:
             await self._compare_members(address, state)
         return state
@@ -273,6 +279,23 @@
         if knowledge is not None:
             self._take(knowledge, since, f'peer {state.instance.instance_id}')
 
+    async def _learn_crashes(self, address: Address, state: PeerState) -> None:
+        """Learn of requests that end servers where a peer knows of newer ones."""
+        crashes = self.crashes
+        since = crashes.revision
+        if state.crashes_revision <= since:
+            return
+        plain = await self._read(address, f'{CRASHES_PATH}?{since}')
+        news = structure(plain, CrashNews)
+        if news is None:
+            return
+        if news.changes is None:
+            source = f'peer {state.instance.instance_id}'
+            crashes.offer(Listing(news.records, news.revision), source)
+            return
+        changes = tuple((each.name, each.record) for each in news.changes)
+        crashes.learn(News(changes, news.revision), since)
+
     def _take(self, knowledge: Knowledge, since: int, source: str) -> None:
         if knowledge.rules is not None:
             self.assembler.offer_rules(knowledge.rules)
--- a/catkinslip/health/sharing.py
+++ b/catkinslip/health/sharing.py
@@ -10,7 +10,7 @@
 
 import orjson
 import trio
-from attrs import Factory, define
+from attrs import Factory, define, field
 
 from catkinslip.clock import Clock
 from catkinslip.models import Address
@@ -36,6 +36,11 @@
 log = logging.getLogger('health')
 
 
+def refuse_other(told: dict) -> None:
+    """Take no datagrams but reports."""
+    raise ValueError(f'a datagram tells of {sorted(told)}')
+
+
 @define
 class ReportSharer:
     """Send new reports to the instances of the zone, and take theirs."""
@@ -46,9 +51,12 @@
     clock: Clock
     load_by_id: dict[str, BackendLoad] = Factory(dict)
     has_news: trio.Event = Factory(trio.Event)
+    #: Takes a datagram that tells of something else.
+    take_other: Callable[[dict], None] = refuse_other
     sent: int = 0
     taken: int = 0
     malformed: int = 0
+    _socket: socket.socket | None = field(default=None, init=False)
 
     def note(self, load: BackendLoad) -> None:
         """Take note of a server whose load or own requests changed."""
@@ -60,25 +68,29 @@
         with socket.socket(type=socket.SOCK_DGRAM) as sock:
             sock.setblocking(False)
             sock.bind((self.own.host, self.own.port))
+            self._socket = sock
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
-                nursery.start_soon(self._send, sock)
+                nursery.start_soon(self._send)
 
-    async def _send(self, sock: socket.socket) -> None:
+    async def _send(self) -> None:
         while True:
             await self.has_news.wait()
             await trio.sleep(FLUSH_SECONDS)
             self.has_news = trio.Event()
             data = self.encode()
-            if data is None:
-                continue
-            for address in self.targets():
-                try:
-                    sock.sendto(data, (address.host, address.port))
-                    self.sent += 1
-                except OSError as error:
-                    # The next report is on its way within milliseconds.
-                    log.debug('health: no report sent. to=%s error=%r', address, error)
+            if data is not None:
+                self.post(data, self.targets())
+
+    def post(self, data: bytes, addresses: list[Address]) -> None:
+        """Send a datagram to several instances."""
+        for address in addresses:
+            try:
+                self._socket.sendto(data, (address.host, address.port))
+                self.sent += 1
+            except OSError as error:
+                # The next report is on its way within milliseconds.
+                log.debug('health: no datagram sent. to=%s error=%r', address, error)
 
     def encode(self) -> bytes | None:
         """Return the fresh reports as a datagram; None if there are none."""
@@ -124,6 +136,9 @@
         now = self.clock.monotonic()
         try:
             told = orjson.loads(data)
+            if 'reports' not in told:
+                self.take_other(told)
+                return
             for backend_id, start, in_flight, speed, age_ms in told['reports']:
                 report = LoadReport(float(in_flight), float(speed))
                 at = now - max(0.0, age_ms) / 1e3
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -8,9 +8,11 @@
 from urllib.parse import quote
 
 import orjson
-from attrs import Factory, asdict, define, frozen
+from attrs import Factory, asdict, define, evolve, frozen
 from returns.result import Failure, Result, Success
 
+from catkinslip.crashes.base import CrashRecord, CrashStore
+from catkinslip.crashes.identity import RequestKey
 from catkinslip.discovery.base import (
     HistoryGone,
     InstanceBook,
@@ -24,8 +26,8 @@
 from catkinslip.metrics.calls import calls_family, outcome_of
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
-from catkinslip.platform.decoding import DECODE_ERRORS
-from catkinslip.platform.names import INSTANCES_KIND, OBJECTS_PATH
+from catkinslip.platform.decoding import DECODE_ERRORS, decode_crash
+from catkinslip.platform.names import CRASHES_KIND, INSTANCES_KIND, OBJECTS_PATH
 from catkinslip.proxy.outcomes import NotRun, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.store.base import (
@@ -250,3 +252,66 @@
         path = f'{INSTANCES_KIND}/{instance_id}'
         result = await self.client.call('DELETE', path)
         return result.map(lambda _: None)
+
+
+@define
+class StoredCrashes(CrashStore):
+    """Keep the records of requests that end servers in objects of a kind of our own."""
+
+    client: StoreClient
+
+    async def read(self, key: RequestKey) -> Result[CrashRecord | None, PlatformError]:
+        """Read a record; None when there is none, or none that can be read."""
+        result = await self.client.call('GET', crash_path(key))
+        if isinstance(result, Failure):
+            return result
+        answer = result.unwrap()
+        if answer.status == 404:
+            return Success(None)
+        try:
+            return Success(decode_crash(str(key), answer.body))
+        except DECODE_ERRORS as error:
+            log.warning('store: a record cannot be read. name=%s error=%r', key, error)
+            return Success(None)
+
+    async def write(self, record: CrashRecord) -> Result[CrashRecord, PlatformError]:
+        """Write a record if the store holds the revision that it names."""
+        name = str(record.key)
+        metadata: dict[str, Any] = {'name': name}
+        method, path = 'POST', CRASHES_KIND
+        if record.revision:
+            metadata['revision'] = record.revision
+            method, path = 'PUT', crash_path(record.key)
+        body = {'metadata': metadata, 'spec': crash_spec(record)}
+        result = await self.client.call(method, path, body)
+        if isinstance(result, Failure):
+            return result
+        answer = result.unwrap()
+        if answer.status >= 400:
+            # It is gone; the next look at the store tells.
+            return Failure(Conflict(0))
+        try:
+            return Success(evolve(record, revision=answer.body['metadata']['revision']))
+        except DECODE_ERRORS as error:
+            return Failure(Unavailable(f'an answer cannot be read, {error!r}'))
+
+    async def delete(self, record: CrashRecord) -> Result[None, PlatformError]:
+        """Delete a record if the store holds the revision that it names, or none."""
+        path = f'{crash_path(record.key)}?revision={record.revision}'
+        result = await self.client.call('DELETE', path)
+        return result.map(lambda _: None)
+
+
+def crash_path(key: RequestKey) -> str:
+    """Return where the record of a request lies."""
+    return f'{CRASHES_KIND}/{quote(str(key), safe="")}'
+
+
+def crash_spec(record: CrashRecord) -> dict[str, Any]:
+    """Return a record as the store holds it."""
+    return {
+        'caller': record.key.caller,
+        'digest': record.key.digest,
+        'ends': record.query_by_server,
+        'trials': record.trials,
+    }
--- a/catkinslip/platform/names.py
+++ b/catkinslip/platform/names.py
@@ -14,6 +14,8 @@
 MAIN_NAME: Final = 'main'
 #: Our own kind: one object an instance.
 INSTANCES_KIND: Final = 'instances'
+#: Our own kind: one object for each request under which servers ended.
+CRASHES_KIND: Final = 'crashes'
 
 REQUEST_ID: Final = b'request-id'
 #: Milliseconds that the caller waits; on the way to a server, those that are left.
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -16,9 +16,15 @@
 from catkinslip.models import Address
 from catkinslip.pages import PageServer
 from catkinslip.platform import names
-from catkinslip.platform.client import KindSource, StoreClient, StoredInstances
+from catkinslip.platform.client import (
+    KindSource,
+    StoreClient,
+    StoredCrashes,
+    StoredInstances,
+)
 from catkinslip.platform.decoding import (
     decode_backend,
+    decode_crash,
     decode_instance,
     decode_rules,
 )
@@ -102,6 +108,8 @@
         backends=KindSource(client, names.SERVERS_KIND, decode_backend),
         instances=KindSource(client, names.INSTANCES_KIND, decode_instance),
         book=StoredInstances(client),
+        crashes=KindSource(client, names.CRASHES_KIND, decode_crash),
+        crash_store=StoredCrashes(client),
         log_buffer=buffer,
         sources=(client,),
     )
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -8,6 +8,11 @@
 
 from catkinslip.addresses.zonal import ZoneAddresses
 from catkinslip.config.holder import ConfigHolder
+from catkinslip.crashes.base import CrashRecord, CrashStore
+from catkinslip.crashes.book import CrashBook
+from catkinslip.crashes.guard import CrashGuard
+from catkinslip.crashes.keeper import CrashKeeper
+from catkinslip.crashes.telling import CrashTeller
 from catkinslip.discovery.answers import PeerAnswers
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import (
@@ -19,7 +24,7 @@
 )
 from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable
-from catkinslip.discovery.messages import KNOWLEDGE_PATH, STATE_PATH
+from catkinslip.discovery.messages import CRASHES_PATH, KNOWLEDGE_PATH, STATE_PATH
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
 from catkinslip.environment import Environment
@@ -93,6 +98,8 @@
     backends: Source[BackendEntry]
     instances: Source[InstanceEntry]
     book: InstanceBook
+    crashes: Source[CrashRecord]
+    crash_store: CrashStore
     log_buffer: LogBuffer
     #: What else the metrics page shows.
     sources: tuple[MetricSource, ...] = ()
@@ -116,8 +123,16 @@
     sampler: LoadSampler
     sharer: ReportSharer
     lag: LoopLag
+    crashes: Follower[CrashRecord]
+    guard: CrashGuard
+    teller: CrashTeller
     sources: tuple[MetricSource, ...]
 
+    @property
+    def book(self) -> CrashBook:
+        """Return what is known of requests that end servers."""
+        return self.guard.book
+
     def tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         """Return what runs beside the requests until the instance ends."""
         return (
@@ -131,6 +146,9 @@
             self.lag.run,
             self.sharer.run,
             self.sampler.run,
+            self.crashes.run,
+            self.guard.keeper.run,
+            self.teller.run,
         )
 
 
@@ -182,6 +200,21 @@
         clock,
     )
     directory.on_news = sharer.note
+    crashes = make_follower('crashes', outside.crashes)
+    guard = CrashGuard(clock)
+    guard.keeper = CrashKeeper(guard.book, outside.crash_store, clock)
+    crashes.listeners.append(
+        lambda: guard.book.take_stored(crashes.value_by_name, clock.monotonic())
+    )
+    teller = CrashTeller(
+        settings.own.instance_id,
+        guard.book,
+        clock,
+        lambda: [Address.parse(each.report_address) for each in instances.serving()],
+        sharer.post,
+    )
+    guard.listeners.append(teller)
+    sharer.take_other = teller.take
     health = make_tracker(directory, clock, random, max_instances=1)
     pool = BackendPool(instances.shares)
     config.listeners.extend((directory.update, health.update, pool.update))
@@ -210,6 +243,7 @@
         outside.dialect,
         sampler,
         random,
+        guard=guard,
     )
     callers = CallerServer(
         environment,
@@ -220,10 +254,11 @@
         observer,
         outside.dialect,
     )
-    answers = PeerAnswers(instances, assembler)
+    answers = PeerAnswers(instances, assembler, crashes)
     makers: dict[str, PageMaker] = {
         STATE_PATH: answers.state,
         KNOWLEDGE_PATH: answers.knowledge,
+        CRASHES_PATH: answers.known_crashes,
     }
     lag = LoopLag(clock)
     versions = ConfigMetrics(clock, config)
@@ -238,6 +273,7 @@
         poller=PeerPoller(
             instances,
             assembler,
+            crashes,
             PageClient(),
             random,
             settings.seeds,
@@ -251,6 +287,9 @@
         sampler=sampler,
         sharer=sharer,
         lag=lag,
+        crashes=crashes,
+        guard=guard,
+        teller=teller,
         sources=(
             requests,
             versions,
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -87,6 +87,7 @@
         app.add_url_rule(path, view_func=self.list_or_watch)
         app.add_url_rule(path, view_func=self.create, methods=['POST'])
         path = f'{path}/<name>'
+        app.add_url_rule(path, view_func=self.read)
         app.add_url_rule(path, view_func=self.replace, methods=['PUT'])
         app.add_url_rule(path, view_func=self.delete, methods=['DELETE'])
         return app
@@ -132,6 +133,11 @@
             if each == kind and revision > since
         ]
 
+    async def read(self, kind: str, name: str):
+        """Answer with one object."""
+        found = self.item_by_key.get((kind, name))
+        return Response('none\n', status=404) if found is None else jsonify(found)
+
     async def create(self, kind: str):
         """Create an object unless there is one."""
         body = await request.get_json()
@@ -146,12 +152,19 @@
         found = self.item_by_key.get((kind, name))
         if found is None:
             return Response('none\n', status=404)
+        wanted = body['metadata'].get('revision')
+        if wanted not in (None, found['metadata']['revision']):
+            return jsonify(found), 409
         if found['spec'] == body['spec']:
             return self._answer(found)
         return self._answer(self.put(kind, name, body['spec']))
 
     async def delete(self, kind: str, name: str):
-        """Delete an object."""
+        """Delete an object, of a revision where one is given."""
+        found = self.item_by_key.get((kind, name))
+        wanted = request.args.get('revision')
+        if found and wanted not in (None, str(found['metadata']['revision'])):
+            return jsonify(found), 409
         return Response('{}', status=200 if self.remove(kind, name) else 404)
 
     def _answer(self, item: dict):
--- a/tests/discovery_builders.py
+++ b/tests/discovery_builders.py
@@ -1,6 +1,7 @@
 """Builders of what an outside store tells."""
 
 from collections.abc import Sequence
+from random import Random
 
 import trio
 from attrs import Factory, define
@@ -16,6 +17,7 @@
     RuleSet,
     Source,
 )
+from catkinslip.discovery.follower import Follower
 from catkinslip.store.base import Unavailable
 
 OUTAGE = Failure(Unavailable('test'))
@@ -83,3 +85,8 @@
             await trio.sleep_forever()
         answer = script.pop(0)
         return answer if isinstance(answer, Failure) else Success(answer)
+
+
+def no_crashes() -> Follower:
+    """Return a follower of records that knows none and reads nothing."""
+    return Follower('crashes', ScriptedSource(), Random(1))
--- a/tests/test_crashes_book.py
+++ b/tests/test_crashes_book.py
@@ -181,5 +181,6 @@
     def test_stored_one_is_to_be_deleted_there_first(self):
         book = CrashBook()
         book.take_stored({'a': stored(3, revision=4)}, NOW)
-        self.assertEqual(book.forget_old(NOW + VERDICT_SECONDS + 1), [KEY])
+        (record,) = book.forget_old(NOW + VERDICT_SECONDS + 1)
+        self.assertEqual(record.key, KEY)
         self.assertTrue(book.suspect_by_key)
--- a/tests/test_crashes_incident.py
+++ b/tests/test_crashes_incident.py
@@ -17,9 +17,12 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 import trio
 
+from catkinslip.crashes import book
+from catkinslip.wiring.entry import Entry
 from tests.small_platform import SmallPlatform, on_platform, wait_for
 
 SERVERS = 8
@@ -104,5 +107,127 @@
         on_platform(check)
 
 
+async def crash(platform: SmallPlatform, servers: int, entry: int = 0) -> None:
+    """Send the crashing request to one instance until so many servers ended."""
+    number = 0
+    while platform.crashes(CRASHING) < servers:
+        number += 1
+        await platform.get(CRASHING, entry, request_id=f'e{number}')
+        await trio.sleep(PAUSE_SECONDS)
+
+
+async def ends_of(platform: SmallPlatform, entry: int, sends: int = 4) -> int:
+    """Return how many servers end under copies sent to one instance."""
+    before = platform.crashes(CRASHING)
+    for number in range(sends):
+        await platform.get(CRASHING, entry, request_id=f'f{number}')
+    return platform.crashes(CRASHING) - before
+
+
+class TellingTest(unittest.TestCase):
+    """Instances that saw no server end know of it all the same."""
+
+    def test_others_refuse_what_one_instance_saw(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            await crash(platform, 3)
+            await trio.sleep(WINDOW_SECONDS)
+            for entry in range(1, INSTANCES):
+                self.assertEqual(await ends_of(platform, entry), 0)
+
+        on_platform(check)
+
+    def test_others_know_without_datagrams(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            for entry in platform.entries:
+                entry.teller.targets = list
+            await crash(platform, 3)
+            await trio.sleep(2 * WINDOW_SECONDS)
+            for entry in range(1, INSTANCES):
+                self.assertEqual(await ends_of(platform, entry), 0)
+
+        on_platform(check)
+
+    def test_others_know_while_the_store_refuses(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            platform.store.faults.refuse_with = 503
+            platform.restart_seconds = None
+            await crash(platform, 3)
+            await trio.sleep(WINDOW_SECONDS)
+            for entry in range(1, INSTANCES):
+                self.assertEqual(await ends_of(platform, entry), 0)
+
+        on_platform(check)
+
+    def test_instance_that_starts_later_knows(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            await crash(platform, 3)
+            await trio.sleep(WINDOW_SECONDS)
+            await platform.add_entry()
+            await trio.sleep(WINDOW_SECONDS)
+            self.assertEqual(await ends_of(platform, INSTANCES), 0)
+
+        on_platform(check)
+
+    def test_operator_lets_a_request_through_by_removing_its_record(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            await crash(platform, 3)
+            await wait_for(lambda: all(map(is_settled, platform.entries)))
+            for worker in platform.worker_by_id.values():
+                worker.crashing_paths = set()
+            self.assertEqual((await platform.get(CRASHING, 1)).status_code, 503)
+            for name in stored_names(platform):
+                platform.store.remove('crashes', name)
+            await wait_for(
+                lambda: all(not each.book.suspect_by_key for each in platform.entries)
+            )
+            self.assertEqual((await platform.get(CRASHING, 1)).status_code, 200)
+
+        on_platform(check)
+
+    def test_all_instances_together_get_one_trial_and_success_ends_the_verdict(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            await crash(platform, 3)
+            await wait_for(lambda: all(map(is_settled, platform.entries)))
+            await trio.sleep(WINDOW_SECONDS)
+            with mock.patch.object(book, 'TRIAL_SECONDS', (0.0, 600.0)):
+                before = platform.crashes(CRASHING)
+                async with trio.open_nursery() as nursery:
+                    for number in range(4 * INSTANCES):
+                        nursery.start_soon(platform.get, CRASHING, number % INSTANCES)
+                # The one server may be a moment away.
+                self.assertLessEqual(platform.crashes(CRASHING) - before, 1)
+                (name,) = stored_names(platform)
+                spec = platform.store.item_by_key['crashes', name]['spec']
+                self.assertEqual(spec['trials'], 1)
+            with mock.patch.object(book, 'TRIAL_SECONDS', (0.0, 0.0)):
+                for worker in platform.worker_by_id.values():
+                    worker.crashing_paths = set()
+                await trio.sleep(WINDOW_SECONDS)
+                self.assertEqual((await platform.get(CRASHING)).status_code, 200)
+            await wait_for(lambda: not stored_names(platform))
+
+        on_platform(check)
+
+
+def is_settled(entry: Entry) -> bool:
+    """Tell whether an instance knows of three servers and the store holds them."""
+    suspects = entry.book.suspect_by_key.values()
+    return any(
+        each.record.revision and each.servers >= 3 and not each.unsaved
+        for each in suspects
+    )
+
+
+def stored_names(platform: SmallPlatform) -> list[str]:
+    """Return the names of the records that the store holds."""
+    return [name for kind, name in platform.store.item_by_key if kind == 'crashes']
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_discovery_changes.py
+++ b/tests/test_discovery_changes.py
@@ -22,6 +22,7 @@
     instance_entry,
     listing,
     news,
+    no_crashes,
     rule_set,
 )
 
@@ -100,7 +101,9 @@
         clock.start()
         self.addCleanup(clock.stop)
         self.assembler = Assembler(ConfigHolder(), follower(), follower())
-        self.answers = PeerAnswers(InstanceTable(instance_entry('own')), self.assembler)
+        self.answers = PeerAnswers(
+            InstanceTable(instance_entry('own')), self.assembler, no_crashes()
+        )
         self.assembler.offer_rules(rule_set(3))
         self.assembler.backends.offer(listing(5, ONE), 'test')
 
