Count the time in which a machine was suspended

Cause: reports, kept connections, deadlines, budgets and timers were read from the monotonic clock, which stands still while a machine is suspended: all looked younger. Ruled out: the time of day, which jumps.

--- a/catkinslip/cli/base.py
+++ b/catkinslip/cli/base.py
@@ -13,6 +13,7 @@
 from catkinslip.cli import options
 from catkinslip.cli.definition import Definition
 from catkinslip.cli.output import Printer
+from catkinslip.clock import LoopClock
 from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.environment import Environment
 from catkinslip.settings.base import Option, read_values, with_secret_files
@@ -56,7 +57,7 @@
             case Success(value_by_field):
                 self.value_by_field = value_by_field
         try:
-            return int(trio.run(self.main))
+            return int(trio.run(self.main, clock=LoopClock()))
         except UsageError as error:
             self.printer.error(str(error))
             return int(ExitStatus.USAGE)
--- a/catkinslip/daemon.py
+++ b/catkinslip/daemon.py
@@ -9,6 +9,7 @@
 
 from catkinslip import __version__
 from catkinslip.cli.definition import all_settings
+from catkinslip.clock import LoopClock
 from catkinslip.core import serve
 from catkinslip.environment import Environment
 from catkinslip.listeners import ListenError
@@ -67,7 +68,7 @@
     """Serve until told to stop."""
     buffer = configure_buffered(settings.log_level)
     warn(settings, environment)
-    return trio.run(serve_and_log, settings, environment, buffer)
+    return trio.run(serve_and_log, settings, environment, buffer, clock=LoopClock())
 
 
 async def serve_and_log(
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -6,6 +6,7 @@
 import trio
 from returns.result import Failure, Success
 
+from catkinslip.clock import LoopClock
 from catkinslip.discovery.base import InstanceEntry
 from catkinslip.entry import ListenAddresses, serve
 from catkinslip.environment import Environment
@@ -59,7 +60,7 @@
             return ExitStatus.USAGE
         case Success(settings):
             buffer = configure_buffered('info')
-            trio.run(run, settings, environment, buffer)
+            trio.run(run, settings, environment, buffer, clock=LoopClock())
     return ExitStatus.SUCCESS
 
 
