Never give a kept connection to two requests

Cause: the trim of the pool put a new list of kept connections in place of the old one, while a request that was closing a dead connection went on with the old one. It looked at connections that the trim had closed ('file descriptor cannot be a negative integer'; the caller's connection was cut without an answer), or took one that stayed in the new list, so the next request got the same connection. Change: the list is changed in place. Answers of other requests never reached callers, as the request ID is checked; the requests failed.

--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -103,7 +103,7 @@
         connections = self.connections_by_address.get(address)
         if connections is not None:
             self.dropped.extend(connections.idle)
-            connections.idle = []
+            connections.idle.clear()
 
     def share_limits(self) -> None:
         """Cut the connections of every server by the instances that are known now."""
@@ -173,7 +173,8 @@
             for entry in connections.idle:
                 old = now - entry.since >= MAX_IDLE_SECONDS
                 (dropped if old or is_readable(entry.wire) else kept).append(entry)
-            connections.idle = kept
+            # In place: another list would let who takes one meanwhile take it twice.
+            connections.idle[:] = kept
             for entry in dropped:
                 await entry.wire.close()
 
--- /dev/null
+++ b/tests/test_proxy_pool.py
@@ -0,0 +1,93 @@
+"""Kept connections while others are trimmed."""
+
+import unittest
+
+import trio
+
+from catkinslip.models import Address
+from catkinslip.page_client import PageClient
+from catkinslip.proxy.pool import BackendPool
+from standins.raw import RawBackend
+
+GENEROUS_SECONDS = 20.0
+#: Tasks of one step run in any order.
+TRIES = 20
+
+
+class KeptStreams:
+    """A server that can close each of its connections."""
+
+    def __init__(self) -> None:
+        self.backend = RawBackend()
+        self.streams: list[trio.SocketStream] = []
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        self.streams.append(stream)
+        await self.backend.serve(stream)
+
+
+async def keep_two(nursery: trio.Nursery) -> tuple[BackendPool, Address, KeptStreams]:
+    """Return a pool that keeps two connections."""
+    pool, server = BackendPool(), KeptStreams()
+    listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
+    address = Address('127.0.0.1', listeners[0].socket.getsockname()[1])
+    client = PageClient(pool)
+    async with trio.open_nursery() as asking:
+        for _ in range(2):
+            asking.start_soon(client.ask, address, '/', GENEROUS_SECONDS)
+    return pool, address, server
+
+
+def run(check) -> None:
+    """Run an async check several times."""
+
+    async def play():
+        with trio.fail_after(GENEROUS_SECONDS):
+            for _ in range(TRIES):
+                async with trio.open_nursery() as nursery:
+                    await check(nursery)
+                    nursery.cancel_scope.cancel()
+
+    trio.run(play)
+
+
+class TrimTest(unittest.TestCase):
+    """A connection belongs to one request, also while the pool is trimmed."""
+
+    async def _acquire_and_trim(self, pool, address):
+        taken = []
+
+        async def acquire():
+            taken.append(await pool.acquire(address))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(acquire)
+            nursery.start_soon(pool.trim)
+        return taken[0]
+
+    def test_connection_that_trimming_closed_is_not_looked_at(self):
+        async def check(nursery):
+            pool, address, server = await keep_two(nursery)
+            for stream in server.streams:
+                await stream.send_eof()
+            await trio.sleep(0.01)
+            wire = await self._acquire_and_trim(pool, address)
+            self.assertFalse(wire.is_reused)
+
+        run(check)
+
+    def test_connection_is_not_given_to_two_requests(self):
+        async def check(nursery):
+            pool, address, server = await keep_two(nursery)
+            idle = pool.connections_by_address[address].idle
+            last = idle[-1].wire.stream.socket.getsockname()
+            for stream in server.streams:
+                if stream.socket.getpeername() == last:
+                    await stream.send_eof()
+            await trio.sleep(0.01)
+            first = await self._acquire_and_trim(pool, address)
+            second = await pool.acquire(address)
+            self.assertIsNot(first, second)
+
+        run(check)
