--- a/catkinslip/cli/explain.py
+++ b/catkinslip/cli/explain.py
@@ -1,5 +1,6 @@
 """The command that explains one request."""
 
+import re
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -13,6 +14,16 @@
 from catkinslip.status import ExitStatus
 
 MILLISECONDS = 1000
+#: What a line tells of a request that crashed servers, whatever its ID.
+SAME_REQUEST = re.compile(r' request=(\S+)')
+
+
+def find_lines(lines: list[str], request_id: str) -> list[str]:
+    """Return the lines of a request, and those of all requests that are the same."""
+    own = [line for line in lines if request_id in line]
+    keys = {found for line in own for found in SAME_REQUEST.findall(line)}
+    wanted = {request_id, *keys}
+    return [line.rstrip('\n') for line in lines if any(w in line for w in wanted)]
 
 
 class ExplainCommand(InstanceCommand):
@@ -46,7 +57,7 @@
         request_id = self.argument('request-id')
         try:
             with path.open(errors='replace') as file:
-                lines = [line.rstrip('\n') for line in file if request_id in line]
+                lines = find_lines(list(file), request_id)
         except OSError as error:
             self.printer.error(f'--log: {path}: {error.strerror}.')
             return ExitStatus.USAGE
--- /dev/null
+++ b/catkinslip/metrics/crashes.py
@@ -0,0 +1,36 @@
+"""Tell what is known of requests that end servers."""
+
+from collections.abc import Iterable
+
+from attrs import define
+
+from catkinslip.crashes.book import guilty
+from catkinslip.crashes.guard import CrashGuard
+from catkinslip.metrics.base import Family, MetricSource, counter, gauge
+
+
+@define
+class CrashMetrics(MetricSource):
+    """Count servers that ended under requests, verdicts and refusals."""
+
+    guard: CrashGuard
+
+    def families(self) -> Iterable[Family]:
+        """Return the measured values of now."""
+        book = self.guard.book
+        events = counter(
+            'catkinslip_crashes_total',
+            'Servers seen to end under a request, verdicts learned, calls refused.',
+            'event',
+        )
+        events.add(book.ends, 'ended')
+        events.add(book.verdicts, 'verdict')
+        events.add(self.guard.refused, 'refused')
+        yield events
+        suspects = gauge(
+            'catkinslip_crash_suspects', 'Requests under which servers ended.', 'state'
+        )
+        refused = guilty(book.suspect_by_key.values())
+        suspects.add(len(book.suspect_by_key) - refused, 'suspected')
+        suspects.add(refused, 'refused')
+        yield suspects
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -35,6 +35,7 @@
 from catkinslip.limits.service import LimitBook
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.metrics.base import MetricSource
+from catkinslip.metrics.crashes import CrashMetrics
 from catkinslip.metrics.discovery import DiscoveryMetrics
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
@@ -297,6 +298,7 @@
             LogMetrics(outside.log_buffer),
             HealthMetrics(health),
             DiscoveryMetrics(instances, sampler, sharer),
+            CrashMetrics(guard),
             *outside.sources,
         ),
     )
--- a/tests/test_crashes_incident.py
+++ b/tests/test_crashes_incident.py
@@ -21,7 +21,9 @@
 
 import trio
 
+from catkinslip.cli.explain import find_lines
 from catkinslip.crashes import book
+from catkinslip.entry import metrics_page
 from catkinslip.wiring.entry import Entry
 from tests.small_platform import SmallPlatform, on_platform, wait_for
 
@@ -215,6 +217,41 @@
         on_platform(check)
 
 
+class SeenTest(unittest.TestCase):
+    """What operators see of a refused request."""
+
+    def test_metrics_tell_ends_verdicts_and_refusals(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            await crash(platform, 3)
+            for _ in range(2):
+                await platform.get(CRASHING)
+            body = (await metrics_page(platform.entries[0], '')).body.decode()
+            self.assertIn('catkinslip_crashes_total{event="ended"} 3', body)
+            self.assertIn('catkinslip_crashes_total{event="verdict"} 1', body)
+            self.assertIn('catkinslip_crashes_total{event="refused"} 2', body)
+            self.assertIn('catkinslip_crash_suspects{state="refused"} 1', body)
+
+        on_platform(check)
+
+    def test_log_leads_from_a_refused_copy_to_the_servers_that_ended(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            with (
+                self.assertLogs('crashes', 'INFO') as crashes,
+                self.assertLogs('routing', 'INFO') as routing,
+            ):
+                await crash(platform, 3)
+                await platform.get(CRASHING, request_id='refused-copy')
+            lines = find_lines([*crashes.output, *routing.output], 'refused-copy')
+            text = '\n'.join(lines)
+            self.assertIn('refused-copy is refused', text)
+            self.assertIn('servers=3', text)
+            self.assertEqual(sum(' broke. ' in line for line in lines), 3)
+
+        on_platform(check)
+
+
 def is_settled(entry: Entry) -> bool:
     """Tell whether an instance knows of three servers and the store holds them."""
     suspects = entry.book.suspect_by_key.values()
