--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -120,16 +120,18 @@
         entry: int = 0,
         request_id: str = 'r1',
         deadline_ms: int = 2000,
+        from_address: str = '127.0.0.1',
         **fields,
     ) -> httpx.Response:
         """Send one request on a connection of its own."""
+        way = httpx.AsyncHTTPTransport(local_address=from_address)
         address = self.entries[entry].settings.own.caller_address
         headers = {
             'Host': 'a.example',
             'Request-Id': request_id,
             'Deadline-Ms': str(deadline_ms),
         }
-        async with httpx.AsyncClient(timeout=10) as client:
+        async with httpx.AsyncClient(timeout=10, transport=way) as client:
             return await client.request(
                 method, f'http://{address}{path}', headers=headers, **fields
             )
--- a/tests/test_crashes_incident.py
+++ b/tests/test_crashes_incident.py
@@ -77,6 +77,28 @@
 
         on_platform(check)
 
+    def test_copies_from_other_addresses_are_the_same_request(self):
+        # The lines of one wave came from instances of all four zones within a second.
+        # Callers of a zone use that zone's instances and have a network of their own,
+        # so no two of these copies came from one address:
+        #   26.396 edge-tri-quimper-2  goes again to ..., the kept connection was closed.
+        #   26.603 edge-halle-brest-4  goes again to ...
+        #   27.567 edge-port-bloscon-5 goes again to ...
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            for number in range(20):
+                address = f'127.0.0.{number + 2}'
+                await platform.get(
+                    CRASHING,
+                    number % INSTANCES,
+                    request_id=f'c{number}',
+                    from_address=address,
+                )
+                await trio.sleep(PAUSE_SECONDS)
+            self.assertLessEqual(platform.crashes(CRASHING), 3 + BOUND)
+
+        on_platform(check)
+
     def test_caller_is_not_told_that_what_ended_a_server_did_not_run(self):
         async def check(platform):
             await crash_prone_fleet(platform)
