--- a/catkinslip/crashes/guard.py
+++ b/catkinslip/crashes/guard.py
@@ -57,6 +57,8 @@
             return None
         if judgement.verdict is Verdict.TRIAL and self.keeper is not None:
             if await self.keeper.grant_trial(key):
+                # Also a server that sheds it counts as one that it reached.
+                call.max_attempts = 1
                 return None
             judgement = self.book.judge(key, query_of(call), self.clock.monotonic())
         self.refused += 1
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -55,6 +55,7 @@
     running: int = 0
     waiting: int = 0
     probes: int = 0
+    sheds: int = 0
     runs_by_request: Counter[str] = Factory(Counter)
     cancelled: list[str] = Factory(list)
     heads: list[h11.Request] = Factory(list)
@@ -92,6 +93,7 @@
             await self._send(stream, codec, 421, [], b'')
             return True
         if self.fault is Fault.SHED:
+            self.sheds += 1
             await self._send(stream, codec, 503, [(b'not-executed', b'1')], b'')
             return True
         self.heads.append(head)
--- a/tests/test_crashes_incident.py
+++ b/tests/test_crashes_incident.py
@@ -25,6 +25,7 @@
 from catkinslip.crashes import book
 from catkinslip.entry import metrics_page
 from catkinslip.wiring.entry import Entry
+from standins.workers import Fault
 from tests.small_platform import SmallPlatform, on_platform, wait_for
 
 SERVERS = 8
@@ -213,6 +214,24 @@
 
         on_platform(check)
 
+    def test_trial_reaches_one_server_also_where_it_is_shed(self):
+        async def check(platform):
+            await crash_prone_fleet(platform)
+            await crash(platform, 3)
+            await wait_for(lambda: is_settled(platform.entries[0]))
+            await trio.sleep(WINDOW_SECONDS)
+            for worker in platform.worker_by_id.values():
+                worker.fault = Fault.SHED
+            sheds = 0
+            with mock.patch.object(book, 'TRIAL_SECONDS', (0.0,) * 20):
+                # Some turns of the split go to a service without servers.
+                while not sheds:
+                    await platform.get(CRASHING)
+                    sheds = sum(each.sheds for each in platform.worker_by_id.values())
+            self.assertEqual(sheds, 1)
+
+        on_platform(check)
+
     def test_all_instances_together_get_one_trial_and_success_ends_the_verdict(self):
         async def check(platform):
             await crash_prone_fleet(platform)
