Guard the product's own daemon from requests that end servers

Cause: only instances on the users' platform told each other and asked for trials; the daemon's guard knew its own ends alone and would have refused for ever, with 0 s to wait. Change: a topic of the peer exchange, records in the platform's objects, both stores with one coding of a record; without a grant a caller is told to come back after 5 s. Before and after: nine new tests; the request path is the same code on both.

--- a/catkinslip/crashes/guard.py
+++ b/catkinslip/crashes/guard.py
@@ -7,7 +7,7 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
-from catkinslip.crashes.book import CrashBook, Verdict
+from catkinslip.crashes.book import CrashBook, Judgement, Verdict
 from catkinslip.crashes.identity import RequestKey, key_of, query_of, target_of
 from catkinslip.crashes.keeper import CrashKeeper
 from catkinslip.models import Address
@@ -19,6 +19,8 @@
 CHECK_SECONDS = 0.1
 #: With so many ends in a row the call itself is sent to no further server.
 STOPPING_SERVERS = 2
+#: The trial went to another copy, or the store did not answer.
+UNGRANTED_SECONDS = 5.0
 
 log = logging.getLogger('crashes')
 
@@ -55,12 +57,12 @@
         call.is_suspect = judgement.verdict is not Verdict.FREE
         if judgement.verdict in (Verdict.FREE, Verdict.ALONE):
             return None
-        if judgement.verdict is Verdict.TRIAL and self.keeper is not None:
-            if await self.keeper.grant_trial(key):
+        if judgement.verdict is Verdict.TRIAL:
+            if self.keeper is not None and await self.keeper.grant_trial(key):
                 # Also a server that sheds it counts as one that it reached.
                 call.max_attempts = 1
                 return None
-            judgement = self.book.judge(key, query_of(call), self.clock.monotonic())
+            judgement = Judgement(Verdict.REFUSED, UNGRANTED_SECONDS)
         self.refused += 1
         log.info(
             'crashes: %s is refused, it ended servers. request=%s back_s=%.0f',
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -13,6 +13,7 @@
 
 from catkinslip.crashes.base import CrashRecord, CrashStore
 from catkinslip.crashes.identity import RequestKey
+from catkinslip.crashes.objects import to_plain
 from catkinslip.discovery.base import (
     HistoryGone,
     InstanceBook,
@@ -282,7 +283,7 @@
         if record.revision:
             metadata['revision'] = record.revision
             method, path = 'PUT', crash_path(record.key)
-        body = {'metadata': metadata, 'spec': crash_spec(record)}
+        body = {'metadata': metadata, 'spec': to_plain(record)}
         result = await self.client.call(method, path, body)
         if isinstance(result, Failure):
             return result
@@ -305,13 +306,3 @@
 def crash_path(key: RequestKey) -> str:
     """Return where the record of a request lies."""
     return f'{CRASHES_KIND}/{quote(str(key), safe="")}'
-
-
-def crash_spec(record: CrashRecord) -> dict[str, Any]:
-    """Return a record as the store holds it."""
-    return {
-        'target': record.key.target,
-        'content': record.key.content,
-        'ends': record.query_by_server,
-        'trials': record.trials,
-    }
--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -11,7 +11,7 @@
 
 from catkinslip.config.documents import Route, Service, SplitPart
 from catkinslip.crashes.base import CrashRecord
-from catkinslip.crashes.identity import RequestKey
+from catkinslip.crashes.objects import from_plain
 from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
 from catkinslip.models import Address
 
@@ -27,10 +27,6 @@
 #: A cold start that lasts a day is none.
 MOST_COLD_SECONDS = 86_400.0
 MOST_CORES = 10_000.0
-#: Far more than is ever written.
-MOST_ENDS = 1_000
-MOST_TRIALS = 1_000
-MOST_REVISION = 2**63
 
 
 def decode_backend(name: str, item: Mapping[str, Any]) -> BackendEntry:
@@ -159,13 +155,4 @@
 
 def decode_crash(name: str, item: Mapping[str, Any]) -> CrashRecord:
     """Decode the record of a request under which servers ended."""
-    spec = item['spec']
-    ends = spec['ends']
-    if not isinstance(ends, dict) or len(ends) > MOST_ENDS:
-        raise TypeError('the ends are no map of servers')
-    return CrashRecord(
-        key=RequestKey(read_text(spec['target']), read_text(spec['content'])),
-        query_by_server={read_text(k): read_text(v) for k, v in ends.items()},
-        trials=read_whole(spec['trials'], 0, MOST_TRIALS),
-        revision=read_whole(item['metadata']['revision'], 1, MOST_REVISION),
-    )
+    return from_plain(item['spec'], item['metadata']['revision'])
--- a/catkinslip/wiring/callers.py
+++ b/catkinslip/wiring/callers.py
@@ -35,6 +35,7 @@
         shared.health,
         hedges,
         shared.metrics.observer,
+        guard=shared.guard,
     )
     own = shared.members.own
     gate = AtMostOnce(
--- a/catkinslip/wiring/daemon.py
+++ b/catkinslip/wiring/daemon.py
@@ -9,6 +9,8 @@
 from catkinslip.config.watcher import ConfigWatcher
 from catkinslip.control.app import ControlSurface
 from catkinslip.control.operators import OperatorPages
+from catkinslip.crashes.keeper import CrashKeeper
+from catkinslip.crashes.topic import CrashTopic
 from catkinslip.health.lister import ListFollower
 from catkinslip.health.prober import Prober
 from catkinslip.health.spreader import DrainSpreader
@@ -16,6 +18,7 @@
 from catkinslip.membership.exchange import PeerExchange
 from catkinslip.membership.listing import InstanceList
 from catkinslip.membership.members import Member, MemberTable
+from catkinslip.metrics.crashes import CrashMetrics
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.wiring import Metrics
 from catkinslip.proxy.callers import CallerServer
@@ -42,6 +45,7 @@
     spreader: DrainSpreader
     lister: ListFollower
     hedges: HedgeTimer
+    crash_keeper: CrashKeeper
     metrics: Metrics
 
     def tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
@@ -55,6 +59,7 @@
             self.prober.run,
             self.spreader.run,
             self.lister.run,
+            self.crash_keeper.run,
             self.metrics.lag.run,
         )
 
@@ -83,6 +88,7 @@
         spreader=DrainSpreader(health, peers, environment.random),
         lister=ListFollower(store, health, shared.is_reader),
         hedges=hedges,
+        crash_keeper=shared.guard.keeper,
         metrics=shared.metrics,
     )
 
@@ -95,8 +101,9 @@
     config_topic = ConfigTopic(
         shared.config, members.own.member_id, lambda: len(members.live()) - 1
     )
-    topics = (config_topic, *health_topics(shared.health))
-    return PeerExchange(
+    crash_topic = CrashTopic(shared.guard.book, outside.environment.clock.monotonic)
+    topics = (config_topic, crash_topic, *health_topics(shared.health))
+    peers = PeerExchange(
         members,
         {topic.name: topic for topic in topics},
         outside.clients.peers,
@@ -106,6 +113,9 @@
         settings.peer_interval,
         PEER_TIMEOUT_SECONDS,
     )
+    crash_topic.spread_soon = peers.spread_soon
+    shared.guard.listeners.append(crash_topic)
+    return peers
 
 
 def wire_control(
@@ -113,7 +123,12 @@
 ) -> ControlSurface:
     """Build what peers and operators ask over HTTP."""
     metrics, health = shared.metrics, shared.health
-    sources = (*metrics.sources, shared.store, HealthMetrics(health))
+    sources = (
+        *metrics.sources,
+        shared.store,
+        HealthMetrics(health),
+        CrashMetrics(shared.guard),
+    )
     operators = OperatorPages(
         shared.members, shared.config, health, sources, metrics.traces
     )
--- a/catkinslip/wiring/shared.py
+++ b/catkinslip/wiring/shared.py
@@ -10,6 +10,9 @@
 from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.control.paths import SECRET_HEADER
+from catkinslip.crashes.guard import CrashGuard
+from catkinslip.crashes.keeper import CrashKeeper
+from catkinslip.crashes.objects import ObjectCrashes
 from catkinslip.environment import Environment
 from catkinslip.health.tracker import HealthTracker, make_tracker
 from catkinslip.logs.buffer import LogBuffer
@@ -57,6 +60,7 @@
     directory: Directory
     health: HealthTracker
     pool: BackendPool
+    guard: CrashGuard
     metrics: Metrics
 
     def is_reader(self) -> bool:
@@ -89,13 +93,17 @@
     health = make_tracker(directory, clock, random, settings.max_instances)
     pool = BackendPool()
     config.listeners.extend((directory.update, health.update, pool.update))
+    store = CountedStore(make_store(settings, outside, members))
+    guard = CrashGuard(clock)
+    guard.keeper = CrashKeeper(guard.book, ObjectCrashes(store), clock)
     return Shared(
-        store=CountedStore(make_store(settings, outside, members)),
+        store=store,
         members=members,
         config=config,
         directory=directory,
         health=health,
         pool=pool,
+        guard=guard,
         metrics=Metrics.wire(
             settings.instance_id, clock, directory, config, members, outside.log_buffer
         ),
--- /dev/null
+++ b/tests/test_crashes_sharing.py
@@ -0,0 +1,154 @@
+"""Ends of servers told to peers, and records kept in a store."""
+
+import unittest
+
+import trio
+from returns.result import Failure, Success
+
+from catkinslip.clock import SystemClock
+from catkinslip.crashes.base import CrashRecord
+from catkinslip.crashes.book import MOST_SERVERS, CrashBook, Verdict
+from catkinslip.crashes.guard import UNGRANTED_SECONDS, CrashGuard
+from catkinslip.crashes.identity import RequestKey, key_of, query_of
+from catkinslip.crashes.keeper import CrashKeeper
+from catkinslip.crashes.objects import ObjectCrashes, from_plain, to_plain
+from catkinslip.crashes.telling import CrashTeller
+from catkinslip.crashes.topic import MOST_TOLD, CrashTopic
+from catkinslip.store.base import Conflict
+from catkinslip.store.embedded import EmbeddedStore
+from tests.builders import plain_call
+from tests.test_crashes_book import KEY, NOW, book_with
+
+MALFORMED_ENDS = (
+    None,
+    7,
+    [[1]],
+    [['t', 'c', None]],
+    [['t', 'c', 'text']],
+    {'t': 'c'},
+)
+
+
+class TopicTest(unittest.TestCase):
+    """Peers of the product's own exchange learn of each end once."""
+
+    def topic(self, book: CrashBook) -> CrashTopic:
+        return CrashTopic(book, lambda: NOW)
+
+    def test_peer_learns_and_then_there_is_nothing_new(self):
+        one, two = self.topic(book_with(3)), self.topic(CrashBook())
+        two.receive(one.news_for(two.digest()))
+        self.assertEqual(two.book.judge(KEY, 'q', NOW).verdict, Verdict.REFUSED)
+        self.assertIsNone(one.news_for(two.digest()))
+        self.assertIsNone(two.news_for(one.digest()))
+
+    def test_gravest_are_told_and_their_number_is_bounded(self):
+        book = book_with(3)
+        for number in range(3 * MOST_TOLD):
+            book.ended(RequestKey(f't{number}', 'c'), 'q', 'i-1/1', NOW)
+        news = self.topic(book).news_for(None)
+        self.assertEqual(len(news), MOST_TOLD)
+        self.assertEqual(news[0][:2], [KEY.target, KEY.content])
+
+    def test_malformed_news_are_refused(self):
+        for news in MALFORMED_ENDS:
+            with self.assertRaises(ValueError):
+                self.topic(CrashBook()).receive(news)
+
+
+class DatagramTest(unittest.TestCase):
+    """What instances on the platform tell each other at once."""
+
+    def teller(self, book: CrashBook, posted: list) -> CrashTeller:
+        return CrashTeller(
+            'edge-1', book, SystemClock(), list, lambda data, _: posted.append(data)
+        )
+
+    def test_each_end_goes_out_twice_and_fits_a_packet(self):
+        posted: list[bytes] = []
+        teller = self.teller(CrashBook(), posted)
+
+        async def run():
+            for number in range(20):
+                key = RequestKey(f'{number:016x}', f'{number:032x}')
+                ends = {f'i-{each:010x}/1778000000000': 'f' * 16 for each in range(3)}
+                teller.saw_end(key, ends)
+            with trio.move_on_after(0.5):
+                await teller.run()
+
+        trio.run(run)
+        self.assertEqual(len(posted), 2 * len(set(posted)))
+        self.assertLess(max(map(len, posted)), 1472)
+
+    def test_malformed_datagrams_are_refused(self):
+        teller = self.teller(CrashBook(), [])
+        servers = {f'i-{number}': 'q' for number in range(MOST_SERVERS)}
+        for told in (
+            {},
+            {'by': 'x'},
+            {'by': 'x', 'ends': 7},
+            {'by': 'x', 'ends': [['t', 'c', {}]]},
+            {'by': 'x', 'ends': [['t', 'c', servers]]},
+        ):
+            with self.assertRaises((AttributeError, KeyError, TypeError, ValueError)):
+                teller.take(told)
+
+
+class RecordTest(unittest.TestCase):
+    """Records in the objects of the product's own platform."""
+
+    def test_write_needs_the_revision_that_is_stored(self):
+        async def run():
+            store = ObjectCrashes(EmbeddedStore())
+            record = CrashRecord(KEY, {'i-1/1': 'q', 'i-2/1': 'q'})
+            written = (await store.write(record)).unwrap()
+            self.assertEqual((await store.read(KEY)).unwrap(), written)
+            again = await store.write(record)
+            self.assertIsInstance(again, Failure)
+            self.assertIsInstance(again.failure(), Conflict)
+            self.assertEqual(await store.delete(written), Success(None))
+            self.assertEqual(await store.read(KEY), Success(None))
+
+        trio.run(run)
+
+    def test_foreign_records_are_refused(self):
+        good = to_plain(CrashRecord(KEY, {'i-1/1': 'q'}, 1))
+        self.assertEqual(from_plain(good, 3).trials, 1)
+        for wrong in (
+            {'trials': True},
+            {'trials': -1},
+            {'ends': {'i-1': 7}},
+            {'ends': None},
+            {'target': ''},
+            {'content': 9},
+        ):
+            with self.assertRaises((AttributeError, TypeError, ValueError)):
+                from_plain({**good, **wrong}, 3)
+
+
+class TrialTest(unittest.TestCase):
+    """A trial needs the store's word."""
+
+    def guilty_guard(self) -> tuple[CrashGuard, object]:
+        clock = SystemClock()
+        guard, call = CrashGuard(clock), plain_call('limits')
+        for number in range(3):
+            server = f'i-{number}/1'
+            guard.book.ended(key_of(call), query_of(call), server, clock.monotonic())
+        guard.book.suspect_by_key[key_of(call)].changed_at -= 1000.0
+        return guard, call
+
+    def test_without_a_store_there_is_none(self):
+        guard, call = self.guilty_guard()
+        refusal = trio.run(guard.refuse, call)
+        self.assertEqual(refusal.retry_after, UNGRANTED_SECONDS)
+
+    def test_two_instances_get_one(self):
+        store = ObjectCrashes(EmbeddedStore())
+        granted = []
+        for _ in range(2):
+            guard, call = self.guilty_guard()
+            guard.keeper = CrashKeeper(guard.book, store, guard.clock)
+            granted.append(trio.run(guard.refuse, call) is None)
+        self.assertEqual(granted, [True, False])
+        self.assertEqual(call.max_attempts, None)
