Forget a record only once a look at the store had shown it

Cause: a look at the store that was made before an own write lacked the record, which was then forgotten until the next look, 0.4 s later: a verdict was lifted for that time. Before and after: a new test; the verdict was lifted, it holds now.

--- a/catkinslip/crashes/book.py
+++ b/catkinslip/crashes/book.py
@@ -109,6 +109,8 @@
     suspect_by_key: dict[RequestKey, Suspect] = Factory(dict)
     #: How many of them each target has; requests for others cost nothing.
     count_by_target: Counter[str] = Factory(Counter)
+    #: What the last look at the store showed.
+    stored_keys: set[RequestKey] = Factory(set)
     #: Own observations, for the metrics.
     ends: int = 0
     verdicts: int = 0
@@ -169,9 +171,12 @@
     def take_stored(self, stored: Mapping[str, CrashRecord], now: float) -> None:
         """Take over all records that the store holds, by name."""
         keys = {record.key for record in stored.values()}
-        for key, suspect in list(self.suspect_by_key.items()):
-            if suspect.record.revision and key not in keys:
+        # What is new here may have been written after this look at the store.
+        for key in self.stored_keys - keys:
+            suspect = self.suspect_by_key.get(key)
+            if suspect is not None:
                 self._take_removal(suspect)
+        self.stored_keys = keys
         for record in stored.values():
             self.take_record(record, now)
 
--- a/tests/test_crashes_book.py
+++ b/tests/test_crashes_book.py
@@ -135,6 +135,15 @@
         book.take_stored({}, NOW)
         self.assertEqual(book.judge(KEY, 'q', NOW).verdict, Verdict.ALONE)
 
+    def test_look_at_the_store_of_before_the_write_removes_nothing(self):
+        book = book_with(3)
+        book.saved(stored(3, revision=9), NOW)
+        book.take_stored({}, NOW)
+        self.assertEqual(book.judge(KEY, 'q', NOW).verdict, Verdict.REFUSED)
+        book.take_stored({'a': stored(3, revision=9)}, NOW)
+        book.take_stored({}, NOW)
+        self.assertEqual(book.judge(KEY, 'q', NOW).verdict, Verdict.FREE)
+
     def test_end_that_is_not_stored_yet_outlives_a_record_without_it(self):
         book = book_with(2)
         book.ended(KEY, 'q', 'i-9/1', NOW)
