--- a/tests/test_clock_suspension.py
+++ b/tests/test_clock_suspension.py
@@ -12,7 +12,7 @@
 import trio.testing
 
 from catkinslip.clock import LONGEST_LOOP_SLEEP_SECONDS, LoopClock, SystemClock
-from catkinslip.crashes.book import Verdict
+from catkinslip.crashes.book import TRIAL_SECONDS, Verdict
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient
 from catkinslip.proxy.exchange import RECENT_SECONDS
@@ -128,7 +128,7 @@
             clock = SystemClock()
             book = book_with(3)
             suspect = book.suspect_by_key[KEY]
-            suspect.changed_at = clock.monotonic() - 25.0
+            suspect.changed_at = clock.monotonic() - TRIAL_SECONDS[0] / 2
             judged = book.judge(KEY, 'q', clock.monotonic()).verdict
             self.assertIs(judged, Verdict.REFUSED)
             machine.suspend()
