Count a hedge once that is given up while its server is looked at

Cause: the look at a broken attempt's server waits for a round trip; an attempt that is given up meanwhile was counted as ended, and again when the look was done. Before and after: a new test counts three ends of two attempts, two now.

--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -230,6 +230,9 @@
             return
         is_known = self.router.is_known(launch.load)
         has_ended = await self._examine(launch)
+        if not launch.is_open:
+            # Given up while its server was looked at: it was counted as ended then.
+            return
         if (result.reason is Reason.CONNECT_FAILED or has_ended) and is_known:
             self.health.refused(launch.backend_id)
         if launch.attempt.doubt is not None:
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -13,6 +13,7 @@
 
 from catkinslip.clock import Clock
 from catkinslip.config.documents import AcceptedConfig
+from catkinslip.crashes.guard import CrashGuard
 from catkinslip.health.base import NoSampler
 from catkinslip.health.tracker import make_tracker
 from catkinslip.limits.base import LimitSettings
@@ -27,6 +28,7 @@
 from catkinslip.proxy.wire import client_wire, server_wire
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.policies import LeastInFlight
+from catkinslip.routing.router import ServiceRouter
 from tests.builders import document_of, document_plain
 
 DEADLINE = 2.0
@@ -310,6 +312,27 @@
         self.assertEqual(result.outcome, Answered(200))
         self.check_counts(result)
 
+    def test_hedge_that_is_given_up_while_its_server_is_looked_at_ends_once(self):
+        finished = []
+        finish = ServiceRouter.finished
+
+        async def examine_slowly(guard, call, server, address):
+            with trio.CancelScope(shield=True):
+                await trio.sleep(SLOW)
+            return False
+
+        def count(router, backend_id, result, now):
+            finished.append(backend_id)
+            finish(router, backend_id, result, now)
+
+        with (
+            mock.patch.object(CrashGuard, 'examine', examine_slowly),
+            mock.patch.object(ServiceRouter, 'finished', count),
+        ):
+            result = forward(['slow', 'break'], repeatable=True, tokens=10.0)
+        self.assertEqual(result.outcome, Answered(200))
+        self.assertEqual(len(finished), 2)
+
     def test_hedge_leaves_tokens_for_retries(self):
         result = forward(['silent', 'answer'], repeatable=True, tokens=5.0)
         self.assertEqual(result.outcome, Unknown(Reason.DEADLINE))
