--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -21,6 +21,7 @@
 from catkinslip.proxy.launch import Launch
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import (
+    SERVER_ERRORS,
     Answered,
     NotRun,
     Outcome,
@@ -36,7 +37,6 @@
 from catkinslip.routing.router import ServiceRouter
 
 ANSWER_GRACE_SECONDS = 1.0
-SERVER_ERROR_STATUS = 500
 #: Enough to find a request again; a caller may send 32 kB.
 LOGGED_TARGET_BYTES = 200
 
@@ -269,7 +269,7 @@
             if other is not launch:
                 await self._give_up(other)
         outcome = await launch.attempt.pass_on(head)
-        if isinstance(outcome, Answered) and outcome.status < SERVER_ERROR_STATUS:
+        if isinstance(outcome, Answered) and outcome.status not in SERVER_ERRORS:
             self.guard.answered(self.call)
         elif launch.attempt.broken is not None:
             await self._examine(launch)
