Keep an instance alive when a connection was reset before it was accepted

Cause: a page server asked such a connection for its other side before the part that catches what may go wrong with one connection; the error ended the process.

--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -123,10 +123,18 @@
 def server_wire(stream: trio.abc.Stream) -> Wire:
     """Return the server's side of a connection."""
     codec = h11.Connection(h11.SERVER, max_incomplete_event_size=RECEIVE_SIZE)
-    peer = ''
-    if isinstance(stream, trio.SocketStream):
-        peer = stream.socket.getpeername()[0]
-    return Wire(stream, codec, peer)
+    return Wire(stream, codec, peer_of(stream))
+
+
+def peer_of(stream: trio.abc.Stream) -> str:
+    """Return the IP number of the other side; empty where it is not known."""
+    if not isinstance(stream, trio.SocketStream):
+        return ''
+    try:
+        return stream.socket.getpeername()[0]
+    except OSError:
+        # Reset before it was accepted; the first read tells, and is caught.
+        return ''
 
 
 def client_wire(stream: trio.abc.Stream) -> Wire:
