--- a/catkinslip/cli/explain.py
+++ b/catkinslip/cli/explain.py
@@ -1,7 +1,7 @@
 """The command that explains one request."""
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -18,12 +18,16 @@
 SAME_REQUEST = re.compile(r' request=(\S+)')
 
 
-def find_lines(lines: list[str], request_id: str) -> list[str]:
-    """Return the lines of a request, and those of all requests that are the same."""
-    own = [line for line in lines if request_id in line]
-    keys = {found for line in own for found in SAME_REQUEST.findall(line)}
-    wanted = {request_id, *keys}
-    return [line.rstrip('\n') for line in lines if any(w in line for w in wanted)]
+def names_of(lines: Iterable[str], request_id: str) -> set[str]:
+    """Return what the lines of a request call it: its ID, and what copies share."""
+    own = (line for line in lines if request_id in line)
+    keys = (found for line in own for found in SAME_REQUEST.findall(line))
+    return {request_id, *keys}
+
+
+def lines_with(lines: Iterable[str], names: set[str]) -> list[str]:
+    """Return the lines that hold one of several names."""
+    return [line.rstrip('\n') for line in lines if any(name in line for name in names)]
 
 
 class ExplainCommand(InstanceCommand):
@@ -57,7 +61,10 @@
         request_id = self.argument('request-id')
         try:
             with path.open(errors='replace') as file:
-                lines = find_lines(list(file), request_id)
+                names = names_of(file, request_id)
+                # A log may be larger than the memory: it is read twice.
+                file.seek(0)
+                lines = lines_with(file, names)
         except OSError as error:
             self.printer.error(f'--log: {path}: {error.strerror}.')
             return ExitStatus.USAGE
--- a/catkinslip/clock.py
+++ b/catkinslip/clock.py
@@ -13,6 +13,11 @@
 STEADY_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
+def steady_seconds() -> float:
+    """Return seconds that never go back, those of a suspension among them."""
+    return time.clock_gettime(STEADY_CLOCK)
+
+
 class Clock(ABC):
     """Tell the time."""
 
@@ -37,7 +42,7 @@
         After a suspension of 10 s a report, a kept connection and a deadline looked
         10 s younger on the clock that stands still meanwhile.
         """
-        return time.clock_gettime(STEADY_CLOCK)
+        return steady_seconds()
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
@@ -53,7 +58,7 @@
 
     def current_time(self) -> float:
         """Return the same seconds as `SystemClock.monotonic`."""
-        return time.clock_gettime(STEADY_CLOCK)
+        return steady_seconds()
 
     def deadline_to_sleep_time(self, deadline: float) -> float:
         """Return how long the loop may sleep, in the system's seconds."""
--- a/catkinslip/crashes/guard.py
+++ b/catkinslip/crashes/guard.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
+from catkinslip.crashes.base import CrashStore
 from catkinslip.crashes.book import CrashBook
 from catkinslip.crashes.identity import RequestKey, key_of, query_of, target_of
 from catkinslip.crashes.keeper import CrashKeeper
@@ -101,6 +102,13 @@
             self.book.answered(key_of(call), query_of(call))
 
 
+def make_guard(clock: Clock, store: CrashStore) -> CrashGuard:
+    """Return a guard whose book the store is kept in step with."""
+    guard = CrashGuard(clock)
+    guard.keeper = CrashKeeper(guard.book, store, clock)
+    return guard
+
+
 async def has_ended(address: Address) -> bool:
     """Tell whether nobody listens at an address any more."""
     family = trio.socket.AF_INET6 if ':' in address.host else trio.socket.AF_INET
--- a/catkinslip/crashes/keeper.py
+++ b/catkinslip/crashes/keeper.py
@@ -13,8 +13,8 @@
 from catkinslip.crashes.suspect import Suspect
 from catkinslip.store.base import Conflict
 
-#: Two writes of an instance lie so far apart: 313 of them make 1,252 a second at the
-#: most where the store takes 3,200, and one of 17 is told within a second.
+#: Between two writes of an instance. 313 instances make 1,252 writes a second at the
+#: most, where their store takes 3,200; 17 make 68, where theirs takes 400.
 SAVE_SECONDS = 0.25
 #: A store that refuses is asked again after this.
 RETRY_SECONDS = 0.5
--- a/catkinslip/crashes/objects.py
+++ b/catkinslip/crashes/objects.py
@@ -28,14 +28,14 @@
         if stored is None:
             return Success(None)
         try:
-            return Success(from_plain(stored.value, stored.version))
+            return Success(record_from_plain(stored.value, stored.version))
         except MALFORMED as error:
             return Failure(Unavailable(f'a record cannot be read, {error!r}'))
 
     async def write(self, record: CrashRecord) -> Result[CrashRecord, PlatformError]:
         """Write a record if the store holds the revision that it names."""
         result = await self.store.write(
-            object_key(record.key), to_plain(record), record.revision
+            object_key(record.key), record_to_plain(record), record.revision
         )
         return result.map(lambda stored: evolve(record, revision=stored.version))
 
@@ -49,7 +49,7 @@
     return ObjectKey(KIND, str(key))
 
 
-def to_plain(record: CrashRecord) -> dict[str, Any]:
+def record_to_plain(record: CrashRecord) -> dict[str, Any]:
     """Return a record as a store holds it."""
     return {
         'target': record.key.target,
@@ -59,7 +59,7 @@
     }
 
 
-def from_plain(plain: Any, revision: int) -> CrashRecord:
+def record_from_plain(plain: Any, revision: int) -> CrashRecord:
     """Read a record; raise one of MALFORMED for anything else."""
     ends = plain['ends']
     texts = (plain['target'], plain['content'], *ends, *ends.values())
--- a/catkinslip/crashes/telling.py
+++ b/catkinslip/crashes/telling.py
@@ -4,6 +4,7 @@
 once two servers ended.
 """
 
+import logging
 from collections.abc import Callable
 
 import orjson
@@ -14,6 +15,7 @@
 from catkinslip.crashes.book import CrashBook
 from catkinslip.crashes.guard import CrashListener
 from catkinslip.crashes.identity import RequestKey
+from catkinslip.crashes.messages import ToldEnds, ends_from_plain, ends_to_plain
 from catkinslip.crashes.suspect import GUILTY_SERVERS
 from catkinslip.models import Address
 
@@ -26,6 +28,7 @@
 FLUSH_SECONDS = 0.05
 REPEAT_SECONDS = 0.1
 
+log = logging.getLogger('crashes')
 
 Post = Callable[[bytes, list[Address]], None]
 
@@ -44,10 +47,12 @@
 
     def saw_end(self, key: RequestKey, query_by_server: dict[str, str]) -> None:
         """Learn of all servers that ended under a request, as known here."""
-        if len(self.query_by_server_by_key) < MOST_WAITING:
-            first = dict(list(query_by_server.items())[-GUILTY_SERVERS:])
-            self.query_by_server_by_key[key] = first
-            self.has_news.set()
+        waiting = self.query_by_server_by_key
+        if len(waiting) >= MOST_WAITING and key not in waiting:
+            log.info('crashes: too many ends wait to be told. request=%s', key)
+            return
+        waiting[key] = dict(list(query_by_server.items())[-GUILTY_SERVERS:])
+        self.has_news.set()
 
     async def run(self) -> None:
         """Send news until cancelled."""
@@ -65,25 +70,16 @@
 
     def _take_datagram(self) -> bytes:
         waiting = self.query_by_server_by_key
-        told = {key: waiting.pop(key) for key in list(waiting)[:MOST_TOLD]}
+        told = [ToldEnds(key, waiting.pop(key)) for key in list(waiting)[:MOST_TOLD]]
         if not waiting:
             self.has_news = trio.Event()
-        return self.encode(told)
-
-    def encode(self, query_by_server_by_key: dict[RequestKey, dict[str, str]]) -> bytes:
-        """Return a datagram."""
-        ends = [
-            [key.target, key.content, query_by_server]
-            for key, query_by_server in query_by_server_by_key.items()
-        ]
-        return orjson.dumps({'ends': ends, 'by': self.own_id})
+        return orjson.dumps({'ends': ends_to_plain(told), 'by': self.own_id})
 
     def take(self, told: dict) -> None:
-        """Take over a datagram; raise a type, key or value error."""
+        """Take over a datagram; raise one of `messages.MALFORMED` for another one."""
         teller = str(told['by'])
-        for target, content, query_by_server in told['ends']:
-            ends = {str(k): str(v) for k, v in query_by_server.items()}
+        for each in ends_from_plain(told['ends']):
+            ends = each.query_by_server
             if not 1 <= len(ends) <= GUILTY_SERVERS:
                 raise ValueError(f'{len(ends)} servers are told of one request')
-            key = RequestKey(str(target), str(content))
-            self.book.heard(key, ends, self.clock.monotonic(), teller)
+            self.book.heard(each.key, ends, self.clock.monotonic(), teller)
--- a/catkinslip/crashes/topic.py
+++ b/catkinslip/crashes/topic.py
@@ -9,11 +9,16 @@
 from catkinslip.crashes.book import CrashBook
 from catkinslip.crashes.guard import CrashListener
 from catkinslip.crashes.identity import RequestKey
+from catkinslip.crashes.messages import (
+    MALFORMED,
+    ToldEnds,
+    ends_from_plain,
+    ends_to_plain,
+)
 from catkinslip.membership.topics import PeerTopic
 
-#: Some 150 bytes each, the gravest first.
+#: 142 to 238 bytes each, the gravest first.
 MOST_TOLD = 40
-MALFORMED = (AttributeError, TypeError, ValueError)
 
 
 @define
@@ -43,19 +48,16 @@
         if not suspects or digest == self.digest():
             return None
         gravest = sorted(suspects.items(), key=lambda pair: -pair[1].servers)
-        return [
-            [key.target, key.content, each.record.query_by_server]
+        return ends_to_plain(
+            ToldEnds(key, each.record.query_by_server)
             for key, each in gravest[:MOST_TOLD]
-        ]
+        )
 
     def receive(self, news: Any) -> None:
         """Take a peer's ends over; raise ValueError when they are malformed."""
         now = self.monotonic()
         try:
-            for target, content, query_by_server in news:
-                ends = {str(k): str(v) for k, v in query_by_server.items()}
-                self.book.heard(
-                    RequestKey(str(target), str(content)), ends, now, 'peer'
-                )
+            for each in ends_from_plain(news):
+                self.book.heard(each.key, each.query_by_server, now, 'a peer')
         except MALFORMED as error:
             raise ValueError(f'malformed news of crashes: {error!r}') from None
--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -76,8 +76,8 @@
         """Return the requests that end servers, newer than the revision asked for."""
         if not query.isdecimal():
             return Page(400)
-        crashes, revision = self.crashes, int(query)
-        changes = crashes.changes.after(revision) if revision else None
+        crashes = self.crashes
+        changes = crashes.changes_after(int(query))
         news = CrashNews(
             crashes.changed_at,
             changes and tuple(NamedCrash(*change) for change in changes),
@@ -92,7 +92,7 @@
         backends = self.assembler.backends
         rules = self._newer_rules(rules_version)
         is_large = rules is not None and len(rules.routes) > MOST_ROUTES_TOLD
-        changes = backends.changes.after(revision) if revision else None
+        changes = backends.changes_after(revision)
         named = changes and tuple(NamedBackend(*change) for change in changes)
         return Knowledge(
             rules=rules if is_whole or not is_large else None,
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -15,7 +15,7 @@
 from returns.result import Failure, Success
 
 from catkinslip.discovery.base import HistoryGone, Listing, News, Source, Value
-from catkinslip.discovery.changes import ChangeLog, difference
+from catkinslip.discovery.changes import Change, ChangeLog, difference
 from catkinslip.store.backoff import Backoff
 
 #: A waiting call is priced; one that hangs unnoticed is made up for by peers.
@@ -146,6 +146,10 @@
         self._tell()
         return True
 
+    def changes_after(self, revision: int) -> tuple[Change, ...] | None:
+        """Return the changes after a peer's revision; None where it needs all."""
+        return self.changes.after(revision) if revision else None
+
     def learn(self, news: News[Value], since: int) -> bool:
         """Take over the changes that a peer told; tell whether they were taken."""
         if news.revision <= self.revision or since > self.revision:
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -21,6 +21,7 @@
     Listing,
     News,
     Source,
+    Value,
 )
 from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable, PeerHealth
@@ -290,11 +291,11 @@
         if news is None:
             return
         if news.changes is None:
-            source = f'peer {state.instance.instance_id}'
-            crashes.offer(Listing(news.records, news.revision), source)
-            return
-        changes = tuple((each.name, each.record) for each in news.changes)
-        crashes.learn(News(changes, news.revision), since)
+            told = Listing(news.records, news.revision)
+        else:
+            changes = tuple((each.name, each.record) for each in news.changes)
+            told = News(changes, news.revision)
+        take_told(crashes, told, since, f'peer {state.instance.instance_id}')
 
     def _take(self, knowledge: Knowledge, since: int, source: str) -> None:
         if knowledge.rules is not None:
@@ -307,10 +308,11 @@
         # Entries that lapsed in an outage are kept for a while, here too.
         backends.heard_regained(knowledge.regained_seconds)
         if knowledge.changes is None:
-            backends.offer(Listing(knowledge.backends, revision), source)
-            return
-        changes = tuple((each.name, each.entry) for each in knowledge.changes)
-        backends.learn(News(changes, revision), since)
+            told = Listing(knowledge.backends, revision)
+        else:
+            changes = tuple((each.name, each.entry) for each in knowledge.changes)
+            told = News(changes, revision)
+        take_told(backends, told, since, source)
 
     def _forget_known(self) -> None:
         """Forget news that this instance has by now."""
@@ -337,3 +339,16 @@
         except orjson.JSONDecodeError as error:
             log.warning('peers: an answer cannot be read. error=%r', error)
             return None
+
+
+def take_told(
+    follower: Follower[Value],
+    told: Listing[Value] | News[Value],
+    since: int,
+    source: str,
+) -> None:
+    """Take over all that a peer told, or what changed since a revision."""
+    if isinstance(told, Listing):
+        follower.offer(told, source)
+    else:
+        follower.learn(told, since)
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -13,7 +13,7 @@
 
 from catkinslip.crashes.base import CrashRecord, CrashStore
 from catkinslip.crashes.identity import RequestKey
-from catkinslip.crashes.objects import to_plain
+from catkinslip.crashes.objects import record_to_plain
 from catkinslip.discovery.base import (
     HistoryGone,
     InstanceBook,
@@ -283,7 +283,7 @@
         if record.revision:
             metadata['revision'] = record.revision
             method, path = 'PUT', crash_path(record.key)
-        body = {'metadata': metadata, 'spec': to_plain(record)}
+        body = {'metadata': metadata, 'spec': record_to_plain(record)}
         result = await self.client.call(method, path, body)
         if isinstance(result, Failure):
             return result
--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -11,7 +11,7 @@
 
 from catkinslip.config.documents import Route, Service, SplitPart
 from catkinslip.crashes.base import CrashRecord
-from catkinslip.crashes.objects import from_plain
+from catkinslip.crashes.objects import record_from_plain
 from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
 from catkinslip.models import Address
 
@@ -155,4 +155,4 @@
 
 def decode_crash(name: str, item: Mapping[str, Any]) -> CrashRecord:
     """Decode the record of a request under which servers ended."""
-    return from_plain(item['spec'], item['metadata']['revision'])
+    return record_from_plain(item['spec'], item['metadata']['revision'])
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -64,7 +64,8 @@
     def is_late(self, clock: Clock) -> bool:
         """Tell whether the deadline passed on either clock.
 
-        The wall clock goes on while a paused machine's monotonic clock may not.
+        Either may be late: one that is set back, the other where the system's steady
+        clock does not count suspensions.
         """
         return clock.monotonic() >= self.deadline or clock.wall() >= self.wall_deadline
 
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -10,8 +10,7 @@
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.crashes.base import CrashRecord, CrashStore
 from catkinslip.crashes.book import CrashBook
-from catkinslip.crashes.guard import CrashGuard
-from catkinslip.crashes.keeper import CrashKeeper
+from catkinslip.crashes.guard import CrashGuard, make_guard
 from catkinslip.crashes.telling import CrashTeller
 from catkinslip.discovery.answers import PeerAnswers
 from catkinslip.discovery.assembly import Assembler
@@ -202,8 +201,7 @@
     )
     directory.on_news = sharer.note
     crashes = make_follower('crashes', outside.crashes)
-    guard = CrashGuard(clock)
-    guard.keeper = CrashKeeper(guard.book, outside.crash_store, clock)
+    guard = make_guard(clock, outside.crash_store)
     crashes.listeners.append(
         lambda: guard.book.take_stored(crashes.value_by_name, clock.monotonic())
     )
--- a/catkinslip/wiring/shared.py
+++ b/catkinslip/wiring/shared.py
@@ -10,8 +10,7 @@
 from catkinslip.config.duty import is_watcher
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.control.paths import SECRET_HEADER
-from catkinslip.crashes.guard import CrashGuard
-from catkinslip.crashes.keeper import CrashKeeper
+from catkinslip.crashes.guard import CrashGuard, make_guard
 from catkinslip.crashes.objects import ObjectCrashes
 from catkinslip.environment import Environment
 from catkinslip.health.tracker import HealthTracker, make_tracker
@@ -94,8 +93,6 @@
     pool = BackendPool()
     config.listeners.extend((directory.update, health.update, pool.update))
     store = CountedStore(make_store(settings, outside, members))
-    guard = CrashGuard(clock)
-    guard.keeper = CrashKeeper(guard.book, ObjectCrashes(store), clock)
     return Shared(
         store=store,
         members=members,
@@ -103,7 +100,7 @@
         directory=directory,
         health=health,
         pool=pool,
-        guard=guard,
+        guard=make_guard(clock, ObjectCrashes(store)),
         metrics=Metrics.wire(
             settings.instance_id, clock, directory, config, members, outside.log_buffer
         ),
--- a/tests/test_crashes_incident.py
+++ b/tests/test_crashes_incident.py
@@ -21,7 +21,7 @@
 
 import trio
 
-from catkinslip.cli.explain import find_lines
+from catkinslip.cli.explain import lines_with, names_of
 from catkinslip.crashes import suspect
 from catkinslip.entry import metrics_page
 from catkinslip.wiring.entry import Entry
@@ -294,7 +294,8 @@
             ):
                 await crash(platform, 3)
                 await platform.get(CRASHING, request_id='refused-copy')
-            lines = find_lines([*crashes.output, *routing.output], 'refused-copy')
+            logged = [*crashes.output, *routing.output]
+            lines = lines_with(logged, names_of(logged, 'refused-copy'))
             text = '\n'.join(lines)
             self.assertIn('refused-copy is refused', text)
             self.assertIn('servers=3', text)
--- a/tests/test_crashes_sharing.py
+++ b/tests/test_crashes_sharing.py
@@ -11,7 +11,7 @@
 from catkinslip.crashes.guard import UNGRANTED_SECONDS, CrashGuard
 from catkinslip.crashes.identity import RequestKey, key_of, query_of
 from catkinslip.crashes.keeper import CrashKeeper
-from catkinslip.crashes.objects import ObjectCrashes, from_plain, to_plain
+from catkinslip.crashes.objects import ObjectCrashes, record_from_plain, record_to_plain
 from catkinslip.crashes.suspect import Verdict
 from catkinslip.crashes.telling import CrashTeller
 from catkinslip.crashes.topic import MOST_TOLD, CrashTopic
@@ -113,8 +113,8 @@
         trio.run(run)
 
     def test_foreign_records_are_refused(self):
-        good = to_plain(CrashRecord(KEY, {'i-1/1': 'q'}, 1))
-        self.assertEqual(from_plain(good, 3).trials, 1)
+        good = record_to_plain(CrashRecord(KEY, {'i-1/1': 'q'}, 1))
+        self.assertEqual(record_from_plain(good, 3).trials, 1)
         for wrong in (
             {'trials': True},
             {'trials': -1},
@@ -124,7 +124,7 @@
             {'content': 9},
         ):
             with self.assertRaises((AttributeError, TypeError, ValueError)):
-                from_plain({**good, **wrong}, 3)
+                record_from_plain({**good, **wrong}, 3)
 
 
 class TrialTest(unittest.TestCase):
