--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -169,6 +169,19 @@
         await trio.sleep(STEP_SECONDS)
 
 
+async def wait_at_most(seconds: float, condition: Callable[[], object]) -> bool:
+    """Wait for a condition; tell whether it held in time.
+
+    Time is counted in steps of the loop, in which everything runs here: where the
+    machine is so busy that the loop lags, each step takes longer for all alike.
+    """
+    for _ in range(round(seconds / STEP_SECONDS)):
+        if condition():
+            return True
+        await trio.sleep(STEP_SECONDS)
+    return bool(condition())
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago, each of them once in a process.
 
--- a/tests/test_crashes_book.py
+++ b/tests/test_crashes_book.py
@@ -81,6 +81,12 @@
         self.assertEqual(self.verdict(book), Verdict.FREE)
         self.assertFalse(book.count_by_target)
 
+    def test_answer_to_a_copy_that_was_under_way_ends_a_verdict(self):
+        book = book_with(3)
+        self.assertEqual(self.verdict(book), Verdict.REFUSED)
+        book.answered(KEY, 'q')
+        self.assertEqual(self.verdict(book), Verdict.FREE)
+
     def test_answer_to_another_query_clears_nothing(self):
         book = book_with(2)
         book.answered(KEY, 'other')
--- a/tests/test_crashes_incident.py
+++ b/tests/test_crashes_incident.py
@@ -31,6 +31,7 @@
     GENEROUS_SECONDS,
     SmallPlatform,
     on_platform,
+    wait_at_most,
     wait_for,
 )
 
@@ -48,9 +49,6 @@
 
 async def crash_prone_fleet(platform: SmallPlatform) -> None:
     """Start instances and servers that one path ends, and warm their connections."""
-    # A busy machine that runs the tests must not make calls give up.
-    platform.store.put('config', 'main', config_spec('0000000b', GENEROUS_SECONDS))
-    platform.deadline_ms = int(GENEROUS_SECONDS * 1000)
     platform.restart_seconds = RESTART_SECONDS
     for number in range(SERVERS):
         await platform.add_worker(
@@ -63,6 +61,13 @@
             nursery.start_soon(platform.get, '/q/a', number % INSTANCES)
 
 
+async def patient_fleet(platform: SmallPlatform) -> None:
+    """Start the same, with calls that a busy machine does not make give up."""
+    platform.store.put('config', 'main', config_spec('0000000b', GENEROUS_SECONDS))
+    platform.deadline_ms = int(GENEROUS_SECONDS * 1000)
+    await crash_prone_fleet(platform)
+
+
 class IncidentTest(unittest.TestCase):
     """What one request that crashes servers may cost."""
 
@@ -88,12 +93,13 @@
         on_platform(check)
 
     def test_copies_from_other_addresses_are_the_same_request(self):
-        # The lines of one wave came from instances of all four zones within a second.
-        # Callers of a zone use that zone's instances and have a network of their own,
-        # so no two of these copies came from one address:
+        # Calls whose two servers both ended came to instances of two zones by turns
+        # within 0.7 s, and to those of all four within 3.2 s. Callers are told their
+        # own zone's instances, and each zone's callers have a network of their own:
         #   26.396 edge-tri-quimper-2 goes again to ..., the kept connection was closed
         #   26.603 edge-halle-brest-4 goes again to ...
-        #   27.567 edge-port-bloscon-5 goes again to ...
+        #   26.714 edge-tri-quimper-3 goes again to ...
+        #   26.944 edge-halle-brest-6 goes again to ...
         async def check(platform):
             await crash_prone_fleet(platform)
             for number in range(20):
@@ -163,9 +169,9 @@
 
     def test_others_refuse_what_one_instance_saw(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             await crash(platform, 3)
-            await wait_for(lambda: all(map(knows, platform.entries)))
+            self.assertTrue(await all_know(platform, WINDOW_SECONDS))
             for entry in range(1, INSTANCES):
                 self.assertEqual(await ends_of(platform, entry), 0)
 
@@ -173,11 +179,11 @@
 
     def test_others_know_without_datagrams(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             for entry in platform.entries:
                 entry.teller.targets = list
             await crash(platform, 3)
-            await wait_for(lambda: all(map(knows, platform.entries)))
+            self.assertTrue(await all_know(platform, 2 * WINDOW_SECONDS))
             for entry in range(1, INSTANCES):
                 self.assertEqual(await ends_of(platform, entry), 0)
 
@@ -185,11 +191,11 @@
 
     def test_others_know_while_the_store_refuses(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             platform.store.faults.refuse_with = 503
             platform.restart_seconds = None
             await crash(platform, 3)
-            await wait_for(lambda: all(map(knows, platform.entries)))
+            self.assertTrue(await all_know(platform, WINDOW_SECONDS))
             for entry in range(1, INSTANCES):
                 self.assertEqual(await ends_of(platform, entry), 0)
 
@@ -197,18 +203,19 @@
 
     def test_instance_that_starts_later_knows(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             await crash(platform, 3)
             await wait_for(lambda: is_settled(platform.entries[0]))
             latest = await platform.add_entry()
-            await wait_for(lambda: knows(latest))
+            in_time = await wait_at_most(WINDOW_SECONDS, lambda: knows(latest))
+            self.assertTrue(in_time)
             self.assertEqual(await ends_of(platform, INSTANCES), 0)
 
         on_platform(check)
 
     def test_operator_lets_a_request_through_by_removing_its_record(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             await crash(platform, 3)
             await wait_for(lambda: all(map(is_settled, platform.entries)))
             for worker in platform.worker_by_id.values():
@@ -227,7 +234,7 @@
 
     def test_trial_reaches_one_server_also_where_it_is_shed(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             await crash(platform, 3)
             await wait_for(lambda: is_settled(platform.entries[0]))
             for worker in platform.worker_by_id.values():
@@ -244,7 +251,7 @@
 
     def test_all_instances_together_get_one_trial_and_success_ends_the_verdict(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             await crash(platform, 3)
             await wait_for(lambda: all(map(is_settled, platform.entries)))
             with mock.patch.object(suspect, 'TRIAL_SECONDS', (0.0, 600.0)):
@@ -252,7 +259,7 @@
                 async with trio.open_nursery() as nursery:
                     for number in range(4 * INSTANCES):
                         nursery.start_soon(platform.get, CRASHING, number % INSTANCES)
-                # The one server may be a moment away.
+                # None where the turn of the split goes to a service without servers.
                 self.assertLessEqual(platform.crashes(CRASHING) - before, 1)
                 (name,) = stored_names(platform)
                 spec = platform.store.item_by_key['crashes', name]['spec']
@@ -273,7 +280,7 @@
 
     def test_metrics_tell_ends_verdicts_and_refusals(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             await crash(platform, 3)
             for _ in range(2):
                 await platform.get(CRASHING)
@@ -287,7 +294,7 @@
 
     def test_log_leads_from_a_refused_copy_to_the_servers_that_ended(self):
         async def check(platform):
-            await crash_prone_fleet(platform)
+            await patient_fleet(platform)
             with (
                 self.assertLogs('crashes', 'INFO') as crashes,
                 self.assertLogs('routing', 'INFO') as routing,
@@ -304,6 +311,11 @@
         on_platform(check)
 
 
+async def all_know(platform: SmallPlatform, seconds: float) -> bool:
+    """Tell whether all instances know of three servers that ended within a time."""
+    return await wait_at_most(seconds, lambda: all(map(knows, platform.entries)))
+
+
 def knows(entry: Entry) -> bool:
     """Tell whether an instance knows of a request that ended three servers."""
     return any(each.servers >= 3 for each in entry.book.suspect_by_key.values())
