Show in log and metrics which servers name the rate that they take

Nothing decides by it yet.

Each answer of a server is looked at for the rate (server-limit on the platform); a line tells when a server begins to name one, changes it and ends it, and a decision line the rate known of the chosen server. A gauge counts such servers, a counter the events. An answer without a rate ends it only where its request was sent after the last answer that names one had come; probes and refusals only where they were seen to name rates. What cannot be read changes nothing and is told once a server.

--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -23,6 +23,7 @@
 from catkinslip.routing.base import GOOD_DELAY, BackendLoad
 from catkinslip.routing.router import ServiceRouter
 from catkinslip.store.budget import TokenBucket
+from catkinslip.throttling.signs import AnswerKind
 
 #: Reports younger than this are not asked for again.
 FRESH_SECONDS = 0.01
@@ -275,6 +276,7 @@
         answered_at = (sent_at + now) / 2
         if answer.report is not None:
             router.learned(load.backend_id, answer.report, answered_at, picks_before)
+        router.rates.told(load, answer.rate, AnswerKind.PROBE, sent_at, now)
         if answer.cold_seconds is None:
             log.info('health: unreadable cold time. backend=%s', load.backend_id)
         else:
--- a/catkinslip/metrics/health.py
+++ b/catkinslip/metrics/health.py
@@ -1,5 +1,6 @@
 """Tell what the health slice counts, probes against their budget among it."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from attrs import asdict, define
@@ -32,6 +33,29 @@
         for service, router in sorted(routers.items()):
             cold.add(len(router.cold.cold(now)), service)
         yield cold
+        yield from self._throttling()
         leaving = gauge('catkinslip_leaving_backends', 'Backend servers that leave.')
         leaving.add(len(self.health.leaving_ids()))
         yield leaving
+
+    def _throttling(self) -> Iterable[Family]:
+        """Return what is known of servers that name the rate that they take."""
+        named = gauge(
+            'catkinslip_throttled_backends',
+            'Servers that name the rate that they take.',
+            'service',
+        )
+        events = counter(
+            'catkinslip_rate_events_total',
+            'Rates that servers began to name, changed, ended, or named unreadably.',
+            'event',
+        )
+        count_by_event = Counter()
+        routers = self.health.directory.router_by_service
+        for service, router in sorted(routers.items()):
+            named.add(len(router.rates.holding()), service)
+            count_by_event.update(router.rates.events)
+        for event, count in sorted(count_by_event.items()):
+            events.add(count, event)
+        yield named
+        yield events
--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -15,8 +15,11 @@
 from catkinslip.proxy.headers import Header, RequestHead
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from catkinslip.routing.base import LoadReport
+from catkinslip.throttling.signs import MALFORMED_RATE, NO_RATE, RateSign
 
 MILLISECONDS = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?\Z')
+#: Decimal requests a second.
+RATE_FORM = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?\Z')
 LOAD_FIGURE = re.compile(rb'[0-9]{1,9}\Z')
 USUAL_PERCENT = 100.0
 MOST_PERCENT = 1_000_000.0
@@ -98,6 +101,10 @@
         value = names.find(headers, wire.SERVER_LOAD)
         return None if value is None else parse_load(value)
 
+    def read_rate(self, headers: Sequence[Header]) -> RateSign:
+        """Return what an answer says of the rate that its server takes."""
+        return read_rate(headers)
+
     def answer_headers(self, call: Call, headers: list[Header]) -> list[Header]:
         """Return an answer's headers for the caller."""
         passed = names.end_to_end(headers, REPLACED_IN_ANSWERS)
@@ -142,7 +149,13 @@
             return None
         report = self.read_report(headers)
         cold = read_cold(headers)
-        return ProbeAnswer(status == 200, report, server_id.decode('latin-1'), cold)
+        return ProbeAnswer(
+            status == 200,
+            report,
+            server_id.decode('latin-1'),
+            cold,
+            read_rate(headers),
+        )
 
 
 def read_cold(headers: Sequence[Header]) -> float | None:
@@ -158,6 +171,19 @@
     return min(float(value) / 1000, MOST_COLD_SECONDS)
 
 
+def read_rate(headers: Sequence[Header]) -> RateSign:
+    """Return what an answer says of the rate that its server takes.
+
+    Of several rates the lowest counts; one that cannot be read spoils all.
+    """
+    values = [value for name, value in headers if name == wire.RATE]
+    if not values:
+        return NO_RATE
+    if any(RATE_FORM.match(value) is None for value in values):
+        return MALFORMED_RATE
+    return RateSign(min(map(float, values)))
+
+
 def find_refusal(status: int, headers: list[Header]) -> Reason | None:
     """Return why the backend server did not run a request; None if it may have."""
     if status == MISDIRECTED_STATUS:
--- a/catkinslip/platform/names.py
+++ b/catkinslip/platform/names.py
@@ -29,6 +29,8 @@
 SIGNATURE: Final = b'response-signature'
 #: Running, waiting, slots and, if told, the time that work takes in percent.
 SERVER_LOAD: Final = b'server-load'
+#: The requests a second that the server takes from all instances together.
+RATE: Final = b'server-limit'
 #: On answers to probes, and of a server that is not the named one.
 SERVER_ID: Final = b'instance-id'
 #: On answers to probes: milliseconds that the server stays cold.
--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -10,6 +10,7 @@
 from catkinslip.proxy.headers import Header, RequestHead
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from catkinslip.routing.base import LoadReport
+from catkinslip.throttling.signs import NO_RATE, RateSign
 
 if TYPE_CHECKING:
     from catkinslip.proxy.calls import Call
@@ -35,6 +36,7 @@
     backend_id: str | None = None
     #: Seconds that the server stays cold; None where it told that unreadably.
     cold_seconds: float | None = 0.0
+    rate: RateSign = NO_RATE
 
 
 class Dialect(ABC):
@@ -64,6 +66,10 @@
     def read_report(self, headers: Sequence[Header]) -> LoadReport | None:
         """Return the load report of an answer."""
 
+    def read_rate(self, headers: Sequence[Header]) -> RateSign:
+        """Return what an answer says of the rate that its server takes."""
+        return NO_RATE
+
     @abstractmethod
     def answer_headers(self, call: 'Call', headers: list[Header]) -> list[Header]:
         """Return an answer's headers for the caller."""
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -17,6 +17,7 @@
 from catkinslip.proxy.pool import MAX_IDLE_SECONDS, BackendPool
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.routing import reports
+from catkinslip.throttling.signs import AnswerKind, RateSign
 
 __all__ = ['AnswerHead', 'Attempt', 'Call']
 
@@ -38,6 +39,13 @@
     """Take no notice of the head of an answer."""
 
 
+OnRate = Callable[[RateSign, AnswerKind, float], None]
+
+
+def ignore_rate(sign: RateSign, kind: AnswerKind, sent_at: float) -> None:
+    """Take no notice of the rate that a server names."""
+
+
 @frozen
 class Break:
     """A connection that ended after a request had been sent on it."""
@@ -90,6 +98,7 @@
     dialect: Dialect = OWN_DIALECT
     backend_id: str = ''
     on_head: OnHead = ignore_head
+    on_rate: OnRate = ignore_rate
     on_break: OnBreak = ignore_break
     #: Asked right before the first byte, as a connection may be waited for.
     may_send: Callable[[], bool] = always
@@ -183,6 +192,8 @@
         report = self.dialect.read_report(headers)
         self.on_head(headers, report)
         refusal = self.dialect.find_refusal(status, headers)
+        kind = AnswerKind.ANSWER if refusal is None else AnswerKind.REFUSAL
+        self.on_rate(self.dialect.read_rate(headers), kind, self.sent_at)
         if refusal is not None:
             await answers.drain_body(wire)
             return NotRun(refusal, report=report)
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -37,6 +37,7 @@
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.base import BackendLoad, Choice, LoadReport
 from catkinslip.routing.router import ServiceRouter
+from catkinslip.throttling.signs import AnswerKind, RateSign
 
 ANSWER_GRACE_SECONDS = 1.0
 #: Enough to find a request again; a caller may send 32 kB.
@@ -108,6 +109,10 @@
     def _launch(self, choice: Choice, number: int, reason: object) -> Launch:
         """Make the attempt with a number of a chosen server."""
         now = self.clock.monotonic()
+        load = self.router.started(choice.backend_id, now)
+        rate = self.router.rates.find(load)
+        if rate is not None:
+            reason = f'{reason} rate={rate.per_second:g}'
         log.info(
             'routing: %s %s goes to %s, %s.',
             self.call.request_id,
@@ -117,7 +122,6 @@
         )
         self.observer.decided(self.call, choice, number)
         address = self.health.directory.address_by_backend[choice.backend_id]
-        load = self.router.started(choice.backend_id, now)
         attempt = Attempt(
             call=self.call,
             address=address,
@@ -128,6 +132,7 @@
             dialect=self.dialect,
             backend_id=choice.backend_id,
             on_head=partial(self._take_head, load),
+            on_rate=partial(self._take_rate, load),
             on_break=partial(self._take_break, choice.backend_id),
         )
         permit = self.router.cold.reserve(load, now)
@@ -151,6 +156,17 @@
         if self.router.is_known(load):
             self.health.answered(load.backend_id, headers, report)
 
+    def _take_rate(
+        self,
+        load: BackendLoad | None,
+        sign: RateSign,
+        kind: AnswerKind,
+        sent_at: float,
+    ) -> None:
+        if self.router.is_known(load):
+            now = self.clock.monotonic()
+            self.router.rates.told(load, sign, kind, sent_at, now)
+
     def _take_break(self, backend_id: str, broken: Break) -> None:
         log.info(
             'routing: %s the connection to %s broke. %s request=%s caller=%s target=%s '
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -17,6 +17,7 @@
 )
 from catkinslip.routing.evidence import pause
 from catkinslip.routing.sample import Sample
+from catkinslip.throttling.book import RateBook
 from catkinslip.warmup.gate import ColdGate
 
 UNWELL_PAUSE_SECONDS = 0.2
@@ -40,6 +41,8 @@
     sample: Sample = Factory(lambda: Sample(Random()))
     #: Keeps requests from servers that have just started.
     cold: ColdGate = Factory(ColdGate)
+    #: Knows which servers name the rate that they take.
+    rates: RateBook = Factory(RateBook)
     #: Learns of each server whose load or own requests changed.
     on_news: Callable[[BackendLoad], None] = ignore_news
     #: What `outside` returned since the servers changed last; a few sets of zones.
@@ -67,6 +70,7 @@
                 del self.load_by_id[backend_id]
                 self.sample.drop(load)
                 self.cold.forget(load)
+                self.rates.forget(load)
                 load = None
             if backend is None:
                 continue
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -68,6 +68,10 @@
     cold_until: float = -math.inf
     #: Requests in any second that it bears while it is cold.
     cold_bound: float = math.inf
+    #: What it names as the rate that it takes; None for none.
+    named_rate: bytes | None = None
+    #: Whether probes and refusals name it too.
+    is_rate_everywhere: bool = False
     #: When requests for it came.
     arrived_at: list[float] = Factory(list)
     #: When requests came while it was cold.
@@ -108,8 +112,10 @@
         if head.target.decode() == HEALTH_PATH:
             self.probes += 1
             await trio.sleep(self.probe_seconds)
-            cold = [(b'cold-ms', b'%d' % (self.cold_seconds * 1000))]
-            await self._send(stream, codec, 200, cold if self.cold_seconds else [], b'')
+            headers = self._rate_headers(is_answer=False)
+            if self.cold_seconds:
+                headers.append((b'cold-ms', b'%d' % (self.cold_seconds * 1000)))
+            await self._send(stream, codec, 200, headers, b'')
             return True
         return await self._work(stream, codec, head, body)
 
@@ -127,7 +133,8 @@
                 await trio.sleep_forever()
         if self.fault is Fault.SHED:
             self.sheds += 1
-            await self._send(stream, codec, 503, [(b'not-executed', b'1')], b'')
+            headers = [(b'not-executed', b'1'), *self._rate_headers(is_answer=False)]
+            await self._send(stream, codec, 503, headers, b'')
             return True
         self.heads.append(head)
         self.bodies.append(body)
@@ -171,6 +178,7 @@
         headers = [
             (b'request-id', request_id),
             (b'response-signature', b'signed-' + request_id),
+            *self._rate_headers(is_answer=True),
         ]
         body = b'answer to ' + request_id
         if self.fault is Fault.CUT:
@@ -183,6 +191,11 @@
             await stream.send_all(b'HTTP/1.1 200 OK\r\nrequest-id: x\r\n\r\n')
         return not self.is_unframed
 
+    def _rate_headers(self, *, is_answer: bool) -> list[tuple[bytes, bytes]]:
+        if self.named_rate is None or not (is_answer or self.is_rate_everywhere):
+            return []
+        return [(b'server-limit', self.named_rate)]
+
     async def _send(self, stream, codec, status: int, headers, body: bytes) -> None:
         load = f'{self.running},{self.waiting},{self.slots},{self.percent}'
         headers = [*headers, (b'server-load', load.encode())]
--- /dev/null
+++ b/tests/test_throttling_book.py
@@ -0,0 +1,121 @@
+"""Which servers name a rate: what is read, what ends it, what is told of it."""
+
+import unittest
+
+from catkinslip.platform.dialect import read_rate
+from catkinslip.routing.base import BackendLoad
+from catkinslip.throttling.book import RateBook
+from catkinslip.throttling.signs import (
+    MALFORMED_RATE,
+    NO_RATE,
+    AnswerKind,
+    RateSign,
+)
+
+NOW = 100.0
+RATE = RateSign(1.2)
+
+
+class RateHeaderTest(unittest.TestCase):
+    """What an answer says."""
+
+    def read(self, *values: bytes) -> RateSign:
+        return read_rate([(b'server-limit', value) for value in values])
+
+    def test_decimal_numbers(self):
+        self.assertEqual(self.read(b'1.2').per_second, 1.2)
+        self.assertEqual(self.read(b'40').per_second, 40.0)
+        self.assertEqual(self.read(b'0').per_second, 0.0)
+        self.assertEqual(self.read(b'999999999').per_second, 999999999.0)
+
+    def test_none(self):
+        self.assertEqual(read_rate([(b'server-load', b'1,0,2')]), NO_RATE)
+
+    def test_what_is_no_rate(self):
+        for value in (b'', b'-1', b'nan', b'inf', b'1e3', b'1,2', b'1.', b'9' * 10):
+            with self.subTest(value):
+                self.assertEqual(self.read(value), MALFORMED_RATE)
+
+    def test_lowest_of_several_counts_and_one_unreadable_spoils_all(self):
+        self.assertEqual(self.read(b'3', b'1.5').per_second, 1.5)
+        self.assertEqual(self.read(b'3', b'x'), MALFORMED_RATE)
+
+
+class RateBookTest(unittest.TestCase):
+    """What is believed of one server."""
+
+    def setUp(self):
+        self.book = RateBook()
+        self.load = BackendLoad('i-1', 'zone-a', 2)
+
+    def tell(self, sign, sent_at, now, kind=AnswerKind.ANSWER):
+        self.book.told(self.load, sign, kind, sent_at, now)
+
+    def per_second(self) -> float | None:
+        rate = self.book.find(self.load)
+        return None if rate is None else rate.per_second
+
+    def test_named_changed_and_ended_by_answers(self):
+        self.tell(NO_RATE, NOW, NOW + 0.1)
+        self.assertIsNone(self.per_second())
+        with self.assertLogs('throttling', 'INFO') as logs:
+            self.tell(RATE, NOW, NOW + 0.2)
+            self.assertEqual(self.per_second(), 1.2)
+            self.tell(RateSign(0.5), NOW + 2, NOW + 2.1)
+            self.assertEqual(self.per_second(), 0.5)
+            self.tell(NO_RATE, NOW + 3, NOW + 3.1)
+            self.assertIsNone(self.per_second())
+        self.assertEqual(
+            [record.getMessage() for record in logs.records],
+            [
+                'throttling: i-1 names a rate. per_second=1.2 by=answer',
+                'throttling: i-1 names another rate. per_second=0.5 was=1.2',
+                'throttling: i-1 names no rate any more. after_s=2.9 by=answer',
+            ],
+        )
+
+    def test_answer_that_was_begun_before_ends_nothing(self):
+        self.tell(RATE, NOW, NOW + 0.2)
+        self.tell(NO_RATE, NOW + 0.1, NOW + 0.3)
+        self.assertEqual(self.per_second(), 1.2)
+        self.tell(NO_RATE, NOW + 0.3, NOW + 0.4)
+        self.assertIsNone(self.per_second())
+
+    def test_probes_and_refusals_end_it_only_where_they_name_it(self):
+        for kind in (AnswerKind.PROBE, AnswerKind.REFUSAL):
+            with self.subTest(kind):
+                self.setUp()
+                self.tell(RATE, NOW, NOW + 0.2)
+                self.tell(NO_RATE, NOW + 1, NOW + 1.1, kind)
+                self.assertEqual(self.per_second(), 1.2)
+                self.tell(RATE, NOW + 2, NOW + 2.1, kind)
+                self.tell(NO_RATE, NOW + 3, NOW + 3.1, kind)
+                self.assertIsNone(self.per_second())
+
+    def test_unreadable_rate_changes_nothing_and_is_told_once(self):
+        with self.assertLogs('throttling', 'WARNING') as logs:
+            self.tell(MALFORMED_RATE, NOW, NOW)
+            self.tell(MALFORMED_RATE, NOW, NOW)
+        self.assertEqual(len(logs.records), 1)
+        self.assertIsNone(self.per_second())
+        self.tell(RATE, NOW, NOW + 1)
+        self.tell(MALFORMED_RATE, NOW + 2, NOW + 3)
+        self.assertEqual(self.per_second(), 1.2)
+        self.assertEqual(self.book.events['malformed'], 3)
+
+    def test_rate_that_changes_with_each_answer_is_told_once_a_second(self):
+        with self.assertLogs('throttling', 'INFO') as logs:
+            for step in range(100):
+                now = NOW + step / 50
+                self.tell(RateSign(1 + step / 100), now, now)
+        self.assertLessEqual(len(logs.records), 3)
+        self.assertEqual(self.per_second(), 1.99)
+
+    def test_server_that_is_gone_is_forgotten(self):
+        self.tell(RATE, NOW, NOW)
+        self.book.forget(self.load)
+        self.assertIsNone(self.per_second())
+
+
+if __name__ == '__main__':
+    unittest.main()
