--- a/standins/workers.py
+++ b/standins/workers.py
@@ -3,6 +3,7 @@
 import math
 from bisect import bisect_left
 from collections import Counter
+from collections.abc import Sequence
 from enum import Enum, auto, unique
 
 import h11
@@ -16,6 +17,12 @@
 COLD_SLOWNESS = 2.0
 
 
+def most_within(seconds: float, times: Sequence[float]) -> int:
+    """Return how many of some times, in order, lie in one span of so many seconds."""
+    ends = (bisect_left(times, at + seconds) for at in times)
+    return max((end - n for n, end in enumerate(ends)), default=0)
+
+
 @unique
 class Fault(Enum):
     """What a server does wrong with a request."""
@@ -88,9 +95,7 @@
 
     def most_cold_arrivals(self) -> int:
         """Return the most requests that came in one second while it was cold."""
-        came = self.cold_arrivals
-        ends = (bisect_left(came, at + 1) for at in came)
-        return max((end - n for n, end in enumerate(ends)), default=0)
+        return most_within(1.0, self.cold_arrivals)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
--- /dev/null
+++ b/tests/test_throttling_incident.py
@@ -0,0 +1,109 @@
+"""Two servers in need went on to get three times what they had named.
+
+A server that is in need names in its answers how many requests a second it takes from
+all instances together. Two did, 1.3 and 1.0, and got 4.9 and 2.3 a second from then on,
+where it had been 3.75 and 2.5. Every choice rested on the reported load alone, and the
+two reported an idle slot at the usual speed, so they looked like the best. No instance
+sent either of them more than 4 requests in four seconds; 13 instances together sent 23:
+whatever each had kept for itself, the sum would have been as high. The limit was named
+at 8.0, and ten instances still chose the server three seconds later:
+
+    11.294 edge-port-bloscon-1 goes to i-b440932977, delay=1.00 in_flight=0.0 speed=1.00
+    11.458 edge-halle-brest-2 goes to i-b440932977, delay=1.07 in_flight=0.0 speed=1.00
+    11.570 edge-port-bloscon-2 goes to i-b440932977, delay=1.00 in_flight=0.0 speed=1.00
+    11.570 edge-tri-quimper-3 goes to i-b440932977, delay=1.15 in_flight=0.0 speed=1.00
+"""
+
+import unittest
+
+import trio
+
+from standins.workers import Worker, most_within
+from tests.small_platform import SmallPlatform, on_platform, wait_for
+
+INSTANCES = 3
+CALLERS_PER_INSTANCE = 2
+WORK_SECONDS = 0.02
+PER_SECOND = 1.0
+WINDOW_SECONDS = 4.0
+#: One and a half times what the rate allows in the window, and five more.
+BOUND = 1.5 * PER_SECOND * WINDOW_SECONDS + 5
+#: From then on every instance has passed an answer with the rate on.
+TOLD_SECONDS = 1.0
+PLAY_SECONDS = TOLD_SECONDS + WINDOW_SECONDS + 1.0
+
+
+async def fleet_with_one_in_need(platform: SmallPlatform) -> Worker:
+    """Start instances that may send, and servers of which one will name a rate."""
+    for number in range(3):
+        await platform.add_worker(f'i-{number}', work_seconds=WORK_SECONDS)
+    for _ in range(INSTANCES):
+        entry = await platform.add_entry()
+        lease = entry.instances.sender_lease
+        await wait_for(lambda lease=lease: lease.listed_since < 1e9)
+        lease.listed_since -= 60
+    return platform.worker_by_id['i-0']
+
+
+async def call_always(platform: SmallPlatform, statuses: set, instance: int, name: str):
+    """Send one request after the other to an instance."""
+    count = 0
+    while True:
+        count += 1
+        answer = await platform.get('/q/a', instance, request_id=f'{name}-{count}')
+        statuses.add(answer.status_code)
+
+
+async def call_for(platform: SmallPlatform, seconds: float) -> set:
+    """Let callers of all instances call for a while; return the statuses."""
+    statuses: set = set()
+    async with trio.open_nursery() as nursery:
+        for instance in range(INSTANCES):
+            for number in range(CALLERS_PER_INSTANCE):
+                name = f'r{instance}-{number}-{trio.current_time():.3f}'
+                nursery.start_soon(call_always, platform, statuses, instance, name)
+        await trio.sleep(seconds)
+        nursery.cancel_scope.cancel()
+    return statuses
+
+
+class IncidentTest(unittest.TestCase):
+    """What a server that names a rate gets from the whole fleet."""
+
+    def test_server_in_need_gets_at_most_its_bound_from_all_instances(self):
+        async def check(platform):
+            worker = await fleet_with_one_in_need(platform)
+            await call_for(platform, 0.5)
+            worker.named_rate = b'%g' % PER_SECOND
+            began = trio.current_time()
+            statuses = await call_for(platform, PLAY_SECONDS)
+            came = [at for at in worker.arrived_at if at >= began + TOLD_SECONDS]
+            self.assertLessEqual(most_within(WINDOW_SECONDS, came), BOUND)
+            # It still gets some of what it takes, and the others carry the rest.
+            self.assertGreaterEqual(len(came), PER_SECOND * WINDOW_SECONDS / 2)
+            self.assertEqual(statuses, {200})
+
+        on_platform(check)
+
+    def test_server_whose_need_is_over_has_its_share_again(self):
+        async def check(platform):
+            worker = await fleet_with_one_in_need(platform)
+            await call_for(platform, 0.5)
+            worker.named_rate = b'%g' % PER_SECOND
+            await call_for(platform, 3.0)
+            worker.named_rate = None
+            await call_for(platform, 2.0)
+            began = trio.current_time()
+            await call_for(platform, 1.0)
+            came_by_id = {
+                server_id: sum(at >= began for at in each.arrived_at)
+                for server_id, each in platform.worker_by_id.items()
+            }
+            mean = sum(came_by_id.values()) / len(came_by_id)
+            self.assertGreater(came_by_id['i-0'], mean / 2)
+
+        on_platform(check)
+
+
+if __name__ == '__main__':
+    unittest.main()
