Let a call that outlives the sampler ask nobody

Seen once: a test of cold servers ended with RuntimeError, Nursery is closed to new arrivals, from a hedge's look at its server. Cause: when all is cancelled the sampler's nursery can close in the step of the loop in which a call that had been woken asks for one more probe; the field still held the closed nursery. An instance that stops with calls in flight would end with a trace and another status; its callers are cut at that moment in any case. The same pattern elsewhere: the only other nursery kept in a field is that of a streamed body, whose upload is started inside it; tasks that hold a nursery as an argument run in it.

--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -79,11 +79,18 @@
 
     async def run(self) -> None:
         """Ask silent servers now and then, and take late answers, until cancelled."""
-        async with trio.open_nursery() as self._nursery:
-            while True:
-                await trio.sleep(SILENT_SECONDS)
-                for router in self.health.directory.router_by_service.values():
-                    self._ask_silent(router)
+        try:
+            async with trio.open_nursery() as self._nursery:
+                await self._ask_always()
+        finally:
+            # A call that was woken before all was cancelled may still want a probe.
+            self._nursery = None
+
+    async def _ask_always(self) -> None:
+        while True:
+            await trio.sleep(SILENT_SECONDS)
+            for router in self.health.directory.router_by_service.values():
+                self._ask_silent(router)
 
     def _ask_silent(self, router: ServiceRouter) -> None:
         """Ask servers that gave no answer before; no call waits for them."""
--- a/tests/test_health_sampler.py
+++ b/tests/test_health_sampler.py
@@ -7,10 +7,12 @@
 
 import h11
 import trio
+import trio.testing
 
 from catkinslip.config.documents import Backend, Service
 from catkinslip.health import sampler as module
 from catkinslip.health.sampler import LoadSampler
+from catkinslip.models import Address
 from catkinslip.platform.dialect import PlatformDialect
 from catkinslip.routing.policies import LeastInFlight
 from catkinslip.routing.router import ServiceRouter
@@ -93,5 +95,46 @@
         self.assertFalse(self.load.is_cold(self.now))
 
 
+class EndTest(unittest.TestCase):
+    """What is asked while everything ends.
+
+    A call that was woken in the step of the loop in which all was cancelled may want
+    one more probe after the sampler's tasks have ended. It raised `RuntimeError:
+    Nursery is closed to new arrivals`, which ends an instance with a trace.
+    """
+
+    def test_call_that_outlives_the_sampler_asks_nobody(self):
+        router = ServiceRouter(LeastInFlight(Random(1)))
+        router.change(SERVICE, {'i-1': BACKEND}, NOW)
+        address = Address('127.0.0.1', 80)
+        directory = SimpleNamespace(
+            address_by_backend={'i-1': address}, router_by_service={'limits': router}
+        )
+        health = SimpleNamespace(
+            directory=directory,
+            key_by_id={'i-1': None},
+            rank=lambda router, tried: router.rank(NOW, tried),
+        )
+        asker = LoadSampler(
+            health=health,
+            pool=SimpleNamespace(is_full=lambda address: False),
+            clock=SimpleNamespace(monotonic=lambda: NOW),
+            dialect=PlatformDialect(),
+            probes_per_second=100.0,
+            count_instances=lambda: 1,
+        )
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(asker.run)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+            await asker.look(router, 'i-1')
+            await asker.refresh(router, [])
+
+        trio.run(run)
+        self.assertEqual(asker.sent, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
