Let the emulator play servers in need, and refused callers come back at once

Callers saw: while all servers of a service name rates below the demand, a refused one was told to come back after 1 to 1.5 s, when its answer was late in any case. Turns are taken whoever gets them, so that only made those who got them late.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -43,6 +43,7 @@
     'shares_reports': False,
     'weighs_speed': False,
     'weighs_sheds': False,
+    'throttles': False,
     'zone_hop': 0.0,
     'nearly_full_slowness': 1.0,
 }
--- a/benchmarks/overload_servers.py
+++ b/benchmarks/overload_servers.py
@@ -6,6 +6,7 @@
 
 from benchmarks.overload_load import ServerGroup
 from catkinslip.routing.base import LoadReport, ResultKind
+from catkinslip.throttling.signs import RateSign
 
 if TYPE_CHECKING:
     from benchmarks.overload_instances import Call, Instance
@@ -42,6 +43,10 @@
     is_leaving: bool = False
     #: The share of requests that it refuses, whatever room it has.
     shed_share: float = 0.0
+    #: The requests a second that it names as the rate it takes; None for none.
+    named_rate: float | None = None
+    #: When requests came while it named one.
+    came_in_need: list[float] = Factory(list)
     running: list[Run] = Factory(list)
     waiting: list[Run] = Factory(list)
     moved_at: float = 0.0
@@ -62,6 +67,8 @@
         """Take a request, or refuse it at once."""
         if self.is_dark or run.is_gone:
             return
+        if self.named_rate is not None:
+            self.came_in_need.append(self.world.now)
         if self.shed_share and self.world.random.random() < self.shed_share:
             self.answer(run, ResultKind.SHED)
         elif len(self.running) < self.group.slots:
@@ -138,4 +145,6 @@
     def answer(self, run: Run, kind: ResultKind) -> None:
         """Send an answer with a load report."""
         hop = self.world.hop(run.instance.zone, self.zone)
-        self.world.after(hop, run.instance.answered, (run, kind, self.report()))
+        sign = RateSign(self.named_rate)
+        told = (run, kind, self.report(), sign)
+        self.world.after(hop, run.instance.answered, told)
--- a/benchmarks/overload_world.py
+++ b/benchmarks/overload_world.py
@@ -5,6 +5,7 @@
 a fixed delay.
 """
 
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -18,9 +19,14 @@
 from catkinslip.admission.waiting import AdmissionSettings
 from catkinslip.config.documents import Backend, Service
 from catkinslip.health.sharing import FLUSH_SECONDS
+from catkinslip.routing.base import BackendLoad
 from catkinslip.routing.delay import REPORT_MEMORY_SECONDS, ExpectedDelay
 from catkinslip.routing.router import ServiceRouter
 from catkinslip.routing.sample import SAMPLE_SIZE, Sample
+from catkinslip.throttling.gate import ThrottleGate
+from catkinslip.throttling.shares import divide_rate
+from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
+from catkinslip.warmup.senders import Place
 from catkinslip.wiring.entry import (
     NEARLY_FULL_SHARE,
     NEARLY_FULL_SLOWNESS,
@@ -42,6 +48,8 @@
     shares_reports: bool = True
     weighs_speed: bool = True
     weighs_sheds: bool = True
+    #: Whether the rates that servers in need name are kept.
+    throttles: bool = True
     #: Seconds for which a report of requests in flight is believed.
     report_memory: float = REPORT_MEMORY_SECONDS
     zone_hop: float = ZONE_HOP_SECONDS
@@ -92,7 +100,9 @@
                 nearly_full_slowness=self.mechanisms.nearly_full_slowness,
             )
             sample = Sample(instance.random, instance.zone, self.mechanisms.sample_size)
-            router = ServiceRouter(policy, sample=sample)
+            throttle = ThrottleGate(self.divide_named, lambda: instance.place)
+            throttle.book.on_seen = partial(instance.tell_rate, name)
+            router = ServiceRouter(policy, sample=sample, throttle=throttle)
             desk = Desk(router)
             router.on_news = lambda load, desk=desk: desk.news.__setitem__(
                 load.backend_id, load
@@ -100,6 +110,11 @@
             instance.desk_by_service[name] = desk
             self.list_servers(instance, name, group)
 
+    def divide_named(self, load: BackendLoad, per_second: float) -> dict[Sender, float]:
+        """Return what each sender may send to a server in need."""
+        zones = [zone.name for zone in self.load.zones]
+        return divide_rate(per_second, load.backend_id, load.zone, zones)
+
     def list_servers(self, instance: Instance, name: str, group: ServerGroup) -> None:
         """Tell an instance which servers of a service take work."""
         backend_by_id = {
@@ -186,6 +201,8 @@
                 self._change(hit, event.for_s, 'is_dark', True, False)
             case 'grey':
                 self._change(hit, event.for_s, 'shed_share', event.x, 0.0)
+            case 'need':
+                self._change(hit, event.for_s, 'named_rate', event.x, None)
             case 'away':
                 self._leave(hit)
                 self.after(event.for_s, self._return, hit)
@@ -237,6 +254,8 @@
             instance = Instance(
                 world, zone.name, Random(f'{seed} {zone.name} {number}')
             )
+            if number < SENDERS_PER_ZONE:
+                instance.place = Place(Sender(zone.name, number), is_recent=True)
             world.instances.append(instance)
             world.furnish(instance)
             world.after(world.random.random() * FLUSH_SECONDS, instance.share, None)
--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -152,9 +152,13 @@
         Its next attempt will be late too, so it comes back when others have gone.
         """
         late = now + expected - self.best_until
+        detail = f'expected {expected * 1e3:.0f} ms, late by {late * 1e3:.0f} ms'
+        retry_after = self.late_retry(now, random)
+        return NotRun(Reason.DEADLINE_UNMET, detail, retry_after=retry_after)
+
+    def late_retry(self, now: float, random: Random) -> float:
+        """Return the seconds after which a call that will be late may come back."""
         left = max(0.0, self.caller_leaves - now)
         retry_after = max(MIN_RETRY_SECONDS, self.settings.late_retry_share * left)
-        detail = f'expected {expected * 1e3:.0f} ms, late by {late * 1e3:.0f} ms'
         # Refused together, callers must not come back together.
-        spread = random.uniform(1.0, MOST_SPREAD)
-        return NotRun(Reason.DEADLINE_UNMET, detail, retry_after=retry_after * spread)
+        return retry_after * random.uniform(1.0, MOST_SPREAD)
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define, field
 
+from catkinslip.admission.throttled import throttled_retry
 from catkinslip.admission.waiting import Verdict, WaitingCall
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
@@ -22,10 +23,6 @@
 
 #: What a cold server bears is counted in seconds; half of one is left on average.
 COLD_RETRY_SECONDS = 0.5
-#: Most servers in need name a request a second; who comes back sooner meets the same.
-THROTTLED_RETRY_SECONDS = 1.0
-#: Refused together, callers must not come back together.
-MOST_SPREAD = 1.5
 
 
 @define
@@ -111,10 +108,9 @@
         return refusal
 
     def _refuse_throttled(self, count: int, now: float) -> NotRun:
-        seconds = min(self.router.throttle.room_in(now), THROTTLED_RETRY_SECONDS)
-        spread = self.random.uniform(1.0, MOST_SPREAD)
+        retry_after = throttled_retry(self.waiting, self.random, now)
         detail = f'{count} servers in need at their rates'
-        return NotRun(Reason.THROTTLED, detail, retry_after=seconds * spread)
+        return NotRun(Reason.THROTTLED, detail, retry_after=retry_after)
 
     def reason(self, choice: Choice) -> object:
         """Return why a server was chosen, for the log."""
--- a/catkinslip/routing/gates.py
+++ b/catkinslip/routing/gates.py
@@ -123,10 +123,10 @@
 
     def may_send(self, load: BackendLoad | None, permits: Permits, now: float) -> bool:
         """Tell whether the first byte may be sent now, and count the request."""
-        pairs = list(zip(self.gates, permits, strict=True))
+        pairs = zip(self.gates, permits, strict=True)
         if not all(gate.has_leave(load, permit, now) for gate, permit in pairs):
             return False
-        for gate, permit in pairs:
+        for gate, permit in zip(self.gates, permits, strict=True):
             gate.count(load, permit, now)
         return True
 
--- a/catkinslip/throttling/gate.py
+++ b/catkinslip/throttling/gate.py
@@ -100,12 +100,6 @@
         """Tell whether this instance may send another request."""
         return self._wait_seconds(server, self.place(), now) == 0
 
-    def room_in(self, now: float) -> float:
-        """Return the seconds until one of the servers takes a request from here."""
-        place = self.place()
-        waits = (self._wait_seconds(each, place, now) for each in self._servers())
-        return min(waits, default=inf)
-
     def forget(self, load: BackendLoad) -> None:
         """Forget a server that is gone."""
         self.book.forget(load)
