Keep what a server in need named while its entry is gone

The need is kept for the same start of a server, with the own last turn; another start is in none. The test of a lapsed entry failed before.

--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -32,6 +32,7 @@
 
     make_policy: Callable[[], Policy]
     router_by_service: dict[str, ServiceRouter] = Factory(dict)
+    throttle_by_service: dict[str, ThrottleGate] = Factory(dict)
     address_by_backend: dict[str, Address] = Factory(dict)
     document: Document = Factory(Document)
     #: Where each service's choice among many servers begins.
@@ -90,8 +91,7 @@
     def _router(self, service: str) -> ServiceRouter:
         router = self.router_by_service.get(service)
         if router is None:
-            throttle = self.make_throttle()
-            throttle.book.on_seen = self.on_rate_seen
+            throttle = self._throttle(service)
             router = ServiceRouter(
                 self.make_policy(),
                 sample=self.make_sample(),
@@ -103,6 +103,15 @@
             self.router_by_service[service] = router
         return router
 
+    def _throttle(self, service: str) -> ThrottleGate:
+        """Return what is known of servers in need, also of a service that is back."""
+        throttle = self.throttle_by_service.get(service)
+        if throttle is None:
+            throttle = self.make_throttle()
+            throttle.book.on_seen = self.on_rate_seen
+            self.throttle_by_service[service] = throttle
+        return throttle
+
     def _update_addresses(self, changed: frozenset[str]) -> None:
         backends = self.document.register.backends
         for backend_id in changed:
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -89,6 +89,7 @@
                     incarnation=backend.incarnation,
                 )
                 self.load_by_id[backend_id] = load
+                self.throttle.take_back(load)
             load.slots = backend.slots or service.slots
             load.draining = backend.draining
             self._take_cold(load, backend, now, is_new=is_new)
--- a/catkinslip/throttling/book.py
+++ b/catkinslip/throttling/book.py
@@ -12,6 +12,8 @@
 
 #: What another instance tells was true a little earlier than its datagram came.
 ON_THE_WAY_SECONDS = 0.05
+#: Entries lapse in outages of the store, those of many servers at once.
+MOST_GONE = 1000
 #: A server may name another rate with each answer: one line a second tells of them.
 CHANGE_LOG_SECONDS = 1.0
 
@@ -36,6 +38,8 @@
     are_probes_mute: bool = False
     #: When this instance told others of it last.
     told_at: float = NEVER
+    #: When this instance sent to it last, as far as that counts for its turns.
+    sent_at: float = NEVER
     logged_at: float = NEVER
     has_been_malformed: bool = False
 
@@ -69,6 +73,8 @@
     on_seen: OnSeen = ignore_seen
 
     rate_by_id: dict[str, NamedRate] = Factory(dict)
+    #: Of servers whose entries are gone, as these may be back with the same need.
+    gone_by_id: dict[str, NamedRate] = Factory(dict)
     #: How often servers began to name a rate, changed it, ended it, or named none
     #: that can be read.
     events: Counter[str] = Factory(Counter)
@@ -122,8 +128,22 @@
             rate.kinds.add(AnswerKind.PROBE)
 
     def forget(self, load: BackendLoad) -> None:
-        """Forget a server that is gone or started again."""
-        self.rate_by_id.pop(load.backend_id, None)
+        """Take that a server is gone, for good or until its entry is back."""
+        rate = self.rate_by_id.pop(load.backend_id, None)
+        if rate is None:
+            return
+        if len(self.gone_by_id) >= MOST_GONE:
+            del self.gone_by_id[next(iter(self.gone_by_id))]
+        self.gone_by_id[load.backend_id] = rate
+
+    def take_back(self, load: BackendLoad) -> None:
+        """Take a server that is new here; one that was here before may be in need."""
+        backend_id = load.backend_id
+        rate = self.rate_by_id.pop(backend_id, None)
+        rate = self.gone_by_id.pop(backend_id, rate)
+        if rate is not None and rate.load.incarnation == load.incarnation:
+            rate.load = load
+            self.rate_by_id[backend_id] = rate
 
     def _known(self, load: BackendLoad) -> NamedRate:
         return self.rate_by_id.setdefault(load.backend_id, NamedRate(load))
--- a/catkinslip/throttling/gate.py
+++ b/catkinslip/throttling/gate.py
@@ -33,10 +33,9 @@
 
 @define
 class ThrottledServer(GuardedServer):
-    """A server that names a rate, and when this instance sent to it last."""
+    """A server that names a rate, and what this instance may send it."""
 
     rate: NamedRate
-    sent_at: float = NEVER
     #: The beginning of the need that this holds for.
     began_at: float = NEVER
     #: The rate that was divided last, and its parts.
@@ -45,7 +44,7 @@
 
     def count_sent(self, now: float) -> None:
         """Count a request right before its first byte."""
-        self.sent_at = now
+        self.rate.sent_at = now
 
 
 @define
@@ -100,8 +99,13 @@
         """Tell whether this instance may send another request."""
         return self._wait_seconds(server, self.place(), now) == 0
 
+    def take_back(self, load: BackendLoad) -> None:
+        """Take a server that is new here."""
+        self.server_by_id.pop(load.backend_id, None)
+        self.book.take_back(load)
+
     def forget(self, load: BackendLoad) -> None:
-        """Forget a server that is gone."""
+        """Take that a server is gone."""
         self.book.forget(load)
         self.server_by_id.pop(load.backend_id, None)
 
@@ -116,7 +120,7 @@
         if server.began_at != rate.began_at:
             server.began_at = rate.began_at
             # What was sent before the rate was known counts.
-            server.sent_at = max(server.sent_at, *(rate.load.sent_at or ()), NEVER)
+            rate.sent_at = max(rate.sent_at, *(rate.load.sent_at or ()), NEVER)
         return server
 
     def _wait_seconds(
@@ -130,4 +134,4 @@
         rate = own_rate(server.rate_by_sender, place)
         if rate <= 0 or server.reserved:
             return inf
-        return max(0.0, server.sent_at + 1 / rate - now)
+        return max(0.0, server.rate.sent_at + 1 / rate - now)
--- a/tests/test_throttling_path.py
+++ b/tests/test_throttling_path.py
@@ -3,13 +3,17 @@
 import unittest
 from functools import partial
 from math import inf
+from random import Random
 
 import orjson
 import trio
 
+from catkinslip.config.documents import Backend, Service
 from catkinslip.entry import metrics_page
 from catkinslip.routing.base import BackendLoad
 from catkinslip.routing.gates import Gates
+from catkinslip.routing.policies import LeastInFlight
+from catkinslip.routing.router import ServiceRouter
 from catkinslip.throttling.gate import ThrottleGate
 from catkinslip.throttling.messages import ToldRate
 from catkinslip.throttling.signs import NO_RATE, AnswerKind, RateSign
@@ -167,6 +171,25 @@
         self.assertEqual(len(cold.find(load, NOW).sent_at), 1)
         self.assertTrue(gates.may_send(load, (None, None), NOW + 1.0))
 
+    def test_entry_that_lapses_and_is_back_opens_no_turn(self):
+        document = {'i-1': Backend('one', zone='zone-a', host='10.0.0.1', port=80)}
+        gate = ThrottleGate(
+            lambda *_: {SENDER: 1.0}, lambda: Place(SENDER, is_recent=True)
+        )
+        router = ServiceRouter(LeastInFlight(Random(1)), throttle=gate)
+        router.update(Service(), document, NOW)
+        load = router.load_by_id['i-1']
+        gate.book.told(load, RateSign(1.0), AnswerKind.ANSWER, NOW, NOW)
+        self.assertTrue(router.gates.may_send(load, router.reserve('i-1', NOW), NOW))
+        router.update(Service(), {}, NOW)
+        self.assertEqual(gate.closed(NOW), [])
+        router.update(Service(), document, NOW + 0.5)
+        self.assertIsNone(router.choose(NOW + 0.5))
+        load = router.load_by_id['i-1']
+        permits = router.reserve('i-1', NOW + 0.5)
+        self.assertFalse(router.gates.may_send(load, permits, NOW + 0.5))
+        self.assertEqual(router.choose(NOW + 1.0).backend_id, 'i-1')
+
     def test_what_was_sent_before_counts_for_the_first_turn(self):
         load = BackendLoad('i-1', 'zone-a', 2)
         gate = ThrottleGate(
