Let the soak play servers in need, and take no error for the end of a need

The soak lets up to three servers name rates, change them and end their need beside all other faults (--needs), and checks the bound of the fleet where no instance was away or had just come back.

Found in reading for it: an answer that failed may not name the rate though the need lasts; it would have ended it for all instances, which had all been told, and each would have sent one request. Only a success without the rate ends a need now, or another kind of answer that was seen to name it. Its test (an error after a named rate) ends the need without the change.

--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -192,7 +192,7 @@
         report = self.dialect.read_report(headers)
         self.on_head(headers, report)
         refusal = self.dialect.find_refusal(status, headers)
-        kind = AnswerKind.ANSWER if refusal is None else AnswerKind.REFUSAL
+        kind = kind_of(status, refusal)
         self.on_rate(self.dialect.read_rate(headers), kind, self.sent_at)
         if refusal is not None:
             await answers.drain_body(wire)
@@ -294,6 +294,13 @@
         )
 
 
+def kind_of(status: int, refusal: Reason | None) -> AnswerKind:
+    """Return what an answer to a request is."""
+    if refusal is not None:
+        return AnswerKind.REFUSAL
+    return AnswerKind.ANSWER if status < 400 else AnswerKind.FAILURE
+
+
 def framing(length: int | None) -> names.Header:
     """Return the header that frames a request body."""
     if length is None:
--- a/catkinslip/throttling/book.py
+++ b/catkinslip/throttling/book.py
@@ -176,7 +176,7 @@
         rate = self.rate_by_id.get(load.backend_id)
         if rate is None:
             return
-        # Whether refusals and probes name rates at all is seen only where one did.
+        # Whether others than successes name rates is seen only where one did.
         if kind is not AnswerKind.ANSWER and kind not in rate.kinds:
             rate.are_probes_mute |= kind is AnswerKind.PROBE
             return
--- a/catkinslip/throttling/signs.py
+++ b/catkinslip/throttling/signs.py
@@ -10,6 +10,8 @@
     """What a server answered."""
 
     ANSWER = 'answer'
+    #: Of a request that failed there.
+    FAILURE = 'failure'
     #: The request did not run.
     REFUSAL = 'refusal'
     PROBE = 'probe'
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from soak.callers import Callers
 from soak.checks import find_broken, find_ended, find_unrecovered
 from soak.faults import FaultPlayer
+from soak.needs import NeedPlayer
 from soak.world import World, make_folder, wait_for
 from soak.zones import ZonePlayer
 
@@ -38,13 +39,19 @@
 
 
 async def soak(
-    seed: int, seconds: float, keep: Path | None, *, has_zones: bool = False
+    seed: int,
+    seconds: float,
+    keep: Path | None,
+    *,
+    has_zones: bool = False,
+    has_needs: bool = False,
 ) -> Result:
     """Run one seed."""
     random = Random(seed)
     with make_folder() as folder:
         async with trio.open_nursery() as nursery:
             world = World(Path(folder), nursery, random, has_zones=has_zones)
+            world.has_needs = has_needs
             try:
                 result = await play(world, seed, seconds)
             finally:
@@ -62,6 +69,7 @@
     callers = Callers(world, Random(seed))
     player = FaultPlayer(world)
     zones = ZonePlayer(world, Random(f'{seed} zones'))
+    needs = NeedPlayer(world, Random(f'{seed} needs'))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run, CALLERS)
         await wait_for(lambda: any(each.status == 200 for each in callers.requests))
@@ -69,6 +77,8 @@
             players.start_soon(player.run, seconds)
             if world.has_zones:
                 players.start_soon(zones.run, seconds)
+            if world.has_needs:
+                players.start_soon(needs.run, seconds)
         await trio.sleep(RECOVERY_SECONDS)
         since = trio.current_time()
         await trio.sleep(CHECKED_SECONDS)
@@ -80,6 +90,7 @@
         *find_broken(world, callers),
         *player.violations,
         *zones.broken(),
+        *needs.broken(),
         *ended,
         *unrecovered,
     )
@@ -98,6 +109,9 @@
     parser.add_argument(
         '--zones', action='store_true', help='Empty zones and turn servers cold, too.'
     )
+    parser.add_argument(
+        '--needs', action='store_true', help='Let servers name rates, too.'
+    )
     arguments = parser.parse_args()
     seeds = list(arguments.seeds or ())
     seeds += [
@@ -105,7 +119,7 @@
     ]
     failed = 0
     for seed in seeds:
-        run = partial(soak, has_zones=arguments.zones)
+        run = partial(soak, has_zones=arguments.zones, has_needs=arguments.needs)
         result = trio.run(run, seed, arguments.seconds, arguments.keep)
         failed += bool(result.broken)
         print(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,8 @@
         'kill',
     }
 )
+#: Faults after which an instance learns anew what servers named.
+RESTARTING = frozenset({'pause', 'stop', 'kill'})
 
 
 @define
@@ -72,6 +74,8 @@
             if fault.__name__ in DISTURBING:
                 ended = trio.current_time() + STABLE_SECONDS
                 self.world.disturbances.append((began, ended))
+                if fault.__name__ in RESTARTING:
+                    self.world.restarts.append((began, ended))
 
     def _instance(self) -> Instance | None:
         free = [each for each in self.world.instances if not each.may_end]
--- a/soak/world.py
+++ b/soak/world.py
@@ -93,8 +93,12 @@
     version: int = 0x10
     #: Whether there are two zones, and servers that may be cold.
     has_zones: bool = False
+    #: Whether some servers name the rate that they take.
+    has_needs: bool = False
     #: When the store was away or an instance stood still.
     disturbances: list[tuple[float, float]] = Factory(list)
+    #: When an instance was away or stood still, and learned anew what there is.
+    restarts: list[tuple[float, float]] = Factory(list)
 
     async def open(self, workers: int, instances: int) -> None:
         """Start everything and wait until an instance answers callers."""
@@ -154,6 +158,10 @@
         """Tell whether something excuses an instance in a span of time."""
         return any(start < ended and began < end for start, end in self.disturbances)
 
+    def was_restarted(self, at: float) -> bool:
+        """Tell whether an instance was away then, or had just come back."""
+        return any(began <= at < ended for began, ended in self.restarts)
+
     async def add_instance(self, name: str) -> None:
         """Start an instance with a link of its own to the store."""
         link = Link(self.store_port)
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -56,6 +56,8 @@
     fault: Fault = Fault.NONE
     is_deaf: bool = False
     is_unframed: bool = False
+    #: Whether it runs requests and answers with an error that names no rate.
+    is_failing: bool = False
     #: Paths of requests that end the process once they ran.
     crashing_paths: set[str] = Factory(set)
     #: Times the process ended, by the path of the request that did it.
@@ -186,6 +188,9 @@
             *self._rate_headers(is_answer=True),
         ]
         body = b'answer to ' + request_id
+        if self.is_failing:
+            await self._send(stream, codec, 500, headers[:2], body)
+            return True
         if self.fault is Fault.CUT:
             framing = [(b'content-length', b'1000')]
             response = h11.Response(status_code=200, headers=headers + framing)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from soak.__main__ import soak
 from soak.callers import Callers, Request, Told
 from soak.checks import find_broken, find_unrecovered
+from soak.needs import Need, NeedPlayer
 from soak.world import World as SoakWorld
 from soak.zones import Evacuation, ZonePlayer
 from standins.processes import ROOT
@@ -20,6 +21,8 @@
 #: One evacuation at least is longer than the time within which it must be obeyed.
 ZONE_SEED = 932196027
 ZONE_SECONDS = 8.0
+NEED_SEED = 1
+NEED_SECONDS = 14.0
 KEPT_LOGS = ROOT / 'build' / 'soak'
 
 
@@ -87,6 +90,27 @@
         self.assertFalse(list(self.player([], [1.0] * bound).broken()))
 
 
+class NeedChecksTest(unittest.TestCase):
+    """Too much for a server in need is found."""
+
+    def player(self, arrived_at: list[float]) -> NeedPlayer:
+        world = SoakWorld(None, None, Random(1))
+        world.worker_by_id['i-1'] = Worker('i-1', arrived_at=arrived_at)
+        return NeedPlayer(world, Random(1), [Need('i-1', 10.0, 20.0, 1.0)])
+
+    def test_more_than_the_bound(self):
+        self.assertTrue(list(self.player([14.0] * 12).broken()))
+        self.assertFalse(list(self.player([14.0] * 11 + [18.1] * 11).broken()))
+
+    def test_what_came_before_all_were_told_or_after_the_need(self):
+        self.assertFalse(list(self.player([12.9] * 12 + [20.1] * 12).broken()))
+
+    def test_restart_excuses_what_came_then(self):
+        player = self.player([14.0] * 12)
+        player.world.restarts.append((13.0, 15.0))
+        self.assertFalse(list(player.broken()))
+
+
 class SoakTest(unittest.TestCase):
     """Seeds that hold."""
 
@@ -97,6 +121,12 @@
                 self.assertEqual(result.broken, (), f'logs in {KEPT_LOGS}')
                 self.assertGreater(result.requests, 100)
 
+    def test_servers_in_need_get_no_more_than_their_bounds(self):
+        run = partial(soak, has_needs=True)
+        result = trio.run(run, NEED_SEED, NEED_SECONDS, KEPT_LOGS)
+        self.assertEqual(result.broken, (), f'logs in {KEPT_LOGS}')
+        self.assertGreater(result.requests, 100)
+
     def test_zones_are_emptied_and_servers_warmed(self):
         run = partial(soak, has_zones=True)
         result = trio.run(run, ZONE_SEED, ZONE_SECONDS, KEPT_LOGS)
--- a/tests/test_throttling_book.py
+++ b/tests/test_throttling_book.py
@@ -81,8 +81,8 @@
         self.tell(NO_RATE, NOW + 0.3, NOW + 0.4)
         self.assertIsNone(self.per_second())
 
-    def test_probes_and_refusals_end_it_only_where_they_name_it(self):
-        for kind in (AnswerKind.PROBE, AnswerKind.REFUSAL):
+    def test_others_than_successes_end_it_only_where_they_name_it(self):
+        for kind in (AnswerKind.PROBE, AnswerKind.REFUSAL, AnswerKind.FAILURE):
             with self.subTest(kind):
                 self.setUp()
                 self.tell(RATE, NOW, NOW + 0.2)
--- a/tests/test_throttling_path.py
+++ b/tests/test_throttling_path.py
@@ -237,6 +237,21 @@
 
         on_platform(check)
 
+    def test_error_that_names_nothing_ends_no_need(self):
+        async def check(platform):
+            await platform.add_worker('i-1', named_rate=b'50')
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.instances.sender_lease.listed_since < inf)
+            make_sender(entry)
+            await platform.ask('POST', '/p/x')
+            platform.worker_by_id['i-1'].is_failing = True
+            await trio.sleep(0.1)
+            answer = await platform.ask('POST', '/p/x', request_id='r2')
+            self.assertEqual(answer.status_code, 500)
+            self.assertTrue(throttle_of(entry).book.holding())
+
+        on_platform(check)
+
     def test_who_missed_the_end_asks(self):
         async def check(platform):
             await in_need(platform, ('i-1',), instances=2)
