--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -18,7 +18,7 @@
     tier,
 )
 from catkinslip.models import Address
-from catkinslip.warmup.quotas import Sender
+from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
 from catkinslip.warmup.senders import Place, SenderLease
 
 #: Instances of a zone that read the store for all of it: each change wakes every
@@ -174,6 +174,10 @@
         now = trio.current_time()
         return self.sender_lease.place(self.own.zone, self._rank_of_senders(), now)
 
+    def may_be_sender(self) -> bool:
+        """Tell whether this instance would be a sender if it read the list itself."""
+        return self.is_own_listed and self._rank_of_senders() < SENDERS_PER_ZONE
+
     def _rank_of_senders(self) -> int:
         if self._sender_rank is None:
             zone = self.own.zone
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -185,9 +185,12 @@
         """Tell whether no peer tells this instance who there is.
 
         Each reading of 313 entries takes 7 calls of the store: all instances together
-        would make 440 calls a second.
+        would make 440 calls a second. Who sends to guarded servers reads it in any
+        case, as its place rests on it.
         """
-        return self.instances.reads_store() or not self.instances.knows_ready()
+        instances = self.instances
+        reads = instances.reads_store() or instances.may_be_sender()
+        return reads or not instances.knows_ready()
 
     async def _read_list(self, nursery: trio.Nursery) -> None:
         asked_at = trio.current_time()
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -5,8 +5,10 @@
 
 import trio
 import trio.testing
+from attrs import evolve
 
 from catkinslip.config.documents import Backend, Service
+from catkinslip.discovery.instances import InstanceTable
 from catkinslip.routing.base import BackendLoad, LoadReport
 from catkinslip.routing.policies import LeastInFlight
 from catkinslip.routing.router import ServiceRouter
@@ -19,6 +21,7 @@
     divide,
 )
 from catkinslip.warmup.senders import LISTED_SECONDS, STALE_LIST_SECONDS
+from tests.discovery_builders import instance_entry
 from tests.sender_builders import Site
 
 NOW = 100.0
@@ -219,6 +222,26 @@
         self.assertEqual(self.router.cold.doubted_at_by_id, {})
 
 
+class ListTest(unittest.TestCase):
+    """Who reads the list of instances, as a place among the senders rests on it."""
+
+    def test_strongest_of_a_zone_read_it_though_callers_are_sent_to_others_first(self):
+        entries = [
+            evolve(instance_entry(f'e{number}', 'zone-a'), cores=2.0 + number / 10)
+            for number in range(8)
+        ]
+        senders = set()
+        for own in entries:
+            table = InstanceTable(own)
+            table.take_list(entries, 1)
+            for other in entries:
+                table.answered(other.instance_id, is_ready=True)
+            table.is_own_ready = True
+            if table.may_be_sender():
+                senders.add(own.instance_id)
+        self.assertEqual(senders, {'e6', 'e7'})
+
+
 class SiteTest(unittest.TestCase):
     """All instances of a site together, whatever each of them knows."""
 
