--- a/Makefile
+++ b/Makefile
@@ -81,6 +81,10 @@
 bench-limits: install
 	$(RUN) -m benchmarks.limits --seeds 3 --processes 12
 
+.PHONY: bench-throttling
+bench-throttling: install
+	$(RUN) -m benchmarks.throttling
+
 .PHONY: soak
 soak: install
 	$(RUN) -m soak --seeds $(SEED)
--- a/model/senders.py
+++ b/model/senders.py
@@ -19,6 +19,7 @@
 WAIT = VALID + STALE
 END = 40
 FEW_SENDERS = f'at most {SENDERS} senders'
+OLD_PLACES = f'more than {SENDERS} places only after an instance came'
 
 
 @define
@@ -60,15 +61,41 @@
             facts.append(now - state[indexed('read_at', index)] <= VALID)
         return z3.And(*facts)
 
+    def has_place(self, state: State, index: int) -> z3.BoolRef:
+        """Return whether an instance had a place when it last read a list.
+
+        It sends to throttled servers then, however long it has read none since.
+        """
+        waited = state[indexed('read_at', index)] - state[indexed('seen_at', index)]
+        return z3.And(
+            state[indexed('has_seen', index)],
+            state[indexed('runs', index)],
+            state[indexed('ahead', index)] < SENDERS,
+            waited >= WAIT,
+        )
+
+    def came_since(self, state: State) -> z3.BoolRef:
+        """Return whether one of the first came after the last one's list was made."""
+        last = INSTANCES[-1]
+        oldest = state[indexed('read_at', last)] - STALE
+        return z3.Or(
+            *(state[indexed('listed_at', index)] > oldest for index in INSTANCES[:-1])
+        )
+
     def properties(self, state: State) -> dict[str, z3.BoolRef]:
         """Return what must hold in every state, by name."""
         senders = [self.is_sender(state, index) for index in INSTANCES]
-        return {FEW_SENDERS: z3.Not(z3.And(*senders))}
+        places = [self.has_place(state, index) for index in INSTANCES]
+        return {
+            FEW_SENDERS: z3.Not(z3.And(*senders)),
+            OLD_PLACES: z3.Implies(z3.And(*places), self.came_since(state)),
+        }
 
     def goals(self, state: State) -> dict[str, z3.BoolRef]:
         """Return what some run must reach, so that no proof is empty."""
         return {
-            'two senders': z3.And(self.is_sender(state, 0), self.is_sender(state, 1))
+            'two senders': z3.And(self.is_sender(state, 0), self.is_sender(state, 1)),
+            'three places': z3.And(*(self.has_place(state, it) for it in INSTANCES)),
         }
 
     def invariant(self, state: State) -> dict[str, z3.BoolRef]:
