Gather what is no news of servers in need, and keep suspect requests from them

A request that may end servers is kept from servers in need as it is from cold ones; its test chose such a server before. The time until each turn is worked out in one place.

--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -80,11 +80,13 @@
     def _excluded(self, tried: Collection[str]) -> Collection[str]:
         """Return the servers that must not get the call.
 
-        One that may end servers warms none: what is cold ends for less.
+        One that may end servers warms none, as what is cold ends for less, and is kept
+        from those in need.
         """
         if not self.call.is_suspect:
             return tried
-        return [*tried, *self.router.cold.cold(self.clock.monotonic())]
+        in_need = [rate.load.backend_id for rate in self.router.throttle.book.holding()]
+        return [*tried, *self.router.cold.cold(self.clock.monotonic()), *in_need]
 
     def _refuse_guarded(self) -> NotRun | None:
         """Refuse a call where only servers are left that bear no more now."""
--- a/catkinslip/throttling/gate.py
+++ b/catkinslip/throttling/gate.py
@@ -58,25 +58,18 @@
 
     def closed(self, now: float) -> list[str]:
         """Return the servers that this instance may send nothing now."""
-        if not self.book.rate_by_id:
-            return []
-        place = self.place()
         return [
             server.load.backend_id
-            for server in self._servers()
-            if self._wait_seconds(server, place, now) > 0
+            for server, wait_seconds in self._waits(now)
+            if wait_seconds > 0
         ]
 
     def due(self, now: float) -> list[str]:
         """Return the servers with room that nobody has been heard of from lately."""
-        if not self.book.rate_by_id:
-            return []
-        place = self.place()
         return [
             server.load.backend_id
-            for server in self._servers()
-            if now - server.rate.named_at >= HEARD_SECONDS
-            and self._wait_seconds(server, place, now) == 0
+            for server, wait_seconds in self._waits(now)
+            if wait_seconds == 0 and now - server.rate.named_at >= HEARD_SECONDS
         ]
 
     def unheard(self, now: float) -> list[BackendLoad]:
@@ -109,8 +102,13 @@
         self.book.forget(load)
         self.server_by_id.pop(load.backend_id, None)
 
-    def _servers(self) -> list[ThrottledServer]:
-        return [self._server(rate) for rate in self.book.holding()]
+    def _waits(self, now: float) -> list[tuple[ThrottledServer, float]]:
+        """Return the servers that name a rate, and the time until the turn of each."""
+        if not self.book.rate_by_id:
+            return []
+        place = self.place()
+        servers = [self._server(rate) for rate in self.book.holding()]
+        return [(each, self._wait_seconds(each, place, now)) for each in servers]
 
     def _server(self, rate: NamedRate) -> ThrottledServer:
         server = self.server_by_id.get(rate.load.backend_id)
--- a/catkinslip/throttling/telling.py
+++ b/catkinslip/throttling/telling.py
@@ -75,7 +75,8 @@
         backend_id = rate.load.backend_id
         _, was_change = self.news_by_id.get(backend_id, (rate, False))
         self.news_by_id[backend_id] = (rate, is_change or was_change)
-        self.has_news.set()
+        if is_change:
+            self.has_news.set()
 
     def _is_refresh_due(self, rate: NamedRate, now: float) -> bool:
         if now - rate.told_at < REFRESH_SECONDS:
@@ -129,6 +130,9 @@
     async def _ask_always(self) -> None:
         while True:
             await trio.sleep(DOUBT_SECONDS * self.random.uniform(0.8, 1.2))
+            if self.news_by_id:
+                # What is no news goes together.
+                self.has_news.set()
             doubts = self.doubts()
             targets = self.targets()
             if doubts and targets:
--- a/tests/test_throttling_path.py
+++ b/tests/test_throttling_path.py
@@ -4,13 +4,20 @@
 from functools import partial
 from math import inf
 from random import Random
+from types import SimpleNamespace
 
 import orjson
 import trio
 
+from catkinslip.admission.waiting import AdmissionSettings
+from catkinslip.admission.work import WorkTimes
 from catkinslip.config.documents import Backend, Service
 from catkinslip.entry import metrics_page
-from catkinslip.routing.base import BackendLoad
+from catkinslip.health.base import NoSampler
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.outcomes import NotRun
+from catkinslip.proxy.server_wait import ServerWait
+from catkinslip.routing.base import BackendLoad, Choice
 from catkinslip.routing.gates import Gates
 from catkinslip.routing.policies import LeastInFlight
 from catkinslip.routing.router import ServiceRouter
@@ -54,6 +61,30 @@
         await platform.ask('POST', '/p/x', request_id='first')
 
 
+def choose(router: ServiceRouter, *, is_suspect: bool) -> Choice | NotRun | None:
+    """Choose a server for a call."""
+    call = Call(
+        request_id='r1',
+        service='one',
+        method=b'GET',
+        target=b'/',
+        headers=[],
+        body=b'',
+        repeatable=True,
+        deadline=NOW + 1,
+        is_suspect=is_suspect,
+    )
+    limits = SimpleNamespace(
+        settings=SimpleNamespace(admission=AdmissionSettings()), work=WorkTimes()
+    )
+    health = SimpleNamespace(choose=lambda router, tried: router.choose(NOW, tried))
+    clock = SimpleNamespace(monotonic=lambda: NOW)
+    wait = ServerWait(
+        call, limits, router, health, NoSampler(), clock, Random(1), began=NOW
+    )
+    return trio.run(wait.choose, [])
+
+
 class SightTest(unittest.TestCase):
     """What an operator sees of a server that names a rate."""
 
@@ -190,6 +221,18 @@
         self.assertFalse(router.gates.may_send(load, permits, NOW + 0.5))
         self.assertEqual(router.choose(NOW + 1.0).backend_id, 'i-1')
 
+    def test_request_that_may_end_servers_goes_to_none_in_need(self):
+        gate = ThrottleGate(
+            lambda *_: {SENDER: 1.0}, lambda: Place(SENDER, is_recent=True)
+        )
+        router = ServiceRouter(LeastInFlight(Random(1)), throttle=gate)
+        backend = Backend('one', zone='zone-a', host='10.0.0.1', port=80)
+        router.update(Service(), {'i-1': backend}, NOW)
+        load = router.load_by_id['i-1']
+        gate.book.told(load, RateSign(1.0), AnswerKind.ANSWER, NOW, NOW)
+        self.assertEqual(choose(router, is_suspect=False).backend_id, 'i-1')
+        self.assertIsNone(choose(router, is_suspect=True))
+
     def test_what_was_sent_before_counts_for_the_first_turn(self):
         load = BackendLoad('i-1', 'zone-a', 2)
         gate = ThrottleGate(
