Let the sampler start nothing once its own task has been cancelled

The field was emptied when the nursery's task ended; the nursery is closed one step of the loop earlier, when its last probe ends. It is emptied while the nursery's own block still runs now, and a nursery whose block runs is open. The new test fails before in one of the two orders that the loop draws; it plays 40.

--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -79,12 +79,13 @@
 
     async def run(self) -> None:
         """Ask silent servers now and then, and take late answers, until cancelled."""
-        try:
-            async with trio.open_nursery() as self._nursery:
+        async with trio.open_nursery() as self._nursery:
+            try:
                 await self._ask_always()
-        finally:
-            # A call that was woken before all was cancelled may still want a probe.
-            self._nursery = None
+            finally:
+                # A call that was woken before all was cancelled may still want a probe,
+                # and the nursery closes as soon as nothing runs in it any more.
+                self._nursery = None
 
     async def _ask_always(self) -> None:
         while True:
--- a/tests/test_health_sampler.py
+++ b/tests/test_health_sampler.py
@@ -22,6 +22,8 @@
 ROUND_TRIP_SECONDS = 0.01
 START_SECONDS = 3.0
 BOUND = 10.0
+#: The loop draws the order of its tasks: so many runs see both.
+ORDERS = 40
 SERVICE = Service()
 BACKEND = Backend('limits', zone='zone-a', host='10.0.0.1', port=80, cold_seconds=0.0)
 
@@ -103,9 +105,8 @@
     Nursery is closed to new arrivals`, which ends an instance with a trace.
     """
 
-    def test_call_that_outlives_the_sampler_asks_nobody(self):
-        router = ServiceRouter(LeastInFlight(Random(1)))
-        router.change(SERVICE, {'i-1': BACKEND}, NOW)
+    def asker(self, router: ServiceRouter, pool: object) -> LoadSampler:
+        """Return a sampler of one server."""
         address = Address('127.0.0.1', 80)
         directory = SimpleNamespace(
             address_by_backend={'i-1': address}, router_by_service={'limits': router}
@@ -115,15 +116,59 @@
             key_by_id={'i-1': None},
             rank=lambda router, tried: router.rank(NOW, tried),
         )
-        asker = LoadSampler(
+        return LoadSampler(
             health=health,
-            pool=SimpleNamespace(is_full=lambda address: False),
+            pool=pool,
             clock=SimpleNamespace(monotonic=lambda: NOW),
             dialect=PlatformDialect(),
             probes_per_second=100.0,
             count_instances=lambda: 1,
         )
 
+    def test_call_that_is_woken_as_the_last_probe_ends_asks_nobody(self):
+        # The nursery is closed by then, and its task ends only in the next step: in one
+        # of two orders in which the loop may go on.
+        async def run():
+            router = ServiceRouter(LeastInFlight(Random(1)))
+            router.change(SERVICE, {'i-1': BACKEND}, NOW)
+            probe_ends = trio.Event()
+
+            class HangingPool:
+                def is_full(self, address: Address) -> bool:
+                    return False
+
+                async def acquire(self, address: Address) -> None:
+                    try:
+                        await trio.sleep_forever()
+                    finally:
+                        probe_ends.set()
+
+            asker = self.asker(router, HangingPool())
+
+            async def outlive() -> None:
+                with trio.CancelScope(shield=True):
+                    await probe_ends.wait()
+                    asker.asking.clear()
+                    asker.bucket_by_id.clear()
+                    await asker.look(router, 'i-1')
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(asker.run)
+                nursery.start_soon(outlive)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.start_soon(asker.look, router, 'i-1')
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+            return asker.sent
+
+        for _ in range(ORDERS):
+            self.assertEqual(trio.run(run), 1)
+
+    def test_call_that_outlives_the_sampler_asks_nobody(self):
+        router = ServiceRouter(LeastInFlight(Random(1)))
+        router.change(SERVICE, {'i-1': BACKEND}, NOW)
+        asker = self.asker(router, SimpleNamespace(is_full=lambda address: False))
+
         async def run():
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(asker.run)
