--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -15,7 +15,9 @@
 from catkinslip.routing.policies import LeastInFlight
 from tests.builders import backend_plain, document_of, document_plain
 from tests.discovery_builders import OUTAGE, ScriptedSource, rule_set
+from tests.platform_builders import config_spec
 from tests.small_platform import (
+    GENEROUS_SECONDS,
     SmallPlatform,
     on_platform,
     wait_at_most,
@@ -217,6 +219,10 @@
 
     def test_work_in_flight_there_ends_by_itself(self):
         async def check(platform):
+            # Calls that a slow start piles up must not be refused for their target.
+            patient = config_spec(timeout=GENEROUS_SECONDS, target=GENEROUS_SECONDS)
+            platform.store.put('config', 'main', patient)
+            platform.deadline_ms = int(GENEROUS_SECONDS * 1000)
             near, _ = await two_zones(platform)
             near.work_seconds = 0.5
             answers = []
