Build what tells and tests servers in need from one piece each

Found in the last reading: where serving instances take datagrams stood twice in the wiring, a logger that nothing used, a field of the soak's world set after it was made, and three beginnings that tests of servers in need shared. Behaviour and assertions are as they were.

--- a/catkinslip/throttling/telling.py
+++ b/catkinslip/throttling/telling.py
@@ -7,7 +7,6 @@
 few: a belief never ends by silence, as in a partition all would send again.
 """
 
-import logging
 from collections.abc import Callable
 from random import Random
 
@@ -48,8 +47,6 @@
 #: Evidence that is newer by less is no answer to a doubt.
 NEWER_SECONDS = 0.05
 
-log = logging.getLogger('throttling')
-
 Post = Callable[[bytes, list[Address]], None]
 
 
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -222,11 +222,15 @@
     crashes.listeners.append(
         lambda: guard.book.take_stored(crashes.value_by_name, clock.monotonic())
     )
+
+    def serving_addresses() -> list[Address]:
+        return [Address.parse(each.report_address) for each in instances.serving()]
+
     teller = CrashTeller(
         settings.own.instance_id,
         guard.book,
         clock,
-        lambda: [Address.parse(each.report_address) for each in instances.serving()],
+        serving_addresses,
         sharer.post,
     )
     guard.listeners.append(teller)
@@ -235,7 +239,7 @@
         directory,
         clock,
         Random(settings.own.instance_id),
-        lambda: [Address.parse(each.report_address) for each in instances.serving()],
+        serving_addresses,
         instances.report_address,
         sharer.post,
     )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,8 +50,13 @@
     random = Random(seed)
     with make_folder() as folder:
         async with trio.open_nursery() as nursery:
-            world = World(Path(folder), nursery, random, has_zones=has_zones)
-            world.has_needs = has_needs
+            world = World(
+                Path(folder),
+                nursery,
+                random,
+                has_zones=has_zones,
+                has_needs=has_needs,
+            )
             try:
                 result = await play(world, seed, seconds)
             finally:
--- a/tests/test_throttling_path.py
+++ b/tests/test_throttling_path.py
@@ -39,9 +39,21 @@
 SENDER = Sender('zone-a', 0)
 
 
-def make_sender(entry: Entry) -> None:
-    """Let an instance have been listed for long enough."""
-    entry.instances.sender_lease.listed_since -= 60
+def sender_gate(per_second: float) -> ThrottleGate:
+    """Return the gate of an instance that may send so much to a server in need."""
+    return ThrottleGate(
+        lambda *_: {SENDER: per_second}, lambda: Place(SENDER, is_recent=True)
+    )
+
+
+async def one_sender(platform: SmallPlatform) -> Entry:
+    """Start a server that names a high rate, and an instance that may send to it."""
+    await platform.add_worker('i-1', named_rate=b'50')
+    entry = await platform.add_entry()
+    lease = entry.instances.sender_lease
+    await wait_for(lambda: lease.listed_since < inf)
+    lease.listed_since -= 60
+    return entry
 
 
 def throttle_of(entry: Entry) -> ThrottleGate:
@@ -116,10 +128,7 @@
 
     def test_choice_tells_the_rate_that_was_known(self):
         async def check(platform):
-            await platform.add_worker('i-1', named_rate=b'50')
-            entry = await platform.add_entry()
-            await wait_for(lambda: entry.instances.sender_lease.listed_since < inf)
-            make_sender(entry)
+            entry = await one_sender(platform)
             await platform.ask('POST', '/p/x')
             await trio.sleep(0.1)
             with self.assertLogs('routing', 'INFO') as logs:
@@ -190,9 +199,7 @@
 
     def test_cold_server_that_names_a_rate_needs_leave_of_both(self):
         load = BackendLoad('i-1', 'zone-a', 2)
-        throttle = ThrottleGate(
-            lambda *_: {SENDER: 1.0}, lambda: Place(SENDER, is_recent=True)
-        )
+        throttle = sender_gate(1.0)
         cold = ColdGate(lambda *_: {SENDER: 2}, lambda: SENDER)
         cold.configure(3.0, 2.0)
         gates = Gates((cold, throttle))
@@ -208,9 +215,7 @@
 
     def test_entry_that_lapses_and_is_back_opens_no_turn(self):
         document = {'i-1': Backend('one', zone='zone-a', host='10.0.0.1', port=80)}
-        gate = ThrottleGate(
-            lambda *_: {SENDER: 1.0}, lambda: Place(SENDER, is_recent=True)
-        )
+        gate = sender_gate(1.0)
         router = ServiceRouter(LeastInFlight(Random(1)), throttle=gate)
         router.update(Service(), document, NOW)
         load = router.load_by_id['i-1']
@@ -226,9 +231,7 @@
         self.assertEqual(router.choose(NOW + 1.0).backend_id, 'i-1')
 
     def test_request_that_may_end_servers_goes_to_none_in_need(self):
-        gate = ThrottleGate(
-            lambda *_: {SENDER: 1.0}, lambda: Place(SENDER, is_recent=True)
-        )
+        gate = sender_gate(1.0)
         router = ServiceRouter(LeastInFlight(Random(1)), throttle=gate)
         backend = Backend('one', zone='zone-a', host='10.0.0.1', port=80)
         router.update(Service(), {'i-1': backend}, NOW)
@@ -239,9 +242,7 @@
 
     def test_what_was_sent_before_counts_for_the_first_turn(self):
         load = BackendLoad('i-1', 'zone-a', 2)
-        gate = ThrottleGate(
-            lambda *_: {SENDER: 0.5}, lambda: Place(SENDER, is_recent=True)
-        )
+        gate = sender_gate(0.5)
         load.note_sent(NOW - 0.5)
         gate.book.told(load, RateSign(1.0), AnswerKind.ANSWER, NOW, NOW)
         self.assertEqual(gate.closed(NOW + 1.4), ['i-1'])
@@ -286,10 +287,7 @@
 
     def test_error_that_names_nothing_ends_no_need(self):
         async def check(platform):
-            await platform.add_worker('i-1', named_rate=b'50')
-            entry = await platform.add_entry()
-            await wait_for(lambda: entry.instances.sender_lease.listed_since < inf)
-            make_sender(entry)
+            entry = await one_sender(platform)
             await platform.ask('POST', '/p/x')
             platform.worker_by_id['i-1'].is_failing = True
             await trio.sleep(0.1)
