--- a/tests/test_throttling_path.py
+++ b/tests/test_throttling_path.py
@@ -128,7 +128,7 @@
 
     def test_choice_tells_the_rate_that_was_known(self):
         async def check(platform):
-            entry = await one_sender(platform)
+            await one_sender(platform)
             await platform.ask('POST', '/p/x')
             await trio.sleep(0.1)
             with self.assertLogs('routing', 'INFO') as logs:
