Tell in logs and metrics which servers ask for rest

Callers saw calls refused as shed while servers went on to be asked that wanted nothing. The lines could not tell whether an answer asked for rest, for how long, nor how an attempt ended that another one followed.

Read what a refusal asks for (429 and 503 with Retry-After in seconds; dates, negative and unreadable times are told once a server and counted), keep it for each server, and tell it: a line for each time asked, `rest_s` in the line of a choice of such a server, a line for an attempt that another one may follow, catkinslip_resting_backends and catkinslip_rest_events_total. What an answer says in its server's name comes in one value (routing/words.py) instead of a callback for each header. No choice is changed by it.

--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -296,7 +296,7 @@
         answered_at = (sent_at + now) / 2
         if answer.report is not None:
             router.learned(load.backend_id, answer.report, answered_at, picks_before)
-        router.throttle.book.told(load, answer.rate, AnswerKind.PROBE, sent_at, now)
+        router.take_words(load, answer.words, AnswerKind.PROBE, sent_at, now)
         if answer.cold_seconds is None:
             log.info('health: unreadable cold time. backend=%s', load.backend_id)
         else:
--- a/catkinslip/metrics/health.py
+++ b/catkinslip/metrics/health.py
@@ -34,10 +34,33 @@
             cold.add(len(router.cold.cold(now)), service)
         yield cold
         yield from self._throttling()
+        yield from self._resting(now)
         leaving = gauge('catkinslip_leaving_backends', 'Backend servers that leave.')
         leaving.add(len(self.health.leaving_ids()))
         yield leaving
 
+    def _resting(self, now: float) -> Iterable[Family]:
+        """Return what is known of servers that asked this instance for rest."""
+        resting = gauge(
+            'catkinslip_resting_backends',
+            'Servers that asked this instance for rest.',
+            'service',
+        )
+        events = counter(
+            'catkinslip_rest_events_total',
+            'Times that servers asked this instance for rest, or asked unreadably.',
+            'event',
+        )
+        count_by_event = Counter()
+        routers = self.health.directory.router_by_service
+        for service, router in sorted(routers.items()):
+            resting.add(len(router.rests.resting(now)), service)
+            count_by_event.update(router.rests.events)
+        for event, count in sorted(count_by_event.items()):
+            events.add(count, event)
+        yield resting
+        yield events
+
     def _throttling(self) -> Iterable[Family]:
         """Return what is known of servers that name the rate that they take."""
         named = gauge(
--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -14,18 +14,25 @@
 from catkinslip.proxy.head_checks import malformed
 from catkinslip.proxy.headers import Header, RequestHead
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
+from catkinslip.resting.signs import MALFORMED_REST, NO_REST, RestSign
 from catkinslip.routing.base import LoadReport
+from catkinslip.routing.words import ServerWords
 from catkinslip.throttling.signs import MALFORMED_RATE, NO_RATE, RateSign
 
 MILLISECONDS = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?\Z')
 #: Decimal requests a second.
 RATE_FORM = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?\Z')
+REST_FORM = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?\Z')
 LOAD_FIGURE = re.compile(rb'[0-9]{1,9}\Z')
 USUAL_PERCENT = 100.0
 MOST_PERCENT = 1_000_000.0
 MISDIRECTED_STATUS = 421
 #: A cold start that lasts a day is none.
 MOST_COLD_SECONDS = 86_400.0
+#: A server that is to get nothing for longer leaves.
+MOST_REST_SECONDS = 86_400.0
+#: Statuses with which a server turns away; others say with the header what callers do.
+RESTING_STATUSES = frozenset({429, 503})
 #: Set anew on each request, so what the caller sent does not pass.
 REPLACED_IN_REQUESTS = names.HOP_BY_HOP | {
     b'content-length',
@@ -101,9 +108,9 @@
         value = names.find(headers, wire.SERVER_LOAD)
         return None if value is None else parse_load(value)
 
-    def read_rate(self, headers: Sequence[Header]) -> RateSign:
-        """Return what an answer says of the rate that its server takes."""
-        return read_rate(headers)
+    def read_words(self, status: int, headers: Sequence[Header]) -> ServerWords:
+        """Return what an answer asks for in the name of its server."""
+        return ServerWords(read_rate(headers), read_rest(status, headers))
 
     def answer_headers(self, call: Call, headers: list[Header]) -> list[Header]:
         """Return an answer's headers for the caller."""
@@ -154,7 +161,7 @@
             report,
             server_id.decode('latin-1'),
             cold,
-            read_rate(headers),
+            self.read_words(status, headers),
         )
 
 
@@ -184,6 +191,21 @@
     return RateSign(min(map(float, values)))
 
 
+def read_rest(status: int, headers: Sequence[Header]) -> RestSign:
+    """Return what an answer says of the rest that its server wants.
+
+    Of several times the longest counts; one that cannot be read spoils all.
+    """
+    if status not in RESTING_STATUSES:
+        return NO_REST
+    values = [value for name, value in headers if name == wire.REST]
+    if not values:
+        return NO_REST
+    if any(REST_FORM.match(value) is None for value in values):
+        return MALFORMED_REST
+    return RestSign(min(max(map(float, values)), MOST_REST_SECONDS))
+
+
 def find_refusal(status: int, headers: list[Header]) -> Reason | None:
     """Return why the backend server did not run a request; None if it may have."""
     if status == MISDIRECTED_STATUS:
--- a/catkinslip/platform/names.py
+++ b/catkinslip/platform/names.py
@@ -31,6 +31,8 @@
 SERVER_LOAD: Final = b'server-load'
 #: The requests a second that the server takes from all instances together.
 RATE: Final = b'server-limit'
+#: On a refusal: the seconds for which the server wants nothing from this instance.
+REST: Final = b'retry-after'
 #: On answers to probes, and of a server that is not the named one.
 SERVER_ID: Final = b'instance-id'
 #: On answers to probes: milliseconds that the server stays cold.
--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -10,7 +10,7 @@
 from catkinslip.proxy.headers import Header, RequestHead
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from catkinslip.routing.base import LoadReport
-from catkinslip.throttling.signs import NO_RATE, RateSign
+from catkinslip.routing.words import NO_WORDS, ServerWords
 
 if TYPE_CHECKING:
     from catkinslip.proxy.calls import Call
@@ -36,7 +36,7 @@
     backend_id: str | None = None
     #: Seconds that the server stays cold; None where it told that unreadably.
     cold_seconds: float | None = 0.0
-    rate: RateSign = NO_RATE
+    words: ServerWords = NO_WORDS
 
 
 class Dialect(ABC):
@@ -66,9 +66,9 @@
     def read_report(self, headers: Sequence[Header]) -> LoadReport | None:
         """Return the load report of an answer."""
 
-    def read_rate(self, headers: Sequence[Header]) -> RateSign:
-        """Return what an answer says of the rate that its server takes."""
-        return NO_RATE
+    def read_words(self, status: int, headers: Sequence[Header]) -> ServerWords:
+        """Return what an answer asks for in the name of its server."""
+        return NO_WORDS
 
     @abstractmethod
     def answer_headers(self, call: 'Call', headers: list[Header]) -> list[Header]:
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -17,7 +17,8 @@
 from catkinslip.proxy.pool import MAX_IDLE_SECONDS, BackendPool
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.routing import reports
-from catkinslip.throttling.signs import AnswerKind, RateSign
+from catkinslip.routing.words import ServerWords
+from catkinslip.throttling.signs import AnswerKind
 
 __all__ = ['AnswerHead', 'Attempt', 'Call']
 
@@ -39,11 +40,11 @@
     """Take no notice of the head of an answer."""
 
 
-OnRate = Callable[[RateSign, AnswerKind, float], None]
+OnWords = Callable[[ServerWords, AnswerKind, float], None]
 
 
-def ignore_rate(sign: RateSign, kind: AnswerKind, sent_at: float) -> None:
-    """Take no notice of the rate that a server names."""
+def ignore_words(words: ServerWords, kind: AnswerKind, sent_at: float) -> None:
+    """Take no notice of what a server asks for."""
 
 
 @frozen
@@ -98,7 +99,7 @@
     dialect: Dialect = OWN_DIALECT
     backend_id: str = ''
     on_head: OnHead = ignore_head
-    on_rate: OnRate = ignore_rate
+    on_words: OnWords = ignore_words
     on_break: OnBreak = ignore_break
     #: Asked right before the first byte, as a connection may be waited for.
     may_send: Callable[[], bool] = always
@@ -193,7 +194,7 @@
         self.on_head(headers, report)
         refusal = self.dialect.find_refusal(status, headers)
         kind = kind_of(status, refusal)
-        self.on_rate(self.dialect.read_rate(headers), kind, self.sent_at)
+        self.on_words(self.dialect.read_words(status, headers), kind, self.sent_at)
         if refusal is not None:
             await answers.drain_body(wire)
             return NotRun(refusal, report=report)
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -38,7 +38,8 @@
 from catkinslip.routing.base import BackendLoad, Choice, LoadReport
 from catkinslip.routing.gates import give_back
 from catkinslip.routing.router import ServiceRouter
-from catkinslip.throttling.signs import AnswerKind, RateSign
+from catkinslip.routing.words import ServerWords
+from catkinslip.throttling.signs import AnswerKind
 
 ANSWER_GRACE_SECONDS = 1.0
 #: Enough to find a request again; a caller may send 32 kB.
@@ -113,9 +114,9 @@
         # Before the request counts as sent, which it is not yet.
         permits = self.router.reserve(choice.backend_id, now)
         load = self.router.started(choice.backend_id, now)
-        rate = self.router.throttle.book.find(load)
-        if rate is not None:
-            reason = f'{reason} rate={rate.per_second:g}'
+        narrowed = self.router.narrowed(load, now)
+        if narrowed:
+            reason = f'{reason} {narrowed}'
         log.info(
             'routing: %s %s goes to %s, %s.',
             self.call.request_id,
@@ -135,7 +136,7 @@
             dialect=self.dialect,
             backend_id=choice.backend_id,
             on_head=partial(self._take_head, load),
-            on_rate=partial(self._take_rate, load),
+            on_words=partial(self._take_words, load),
             on_break=partial(self._take_break, choice.backend_id),
         )
         launch = Launch(choice.backend_id, attempt, now, choice.delay, load, permits)
@@ -158,16 +159,16 @@
         if self.router.is_known(load):
             self.health.answered(load.backend_id, headers, report)
 
-    def _take_rate(
+    def _take_words(
         self,
         load: BackendLoad | None,
-        sign: RateSign,
+        words: ServerWords,
         kind: AnswerKind,
         sent_at: float,
     ) -> None:
         if self.router.is_known(load):
             now = self.clock.monotonic()
-            self.router.throttle.book.told(load, sign, kind, sent_at, now)
+            self.router.take_words(load, words, kind, sent_at, now)
 
     def _take_break(self, backend_id: str, broken: Break) -> None:
         log.info(
@@ -276,6 +277,14 @@
             is_sent=launch.attempt.is_sent,
             is_resendable=self.call.is_resendable,
         )
+        if launch.step is Step.RETRY:
+            log.info(
+                'routing: %s %s may go elsewhere, %s ended as %s.',
+                self.call.request_id,
+                self.call.service,
+                launch.backend_id,
+                result,
+            )
         self._finish(launch, result)
 
     async def _examine(self, launch: Launch) -> bool:
--- /dev/null
+++ b/catkinslip/resting/signs.py
@@ -0,0 +1,15 @@
+"""What answers say of the rest that their server wants."""
+
+from attrs import frozen
+
+
+@frozen
+class RestSign:
+    """What one answer says: seconds without a request from here, or nothing."""
+
+    seconds: float | None = None
+    is_malformed: bool = False
+
+
+NO_REST = RestSign()
+MALFORMED_REST = RestSign(is_malformed=True)
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -6,6 +6,7 @@
 from attrs import Factory, define
 
 from catkinslip.config.documents import Backend, Service
+from catkinslip.resting.book import RestBook
 from catkinslip.routing.base import (
     GOOD_DELAY,
     AttemptResult,
@@ -18,7 +19,9 @@
 from catkinslip.routing.evidence import pause
 from catkinslip.routing.gates import Gates, Permits
 from catkinslip.routing.sample import Sample
+from catkinslip.routing.words import ServerWords
 from catkinslip.throttling.gate import ThrottleGate
+from catkinslip.throttling.signs import AnswerKind
 from catkinslip.warmup.gate import ColdGate
 
 UNWELL_PAUSE_SECONDS = 0.2
@@ -47,6 +50,8 @@
     cold: ColdGate = Factory(ColdGate)
     #: Keeps requests from servers that name the rate that they take.
     throttle: ThrottleGate = Factory(ThrottleGate)
+    #: What servers asked for in the way of rest.
+    rests: RestBook = Factory(RestBook)
     gates: Gates = Factory(
         lambda self: Gates((self.cold, self.throttle)), takes_self=True
     )
@@ -278,6 +283,28 @@
             load.is_silent = False
             self.cold.doubt([load], now, 'it was silent')
 
+    def take_words(
+        self,
+        load: BackendLoad,
+        words: ServerWords,
+        kind: AnswerKind,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Take what an answer asks for to a request that was sent at a time."""
+        self.throttle.book.told(load, words.rate, kind, sent_at, now)
+        self.rests.told(load, words.rest, kind.value, now)
+
+    def narrowed(self, load: BackendLoad | None, now: float) -> str:
+        """Return which words of a server narrow what it may get, for the log."""
+        rate, rest = self.throttle.book.find(load), self.rests.find(load, now)
+        words = []
+        if rate is not None:
+            words.append(f'rate={rate.per_second:g}')
+        if rest is not None:
+            words.append(f'rest_s={rest.left(now):.1f}')
+        return ' '.join(words)
+
     def doubt(self, backend_id: str, now: float) -> None:
         """Take that a server, which refused connections, may start anew."""
         load = self.load_by_id.get(backend_id)
--- /dev/null
+++ b/catkinslip/routing/words.py
@@ -0,0 +1,17 @@
+"""What an answer says of its server, beside the answer itself."""
+
+from attrs import frozen
+
+from catkinslip.resting.signs import NO_REST, RestSign
+from catkinslip.throttling.signs import NO_RATE, RateSign
+
+
+@frozen
+class ServerWords:
+    """What one answer asks for in the name of its server."""
+
+    rate: RateSign = NO_RATE
+    rest: RestSign = NO_REST
+
+
+NO_WORDS = ServerWords()
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -79,6 +79,8 @@
     cold_bound: float = math.inf
     #: What it names as the rate that it takes; None for none.
     named_rate: bytes | None = None
+    #: The seconds of rest that its refusals ask for; None for none.
+    rest: bytes | None = None
     #: Whether probes and refusals name it too.
     is_rate_everywhere: bool = False
     #: When requests for it came.
@@ -141,6 +143,8 @@
         if self.fault is Fault.SHED:
             self.sheds += 1
             headers = [(b'not-executed', b'1'), *self._rate_headers(is_answer=False)]
+            if self.rest is not None:
+                headers.append((b'retry-after', self.rest))
             await self._send(stream, codec, 503, headers, b'')
             return True
         self.heads.append(head)
