Show that a server which asked for rest is asked again, a test that fails

Callers saw calls refused as shed. One instance, three servers, twelve callers: one server turns all away and asks for 3 s of rest; from half a second later until the end of it it gets three requests, two are allowed:

AssertionError: 3 not less than or equal to 2

--- /dev/null
+++ b/tests/test_resting_incident.py
@@ -0,0 +1,72 @@
+"""A server that had asked an instance for rest went on to get its requests."""
+
+import unittest
+from collections import Counter
+
+import trio
+
+from standins.workers import Fault
+from tests.small_platform import SmallPlatform, on_platform
+
+CALLERS = 12
+WORK_SECONDS = 0.02
+REST_SECONDS = 3.0
+#: What was on its way as the server asked does not count.
+ON_THE_WAY_SECONDS = 0.5
+MOST_IN_REST = 2
+PLAY_SECONDS = 5.0
+
+
+async def call_always(platform: SmallPlatform, statuses: Counter, name: str) -> None:
+    """Send one request after the other."""
+    count = 0
+    while True:
+        count += 1
+        answer = await platform.ask('POST', '/p/a', request_id=f'{name}-{count}')
+        statuses[answer.status_code] += 1
+
+
+async def call_for(platform: SmallPlatform, seconds: float) -> Counter:
+    """Let some callers call for a while; return the statuses."""
+    statuses: Counter = Counter()
+    async with trio.open_nursery() as nursery:
+        for number in range(CALLERS):
+            name = f'r{number}-{trio.current_time():.3f}'
+            nursery.start_soon(call_always, platform, statuses, name)
+        await trio.sleep(seconds)
+        nursery.cancel_scope.cancel()
+    return statuses
+
+
+def most_in_rest(came_at: list[float]) -> int:
+    """Return the most requests that came in the rest that one of them asked for."""
+    return max(
+        sum(at + ON_THE_WAY_SECONDS <= other < at + REST_SECONDS for other in came_at)
+        for at in came_at
+    )
+
+
+class IncidentTest(unittest.TestCase):
+    """What a server that turns all away and asks for rest gets from an instance."""
+
+    def test_server_that_asked_for_rest_is_left_alone_while_it_lasts(self):
+        async def check(platform):
+            for number in range(3):
+                await platform.add_worker(f'i-{number}', work_seconds=WORK_SECONDS)
+            await platform.add_entry()
+            await call_for(platform, 0.5)
+            worker = platform.worker_by_id['i-0']
+            worker.fault, worker.rest = Fault.SHED, b'%g' % REST_SECONDS
+            began = trio.current_time()
+            statuses = await call_for(platform, PLAY_SECONDS)
+            came_at = [at for at in worker.arrived_at if at >= began]
+            self.assertGreaterEqual(len(came_at), 1)
+            self.assertLessEqual(most_in_rest(came_at), MOST_IN_REST)
+            # The others carry the rest.
+            self.assertGreater(statuses[200], statuses.total() * 0.9)
+
+        on_platform(check)
+
+
+if __name__ == '__main__':
+    unittest.main()
