Leave servers alone that asked this instance for rest

Callers saw calls refused as shed, over a tenth of two kinds of request; servers that had asked an instance for 3 s of rest got three requests from it in that time.

Cause: Retry-After on a server's refusal was read by nobody. A refusal paused the server for 0.05 to 1 s, and as its probes went on to say that it is idle it ranked first again.

Rest is one more gate beside cold servers and rates (resting/gate.py): out of the choice, asked once more right before the first byte by the one place that all sends pass (ServiceRouter.may_send), no probe, no room for admission. No answer shortens what another asked for; a lapse of the entry or of the service ends nothing, the next start does. After a rest one request after the other tries the server until it takes one. Where only such servers are left the call is refused at once, and may come back when the first rest ends if that is in time, else as at servers in need. Which gate closed the servers is asked in one place now (ServiceRouter.closure), so another word of a server is one more gate.

Tried and not kept: telling the zone or all of a rest.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -44,6 +44,7 @@
     'weighs_speed': False,
     'weighs_sheds': False,
     'throttles': False,
+    'rests': False,
     'zone_hop': 0.0,
     'nearly_full_slowness': 1.0,
 }
--- a/benchmarks/overload_instances.py
+++ b/benchmarks/overload_instances.py
@@ -7,8 +7,8 @@
 
 from benchmarks.overload_callers import Request
 from benchmarks.overload_servers import Run, Server
+from catkinslip.admission.guarded import guarded_retry
 from catkinslip.admission.spent import SpentTimes
-from catkinslip.admission.throttled import throttled_retry
 from catkinslip.admission.waiting import GOOD_DELAY, Verdict, WaitingCall
 from catkinslip.admission.work import WorkTimes
 from catkinslip.health.sampler import (
@@ -34,10 +34,11 @@
     ResultKind,
 )
 from catkinslip.routing.router import ServiceRouter
+from catkinslip.routing.words import ServerWords
 from catkinslip.store.budget import TokenBucket
 from catkinslip.throttling.book import NamedRate
 from catkinslip.throttling.messages import ToldRate
-from catkinslip.throttling.signs import AnswerKind, RateSign
+from catkinslip.throttling.signs import AnswerKind
 from catkinslip.throttling.telling import REFRESH_SECONDS, told_of
 from catkinslip.warmup.senders import Place
 
@@ -216,7 +217,7 @@
         now, kind = self.world.now, call.request.kind
         ranked = desk.router.rank(now, call.tried)
         if not ranked:
-            self.refuse_throttled(desk, call)
+            self.refuse_closed(desk, call)
             return
         best = ranked[0]
         work = desk.work.expect(kind.name, 1.0, kind.target)
@@ -255,19 +256,23 @@
         told = (call.request, refusal.retry_after)
         self.world.after(CLIENT_SECONDS, self.world.refused, told)
 
-    def refuse_throttled(self, desk: Desk, call: Call) -> None:
+    def refuse_closed(self, desk: Desk, call: Call) -> None:
         """Refuse a call for which no server is left that takes one now."""
         now = self.world.now
-        retry_after = throttled_retry(call.waiting, self.random, now)
+        closure = desk.router.closure(now)
+        if closure is None:
+            retry_after = call.waiting.late_retry(now, self.random)
+        else:
+            retry_after = guarded_retry(closure, call.waiting, self.random, now)
         self.close(call)
         self.spent.turned_away(now)
         self.world.after(
             CLIENT_SECONDS, self.world.refused, (call.request, retry_after)
         )
 
-    def answered(self, told: tuple[Run, ResultKind, LoadReport, RateSign]) -> None:
+    def answered(self, told: tuple[Run, ResultKind, LoadReport, ServerWords]) -> None:
         """Take a server's answer."""
-        run, kind, report, sign = told
+        run, kind, report, words = told
         call, now = run.call, self.world.now
         if run.is_gone or not self.is_up:
             return
@@ -277,9 +282,10 @@
         result = AttemptResult(kind, latency, report)
         desk.router.finished(run.server.server_id, result, now)
         load = desk.router.load_by_id.get(run.server.server_id)
-        if load is not None and self.world.mechanisms.throttles:
+        if load is not None:
             answer_kind = KIND_BY_RESULT[kind]
-            desk.router.throttle.book.told(load, sign, answer_kind, run.sent_at, now)
+            words = self.world.heeded(words)
+            desk.router.take_words(load, words, answer_kind, run.sent_at, now)
         run.is_gone = True
         if kind is ResultKind.SHED:
             call.run = None
--- a/benchmarks/overload_load.py
+++ b/benchmarks/overload_load.py
@@ -85,7 +85,17 @@
         return {group.name: group for group in self.services}
 
 
-EVENT_KINDS = ('away', 'burst', 'dark', 'grey', 'leave', 'need', 'outage', 'slow')
+EVENT_KINDS = (
+    'away',
+    'burst',
+    'dark',
+    'grey',
+    'leave',
+    'need',
+    'outage',
+    'rest',
+    'slow',
+)
 LOADS = Path(__file__).with_name('loads')
 
 converter = cattrs.Converter(forbid_extra_keys=True)
--- a/benchmarks/overload_servers.py
+++ b/benchmarks/overload_servers.py
@@ -1,11 +1,14 @@
 """Backend servers under a load: slots that share a machine with noisy neighbours."""
 
+from collections import defaultdict
 from typing import TYPE_CHECKING, Any
 
 from attrs import Factory, define
 
 from benchmarks.overload_load import ServerGroup
+from catkinslip.resting.signs import RestSign
 from catkinslip.routing.base import LoadReport, ResultKind
+from catkinslip.routing.words import ServerWords
 from catkinslip.throttling.signs import RateSign
 
 if TYPE_CHECKING:
@@ -47,6 +50,13 @@
     named_rate: float | None = None
     #: When requests came while it named one.
     came_in_need: list[float] = Factory(list)
+    #: The seconds of rest that it asks each instance for, turning all away; None for
+    #: none.
+    rest: float | None = None
+    #: When it turned requests away and asked for rest, by the instance that sent them.
+    turned_away_by_instance: defaultdict[int, list[float]] = Factory(
+        lambda: defaultdict(list)
+    )
     running: list[Run] = Factory(list)
     waiting: list[Run] = Factory(list)
     moved_at: float = 0.0
@@ -69,7 +79,10 @@
             return
         if self.named_rate is not None:
             self.came_in_need.append(self.world.now)
-        if self.shed_share and self.world.random.random() < self.shed_share:
+        if self.rest is not None:
+            self.turned_away_by_instance[id(run.instance)].append(self.world.now)
+            self.answer(run, ResultKind.SHED)
+        elif self.shed_share and self.world.random.random() < self.shed_share:
             self.answer(run, ResultKind.SHED)
         elif len(self.running) < self.group.slots:
             self.move()
@@ -145,6 +158,7 @@
     def answer(self, run: Run, kind: ResultKind) -> None:
         """Send an answer with a load report."""
         hop = self.world.hop(run.instance.zone, self.zone)
-        sign = RateSign(self.named_rate)
-        told = (run, kind, self.report(), sign)
+        rest = RestSign(self.rest if kind is ResultKind.SHED else None)
+        words = ServerWords(RateSign(self.named_rate), rest)
+        told = (run, kind, self.report(), words)
         self.world.after(hop, run.instance.answered, told)
--- a/benchmarks/overload_world.py
+++ b/benchmarks/overload_world.py
@@ -19,12 +19,15 @@
 from catkinslip.admission.waiting import AdmissionSettings
 from catkinslip.config.documents import Backend, Service
 from catkinslip.health.sharing import FLUSH_SECONDS
+from catkinslip.resting.signs import NO_REST
 from catkinslip.routing.base import BackendLoad
 from catkinslip.routing.delay import REPORT_MEMORY_SECONDS, ExpectedDelay
 from catkinslip.routing.router import ServiceRouter
 from catkinslip.routing.sample import SAMPLE_SIZE, Sample
+from catkinslip.routing.words import ServerWords
 from catkinslip.throttling.gate import ThrottleGate
 from catkinslip.throttling.shares import divide_rate
+from catkinslip.throttling.signs import NO_RATE
 from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
 from catkinslip.warmup.senders import Place
 from catkinslip.wiring.entry import (
@@ -40,6 +43,16 @@
 TAIL_SECONDS = 3.0
 
 
+#: What an event changes of a server, and what it is after it.
+FIELD_BY_KIND: dict[str, tuple[str, Any]] = {
+    'dark': ('is_dark', False),
+    'grey': ('shed_share', 0.0),
+    'need': ('named_rate', None),
+    'rest': ('rest', None),
+    'slow': ('fault_slowness', 1.0),
+}
+
+
 @frozen
 class Mechanisms:
     """Ways to know and choose servers, each of which can be switched off."""
@@ -50,6 +63,8 @@
     weighs_sheds: bool = True
     #: Whether the rates that servers in need name are kept.
     throttles: bool = True
+    #: Whether the rest that servers ask for is kept.
+    rests: bool = True
     #: Seconds for which a report of requests in flight is believed.
     report_memory: float = REPORT_MEMORY_SECONDS
     zone_hop: float = ZONE_HOP_SECONDS
@@ -110,6 +125,11 @@
             instance.desk_by_service[name] = desk
             self.list_servers(instance, name, group)
 
+    def heeded(self, words: ServerWords) -> ServerWords:
+        """Return what instances heed of what an answer asks for."""
+        rate = words.rate if self.mechanisms.throttles else NO_RATE
+        return ServerWords(rate, words.rest if self.mechanisms.rests else NO_REST)
+
     def divide_named(self, load: BackendLoad, per_second: float) -> dict[Sender, float]:
         """Return what each sender may send to a server in need."""
         zones = [zone.name for zone in self.load.zones]
@@ -194,15 +214,12 @@
             if event.service in ('', each.group.name) and not each.is_leaving
         ]
         hit = self.random.sample(servers, round(event.share * len(servers)))
+        if event.kind in FIELD_BY_KIND:
+            field, after = FIELD_BY_KIND[event.kind]
+            during = True if event.kind == 'dark' else event.x
+            self._change(hit, event.for_s, field, during, after)
+            return
         match event.kind:
-            case 'slow':
-                self._change(hit, event.for_s, 'fault_slowness', event.x, 1.0)
-            case 'dark':
-                self._change(hit, event.for_s, 'is_dark', True, False)
-            case 'grey':
-                self._change(hit, event.for_s, 'shed_share', event.x, 0.0)
-            case 'need':
-                self._change(hit, event.for_s, 'named_rate', event.x, None)
             case 'away':
                 self._leave(hit)
                 self.after(event.for_s, self._return, hit)
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -125,18 +125,22 @@
         for load in loads:
             if asked == most:
                 return
-            if self._may_ask(load) and self._take_probe(load.backend_id, rate, now):
+            if not self._may_ask(router, load):
+                continue
+            if self._take_probe(load.backend_id, rate, now):
                 self._start(router, load)
                 asked += 1
 
-    def _may_ask(self, load: BackendLoad) -> bool:
-        """Tell whether a probe would be under way at once.
+    def _may_ask(self, router: ServiceRouter, load: BackendLoad) -> bool:
+        """Tell whether a server may be probed, and a probe would be under way at once.
 
         One that waits here for a connection would make its server look silent.
         """
         address = self.health.directory.address_by_backend.get(load.backend_id)
         if address is None or load.backend_id in self.asking:
             return False
+        if not router.may_probe(load, self.clock.monotonic()):
+            return False
         return not self.pool.is_full(address)
 
     async def refresh(self, router: ServiceRouter, tried: Collection[str]) -> None:
@@ -152,7 +156,7 @@
     async def look(self, router: ServiceRouter, backend_id: str) -> None:
         """Ask one server, unless the budget is spent."""
         load = router.load_by_id.get(backend_id)
-        if load is None or not self._may_ask(load):
+        if load is None or not self._may_ask(router, load):
             return
         if self._take_probe(backend_id, self._rate(), self.clock.monotonic()):
             await self._ask_all(router, [load])
@@ -216,7 +220,7 @@
         for load, _, _ in ranked:
             if now - load.reported_at <= FRESH_SECONDS or load.is_silent:
                 continue
-            if not self._may_ask(load):
+            if not self._may_ask(router, load):
                 continue
             if self._take_probe(load.backend_id, rate, now):
                 leaders.append(load)
@@ -283,6 +287,9 @@
         request = self.dialect.probe_request(backend.service, service.health_path)
         picks_before = load.picks_since_report
         sent_at = self.clock.monotonic()
+        if not router.may_probe(load, sent_at):
+            # It asked for rest while this waited for a connection.
+            return True
         await wire.send(request, h11.EndOfMessage())
         response = await receive_response(wire)
         await drain_body(wire)
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -106,19 +106,14 @@
             self.limits_by_service[service] = limits
         if now - limits.resized_at >= RESIZE_SECONDS:
             limits.resized_at = now
-            self._resize(service, limits, router)
+            self._resize(service, limits, router, now)
         limits.load.sweep(now)
         return limits
 
     def _resize(
-        self, service: str, limits: ServiceLimits, router: ServiceRouter
+        self, service: str, limits: ServiceLimits, router: ServiceRouter, now: float
     ) -> None:
-        book = router.throttle.book
-        usable = [
-            each
-            for each in router.loads
-            if not each.draining and book.find(each) is None
-        ]
+        usable = [each for each in router.loads if router.carries(each, now)]
         slots = usable[0].slots if usable else 1
         instances = self.count_instances(service)
         limits.load.resize(slots, len(usable), instances, self.settings.queue_depth)
--- a/catkinslip/metrics/health.py
+++ b/catkinslip/metrics/health.py
@@ -48,14 +48,14 @@
         )
         events = counter(
             'catkinslip_rest_events_total',
-            'Times that servers asked this instance for rest, or asked unreadably.',
+            'Rests that servers asked for or named unreadably, and their ends.',
             'event',
         )
         count_by_event = Counter()
         routers = self.health.directory.router_by_service
         for service, router in sorted(routers.items()):
-            resting.add(len(router.rests.resting(now)), service)
-            count_by_event.update(router.rests.events)
+            resting.add(len(router.rest.book.resting(now)), service)
+            count_by_event.update(router.rest.book.events)
         for event, count in sorted(count_by_event.items()):
             events.add(count, event)
         yield resting
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -23,6 +23,7 @@
     EVACUATED = ('evacuated', 503, 'All zones with servers are evacuated.')
     COLD = ('cold', 503, 'Only cold servers are left, which bear no more now.')
     THROTTLED = ('throttled', 503, 'Servers in need take no more requests now.')
+    RESTING = ('resting', 503, 'All servers asked this instance for rest.')
     SERVER_LEFT = ('server-left', 503, 'The backend server takes no new work now.')
     CONNECT_FAILED = ('connect-failed', 503, 'No backend server could be reached.')
     CONNECTION_LIMIT = ('connection-limit', 503, 'Too many connections are open.')
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -148,9 +148,7 @@
     def _may_send(self, launch: Launch) -> bool:
         """Tell whether the first byte may be sent now, as a connection is there."""
         load, now = launch.load, self.clock.monotonic()
-        return self.router.takes_requests(load) and self.router.gates.may_send(
-            load, launch.permits, now
-        )
+        return self.router.may_send(load, launch.permits, now)
 
     def _take_head(
         self, load: BackendLoad | None, headers: Headers, report: LoadReport | None
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -8,7 +8,7 @@
 import trio
 from attrs import define, field
 
-from catkinslip.admission.throttled import throttled_retry
+from catkinslip.admission.guarded import guarded_retry
 from catkinslip.admission.waiting import Verdict, WaitingCall
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
@@ -17,12 +17,21 @@
 from catkinslip.proxy.calls import Call
 from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.routing.base import Choice
+from catkinslip.routing.gates import GuardWord
 from catkinslip.routing.router import ServiceRouter
 
 log = logging.getLogger('limits')
 
-#: What a cold server bears is counted in seconds; half of one is left on average.
-COLD_RETRY_SECONDS = 0.5
+REASON_BY_WORD = {
+    GuardWord.RATE: Reason.THROTTLED,
+    GuardWord.COLD: Reason.COLD,
+    GuardWord.REST: Reason.RESTING,
+}
+DETAIL_BY_WORD = {
+    GuardWord.RATE: 'servers in need at their rates',
+    GuardWord.COLD: 'cold servers',
+    GuardWord.REST: 'servers that asked for rest',
+}
 
 
 @define
@@ -91,15 +100,14 @@
     def _refuse_guarded(self) -> NotRun | None:
         """Refuse a call where only servers are left that bear no more now."""
         now = self.clock.monotonic()
-        throttled = self.router.throttled(now)
-        cold = self.router.cold.closed(now)
-        if throttled:
-            refusal = self._refuse_throttled(len(throttled), now)
-        elif cold:
-            detail = f'{len(cold)} cold servers'
-            refusal = NotRun(Reason.COLD, detail, retry_after=COLD_RETRY_SECONDS)
-        else:
+        closure = self.router.closure(now)
+        if closure is None:
             return None
+        refusal = NotRun(
+            REASON_BY_WORD[closure.word],
+            f'{closure.servers} {DETAIL_BY_WORD[closure.word]}',
+            retry_after=guarded_retry(closure, self.waiting, self.random, now),
+        )
         log.info(
             'limits: %s %s is refused, %s, back_ms=%.0f.',
             self.call.request_id,
@@ -109,11 +117,6 @@
         )
         return refusal
 
-    def _refuse_throttled(self, count: int, now: float) -> NotRun:
-        retry_after = throttled_retry(self.waiting, self.random, now)
-        detail = f'{count} servers in need at their rates'
-        return NotRun(Reason.THROTTLED, detail, retry_after=retry_after)
-
     def reason(self, choice: Choice) -> object:
         """Return why a server was chosen, for the log."""
         return f'late, {choice.reason}' if self.waiting.is_late else choice.reason
--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -11,6 +11,7 @@
 from catkinslip.config.difference import DocumentDifference, compare
 from catkinslip.config.documents import AcceptedConfig, Backend, Document, Service
 from catkinslip.models import Address
+from catkinslip.resting.gate import RestGate
 from catkinslip.routing.base import BackendLoad, Policy
 from catkinslip.routing.router import ServiceRouter, ignore_news
 from catkinslip.routing.sample import Sample
@@ -33,6 +34,7 @@
     make_policy: Callable[[], Policy]
     router_by_service: dict[str, ServiceRouter] = Factory(dict)
     throttle_by_service: dict[str, ThrottleGate] = Factory(dict)
+    rest_by_service: dict[str, RestGate] = Factory(dict)
     address_by_backend: dict[str, Address] = Factory(dict)
     document: Document = Factory(Document)
     #: Where each service's choice among many servers begins.
@@ -99,6 +101,8 @@
                 closed_zones=self.closed_zones,
                 cold=self.make_gate(),
                 throttle=throttle,
+                # What servers asked for, also of a service that is back.
+                rest=self.rest_by_service.setdefault(service, RestGate()),
             )
             self.router_by_service[service] = router
         return router
--- a/catkinslip/routing/gates.py
+++ b/catkinslip/routing/gates.py
@@ -1,13 +1,44 @@
-"""Servers that may get only so many requests, and leave to send them one."""
+"""Servers that may get only so many requests, and leave to send them one.
+
+What narrows what a server may be sent, in the order in which it is asked right before
+the first byte (`ServiceRouter.may_send`):
+
+1. its entry: gone, started again, draining; its own word that it leaves (`health/`);
+2. the operators: its availability zone is evacuated;
+3. it names a rate (`throttling/`), is cold (`warmup/`), wants rest (`resting/`): gates.
+
+Servers that requests end are looked at before the choice (`crashes/`), as that is about
+the request.
+"""
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from enum import Enum, unique
+from typing import ClassVar
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from catkinslip.routing.base import BackendLoad
 
 
+@unique
+class GuardWord(Enum):
+    """Why a server may get only so many requests."""
+
+    COLD = 'cold'
+    RATE = 'rate'
+    REST = 'rest'
+
+
+@frozen
+class Closure:
+    """Servers that one gate keeps requests from; seconds until the first has room."""
+
+    word: GuardWord
+    servers: int
+    wait_seconds: float
+
+
 @define
 class GuardedServer(ABC):
     """A server that may get only so many requests."""
@@ -44,6 +75,8 @@
 class Gate(ABC):
     """Keep requests from the guarded servers of one service, of one kind."""
 
+    word: ClassVar[GuardWord]
+
     @abstractmethod
     def closed(self, now: float) -> list[str]:
         """Return the guarded servers that this instance may send nothing now."""
@@ -60,6 +93,22 @@
     def forget(self, load: BackendLoad) -> None:
         """Forget a server that is gone."""
 
+    def take_back(self, load: BackendLoad) -> None:
+        """Take a server that is new here; one that was here before may be guarded."""
+        return
+
+    def carries(self, load: BackendLoad, now: float) -> bool:
+        """Tell whether a server takes its usual share of the load."""
+        return True
+
+    def may_probe(self, load: BackendLoad, now: float) -> bool:
+        """Tell whether a server may be probed; most want requests to be few."""
+        return True
+
+    def wait_seconds(self, load: BackendLoad, now: float) -> float:
+        """Return the seconds until a closed server may have room, as far as known."""
+        return 0.0
+
     def reserve(self, load: BackendLoad | None, now: float) -> Permit | None:
         """Return leave for one request; None where none is needed, or none is left."""
         server = self.find(load, now)
@@ -117,6 +166,19 @@
         for gate in self.gates:
             gate.forget(load)
 
+    def take_back(self, load: BackendLoad) -> None:
+        """Take a server that is new here; one that was here before may be guarded."""
+        for gate in self.gates:
+            gate.take_back(load)
+
+    def carries(self, load: BackendLoad, now: float) -> bool:
+        """Tell whether a server takes its usual share of the load."""
+        return all(gate.carries(load, now) for gate in self.gates)
+
+    def may_probe(self, load: BackendLoad, now: float) -> bool:
+        """Tell whether a server may be probed."""
+        return all(gate.may_probe(load, now) for gate in self.gates)
+
     def reserve(self, load: BackendLoad | None, now: float) -> Permits:
         """Return leave for one request, one of each gate."""
         return [gate.reserve(load, now) for gate in self.gates]
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -6,7 +6,7 @@
 from attrs import Factory, define
 
 from catkinslip.config.documents import Backend, Service
-from catkinslip.resting.book import RestBook
+from catkinslip.resting.gate import RestGate
 from catkinslip.routing.base import (
     GOOD_DELAY,
     AttemptResult,
@@ -17,7 +17,7 @@
     Policy,
 )
 from catkinslip.routing.evidence import pause
-from catkinslip.routing.gates import Gates, Permits
+from catkinslip.routing.gates import Closure, Gates, Permits
 from catkinslip.routing.sample import Sample
 from catkinslip.routing.words import ServerWords
 from catkinslip.throttling.gate import ThrottleGate
@@ -50,10 +50,10 @@
     cold: ColdGate = Factory(ColdGate)
     #: Keeps requests from servers that name the rate that they take.
     throttle: ThrottleGate = Factory(ThrottleGate)
-    #: What servers asked for in the way of rest.
-    rests: RestBook = Factory(RestBook)
+    #: Keeps requests from servers that asked for rest.
+    rest: RestGate = Factory(RestGate)
     gates: Gates = Factory(
-        lambda self: Gates((self.cold, self.throttle)), takes_self=True
+        lambda self: Gates((self.throttle, self.cold, self.rest)), takes_self=True
     )
     #: Learns of each server whose load or own requests changed.
     on_news: Callable[[BackendLoad], None] = ignore_news
@@ -94,7 +94,7 @@
                     incarnation=backend.incarnation,
                 )
                 self.load_by_id[backend_id] = load
-                self.throttle.take_back(load)
+                self.gates.take_back(load)
             load.slots = backend.slots or service.slots
             load.draining = backend.draining
             self._take_cold(load, backend, now, is_new=is_new)
@@ -188,10 +188,27 @@
         closed = self.gates.closed(now)
         return {*excluded, *closed} if closed else excluded
 
-    def throttled(self, now: float) -> list[str]:
-        """Return servers in need that this instance may send nothing now."""
-        closed = self.throttle.closed(now)
-        return [it for it in closed if self.takes_requests(self.load_by_id.get(it))]
+    def closure(self, now: float) -> Closure | None:
+        """Return why no server is left, by the first gate that closed some."""
+        for gate in self.gates.gates:
+            loads = map(self.load_by_id.get, gate.closed(now))
+            closed = [load for load in loads if self.takes_requests(load)]
+            if closed:
+                wait_seconds = min(gate.wait_seconds(load, now) for load in closed)
+                return Closure(gate.word, len(closed), wait_seconds)
+        return None
+
+    def may_send(self, load: BackendLoad | None, permits: Permits, now: float) -> bool:
+        """Tell whether the first byte may be sent now, and count the request."""
+        return self.takes_requests(load) and self.gates.may_send(load, permits, now)
+
+    def may_probe(self, load: BackendLoad, now: float) -> bool:
+        """Tell whether a server may be probed."""
+        return self.gates.may_probe(load, now)
+
+    def carries(self, load: BackendLoad, now: float) -> bool:
+        """Tell whether a server of an open zone takes its usual share of the load."""
+        return not load.draining and self.gates.carries(load, now)
 
     def _due(self, excluded: Collection[str], now: float) -> list[Estimate]:
         """Return servers whose need may be over and that are likely idle, best first.
@@ -293,11 +310,12 @@
     ) -> None:
         """Take what an answer asks for to a request that was sent at a time."""
         self.throttle.book.told(load, words.rate, kind, sent_at, now)
-        self.rests.told(load, words.rest, kind.value, now)
+        self.rest.book.told(load, words.rest, kind, sent_at, now)
 
     def narrowed(self, load: BackendLoad | None, now: float) -> str:
         """Return which words of a server narrow what it may get, for the log."""
-        rate, rest = self.throttle.book.find(load), self.rests.find(load, now)
+        rate = self.throttle.book.find(load)
+        rest = self.rest.book.find(load, now)
         words = []
         if rate is not None:
             words.append(f'rate={rate.per_second:g}')
--- a/catkinslip/throttling/gate.py
+++ b/catkinslip/throttling/gate.py
@@ -6,7 +6,7 @@
 from attrs import Factory, define
 
 from catkinslip.routing.base import NEVER, BackendLoad
-from catkinslip.routing.gates import Gate, GuardedServer
+from catkinslip.routing.gates import Gate, GuardedServer, GuardWord
 from catkinslip.throttling.book import NamedRate, RateBook
 from catkinslip.throttling.shares import own_rate
 from catkinslip.warmup.quotas import Sender
@@ -51,6 +51,8 @@
 class ThrottleGate(Gate):
     """Keep requests from servers in need beyond this instance's part of their rate."""
 
+    word = GuardWord.RATE
+
     divide: Divide = give_nobody
     place: Callable[[], Place | None] = no_place
     book: RateBook = Factory(RateBook)
@@ -92,8 +94,12 @@
         """Tell whether this instance may send another request."""
         return self._wait_seconds(server, self.place(), now) == 0
 
+    def carries(self, load: BackendLoad, now: float) -> bool:
+        """Tell whether a server takes its usual share of the load."""
+        return self.book.find(load) is None
+
     def take_back(self, load: BackendLoad) -> None:
-        """Take a server that is new here."""
+        """Take a server that is new here; one that was here before may be in need."""
         self.server_by_id.pop(load.backend_id, None)
         self.book.take_back(load)
 
--- a/catkinslip/warmup/gate.py
+++ b/catkinslip/warmup/gate.py
@@ -8,7 +8,7 @@
 from attrs import Factory, define
 
 from catkinslip.routing.base import NEVER, BackendLoad
-from catkinslip.routing.gates import Gate, GuardedServer
+from catkinslip.routing.gates import Gate, GuardedServer, GuardWord
 from catkinslip.warmup.quotas import Sender
 
 #: The bound holds for any second; a little more, as clocks tick in steps.
@@ -53,6 +53,8 @@
 class ColdGate(Gate):
     """Keep requests from the cold servers of one service beyond the own quota."""
 
+    word = GuardWord.COLD
+
     divide: Divide = give_nobody
     sender: Callable[[], Sender | None] = no_sender
     #: How long a server is cold after its start, where it does not tell.
--- a/tests/test_resting_book.py
+++ b/tests/test_resting_book.py
@@ -6,6 +6,7 @@
 from catkinslip.resting.book import RestBook
 from catkinslip.resting.signs import MALFORMED_REST, NO_REST, RestSign
 from catkinslip.routing.base import BackendLoad
+from catkinslip.throttling.signs import AnswerKind
 
 NOW = 100.0
 
@@ -48,7 +49,7 @@
 
     def ask(self, seconds: float, now: float = NOW) -> None:
         """Take a refusal that asks for rest."""
-        self.book.told(self.load, RestSign(seconds), 'refusal', now)
+        self.book.told(self.load, RestSign(seconds), AnswerKind.REFUSAL, now, now)
 
     def test_rest_lasts_as_long_as_it_was_asked_for(self):
         self.ask(3.0)
@@ -71,7 +72,7 @@
         self.ask(3.0)
         with self.assertLogs('resting', 'WARNING') as logs:
             for _ in range(3):
-                self.book.told(self.load, MALFORMED_REST, 'refusal', NOW)
+                self.book.told(self.load, MALFORMED_REST, AnswerKind.REFUSAL, NOW, NOW)
         self.assertEqual(len(logs.records), 1)
         self.assertEqual(self.book.events['malformed'], 3)
         self.assertIsNotNone(self.book.find(self.load, NOW + 2))
--- a/tests/test_resting_path.py
+++ b/tests/test_resting_path.py
@@ -1,10 +1,84 @@
 """Servers that ask for rest, on the users' platform, in one loop."""
 
 import unittest
+from functools import partial
+from random import Random
 
+import trio
+
+from catkinslip.admission.guarded import MOST_SOON_SECONDS, SOON_SECONDS, guarded_retry
+from catkinslip.admission.waiting import AdmissionSettings, WaitingCall
+from catkinslip.config.documents import (
+    AcceptedConfig,
+    Backend,
+    Document,
+    Register,
+    Service,
+)
 from catkinslip.entry import metrics_page
+from catkinslip.resting.signs import NO_REST, RestSign
+from catkinslip.routing.base import AttemptResult, BackendLoad, ResultKind
+from catkinslip.routing.directory import Directory
+from catkinslip.routing.gates import Closure, GuardWord
+from catkinslip.routing.policies import LeastInFlight
+from catkinslip.routing.router import ServiceRouter
+from catkinslip.routing.words import ServerWords
+from catkinslip.throttling.signs import AnswerKind
 from standins.workers import Fault
-from tests.small_platform import on_platform, wait_for
+from tests.small_platform import SmallPlatform, on_platform, wait_for
+
+NOW = 100.0
+REST_SECONDS = 3.0
+
+
+def router_of(*server_ids: str) -> ServiceRouter:
+    """Return the choice among some servers."""
+    router = ServiceRouter(LeastInFlight(Random(1)))
+    router.update(Service(), servers(*server_ids), NOW)
+    return router
+
+
+def servers(*server_ids: str, incarnation: int = 0) -> dict[str, Backend]:
+    """Return the entries of some servers."""
+    return {
+        server_id: Backend(
+            'one', zone='zone-a', host='10.0.0.1', port=80, incarnation=incarnation
+        )
+        for server_id in server_ids
+    }
+
+
+def ask_for_rest(router: ServiceRouter, server_id: str, now: float = NOW) -> None:
+    """Take a refusal that asks for rest."""
+    words = ServerWords(rest=RestSign(REST_SECONDS))
+    load = router.load_by_id[server_id]
+    router.take_words(load, words, AnswerKind.REFUSAL, now, now)
+
+
+def take(router: ServiceRouter, server_id: str, sent_at: float, now: float) -> None:
+    """Take a success that asks for nothing."""
+    words = ServerWords(rest=NO_REST)
+    load = router.load_by_id[server_id]
+    router.take_words(load, words, AnswerKind.ANSWER, sent_at, now)
+
+
+async def resting(platform: SmallPlatform, *server_ids: str) -> None:
+    """Start servers that have just asked the one instance for rest."""
+    for server_id in server_ids:
+        await platform.add_worker(server_id, fault=Fault.SHED, rest=b'60')
+    entry = await platform.add_entry()
+    await wait_for(lambda: len(entry.assembler.current_backends) == len(server_ids))
+    router = entry.sampler.health.directory.router_by_service['one']
+    while len(router.rest.book.resting(entry.sampler.clock.monotonic())) < len(
+        server_ids
+    ):
+        await platform.ask('POST', '/p/x', request_id='first')
+
+
+def arrived(platform: SmallPlatform, server_id: str) -> tuple[int, int]:
+    """Return how many requests and probes came to a server."""
+    worker = platform.worker_by_id[server_id]
+    return len(worker.arrived_at), worker.probes
 
 
 class SightTest(unittest.TestCase):
@@ -21,6 +95,7 @@
             text = '\n'.join(record.getMessage() for record in logs.records)
             self.assertIn('i-1 asks for rest. seconds=3 left_s=3.0 by=refusal', text)
             self.assertIn('r1 one may go elsewhere, i-1 ended as not run, shed.', text)
+            self.assertIn('r1 one is refused, 1 servers that asked for rest', text)
             page = (await metrics_page(entry, '')).body.decode()
             self.assertIn('catkinslip_resting_backends{service="one"} 1', page)
             self.assertIn('catkinslip_rest_events_total{event="asked"} 1', page)
@@ -28,5 +103,173 @@
         on_platform(check)
 
 
+class KindsOfSendTest(unittest.TestCase):
+    """No kind of send passes by a rest."""
+
+    def test_second_send_after_a_refusal_and_probes(self):
+        async def check(platform):
+            await resting(platform, 'i-1')
+            await platform.add_worker('i-2', fault=Fault.SHED)
+            backends = platform.entries[0].assembler
+            await wait_for(lambda: len(backends.current_backends) == 2)
+            before = arrived(platform, 'i-1')
+            for number in range(5):
+                answer = await platform.ask('POST', '/p/x', request_id=f'r{number}')
+                self.assertEqual(answer.status_code, 503)
+            self.assertGreater(platform.worker_by_id['i-2'].sheds, 0)
+            self.assertEqual(arrived(platform, 'i-1'), before)
+
+        on_platform(check)
+
+    def test_hedge(self):
+        async def check(platform):
+            await resting(platform, 'i-1')
+            await platform.add_worker('i-2', fault=Fault.SILENT)
+            backends = platform.entries[0].assembler
+            await wait_for(lambda: len(backends.current_backends) == 2)
+            before = arrived(platform, 'i-1')
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    nursery.start_soon(partial(platform.get, request_id=f'r{number}'))
+            self.assertEqual(arrived(platform, 'i-1'), before)
+
+        on_platform(check)
+
+    def test_silent_server_that_asked_for_rest_is_not_probed(self):
+        async def check(platform):
+            await resting(platform, 'i-1')
+            entry = platform.entries[0]
+            router = entry.sampler.health.directory.router_by_service['one']
+            router.unanswered('i-1')
+            before = arrived(platform, 'i-1')
+            await trio.sleep(1.2)
+            self.assertEqual(arrived(platform, 'i-1'), before)
+
+        on_platform(check)
+
+    def test_all_servers_resting_is_a_true_refusal_at_once(self):
+        async def check(platform):
+            await resting(platform, 'i-1', 'i-2')
+            before = arrived(platform, 'i-1'), arrived(platform, 'i-2')
+            began = trio.current_time()
+            answer = await platform.ask('POST', '/p/x', request_id='r9')
+            self.assertEqual(answer.status_code, 503)
+            self.assertIn('resting', answer.text)
+            self.assertLess(trio.current_time() - began, 1.0)
+            self.assertGreaterEqual(float(answer.headers['retry-after']), 0.05)
+            after = arrived(platform, 'i-1'), arrived(platform, 'i-2')
+            self.assertEqual(after, before)
+
+        on_platform(check)
+
+    def test_promised_request_is_not_sent_once_the_server_asked_for_rest(self):
+        router = router_of('a')
+        permits = router.reserve('a', NOW)
+        load = router.started('a', NOW)
+        ask_for_rest(router, 'a')
+        self.assertFalse(router.may_send(load, permits, NOW + 0.1))
+        self.assertTrue(router.may_send(load, permits, NOW + REST_SECONDS))
+
+    def test_resting_server_is_no_room(self):
+        router = router_of('a', 'b')
+        load = router.load_by_id['a']
+        ask_for_rest(router, 'a')
+        self.assertFalse(router.carries(load, NOW + 1))
+        self.assertTrue(router.carries(load, NOW + REST_SECONDS))
+
+
+class EndTest(unittest.TestCase):
+    """What ends a rest, and what does not."""
+
+    def test_one_request_after_the_other_tries_a_server_until_it_takes_one(self):
+        router = router_of('a')
+        ask_for_rest(router, 'a')
+        self.assertIsNone(router.choose(NOW + 2.9))
+        back = NOW + REST_SECONDS
+        self.assertEqual(router.choose(back).backend_id, 'a')
+        router.started('a', back)
+        self.assertIsNone(router.choose(back))
+        # It failed: the next one tries.
+        router.finished('a', AttemptResult(ResultKind.FAILED, 0.1), back + 0.1)
+        self.assertEqual(router.choose(back + 0.2).backend_id, 'a')
+        router.started('a', back + 0.2)
+        take(router, 'a', back + 0.2, back + 0.3)
+        self.assertEqual(router.choose(back + 0.3).backend_id, 'a')
+
+    def test_answer_to_a_request_of_before_ends_nothing(self):
+        router = router_of('a')
+        router.started('a', NOW - 1)
+        ask_for_rest(router, 'a')
+        take(router, 'a', NOW - 1, NOW + 0.2)
+        self.assertIsNone(router.choose(NOW + 1))
+
+    def test_request_of_before_that_still_runs_is_no_trial(self):
+        router = router_of('a')
+        router.started('a', NOW - 1)
+        ask_for_rest(router, 'a')
+        self.assertEqual(router.choose(NOW + REST_SECONDS).backend_id, 'a')
+
+    def test_entry_that_lapses_and_is_back_ends_no_rest(self):
+        router = router_of('a')
+        ask_for_rest(router, 'a')
+        router.update(Service(), {}, NOW)
+        router.update(Service(), servers('a'), NOW + 0.5)
+        self.assertIsNone(router.choose(NOW + 1))
+        self.assertIsNotNone(router.choose(NOW + REST_SECONDS))
+
+    def test_next_start_of_a_server_does_not_rest(self):
+        router = router_of('a')
+        ask_for_rest(router, 'a')
+        router.update(Service(), servers('a', incarnation=7), NOW)
+        self.assertIsNotNone(router.choose(NOW + 1))
+
+    def test_service_that_is_gone_and_back_ends_no_rest(self):
+        directory = Directory(lambda: LeastInFlight(Random(1)))
+        document = Document(Register({'one': Service()}, servers('a')))
+        directory.update(AcceptedConfig(document=document))
+        router = directory.router_by_service['one']
+        ask_for_rest(router, 'a', directory.clock.monotonic())
+        directory.update(AcceptedConfig())
+        directory.update(AcceptedConfig(document=document))
+        router = directory.router_by_service['one']
+        self.assertIsNone(router.choose(directory.clock.monotonic()))
+
+
+class RetryTest(unittest.TestCase):
+    """When callers come back that found only resting servers."""
+
+    def retry(self, wait: float, *, is_late: bool = False) -> float:
+        """Return when a call with 0.4 s for its answer may come back."""
+        closure = Closure(GuardWord.REST, 1, wait)
+        waiting = WaitingCall(
+            AdmissionSettings(), NOW, NOW + 0.4, NOW + 3, NOW + 3, 0.4, is_late=is_late
+        )
+        return guarded_retry(closure, waiting, Random(1), NOW)
+
+    def test_rest_that_ends_in_time_is_waited_for(self):
+        self.assertGreaterEqual(self.retry(0.2), 0.2)
+        self.assertLess(self.retry(0.2), 0.4)
+
+    def test_another_instance_may_have_room_where_the_rest_lasts(self):
+        self.assertGreaterEqual(self.retry(2.0), SOON_SECONDS)
+        self.assertLessEqual(self.retry(2.0), MOST_SOON_SECONDS)
+
+    def test_late_call_comes_back_later(self):
+        self.assertGreater(self.retry(2.0, is_late=True), 0.5)
+
+
+class TakenBackTest(unittest.TestCase):
+    """What is known of a server belongs to one start of it."""
+
+    def test_rest_holds_for_the_server_as_it_is_known_now(self):
+        router = router_of('a')
+        ask_for_rest(router, 'a')
+        router.update(Service(), {}, NOW)
+        router.update(Service(), servers('a'), NOW)
+        rest = router.rest.book.rest_by_id['a']
+        self.assertIs(rest.load, router.load_by_id['a'])
+        self.assertIsInstance(rest.load, BackendLoad)
+
+
 if __name__ == '__main__':
     unittest.main()
