Send nothing more to a server that says in an answer that it leaves

The platform's servers say it in all answers (Server-Leaving: 1), and an instance that passed on such an answer may send nothing there later than the drain time, in touch with the store or not. Nobody read the header: what counted was the entry, which nobody can change while the store is away.

It is the sign that the product's own interface has (`catkinslip-drain`), so it goes to the same table: answers, refusals, errors and probes give it, the choice and the one place before the first byte ask for `draining` as before. It holds for one start of the server. That an entry goes on to say ready ends nothing, nor that it lapses and is back: the word was forgotten with the entry, the third word of a server that was (rates, rests).

No instance is told of it by others: each learns it with its next answer or probe, and from the entry.

--- a/catkinslip/health/drain.py
+++ b/catkinslip/health/drain.py
@@ -24,6 +24,8 @@
 RETURNED_KEPT_SECONDS = 3600.0
 #: Leaving ends by time alone only where probes are turned off.
 UNPROVED_SECONDS = 600.0
+#: Entries lapse in outages of the store, those of many servers at once.
+MOST_GONE = 1000
 
 
 @unique
@@ -84,12 +86,22 @@
         )
 
 
+@frozen
+class GoneWord:
+    """The word on a server whose entry is gone, and since when; monotonic seconds."""
+
+    held: HeldWord
+    at: float
+
+
 @define
 class DrainTable:
     """Merge the signs of all backend servers."""
 
     held_by_key: dict[BackendKey, HeldWord] = Factory(dict)
     list_view_by_key: dict[BackendKey, ListView] = Factory(dict)
+    #: Leaving servers whose entries are gone, the oldest first.
+    gone_by_key: dict[BackendKey, GoneWord] = Factory(dict)
     #: Servers whose word changed since they were last taken.
     changed: set[BackendKey] = Factory(set)
 
@@ -164,10 +176,25 @@
         if now - self.held_by_key[key].last_sign_at() >= UNPROVED_SECONDS:
             self._end(key, now)
 
-    def forget(self, key: BackendKey) -> None:
-        """Forget a server that left the register."""
-        self.held_by_key.pop(key, None)
+    def forget(self, key: BackendKey, now: float) -> None:
+        """Forget a server that left the register, but for a word of its leaving.
+
+        Entries lapse while the platform's store is away, and are back.
+        """
         self.list_view_by_key.pop(key, None)
+        held = self.held_by_key.pop(key, None)
+        if held is None or not held.word.leaving:
+            return
+        if len(self.gone_by_key) >= MOST_GONE:
+            del self.gone_by_key[next(iter(self.gone_by_key))]
+        self.gone_by_key[key] = GoneWord(held, now)
+
+    def take_back(self, key: BackendKey, now: float) -> None:
+        """Take a server that is new here; one that was here before may be leaving."""
+        gone = self.gone_by_key.pop(key, None)
+        if gone is not None and now - gone.at < UNPROVED_SECONDS:
+            self.held_by_key[key] = gone.held
+            self.changed.add(key)
 
     def forget_old(self, now: float) -> None:
         """Forget returns of long ago."""
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -304,6 +304,8 @@
         if answer.report is not None:
             router.learned(load.backend_id, answer.report, answered_at, picks_before)
         router.take_words(load, answer.words, AnswerKind.PROBE, sent_at, now)
+        if answer.words.is_leaving:
+            self.health.leaves(load.backend_id)
         if answer.cold_seconds is None:
             log.info('health: unreadable cold time. backend=%s', load.backend_id)
         else:
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -86,10 +86,12 @@
         if old is not None:
             del self.key_by_id[backend_id]
             self.leaving_keys.discard(old)
-            for table in (self.drain, self.reports, self.reachability):
+            self.drain.forget(old, now)
+            for table in (self.reports, self.reachability):
                 table.forget(old)
         if new is not None:
             self.key_by_id[backend_id] = new
+            self.drain.take_back(new, now)
             self.reports.expect(new, now)
 
     def count_call(self, service: str) -> None:
@@ -121,6 +123,13 @@
             self.drain.sign(key, DrainSign.CLOSE, now)
         self.settle()
 
+    def leaves(self, backend_id: str) -> None:
+        """Take that a server said in an answer that it leaves."""
+        key = self.key_by_id.get(backend_id)
+        if key is not None:
+            self.drain.sign(key, DrainSign.OWN, self.clock.monotonic())
+            self.settle()
+
     def refused(self, backend_id: str) -> None:
         """Take a refused connection."""
         key = self.key_by_id.get(backend_id)
--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -27,6 +27,7 @@
 USUAL_PERCENT = 100.0
 MOST_PERCENT = 1_000_000.0
 MISDIRECTED_STATUS = 421
+SAYS_LEAVING = b'1'
 #: A cold start that lasts a day is none.
 MOST_COLD_SECONDS = 86_400.0
 #: A server that is to get nothing for longer leaves.
@@ -110,7 +111,12 @@
 
     def read_words(self, status: int, headers: Sequence[Header]) -> ServerWords:
         """Return what an answer asks for in the name of its server."""
-        return ServerWords(read_rate(headers), read_rest(status, headers))
+        leaving = names.find(headers, wire.LEAVING)
+        return ServerWords(
+            read_rate(headers),
+            read_rest(status, headers),
+            is_leaving=leaving is not None and leaving.strip() == SAYS_LEAVING,
+        )
 
     def answer_headers(self, call: Call, headers: list[Header]) -> list[Header]:
         """Return an answer's headers for the caller."""
--- a/catkinslip/platform/names.py
+++ b/catkinslip/platform/names.py
@@ -33,6 +33,8 @@
 RATE: Final = b'server-limit'
 #: On a refusal: the seconds for which the server wants nothing from this instance.
 REST: Final = b'retry-after'
+#: The server leaves, and its entry says so now or soon.
+LEAVING: Final = b'server-leaving'
 #: On answers to probes, and of a server that is not the named one.
 SERVER_ID: Final = b'instance-id'
 #: On answers to probes: milliseconds that the server stays cold.
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -167,6 +167,8 @@
         if self.router.is_known(load):
             now = self.clock.monotonic()
             self.router.take_words(load, words, kind, sent_at, now)
+            if words.is_leaving:
+                self.health.leaves(load.backend_id)
 
     def _take_break(self, backend_id: str, broken: Break) -> None:
         log.info(
--- a/catkinslip/routing/words.py
+++ b/catkinslip/routing/words.py
@@ -12,6 +12,8 @@
 
     rate: RateSign = NO_RATE
     rest: RestSign = NO_REST
+    #: Whether it leaves and takes no new requests.
+    is_leaving: bool = False
 
 
 NO_WORDS = ServerWords()
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -81,6 +81,8 @@
     named_rate: bytes | None = None
     #: The seconds of rest that its refusals ask for; None for none.
     rest: bytes | None = None
+    #: Whether all its answers say that it leaves.
+    is_leaving: bool = False
     #: Whether probes and refusals name it too.
     is_rate_everywhere: bool = False
     #: When requests for it came.
@@ -124,7 +126,8 @@
             headers = self._rate_headers(is_answer=False)
             if self.cold_seconds:
                 headers.append((b'cold-ms', b'%d' % (self.cold_seconds * 1000)))
-            await self._send(stream, codec, 200, headers, b'')
+            status = 503 if self.is_leaving else 200
+            await self._send(stream, codec, status, headers, b'')
             return True
         return await self._work(stream, codec, head, body)
 
@@ -214,6 +217,8 @@
         load = f'{self.running},{self.waiting},{self.slots},{self.percent}'
         headers = [*headers, (b'server-load', load.encode())]
         headers.append((b'instance-id', self.server_id.encode()))
+        if self.is_leaving:
+            headers.append((b'server-leaving', b'1'))
         if self.is_unframed and body:
             headers.append((b'connection', b'close'))
         else:
--- /dev/null
+++ b/tests/test_leaving_path.py
@@ -0,0 +1,134 @@
+"""Servers that say in their answers that they leave, on the users' platform."""
+
+import unittest
+
+import trio
+
+from catkinslip.platform.dialect import PlatformDialect
+from standins.workers import Fault
+from tests.platform_builders import server_item
+from tests.small_platform import SmallPlatform, on_platform, wait_for
+
+CALLS = 16
+WORK_SECONDS = 0.02
+
+
+async def call_some(platform: SmallPlatform, name: str) -> list[int]:
+    """Send more requests at once than one server has slots; return the statuses."""
+    statuses: list[int] = []
+
+    async def call(number: int) -> None:
+        answer = await platform.ask('POST', '/p/x', request_id=f'{name}-{number}')
+        statuses.append(answer.status_code)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(CALLS):
+            nursery.start_soon(call, number)
+    return statuses
+
+
+async def leaving(platform: SmallPlatform) -> None:
+    """Start two servers, and let one of them say once that it leaves."""
+    for server_id in ('i-1', 'i-2'):
+        await platform.add_worker(server_id, work_seconds=WORK_SECONDS)
+    entry = await platform.add_entry()
+    await wait_for(lambda: len(entry.assembler.current_backends) == 2)
+    worker = platform.worker_by_id['i-1']
+    worker.is_leaving = True
+    while not (worker.arrived_at or entry.sampler.health.leaving_ids()):
+        await call_some(platform, 'first')
+
+
+class LeavingTest(unittest.TestCase):
+    """What a server gets that said that it leaves."""
+
+    def test_server_that_said_so_in_an_answer_gets_nothing_more(self):
+        async def check(platform):
+            await leaving(platform)
+            worker = platform.worker_by_id['i-1']
+            before = len(worker.arrived_at)
+            self.assertIn(200, await call_some(platform, 'more'))
+            self.assertEqual(len(worker.arrived_at), before)
+
+        on_platform(check)
+
+    def test_nor_while_the_store_is_away(self):
+        async def check(platform):
+            await leaving(platform)
+            platform.store.faults.refuse_with = 503
+            worker = platform.worker_by_id['i-1']
+            before = len(worker.arrived_at)
+            self.assertIn(200, await call_some(platform, 'more'))
+            self.assertEqual(len(worker.arrived_at), before)
+
+        on_platform(check)
+
+    def test_nor_as_its_entry_goes_on_to_say_ready_or_lapses_and_is_back(self):
+        async def check(platform):
+            await leaving(platform)
+            worker = platform.worker_by_id['i-1']
+            before = len(worker.arrived_at)
+            entry = platform.entries[0]
+            port = entry.sampler.health.directory.address_by_backend['i-1'].port
+            platform.store.put(
+                'servers', 'i-1', *parts(server_item('i-1', 'one', port, slots=3))
+            )
+            router = entry.sampler.health.directory.router_by_service['one']
+            await wait_for(lambda: router.load_by_id['i-1'].slots == 3)
+            await call_some(platform, 'ready')
+            platform.store.remove('servers', 'i-1')
+            await wait_for(lambda: 'i-1' not in router.load_by_id)
+            platform.register('i-1', 'one', port)
+            await wait_for(lambda: 'i-1' in router.load_by_id)
+            self.assertIn(200, await call_some(platform, 'back'))
+            self.assertEqual(len(worker.arrived_at), before)
+
+        on_platform(check)
+
+    def test_refusals_and_errors_and_probes_say_it_too(self):
+        async def check(platform):
+            await platform.add_worker('i-1', fault=Fault.SHED, is_leaving=True)
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.assembler.current_backends)
+            with self.assertLogs('health', 'INFO') as logs:
+                await platform.ask('POST', '/p/x')
+                await wait_for(lambda: entry.sampler.health.leaving_ids())
+            self.assertIn('i-1 is leaving, signs: own.', '\n'.join(logs.output))
+
+        on_platform(check)
+
+    def test_next_start_of_the_server_is_used(self):
+        async def check(platform):
+            await leaving(platform)
+            entry = platform.entries[0]
+            port = entry.sampler.health.directory.address_by_backend['i-1'].port
+            worker = platform.worker_by_id['i-1']
+            worker.is_leaving = False
+            platform.register('i-1', 'one', port, born=1_700_000_000_000)
+            router = entry.sampler.health.directory.router_by_service['one']
+            await wait_for(lambda: router.load_by_id['i-1'].incarnation)
+            before = len(worker.arrived_at)
+            await wait_for(lambda: not router.load_by_id['i-1'].draining)
+            while len(worker.arrived_at) == before:
+                await call_some(platform, 'new')
+
+        on_platform(check)
+
+
+class HeaderTest(unittest.TestCase):
+    """How the header is read."""
+
+    def test_only_one_says_that_the_server_leaves(self):
+        dialect = PlatformDialect()
+        for value, says in ((b'1', True), (b' 1 ', True), (b'0', False), (b'', False)):
+            words = dialect.read_words(200, [(b'server-leaving', value)])
+            self.assertEqual(words.is_leaving, says, value)
+
+
+def parts(item: dict) -> tuple[dict, dict]:
+    """Return what an object holds."""
+    return item['spec'], item['status']
+
+
+if __name__ == '__main__':
+    unittest.main()
