Take no server for leaving because it closes its connections, where it says if it leaves

Found while looking for what else ends a server's work for good. Three answers in a row with `Connection: close` are a sign of leaving on the product's own interface, where probes prove a return. On the platform nobody proves one: an instance that had seen such three answers never used the server again, and refused calls where it was the only one. The platform's pages say that such answers come now and then from any server.

The test failed with 503 for the fourth call (`AssertionError: 503 != 200 : 3`) and holds. On the platform closes no longer count: its servers say in all answers that they leave.

--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -48,6 +48,8 @@
     budget: ProbeBudget
     reachability: Reachability
     max_instances: int
+    #: Whether closes in a row are a sign; only probes that prove a return end it.
+    counts_closes: bool = True
     drain: DrainTable = Factory(DrainTable)
     reports: ReportTable = Factory(ReportTable)
     closes: CloseCounter = Factory(CloseCounter)
@@ -117,12 +119,15 @@
             self.reports.learn(key, KnownReport(report, now))
         if says_drain(headers):
             self.drain.sign(key, DrainSign.OWN, now)
-        elif not self.drain.is_leaving(key) and self.closes.answered(
-            key, says_close(headers)
-        ):
+        elif self._begins_to_close(key, headers):
             self.drain.sign(key, DrainSign.CLOSE, now)
         self.settle()
 
+    def _begins_to_close(self, key: BackendKey, headers: Headers) -> bool:
+        if not self.counts_closes or self.drain.is_leaving(key):
+            return False
+        return self.closes.answered(key, says_close(headers))
+
     def leaves(self, backend_id: str) -> None:
         """Take that a server said in an answer that it leaves."""
         key = self.key_by_id.get(backend_id)
@@ -242,8 +247,19 @@
 
 
 def make_tracker(
-    directory: Directory, clock: Clock, random: Random, max_instances: int
+    directory: Directory,
+    clock: Clock,
+    random: Random,
+    max_instances: int,
+    *,
+    counts_closes: bool = True,
 ) -> HealthTracker:
     """Return a tracker whose budget starts empty now."""
-    budget = ProbeBudget(clock.monotonic())
-    return HealthTracker(directory, clock, budget, Reachability(random), max_instances)
+    return HealthTracker(
+        directory,
+        clock,
+        ProbeBudget(clock.monotonic()),
+        Reachability(random),
+        max_instances,
+        counts_closes=counts_closes,
+    )
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -249,7 +249,9 @@
         'rates': rate_teller.take_rates,
         'doubts': rate_teller.take_doubts,
     }
-    health = make_tracker(directory, clock, random, max_instances=1)
+    health = make_tracker(
+        directory, clock, random, max_instances=1, counts_closes=False
+    )
     pool = BackendPool(instances.shares)
     config.listeners.extend(
         (directory.update, health.update, pool.update, guard.update)
--- a/tests/test_leaving_path.py
+++ b/tests/test_leaving_path.py
@@ -115,6 +115,25 @@
         on_platform(check)
 
 
+class SilentTest(unittest.TestCase):
+    """What does not say that a server leaves."""
+
+    def test_server_that_closes_its_connections_goes_on_to_be_used(self):
+        async def check(platform):
+            await platform.add_worker('i-1')
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.assembler.current_backends)
+            worker = platform.worker_by_id['i-1']
+            await platform.ask('POST', '/p/x', request_id='kept')
+            worker.is_unframed = True
+            for number in range(CALLS):
+                answer = await platform.ask('POST', '/p/x', request_id=f'r{number}')
+                self.assertEqual(answer.status_code, 200, number)
+            self.assertEqual(entry.sampler.health.leaving_ids(), [])
+
+        on_platform(check)
+
+
 class HeaderTest(unittest.TestCase):
     """How the header is read."""
 
