Believe nothing of a server that another one at its address says

Found while reading what answers say in their server's name. Where an address was taken over by another server, it refuses with 421, and its load, rate and leaving were booked on the server that is gone, by its ID: that one would have been taken for leaving, or for one in need. The test failed ('i-1' was among the leaving ones) and holds: nothing is read of such an answer but that the request did not run.

--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -190,9 +190,13 @@
         if fault is not None:
             wire.is_spoiled = True
             return fault
+        refusal = self.dialect.find_refusal(status, headers)
+        if refusal is Reason.MISDIRECTED:
+            # Another server has the address: what it says is of itself.
+            await answers.drain_body(wire)
+            return NotRun(refusal)
         report = self.dialect.read_report(headers)
         self.on_head(headers, report)
-        refusal = self.dialect.find_refusal(status, headers)
         kind = kind_of(status, refusal)
         self.on_words(self.dialect.read_words(status, headers), kind, self.sent_at)
         if refusal is not None:
--- a/tests/test_leaving_path.py
+++ b/tests/test_leaving_path.py
@@ -133,6 +133,20 @@
 
         on_platform(check)
 
+    def test_another_server_at_its_address_speaks_for_itself_alone(self):
+        async def check(platform):
+            port = await platform.add_worker('i-9', service='two', is_leaving=True)
+            platform.register('i-1', 'one', port)
+            entry = await platform.add_entry()
+            await wait_for(lambda: len(entry.assembler.current_backends) == 2)
+            with self.assertLogs('routing', 'INFO') as logs:
+                answer = await platform.ask('POST', '/p/x')
+            self.assertEqual(answer.status_code, 503)
+            self.assertIn('goes to i-1', '\n'.join(logs.output))
+            self.assertNotIn('i-1', entry.sampler.health.leaving_ids())
+
+        on_platform(check)
+
 
 class HeaderTest(unittest.TestCase):
     """How the header is read."""
