Keep a header of HTTP itself out of the platform's names

test_names_stand_in_the_adapter_alone failed since the commit that reads what servers ask for in the way of rest: Retry-After is no name of the platform's, and the product's own interface writes it too. It stands beside its use in the dialect.

--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -28,6 +28,8 @@
 MOST_PERCENT = 1_000_000.0
 MISDIRECTED_STATUS = 421
 SAYS_LEAVING = b'1'
+#: To callers: when to come back; from a server: how long it wants nothing from here.
+RETRY_AFTER = b'retry-after'
 #: A cold start that lasts a day is none.
 MOST_COLD_SECONDS = 86_400.0
 #: A server that is to get nothing for longer leaves.
@@ -140,7 +142,7 @@
         headers = [(wire.REQUEST_ID, request_id.encode())]
         if status == 503:
             seconds = retry_after_seconds(outcome)
-            headers.append((b'retry-after', b'%.3f' % seconds))
+            headers.append((RETRY_AFTER, b'%.3f' % seconds))
         body = b'' if method == b'HEAD' else f'{outcome}\n'.encode()
         headers.append((b'content-type', b'text/plain'))
         headers.append((b'content-length', b'%d' % len(body)))
@@ -204,7 +206,7 @@
     """
     if status not in RESTING_STATUSES:
         return NO_REST
-    values = [value for name, value in headers if name == wire.REST]
+    values = [value for name, value in headers if name == RETRY_AFTER]
     if not values:
         return NO_REST
     if any(REST_FORM.match(value) is None for value in values):
--- a/catkinslip/platform/names.py
+++ b/catkinslip/platform/names.py
@@ -31,8 +31,6 @@
 SERVER_LOAD: Final = b'server-load'
 #: The requests a second that the server takes from all instances together.
 RATE: Final = b'server-limit'
-#: On a refusal: the seconds for which the server wants nothing from this instance.
-REST: Final = b'retry-after'
 #: The server leaves, and its entry says so now or soon.
 LEAVING: Final = b'server-leaving'
 #: On answers to probes, and of a server that is not the named one.
