Read a status of the store that needs no body without one

A 410 whose body is no JSON was taken for nonsense: a follower whose history was gone went on to ask for it at the pace of an outage, until a peer told it more. The stand-in answers so, which had hidden what follows a 410. The test failed (Unavailable is not an instance of HistoryGone) and holds: the body of a refusal is not read.

--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -113,6 +113,9 @@
         return Failure(Conflict(0))
     if reply.status >= 500:
         return Failure(Unavailable(f'the store answered {reply.status}'))
+    if reply.status >= 400:
+        # What such a status says needs no body.
+        return Success(StoreAnswer(reply.status, None))
     try:
         return Success(StoreAnswer(reply.status, load_json(reply.body or b'null')))
     except (ValueError, RecursionError) as error:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure
 
+from catkinslip.discovery.base import HistoryGone
 from catkinslip.models import Address
 from catkinslip.platform import names
 from catkinslip.platform.client import KindSource, StoreClient, load_json
@@ -87,6 +88,21 @@
         self.assertEqual(load_json(b'{"a":NaN,"b":1}')['b'], 1)
 
 
+class StatusTest(unittest.TestCase):
+    """What a status says without a body that can be read."""
+
+    def test_history_that_is_gone_is_told_by_the_status_alone(self):
+        async def check(platform):
+            source = backends(platform)
+            listing = (await source.read_all()).unwrap()
+            platform.store.put('config', 'other', {})
+            platform.store.forget_history()
+            lost = (await source.wait_for_news(listing.revision - 1, 0.1)).failure()
+            self.assertIsInstance(lost, HistoryGone)
+
+        on_platform(check)
+
+
 class ConnectionTest(unittest.TestCase):
     """Connections to the store."""
 
