Tell that the store came back from a copy, and what is read and not taken

The lines could not tell whether the store said that it had come back, nor that a listing was read and dropped. The client reads Store-Era from each answer and tells when it rises (one line, catkinslip_store_era); a follower tells a listing that it does not take, with both revisions. Nothing is decided by either.

--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -179,6 +179,13 @@
     def offer(self, listing: Listing[Value], source: str) -> bool:
         """Take over a whole listing unless it is older; tell whether it was taken."""
         if listing.revision <= self.revision:
+            log.info(
+                'discovery: %s of %s is not taken. revision=%d known=%d',
+                self.kind,
+                source,
+                listing.revision,
+                self.revision,
+            )
             return False
         log.info(
             'discovery: %s read from %s. revision=%d was=%d count=%d',
--- a/catkinslip/page_client.py
+++ b/catkinslip/page_client.py
@@ -9,6 +9,7 @@
 from attrs import Factory, define, frozen
 
 from catkinslip.models import Address
+from catkinslip.proxy.headers import Header
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import ConnectionErrors, Wire
@@ -22,6 +23,7 @@
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()
 
 
 @define
@@ -81,19 +83,19 @@
 
 async def receive_reply(wire: Wire) -> Reply:
     """Read a whole answer; raise h11.RemoteProtocolError for one that is none."""
-    status = 0
+    status, headers = 0, ()
     parts: list[bytes] = []
     size = 0
     while True:
         event = await wire.receive()
         if type(event) is h11.Response:
-            status = event.status_code
+            status, headers = event.status_code, tuple(event.headers)
         elif type(event) is h11.Data:
             parts.append(bytes(event.data))
             size += len(event.data)
             if size > MAX_ANSWER_BYTES:
                 raise h11.RemoteProtocolError('the answer is too long')
         elif type(event) is h11.EndOfMessage:
-            return Reply(status, b''.join(parts))
+            return Reply(status, b''.join(parts), headers)
         elif type(event) is h11.ConnectionClosed:
             raise h11.RemoteProtocolError('closed before an answer')
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import re
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -23,12 +24,18 @@
     Source,
     Value,
 )
-from catkinslip.metrics.base import Family, MetricSource, counter
+from catkinslip.metrics.base import Family, MetricSource, counter, gauge
 from catkinslip.metrics.calls import calls_family, outcome_of
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
 from catkinslip.platform.decoding import DECODE_ERRORS, decode_crash
-from catkinslip.platform.names import CRASHES_KIND, INSTANCES_KIND, OBJECTS_PATH
+from catkinslip.platform.names import (
+    CRASHES_KIND,
+    INSTANCES_KIND,
+    OBJECTS_PATH,
+    STORE_ERA,
+)
+from catkinslip.proxy.headers import find
 from catkinslip.proxy.outcomes import NotRun, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.store.base import (
@@ -42,6 +49,7 @@
 #: The store answers in 4 ms; its slow days take some tens of times as long.
 ANSWER_SECONDS = 1.5
 RETRY_AFTER_SECONDS = 0.5
+ERA_FORM = re.compile(rb'[0-9]{1,6}\Z')
 OPERATION_BY_METHOD = {
     'GET': 'read',
     'POST': 'create',
@@ -67,6 +75,8 @@
     address: Address
     #: A watch on a connection that went silent would hide changes for its whole wait.
     pages: PageClient = Factory(lambda: PageClient(BackendPool(keeps_alive=True)))
+    #: The life of the store that it told last; it rises as it comes back from a copy.
+    era: int = 0
     count_by_call: Counter[tuple[str, str]] = Factory(Counter)
     unreadable_by_kind: Counter[str] = Factory(Counter)
 
@@ -81,6 +91,12 @@
         for kind, count in sorted(self.unreadable_by_kind.items()):
             unreadable.add(count, kind)
         yield unreadable
+        era = gauge(
+            'catkinslip_store_era',
+            'The life of the store; it rises as the store comes back from a copy.',
+        )
+        era.add(self.era)
+        yield era
 
     async def call(
         self, method: str, path: str, body: Any = None, wait: float = 0.0
@@ -93,6 +109,8 @@
             method,
             b'' if body is None else orjson.dumps(body),
         )
+        if isinstance(reply, Reply):
+            self._note_era(read_era(reply))
         match reply:
             case NotRun():
                 result = Failure(Unavailable(str(reply)))
@@ -104,6 +122,21 @@
         self.count_by_call[operation, outcome_of(result)] += 1
         return result
 
+    def _note_era(self, era: int | None) -> None:
+        if era is None or era <= self.era:
+            return
+        if self.era:
+            log.warning('store: it came back from a copy. era=%d was=%d', era, self.era)
+        self.era = era
+
+
+def read_era(reply: Reply) -> int | None:
+    """Return the life of the store that an answer tells; None if it tells none."""
+    value = find(reply.headers, STORE_ERA)
+    if value is None or ERA_FORM.match(value) is None:
+        return None
+    return int(value)
+
 
 def judge(reply: Reply) -> Result[StoreAnswer, PlatformError]:
     """Tell an answer from a refusal."""
--- a/catkinslip/platform/names.py
+++ b/catkinslip/platform/names.py
@@ -19,6 +19,9 @@
 #: Our own kind: one object for each request under which servers ended.
 CRASHES_KIND: Final = 'crashes'
 
+#: On each answer of the store: a number that rises when it came back from a copy.
+STORE_ERA: Final = b'store-era'
+
 REQUEST_ID: Final = b'request-id'
 #: Milliseconds that the caller waits; on the way to a server, those that are left.
 DEADLINE: Final = b'deadline-ms'
