--- a/standins/objects.py
+++ b/standins/objects.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import trio
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 from hypercorn.config import Config
 from hypercorn.trio import serve
 from quart import Response, jsonify, request
@@ -27,6 +27,14 @@
     silent: bool = False
 
 
+@frozen
+class StoreCopy:
+    """What the store held at a revision."""
+
+    item_by_key: dict[tuple[str, str], dict]
+    revision: int
+
+
 @define
 class ObjectsStandin:
     """Hold objects by kind and name, and the history of their changes."""
@@ -34,6 +42,12 @@
     item_by_key: dict[tuple[str, str], dict] = Factory(dict)
     history: list[tuple[int, str, dict, bool]] = Factory(list)
     revision: int = 1
+    #: Told in all answers; it rises as the store comes back from a copy. None where it
+    #: is not told.
+    era: int | None = None
+    #: Whether a watch from a revision that the store does not have is told so; it may
+    #: have passed the revision again before anybody asks.
+    tells_gone: bool = True
     #: Changes up to this revision were dropped from the history.
     forgotten: int = 0
     faults: StoreFaults = Factory(StoreFaults)
@@ -70,6 +84,18 @@
         self.history.clear()
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to come back from; objects are never changed in place."""
+        return StoreCopy(dict(self.item_by_key), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, revisions too."""
+        self.item_by_key = dict(copy.item_by_key)
+        self.revision = copy.revision
+        self.history = [each for each in self.history if each[0] <= copy.revision]
+        self.era = (self.era or 0) + 1
+        self._wake()
+
     def _record(self, kind: str, item: dict, *, tombstone: bool) -> None:
         self.history.append((self.revision, kind, item, tombstone))
         if not self.faults.silent:
@@ -83,6 +109,7 @@
         """Return the ASGI application."""
         app = QuartTrio('objects')
         app.before_request(self.before)
+        app.after_request(self.after)
         path = '/catkinslip/objects/<kind>'
         app.add_url_rule(path, view_func=self.list_or_watch)
         app.add_url_rule(path, view_func=self.create, methods=['POST'])
@@ -102,6 +129,12 @@
             return Response('refused\n', status=self.faults.refuse_with)
         return None
 
+    async def after(self, response: Response) -> Response:
+        """Tell the life of the store in each answer."""
+        if self.era is not None:
+            response.headers['Store-Era'] = str(self.era)
+        return response
+
     async def list_or_watch(self, kind: str):
         """Answer with all objects of a kind, or with what changed."""
         if 'watch' in request.args:
@@ -119,13 +152,17 @@
         since = int(request.args['watch'])
         wait = min(float(request.args['wait_ms']) / 1000, MAX_WAIT_SECONDS)
         with trio.move_on_after(wait):
-            while since >= self.forgotten and not self._events(kind, since):
+            while not self._is_gone(since) and not self._events(kind, since):
                 await self.changed.wait()
-        if since < self.forgotten:
+        if self._is_gone(since):
             return Response('gone\n', status=410)
         events = self._events(kind, since)
         return jsonify({'events': events, 'as_of': self.revision})
 
+    def _is_gone(self, since: int) -> bool:
+        is_unknown = self.tells_gone and since > self.revision
+        return since < self.forgotten or is_unknown
+
     def _events(self, kind: str, since: int) -> list[dict]:
         return [
             {'object': item, 'tombstone': tombstone}
