Order what the store tells over all its lives, so that a copy hides no change

Callers saw 404 on a route that an acknowledged version had added, more than 2 s after it.

Cause: followers, what peers tell each other, change logs and lists compared revisions of two lives of the store. After its return from a copy a listing had a lower revision than the one known and was dropped; the next wait was told 410, all was read and dropped again (683 times in a second, 1,716 calls, refused for too many), until the new life had passed the known revision; what changed in between was skipped for good.

A revision is now one whole number with the era (Store-Era) before the store's own number (discovery/revisions.py), composed and taken apart in the adapter alone, so everything that compares or passes on revisions holds as it is. An answer of a later era than the wait that it answers means that all is to be read, also where the number was passed again and no 410 comes; the first answer that tells a new era ends all waits of the instance. Answers of an earlier era, and those without one once it is known, are no answers. A log of changes begins anew with an era: what an asker knew of the earlier one need not be what was known here. A history that is gone twice at one revision paces the next look like an outage. Conditional writes of records of crashing requests name no revision of another era.

--- a/catkinslip/crashes/book.py
+++ b/catkinslip/crashes/book.py
@@ -128,6 +128,16 @@
         for record in stored.values():
             self.take_record(record, now)
 
+    def lost_by_store(self) -> None:
+        """Take that the store may have lost every record, and is to be told again."""
+        self.stored_keys = set()
+        for suspect in self.suspect_by_key.values():
+            if suspect.record.revision:
+                suspect.unsaved = dict(suspect.record.query_by_server)
+                suspect.record = evolve(suspect.record, revision=0)
+                suspect.must_save = True
+                self.has_unsaved.set()
+
     def take_record(self, record: CrashRecord, now: float) -> None:
         """Take over one record of the store unless it is older."""
         suspect = self.suspect_by_key.get(record.key)
@@ -139,7 +149,12 @@
         for server in stored.keys() & suspect.unsaved.keys():
             del suspect.unsaved[server]
         known = suspect.record
-        suspect.record = evolve(record, query_by_server={**stored, **suspect.unsaved})
+        suspect.record = evolve(
+            record,
+            query_by_server={**stored, **suspect.unsaved},
+            # A copy of the store may lack the last ones.
+            trials=max(record.trials, known.trials),
+        )
         if is_news(known, suspect.record):
             suspect.changed_at = now
         self._note_verdict(known, suspect, f'stored at {record.revision}')
--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Collection, Iterable
+from math import inf
 
 import trio
 from attrs import Factory, define
@@ -18,6 +19,11 @@
 from catkinslip.discovery.base import BackendEntry, RuleSet
 from catkinslip.discovery.changes import Change, difference
 from catkinslip.discovery.follower import Follower
+from catkinslip.discovery.restored import (
+    RESTORED_GRACE_SECONDS,
+    RemovedBackends,
+    hold_against_copy,
+)
 
 #: Entries that lapsed during an outage of the store are back so soon after it.
 LAPSE_GRACE_SECONDS = 1.8
@@ -43,6 +49,12 @@
     kept_until_by_id: dict[str, float] = Factory(dict)
     #: Availability zones whose servers get no new requests.
     evacuated_zones: frozenset[str] = frozenset()
+    #: Those that the store holds orders for.
+    ordered_zones: frozenset[str] = frozenset()
+    #: Those that stay evacuated, whatever a copy of the store says, and until when.
+    held_zones: frozenset[str] = frozenset()
+    zones_held_until: float = -inf
+    removed: RemovedBackends = Factory(RemovedBackends)
     changes: int = 0
     kept: trio.Event = Factory(trio.Event)
 
@@ -76,12 +88,22 @@
     async def run(self) -> None:
         """Drop kept entries in time, until cancelled."""
         while True:
-            if not self.kept_until_by_id:
+            ends = self._ends_of_grace(trio.current_time())
+            if not ends:
                 await self.kept.wait()
                 self.kept = trio.Event()
             else:
-                await trio.sleep_until(min(self.kept_until_by_id.values()))
+                await trio.sleep_until(min(ends))
                 self.take_backends()
+                self.evacuate(self.ordered_zones)
+
+    def _ends_of_grace(self, now: float) -> list[float]:
+        """Return when something that is held against the store is to be dropped."""
+        ends = [self._restored_until(), self.zones_held_until]
+        return [*self.kept_until_by_id.values(), *(at for at in ends if at > now)]
+
+    def _restored_until(self) -> float:
+        return self.backends.restored_at + RESTORED_GRACE_SECONDS
 
     def take_rules(self) -> None:
         """Take over newer rules."""
@@ -108,6 +130,9 @@
         """Take over the registered backend servers."""
         now = trio.current_time()
         listed = self.backends.value_by_name
+        if now < self._restored_until():
+            listed = hold_against_copy(listed, self.current_backends, self.removed)
+            self.kept.set()
         merged = dict(listed)
         grace_end = self.backends.regained_at + LAPSE_GRACE_SECONDS
         for backend_id in self.kept_until_by_id.keys() & listed.keys():
@@ -122,13 +147,23 @@
                 del self.kept_until_by_id[backend_id]
         changes = difference(self.current_backends, merged)
         if changes:
+            self.removed.note(self.current_backends, merged, now)
             self.current_backends = merged
             self._take_changes(changes)
             self._offer()
 
+    def hold_evacuations(self) -> None:
+        """Keep zones evacuated while a copy of the store may lack their orders."""
+        self.held_zones = self.evacuated_zones
+        self.zones_held_until = trio.current_time() + RESTORED_GRACE_SECONDS
+        self.kept.set()
+
     def evacuate(self, zones: Collection[str]) -> None:
         """Give the servers of these zones nothing new, and those of all others work."""
-        evacuated = frozenset(zones)
+        self.ordered_zones = frozenset(zones)
+        if self.held_zones and trio.current_time() >= self.zones_held_until:
+            self.held_zones = frozenset()
+        evacuated = self.ordered_zones | self.held_zones
         if evacuated == self.evacuated_zones:
             return
         known = {entry.zone for entry in self.current_backends.values()}
--- a/catkinslip/discovery/base.py
+++ b/catkinslip/discovery/base.py
@@ -63,7 +63,10 @@
 
 @frozen
 class Listing(Generic[Value]):
-    """Every value of one kind by name, as it was at a revision of the store."""
+    """Every value of one kind by name, as it was at a revision of the store.
+
+    Revisions only grow, also where the store came back from a copy (`revisions.py`).
+    """
 
     value_by_name: dict[str, Value]
     revision: int
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -16,6 +16,7 @@
 
 from catkinslip.discovery.base import HistoryGone, Listing, News, Source, Value
 from catkinslip.discovery.changes import Change, ChangeLog, difference
+from catkinslip.discovery.revisions import era_of, text_of
 from catkinslip.store.backoff import Backoff
 
 #: A waiting call is priced; one that hangs unnoticed is made up for by peers.
@@ -106,6 +107,12 @@
     changed_at: int = 0
     changes: ChangeLog[Value] = Factory(ChangeLog)
     listeners: list[Listener] = Factory(list)
+    #: Called before the values of a store that came back from a copy are told.
+    restore_listeners: list[Listener] = Factory(list)
+    #: When the values of another life of the store were learned, monotonic.
+    restored_at: float = -inf
+    #: The revision whose history was gone at the last look.
+    gone_revision: int = -1
     is_reachable: bool = False
     #: Whether the last call failed, so that others should read the store instead.
     is_lost: bool = False
@@ -180,34 +187,51 @@
         """Take over a whole listing unless it is older; tell whether it was taken."""
         if listing.revision <= self.revision:
             log.info(
-                'discovery: %s of %s is not taken. revision=%d known=%d',
+                'discovery: %s of %s are not taken. revision=%s known=%s',
                 self.kind,
                 source,
-                listing.revision,
-                self.revision,
+                text_of(listing.revision),
+                text_of(self.revision),
             )
             return False
         log.info(
-            'discovery: %s read from %s. revision=%d was=%d count=%d',
+            'discovery: %s read from %s. revision=%s was=%s count=%d',
             self.kind,
             source,
-            listing.revision,
-            self.revision,
+            text_of(listing.revision),
+            text_of(self.revision),
             len(listing.value_by_name),
         )
         self.must_read = False
+        is_restored = self.is_known and self._is_of_later_life(listing.revision)
         changes = difference(self.value_by_name, listing.value_by_name)
-        if self.is_known:
+        if self.is_known and not is_restored:
             self.changes.add(changes, listing.revision)
         else:
+            # What others knew of an earlier life need not be what was known here.
             self.changes.start(listing.revision)
         self.revision = listing.revision
+        if is_restored:
+            self._note_restored()
         if changes or not self.changed_at:
             self.changed_at = listing.revision
             self.value_by_name = dict(listing.value_by_name)
         self._tell()
         return True
 
+    def _is_of_later_life(self, revision: int) -> bool:
+        return era_of(revision) > era_of(self.revision)
+
+    def _note_restored(self) -> None:
+        log.warning(
+            'discovery: %s are of a store that came back from a copy. revision=%s',
+            self.kind,
+            text_of(self.revision),
+        )
+        self.restored_at = self.regained_at = trio.current_time()
+        for listener in self.restore_listeners:
+            listener()
+
     def changes_after(self, revision: int) -> tuple[Change, ...] | None:
         """Return the changes after a peer's revision; None where it needs all."""
         return self.changes.after(revision) if revision else None
@@ -220,6 +244,8 @@
         """Take over the changes that a peer told; tell whether they were taken."""
         if news.revision <= self.revision or since > self.revision:
             return False
+        if self._is_of_later_life(news.revision):
+            return False
         self.must_read = False
         self._apply(news)
         return True
@@ -250,10 +276,13 @@
                     await trio.sleep(BATCH_SECONDS)
             case Failure(HistoryGone(reason)):
                 self.must_read = True
+                # A listing that was not taken leads here again and again.
+                self.has_missed = self.gone_revision == self.revision
+                self.gone_revision = self.revision
                 log.info(
-                    'discovery: %s must be read again. revision=%d reason=%s',
+                    'discovery: %s must be read again. revision=%s reason=%s',
                     self.kind,
-                    self.revision,
+                    text_of(self.revision),
                     reason,
                 )
             case Failure(error):
@@ -266,11 +295,11 @@
         self.revision = news.revision
         for name, value in news.changes:
             log.info(
-                'discovery: %s %s. name=%s revision=%d',
+                'discovery: %s %s. name=%s revision=%s',
                 self.kind,
                 'removed' if value is None else 'changed',
                 name,
-                news.revision,
+                text_of(news.revision),
             )
             if value is None:
                 self.value_by_name.pop(name, None)
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -35,6 +35,7 @@
     structure,
 )
 from catkinslip.discovery.registration import Registration
+from catkinslip.discovery.revisions import era_of
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
 
@@ -197,6 +198,8 @@
         match await self.source.read_all(may_be_stale=True):
             case Success(listing):
                 entry_by_id = listing.value_by_name
+                if era_of(listing.revision) > era_of(self.instances.list_revision):
+                    self.registration.note_restored()
                 self.instances.take_list(entry_by_id.values(), listing.revision)
                 self._start_polls(nursery)
                 listed = entry_by_id.get(self.instances.own.instance_id)
--- a/catkinslip/discovery/registration.py
+++ b/catkinslip/discovery/registration.py
@@ -33,6 +33,10 @@
             return False
         return trio.current_time() - self.announced_at > ANNOUNCE_AGAIN_SECONDS
 
+    def note_restored(self) -> None:
+        """Take that the store came back without what was written of late."""
+        self.announced_at = -inf
+
     async def announce(self) -> None:
         """Write the own entry; the next look at the list tells whether to try again."""
         match await self.book.announce(self.own):
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -4,11 +4,13 @@
 import logging
 import re
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from typing import Any
 from urllib.parse import quote
 
 import orjson
+import trio
 from attrs import Factory, asdict, define, evolve, frozen
 from returns.result import Failure, Result, Success
 
@@ -24,6 +26,7 @@
     Source,
     Value,
 )
+from catkinslip.discovery.revisions import era_of, number_of, ordered
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge
 from catkinslip.metrics.calls import calls_family, outcome_of
 from catkinslip.models import Address
@@ -49,6 +52,7 @@
 #: The store answers in 4 ms; its slow days take some tens of times as long.
 ANSWER_SECONDS = 1.5
 RETRY_AFTER_SECONDS = 0.5
+RESTORED = HistoryGone('the store came back from a copy')
 ERA_FORM = re.compile(rb'[0-9]{1,6}\Z')
 OPERATION_BY_METHOD = {
     'GET': 'read',
@@ -66,6 +70,8 @@
 
     status: int
     body: Any
+    #: The life of the store that told it; 0 where it tells none.
+    era: int = 0
 
 
 @define
@@ -77,6 +83,8 @@
     pages: PageClient = Factory(lambda: PageClient(BackendPool(keeps_alive=True)))
     #: The life of the store that it told last; it rises as it comes back from a copy.
     era: int = 0
+    #: Waits that end as the store tells another life.
+    waits: set[trio.CancelScope] = Factory(set)
     count_by_call: Counter[tuple[str, str]] = Factory(Counter)
     unreadable_by_kind: Counter[str] = Factory(Counter)
 
@@ -109,25 +117,45 @@
             method,
             b'' if body is None else orjson.dumps(body),
         )
-        if isinstance(reply, Reply):
-            self._note_era(read_era(reply))
         match reply:
             case NotRun():
                 result = Failure(Unavailable(str(reply)))
             case Unknown():
                 result = Failure(AnswerLost(str(reply)))
             case _:
-                result = judge(reply)
+                result = self._judge(reply)
         operation = 'watch' if wait else OPERATION_BY_METHOD[method]
         self.count_by_call[operation, outcome_of(result)] += 1
         return result
 
-    def _note_era(self, era: int | None) -> None:
-        if era is None or era <= self.era:
+    def _judge(self, reply: Reply) -> Result[StoreAnswer, PlatformError]:
+        """Tell an answer of the store as it is now from a refusal, and from others."""
+        era = read_era(reply)
+        if era is None and self.era:
+            return Failure(Unavailable('an answer does not tell its era'))
+        self._note_era(era or 0)
+        if (era or 0) < self.era:
+            return Failure(AnswerLost('an answer of before the store came back'))
+        return judge(reply).map(lambda answer: evolve(answer, era=self.era))
+
+    def _note_era(self, era: int) -> None:
+        if era <= self.era:
             return
         if self.era:
             log.warning('store: it came back from a copy. era=%d was=%d', era, self.era)
         self.era = era
+        for scope in self.waits:
+            scope.cancel()
+
+    @contextmanager
+    def until_restored(self) -> Iterator[None]:
+        """End what waits for an answer as soon as another answer tells a later life."""
+        with trio.CancelScope() as scope:
+            self.waits.add(scope)
+            try:
+                yield
+            finally:
+                self.waits.discard(scope)
 
 
 def read_era(reply: Reply) -> int | None:
@@ -190,9 +218,11 @@
                 return result
             reply = result.unwrap()
             try:
-                last = self._read_page(value_by_name, reply.body['items'])
+                last = self._read_page(value_by_name, reply)
                 if revision is None:
-                    revision = reply.body['as_of']
+                    revision = ordered(reply.era, reply.body['as_of'])
+                if reply.era != era_of(revision):
+                    return Failure(Unavailable('the store came back meanwhile'))
                 if not reply.body.get('more'):
                     return Success(Listing(value_by_name, revision))
                 if last <= after:
@@ -205,44 +235,56 @@
         self, revision: int, wait: float
     ) -> Result[News[Value], PlatformError | HistoryGone]:
         """Return the changes after a revision, at the latest after `wait` seconds."""
-        path = f'{self.kind}?watch={revision}&wait_ms={int(wait * 1000)}'
-        result = await self.client.call('GET', path, wait=wait)
+        if era_of(revision) < self.client.era:
+            return Failure(RESTORED)
+        path = f'{self.kind}?watch={number_of(revision)}&wait_ms={int(wait * 1000)}'
+        result = Failure(RESTORED)
+        with self.client.until_restored():
+            result = await self.client.call('GET', path, wait=wait)
         if isinstance(result, Failure):
             return result
         reply = result.unwrap()
+        if reply.era > era_of(revision):
+            # Its numbers are given out again: what they say is of another history.
+            return Failure(RESTORED)
+        if reply.era < era_of(revision):
+            return Failure(Unavailable('a peer knows a later life of the store'))
         if reply.status == 410:
             return Failure(HistoryGone('the store dropped its history'))
         try:
-            changes = [self._read_event(each) for each in reply.body['events']]
+            changes = [self._read_event(it, reply.era) for it in reply.body['events']]
             kept = tuple(each for each in changes if each is not None)
-            return Success(News(kept, reply.body['as_of']))
+            return Success(News(kept, ordered(reply.era, reply.body['as_of'])))
         except DECODE_ERRORS as error:
             # Reading all again tells what this answer would have told.
             return Failure(HistoryGone(f'news cannot be read, {error!r}'))
 
-    def _read_event(self, event: Mapping[str, Any]) -> tuple[str, Value | None] | None:
+    def _read_event(
+        self, event: Mapping[str, Any], era: int
+    ) -> tuple[str, Value | None] | None:
         item = event['object']
         name = name_of(item)
         if not self._is_wanted(name):
             return None
         # What cannot be read names no value, also where it replaces one.
-        value = None if event['tombstone'] else self._decode(name, item)
+        value = None if event['tombstone'] else self._decode(name, item, era)
         return name, value
 
-    def _read_page(self, value_by_name: dict[str, Value], items: list[Any]) -> str:
+    def _read_page(self, value_by_name: dict[str, Value], page: StoreAnswer) -> str:
         """Take the objects of a page; return the last name on it."""
         last = ''
-        for item in items:
+        for item in page.body['items']:
             name = name_of(item)
             last = name or last
-            value = self._decode(name, item) if self._is_wanted(name) else None
+            is_wanted = self._is_wanted(name)
+            value = self._decode(name, item, page.era) if is_wanted else None
             if value is not None:
                 value_by_name[name] = value
         return last
 
-    def _decode(self, name: str, item: Mapping[str, Any]) -> Value | None:
+    def _decode(self, name: str, item: Mapping[str, Any], era: int) -> Value | None:
         try:
-            return self.decode(name, item)
+            return self.decode(name, with_era(item, era))
         except DECODE_ERRORS as error:
             self.client.unreadable_by_kind[self.kind] += 1
             log.warning(
@@ -258,6 +300,15 @@
         return bool(name) and self.name in (None, name)
 
 
+def with_era(item: Mapping[str, Any], era: int) -> Mapping[str, Any]:
+    """Return an object whose revision tells the life of the store, too."""
+    metadata = item['metadata']
+    if not era or 'revision' not in metadata:
+        return item
+    revision = ordered(era, metadata['revision'])
+    return {**item, 'metadata': {**metadata, 'revision': revision}}
+
+
 def name_of(item: Any) -> str:
     """Return the name of an object; an empty one if it tells none."""
     try:
@@ -306,7 +357,7 @@
         if answer.status == 404:
             return Success(None)
         try:
-            return Success(decode_crash(str(key), answer.body))
+            return Success(decode_crash(str(key), with_era(answer.body, answer.era)))
         except DECODE_ERRORS as error:
             log.warning('store: a record cannot be read. name=%s error=%r', key, error)
             return Success(None)
@@ -317,7 +368,9 @@
         metadata: dict[str, Any] = {'name': name}
         method, path = 'POST', CRASHES_KIND
         if record.revision:
-            metadata['revision'] = record.revision
+            if era_of(record.revision) != self.client.era:
+                return Failure(Conflict(0))
+            metadata['revision'] = number_of(record.revision)
             method, path = 'PUT', crash_path(record.key)
         body = {'metadata': metadata, 'spec': record_to_plain(record)}
         result = await self.client.call(method, path, body)
@@ -328,13 +381,17 @@
             # It is gone; the next look at the store tells.
             return Failure(Conflict(0))
         try:
-            return Success(evolve(record, revision=answer.body['metadata']['revision']))
+            metadata = with_era(answer.body, answer.era)['metadata']
+            return Success(evolve(record, revision=metadata['revision']))
         except DECODE_ERRORS as error:
             return Failure(Unavailable(f'an answer cannot be read, {error!r}'))
 
     async def delete(self, record: CrashRecord) -> Result[None, PlatformError]:
         """Delete a record if the store holds the revision that it names, or none."""
-        path = f'{crash_path(record.key)}?revision={record.revision}'
+        if era_of(record.revision) != self.client.era:
+            return Failure(Conflict(0))
+        revision = number_of(record.revision)
+        path = f'{crash_path(record.key)}?revision={revision}'
         result = await self.client.call('DELETE', path)
         return result.map(lambda _: None)
 
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -219,6 +219,7 @@
     directory.on_news = sharer.note
     crashes = make_follower('crashes', outside.crashes)
     guard = make_guard(clock, outside.crash_store)
+    crashes.restore_listeners.append(guard.book.lost_by_store)
     crashes.listeners.append(
         lambda: guard.book.take_stored(crashes.value_by_name, clock.monotonic())
     )
@@ -293,6 +294,7 @@
         outside.dialect,
     )
     evacuations = make_follower('evacuations', outside.evacuations)
+    evacuations.restore_listeners.append(assembler.hold_evacuations)
     evacuations.listeners.append(lambda: assembler.evacuate(evacuations.value_by_name))
     kinds = share(
         SharedKind(CrashRecord, crashes), SharedKind(ZoneEvacuation, evacuations)
