Prove what instances know after the store came back, at 17, 118 and 313 of them

Without I/O: the order of revisions, followers and change logs over lives of the store, servers, evacuations, rules and records that a copy shows as they were, and a fleet in which each instance knew another part of what was lost, after one, two and three losses, with the old numbers passed again in half of the plays. At the client: answers of another life, listings over two lives, waits that end, conditional writes.

--- /dev/null
+++ b/tests/test_discovery_restored.py
@@ -0,0 +1,296 @@
+"""What instances know after the store came back from a copy, without any I/O."""
+
+import unittest
+from random import Random
+
+import trio
+import trio.testing
+from attrs import Factory, define, evolve
+
+from catkinslip.crashes.book import CrashBook
+from catkinslip.crashes.suspect import Verdict
+from catkinslip.discovery.assembly import LAPSE_GRACE_SECONDS, Assembler
+from catkinslip.discovery.base import BackendEntry, Listing, News
+from catkinslip.discovery.follower import Follower
+from catkinslip.discovery.restored import RESTORED_GRACE_SECONDS
+from catkinslip.discovery.revisions import era_of, number_of, ordered, text_of
+from tests.discovery_builders import (
+    GONE,
+    ScriptedSource,
+    backend_entry,
+    listing,
+    news,
+    rule_set,
+)
+from tests.test_crashes_book import KEY, NOW, book_with, stored
+from tests.test_discovery_assembly import run, started
+from tests.test_discovery_follower import follow
+
+ONE, TWO = backend_entry('one'), backend_entry('two', port=81)
+SIZES = (17, 118, 313)
+READERS = 3
+#: Polls in which each instance asks one other.
+ROUNDS = 12
+
+
+def at(era: int, number: int) -> int:
+    """Return a revision of one life of the store."""
+    return ordered(era, number)
+
+
+class RevisionTest(unittest.TestCase):
+    """The one order of revisions."""
+
+    def test_era_goes_before_number(self):
+        self.assertLess(at(1, 999), at(2, 1))
+        self.assertLess(at(0, 999), at(1, 0))
+        self.assertEqual((era_of(at(3, 7)), number_of(at(3, 7))), (3, 7))
+        self.assertEqual((text_of(at(3, 7)), text_of(7)), ('3/7', '7'))
+
+    def test_what_is_no_number_is_no_revision(self):
+        for wrong in (-1, 1.0, '7', None, True, 1 << 40):
+            with self.assertRaises(ValueError):
+                ordered(1, wrong)
+
+
+class FollowerTest(unittest.TestCase):
+    """Values and change log over lives of the store."""
+
+    def test_lower_number_of_a_later_life_is_taken(self):
+        script = [listing(at(1, 71), ONE), listing(at(2, 60), TWO)]
+        follower, source = follow(script, [GONE])
+        self.assertEqual(follower.value_by_name, {'two': TWO})
+        self.assertEqual(follower.revision, at(2, 60))
+        self.assertEqual(source.calls[-1], f'wait {at(2, 60)}')
+
+    def test_two_losses_in_a_row(self):
+        script = [listing(at(era, 9 - era), ONE) for era in (1, 2, 3)]
+        follower, _ = follow(script, [GONE, GONE])
+        self.assertEqual(follower.revision, at(3, 6))
+
+    def test_who_asks_from_an_earlier_life_gets_everything(self):
+        script = [listing(at(1, 70), ONE), listing(at(2, 60), ONE)]
+        follower, _ = follow(script, [GONE])
+        # The asker may know of a change at 71 that this instance never saw.
+        self.assertIsNone(follower.changes_after(at(1, 71)))
+        self.assertIsNone(follower.part_after(at(1, 71), 10))
+        self.assertEqual(follower.changes_after(at(2, 60)), ())
+
+    def test_changes_of_another_life_are_not_put_on_top(self):
+        follower, _ = follow([listing(at(1, 71), ONE)], [])
+        self.assertFalse(follower.learn(news(at(2, 3), ('two', TWO)), at(1, 71)))
+        self.assertEqual(follower.value_by_name, {'one': ONE})
+
+    def test_earlier_life_of_a_peer_replaces_nothing(self):
+        follower, _ = follow([listing(at(2, 5), ONE)], [])
+        self.assertFalse(follower.offer(listing(at(1, 900), TWO), 'peer'))
+        self.assertEqual(follower.value_by_name, {'one': ONE})
+
+    def test_history_that_is_gone_again_is_asked_for_after_a_pause(self):
+        source = ScriptedSource([listing(71, ONE), *[listing(60, ONE)] * 9], [GONE] * 9)
+        follower = Follower('backends', source, Random(1))
+
+        async def check():
+            source.ended = trio.Event()
+            with trio.move_on_after(1.5):
+                await follower.run()
+            # The first round is free, each more waits for its turn.
+            self.assertLess(source.calls.count('read'), 9)
+
+        run(check)
+
+
+class ServersTest(unittest.TestCase):
+    """Servers that the copy shows as they were."""
+
+    def play(self, before: list, copy: list) -> tuple[Assembler, dict, dict]:
+        """Return what is known right after the return, and after the grace."""
+        assembler = started()
+        known = []
+
+        async def check():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(assembler.run)
+                assembler.offer_rules(rule_set(1))
+                for number, entries in enumerate(before, 1):
+                    assembler.backends.offer(listing(at(1, number), *entries), 'x')
+                assembler.backends.offer(listing(at(2, 1), *copy), 'x')
+                known.append(dict(assembler.current_backends))
+                await trio.sleep(LAPSE_GRACE_SECONDS + 0.1)
+                known.append(dict(assembler.current_backends))
+                await trio.sleep(RESTORED_GRACE_SECONDS)
+                known.append(dict(assembler.current_backends))
+                nursery.cancel_scope.cancel()
+
+        run(check)
+        return known
+
+    def test_leaving_server_is_not_ready_again(self):
+        leaving = evolve(ONE, is_draining=True)
+        at_once, later, last = self.play([[leaving]], [ONE])
+        self.assertTrue(at_once['one'].is_draining and later['one'].is_draining)
+        self.assertEqual(last, {'one': ONE})
+
+    def test_removed_server_is_not_there_again(self):
+        at_once, later, last = self.play([[ONE, TWO], [TWO]], [ONE, TWO])
+        self.assertEqual((at_once, later), ({'two': TWO}, {'two': TWO}))
+        self.assertEqual(last, {'one': ONE, 'two': TWO})
+
+    def test_earlier_start_is_not_believed_again(self):
+        first, second = (evolve(ONE, incarnation=n) for n in (1, 2))
+        at_once, later, _ = self.play([[first], [second]], [first])
+        self.assertEqual((at_once, later), ({'one': second}, {'one': second}))
+
+    def test_server_that_came_after_the_copy_is_kept_until_it_writes_again(self):
+        at_once, later, _ = self.play([[ONE, TWO]], [ONE])
+        self.assertEqual(at_once, {'one': ONE, 'two': TWO})
+        self.assertEqual(later, {'one': ONE})
+
+    def test_what_is_written_again_is_believed(self):
+        moved = evolve(ONE, slots=7)
+        at_once, _, _ = self.play([[ONE]], [moved])
+        self.assertEqual(at_once, {'one': moved})
+
+
+class OrdersTest(unittest.TestCase):
+    """Evacuations, rules and records that the copy lacks."""
+
+    def test_zone_stays_evacuated_until_the_order_is_back_or_the_grace_over(self):
+        assembler = started()
+
+        async def check():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(assembler.run)
+                assembler.evacuate(['zone-a', 'zone-b'])
+                assembler.hold_evacuations()
+                assembler.evacuate([])
+                await trio.sleep(RESTORED_GRACE_SECONDS - 0.1)
+                self.assertEqual(assembler.evacuated_zones, {'zone-a', 'zone-b'})
+                assembler.evacuate(['zone-b'])
+                await trio.sleep(0.2)
+                self.assertEqual(assembler.evacuated_zones, {'zone-b'})
+                nursery.cancel_scope.cancel()
+
+        run(check)
+
+    def test_older_rules_of_the_copy_replace_nothing(self):
+        async def check():
+            assembler = started()
+            assembler.rules.offer(Listing({'main': rule_set(9)}, at(1, 70)), 'x')
+            assembler.rules.offer(Listing({'main': rule_set(7)}, at(2, 60)), 'x')
+            self.assertEqual(assembler.rules_version, 9)
+            assembler.rules.offer(Listing({'main': rule_set(10)}, at(2, 61)), 'x')
+            self.assertEqual(assembler.rules_version, 10)
+
+        run(check)
+
+    def test_verdict_that_the_copy_lacks_stands_and_is_written_again(self):
+        book = book_with(0)
+        book.take_stored({'a': stored(3, at(1, 71))}, NOW)
+        book.lost_by_store()
+        book.take_stored({}, NOW)
+        self.assertEqual(book.judge(KEY, 'q', NOW).verdict, Verdict.REFUSED)
+        self.assertEqual([it.record.revision for it in book.to_save()], [0])
+
+    def test_trials_that_the_copy_lacks_are_not_given_again(self):
+        book = CrashBook()
+        book.take_stored({'a': stored(3, at(1, 71), trials=2)}, NOW)
+        book.lost_by_store()
+        book.take_stored({'a': stored(3, at(2, 60), trials=1)}, NOW)
+        self.assertEqual(book.suspect_by_key[KEY].record.trials, 2)
+        self.assertEqual(book.suspect_by_key[KEY].record.revision, at(2, 60))
+
+
+@define
+class LivingStore:
+    """A store whose lives follow each other."""
+
+    entry_by_id: dict[str, BackendEntry] = Factory(dict)
+    era: int = 1
+    number: int = 0
+    log: list[tuple[int, str, BackendEntry | None]] = Factory(list)
+
+    def put(self, name: str, entry: BackendEntry | None) -> None:
+        """Write or remove an entry."""
+        self.number += 1
+        self.log.append((self.number, name, entry))
+        if entry is None:
+            self.entry_by_id.pop(name, None)
+        else:
+            self.entry_by_id[name] = entry
+
+    def restore(self, entry_by_id: dict[str, BackendEntry], number: int) -> None:
+        """Come back from a copy."""
+        self.entry_by_id = dict(entry_by_id)
+        self.log = [each for each in self.log if each[0] <= number]
+        self.number, self.era = number, self.era + 1
+
+    def tell(self, follower: Follower) -> None:
+        """Tell a reader what it lacks."""
+        now = at(self.era, self.number)
+        if era_of(follower.revision) < self.era:
+            follower.offer(Listing(dict(self.entry_by_id), now), 'store')
+            return
+        known = number_of(follower.revision)
+        changes = tuple((name, it) for n, name, it in self.log if n > known)
+        follower.learn(News(changes, now), follower.revision)
+
+
+def poll(asker: Follower, asked: Follower) -> None:
+    """Let an instance learn what another one knows more, as polls do."""
+    if asked.changed_at <= asker.revision:
+        return
+    changes = asked.changes_after(asker.revision)
+    if changes is None:
+        asker.offer(Listing(dict(asked.value_by_name), asked.changed_at), 'peer')
+    else:
+        asker.learn(News(changes, asked.changed_at), asker.revision)
+
+
+class FleetTest(unittest.TestCase):
+    """A fleet at whatever revisions its instances were as the store came back."""
+
+    def play(self, size: int, seed: int, losses: int) -> None:
+        random = Random(seed)
+        store = LivingStore()
+        followers = [Follower('backends', None, Random(n)) for n in range(size)]
+        for _ in range(losses):
+            for number in range(10):
+                store.put(f'i-{number}', backend_entry(f'i-{number}', port=80 + number))
+            copy, copied_at = dict(store.entry_by_id), store.number
+            for number in range(10, 20):
+                store.put(f'i-{number}', backend_entry(f'i-{number}', port=80 + number))
+                store.put(f'i-{number - 10}', None)
+                # Some know all of it, some a part, some nothing of what will be lost.
+                self.spread(store, random.sample(followers, size // 3), random)
+            store.restore(copy, copied_at)
+            if random.random() < 0.5:
+                # The old numbers are passed again before anybody asks.
+                for number in range(30, 60):
+                    entry = backend_entry(f'i-{number}', port=80 + number)
+                    store.put(f'i-{number}', entry)
+            self.spread(store, followers[: size // 2], random)
+        store.put('i-99', backend_entry('i-99', port=99))
+        for _ in range(ROUNDS):
+            self.spread(store, followers, random)
+        for follower in followers:
+            self.assertEqual(follower.value_by_name, store.entry_by_id)
+
+    def spread(self, store: LivingStore, reached: list, random: Random) -> None:
+        """Let the first read the store, and each ask another."""
+        for follower in reached[:READERS]:
+            store.tell(follower)
+        for follower in reached:
+            poll(follower, random.choice(reached))
+
+    def test_all_know_what_the_store_holds_after_one_loss_and_after_several(self):
+        async def check():
+            for size in SIZES:
+                for seed in range(3):
+                    self.play(size, seed, losses=1 + seed)
+
+        run(check)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -2,15 +2,27 @@
 
 import unittest
 
-from returns.result import Failure
+import trio
+import trio.testing
+from returns.result import Failure, Success
 
+from catkinslip.crashes.base import CrashRecord
+from catkinslip.crashes.identity import RequestKey
 from catkinslip.discovery.base import HistoryGone
+from catkinslip.discovery.revisions import era_of
 from catkinslip.models import Address
 from catkinslip.platform import names
-from catkinslip.platform.client import KindSource, StoreClient, load_json
+from catkinslip.platform.client import (
+    RESTORED,
+    KindSource,
+    StoreClient,
+    StoredCrashes,
+    load_json,
+)
 from catkinslip.platform.decoding import decode_backend
 from catkinslip.proxy.pool import KEEPALIVE_OPTIONS
-from tests.small_platform import SmallPlatform, on_platform
+from catkinslip.store.base import Conflict
+from tests.small_platform import GENEROUS_SECONDS, SmallPlatform, on_platform
 
 
 def backends(platform: SmallPlatform) -> KindSource:
@@ -103,6 +115,72 @@
         on_platform(check)
 
 
+class EraTest(unittest.TestCase):
+    """Answers of the store's lives."""
+
+    def test_answer_of_an_earlier_life_or_of_none_is_no_answer(self):
+        async def check(platform):
+            source = backends(platform)
+            for era, is_taken in ((None, 1), (2, 1), (1, 0), (None, 0), (2, 1), (3, 1)):
+                platform.store.era = era
+                result = await source.read_all()
+                self.assertEqual(isinstance(result, Success), bool(is_taken), era)
+            self.assertEqual(era_of((await source.read_all()).unwrap().revision), 3)
+
+        on_platform(check)
+
+    def test_listing_over_two_lives_is_none(self):
+        async def check(platform):
+            platform.store.era = 1
+            for number in range(3):
+                platform.register(f'i-{number}', 'one', 80 + number)
+            platform.store.page_items = 2
+            copy = platform.store.copy()
+            platform.store.on_page = lambda: platform.store.restore(copy)
+            result = await backends(platform).read_all()
+            self.assertIsInstance(result, Failure)
+
+        on_platform(check)
+
+    def test_wait_ends_as_another_answer_tells_a_later_life(self):
+        async def check(platform):
+            platform.store.era, platform.store.tells_gone = 1, False
+            source = backends(platform)
+            revision = (await source.read_all()).unwrap().revision
+            ended = []
+
+            async def wait():
+                ended.append(await source.wait_for_news(revision, GENEROUS_SECONDS))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait)
+                await trio.testing.wait_all_tasks_blocked(0.1)
+                platform.store.era = 2
+                await source.read_all()
+            self.assertEqual(ended, [Failure(RESTORED)])
+
+        on_platform(check)
+
+    def test_nothing_is_written_on_a_revision_of_an_earlier_life(self):
+        async def check(platform):
+            platform.store.era = 1
+            source = backends(platform)
+            await source.read_all()
+            crashes = StoredCrashes(source.client)
+            record = CrashRecord(RequestKey('t', 'c'), {'i-1/1': 'q'})
+            written = (await crashes.write(record)).unwrap()
+            self.assertEqual(era_of(written.revision), 1)
+            self.assertEqual((await crashes.read(record.key)).unwrap(), written)
+            platform.store.era = 2
+            await source.read_all()
+            before = len(platform.store.calls)
+            for call in (crashes.write, crashes.delete):
+                self.assertEqual(await call(written), Failure(Conflict(0)))
+            self.assertEqual(len(platform.store.calls), before)
+
+        on_platform(check)
+
+
 class ConnectionTest(unittest.TestCase):
     """Connections to the store."""
 
