--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,8 @@
 from soak.checks import find_broken, find_ended, find_unrecovered
 from soak.faults import FaultPlayer
 from soak.needs import NeedPlayer
+from soak.restores import RestorePlayer
+from soak.rests import RestPlayer
 from soak.world import World, make_folder, wait_for
 from soak.zones import ZonePlayer
 
@@ -45,6 +47,8 @@
     *,
     has_zones: bool = False,
     has_needs: bool = False,
+    has_rests: bool = False,
+    has_restores: bool = False,
 ) -> Result:
     """Run one seed."""
     random = Random(seed)
@@ -56,6 +60,8 @@
                 random,
                 has_zones=has_zones,
                 has_needs=has_needs,
+                has_rests=has_rests,
+                has_restores=has_restores,
             )
             try:
                 result = await play(world, seed, seconds)
@@ -75,6 +81,8 @@
     player = FaultPlayer(world)
     zones = ZonePlayer(world, Random(f'{seed} zones'))
     needs = NeedPlayer(world, Random(f'{seed} needs'))
+    rests = RestPlayer(world, Random(f'{seed} rests'), callers)
+    restores = RestorePlayer(world, Random(f'{seed} restores'))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run, CALLERS)
         await wait_for(lambda: any(each.status == 200 for each in callers.requests))
@@ -84,6 +92,10 @@
                 players.start_soon(zones.run, seconds)
             if world.has_needs:
                 players.start_soon(needs.run, seconds)
+            if world.has_rests:
+                players.start_soon(rests.run, seconds)
+            if world.has_restores:
+                players.start_soon(restores.run, seconds)
         await trio.sleep(RECOVERY_SECONDS)
         since = trio.current_time()
         await trio.sleep(CHECKED_SECONDS)
@@ -96,6 +108,7 @@
         *player.violations,
         *zones.broken(),
         *needs.broken(),
+        *rests.broken(),
         *ended,
         *unrecovered,
     )
@@ -117,6 +130,12 @@
     parser.add_argument(
         '--needs', action='store_true', help='Let servers name rates, too.'
     )
+    parser.add_argument(
+        '--rests', action='store_true', help='Let servers ask for rest, too.'
+    )
+    parser.add_argument(
+        '--restores', action='store_true', help='Bring the store back from copies, too.'
+    )
     arguments = parser.parse_args()
     seeds = list(arguments.seeds or ())
     seeds += [
@@ -124,7 +143,13 @@
     ]
     failed = 0
     for seed in seeds:
-        run = partial(soak, has_zones=arguments.zones, has_needs=arguments.needs)
+        run = partial(
+            soak,
+            has_zones=arguments.zones,
+            has_needs=arguments.needs,
+            has_rests=arguments.rests,
+            has_restores=arguments.restores,
+        )
         result = trio.run(run, seed, arguments.seconds, arguments.keep)
         failed += bool(result.broken)
         print(
--- a/soak/links.py
+++ b/soak/links.py
@@ -32,6 +32,9 @@
     port: int = 0
     fault: LinkFault = LinkFault.NONE
     healed: trio.Event = Factory(trio.Event)
+    #: When faults began and ended.
+    spans: list[tuple[float, float]] = Factory(list)
+    began: float = 0.0
     streams: set[trio.SocketStream] = Factory(set)
 
     async def open(self, nursery: trio.Nursery) -> None:
@@ -42,6 +45,11 @@
 
     async def set_fault(self, fault: LinkFault) -> None:
         """Play a fault from now on."""
+        now = trio.current_time()
+        if self.fault is LinkFault.NONE:
+            self.began = now
+        else:
+            self.spans.append((self.began, now))
         self.fault = fault
         if fault is LinkFault.NONE:
             self.healed.set()
@@ -50,6 +58,10 @@
             for stream in list(self.streams):
                 await trio.aclose_forcefully(stream)
 
+    def was_faulty(self, began: float, ended: float) -> bool:
+        """Tell whether bytes may not have come through in a span of time."""
+        return any(start < ended and began < end for start, end in self.spans)
+
     async def _serve(self, near: trio.SocketStream) -> None:
         self.streams.add(near)
         try:
--- a/soak/world.py
+++ b/soak/world.py
@@ -95,6 +95,10 @@
     has_zones: bool = False
     #: Whether some servers name the rate that they take.
     has_needs: bool = False
+    #: Whether some servers turn all away and ask for rest.
+    has_rests: bool = False
+    #: Whether the store comes back from copies.
+    has_restores: bool = False
     #: When the store was away or an instance stood still.
     disturbances: list[tuple[float, float]] = Factory(list)
     #: When an instance was away or stood still, and learned anew what there is.
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -8,7 +8,7 @@
 
 import h11
 import trio
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from standins.requests import receive
 
@@ -42,6 +42,15 @@
     SILENT = auto()
 
 
+@frozen
+class TurnedAway:
+    """A request that was turned away, and the seconds of rest that were asked for."""
+
+    at: float
+    request_id: str
+    seconds: float
+
+
 @define
 class Worker:
     """Serve requests that name this server and remember which ran."""
@@ -87,6 +96,9 @@
     is_rate_everywhere: bool = False
     #: When requests for it came.
     arrived_at: list[float] = Factory(list)
+    #: When which requests for it came.
+    arrivals: list[tuple[float, str]] = Factory(list)
+    turned_away: list[TurnedAway] = Factory(list)
     #: When requests came while it was cold.
     cold_arrivals: list[float] = Factory(list)
 
@@ -138,6 +150,7 @@
             await self._send(stream, codec, 421, [], b'')
             return True
         self.arrived_at.append(trio.current_time())
+        self.arrivals.append((trio.current_time(), request_id.decode()))
         if self.cold_seconds:
             self.cold_arrivals.append(trio.current_time())
             if self.most_cold_arrivals() > self.cold_bound:
@@ -148,6 +161,10 @@
             headers = [(b'not-executed', b'1'), *self._rate_headers(is_answer=False)]
             if self.rest is not None:
                 headers.append((b'retry-after', self.rest))
+                asked = TurnedAway(
+                    trio.current_time(), request_id.decode(), float(self.rest)
+                )
+                self.turned_away.append(asked)
             await self._send(stream, codec, 503, headers, b'')
             return True
         self.heads.append(head)
--- a/tests/test_platform_restore.py
+++ b/tests/test_platform_restore.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from catkinslip.discovery.revisions import era_of
 from catkinslip.entry import metrics_page
 from standins.objects import StoreCopy
 from tests.platform_builders import config_spec
@@ -23,7 +24,7 @@
         await wait_for(lambda e=entry: len(e.assembler.current_backends) == 2)
     copy = platform.store.copy()
     for number in range(9):
-        platform.store.put('servers', f'other-{number}', {}, {})
+        platform.register(f'other-{number}', 'two', 9000 + number)
     platform.store.put('config', 'main', config_spec(version='0000000b'))
     revision = platform.store.revision
     for entry in platform.entries:
@@ -39,6 +40,12 @@
     return [entry.assembler.rules_version for entry in platform.entries]
 
 
+def arrivals(platform: SmallPlatform) -> dict[str, int]:
+    """Return how many requests came to each server."""
+    workers = platform.worker_by_id.items()
+    return {server_id: len(worker.arrived_at) for server_id, worker in workers}
+
+
 class RestoreTest(unittest.TestCase):
     """What instances know after the store came back."""
 
@@ -61,7 +68,7 @@
             platform.store.restore(copy)
             platform.store.put('config', 'main', config_spec(version='0000000c'))
             for number in range(20):
-                platform.store.put('servers', f'more-{number}', {}, {})
+                platform.register(f'more-{number}', 'two', 9000 + number)
             in_time = await wait_at_most(
                 IN_FORCE_SECONDS, lambda: versions(platform) == [0xC, 0xC]
             )
@@ -79,6 +86,62 @@
 
         on_platform(check)
 
+    def test_leaving_server_and_evacuated_zone_get_nothing_though_the_copy_lacks_it(
+        self,
+    ):
+        async def check(platform):
+            copy = await two_instances(platform)
+            await platform.add_worker('i-3', zone='zone-b')
+            port = (
+                platform.entries[0]
+                .sampler.health.directory.address_by_backend['i-1']
+                .port
+            )
+            platform.register('i-1', 'one', port, state='draining')
+            platform.store.put('evacuations', 'zone-b', {})
+            for entry in platform.entries:
+                router = entry.sampler.health.directory.router_by_service['one']
+                await wait_for(lambda it=router: it.load_by_id['i-1'].draining)
+                await wait_for(lambda it=router: it.closed_zones and len(it.load_by_id))
+            platform.store.restore(copy)
+            for entry in platform.entries:
+                follower = entry.assembler.backends
+                await wait_for(lambda it=follower: era_of(it.revision) == 2)
+            before = arrivals(platform)
+            for number in range(10):
+                await platform.ask('POST', '/p/x', number % 2, request_id=f'r{number}')
+            came = arrivals(platform)
+            for server_id in ('i-1', 'i-3'):
+                self.assertEqual(came[server_id], before[server_id], server_id)
+            self.assertGreater(came['i-2'], before['i-2'])
+
+        on_platform(check)
+
+    def test_instance_that_the_copy_lacks_is_listed_again(self):
+        async def check(platform):
+            platform.store.era = 1
+            await platform.add_worker('i-1')
+            copy = platform.store.copy()
+            await platform.add_entry()
+            key = 'instances', 'edge-1'
+            await wait_for(lambda: key in platform.store.item_by_key)
+            platform.store.restore(copy)
+            self.assertNotIn(key, platform.store.item_by_key)
+            await wait_for(lambda: key in platform.store.item_by_key)
+
+        on_platform(check)
+
+    def test_start_of_an_instance_right_after_it_serves_the_newest_rules(self):
+        async def check(platform):
+            platform.store.restore(await two_instances(platform))
+            await platform.add_entry()
+            in_time = await wait_at_most(
+                IN_FORCE_SECONDS, lambda: versions(platform) == [0xB] * 3
+            )
+            self.assertTrue(in_time, versions(platform))
+
+        on_platform(check)
+
     def test_lines_and_metrics_tell_that_it_came_back(self):
         async def check(platform):
             copy = await two_instances(platform)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,11 +9,13 @@
 from soak.__main__ import soak
 from soak.callers import Callers, Request, Told
 from soak.checks import find_broken, find_unrecovered
+from soak.links import Link
 from soak.needs import Need, NeedPlayer
+from soak.rests import RestPlayer
 from soak.world import World as SoakWorld
 from soak.zones import Evacuation, ZonePlayer
 from standins.processes import ROOT
-from standins.workers import Worker
+from standins.workers import TurnedAway, Worker
 
 #: The second refused everything for ever once probes were answered late.
 SEEDS = (1, 996292712)
@@ -23,6 +25,8 @@
 ZONE_SECONDS = 8.0
 NEED_SEED = 1
 NEED_SECONDS = 14.0
+REST_SEED = 1
+REST_SECONDS = 10.0
 KEPT_LOGS = ROOT / 'build' / 'soak'
 
 
@@ -111,6 +115,36 @@
         self.assertFalse(list(player.broken()))
 
 
+class RestTest(unittest.TestCase):
+    """What breaks a rest, and what excuses it."""
+
+    def player(self, *came_at: float) -> RestPlayer:
+        """Return a player of one server that asked for 3 s of rest at 10."""
+        callers = Callers(None, Random(1))
+        callers.requests = [
+            Request(f'r{at}', False, 'edge-0', at) for at in (10.0, *came_at)
+        ]
+        world = SoakWorld(None, None, Random(1))
+        worker = Worker('i-0')
+        worker.turned_away.append(TurnedAway(10.0, 'r10.0', 3.0))
+        worker.arrivals.extend((at, f'r{at}') for at in (10.0, *came_at))
+        world.worker_by_id['i-0'] = worker
+        world.link_by_worker['i-0'] = Link(0)
+        return RestPlayer(world, Random(1), callers)
+
+    def test_more_than_two_in_the_rest(self):
+        self.assertTrue(list(self.player(10.6, 11.0, 12.9).broken()))
+        self.assertFalse(list(self.player(10.4, 10.6, 12.9, 13.1).broken()))
+
+    def test_restart_and_broken_link_excuse(self):
+        for field in ('restarts', 'spans'):
+            player = self.player(10.6, 11.0, 12.9)
+            link = player.world.link_by_worker['i-0']
+            spans = player.world.restarts if field == 'restarts' else link.spans
+            spans.append((11.0, 11.5))
+            self.assertFalse(list(player.broken()))
+
+
 class SoakTest(unittest.TestCase):
     """Seeds that hold."""
 
@@ -127,6 +161,12 @@
         self.assertEqual(result.broken, (), f'logs in {KEPT_LOGS}')
         self.assertGreater(result.requests, 100)
 
+    def test_servers_rest_and_the_store_comes_back_from_copies(self):
+        run = partial(soak, has_rests=True, has_restores=True)
+        result = trio.run(run, REST_SEED, REST_SECONDS, KEPT_LOGS)
+        self.assertEqual(result.broken, (), f'logs in {KEPT_LOGS}')
+        self.assertGreater(result.requests, 100)
+
     def test_zones_are_emptied_and_servers_warmed(self):
         run = partial(soak, has_zones=True)
         result = trio.run(run, ZONE_SEED, ZONE_SECONDS, KEPT_LOGS)
