Drop what lapses in time beside a longer grace, and tell refusals without an era

Found in reading the change, two tests that failed before. While an evacuation was held for 6 s against a copy, a server that the copy lacks was kept as long (1.8 s): the wait for the first end began before the second was known. And a 429 without an era was told as 'does not tell its era', which hides it.

--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -89,11 +89,11 @@
         """Drop kept entries in time, until cancelled."""
         while True:
             ends = self._ends_of_grace(trio.current_time())
-            if not ends:
+            with trio.move_on_at(min(ends, default=inf)) as scope:
+                # What comes meanwhile may end sooner.
                 await self.kept.wait()
                 self.kept = trio.Event()
-            else:
-                await trio.sleep_until(min(ends))
+            if scope.cancelled_caught:
                 self.take_backends()
                 self.evacuate(self.ordered_zones)
 
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -130,13 +130,15 @@
 
     def _judge(self, reply: Reply) -> Result[StoreAnswer, PlatformError]:
         """Tell an answer of the store as it is now from a refusal, and from others."""
-        era = read_era(reply)
+        era, result = read_era(reply), judge(reply)
+        self._note_era(era or 0)
+        if isinstance(result, Failure):
+            return result
         if era is None and self.era:
             return Failure(Unavailable('an answer does not tell its era'))
-        self._note_era(era or 0)
         if (era or 0) < self.era:
             return Failure(AnswerLost('an answer of before the store came back'))
-        return judge(reply).map(lambda answer: evolve(answer, era=self.era))
+        return result.map(lambda answer: evolve(answer, era=self.era))
 
     def _note_era(self, era: int) -> None:
         if era <= self.era:
--- a/tests/test_discovery_restored.py
+++ b/tests/test_discovery_restored.py
@@ -146,6 +146,23 @@
         self.assertEqual(at_once, {'one': ONE, 'two': TWO})
         self.assertEqual(later, {'one': ONE})
 
+    def test_entry_that_the_copy_lacks_lapses_in_time_beside_a_longer_grace(self):
+        assembler = started()
+
+        async def check():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(assembler.run)
+                assembler.offer_rules(rule_set(1))
+                assembler.backends.offer(listing(at(1, 1), ONE, TWO), 'x')
+                assembler.hold_evacuations()
+                await trio.sleep(0.05)
+                assembler.backends.offer(listing(at(2, 1), ONE), 'x')
+                await trio.sleep(LAPSE_GRACE_SECONDS + 0.1)
+                self.assertEqual(assembler.current_backends, {'one': ONE})
+                nursery.cancel_scope.cancel()
+
+        run(check)
+
     def test_what_is_written_again_is_believed(self):
         moved = evolve(ONE, slots=7)
         at_once, _, _ = self.play([[ONE]], [moved])
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -21,7 +21,7 @@
 )
 from catkinslip.platform.decoding import decode_backend
 from catkinslip.proxy.pool import KEEPALIVE_OPTIONS
-from catkinslip.store.base import Conflict
+from catkinslip.store.base import Conflict, OverBudget
 from tests.small_platform import GENEROUS_SECONDS, SmallPlatform, on_platform
 
 
@@ -129,6 +129,17 @@
 
         on_platform(check)
 
+    def test_refusal_is_told_as_such_without_an_era(self):
+        async def check(platform):
+            platform.store.era = 1
+            source = backends(platform)
+            await source.read_all()
+            platform.store.era, platform.store.faults.refuse_with = None, 429
+            result = await source.read_all()
+            self.assertIsInstance(result.failure(), OverBudget)
+
+        on_platform(check)
+
     def test_listing_over_two_lives_is_none(self):
         async def check(platform):
             platform.store.era = 1
