--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,8 @@
 
 RESTART_SECONDS = 0.3
 SHORT_SECONDS = (0.2, 2.0)
+#: Before its first line no program can ignore a signal whose default ends it.
+INTERPRETER_SECONDS = 0.05
 #: Faults that run at the same time.
 MOST_AT_ONCE = 3
 #: Faults of the store or of an instance's time, which excuse what is late.
@@ -145,7 +147,9 @@
     async def hang_up(self) -> None:
         """Tell an instance that its settings changed."""
         instance = self._instance()
-        if instance is not None and instance.process.poll() is None:
+        if instance is None or instance.process.poll() is not None:
+            return
+        if trio.current_time() - instance.started_at >= INTERPRETER_SECONDS:
             instance.send(signal.SIGHUP)
 
     async def _break_link(self, link: Link) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -47,10 +47,12 @@
     #: Why the process may end; empty while it must not.
     may_end: str = ''
     is_paused: bool = False
+    started_at: float = 0.0
 
     def start(self) -> None:
         """Start the process; its log goes on in the same file."""
         self.may_end = ''
+        self.started_at = trio.current_time()
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', MODULE],
