Put no server on trial for a time of rest that cannot be read

Found in the last reading: a server whose Retry-After could not be read was kept as one whose rest had ended, so one request at a time tried it until it took one, and the line of the unreadable time came again after that. The test failed (no server was chosen beside a request in flight) and holds: only what was asked for is kept as a rest.

--- a/catkinslip/resting/book.py
+++ b/catkinslip/resting/book.py
@@ -16,6 +16,7 @@
 
 #: A rest that has been over for so long is forgotten, whether or not it was tried.
 KEPT_SECONDS = 60.0
+MOST_MALFORMED = 1000
 
 #: A probe tells nothing: servers that turn all away answer it as well.
 TAKEN = frozenset({AnswerKind.ANSWER, AnswerKind.FAILURE})
@@ -30,7 +31,6 @@
     load: BackendLoad
     began_at: float = NEVER
     until: float = NEVER
-    has_been_malformed: bool = False
 
     @property
     def is_being_tried(self) -> bool:
@@ -47,6 +47,8 @@
     """Keep what the servers of one service asked for."""
 
     rest_by_id: dict[str, Rest] = Factory(dict)
+    #: Servers whose unreadable times were told in the log.
+    malformed_ids: set[str] = Factory(set)
     #: How often servers asked for rest, took requests again, or asked unreadably.
     events: Counter[str] = Factory(Counter)
 
@@ -92,9 +94,10 @@
 
     def _take_malformed(self, load: BackendLoad) -> None:
         self.events['malformed'] += 1
-        rest = self._known(load)
-        if not rest.has_been_malformed:
-            rest.has_been_malformed = True
+        if len(self.malformed_ids) >= MOST_MALFORMED:
+            self.malformed_ids.clear()
+        if load.backend_id not in self.malformed_ids:
+            self.malformed_ids.add(load.backend_id)
             log.warning('resting: unreadable time of rest. backend=%s', load.backend_id)
 
     def _take_asked(
--- a/tests/test_resting_path.py
+++ b/tests/test_resting_path.py
@@ -16,7 +16,7 @@
     Service,
 )
 from catkinslip.entry import metrics_page
-from catkinslip.resting.signs import NO_REST, RestSign
+from catkinslip.resting.signs import MALFORMED_REST, NO_REST, RestSign
 from catkinslip.routing.base import AttemptResult, BackendLoad, ResultKind
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.gates import Closure, GuardWord
@@ -235,6 +235,18 @@
         self.assertIsNone(router.choose(directory.clock.monotonic()))
 
 
+class UnreadableTest(unittest.TestCase):
+    """A time of rest that cannot be read."""
+
+    def test_it_neither_rests_a_server_nor_puts_it_on_trial(self):
+        router = router_of('a')
+        load = router.load_by_id['a']
+        words = ServerWords(rest=MALFORMED_REST)
+        router.take_words(load, words, AnswerKind.REFUSAL, NOW, NOW)
+        router.started('a', NOW + 1)
+        self.assertEqual(router.choose(NOW + 1).backend_id, 'a')
+
+
 class RetryTest(unittest.TestCase):
     """When callers come back that found only resting servers."""
 
