--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -229,10 +229,11 @@
 
 
 def is_free(port: int) -> bool:
-    """Return whether a local port is free."""
-    with socket.socket() as sock:
-        try:
-            sock.bind(('127.0.0.1', port))
-        except OSError:
-            return False
+    """Return whether a local port is free for TCP and for UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                return False
     return True
