--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -124,6 +124,22 @@
     max_attempts: int = ranged(3, 1, 100, 'attempts')
     #: Regions in which the requests may run; empty for any region.
     regions: tuple[str, ...] = ()
+    #: Whether callers need no API key.
+    public: bool = False
+
+
+@frozen
+class Workspace:
+    """A customer whose callers share API keys, a priority and a quota."""
+
+    #: Left out of the text form, as keys are secrets.
+    api_keys: tuple[str, ...] = field(default=(), repr=False)
+    #: Priority of the requests, before that of their routes; None for the routes' own.
+    priority: int | None = ranged(None, 0, 1000, '(0 is the most urgent)')
+    #: Requests per second from all instances together; 0 for no limit.
+    requests_per_second: float = ranged(0.0, 0, 1_000_000, 'requests a second')
+    #: Number of requests that may exceed the rate for a moment.
+    burst: float = ranged(0.0, 0, 1_000_000, 'requests')
 
 
 @frozen
@@ -153,6 +169,8 @@
     routes: dict[str, Route] = Factory(dict)
     #: Availability zones whose backend servers get no new requests.
     evacuated_zones: tuple[str, ...] = ()
+    #: Workspaces by name; while there are any, requests need an API key.
+    workspaces: dict[str, Workspace] = Factory(dict)
 
 
 @frozen
@@ -249,12 +267,26 @@
 # are equal to those that an earlier program wrote.
 converter.register_unstructure_hook(
     Route,
-    make_dict_unstructure_fn(Route, converter, regions=override(omit_if_default=True)),
+    make_dict_unstructure_fn(
+        Route,
+        converter,
+        regions=override(omit_if_default=True),
+        public=override(omit_if_default=True),
+    ),
+)
+converter.register_unstructure_hook(
+    Workspace,
+    make_dict_unstructure_fn(
+        Workspace, converter, priority=override(omit_if_default=True)
+    ),
 )
 converter.register_unstructure_hook(
     Rules,
     make_dict_unstructure_fn(
-        Rules, converter, evacuated_zones=override(omit_if_default=True)
+        Rules,
+        converter,
+        evacuated_zones=override(omit_if_default=True),
+        workspaces=override(omit_if_default=True),
     ),
 )
 
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -51,6 +51,8 @@
     caller_deadline: float = inf
     #: Priority of the request; 0 is the most urgent.
     priority: int = 0
+    #: Name of the caller's workspace; empty without one.
+    workspace: str = ''
     #: Maximum number of backend servers that the request is sent to; None for the
     #: limit of the settings.
     max_attempts: int | None = None
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -18,6 +18,8 @@
     HEAD_TOO_LARGE = ('head-too-large', 431, 'The request head is too large.')
     NOT_IMPLEMENTED = ('not-implemented', 501, 'The transfer coding is not known.')
     VERSION = ('version', 505, 'The HTTP version is not spoken here.')
+    KEY_REJECTED = ('key-rejected', 401, 'The API key is missing or unknown.')
+    OVER_QUOTA = ('over-quota', 429, 'The workspace sends more than its quota.')
     UNKNOWN_SERVICE = ('unknown-service', 404, 'No such service is in the register.')
     NO_BACKEND = ('no-backend', 503, 'No backend server takes new work.')
     EVACUATED = ('evacuated', 503, 'All zones with servers are evacuated.')
--- /dev/null
+++ b/catkinslip/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces over all instances."""
