Leave the quoted line out of protocol errors

Cause: h11 quotes a malformed header line in its error, which was logged and sent to the caller; the line may hold an API key. Change: only the text before the quoted line is used.

--- a/catkinslip/proxy/bodies.py
+++ b/catkinslip/proxy/bodies.py
@@ -5,6 +5,7 @@
 from attrs import define, frozen
 
 from catkinslip.proxy import headers as names
+from catkinslip.proxy.head_checks import fault_text
 from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 
@@ -73,7 +74,7 @@
             with trio.move_on_after(self.timeout):
                 return await self._read_start(caller)
         except h11.RemoteProtocolError as error:
-            return NotRun(Reason.BAD_REQUEST, str(error))
+            return NotRun(Reason.BAD_REQUEST, fault_text(error))
         return NotRun(
             Reason.SLOW_REQUEST,
             f'no whole body in {self.timeout:g} s',
--- a/catkinslip/proxy/head_checks.py
+++ b/catkinslip/proxy/head_checks.py
@@ -87,6 +87,14 @@
     return rest if rest[:1] == b'/' else b'/' + rest
 
 
+def fault_text(error: Exception) -> str:
+    """Return the text of a protocol error without the line that it quotes.
+
+    A malformed line may hold an API key.
+    """
+    return str(error).partition(': ')[0]
+
+
 def malformed(detail: str) -> NotRun:
     """Return the refusal of a malformed request."""
     return NotRun(Reason.BAD_REQUEST, detail)
--- a/catkinslip/proxy/head_reader.py
+++ b/catkinslip/proxy/head_reader.py
@@ -33,7 +33,7 @@
         try:
             request = wire.codec.next_event()
         except h11.RemoteProtocolError as error:
-            return NotRun(Reason.BAD_REQUEST, str(error))
+            return NotRun(Reason.BAD_REQUEST, head_checks.fault_text(error))
         if type(request) is not h11.Request:
             return None
         plain = RequestHead(
