Describe conversion errors without the values

Cause: the text of a conversion error may quote a value of the configuration, which may be an API key, and is logged or shown. Change: the errors name the place and the expected type only. Workspaces are marked as secret for the checks of documents.

--- a/catkinslip/config/documents.py
+++ b/catkinslip/config/documents.py
@@ -170,7 +170,7 @@
     #: Availability zones whose backend servers get no new requests.
     evacuated_zones: tuple[str, ...] = ()
     #: Workspaces by name; while there are any, requests need an API key.
-    workspaces: dict[str, Workspace] = Factory(dict)
+    workspaces: dict[str, Workspace] = field(factory=dict, metadata={'secret': True})
 
 
 @frozen
@@ -296,6 +296,16 @@
     return converter.unstructure(value)
 
 
+def describe_error(error: Exception) -> str:
+    """Return a text for an error of the conversion that contains no value.
+
+    The text of the error itself may hold an API key.
+    """
+    if isinstance(error, cattrs.BaseValidationError):
+        return '; '.join(cattrs.transform_error(error))
+    return type(error).__name__
+
+
 def canonical_json(plain: object) -> bytes:
     """Return plain data encoded as JSON with sorted keys."""
     return orjson.dumps(plain, option=orjson.OPT_SORT_KEYS)
--- a/catkinslip/config/reading.py
+++ b/catkinslip/config/reading.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 from returns.result import Failure, Success
 
-from catkinslip.config.documents import AcceptedConfig, converter
+from catkinslip.config.documents import AcceptedConfig, converter, describe_error
 from catkinslip.config.history import (
     Head,
     Snapshot,
@@ -73,7 +73,9 @@
     try:
         return StoredHead(found.version, converter.structure(found.value, Head))
     except MALFORMED as error:
-        return Unavailable(f'the head of the configuration is malformed, {error!r}')
+        return Unavailable(
+            f'the head of the configuration is malformed, {describe_error(error)}'
+        )
 
 
 async def read_config(store: ObjectStore) -> StoredConfig | PlatformError:
@@ -117,7 +119,7 @@
         base = from_snapshot(converter.structure(snapshot, Snapshot))
         config = config_after_changes(base, head.changes_after(head.snapshot_version))
     except MALFORMED as error:
-        return Unavailable(f'the snapshot is malformed, {error!r}')
+        return Unavailable(f'the snapshot is malformed, {describe_error(error)}')
     if config is None or config.digest != head.last.digest:
         return Unavailable('the snapshot and the changes do not match')
     return config
--- a/catkinslip/config/topic.py
+++ b/catkinslip/config/topic.py
@@ -7,7 +7,12 @@
 from attrs import Factory, define, frozen
 
 from catkinslip.config.bootstrap import Bootstrap
-from catkinslip.config.documents import AcceptedConfig, ConfigVersion, converter
+from catkinslip.config.documents import (
+    AcceptedConfig,
+    ConfigVersion,
+    converter,
+    describe_error,
+)
 from catkinslip.config.history import (
     Change,
     Snapshot,
@@ -97,7 +102,7 @@
             self._apply(converter.structure(update, ConfigUpdate))
         except MALFORMED as error:
             raise ValueError(
-                f'malformed update of the configuration: {error!r}'
+                f'malformed update of the configuration: {describe_error(error)}'
             ) from None
 
     def _push(self) -> ConfigUpdate | None:
@@ -160,7 +165,9 @@
     try:
         return converter.structure(plain, expected)
     except MALFORMED as error:
-        raise ValueError(f'malformed {expected.__name__}: {error!r}') from None
+        raise ValueError(
+            f'malformed {expected.__name__}: {describe_error(error)}'
+        ) from None
 
 
 def parse_snapshot(snapshot: Snapshot) -> AcceptedConfig:
@@ -168,4 +175,4 @@
     try:
         return from_snapshot(snapshot)
     except MALFORMED as error:
-        raise ValueError(f'malformed configuration: {error!r}') from None
+        raise ValueError(f'malformed configuration: {describe_error(error)}') from None
--- a/catkinslip/control/app.py
+++ b/catkinslip/control/app.py
@@ -9,6 +9,7 @@
 from quart import Response, abort, request
 from quart_trio import QuartTrio
 
+from catkinslip.config.documents import describe_error
 from catkinslip.control.operators import OperatorPages
 from catkinslip.control.paths import SECRET_HEADER
 from catkinslip.membership.exchange import PATH, PING_PATH, PROBE_PATH, PeerExchange
@@ -80,7 +81,10 @@
         plain = orjson.loads(await request.get_data())
         return converter.structure(plain, message_type)
     except MALFORMED_ERRORS as error:
-        log.warning('control: rejected a malformed message of a peer, error=%r.', error)
+        log.warning(
+            'control: rejected a malformed message of a peer, error=%s.',
+            describe_error(error),
+        )
         abort(Response('The message is malformed.\n', status=400))
 
 
--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -6,7 +6,7 @@
 import cattrs
 from attrs import Factory, frozen
 
-from catkinslip.config.documents import converter
+from catkinslip.config.documents import converter, describe_error
 from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
 from catkinslip.discovery.instances import PeerHealth
 
@@ -97,5 +97,5 @@
     try:
         return converter.structure(plain, wanted)
     except READ_ERRORS as error:
-        log.warning('peers: answer not readable. error=%r', error)
+        log.warning('peers: answer not readable. error=%s', describe_error(error))
         return None
