--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -24,6 +24,12 @@
 #: them take 0.25 s on a link of 10 Mbit/s, and all instances of a zone would request
 #: them at once.
 MAX_SENT_ROUTES = 200
+#: The largest size of the workspaces in an answer: 0.1 s on a link of 5 Mbit/s. It is
+#: that of some 400 workspaces with two keys of 36 characters each.
+MAX_SENT_WORKSPACE_BYTES = 64_000
+#: Size of a workspace without its keys, and of a key without its characters.
+WORKSPACE_BYTES = 90
+KEY_BYTES = 3
 #: The most servers that an answer holds in full. A server takes some 220 bytes, and the
 #: whole answer 0.2 s at 5 Mbit/s. With 3,000 servers no answer arrived within its time
 #: limit of 0.4 s, and so no rules either: of 300 instances on such links the median one
@@ -95,7 +101,7 @@
         """
         backends = self.assembler.backends
         rules = self._newer_rules(rules_version)
-        is_large = rules is not None and len(rules.routes) > MAX_SENT_ROUTES
+        is_large = rules is not None and are_large(rules)
         snapshot = DiscoverySnapshot(
             rules=rules if is_whole or not is_large else None,
             backends_revision=backends.changed_at,
@@ -113,3 +119,15 @@
     def _newer_rules(self, rules_version: int) -> RuleSet | None:
         is_newer = self.assembler.rules_version > rules_version
         return self.assembler.current_rules if is_newer else None
+
+
+def are_large(rules: RuleSet) -> bool:
+    """Return whether rules are too large for the answer to a usual poll."""
+    workspaces = (rules.workspaces or {}).values()
+    size = sum(WORKSPACE_BYTES + keys_size(each.api_keys) for each in workspaces)
+    return len(rules.routes) > MAX_SENT_ROUTES or size > MAX_SENT_WORKSPACE_BYTES
+
+
+def keys_size(api_keys: tuple[str, ...]) -> int:
+    """Return the approximate size of keys in an answer, in bytes."""
+    return sum(KEY_BYTES + len(key) for key in api_keys)
--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -119,13 +119,15 @@
 
     def offer_rules(self, rules: RuleSet) -> bool:
         """Apply rules if they are newer; return whether they were applied."""
-        if rules.version <= self.rules_version:
+        if not rules.is_newer_than(self.current_rules):
             return False
         log.info(
-            'discovery: rules in force. version=%08x was=%08x',
+            'discovery: rules in force. version=%08x was=%08x workspaces=%s',
             rules.version,
             self.rules_version,
+            'unknown' if rules.workspaces is None else len(rules.workspaces),
         )
+        rules = rules.keeping_workspaces(self.current_rules)
         services_before = self.current_rules and self.current_rules.services
         self.current_rules = rules
         if rules.services != services_before:
@@ -214,7 +216,13 @@
         register = Register(dict(rules.services), self.backend_by_id)
         zones = tuple(sorted(self.evacuated_zones))
         document = Document(
-            register, Rules(routes=dict(rules.routes), evacuated_zones=zones)
+            register,
+            Rules(
+                routes=dict(rules.routes),
+                evacuated_zones=zones,
+                # The same map as long as the rules stay, so that it is indexed once.
+                workspaces={} if rules.workspaces is None else rules.workspaces,
+            ),
         )
         version = ConfigVersion(rules.version, self.changes)
         self.config.offer(AcceptedConfig(version, str(version), '', document, {}))
--- a/catkinslip/discovery/base.py
+++ b/catkinslip/discovery/base.py
@@ -3,10 +3,10 @@
 from abc import ABC, abstractmethod
 from typing import Generic, TypeVar
 
-from attrs import Factory, frozen
+from attrs import Factory, evolve, frozen
 from returns.result import Result
 
-from catkinslip.config.documents import Route, Service
+from catkinslip.config.documents import Route, Service, Workspace
 from catkinslip.store.base import PlatformError
 
 
@@ -51,6 +51,27 @@
     version: int
     services: dict[str, Service] = Factory(dict)
     routes: dict[str, Route] = Factory(dict)
+    #: Workspaces by name; None if unknown, as an earlier program sent the rules.
+    workspaces: dict[str, Workspace] | None = None
+
+    def is_newer_than(self, other: 'RuleSet | None') -> bool:
+        """Return whether these rules replace others.
+
+        Rules of the same version replace others whose workspaces are unknown.
+        """
+        if other is None or self.version != other.version:
+            return self.version > (other.version if other else 0)
+        return other.workspaces is None and self.workspaces is not None
+
+    def keeping_workspaces(self, other: 'RuleSet | None') -> 'RuleSet':
+        """Return these rules, with the workspaces of others if these are unknown.
+
+        Without them, all callers could send requests without a key until the store
+        is read.
+        """
+        if self.workspaces is not None or other is None or not other.workspaces:
+            return self
+        return evolve(self, workspaces=other.workspaces)
 
 
 @frozen
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -210,6 +210,10 @@
     kind: str
     decode: Callable[[str, Mapping[str, Any]], Value]
     name: str | None = None
+    #: Whether an unreadable object leaves the last readable one in place, as an invalid
+    #: configuration must; otherwise it counts as removed.
+    keeps_readable: bool = False
+    readable_by_name: dict[str, Value] = Factory(dict)
 
     async def read_all(
         self, *, may_be_stale: bool = False
@@ -281,8 +285,13 @@
         name = name_of(item)
         if not self._is_wanted(name):
             return None
-        # An unreadable object counts as removed, also if it replaces a readable one.
-        value = None if event['tombstone'] else self._decode(name, item, era)
+        if event['tombstone']:
+            self.readable_by_name.pop(name, None)
+            return name, None
+        value = self._decode(name, item, era)
+        if value is None and self.keeps_readable:
+            return None
+        # Otherwise an unreadable object counts as removed.
         return name, value
 
     def _read_page(self, value_by_name: dict[str, Value], page: StoreAnswer) -> str:
@@ -293,22 +302,28 @@
             last = name or last
             is_wanted = self._is_wanted(name)
             value = self._decode(name, item, page.era) if is_wanted else None
+            if value is None:
+                value = self.readable_by_name.get(name)
             if value is not None:
                 value_by_name[name] = value
         return last
 
     def _decode(self, name: str, item: Mapping[str, Any], era: int) -> Value | None:
         try:
-            return self.decode(name, with_era(item, era))
+            value = self.decode(name, with_era(item, era))
         except DECODE_ERRORS as error:
             self.client.unreadable_by_kind[self.kind] += 1
             log.warning(
-                'store: unreadable object ignored. kind=%s name=%s error=%r',
+                'store: unreadable object ignored. kind=%s name=%s kept=%s error=%r',
                 self.kind,
                 name,
+                name in self.readable_by_name,
                 error,
             )
             return None
+        if self.keeps_readable:
+            self.readable_by_name[name] = value
+        return value
 
     def _is_wanted(self, name: str) -> bool:
         return bool(name) and self.name in (None, name)
--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -5,8 +5,7 @@
 """
 
 import socket
-from collections.abc import Mapping, Sequence
-from math import isfinite
+from collections.abc import Mapping
 from typing import Any
 
 from catkinslip.config.documents import Route, Service, SplitPart
@@ -19,6 +18,14 @@
     ZoneEvacuation,
 )
 from catkinslip.models import Address
+from catkinslip.platform.fields import (
+    read_boolean,
+    read_integer,
+    read_number,
+    read_text,
+    rows_of,
+)
+from catkinslip.platform.workspaces import decode_workspaces
 
 #: Exceptions that a decoder raises for an unreadable object.
 DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
@@ -72,35 +79,6 @@
     return None if value is None else read_number(value, 0.0, MAX_COLD_SECONDS)
 
 
-def read_text(value: Any) -> str:
-    """Return a value that is a non-empty text; raise TypeError for any other."""
-    if not isinstance(value, str) or not value:
-        raise TypeError(f'{value!r} is not a non-empty text')
-    return value
-
-
-def read_integer(value: Any, minimum: int, maximum: int) -> int:
-    """Return a whole number within a range; raise ValueError for any other value.
-
-    True and false are not numbers here.
-    """
-    if type(value) is not int or not minimum <= value <= maximum:
-        raise ValueError(f'{value!r} is not a whole number from {minimum} to {maximum}')
-    return value
-
-
-def read_number(value: Any, minimum: float, maximum: float) -> float:
-    """Return a finite number within a range; raise ValueError for any other value.
-
-    True and false are not numbers here.
-    """
-    if type(value) not in (int, float) or not isfinite(value):
-        raise ValueError(f'{value!r} is not a finite number')
-    if not minimum <= value <= maximum:
-        raise ValueError(f'{value!r} is not from {minimum} to {maximum}')
-    return float(value)
-
-
 def read_address(value: Any) -> Address:
     """Parse an IPv4 address with a port that can be connected to.
 
@@ -120,8 +98,9 @@
     spec = item['spec']
     services = {row['name']: decode_service(row) for row in rows_of(spec['services'])}
     routes = {row['name']: decode_route(row) for row in rows_of(spec['routes'])}
+    workspaces = decode_workspaces(spec.get('tenants'))
     # The version is eight hexadecimal digits and grows in uneven steps.
-    return RuleSet(int(spec['version'], 16), services, routes)
+    return RuleSet(int(spec['version'], 16), services, routes, workspaces)
 
 
 def decode_service(row: Mapping[str, Any]) -> Service:
@@ -149,22 +128,10 @@
         priority=int(row['priority']),
         max_attempts=int(row['max_attempts']),
         regions=tuple(map(read_text, row.get('allowed_regions') or ())),
+        public=read_boolean(row.get('public', False)),
     )
 
 
-def rows_of(table: Mapping[str, Any]) -> list[dict[str, Any]]:
-    """Return the rows of a table as dictionaries by column name, without nulls."""
-    columns: Sequence[str] = table['columns']
-    return [
-        {
-            name: value
-            for name, value in zip(columns, row, strict=True)
-            if value is not None
-        }
-        for row in table['rows']
-    ]
-
-
 def decode_instance(name: str, item: Mapping[str, Any]) -> InstanceEntry:
     """Decode the entry of one catkinslip instance."""
     spec = item['spec']
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -107,7 +107,13 @@
     dependencies = Dependencies(
         environment=environment,
         dialect=PlatformDialect(),
-        rules=KindSource(client, names.CONFIG_KIND, decode_rules, names.MAIN_NAME),
+        rules=KindSource(
+            client,
+            names.CONFIG_KIND,
+            decode_rules,
+            names.MAIN_NAME,
+            keeps_readable=True,
+        ),
         backends=KindSource(client, names.SERVERS_KIND, decode_backend),
         instances=KindSource(client, names.INSTANCES_KIND, decode_instance),
         instance_registry=StoredInstances(client),
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -91,8 +91,12 @@
     timeout: float = 1.5,
     cold_per_s: float | None = None,
     target: float = 0.3,
+    tenants: object = None,
 ) -> dict:
-    """Return a configuration with one split route and one plain route."""
+    """Return a configuration with one split route and one plain route.
+
+    `tenants` is the table of workspaces, which is left out if it is None.
+    """
     split = [{'service': 'one', 'weight': 90}, {'service': 'two', 'weight': 10}]
     rows = [
         ['r1', 'a.example', '/q/', 'idempotent', timeout, 0.25, 2, split, 2, None],
@@ -114,7 +118,9 @@
     if cold_per_s is not None:
         columns += ['cold_s', 'cold_per_s']
         services = [[*row, 3.0, cold_per_s] for row in services]
+    table = {} if tenants is None else {'tenants': tenants}
     return {
+        **table,
         'version': version,
         'routes': {'columns': ROUTE_COLUMNS, 'rows': rows},
         'services': {'columns': columns, 'rows': services},
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -153,6 +153,7 @@
         request_id: str = 'r1',
         deadline_ms: int | None = None,
         from_address: str = '127.0.0.1',
+        headers: dict[str, str] | None = None,
         **fields,
     ) -> httpx.Response:
         """Send one request on a new connection and return the response."""
@@ -162,6 +163,7 @@
             'Host': 'a.example',
             'Request-Id': request_id,
             'Deadline-Ms': str(deadline_ms or self.deadline_ms),
+            **(headers or {}),
         }
         async with httpx.AsyncClient(
             timeout=GENEROUS_SECONDS, transport=transport
