Check the API key of each request and name its workspace to servers

Cause: with workspaces in the configuration, requests on routes that are not public need a key, which servers never receive. Change: calls get their workspace, its priority or a refusal with 401 from the configuration in force; the caller's values of both headers are dropped on every route. Requests that are passed to the home of their idempotency key carry a proof of the workspace in place of the key.

--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -52,6 +52,9 @@
 class PlatformDialect(Dialect):
     """Codec of the platform's headers."""
 
+    key_header = wire.API_KEY
+    workspace_header = wire.WORKSPACE
+
     def read_parameters(
         self, request: RequestHead, wall: float
     ) -> CallParameters | NotRun:
@@ -79,6 +82,7 @@
     ) -> list[Header]:
         """Return the headers of an attempt, without those that frame the body."""
         headers = names.end_to_end(call.headers, REPLACED_IN_REQUESTS)
+        headers += self.workspace_headers(call)
         if names.find(headers, wire.REQUEST_ID) is None:
             headers.append((wire.REQUEST_ID, call.request_id.encode()))
         headers.append((wire.DEADLINE, b'%d' % max(1, int(remaining * 1000))))
@@ -143,6 +147,8 @@
             # 503 is the only 5xx status that guarantees that the request has not run.
             status = 503
         headers = [(wire.REQUEST_ID, request_id.encode())]
+        if status == 401:
+            headers.append(names.AUTHENTICATE)
         if status == 503:
             seconds = retry_after_seconds(outcome)
             headers.append((RETRY_AFTER, b'%.3f' % seconds))
--- a/catkinslip/platform/names.py
+++ b/catkinslip/platform/names.py
@@ -25,6 +25,10 @@
 REQUEST_ID: Final = b'request-id'
 #: Milliseconds that the caller waits; on requests to servers, those that remain.
 DEADLINE: Final = b'deadline-ms'
+#: The API key of a caller; never sent to servers.
+API_KEY: Final = b'x-api-key'
+#: On requests to servers: the workspace that the caller's API key belongs to.
+WORKSPACE: Final = b'tenant'
 #: The ID of the one server that may run the request.
 TARGET: Final = b'target-instance'
 #: On an answer: the request did not run.
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -14,6 +14,7 @@
 from catkinslip.proxy.calls import Call, CallFactory
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.draining import CallerDrain
+from catkinslip.proxy.head_checks import fault_text
 from catkinslip.proxy.head_reader import HeadReader
 from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.native_dialect import NativeDialect
@@ -83,7 +84,8 @@
             pass
         except h11.ProtocolError as error:
             log.info(
-                'request: a connection was closed after a protocol error, %s.', error
+                'request: a connection was closed after a protocol error, %s.',
+                fault_text(error),
             )
         except Exception:
             # One caller's connection must not stop the process.
@@ -120,7 +122,8 @@
         outcome = await self._forward_observed(call, wire)
         seconds = self.environment.clock.monotonic() - began_at
         log.info(
-            'request: %s %s ended as %s. route=%s ms=%.0f left_ms=%.0f spent_ms=%.0f',
+            'request: %s %s ended as %s. route=%s ms=%.0f left_ms=%.0f spent_ms=%.0f '
+            'workspace=%s',
             call.request_id,
             call.service,
             outcome,
@@ -128,6 +131,7 @@
             seconds * 1e3,
             (call.caller_deadline - began_at) * 1e3,
             call.spent * 1e3,
+            call.workspace or '-',
         )
         return await self._report(wire, call, outcome)
 
@@ -142,6 +146,8 @@
         return outcome
 
     async def _forward(self, call: Call, wire: Wire) -> Outcome:
+        if call.refusal is not None:
+            return call.refusal
         if call.is_expired(self.environment.clock):
             return NotRun(Reason.TOO_LATE)
         outcome: Outcome = Unknown(Reason.CALLER_LEFT)
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -3,7 +3,7 @@
 from math import inf
 from random import Random
 
-from attrs import Factory, define
+from attrs import Factory, define, field
 
 from catkinslip.clock import Clock
 from catkinslip.config.documents import Document, Service
@@ -11,9 +11,11 @@
 from catkinslip.proxy.bodies import Body, BodyRemainder
 from catkinslip.proxy.dialect import CallParameters, Dialect
 from catkinslip.proxy.head_checks import origin_form
-from catkinslip.proxy.headers import Header, RequestHead
+from catkinslip.proxy.headers import IDEMPOTENCY_KEY, Header, RequestHead, find
 from catkinslip.proxy.outcomes import NotRun
 from catkinslip.routing.routes import RouteTable
+from catkinslip.workspaces.checker import KeyChecker
+from catkinslip.workspaces.proofs import check_proof
 
 
 @define
@@ -27,8 +29,9 @@
     service: str
     method: bytes
     target: bytes
-    headers: list[Header]
-    body: bytes
+    #: Without the headers of API keys and workspaces.
+    headers: list[Header] = field(repr=False)
+    body: bytes = field(repr=False)
     repeatable: bool
     deadline: float
     attempt: int = 1
@@ -53,6 +56,8 @@
     priority: int = 0
     #: Name of the caller's workspace; empty without one.
     workspace: str = ''
+    #: Why the call is refused without being forwarded; None if it is not.
+    refusal: NotRun | None = None
     #: Maximum number of backend servers that the request is sent to; None for the
     #: limit of the settings.
     max_attempts: int | None = None
@@ -100,6 +105,7 @@
     document: Document | None = None
     service_by_name: dict[str, Service] = Factory(dict)
     routes: RouteTable = Factory(lambda self: RouteTable(self.random), takes_self=True)
+    keys: KeyChecker = Factory(lambda self: KeyChecker(self.clock), takes_self=True)
 
     def new_request_id(self) -> str:
         """Return a new random ID for a request that has none."""
@@ -117,7 +123,7 @@
             service=parameters.service,
             method=request.method,
             target=target,
-            headers=request.headers,
+            headers=self.dialect.without_workspace_headers(request.headers),
             body=body.start,
             repeatable=False,
             deadline=inf,
@@ -128,6 +134,8 @@
         )
         path = target.decode('latin-1').partition('?')[0]
         timeout = self._apply_rules(call, parameters, path)
+        if self._needs_key(call, parameters, path):
+            self._apply_key(call, request)
         if parameters.timeout is not None:
             timeout = min(timeout, parameters.timeout)
         now = self.clock.monotonic()
@@ -143,6 +151,46 @@
             self.document = document
             self.service_by_name = document.effective_services()
             self.routes.update(document)
+            self.keys.update(document.rules.workspaces, self.config.current.version)
+
+    def _needs_key(self, call: Call, parameters: CallParameters, path: str) -> bool:
+        """Return whether a call needs an API key.
+
+        One without a route or service does not: it is refused with 404. One that names
+        its service directly does, as it would otherwise get around the routes.
+        """
+        if not self.keys.workspace_by_name:
+            return False
+        turns = self.routes.find(parameters.host, path)
+        if turns is not None:
+            return not turns.route.public
+        return call.service in self.service_by_name
+
+    def _apply_key(self, call: Call, request: RequestHead) -> None:
+        """Set the workspace of a call by its key, or the refusal."""
+        passed = self._passed_workspace(call, request)
+        found = passed or self.keys.check(
+            self.dialect.read_keys(request.headers),
+            call.request_id,
+            lambda: f'route={call.route} config={self.config.current.version}',
+        )
+        if isinstance(found, NotRun):
+            call.refusal = found
+            return
+        call.workspace = found
+        priority = self.keys.workspace_by_name[found].priority
+        if priority is not None:
+            call.priority = priority
+
+    def _passed_workspace(self, call: Call, request: RequestHead) -> str | None:
+        """Return the workspace that another instance passed on; None if none did."""
+        name = self.dialect.passed_header
+        value = find(request.headers, name) if name else None
+        if value is None:
+            return None
+        return check_proof(
+            value.decode('latin-1'), self.keys.workspace_by_name, proof_parts(call)
+        )
 
     def _apply_rules(self, call: Call, parameters: CallParameters, path: str) -> float:
         """Apply the rules to a call and return its maximum duration in seconds."""
@@ -164,3 +212,12 @@
         if service is None:
             return self.request_timeout
         return min(self.request_timeout, service.timeout)
+
+
+def proof_parts(call: Call) -> tuple[bytes, ...]:
+    """Return the parts of a call for which its workspace is proven to another instance.
+
+    The idempotency key is part of them, so that a proof is of use for one request only.
+    """
+    key = find(call.headers, IDEMPOTENCY_KEY) or b''
+    return (call.method, call.target, call.request_id.encode(), key)
--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -2,12 +2,12 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 import h11
 from attrs import frozen
 
-from catkinslip.proxy.headers import Header, RequestHead
+from catkinslip.proxy.headers import Header, RequestHead, find_all, without
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from catkinslip.routing.base import LoadReport
 from catkinslip.routing.signals import NO_SIGNALS, ServerSignals
@@ -42,6 +42,28 @@
 class Dialect(ABC):
     """Codec of the headers between callers, this instance and backend servers."""
 
+    #: Header in which callers send their API key; servers never receive it.
+    key_header: ClassVar[bytes]
+    #: Header in which servers receive the workspace; only this instance sets it.
+    workspace_header: ClassVar[bytes]
+    #: Header in which another instance passes the workspace on; None if none does.
+    passed_header: ClassVar[bytes | None] = None
+
+    def read_keys(self, headers: Sequence[Header]) -> list[bytes]:
+        """Return all values of the key header."""
+        return find_all(headers, self.key_header)
+
+    def without_workspace_headers(self, headers: Sequence[Header]) -> list[Header]:
+        """Return the headers without the caller's values of key and workspace."""
+        names = (self.key_header, self.workspace_header, self.passed_header)
+        return without(headers, frozenset(name for name in names if name))
+
+    def workspace_headers(self, call: 'Call') -> list[Header]:
+        """Return the headers that name the workspace of a call, if it has one."""
+        if not call.workspace:
+            return []
+        return [(self.workspace_header, call.workspace.encode())]
+
     @abstractmethod
     def read_parameters(
         self, request: RequestHead, wall: float
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -6,7 +6,7 @@
 import re
 from collections.abc import Iterable
 
-from attrs import frozen
+from attrs import field, frozen
 from h11._headers import Headers
 
 Header = tuple[bytes, bytes]
@@ -21,6 +21,12 @@
 REQUEST_ID_FORM = re.compile(rb'[\x21-\x7e]{1,128}\Z')
 IDEMPOTENCY_KEY = b'idempotency-key'
 PASSED_BY = b'catkinslip-passed-by'
+#: The workspace of a request that another instance passed on, with proofs.
+PASSED_WORKSPACE = b'catkinslip-passed-workspace'
+API_KEY = b'catkinslip-api-key'
+WORKSPACE = b'catkinslip-workspace'
+#: On each answer 401, https://www.rfc-editor.org/rfc/rfc9110#section-11.6.1
+AUTHENTICATE = (b'www-authenticate', b'ApiKey')
 REPLAYED = b'catkinslip-replayed'
 
 FORWARDED_FOR = b'x-forwarded-for'
@@ -64,7 +70,8 @@
     method: bytes
     target: bytes
     http_version: bytes
-    headers: list[Header]
+    #: Left out of the text form, as a header may hold an API key.
+    headers: list[Header] = field(repr=False)
 
 
 def find(headers: Iterable[Header], name: bytes) -> bytes | None:
@@ -80,6 +87,14 @@
     return [value for each, value in headers if each == name]
 
 
+def without(headers: Iterable[Header], dropped: frozenset[bytes]) -> list[Header]:
+    """Return the headers without those of some names.
+
+    An underscore counts as a dash, as some servers do not distinguish them.
+    """
+    return [each for each in headers if each[0].replace(b'_', b'-') not in dropped]
+
+
 def end_to_end(headers: Iterable[Header], replaced: frozenset[bytes]) -> list[Header]:
     """Return the headers to forward, without those in `replaced`.
 
--- a/catkinslip/proxy/native_dialect.py
+++ b/catkinslip/proxy/native_dialect.py
@@ -21,6 +21,10 @@
 class NativeDialect(Dialect):
     """Codec of the headers that docs/REQUESTS.md specifies."""
 
+    key_header = names.API_KEY
+    workspace_header = names.WORKSPACE
+    passed_header = names.PASSED_WORKSPACE
+
     def read_parameters(
         self, request: RequestHead, wall: float
     ) -> CallParameters | NotRun:
@@ -49,6 +53,7 @@
     ) -> list[Header]:
         """Return the headers of an attempt, without those that frame the body."""
         headers = names.request_headers(call.headers, call.peer)
+        headers += self.workspace_headers(call)
         headers.append((names.REQUEST_ID, call.request_id.encode()))
         headers.append((names.DEADLINE, b'%.3f' % call.wall_deadline))
         headers.append((names.ATTEMPT, b'%d' % (call.attempt + number - 1)))
--- a/catkinslip/proxy/problems.py
+++ b/catkinslip/proxy/problems.py
@@ -5,7 +5,7 @@
 import h11
 import orjson
 
-from catkinslip.proxy.headers import NOT_RUN, OUTCOME, REQUEST_ID
+from catkinslip.proxy.headers import AUTHENTICATE, NOT_RUN, OUTCOME, REQUEST_ID
 from catkinslip.proxy.outcomes import NotRun, Unknown
 
 TYPE_PREFIX = 'urn:catkinslip:problem:'
@@ -46,6 +46,8 @@
         (OUTCOME, outcome_value),
         (REQUEST_ID, request_id.encode()),
     ]
+    if reason.status == 401:
+        headers.append(AUTHENTICATE)
     if retry_after is not None:
         headers.append((b'retry-after', b'%d' % max(1, math.ceil(retry_after))))
     if close:
--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -164,11 +164,15 @@
 
 
 def fingerprint(call: Call) -> bytes:
-    """Return a digest of the service, method, target and body of a request."""
+    """Return a digest of the service, method, target, body and workspace of a request.
+
+    The workspace keeps a kept answer from callers of other workspaces.
+    """
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (call.service.encode(), call.method, call.target, call.body):
         digest.update(b'%d:' % len(part))
         digest.update(part)
+    digest.update(call.workspace.encode())
     return digest.digest()
 
 
--- a/catkinslip/tickets/passing.py
+++ b/catkinslip/tickets/passing.py
@@ -3,18 +3,20 @@
 import h11
 import orjson
 import trio
-from attrs import define
+from attrs import Factory, define
 
 from catkinslip.clock import Clock
+from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import Member
 from catkinslip.models import Address
 from catkinslip.proxy import headers as names
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.calls import Call, proof_parts
 from catkinslip.proxy.exchange import AnswerHead, Attempt
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.problems import TYPE_PREFIX
 from catkinslip.proxy.wire import Wire
+from catkinslip.workspaces.proofs import make_proof
 
 #: Size in bytes beyond which no more of a problem document is read.
 MAX_PROBLEM_BYTES = 16 << 10
@@ -30,6 +32,8 @@
     """
 
     own_id: str = ''
+    #: The header that proves the call's workspace to the home, if it has one.
+    workspace_proof: list[names.Header] = Factory(list)
 
     async def start(self) -> AnswerHead | NotRun | Unknown:
         """Send the request on a new connection and wait for the answer's head.
@@ -60,7 +64,7 @@
         request, *rest = super()._request_events()
         service = (names.SERVICE, self.call.service.encode())
         passed_by = (names.PASSED_BY, self.own_id.encode())
-        headers = [*request.headers, service, passed_by]
+        headers = [*request.headers, service, passed_by, *self.workspace_proof]
         request = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
@@ -74,6 +78,7 @@
     own_id: str
     pool: BackendPool
     clock: Clock
+    config: ConfigHolder = Factory(ConfigHolder)
 
     async def send(self, call: Call, home: Member, caller: Wire) -> Outcome:
         """Forward one request to its home within its deadline."""
@@ -84,11 +89,21 @@
             self.pool,
             self.clock,
             own_id=self.own_id,
+            workspace_proof=self._workspace_proof(call),
         )
         with trio.move_on_after(max(0.0, call.deadline - self.clock.monotonic())):
             return await attempt.run()
         return Unknown(Reason.DEADLINE, 'no whole answer of the home')
 
+    def _workspace_proof(self, call: Call) -> list[names.Header]:
+        """Return the header that proves a call's workspace; empty if it has none."""
+        workspaces = self.config.current.document.rules.workspaces
+        workspace = workspaces.get(call.workspace)
+        if workspace is None:
+            return []
+        value = make_proof(call.workspace, workspace, proof_parts(call))
+        return [(names.PASSED_WORKSPACE, value.encode())]
+
 
 async def read_problem(wire: Wire) -> dict:
     """Read a problem document; return an empty dict if the body is not one."""
--- a/catkinslip/wiring/callers.py
+++ b/catkinslip/wiring/callers.py
@@ -44,7 +44,9 @@
         forwarder=forwarder,
         table=make_ticket_table(settings, own, ticket_clock),
         records=PlatformRecords(shared.store, environment.random),
-        home_forwarder=HomeForwarder(own.member_id, shared.pool, environment.clock),
+        home_forwarder=HomeForwarder(
+            own.member_id, shared.pool, environment.clock, shared.config
+        ),
         config=shared.config,
         members=shared.members,
         clock=ticket_clock,
