Check the names and keys of workspaces in a document

Cause: a key in two workspaces, or one that no header can hold, must be refused before the document is accepted, and no mistake may show a key. Change: check_workspaces; values of a wrong type below rules.workspaces are named by their type. A fingerprint is no valid key, so that a document that was printed with fingerprints cannot be applied.

--- a/catkinslip/config/checks.py
+++ b/catkinslip/config/checks.py
@@ -18,6 +18,9 @@
 MAX_NAME_CHARACTERS = 128
 NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*')
 HEALTH_PATH = re.compile(r'/[!-~]*')
+#: A space would make it look like a fingerprint, which operators see in its place.
+API_KEY = re.compile(r'[!-~]{1,256}')
+API_KEY_REASON = 'a key has 1 to 256 visible ASCII characters and no spaces'
 METHOD = re.compile(r'[A-Z][A-Z0-9-]*')
 NAME_REASON = (
     f'a name has 1 to {MAX_NAME_CHARACTERS} letters, digits, dots, dashes '
@@ -186,6 +189,22 @@
             yield DocumentMistake(f'rules.evacuated_zones[{index}]', reason)
 
 
+def check_workspaces(document: Document) -> Iterator[DocumentMistake]:
+    """Yield the mistakes in names and keys of workspaces, without any key."""
+    place_by_key: dict[str, str] = {}
+    for name, workspace in document.rules.workspaces.items():
+        location = f'rules.workspaces.{name}'
+        if not is_name(name):
+            yield DocumentMistake(location, NAME_REASON)
+        for index, key in enumerate(workspace.api_keys):
+            place = f'{location}.api_keys[{index}]'
+            if not API_KEY.fullmatch(key):
+                yield DocumentMistake(place, API_KEY_REASON)
+            first = place_by_key.setdefault(key, place)
+            if first != place:
+                yield DocumentMistake(place, f'is the same key as {first}')
+
+
 def check_size(document: Document) -> Iterator[DocumentMistake]:
     """Yield a mistake if the document is larger than the platform can store."""
     size = len(canonical_json(to_plain(document)))
@@ -208,5 +227,6 @@
     check_requests,
     check_routes,
     check_evacuations,
+    check_workspaces,
     check_size,
 )
--- a/catkinslip/config/shapes.py
+++ b/catkinslip/config/shapes.py
@@ -31,29 +31,36 @@
     reason: str
 
 
-def check_shape(plain: Any, expected: Any, location: str) -> Iterator[DocumentMistake]:
-    """Yield each mistake in plain data that does not have the expected type."""
+def check_shape(
+    plain: Any, expected: Any, location: str, *, is_secret: bool = False
+) -> Iterator[DocumentMistake]:
+    """Yield each mistake in plain data that does not have the expected type.
+
+    With `is_secret`, values of a wrong type are not shown, as they may be API keys.
+    """
     origin = get_origin(expected)
     if origin in (Union, types.UnionType):
         choices = [each for each in get_args(expected) if each is not type(None)]
         if plain is not None:
-            yield from check_shape(plain, choices[0], location)
+            yield from check_shape(plain, choices[0], location, is_secret=is_secret)
     elif attrs.has(expected):
-        yield from check_fields(plain, expected, location)
+        yield from check_fields(plain, expected, location, is_secret=is_secret)
     elif origin is dict:
-        yield from check_map(plain, get_args(expected)[1], location)
+        inner = get_args(expected)[1]
+        yield from check_map(plain, inner, location, is_secret=is_secret)
     elif origin is tuple:
-        yield from check_list(plain, get_args(expected)[0], location)
+        inner = get_args(expected)[0]
+        yield from check_list(plain, inner, location, is_secret=is_secret)
     elif not is_scalar(plain, expected):
-        yield wrong_type(plain, expected, location)
+        yield wrong_type(plain, expected, location, is_secret=is_secret)
 
 
 def check_fields(
-    plain: Any, expected: type, location: str
+    plain: Any, expected: type, location: str, *, is_secret: bool = False
 ) -> Iterator[DocumentMistake]:
     """Yield the mistakes in a map that holds the fields of a class."""
     if not isinstance(plain, dict):
-        yield wrong_type(plain, dict, location)
+        yield wrong_type(plain, dict, location, is_secret=is_secret)
         return
     attribute_by_name = attrs.fields_dict(attrs.resolve_types(expected))
     for name in plain:
@@ -65,29 +72,37 @@
     for name, attribute in attribute_by_name.items():
         inner = join(location, name)
         if name in plain:
-            mistakes = list(check_shape(plain[name], attribute.type, inner))
+            hides = is_secret or attribute.metadata.get('secret', False)
+            mistakes = list(
+                check_shape(plain[name], attribute.type, inner, is_secret=hides)
+            )
             allowed = attribute.metadata.get('range')
             yield from mistakes or check_range(plain[name], allowed, inner)
         elif attribute.default is attrs.NOTHING:
             yield DocumentMistake(inner, 'is missing')
 
 
-def check_map(plain: Any, inner: Any, location: str) -> Iterator[DocumentMistake]:
+def check_map(
+    plain: Any, inner: Any, location: str, *, is_secret: bool = False
+) -> Iterator[DocumentMistake]:
     """Yield the mistakes in a map whose values have one type."""
     if not isinstance(plain, dict):
-        yield wrong_type(plain, dict, location)
+        yield wrong_type(plain, dict, location, is_secret=is_secret)
         return
     for key, value in plain.items():
-        yield from check_shape(value, inner, join(location, key))
+        yield from check_shape(value, inner, join(location, key), is_secret=is_secret)
 
 
-def check_list(plain: Any, inner: Any, location: str) -> Iterator[DocumentMistake]:
+def check_list(
+    plain: Any, inner: Any, location: str, *, is_secret: bool = False
+) -> Iterator[DocumentMistake]:
     """Yield the mistakes in a list whose values have one type."""
     if not isinstance(plain, list | tuple):
-        yield wrong_type(plain, tuple, location)
+        yield wrong_type(plain, tuple, location, is_secret=is_secret)
         return
     for index, value in enumerate(plain):
-        yield from check_shape(value, inner, f'{location}[{index}]')
+        place = f'{location}[{index}]'
+        yield from check_shape(value, inner, place, is_secret=is_secret)
 
 
 def check_range(
@@ -112,9 +127,12 @@
     return isinstance(plain, expected)
 
 
-def wrong_type(plain: Any, expected: type, location: str) -> DocumentMistake:
+def wrong_type(
+    plain: Any, expected: type, location: str, *, is_secret: bool = False
+) -> DocumentMistake:
     """Return the mistake for a value of the wrong type."""
-    shown = repr(plain) if len(repr(plain)) <= 40 else type(plain).__name__
+    is_shown = not is_secret and len(repr(plain)) <= 40
+    shown = repr(plain) if is_shown else type(plain).__name__
     description = DESCRIPTION_BY_TYPE.get(expected, expected.__name__)
     if issubclass(expected, Enum):
         description = 'one of ' + ', '.join(repr(each.value) for each in expected)
