--- a/catkinslip/metrics/wiring.py
+++ b/catkinslip/metrics/wiring.py
@@ -13,6 +13,7 @@
 from catkinslip.metrics.members import MemberMetrics
 from catkinslip.metrics.requests import RequestMetrics
 from catkinslip.metrics.traces import TraceRing
+from catkinslip.metrics.workspaces import WorkspaceMetrics
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.routing.directory import Directory
 
@@ -44,11 +45,14 @@
         lag = LoopLag(clock)
         config_metrics = ConfigMetrics(clock, config)
         config.listeners.append(config_metrics.record_change)
+        workspaces = WorkspaceMetrics(clock)
         sources = (
             requests,
+            workspaces,
             config_metrics,
             MemberMetrics(members),
             lag,
             LogMetrics(log_buffer),
         )
-        return cls(ObserverGroup((requests, traces)), traces, lag, sources)
+        observer = ObserverGroup((requests, traces, workspaces))
+        return cls(observer, traces, lag, sources)
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -43,6 +43,7 @@
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
 from catkinslip.metrics.requests import RequestMetrics
 from catkinslip.metrics.traces import TraceRing
+from catkinslip.metrics.workspaces import WorkspaceMetrics
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient
 from catkinslip.pages import PageHandler, PageServer
@@ -268,7 +269,8 @@
     requests = RequestMetrics(clock, directory)
     instance_id = settings.own.instance_id
     traces = TraceRing(instance_id, clock, directory, deque(maxlen=MAX_TRACES))
-    observer = ObserverGroup((requests, traces))
+    workspaces = WorkspaceMetrics(clock)
+    observer = ObserverGroup((requests, traces, workspaces))
     hedges = HedgeTimer()
     limits = LimitRegistry(
         make_limit_settings(settings), lambda _: instances.budget_divisor()
@@ -349,6 +351,7 @@
         rate_gossip=rate_gossip,
         sources=(
             requests,
+            workspaces,
             config_metrics,
             lag,
             LogMetrics(dependencies.log_buffer),
