Show workspaces to operators with fingerprints in place of keys

Cause: keys must not be on the screens and in the files of operators, except where they edit the document. Change: a command workspaces; read, diff, changes and the configuration page of an instance show fingerprints.

--- a/catkinslip/cli/application.py
+++ b/catkinslip/cli/application.py
@@ -26,6 +26,7 @@
 from catkinslip.cli.help import HelpCommand
 from catkinslip.cli.instances import InstancesCommand, StatusCommand
 from catkinslip.cli.metrics import MetricsCommand
+from catkinslip.cli.workspaces import WorkspacesCommand
 from catkinslip.environment import Environment
 from catkinslip.status import ExitStatus
 
@@ -44,6 +45,7 @@
     StatusCommand,
     InstancesCommand,
     MetricsCommand,
+    WorkspacesCommand,
     ExplainCommand,
 )
 
--- a/catkinslip/cli/configuration_reads.py
+++ b/catkinslip/cli/configuration_reads.py
@@ -14,6 +14,7 @@
 from catkinslip.config.merge import merge_diff
 from catkinslip.config.reading import StoredConfig, StoredHead, read_config, read_head
 from catkinslip.status import ExitStatus
+from catkinslip.workspaces.fingerprints import hide_keys
 
 
 class CheckCommand(ConfigurationCommand):
@@ -64,7 +65,9 @@
                 'version': str(config.version),
                 'change_id': config.change_id,
                 'author': config.author,
-                'document': config.plain,
+                'document': config.plain
+                if self.option('document')
+                else hide_keys(config.plain),
             }
         )
 
@@ -106,13 +109,13 @@
 
     def _print_changes(self, changes: tuple[Change, ...]) -> None:
         if self.is_json:
-            self.printer.json(to_plain(changes))
+            self.printer.json([plain_change(change) for change in changes])
             return
         for change in changes:
             made_at = time.strftime('%F %T', time.gmtime(change.made_at))
             line = f'{change.version}  {change.change_id}  {made_at}  {change.author}'
             if self.option('patches'):
-                line += f'  {to_plain(change.patch)}'
+                line += f'  {hide_keys(to_plain(change.patch))}'
             self.printer.line(line)
 
     def _print_absent(self, change_id: str, head: Head) -> ExitStatus:
@@ -143,5 +146,12 @@
             found = await read_config(store)
         if not isinstance(found, StoredConfig):
             return self.print_unreachable(found)
-        self.printer.json(merge_diff(found.config.plain, to_plain(document)))
+        patch = merge_diff(found.config.plain, to_plain(document))
+        self.printer.json(hide_keys(patch))
         return ExitStatus.SUCCESS
+
+
+def plain_change(change: Change) -> dict:
+    """Return a change as plain data, with fingerprints in place of keys."""
+    plain = to_plain(change)
+    return {**plain, 'patch': hide_keys(plain['patch'])}
--- a/catkinslip/cli/definition.py
+++ b/catkinslip/cli/definition.py
@@ -252,6 +252,23 @@
     statuses=(ExitStatus.UNREACHABLE,),
 )
 
+WORKSPACES = CommandDefinition(
+    'workspaces',
+    'Show the workspaces, their limits, keys and requests.',
+    'Queries one instance for its configuration in force, then each member for the '
+    'outcomes of requests since its start. Keys are shown as fingerprints. Each '
+    'instance counts its largest workspaces by name and all others as (other).',
+    INSTANCE,
+    switches=(JSON,),
+    examples=(
+        Example(
+            'See which workspaces are refused.',
+            'catkinslip workspaces --control 10.0.0.1:7001',
+        ),
+    ),
+    statuses=(ExitStatus.UNREACHABLE,),
+)
+
 EXPLAIN = CommandDefinition(
     'explain',
     'Explain how one request was handled.',
@@ -291,6 +308,7 @@
     STATUS,
     INSTANCES,
     METRICS,
+    WORKSPACES,
     EXPLAIN,
 )
 
--- a/catkinslip/control/operators.py
+++ b/catkinslip/control/operators.py
@@ -22,6 +22,7 @@
 from catkinslip.metrics.base import Family, MetricSource
 from catkinslip.metrics.exposition import CONTENT_TYPE, expose
 from catkinslip.metrics.traces import TraceRing
+from catkinslip.workspaces.fingerprints import hide_keys
 
 
 @define
@@ -61,7 +62,7 @@
             'version': str(current.version),
             'change_id': current.change_id,
             'author': current.author,
-            'document': current.plain,
+            'document': hide_keys(current.plain),
         }
 
     async def _metrics(self) -> dict[str, Any]:
