--- a/catkinslip/crashes/identity.py
+++ b/catkinslip/crashes/identity.py
@@ -3,7 +3,9 @@
 Two requests are the same if a server cannot distinguish them by method, host, path,
 body and the caller's credentials. The address from which a request came is not
 included: the address of a caller may change, and many callers may send a request that
-crashes servers.
+crashes servers. For the same reason neither the API key nor the workspace is included:
+copies that callers of several workspaces send would otherwise crash servers for each of
+them. The key is not in the headers of a call, so that no hash depends on it.
 """
 
 from hashlib import blake2b
