--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from functools import cached_property
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
@@ -49,14 +50,19 @@
     #: Header in which another instance passes the workspace on; None if none does.
     passed_header: ClassVar[bytes | None] = None
 
+    @cached_property
+    def own_headers(self) -> frozenset[bytes]:
+        """Return the headers of keys and workspaces, which no caller's value passes."""
+        names = (self.key_header, self.workspace_header, self.passed_header)
+        return frozenset(name for name in names if name)
+
     def read_keys(self, headers: Sequence[Header]) -> list[bytes]:
         """Return all values of the key header."""
         return find_all(headers, self.key_header)
 
     def without_workspace_headers(self, headers: Sequence[Header]) -> list[Header]:
         """Return the headers without the caller's values of key and workspace."""
-        names = (self.key_header, self.workspace_header, self.passed_header)
-        return without(headers, frozenset(name for name in names if name))
+        return without(headers, self.own_headers)
 
     def workspace_headers(self, call: 'Call') -> list[Header]:
         """Return the headers that name the workspace of a call, if it has one."""
--- a/tests/test_workspaces_native.py
+++ b/tests/test_workspaces_native.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import trio
+import trio.testing
 
 from catkinslip.config.documents import AcceptedConfig, ConfigVersion
 from catkinslip.config.holder import ConfigHolder
