--- a/catkinslip/cli/workspaces.py
+++ b/catkinslip/cli/workspaces.py
@@ -94,7 +94,7 @@
     rows = [
         (
             name,
-            cell(each.get('priority')),
+            '-' if each.get('priority') is None else each['priority'],
             cell(each.get('requests_per_second')),
             cell(each.get('burst')),
             len(each['fingerprints']) if 'fingerprints' in each else '-',
--- a/catkinslip/workspaces/checker.py
+++ b/catkinslip/workspaces/checker.py
@@ -98,7 +98,7 @@
                 'workspaces: key rejected. request=%s cause=%s fingerprint=%s %s '
                 'omitted=%d',
                 request_id,
-                fault.value.replace(' ', '-'),
+                fault.value,
                 fingerprint_of(key) if key else '-',
                 describe(),
                 omitted,
--- a/catkinslip/workspaces/keys.py
+++ b/catkinslip/workspaces/keys.py
@@ -18,8 +18,8 @@
     MISSING = 'missing'
     REPEATED = 'repeated'
     EMPTY = 'empty'
-    TOO_LONG = 'too long'
-    NOT_TEXT = 'not text'
+    TOO_LONG = 'too-long'
+    NOT_TEXT = 'not-text'
     UNKNOWN = 'unknown'
 
 
