--- a/tests/test_docs_examples.py
+++ b/tests/test_docs_examples.py
@@ -14,7 +14,7 @@
 
 from attrs import fields
 
-from catkinslip.config.documents import Backend, RequestRule, Service
+from catkinslip.config.documents import Backend, RequestRule, Service, Workspace
 from catkinslip.proxy.outcomes import Reason
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -86,7 +86,7 @@
         text = (ROOT / 'docs' / 'CONFIGURATION.md').read_text()
         names = {
             field.name
-            for kind in (Service, Backend, RequestRule)
+            for kind in (Service, Backend, RequestRule, Workspace)
             for field in fields(kind)
         }
         self.assertEqual([name for name in names if f'| `.{name}` |' not in text], [])
