Need a key for paths that a server may resolve out of a public route

Cause: /open/../a matches the prefix /open/ of a public route, and a server that resolves .. takes it for /a, which needs a key. Change: a path with a segment . or .., also percent-encoded or after a backslash, is not public.

--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -10,7 +10,7 @@
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.proxy.bodies import Body, BodyRemainder
 from catkinslip.proxy.dialect import CallParameters, Dialect
-from catkinslip.proxy.head_checks import origin_form
+from catkinslip.proxy.head_checks import has_dot_segment, origin_form
 from catkinslip.proxy.headers import IDEMPOTENCY_KEY, Header, RequestHead, find
 from catkinslip.proxy.outcomes import NotRun
 from catkinslip.routing.routes import RouteTable
@@ -157,13 +157,14 @@
         """Return whether a call needs an API key.
 
         One without a route or service does not: it is refused with 404. One that names
-        its service directly does, as it would otherwise get around the routes.
+        its service directly does, as it would otherwise get around the routes; so does
+        one on a public route whose server may take its path for that of another route.
         """
         if not self.keys.workspace_by_name:
             return False
         turns = self.routes.find(parameters.host, path)
         if turns is not None:
-            return not turns.route.public
+            return not turns.route.public or has_dot_segment(path)
         return call.service in self.service_by_name
 
     def _apply_key(self, call: Call, request: RequestHead) -> None:
--- a/catkinslip/proxy/head_checks.py
+++ b/catkinslip/proxy/head_checks.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from urllib.parse import unquote
 
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.outcomes import NotRun, Reason
@@ -87,6 +88,15 @@
     return rest if rest[:1] == b'/' else b'/' + rest
 
 
+def has_dot_segment(path: str) -> bool:
+    """Return whether a server may resolve a path to one outside of its prefix.
+
+    Servers resolve `.` and `..` after decoding, and some take a backslash for a slash.
+    """
+    decoded = unquote(path, 'latin-1').replace('\\', '/')
+    return any(segment in ('.', '..') for segment in decoded.split('/'))
+
+
 def fault_text(error: Exception) -> str:
     """Return the text of a protocol error without the line that it quotes.
 
--- a/tests/test_workspaces_native.py
+++ b/tests/test_workspaces_native.py
@@ -107,6 +107,23 @@
         call = make(self.factory, host=b'h.example', path=b'/a')
         self.assertIsNotNone(call.refusal)
 
+    def test_public_prefix_does_not_open_other_paths(self):
+        """Guards against a path that a server resolves to one of another route."""
+        for path in (
+            b'/open/../a',
+            b'/open/%2E%2e/a',
+            b'/open/x/..%2fa',
+            b'/open/.\\..',
+        ):
+            with self.subTest(path):
+                self.assertIsNotNone(
+                    make(self.factory, host=b'h.example', path=path).refusal
+                )
+        call = make(self.factory, key(KEY), host=b'h.example', path=b'/open/../a')
+        self.assertEqual(call.workspace, ACME)
+        call = make(self.factory, host=b'h.example', path=b'/open/a..b/c.d?x=../y')
+        self.assertIsNone(call.refusal)
+
     def test_priority_of_the_workspace_goes_first(self):
         plain = document(acme=(KEY,), birch=(OTHER_KEY,))
         plain['rules']['workspaces'][ACME]['priority'] = 0
