--- a/tests/test_workspaces_path.py
+++ b/tests/test_workspaces_path.py
@@ -244,7 +244,9 @@
             entry = platform.entries[0]
             for number in range(0xB, 0x3B):
                 keys = (KEY,) if number % 2 else (NEW_KEY,)
-                spec = spec_with(row(ACME, *keys), version=f'{number:08x}')
+                # Each third one has no workspaces.
+                rows = (row(ACME, *keys),) if number % 3 else ()
+                spec = spec_with(*rows, version=f'{number:08x}')
                 platform.store.put('config', 'main', spec)
                 platform.register(f'other-{number}', 'two', 9000 + number)
                 if number % 7 == 0:
