--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -143,7 +143,7 @@
             # 503 is the only 5xx status that guarantees that the request has not run.
             status = 503
         headers = [(wire.REQUEST_ID, request_id.encode())]
-        if status == 503:
+        if status in RESTING_STATUSES:
             seconds = retry_after_seconds(outcome)
             headers.append((RETRY_AFTER, b'%.3f' % seconds))
         body = b'' if method == b'HEAD' else f'{outcome}\n'.encode()
--- a/catkinslip/proxy/problems.py
+++ b/catkinslip/proxy/problems.py
@@ -12,6 +12,8 @@
 REQUEST_PREFIX = 'urn:catkinslip:request:'
 MEDIA_TYPE = b'application/problem+json'
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
+#: Statuses whose answers always have Retry-After.
+REFUSAL_STATUSES = frozenset({429, 503})
 
 
 def problem_events(
@@ -59,4 +61,5 @@
     """Return the seconds after which to retry a request; None if not specified."""
     if isinstance(outcome, NotRun) and outcome.retry_after is not None:
         return outcome.retry_after
-    return DEFAULT_RETRY_AFTER_SECONDS if outcome.reason.status == 503 else None
+    is_refusal = outcome.reason.status in REFUSAL_STATUSES
+    return DEFAULT_RETRY_AFTER_SECONDS if is_refusal else None
