--- a/catkinslip/health/sharing.py
+++ b/catkinslip/health/sharing.py
@@ -89,6 +89,9 @@
 
     def send_datagram(self, data: bytes, addresses: list[Address]) -> None:
         """Send a datagram to several instances; a failure is only logged."""
+        if self._socket is None:
+            # Nothing is sent before the address is bound, or after it is closed.
+            return
         for address in addresses:
             try:
                 self._socket.sendto(data, (address.host, address.port))
