Add the state machines and the exchange of fleet-wide quotas

Each home instance leases its share of every limit to the pool of each hash slot; pools generate permits while leases run, holders ask for them. A lease instead of a sent time share leaves no permits in messages, so that the bound needs room only for stocks of holders and calls that wait.

--- /dev/null
+++ b/catkinslip/quotas/exchange.py
@@ -0,0 +1,459 @@
+"""The quotas of one instance: its generator, pool and holder, and their datagrams.
+
+Load: requests of many workspaces enter at any instance, while datagrams are lost and
+instances fail. The decisions are made in the modules beside this one; this one keeps
+the time, sends and receives.
+"""
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import orjson
+import trio
+from attrs import Factory, define, field
+
+from catkinslip.clock import Clock
+from catkinslip.config.documents import AcceptedConfig, Workspace
+from catkinslip.models import Address
+from catkinslip.proxy.calls import Call
+from catkinslip.proxy.outcomes import NotRun, Reason
+from catkinslip.quotas import messages
+from catkinslip.quotas.base import QuotaGate, WorkspaceUsage
+from catkinslip.quotas.bounds import QuotaBounds
+from catkinslip.quotas.counts import QuotaCounts
+from catkinslip.quotas.holders import (
+    WAIT_SECONDS,
+    Decided,
+    Holder,
+    SentAsk,
+    Stock,
+    Waiter,
+)
+from catkinslip.quotas.leases import RENEWAL_SECONDS, Generator, Lease
+from catkinslip.quotas.liveness import PoolHealth
+from catkinslip.quotas.pools import Pool
+from catkinslip.quotas.shares import GeneratorShare
+from catkinslip.quotas.slots import SLOTS, key_of, order_pools, slot_of
+from catkinslip.quotas.view import FleetView
+
+#: Seconds between two rounds of asks; calls that arrive meanwhile share a datagram.
+FLUSH_SECONDS = 0.008
+#: Seconds between two checks for asks to repeat.
+REPEAT_CHECK_SECONDS = 0.02
+#: Seconds between two reports of the use of workspaces.
+REPORT_SECONDS = 0.5
+#: Maximum number of log lines about refusals in one second.
+MAX_REFUSAL_LINES = 20
+#: Jitter of periodic messages, so that instances do not send at the same time.
+JITTER = 0.1
+
+Post = Callable[[bytes, list[Address]], None]
+
+log = logging.getLogger('quotas')
+
+
+@define
+class FleetQuotas(QuotaGate):
+    """Gate that keeps the quotas of workspaces over all instances."""
+
+    own_id: str
+    bounds: QuotaBounds | None
+    clock: Clock
+    random: Random
+    #: Function that returns the facts of the list of instances.
+    read_view: Callable[[], FleetView]
+    #: Function that returns the datagram address of a known instance.
+    find_address: Callable[[str], Address | None]
+    post: Post
+    #: Number that identifies this start.
+    start: int = Factory(lambda self: self.random.getrandbits(48), takes_self=True)
+    counts: QuotaCounts = Factory(QuotaCounts)
+    health: PoolHealth = Factory(PoolHealth)
+    share: GeneratorShare = Factory(GeneratorShare)
+    generator: Generator = field(init=False)
+    pool: Pool = field(init=False)
+    holder: Holder = field(init=False)
+    workspace_by_name: dict[str, Workspace] = Factory(dict)
+    pool_by_slot: dict[int, str | None] = Factory(dict)
+    is_active: trio.Event = Factory(trio.Event)
+    has_due: trio.Event = Factory(trio.Event)
+    has_sent: trio.Event = Factory(trio.Event)
+    _ordered: tuple[str, ...] = ()
+    _order_by_slot: dict[int, list[str]] = field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the parts."""
+        now = self.clock.monotonic()
+        self.generator = Generator(self.own_id, self.start, now)
+        self.pool = Pool(self.own_id, self.start)
+        self.holder = Holder(self.own_id, self.start)
+
+    def apply_config(self, config: AcceptedConfig) -> None:
+        """Apply the workspaces of the configuration that is now in force."""
+        workspaces = config.document.rules.workspaces
+        if workspaces == self.workspace_by_name:
+            return
+        if self.bounds is not None:
+            log_changes(self.workspace_by_name, workspaces, config.version)
+        self.workspace_by_name = dict(workspaces)
+        self._apply_workspaces()
+
+    def apply_bounds(self, bounds: QuotaBounds | None) -> None:
+        """Apply changed bounds; None turns the quotas off."""
+        if bounds != self.bounds:
+            self.bounds = bounds
+            self._apply_workspaces()
+
+    def _apply_workspaces(self) -> None:
+        now = self.clock.monotonic()
+        workspaces = {} if self.bounds is None else self.workspace_by_name
+        limit_by_name = {
+            name: None
+            if each.requests_per_second <= 0
+            else self.bounds.limit(each.requests_per_second, each.burst)
+            for name, each in workspaces.items()
+        }
+        limit_by_key = {
+            key_of(name): limit
+            for name, limit in limit_by_name.items()
+            if limit is not None
+        }
+        self.pool.apply_limits(limit_by_key, frozenset(map(key_of, limit_by_name)), now)
+        self.holder.apply_limits(limit_by_name, key_of, now)
+        self.counts.forget(limit_by_name.keys())
+        if limit_by_name:
+            self.is_active.set()
+        elif self.is_active.is_set():
+            self.is_active = trio.Event()
+
+    async def acquire(self, call: Call) -> NotRun | None:
+        """Take a permit for a call, or wait for it for up to WAIT_SECONDS."""
+        began = self.clock.monotonic()
+        decision = self.decide(call.workspace, trio.Event)
+        if not isinstance(decision, Waiter):
+            return decision
+        try:
+            if not decision.is_done:
+                remaining = max(0.0, call.deadline - began)
+                with trio.move_on_after(min(WAIT_SECONDS, remaining)):
+                    await decision.decided.wait()
+        finally:
+            # A permit that arrives for a call that was cancelled stays in stock.
+            refusal = self.end_wait(call.workspace, decision)
+        return refusal
+
+    def decide(
+        self, workspace: str, make_event: Callable[[], Decided]
+    ) -> NotRun | Waiter | None:
+        """Let a call pass, refuse it, or let it wait for a pool's answer."""
+        stock = self.holder.stock_by_name.get(workspace)
+        if stock is None:
+            return None
+        now = self.clock.monotonic()
+        stock.count_request(now)
+        if stock.limit is None:
+            return None
+        if not stock.waiters and stock.take(now):
+            self.counts.granted[workspace] += 1
+            if self.holder.mark_due(stock, now):
+                self.has_due.set()
+            return None
+        if now < stock.refused_until:
+            return self._refuse(workspace, stock, stock.refused_until - now)
+        waiter = self.holder.add_waiter(stock, make_event(), now)
+        if self._pool_of(slot_of(stock.key)) in (None, self.own_id):
+            self._send_asks([stock], now)
+        else:
+            self.has_due.set()
+        return waiter
+
+    def end_wait(self, workspace: str, waiter: Waiter) -> NotRun | None:
+        """Return the refusal of a call that waited; None if it got a permit."""
+        now = self.clock.monotonic()
+        self.counts.record_wait(now - waiter.began, now)
+        was_answered, waiter.is_done = waiter.is_done, True
+        stock = waiter.stock
+        if waiter.is_granted or stock.limit is None:
+            self.counts.granted[workspace] += 1
+            return None
+        self.counts.unanswered += not was_answered
+        return self._refuse(workspace, stock, stock.refused_until - now)
+
+    def _refuse(self, workspace: str, stock: Stock, seconds: float) -> NotRun:
+        stock.count_refusal()
+        self.counts.refused[workspace] += 1
+        return NotRun(Reason.OVER_QUOTA, retry_after=max(seconds, WAIT_SECONDS / 2))
+
+    def try_acquire(self, workspace: str) -> bool:
+        """Take a permit in stock for a hedge or a further attempt."""
+        stock = self.holder.stock_by_name.get(workspace)
+        if stock is None or stock.limit is None:
+            return True
+        now = self.clock.monotonic()
+        has_permit = stock.take(now) or self._take_own(stock, now)
+        if has_permit:
+            self.counts.granted[workspace] += 1
+        else:
+            self.counts.skipped += 1
+        return has_permit
+
+    def _take_own(self, stock: Stock, now: float) -> bool:
+        """Take a permit from the own pool, if this instance is the workspace's pool."""
+        if self.pool_by_slot.get(slot_of(stock.key)) != self.own_id:
+            return False
+        if self.pool.take(stock.key, 1, 0, now).permits < 1:
+            return False
+        stock.record_use(now)
+        return True
+
+    def release(self, workspace: str) -> None:
+        """Give back the permit of a call that did not run."""
+        stock = self.holder.stock_by_name.get(workspace)
+        if stock is None:
+            return
+        stock.refused += 1
+        if stock.limit is not None:
+            stock.give_back(self.clock.monotonic())
+            self.counts.returned += 1
+
+    def usage(self, workspace: str) -> WorkspaceUsage | None:
+        """Return the recent use of a workspace; None if it is not known."""
+        stock = self.holder.stock_by_name.get(workspace)
+        return None if stock is None else stock.recent_usage(self.clock.monotonic())
+
+    async def run(self) -> None:
+        """Exchange messages while there are workspaces, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._renew_periodically)
+            nursery.start_soon(self._report_periodically)
+            nursery.start_soon(self._repeat_asks)
+            while True:
+                await self.has_due.wait()
+                self.has_due = trio.Event()
+                self.flush()
+                await trio.sleep(FLUSH_SECONDS)
+
+    async def _renew_periodically(self) -> None:
+        while True:
+            await self.is_active.wait()
+            self.renew()
+            await trio.sleep(RENEWAL_SECONDS * self._jitter())
+
+    async def _report_periodically(self) -> None:
+        is_second = False
+        while True:
+            await self.is_active.wait()
+            await trio.sleep(REPORT_SECONDS * self._jitter())
+            self.report()
+            if is_second:
+                self.log_refusals()
+            is_second = not is_second
+
+    async def _repeat_asks(self) -> None:
+        while True:
+            await self.has_sent.wait()
+            await trio.sleep(REPEAT_CHECK_SECONDS)
+            self.repeat()
+
+    def _jitter(self) -> float:
+        return self.random.uniform(1 - JITTER, 1 + JITTER)
+
+    def flush(self) -> None:
+        """Send the asks that are due."""
+        due = list(self.holder.due_by_key.values())
+        self._send_asks(due, self.clock.monotonic())
+
+    def repeat(self) -> None:
+        """Repeat the asks whose answer is late."""
+        for sent in self.holder.asks_to_repeat(self.clock.monotonic()):
+            self._send_ask(sent)
+        if not self.holder.sent_by_number:
+            self.has_sent = trio.Event()
+
+    def report(self) -> None:
+        """Report the use of workspaces to their pools, which answer with the sum."""
+        now = self.clock.monotonic()
+        stocks = self.holder.stock_by_name.values()
+        self._send_asks([each for each in stocks if each.is_active(now)], now)
+
+    def renew(self) -> None:
+        """Choose the pools, and renew the leases to them."""
+        now = self.clock.monotonic()
+        view = self.read_view()
+        share = self.share.update(view.share, now, was_listed=view.was_listed)
+        for pool_id in self.health.check(now):
+            log.warning('quotas: pool avoided, it does not answer. pool=%s', pool_id)
+        self._choose_pools(view.pool_ids, share)
+        for pool_id, lease in self.generator.renew(share, self._pool_of, now).items():
+            self._send_lease(pool_id, lease, now)
+        for pool_id in self.health.to_greet(now):
+            self._send_lease(pool_id, self.generator.greet(pool_id), now)
+        self.pool.forget_idle(now)
+
+    def _choose_pools(self, pool_ids: tuple[str, ...], share: float) -> None:
+        if pool_ids != self._ordered or not self._order_by_slot:
+            self._ordered = pool_ids
+            self._order_by_slot = {
+                slot: order_pools(slot, pool_ids) for slot in range(SLOTS)
+            }
+            self.health.forget(frozenset(pool_ids))
+        own = self.own_id if share > 0 else None
+        for slot, ordered in self._order_by_slot.items():
+            usable = (each for each in ordered if not self.health.is_avoided(each))
+            chosen = next(usable, own)
+            before = self.pool_by_slot.get(slot)
+            if chosen != before:
+                self.pool_by_slot[slot] = chosen
+                self.counts.pool_changes += 1
+                log.info('quotas: pool. slot=%d pool=%s was=%s', slot, chosen, before)
+
+    def _pool_of(self, slot: int) -> str | None:
+        return self.pool_by_slot.get(slot)
+
+    def _send_asks(self, stocks: list[Stock], now: float) -> None:
+        asks = self.holder.make_asks(
+            stocks,
+            lambda key: self.pool_by_slot.get(slot_of(key)),
+            messages.MAX_ENTRIES,
+            now,
+        )
+        for sent in asks:
+            self._send_ask(sent)
+
+    def _send_ask(self, sent: SentAsk) -> None:
+        now = self.clock.monotonic()
+        if sent.pool_id == self.own_id:
+            self.holder.apply_answer(self.pool.answer(sent.ask, now), now)
+            return
+        self.health.record_sent(sent.pool_id, now)
+        self._send(sent.pool_id, messages.ask_to_plain(sent.ask))
+        self.has_sent.set()
+
+    def _send_lease(self, pool_id: str, lease: Lease, now: float) -> None:
+        if pool_id == self.own_id:
+            confirmation = self.pool.apply_lease(lease, now)
+            if confirmation is not None:
+                self.generator.confirm(confirmation, now)
+            return
+        self.health.record_sent(pool_id, now)
+        self._send(pool_id, messages.lease_to_plain(lease))
+
+    def _send(self, instance_id: str, message: dict[str, Any]) -> None:
+        address = self.find_address(instance_id)
+        if address is not None:
+            data = orjson.dumps(message)
+            self.counts.sent += 1
+            self.counts.sent_bytes += len(data)
+            self.post(data, [address])
+
+    def handlers(self) -> dict[str, Callable[[dict], None]]:
+        """Return the handlers of datagrams, by topic.
+
+        They raise KeyError, TypeError or ValueError for a message that is malformed.
+        """
+        return {
+            messages.LEASE: self.receive_lease,
+            messages.CONFIRMATION: self.receive_confirmation,
+            messages.ASK: self.receive_ask,
+            messages.ANSWER: self.receive_answer,
+        }
+
+    def receive_lease(self, message: dict) -> None:
+        """Apply a generator's lease and confirm it."""
+        lease = messages.lease_from_plain(message)
+        self.counts.received += 1
+        now = self.clock.monotonic()
+        confirmation = self.pool.apply_lease(lease, now)
+        if confirmation is not None:
+            self._send(lease.by, messages.confirmation_to_plain(confirmation))
+
+    def receive_confirmation(self, message: dict) -> None:
+        """Apply a pool's confirmation of a lease."""
+        confirmation = messages.confirmation_from_plain(message)
+        self.counts.received += 1
+        self._record_answer(confirmation.by)
+        self.generator.confirm(confirmation, self.clock.monotonic())
+
+    def receive_ask(self, message: dict) -> None:
+        """Grant permits to a holder."""
+        ask = messages.ask_from_plain(message)
+        self.counts.received += 1
+        answer = self.pool.answer(ask, self.clock.monotonic())
+        self._send(ask.by, messages.answer_to_plain(answer))
+
+    def receive_answer(self, message: dict) -> None:
+        """Apply a pool's answer to an ask, and wake the calls that wait for it."""
+        answer = messages.answer_from_plain(message)
+        self.counts.received += 1
+        self._record_answer(answer.by)
+        self.counts.late += not self.holder.apply_answer(answer, self.clock.monotonic())
+
+    def _record_answer(self, pool_id: str) -> None:
+        if self.health.record_answer(pool_id):
+            log.info('quotas: pool answers again. pool=%s', pool_id)
+
+    def log_refusals(self) -> None:
+        """Write a line for each workspace with refusals since the last lines."""
+        refused = [
+            (stock.unlogged, name, stock)
+            for name, stock in self.holder.stock_by_name.items()
+            if stock.unlogged
+        ]
+        refused.sort(key=lambda each: -each[0])
+        now = self.clock.monotonic()
+        for count, name, stock in refused[:MAX_REFUSAL_LINES]:
+            usage = stock.usage
+            log.info(
+                'quotas: requests refused. workspace=%s count=%d limit=%s in_use=%s '
+                'usage_age_s=%.1f retry_s=%.3f',
+                name,
+                count,
+                stock.limit and stock.limit.requests_per_second,
+                usage and round(usage.per_second, 1),
+                now - stock.usage_at,
+                stock.refused_until - now,
+            )
+        others = refused[MAX_REFUSAL_LINES:]
+        if others:
+            count = sum(each[0] for each in others)
+            log.info(
+                'quotas: requests of others refused. workspaces=%d count=%d',
+                len(others),
+                count,
+            )
+        for _, _, stock in refused:
+            stock.unlogged = 0
+
+
+def log_changes(
+    before: dict[str, Workspace], after: dict[str, Workspace], version: object
+) -> None:
+    """Log the limits that come into force, in at most MAX_REFUSAL_LINES lines."""
+    changed = [
+        name
+        for name in sorted(before.keys() | after.keys())
+        if limits_of(before.get(name)) != limits_of(after.get(name))
+    ]
+    for name in changed[:MAX_REFUSAL_LINES]:
+        log.info(
+            'quotas: limit in force. workspace=%s limit=%s was=%s version=%s',
+            name,
+            limits_of(after.get(name)),
+            limits_of(before.get(name)),
+            version,
+        )
+    if len(changed) > MAX_REFUSAL_LINES:
+        log.info(
+            'quotas: more limits in force. workspaces=%d version=%s',
+            len(changed) - MAX_REFUSAL_LINES,
+            version,
+        )
+
+
+def limits_of(workspace: Workspace | None) -> tuple[float, float] | None:
+    """Return the rate and burst of a workspace; None if there is none."""
+    if workspace is None:
+        return None
+    return workspace.requests_per_second, workspace.burst
--- /dev/null
+++ b/catkinslip/quotas/leases.py
@@ -0,0 +1,159 @@
+"""The generator's part: leases of its share of each slot to the slot's pool.
+
+Load: messages are delayed, lost and duplicated, and pools are frozen and resume. A
+generator sends no permits; it leases its share of a slot to one pool at a time, and the
+pool generates them while the lease runs. A lease ends LEASE_SECONDS after the pool
+issued the stamp that the lease names, on the pool's clock, and so at the latest the
+same time after the generator received the stamp. Another pool gets the slot after that,
+or when the first has confirmed that it no longer holds it.
+"""
+
+from collections.abc import Callable
+from math import inf
+
+from attrs import Factory, define, frozen
+
+from catkinslip.quotas.slots import SLOTS
+
+#: Seconds from a pool's stamp to the end of a lease that names the stamp.
+LEASE_SECONDS = 0.8
+#: Seconds between two renewals. Two in a row may be lost without an effect.
+RENEWAL_SECONDS = 0.25
+
+
+@frozen
+class Stamp:
+    """A time on the clock of one start of a pool, in seconds."""
+
+    pool_start: int
+    at: float
+
+
+@frozen
+class Lease:
+    """All that a generator leases to a pool; it replaces what it leased before."""
+
+    by: str
+    start: int
+    sequence: int
+    share: float
+    slots: frozenset[int]
+    #: Newest stamp of the pool; without one nothing is leased.
+    stamp: Stamp | None
+
+
+@frozen
+class LeaseConfirmation:
+    """A pool's answer to a lease."""
+
+    by: str
+    #: Start and sequence number of the generator's message.
+    start: int
+    sequence: int
+    stamp: Stamp
+
+
+@define
+class PoolLink:
+    """What a generator knows of one pool; times are on the generator's clock."""
+
+    sequence: int = 0
+    confirmed: int = 0
+    stamp: Stamp | None = None
+    stamped_at: float = -inf
+    #: Time at which the pool's lease has ended for certain.
+    ends_at: float = -inf
+
+
+@define
+class SlotHolding:
+    """The pool that holds a slot's lease."""
+
+    pool_id: str
+    #: Sequence number of the first message without the slot; None while it is leased.
+    ended_by: int | None = None
+
+
+@define
+class Generator:
+    """The leases of this instance's share; times are monotonic seconds."""
+
+    own_id: str
+    #: Number that identifies this start of the instance.
+    start: int
+    began: float
+    link_by_id: dict[str, PoolLink] = Factory(dict)
+    holding_by_slot: dict[int, SlotHolding] = Factory(dict)
+
+    def renew(
+        self, share: float, choose: Callable[[int], str | None], now: float
+    ) -> dict[str, Lease]:
+        """Return the messages to send now, by pool."""
+        # Leases of the previous start, if any, have ended by then.
+        if now < self.began + LEASE_SECONDS:
+            return {}
+        if share <= 0:
+            choose = no_pool
+        informed = {
+            slot: holding.pool_id
+            for slot in range(SLOTS)
+            if (holding := self._move(slot, choose(slot), now)) is not None
+        }
+        return {
+            pool_id: self._message(pool_id, share, now)
+            for pool_id in sorted(set(informed.values()))
+        }
+
+    def greet(self, pool_id: str) -> Lease:
+        """Return a message that leases nothing, which a pool that runs answers."""
+        link = self.link_by_id.setdefault(pool_id, PoolLink())
+        link.sequence += 1
+        return Lease(self.own_id, self.start, link.sequence, 0.0, frozenset(), None)
+
+    def confirm(self, message: LeaseConfirmation, now: float) -> None:
+        """Apply the answer of a pool; those to earlier starts have no effect."""
+        link = self.link_by_id.get(message.by)
+        if link is None or message.start != self.start:
+            return
+        if message.sequence <= link.confirmed or message.sequence > link.sequence:
+            return
+        link.confirmed = message.sequence
+        link.stamp, link.stamped_at = message.stamp, now
+
+    def _move(self, slot: int, chosen: str | None, now: float) -> SlotHolding | None:
+        """Move a slot towards its pool; return the holding to tell its pool about."""
+        holding = self.holding_by_slot.get(slot)
+        if holding is not None and self._has_ended(holding, now):
+            del self.holding_by_slot[slot]
+            holding = None
+        if holding is None:
+            if chosen is None:
+                return None
+            self.link_by_id.setdefault(chosen, PoolLink())
+            holding = self.holding_by_slot[slot] = SlotHolding(chosen)
+        elif chosen != holding.pool_id and holding.ended_by is None:
+            holding.ended_by = self.link_by_id[holding.pool_id].sequence + 1
+        return holding
+
+    def _has_ended(self, holding: SlotHolding, now: float) -> bool:
+        if holding.ended_by is None:
+            return False
+        link = self.link_by_id[holding.pool_id]
+        return link.confirmed >= holding.ended_by or now >= link.ends_at
+
+    def _message(self, pool_id: str, share: float, now: float) -> Lease:
+        link = self.link_by_id[pool_id]
+        link.sequence += 1
+        stamp = link.stamp if now - link.stamped_at < LEASE_SECONDS else None
+        slots = frozenset(
+            slot
+            for slot, holding in self.holding_by_slot.items()
+            if holding.pool_id == pool_id and holding.ended_by is None
+        )
+        if slots and stamp is not None:
+            link.ends_at = max(link.ends_at, link.stamped_at + LEASE_SECONDS)
+        return Lease(self.own_id, self.start, link.sequence, share, slots, stamp)
+
+
+def no_pool(slot: int) -> None:
+    """Return None: nothing is leased."""
