--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from enum import Enum, unique
+from math import inf
 
 import trio
 import xxhash
@@ -18,6 +19,7 @@
     tier,
 )
 from catkinslip.models import Address
+from catkinslip.quotas.view import FleetView
 from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
 from catkinslip.warmup.senders import SenderLease, SenderPosition
 
@@ -416,6 +418,28 @@
         homes = [each for zone in zones for each in self._ready_home_set(zone)]
         return [each for each in homes if each is not self.own]
 
+    def quota_view(self) -> FleetView:
+        """Return what the quotas of workspaces need of the list of instances.
+
+        The instances of all home sets generate equal shares, also silent ones: they may
+        only be unreachable and still use their shares.
+        """
+        zones = sorted({entry.zone for entry in self._entries()})
+        homes = [self._ranked(zone)[: self.home_size(zone)] for zone in zones]
+        home = [entry for entries in homes for entry in entries]
+        has_share = self.list_revision > 0 and self.own in home
+        return FleetView(
+            1 / len(home) if has_share else 0.0,
+            self.sender_lease.listed_since < inf,
+            tuple(each.instance_id for each in home if self._may_be_pool(each)),
+        )
+
+    def _may_be_pool(self, entry: InstanceEntry) -> bool:
+        if entry is self.own:
+            return self.is_own_ready
+        health = self.peer_by_id[entry.instance_id].health
+        return health in (PeerHealth.READY, PeerHealth.UNKNOWN)
+
     def usable(
         self, zone: str, region: str = '', bound_regions: Collection[str] = ()
     ) -> list[InstanceEntry]:
