Wire the quotas into the request path of an instance

A call takes a permit after routing and the crash guard; hedges, resends and attempts after one that may have run take one more. Permits of sends that did not run go back once. CATKINSLIP_QUOTAS=off turns it off.

--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -1,6 +1,7 @@
 """The program of an instance on the users' platform."""
 
 import logging
+from collections.abc import Mapping
 from functools import partial
 
 import trio
@@ -45,6 +46,8 @@
 #: The port of the metrics page; deploy/system.toml has the same number.
 METRICS_PORT = 9464
 METRICS_PORT_VARIABLE = 'CATKINSLIP_METRICS_PORT'
+#: `off` turns the quotas of workspaces off.
+QUOTAS_VARIABLE = 'CATKINSLIP_QUOTAS'
 #: The lifetime of address answers. Callers may keep using an instance that has left
 #: for three times as long.
 ADDRESS_LIFETIME_SECONDS = 3.0
@@ -118,12 +121,25 @@
         sources=(client,),
     )
     return wire_entry(
-        entry_settings(settings),
+        entry_settings(settings, environment.variables),
         dependencies,
     )
 
 
-def entry_settings(settings: PlatformSettings) -> EntrySettings:
+def reads_quotas(variables: Mapping[str, str]) -> bool:
+    """Return whether quotas are kept: unless the variable is `off`.
+
+    Any other value than `on` and `off` is logged, and quotas are kept.
+    """
+    value = variables.get(QUOTAS_VARIABLE, 'on')
+    if value not in ('on', 'off'):
+        log.error('settings: %s must be on or off, not %r', QUOTAS_VARIABLE, value)
+    return value != 'off'
+
+
+def entry_settings(
+    settings: PlatformSettings, variables: Mapping[str, str]
+) -> EntrySettings:
     """Convert the platform's settings to the settings of an instance."""
     return EntrySettings(
         own=InstanceEntry(
@@ -144,6 +160,7 @@
         region_by_zone=settings.region_by_zone,
         cold_excess=settings.cold_excess,
         cold_slack=settings.cold_slack,
+        quota_bounds=settings.quota_bounds if reads_quotas(variables) else None,
     )
 
 
@@ -154,4 +171,4 @@
             for mistake in mistakes:
                 log.error('lifecycle: settings not reloaded. %s', mistake)
         case Success(settings):
-            apply_settings(entry, entry_settings(settings))
+            apply_settings(entry, entry_settings(settings, environment.variables))
--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from catkinslip.models import Address
+from catkinslip.quotas.bounds import QuotaBounds, check_bounds
 
 FILE_VARIABLE = 'CATKINSLIP_NODE_FILE'
 
@@ -47,6 +48,8 @@
     cold_excess: float | None
     #: ... plus this number.
     cold_slack: float
+    #: Bound of the quotas of workspaces; its defaults apply where bounds are missing.
+    quota_bounds: QuotaBounds
 
 
 @define
@@ -105,6 +108,22 @@
         return bound_by_name.get(name, 1.0)
 
 
+def read_quota_bounds(
+    reader: SettingsReader, bound_by_name: dict[str, float]
+) -> QuotaBounds:
+    """Return the bounds of quotas, with defaults for those that are missing."""
+    defaults = QuotaBounds()
+    bounds = QuotaBounds(
+        bound_by_name.get('quota_window_s', defaults.window_seconds),
+        bound_by_name.get('quota_excess', defaults.excess),
+        bound_by_name.get('quota_slack', defaults.slack),
+    )
+    mistake = check_bounds(bounds)
+    if mistake is not None:
+        reader.mistakes.append(f'bounds: {mistake}.')
+    return bounds
+
+
 def read_settings(text: str) -> Result[PlatformSettings, tuple[str, ...]]:
     """Parse the settings, or return every mistake with its location."""
     try:
@@ -140,6 +159,7 @@
         # Platforms without limits for cold servers omit these bounds.
         cold_excess=bound_by_name.get('cold_excess'),
         cold_slack=bound_by_name.get('cold_slack', 0.0),
+        quota_bounds=read_quota_bounds(reader, bound_by_name),
     )
     return Failure(tuple(reader.mistakes)) if reader.mistakes else Success(settings)
 
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -20,7 +20,10 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.runner import CallRunner
 from catkinslip.proxy.wire import Wire
+from catkinslip.quotas.base import NoQuotas, QuotaGate
+from catkinslip.quotas.permits import CallPermits
 from catkinslip.routing.directory import Directory
+from catkinslip.routing.router import ServiceRouter
 
 #: Operators reopen an evacuated zone after some seconds at the earliest; callers retry
 #: within a third of their time in any case.
@@ -48,6 +51,7 @@
     spent: SpentTimes = Factory(
         lambda self: SpentTimes(self.clock.monotonic()), takes_self=True
     )
+    quotas: QuotaGate = Factory(NoQuotas)
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward a call within its deadline and return its outcome."""
@@ -79,6 +83,18 @@
         refusal = await self.guard.refuse(call)
         if refusal is not None:
             return refusal
+        refusal = await self.quotas.acquire(call)
+        if refusal is not None:
+            return refusal
+        permits = CallPermits(self.quotas, call.workspace)
+        try:
+            return await self._run(call, caller, router, permits)
+        finally:
+            permits.settle()
+
+    async def _run(
+        self, call: Call, caller: Wire, router: ServiceRouter, permits: CallPermits
+    ) -> Outcome:
         self.health.count_call(call.service)
         now = self.clock.monotonic()
         limits = self.limits.limits_of(call.service, router, now)
@@ -106,6 +122,7 @@
             sampler=self.sampler,
             random=self.random,
             guard=self.guard,
+            permits=permits,
             excluded_by_region=self.directory.servers_outside(
                 call.service, call.regions
             ),
--- a/catkinslip/proxy/launch.py
+++ b/catkinslip/proxy/launch.py
@@ -27,3 +27,9 @@
     step: Step = Step.WAIT
     is_open: bool = True
     answered_at: float | None = None
+
+    @property
+    def runs(self) -> int:
+        """Return how many times the request may have run at the server."""
+        runs = self.attempt.is_sent and not isinstance(self.result, NotRun)
+        return int(runs) + (self.attempt.earlier_result is not None)
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -35,6 +35,7 @@
 from catkinslip.proxy.race import Race
 from catkinslip.proxy.server_wait import ServerWait
 from catkinslip.proxy.wire import Wire
+from catkinslip.quotas.permits import CallPermits
 from catkinslip.routing.base import BackendLoad, Choice, LoadReport
 from catkinslip.routing.gates import release_permits
 from catkinslip.routing.router import ServiceRouter
@@ -67,6 +68,7 @@
     sampler: Sampler
     random: Random
     guard: CrashGuard
+    permits: CallPermits
     #: Servers in regions in which the call must not run.
     excluded_by_region: frozenset[str] = frozenset()
     launches: list[Launch] = Factory(list)
@@ -84,6 +86,8 @@
                 return await self._run_attempts()
             return self._expire()
         finally:
+            # Counted first: the abandoning may be cancelled.
+            self.permits.ran = sum(launch.runs for launch in self.launches)
             for launch in self.launches:
                 await self._abandon(launch)
 
@@ -96,6 +100,8 @@
             # Another call may have used the last token of the budget during the wait.
             if choice is None or not self.plan.may_start():
                 return self.plan.final_outcome()
+            if self.plan.unknown is not None and not self.permits.take_more():
+                return self.plan.final_outcome()
             launch = self._launch(choice, self.plan.start(), self.wait.reason(choice))
             ended = await self._await_head(launch)
             if isinstance(ended.result, AnswerHead):
@@ -108,6 +114,8 @@
         choice = self.health.choose(self.router, self._tried())
         if choice is None or not self.limits.has_idle_slot(choice.backend_id):
             return None
+        if not self.permits.take_more():
+            return None
         return self._launch(choice, self.plan.hedge(), f'hedge, {choice.reason}')
 
     def _launch(self, choice: Choice, number: int, reason: object) -> Launch:
@@ -150,7 +158,10 @@
     def _may_send(self, launch: Launch) -> bool:
         """Return whether the first byte may be sent on the open connection now."""
         load, now = launch.load, self.clock.monotonic()
-        return self.router.may_send(load, launch.permits, now)
+        if not self.router.may_send(load, launch.permits, now):
+            return False
+        # A request that is sent again on a new connection may run a second time.
+        return launch.attempt.earlier_result is None or self.permits.take_more()
 
     def _handle_head(
         self, load: BackendLoad | None, headers: Headers, report: LoadReport | None
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -41,6 +41,7 @@
 from catkinslip.metrics.discovery import DiscoveryMetrics
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
+from catkinslip.metrics.quotas import QuotaMetrics
 from catkinslip.metrics.requests import RequestMetrics
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.models import Address
@@ -52,6 +53,8 @@
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.observer import ObserverGroup
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.quotas.bounds import QuotaBounds
+from catkinslip.quotas.exchange import FleetQuotas
 from catkinslip.routing.base import BackendLoad
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.directory import Directory, no_bound
@@ -107,6 +110,9 @@
     #: limit.
     cold_excess: float | None
     cold_slack: float
+    #: Bound of the requests of a workspace at all instances together; None to keep no
+    #: quotas.
+    quota_bounds: QuotaBounds | None = None
 
 
 @frozen
@@ -150,6 +156,7 @@
     guard: CrashGuard
     crash_publisher: CrashPublisher
     rate_gossip: RateGossip
+    quotas: FleetQuotas
     sources: tuple[MetricSource, ...]
 
     @property
@@ -180,6 +187,7 @@
             self.guard.synchronizer.run,
             self.crash_publisher.run,
             self.rate_gossip.run,
+            self.quotas.run,
         )
 
 
@@ -189,6 +197,7 @@
     entry.addresses.lifetime = settings.address_lifetime
     entry.sampler.probes_per_second = settings.probes_per_second
     entry.limits.apply_settings(make_limit_settings(settings))
+    entry.quotas.apply_bounds(settings.quota_bounds)
 
 
 def wire_entry(settings: EntrySettings, dependencies: Dependencies) -> Entry:
@@ -253,7 +262,18 @@
         sharer.send_datagram,
     )
     directory.on_rate_seen = rate_gossip.record_observation
+    quotas = FleetQuotas(
+        settings.own.instance_id,
+        settings.quota_bounds,
+        clock,
+        # Seeded by the system: two starts must not identify themselves alike.
+        Random(),
+        instances.quota_view,
+        instances.report_address,
+        sharer.send_datagram,
+    )
     sharer.handler_by_topic = {
+        **quotas.handlers(),
         'ends': crash_publisher.apply_datagram,
         'rates': rate_gossip.receive_rates,
         'doubts': rate_gossip.receive_queries,
@@ -263,7 +283,13 @@
     )
     pool = BackendPool(instances.budget_divisor)
     config.listeners.extend(
-        (directory.update, health.update, pool.update, guard.update)
+        (
+            directory.update,
+            health.update,
+            pool.update,
+            guard.update,
+            quotas.apply_config,
+        )
     )
     requests = RequestMetrics(clock, directory)
     instance_id = settings.own.instance_id
@@ -293,6 +319,7 @@
         sampler,
         random,
         guard=guard,
+        quotas=quotas,
     )
     callers = CallerServer(
         environment,
@@ -347,6 +374,7 @@
         guard=guard,
         crash_publisher=crash_publisher,
         rate_gossip=rate_gossip,
+        quotas=quotas,
         sources=(
             requests,
             config_metrics,
@@ -355,6 +383,7 @@
             HealthMetrics(health),
             DiscoveryMetrics(instances, sampler, sharer),
             CrashMetrics(guard),
+            QuotaMetrics(quotas),
             *dependencies.sources,
         ),
     )
