--- a/catkinslip/quotas/buckets.py
+++ b/catkinslip/quotas/buckets.py
@@ -16,6 +16,9 @@
 ROUNDING = 1e-9
 #: Part of a bucket that is granted to holders that only prefetch.
 PREFETCH_PART = 0.5
+#: Level, as a part of the cap, from which spare permits are granted. Most of them
+#: expire unused, and a bucket at that level would soon be full.
+SPARE_LEVEL = 0.75
 #: Seconds until holders ask again: where nothing is leased here, and at most.
 NO_LEASE_RETRY_SECONDS = 0.1
 MIN_RETRY_SECONDS = 0.02
@@ -96,7 +99,9 @@
                 bucket.limit = limit
                 self._cut(bucket)
 
-    def grant(self, key: int, needed: int, extra: int, now: float) -> Grant:
+    def grant(
+        self, key: int, needed: int, now: float, extra: int = 0, spare: int = 0
+    ) -> Grant:
         """Grant the permits that calls wait for, and some of those to prefetch."""
         self.advance(now)
         bucket = self.bucket_by_key.get(key)
@@ -107,6 +112,8 @@
         bucket.level -= permits
         if permits < needed:
             return Grant(permits, self._retry_after(bucket, needed - permits))
+        if bucket.level >= SPARE_LEVEL * bucket.limit.cap * self.share:
+            extra += spare
         prefetched = min(extra, floor(PREFETCH_PART * bucket.level + ROUNDING))
         bucket.level -= prefetched
         return Grant(permits + prefetched)
--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -42,6 +42,8 @@
 FLUSH_SECONDS = 0.008
 #: Seconds between two checks for asks to repeat.
 REPEAT_CHECK_SECONDS = 0.02
+#: Seconds between two choices of pools at an instance that leases nothing.
+IDLE_RENEWAL_SECONDS = 1.0
 #: Seconds between two reports of the use of workspaces.
 REPORT_SECONDS = 0.5
 #: Maximum number of log lines about refusals in one second.
@@ -203,7 +205,7 @@
         """Take a permit from the own pool, if this instance is the workspace's pool."""
         if self.pool_by_slot.get(slot_of(stock.key)) != self.own_id:
             return False
-        if self.pool.take(stock.key, 1, 0, now).permits < 1:
+        if self.pool.take(stock.key, 1, now).permits < 1:
             return False
         stock.record_use(now)
         return True
@@ -239,7 +241,9 @@
         while True:
             await self.is_active.wait()
             self.renew()
-            await trio.sleep(RENEWAL_SECONDS * self._jitter())
+            has_leases = self.generator.holding_by_slot or self.share.in_use
+            seconds = RENEWAL_SECONDS if has_leases else IDLE_RENEWAL_SECONDS
+            await trio.sleep(seconds * self._jitter())
 
     async def _report_periodically(self) -> None:
         is_second = False
--- a/catkinslip/quotas/holders.py
+++ b/catkinslip/quotas/holders.py
@@ -274,8 +274,11 @@
             extra = stock.wanted(now) if is_limited else 0
             if extra:
                 stock.prefetch_until = now + ANSWER_SECONDS
+            spare = int(bool(waiting) and not extra)
             entries.append(
-                AskEntry(stock.key, len(waiting), extra, stock.seen, stock.refused)
+                AskEntry(
+                    stock.key, len(waiting), extra, spare, stock.seen, stock.refused
+                )
             )
             stock.seen = stock.refused = 0
         ask = Ask(self.own_id, self.start, self._number, tuple(entries))
--- a/catkinslip/quotas/messages.py
+++ b/catkinslip/quotas/messages.py
@@ -13,7 +13,7 @@
 CONFIRMATION = 'quota_confirmation'
 ASK = 'quota_ask'
 ANSWER = 'quota_answer'
-#: Maximum number of workspaces in one datagram of 1,472 bytes; each takes up to 50.
+#: Maximum number of workspaces in one datagram of 1,472 bytes; each takes up to 54.
 MAX_ENTRIES = 24
 #: Greatest number of permits or requests in an entry. It bounds an entry's length.
 MAX_COUNT = 99_999
@@ -27,6 +27,8 @@
     #: Calls that wait, and further permits for calls that are expected.
     needed: int = 0
     extra: int = 0
+    #: Permits for hedges and further attempts, which are granted from a full bucket.
+    spare: int = 0
     #: Requests that the holder received, and that got no answer, since the last report.
     seen: int = 0
     refused: int = 0
@@ -107,7 +109,7 @@
 
 def counts_of(entry: AskEntry) -> tuple[int, ...]:
     """Return the numbers of an entry in the order of the message."""
-    return entry.needed, entry.extra, entry.seen, entry.refused
+    return entry.needed, entry.extra, entry.spare, entry.seen, entry.refused
 
 
 def ask_from_plain(message: dict[str, Any]) -> Ask:
--- a/catkinslip/quotas/pools.py
+++ b/catkinslip/quotas/pools.py
@@ -117,14 +117,14 @@
                 self._answers.popitem(last=False)
         return answer
 
-    def take(self, key: int, needed: int, extra: int, now: float) -> Grant:
+    def take(
+        self, key: int, needed: int, now: float, extra: int = 0, spare: int = 0
+    ) -> Grant:
         """Grant permits of one workspace, without counting its use."""
         if key in self.keys and key not in self.limit_by_key:
             return Grant(needed + extra)
-        slot = self.slot_by_number.get(slot_of(key))
-        if slot is None:
-            return Slot(now).grant(key, needed, extra, now)
-        return slot.grant(key, needed, extra, now)
+        slot = self.slot_by_number.get(slot_of(key), Slot(now))
+        return slot.grant(key, needed, now, extra, spare)
 
     def forget_idle(self, now: float) -> None:
         """Remove the slots without leases, and the senders that stopped."""
@@ -146,7 +146,7 @@
         usage.record(entry, now)
         grant = Grant(0)
         if entry.needed or entry.extra:
-            grant = self.take(entry.key, entry.needed, entry.extra, now)
+            grant = self.take(entry.key, entry.needed, now, entry.extra, entry.spare)
         seen = usage.seen.per_second(now)
         refused = usage.refused.per_second(now)
         share = min(1.0, refused / seen) if seen > 0 else 0.0
--- a/catkinslip/quotas/shares.py
+++ b/catkinslip/quotas/shares.py
@@ -11,7 +11,7 @@
 from attrs import define
 
 #: Seconds until a larger share is used. Peers pass a new list on within about a second.
-SETTLE_SECONDS = 3.0
+SETTLE_SECONDS = 2.0
 
 
 @define
