Prove that leases of quotas keep the bound under any messages

One generator, two pools: one pool generates at a time, all buckets hold at most one cap, and a window gets at most the cap and what is generated.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -15,6 +15,7 @@
 from model.config_changes import ConfigChangeSpecification
 from model.config_gossip import ConfigGossipSpecification
 from model.lease import LeaseSpecification
+from model.quotas import QuotaSpecification
 from model.records import RecordSpecification
 from model.senders import SenderSpecification
 from model.specification import Specification
@@ -27,6 +28,7 @@
     ConfigGossipSpecification,
     LeaseSpecification,
     SenderSpecification,
+    QuotaSpecification,
 )
 
 
--- a/tests/test_model_conformance.py
+++ b/tests/test_model_conformance.py
@@ -10,6 +10,7 @@
 from model.config_changes import ConfigChangeSpecification
 from model.config_gossip import INSTANCES, ConfigGossipSpecification
 from model.lease import LeaseSpecification
+from model.quotas import QuotaSpecification
 from model.records import RecordSpecification
 from model.replay.config import ConfigChangeReplay, ConfigGossipReplay
 from model.replay.records import RecordReplay
@@ -41,6 +42,19 @@
                 self.assertIsNotNone(find_counterexample(mutant))
 
 
+class QuotaTest(unittest.TestCase):
+    """The bound of quotas is proved; test_quotas_bound runs the code with mutants."""
+
+    def test_protocol_of_quotas_has_no_gaps(self):
+        self.assertEqual(find_gaps(QuotaSpecification()), [])
+
+    def test_each_guard_of_quotas_is_needed(self):
+        for guard in QuotaSpecification.guard_by_name:
+            with self.subTest(guard=guard):
+                mutant = QuotaSpecification(without=guard)
+                self.assertIsNotNone(find_counterexample(mutant))
+
+
 class ConformanceTest(unittest.TestCase):
     """Replays of the counterexamples of all mutants that concern the product."""
 
