Lease to a pool at once when its answer permits it

After a start or a change of pool, the slot waited for the next renewal after the answer, up to 0.25 s without new permits.

--- a/Makefile
+++ b/Makefile
@@ -92,3 +92,7 @@
 .PHONY: bench-overload
 bench-overload: install
 	$(RUN) -m benchmarks.overload --ablation --bound
+
+.PHONY: bench-quotas
+bench-quotas: install
+	$(RUN) -m benchmarks.quotas
--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -42,6 +42,8 @@
 FLUSH_SECONDS = 0.008
 #: Seconds between two checks for asks to repeat.
 REPEAT_CHECK_SECONDS = 0.02
+#: Renewals in a row where the own pool's answer permits another one.
+MAX_RENEWALS = 3
 #: Seconds between two choices of pools at an instance that leases nothing.
 IDLE_RENEWAL_SECONDS = 1.0
 #: Seconds between two reports of the use of workspaces.
@@ -290,12 +292,19 @@
         for pool_id in self.health.check(now):
             log.warning('quotas: pool avoided, it does not answer. pool=%s', pool_id)
         self._choose_pools(view.pool_ids, share)
-        for pool_id, lease in self.generator.renew(share, self._pool_of, now).items():
-            self._send_lease(pool_id, lease, now)
+        self._renew_leases(now)
         for pool_id in self.health.to_greet(now):
             self._send_lease(pool_id, self.generator.greet(pool_id), now)
         self.pool.forget_idle(now)
 
+    def _renew_leases(self, now: float) -> None:
+        share = self.share.in_use
+        for _ in range(MAX_RENEWALS):
+            leases = self.generator.renew(share, self._pool_of, now)
+            # A list, as all of them are sent before the first is renewed again.
+            if not any([self._send_lease(*item, now) for item in leases.items()]):
+                return
+
     def _choose_pools(self, pool_ids: tuple[str, ...], share: float) -> None:
         if pool_ids != self._ordered or not self._order_by_slot:
             self._ordered = pool_ids
@@ -335,14 +344,16 @@
         self._send(sent.pool_id, messages.ask_to_plain(sent.ask))
         self.has_sent.set()
 
-    def _send_lease(self, pool_id: str, lease: Lease, now: float) -> None:
+    def _send_lease(self, pool_id: str, lease: Lease, now: float) -> bool:
+        """Send a lease; return whether its answer permits another one now."""
         if pool_id == self.own_id:
             confirmation = self.pool.apply_lease(lease, now)
-            if confirmation is not None:
-                self.generator.confirm(confirmation, now)
-            return
+            return confirmation is not None and self.generator.confirm(
+                confirmation, now
+            )
         self.health.record_sent(pool_id, now)
         self._send(pool_id, messages.lease_to_plain(lease))
+        return False
 
     def _send(self, instance_id: str, message: dict[str, Any]) -> None:
         address = self.find_address(instance_id)
@@ -378,7 +389,10 @@
         confirmation = messages.confirmation_from_plain(message)
         self.counts.received += 1
         self._record_answer(confirmation.by)
-        self.generator.confirm(confirmation, self.clock.monotonic())
+        now = self.clock.monotonic()
+        may_lease = self.generator.confirm(confirmation, now)
+        if may_lease and self.is_active.is_set():
+            self._renew_leases(now)
 
     def receive_ask(self, message: dict) -> None:
         """Grant permits to a holder."""
--- a/catkinslip/quotas/leases.py
+++ b/catkinslip/quotas/leases.py
@@ -92,10 +92,12 @@
         self, share: float, choose: Callable[[int], str | None], now: float
     ) -> dict[str, Lease]:
         """Return the messages to send now, by pool."""
-        if now < self.began + START_SECONDS:
-            return {}
         if share <= 0:
             choose = no_pool
+        if now < self.began + START_SECONDS:
+            # Their stamps are there when the first leases may begin.
+            pools = {choose(slot) for slot in range(SLOTS)} - {None}
+            return {pool_id: self.greet(pool_id) for pool_id in sorted(pools)}
         informed = {
             slot: holding.pool_id
             for slot in range(SLOTS)
@@ -112,15 +114,25 @@
         link.sequence += 1
         return Lease(self.own_id, self.start, link.sequence, 0.0, frozenset(), None)
 
-    def confirm(self, message: LeaseConfirmation, now: float) -> None:
-        """Apply the answer of a pool; those to earlier starts have no effect."""
+    def confirm(self, message: LeaseConfirmation, now: float) -> bool:
+        """Apply the answer of a pool; those to earlier starts have no effect.
+
+        Return whether it permits a lease that had to wait, here or at another pool.
+        """
         link = self.link_by_id.get(message.by)
         if link is None or message.start != self.start:
-            return
+            return False
         if message.sequence <= link.confirmed or message.sequence > link.sequence:
-            return
+            return False
+        had_stamp = now < link.stamped_at + LEASE_SECONDS
         link.confirmed = message.sequence
         link.stamp, link.stamped_at = message.stamp, now
+        holdings = [
+            each for each in self.holding_by_slot.values() if each.pool_id == message.by
+        ]
+        return any(self._has_ended(each, now) for each in holdings) or (
+            bool(holdings) and not had_stamp
+        )
 
     def _move(self, slot: int, chosen: str | None, now: float) -> SlotHolding | None:
         """Move a slot towards its pool; return the holding to tell its pool about."""
