Start the buckets of small workspaces with two permits

After a restart of the fleet a workspace of one request in 5 s was refused until its first permit was generated. Generators give their shares of the start level once a pool and at most once in 5 s; the caps leave room.

--- a/catkinslip/quotas/bounds.py
+++ b/catkinslip/quotas/bounds.py
@@ -17,6 +17,14 @@
 #: Permits by which a full bucket exceeds the burst, where the bound has room. They
 #: absorb the bursts of independent callers of a small workspace.
 SPARE_PERMITS = 10.0
+#: Permits with which an empty bucket starts, as a part of the slack, and how many such
+#: starts a window may have: a restart takes at least 2 s until it gets them
+#: (`leases.py`). Without them, a workspace of one request in 5 s would be refused for
+#: its first seconds after each restart of the fleet. Larger ones have a permit
+#: within 0.2 s anyway.
+START_PART = 0.1
+START_MAX_PER_SECOND = 5.0
+STARTS_IN_WINDOW = 4
 #: Smallest bucket in seconds of the rate. Holders take permits in batches of 0.1 s.
 MIN_BUCKET_SECONDS = 0.05
 
@@ -31,6 +39,8 @@
     rate: float
     #: Permits in the buckets of all pools together.
     cap: float
+    #: Permits with which the buckets of all pools together start.
+    start_level: float = 0.0
 
 
 @frozen
@@ -50,9 +60,13 @@
         """Return the rate and the cap with which the bound holds.
 
         Permits that leave a pool up to PERMIT_SECONDS + SEND_SECONDS before a window
-        are used in it, so that cap + rate x (window + both) must stay in the bound.
+        are used in it, so that cap + rate x (window + both) must stay in the bound less
+        the permits of starts.
         """
+        is_small = requests_per_second <= START_MAX_PER_SECOND
+        start_level = START_PART * self.slack if is_small else 0.0
         allowed = self.largest(requests_per_second, burst)
+        allowed -= STARTS_IN_WINDOW * start_level
         seconds = self.window_seconds + PERMIT_SECONDS + SEND_SECONDS
         rate = requests_per_second
         cap = min(allowed - rate * seconds, burst + SPARE_PERMITS)
@@ -60,7 +74,7 @@
         if cap < smallest:
             cap = smallest
             rate = min(rate, (allowed - cap) / seconds)
-        return WorkspaceLimit(requests_per_second, rate, cap)
+        return WorkspaceLimit(requests_per_second, rate, cap, start_level)
 
 
 def check_bounds(bounds: QuotaBounds) -> str | None:
--- a/catkinslip/quotas/buckets.py
+++ b/catkinslip/quotas/buckets.py
@@ -83,6 +83,14 @@
         elif lease != before:
             self._set_lease(sender, lease)
 
+    def add_start_level(self, share: float, now: float) -> None:
+        """Add a generator's share of the start level to each bucket."""
+        self.advance(now)
+        for bucket in self.bucket_by_key.values():
+            self._fill(bucket)
+            bucket.level += bucket.limit.start_level * share
+            self._cut(bucket)
+
     def apply_limits(
         self, limit_by_key: Mapping[int, WorkspaceLimit], now: float
     ) -> None:
--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -425,13 +425,13 @@
             usage = stock.usage
             log.info(
                 'quotas: requests refused. workspace=%s count=%d limit=%s in_use=%s '
-                'usage_age_s=%.1f retry_s=%.3f',
+                'usage_age_s=%s retry_s=%.3f',
                 name,
                 count,
                 stock.limit and stock.limit.requests_per_second,
                 usage and round(usage.per_second, 1),
-                now - stock.usage_at,
-                stock.refused_until - now,
+                usage and round(now - stock.usage_at, 1),
+                max(0.0, stock.refused_until - now),
             )
         others = refused[MAX_REFUSAL_LINES:]
         if others:
--- a/catkinslip/quotas/leases.py
+++ b/catkinslip/quotas/leases.py
@@ -20,6 +20,10 @@
 #: Seconds from the start of an instance to its first lease. Those of an earlier start
 #: have ended by then.
 START_SECONDS = LEASE_SECONDS
+#: Seconds from the start of an instance to the start levels that it gives with its
+#: leases, and between two of a slot. `bounds.py` allows for one in each 2 s.
+START_LEVEL_SECONDS = 2.0
+START_LEVEL_AGAIN_SECONDS = 5.0
 #: Seconds between two renewals. Two in a row may be lost without an effect.
 RENEWAL_SECONDS = 0.25
 
@@ -43,6 +47,8 @@
     slots: frozenset[int]
     #: Newest stamp of the pool; without one nothing is leased.
     stamp: Stamp | None
+    #: Slots whose buckets get the share of their start level with this message.
+    starting: frozenset[int] = frozenset()
 
 
 @frozen
@@ -75,6 +81,8 @@
     pool_id: str
     #: Sequence number of the first message without the slot; None while it is leased.
     ended_by: int | None = None
+    #: Whether the pool got this instance's share of the start level.
+    has_started: bool = False
 
 
 @define
@@ -87,6 +95,8 @@
     began: float
     link_by_id: dict[str, PoolLink] = Factory(dict)
     holding_by_slot: dict[int, SlotHolding] = Factory(dict)
+    #: Time at which a start level was last given, by slot.
+    started_at: dict[int, float] = Factory(dict)
 
     def renew(
         self, share: float, choose: Callable[[int], str | None], now: float
@@ -164,9 +174,28 @@
             for slot, holding in self.holding_by_slot.items()
             if holding.pool_id == pool_id and holding.ended_by is None
         )
+        starting: frozenset[int] = frozenset()
         if slots and stamp is not None:
             link.ends_at = max(link.ends_at, link.stamped_at + LEASE_SECONDS)
-        return Lease(self.own_id, self.start, link.sequence, share, slots, stamp)
+            starting = frozenset(each for each in slots if self._starts(each, now))
+        return Lease(
+            self.own_id, self.start, link.sequence, share, slots, stamp, starting
+        )
+
+    def _starts(self, slot: int, now: float) -> bool:
+        """Return whether a slot's pool gets a start level now, and record that.
+
+        It is recorded before it is sent: with a lost message it is lost too.
+        """
+        holding = self.holding_by_slot[slot]
+        last = self.started_at.get(slot, -inf)
+        if holding.has_started or now < self.began + START_LEVEL_SECONDS:
+            return False
+        if now < last + START_LEVEL_AGAIN_SECONDS:
+            return False
+        holding.has_started = True
+        self.started_at[slot] = now
+        return True
 
 
 def no_pool(slot: int) -> None:
--- a/catkinslip/quotas/messages.py
+++ b/catkinslip/quotas/messages.py
@@ -71,19 +71,32 @@
     """Return a lease as a message."""
     stamp = lease.stamp and [lease.stamp.pool_start, lease.stamp.at]
     head = [lease.by, lease.start, lease.sequence, lease.share]
-    return {LEASE: [*head, sorted(lease.slots), stamp]}
+    return {LEASE: [*head, sorted(lease.slots), stamp, sorted(lease.starting)]}
 
 
 def lease_from_plain(message: dict[str, Any]) -> Lease:
     """Return the lease in a message; raise TypeError or ValueError if malformed."""
-    by, start, sequence, share, slots, stamp = message[LEASE]
+    by, start, sequence, share, slots, stamp, starting = message[LEASE]
     if not 0 <= finite(share) <= 1:
         raise ValueError(f'share must be 0 to 1, not {share!r}')
-    numbers = frozenset(map(count, slots))
-    if any(slot >= SLOTS for slot in numbers):
-        raise ValueError(f'slots must be below {SLOTS}, not {slots!r}')
     read = None if stamp is None else read_stamp(stamp)
-    return Lease(text(by), count(start), count(sequence), share, numbers, read)
+    return Lease(
+        text(by),
+        count(start),
+        count(sequence),
+        share,
+        read_slots(slots),
+        read,
+        read_slots(starting),
+    )
+
+
+def read_slots(plain: Any) -> frozenset[int]:
+    """Return slots; raise TypeError or ValueError if one of them does not exist."""
+    slots = frozenset(map(count, plain))
+    if any(slot >= SLOTS for slot in slots):
+        raise ValueError(f'slots must be below {SLOTS}, not {plain!r}')
+    return slots
 
 
 def confirmation_to_plain(message: LeaseConfirmation) -> dict[str, Any]:
--- a/catkinslip/quotas/pools.py
+++ b/catkinslip/quotas/pools.py
@@ -101,7 +101,10 @@
                 self.slot_by_number[number].apply_lease(lease.by, None, now)
         for number in slots:
             held = SlotLease(lease.share, lease.stamp.at + LEASE_SECONDS)
-            self._slot(number, now).apply_lease(lease.by, held, now)
+            slot = self._slot(number, now)
+            slot.apply_lease(lease.by, held, now)
+            if number in lease.starting:
+                slot.add_start_level(lease.share, now)
         stamp = Stamp(self.start, now)
         return LeaseConfirmation(self.own_id, lease.start, lease.sequence, stamp)
 
--- a/tests/test_quotas_bound.py
+++ b/tests/test_quotas_bound.py
@@ -10,7 +10,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinslip.quotas.bounds import QuotaBounds, WorkspaceLimit
+from catkinslip.quotas.bounds import (
+    STARTS_IN_WINDOW,
+    QuotaBounds,
+    WorkspaceLimit,
+)
 from catkinslip.quotas.buckets import Slot
 from catkinslip.quotas.holders import Holder
 from catkinslip.quotas.leases import Generator, Stamp
@@ -176,7 +180,8 @@
         bounds = QuotaBounds(window, excess, slack)
         limit: WorkspaceLimit = bounds.limit(rate, burst)
         seconds = window + 0.6
-        total = limit.cap + limit.rate * seconds
+        starts = STARTS_IN_WINDOW * limit.start_level
+        total = limit.cap + limit.rate * seconds + starts
         self.assertLessEqual(total, bounds.largest(rate, burst) * (1 + 1e-9))
         self.assertLessEqual(limit.rate, rate)
         self.assertGreaterEqual(limit.cap, 0)
--- a/tests/test_quotas_failures.py
+++ b/tests/test_quotas_failures.py
@@ -277,3 +277,31 @@
         fleet.load('renamed', BELOW, list(HOMES), 10)
         fleet.run(10.5)
         self.assertGreaterEqual(fleet.share_passed('renamed'), 0.98)
+
+
+class StartTest(unittest.TestCase):
+    """After a start, the first requests of small workspaces find a permit."""
+
+    def test_small_workspaces_after_a_restart_of_all(self):
+        # A permit of 0.2 requests a second takes 5 s to generate.
+        names = [f'w{number}' for number in range(40)]
+        fleet = make_fleet(config_of(**{name: limited(0.2, 1) for name in names}))
+        for node in fleet.node_by_name.values():
+            node.start()
+        fleet.run(2.6)
+        for name in names:
+            fleet.node_by_name[fleet.random.choice(HOMES)].request(name)
+        fleet.run(0.2)
+        self.assertEqual(fleet.passed.total(), len(names))
+
+    def test_changes_of_the_pool_do_not_add_up(self):
+        # Each change would otherwise bring the start level to the new pool.
+        fleet = make_fleet(config_of(a=limited(0.01, 0)))
+        fleet.load('a', 50, list(HOMES), 30)
+        for number in range(20):
+            for node in fleet.node_by_name.values():
+                node.view = evolve(node.view, pool_ids=(HOMES[number % len(HOMES)],))
+            fleet.run(1.5)
+        self.assertLessEqual(fleet.largest_window('a'), BOUNDS.largest(0.01, 0))
+        # Of the cap of 10 some permits, and 2 in each 5 s.
+        self.assertLessEqual(fleet.passed['a'], 10 + 2 * 30 / 5)
--- a/tests/test_quotas_parts.py
+++ b/tests/test_quotas_parts.py
@@ -169,7 +169,7 @@
 
     def test_round_trips(self):
         stamp = Stamp(7, 12.5)
-        lease = Lease('a', 1, 2, 0.25, frozenset({0, 7}), stamp)
+        lease = Lease('a', 1, 2, 0.25, frozenset({0, 7}), stamp, frozenset({7}))
         self.assertEqual(
             messages.lease_from_plain(wire(messages.lease_to_plain(lease))), lease
         )
@@ -194,11 +194,12 @@
     def test_malformed_messages_are_counted_and_not_applied(self):
         directory = Directory(lambda: LeastInFlight(Random(0)))
         malformed = (
-            {'quota_lease': ['a', 1, 2, 1.5, [1], None]},
-            {'quota_lease': ['a', 1, 2, 0.5, [SLOTS], None]},
-            {'quota_lease': ['a', 1, 2, 0.5, [-1], None]},
-            {'quota_lease': ['a', 1, 2, 0.5, [1], [1]]},
-            {'quota_lease': [3, 1, 2, 0.5, [1], None]},
+            {'quota_lease': ['a', 1, 2, 1.5, [1], None, []]},
+            {'quota_lease': ['a', 1, 2, 0.5, [SLOTS], None, []]},
+            {'quota_lease': ['a', 1, 2, 0.5, [-1], None, []]},
+            {'quota_lease': ['a', 1, 2, 0.5, [1], [1], []]},
+            {'quota_lease': [3, 1, 2, 0.5, [1], None, []]},
+            {'quota_lease': ['a', 1, 2, 0.5, [1], None, [SLOTS]]},
             {'quota_lease': None},
             {'quota_confirmation': ['a', 1, True, [1, 1.0]]},
             {'quota_ask': ['a', 1, 1, [[1, -5, 0, 0, 0, 0]]]},
@@ -450,7 +451,8 @@
         self.assertIn('a', quotas.holder.stock_by_name)
 
     def test_bounds_that_allow_nothing_are_kept(self):
-        self.assertEqual(QuotaBounds(1.0, 0.0, 0.0).limit(0.1, 0).cap, 0.1)
+        limit = QuotaBounds(1.0, 0.0, 0.0).limit(0.1, 0)
+        self.assertEqual((limit.cap, limit.start_level), (0.1, 0.0))
 
 
 def wire(message: dict) -> dict:
