--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -149,7 +149,7 @@
         headers = [(wire.REQUEST_ID, request_id.encode())]
         if status == 401:
             headers.append(names.AUTHENTICATE)
-        if status == 503:
+        if status in RESTING_STATUSES:
             seconds = retry_after_seconds(outcome)
             headers.append((RETRY_AFTER, b'%.3f' % seconds))
         body = b'' if method == b'HEAD' else f'{outcome}\n'.encode()
