Pass headers of keys and workspaces on where there never were workspaces

Cause: the headers were dropped on every deployment, so one without workspaces whose callers use X-Api-Key or Tenant for themselves would lose them. They are still dropped once a configuration had workspaces, also after the last one was removed. Both cases have a test; the first failed before.

--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -123,7 +123,7 @@
             service=parameters.service,
             method=request.method,
             target=target,
-            headers=self.dialect.without_workspace_headers(request.headers),
+            headers=self._headers_to_forward(request.headers),
             body=body.start,
             repeatable=False,
             deadline=inf,
@@ -153,6 +153,16 @@
             self.routes.update(document)
             self.keys.update(document.rules.workspaces, self.config.current.version)
 
+    def _headers_to_forward(self, headers: list[Header]) -> list[Header]:
+        """Return the caller's headers without those of keys and workspaces.
+
+        Without workspaces these headers are like any others. Once there were some, a
+        caller may still send a key although the configuration has no workspaces now.
+        """
+        if not self.keys.has_had_workspaces:
+            return headers
+        return self.dialect.without_workspace_headers(headers)
+
     def _needs_key(self, call: Call, parameters: CallParameters, path: str) -> bool:
         """Return whether a call needs an API key.
 
--- a/catkinslip/workspaces/checker.py
+++ b/catkinslip/workspaces/checker.py
@@ -52,6 +52,8 @@
     clock: Clock
     index: KeyIndex = Factory(KeyIndex)
     limit: LineLimit = Factory(lambda self: LineLimit(self.clock), takes_self=True)
+    #: Whether any configuration since the start had workspaces.
+    has_had_workspaces: bool = False
 
     @property
     def workspace_by_name(self) -> dict[str, Workspace]:
@@ -61,6 +63,7 @@
     def update(self, workspace_by_name: dict[str, Workspace], version: object) -> None:
         """Apply the workspaces of the configuration in force."""
         before = self.workspace_by_name
+        self.has_had_workspaces = self.has_had_workspaces or bool(workspace_by_name)
         if self.index.update(workspace_by_name):
             log.info(
                 'workspaces: keys in force. config=%s workspaces=%d was=%d keys=%d',
--- a/tests/test_workspaces_path.py
+++ b/tests/test_workspaces_path.py
@@ -90,6 +90,33 @@
 
         on_platform(check)
 
+    def test_headers_pass_while_there_never_were_workspaces(self):
+        """Guards against deployments without workspaces that lose their own headers."""
+
+        async def check(platform):
+            await start(platform, spec_with())
+            lines = ('X-Api-Key: theirs', 'Tenant: theirs')
+            self.assertEqual(await status_of(platform, *lines), 200)
+            self.assertEqual(headers_at(platform, b'x-api-key'), [b'theirs'])
+            self.assertEqual(headers_at(platform, b'tenant'), [b'theirs'])
+
+        on_platform(check)
+
+    def test_key_is_not_passed_on_after_the_last_workspace_was_removed(self):
+        """Guards against keys at servers while a configuration lacks workspaces."""
+
+        async def check(platform):
+            await start(platform)
+            self.assertEqual(await status_of(platform, f'X-Api-Key: {KEY}'), 200)
+            platform.store.put('config', 'main', spec_with(version='0000000b'))
+            entry = platform.entries[0]
+            await wait_for(lambda: entry.assembler.rules_version == 0xB)
+            self.assertEqual(await status_of(platform, f'X-Api-Key: {KEY}'), 200)
+            self.assertEqual(headers_at(platform, b'x-api-key'), [])
+            self.assertEqual(headers_at(platform, b'tenant'), [])
+
+        on_platform(check)
+
     def test_spoofed_workspace_never_reaches_a_server(self):
         """Guards against callers that name a workspace, on public routes too."""
 
