Prepare the request path for requests that are read before their turn

Cause: a request that waits behind another on its connection must be parsed apart from the connection's codec, and its deadline must count from its arrival. Change: parse_head, server_codec and Wire.read are split off; CallFactory.make takes the seconds since the arrival; Wire keeps the arrival of bytes that wait to be parsed. No change of behaviour by itself.

--- a/catkinslip/proxy/bodies.py
+++ b/catkinslip/proxy/bodies.py
@@ -93,6 +93,13 @@
         return Body(b''.join(parts), BodyRemainder(caller, self.max_bytes - size))
 
 
+def has_whole_body(caller: Wire, request: names.RequestHead) -> bool:
+    """Return whether the whole body of a request has arrived, if it has one."""
+    if names.find(request.headers, b'transfer-encoding') is not None:
+        return False
+    return len(caller.codec.trailing_data[0]) >= (declared_length(request) or 0)
+
+
 def has_body(request: names.RequestHead) -> bool:
     """Return whether a request has a body."""
     length = declared_length(request)
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -105,9 +105,15 @@
         """Return a new random ID for a request that has none."""
         return f'{self.random.getrandbits(64):016x}'
 
-    def make(self, request: RequestHead, body: Body, peer: str) -> Call | NotRun:
-        """Return the call of a request, or a refusal if a call header is malformed."""
-        parameters = self.dialect.read_parameters(request, self.clock.wall())
+    def make(
+        self, request: RequestHead, body: Body, peer: str, waited: float = 0.0
+    ) -> Call | NotRun:
+        """Return the call of a request, or a refusal if a call header is malformed.
+
+        Its deadlines count from its arrival, which was `waited` seconds ago.
+        """
+        wall = self.clock.wall() - waited
+        parameters = self.dialect.read_parameters(request, wall)
         if isinstance(parameters, NotRun):
             return parameters
         self._update_document()
@@ -126,17 +132,29 @@
             peer=peer,
             body_remainder=body.remainder,
         )
-        path = target.decode('latin-1').partition('?')[0]
-        timeout = self._apply_rules(call, parameters, path)
+        now = self.clock.monotonic() - waited
+        timeout = self._apply_rules(call, parameters, path_of(target), now)
         if parameters.timeout is not None:
             timeout = min(timeout, parameters.timeout)
-        now = self.clock.monotonic()
         call.deadline = now + timeout
         call.caller_deadline = now + (parameters.timeout or timeout)
         if self.uses_wall_clock:
-            call.wall_deadline = self.clock.wall() + timeout
+            call.wall_deadline = wall + timeout
         return call
 
+    def is_repeatable(self, request: RequestHead) -> bool:
+        """Return whether a request may be sent again; False if it is malformed."""
+        parameters = self.dialect.read_parameters(request, self.clock.wall())
+        if isinstance(parameters, NotRun):
+            return False
+        self._update_document()
+        path = path_of(origin_form(request.target))
+        turns = self.routes.find(parameters.host, path)
+        if turns is not None:
+            return turns.route.repeatable
+        method = request.method.decode('latin-1')
+        return self.document.is_repeatable(parameters.service, method, path)
+
     def _update_document(self) -> None:
         document = self.config.current.document
         if document is not self.document:
@@ -144,7 +162,9 @@
             self.service_by_name = document.effective_services()
             self.routes.update(document)
 
-    def _apply_rules(self, call: Call, parameters: CallParameters, path: str) -> float:
+    def _apply_rules(
+        self, call: Call, parameters: CallParameters, path: str, now: float
+    ) -> float:
         """Apply the rules to a call and return its maximum duration in seconds."""
         turns = self.routes.find(parameters.host, path)
         if turns is not None:
@@ -153,7 +173,7 @@
             call.route = turns.name
             call.repeatable = route.repeatable
             call.target_latency = route.target_latency
-            call.target_deadline = self.clock.monotonic() + route.target_latency
+            call.target_deadline = now + route.target_latency
             call.priority = route.priority
             call.max_attempts = route.max_attempts
             call.regions = route.regions
@@ -164,3 +184,8 @@
         if service is None:
             return self.request_timeout
         return min(self.request_timeout, service.timeout)
+
+
+def path_of(target: bytes) -> str:
+    """Return the path of a target in origin form, without its query."""
+    return target.decode('latin-1').partition('?')[0]
--- a/catkinslip/proxy/head_reader.py
+++ b/catkinslip/proxy/head_reader.py
@@ -27,19 +27,10 @@
         head = await self._read_raw(wire)
         if not isinstance(head, bytes):
             return head
-        refusal = head_checks.check_framing(head)
-        if refusal is not None:
-            return refusal
-        try:
-            request = wire.codec.next_event()
-        except h11.RemoteProtocolError as error:
-            return NotRun(Reason.BAD_REQUEST, str(error))
-        if type(request) is not h11.Request:
-            return None
-        plain = RequestHead(
-            request.method, request.target, request.http_version, list(request.headers)
-        )
-        return head_checks.check_request(plain) or self._start_chunk_check(wire, plain)
+        request = parse_head(wire.codec, head)
+        if not isinstance(request, RequestHead):
+            return request
+        return self._start_chunk_check(wire, request)
 
     def _start_chunk_check(
         self, wire: Wire, request: RequestHead
@@ -64,7 +55,9 @@
         if head is not None:
             return head
         with trio.move_on_after(self.head_timeout):
-            return await self._read_more(wire)
+            head = await self._read_more(wire)
+            wire.arrived_at = None
+            return head
         return NotRun(
             Reason.SLOW_REQUEST,
             f'no whole head in {self.head_timeout:g} s',
@@ -81,6 +74,26 @@
             await wire.read_into_codec()
 
 
+def parse_head(codec: h11.Connection, head: bytes) -> RequestHead | NotRun | None:
+    """Return the request head that the codec received as `head`, or its refusal.
+
+    None if the connection was closed.
+    """
+    refusal = head_checks.check_framing(head)
+    if refusal is not None:
+        return refusal
+    try:
+        request = codec.next_event()
+    except h11.RemoteProtocolError as error:
+        return NotRun(Reason.BAD_REQUEST, str(error))
+    if type(request) is not h11.Request:
+        return None
+    plain = RequestHead(
+        request.method, request.target, request.http_version, list(request.headers)
+    )
+    return head_checks.check_request(plain) or plain
+
+
 def extract_head(data: bytes) -> bytes | NotRun | None:
     """Return the head at the start of the data, a refusal, or None if incomplete."""
     end = data.find(HEAD_END)
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -33,6 +33,9 @@
     must_close: bool = False
     #: Check of the chunked body that is received, if any.
     chunk_check: ChunkCheck | None = None
+    #: When the bytes arrived that wait to be parsed, in monotonic seconds; None if they
+    #: are parsed as they arrive.
+    arrived_at: float | None = None
 
     async def receive(self) -> Any:
         """Return the next event; raise h11.RemoteProtocolError or a trio error."""
@@ -46,7 +49,7 @@
 
     async def read_into_codec(self) -> None:
         """Read the available bytes from the connection into the codec."""
-        data = await self._read()
+        data = await self.read()
         if self.chunk_check is not None:
             self.check_chunks(data)
         self.codec.receive_data(data)
@@ -79,13 +82,14 @@
             data = data[sent:]
         await self.stream.send_all(data)
 
-    async def _read(self) -> bytes:
+    async def read(self, max_bytes: int = RECEIVE_SIZE) -> bytes:
+        """Return the next bytes, past the codec; no bytes at the end of the stream."""
         if type(self.stream) is not trio.SocketStream:
-            return await self.stream.receive_some(RECEIVE_SIZE)
+            return await self.stream.receive_some(max_bytes)
         while True:
             await trio.lowlevel.wait_readable(self._descriptor())
             try:
-                return os.read(self._descriptor(), RECEIVE_SIZE)
+                return os.read(self._descriptor(), max_bytes)
             except BlockingIOError:
                 continue
 
@@ -126,8 +130,12 @@
 
 def server_wire(stream: trio.abc.Stream) -> Wire:
     """Return the server side of a connection on a stream."""
-    codec = h11.Connection(h11.SERVER, max_incomplete_event_size=RECEIVE_SIZE)
-    return Wire(stream, codec, peer_ip(stream))
+    return Wire(stream, server_codec(), peer_ip(stream))
+
+
+def server_codec() -> h11.Connection:
+    """Return the codec of the server side of a connection."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=RECEIVE_SIZE)
 
 
 def peer_ip(stream: trio.abc.Stream) -> str:
