End the scripted test server when its connection closes before a request

Cause: an attempt that is cancelled before its first byte closes the connection; the stand-in then read the end of the connection in an endless loop without a pause, and a test with more hedges never ended. Change: the stand-in returns. The checks are as before.

--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -87,6 +87,9 @@
         wire = server_wire(stream)
         try:
             request = await wire.receive()
+            if type(request) is h11.ConnectionClosed:
+                # Closed before a request, for example because a hedge was cancelled.
+                return
             while type(await wire.receive()) is not h11.EndOfMessage:
                 pass
         except (h11.RemoteProtocolError, trio.BrokenResourceError):
