Run pipelined requests of a connection side by side

Change: while the connection's task answers a request, a second task (read_ahead.py) reads and starts the idempotent requests behind it, within limits on their number and bytes. Answers are held, not encoded, until their turn (held_answers.py). Everything else, such as a change, an upload, a refusal or a page, is left to the connection's task and so keeps its place. The second task starts only when the caller has sent more: the poll that notices callers who leave also notices bytes, so other connections have no further task. CallerLimits, the options of the daemon and a metric belong to it; it is off by default and on (8 requests) on the platform.

--- a/catkinslip/proxy/caller_watch.py
+++ b/catkinslip/proxy/caller_watch.py
@@ -5,6 +5,7 @@
 """
 
 import select
+from collections.abc import Callable
 
 import trio
 from attrs import Factory, define
@@ -19,7 +20,11 @@
     """A watch that cancels the requests of callers that closed their connections."""
 
     poll: select.poll = Factory(select.poll)
+    #: Handler of a connection with bytes to read while a request is in flight; returns
+    #: whether the connection stays watched for bytes. None to watch for none.
+    on_readable: Callable[[Wire], bool] | None = None
     scope_by_descriptor: dict[int, trio.CancelScope] = Factory(dict)
+    caller_by_descriptor: dict[int, Wire] = Factory(dict)
     has_callers: trio.Event = Factory(trio.Event)
 
     async def run(self) -> None:
@@ -29,14 +34,17 @@
                 self.has_callers = trio.Event()
                 await self.has_callers.wait()
             await trio.sleep(POLL_INTERVAL_SECONDS)
-            self.cancel_disconnected()
+            self.check_callers()
 
-    def cancel_disconnected(self) -> None:
-        """Cancel the requests of callers that have closed their connections."""
+    def check_callers(self) -> None:
+        """Cancel the requests of callers that left; report those that sent more."""
         if not self.scope_by_descriptor:
             return
-        for descriptor, _ in self.poll.poll(0):
-            self.scope_by_descriptor[descriptor].cancel()
+        for descriptor, events in self.poll.poll(0):
+            if events != select.POLLIN:
+                self.scope_by_descriptor[descriptor].cancel()
+            elif not self.on_readable(self.caller_by_descriptor[descriptor]):
+                self.poll.modify(descriptor, select.POLLRDHUP)
 
     def add(self, caller: Wire, scope: trio.CancelScope) -> int | None:
         """Watch a caller's connection; return its descriptor, None if it has none."""
@@ -44,7 +52,8 @@
             return None
         descriptor = caller.stream.socket.fileno()
         self.scope_by_descriptor[descriptor] = scope
-        self.poll.register(descriptor, select.POLLRDHUP)
+        self.caller_by_descriptor[descriptor] = caller
+        self.poll.register(descriptor, self._events())
         self.has_callers.set()
         return descriptor
 
@@ -53,3 +62,9 @@
         if descriptor is not None:
             self.poll.unregister(descriptor)
             del self.scope_by_descriptor[descriptor]
+            del self.caller_by_descriptor[descriptor]
+
+    def _events(self) -> int:
+        if self.on_readable is None:
+            return select.POLLRDHUP
+        return select.POLLIN | select.POLLRDHUP
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -4,39 +4,30 @@
 
 import h11
 import trio
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
 from catkinslip.proxy.base import CallForwarder, LocalPages
-from catkinslip.proxy.bodies import BodyReader, BodyRemainder
+from catkinslip.proxy.bodies import BodyReader, BodyRemainder, has_whole_body
+from catkinslip.proxy.caller_limits import CallerLimits
 from catkinslip.proxy.caller_watch import CallerWatch
 from catkinslip.proxy.calls import Call, CallFactory
 from catkinslip.proxy.dialect import Dialect
-from catkinslip.proxy.draining import CallerDrain
+from catkinslip.proxy.draining import CallerDrain, CallerWire
 from catkinslip.proxy.head_reader import HeadReader
 from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.native_dialect import NativeDialect
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.pipelines import Pipelines
+from catkinslip.proxy.read_ahead import PipelinedRequest, ReadAhead
+from catkinslip.proxy.request_log import log_end
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 
 log = logging.getLogger('request')
 
 
-@frozen
-class CallerLimits:
-    """Limits on callers' requests and connections; times are in seconds."""
-
-    request_timeout: float = 10.0
-    head_timeout: float = 10.0
-    body_timeout: float = 10.0
-    idle_timeout: float = 75.0
-    max_body_bytes: int = 64 << 20
-    max_connections: int = 4096
-    uses_wall_clock: bool = True
-
-
 @define
 class CallerServer:
     """Server that reads callers' requests and answers each of them."""
@@ -71,6 +62,28 @@
         ),
         takes_self=True,
     )
+    pipelines: Pipelines = Factory(
+        lambda self: Pipelines(
+            self.limits.pipeline_limits(),
+            self.environment.clock,
+            self.calls,
+            self.pages,
+            self._forward_in_time,
+        ),
+        takes_self=True,
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Let the watch report connections with requests behind the one in flight."""
+        if self.pipelines.limits.is_enabled:
+            self.watch.on_readable = self.pipelines.handle_readable
+
+    async def run(self) -> None:
+        """Watch the connections and read pipelined requests until cancelled."""
+        async with trio.open_nursery() as nursery:
+            if self.pipelines.limits.is_enabled:
+                self.pipelines.nursery = nursery
+            await self.watch.run()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until either side closes it."""
@@ -91,46 +104,102 @@
         finally:
             self.connections -= 1
             with trio.CancelScope(shield=True):
+                if wire is not None:
+                    await self._stop_read_ahead(wire)
                 await trio.aclose_forcefully(stream)
             self.drain.remove(wire)
 
-    async def _serve_requests(self, wire: Wire) -> None:
+    async def _serve_requests(self, wire: CallerWire) -> None:
         if self.connections > self.limits.max_connections:
             detail = f'at most {self.limits.max_connections} callers'
             await self._refuse(wire, NotRun(Reason.CONNECTION_LIMIT, detail))
             return
         while await self._serve_request(wire):
-            wire.start_next_cycle()
+            ahead = wire.read_ahead
+            if ahead is None:
+                wire.start_next_cycle()
+            elif not await self._answer_read_ahead(ahead):
+                break
+        if wire.is_pipelining or wire.arrived_at is not None:
+            await self._stop_read_ahead(wire)
+            # A plain close with requests unread resets the connection, and the caller
+            # may lose an answer that it has not read yet.
+            await wire.close_gracefully()
+
+    async def _answer_read_ahead(self, ahead: ReadAhead) -> bool:
+        """Answer pipelined requests in order; return whether the next may be read."""
+        while ahead.has_requests():
+            if not await self._answer_in_turn(ahead, ahead.take_next()):
+                return False
+        await ahead.stop()
+        ahead.hand_back()
+        return True
+
+    async def _answer_in_turn(
+        self, ahead: ReadAhead, request: PipelinedRequest
+    ) -> bool:
+        outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+        try:
+            with trio.CancelScope() as scope:
+                descriptor = self.watch.add(ahead.wire, scope)
+                try:
+                    outcome = await request.answer()
+                finally:
+                    self.watch.remove(descriptor)
+        finally:
+            ahead.release(request)
+            self._record_pipelined(request, outcome)
+        return await self._report(request.wire, request.call, outcome)
+
+    async def _stop_read_ahead(self, wire: CallerWire) -> None:
+        ahead = wire.read_ahead
+        if ahead is None:
+            return
+        wire.read_ahead = None
+        await ahead.stop()
+        while ahead.has_requests():
+            self._record_pipelined(ahead.take_next(), Unknown(Reason.CALLER_LEFT))
+
+    def _record_pipelined(self, request: PipelinedRequest, outcome: Outcome) -> None:
+        now = self.environment.clock.monotonic()
+        call, began_at = request.call, request.began_at
+        self.observer.on_request_ended(call, outcome, now - began_at)
+        log_end(call, outcome, began_at, now, request.turn_seconds, request.behind)
 
-    async def _serve_request(self, wire: Wire) -> bool:
+    async def _serve_request(self, wire: CallerWire) -> bool:
         request = await self.heads.read(wire)
         if request is None:
             return False
         if isinstance(request, NotRun):
             return await self._refuse(wire, request)
+        if wire.arrived_at is not None and not has_whole_body(wire, request):
+            wire.arrived_at = None
         body = await self.bodies.read(wire, request)
         if isinstance(body, NotRun):
             return await self._refuse(wire, body, request)
+        waited = self._waited(wire)
         if self.pages is not None and self.pages.has(request.target):
             return await self._answer_locally(wire, request, self.pages)
-        call = self.calls.make(request, body, wire.peer)
+        call = self.calls.make(request, body, wire.peer, waited)
         if isinstance(call, NotRun):
             return await self._refuse(wire, call, request)
+        if self.pipelines.limits.is_enabled:
+            self.pipelines.allow(wire, call)
         began_at = self.environment.clock.monotonic()
         outcome = await self._forward_observed(call, wire)
-        seconds = self.environment.clock.monotonic() - began_at
-        log.info(
-            'request: %s %s ended as %s. route=%s ms=%.0f left_ms=%.0f spent_ms=%.0f',
-            call.request_id,
-            call.service,
-            outcome,
-            call.route,
-            seconds * 1e3,
-            (call.caller_deadline - began_at) * 1e3,
-            call.spent * 1e3,
-        )
+        log_end(call, outcome, began_at, self.environment.clock.monotonic())
         return await self._report(wire, call, outcome)
 
+    def _waited(self, wire: CallerWire) -> float:
+        """Return the seconds since the arrival of the request that was just read."""
+        if not self.pipelines.limits.is_enabled:
+            return 0.0
+        now = self.environment.clock.monotonic()
+        arrived_at = now if wire.arrived_at is None else wire.arrived_at
+        # What is left of the bytes arrived with the request or later.
+        wire.arrived_at = arrived_at if wire.codec.trailing_data[0] else None
+        return now - arrived_at
+
     async def _forward_observed(self, call: Call, wire: Wire) -> Outcome:
         outcome: Outcome = Unknown(Reason.CALLER_LEFT)
         clock = self.environment.clock
@@ -141,15 +210,18 @@
             self.observer.on_request_ended(call, outcome, clock.monotonic() - began_at)
         return outcome
 
-    async def _forward(self, call: Call, wire: Wire) -> Outcome:
+    async def _forward_in_time(self, call: Call, wire: Wire) -> Outcome:
         if call.is_expired(self.environment.clock):
             return NotRun(Reason.TOO_LATE)
+        return await self.forwarder.forward(call, wire)
+
+    async def _forward(self, call: Call, wire: Wire) -> Outcome:
         outcome: Outcome = Unknown(Reason.CALLER_LEFT)
         with trio.CancelScope() as scope:
             descriptor = self.watch.add(wire, scope)
             try:
                 if call.body_remainder is None:
-                    outcome = await self.forwarder.forward(call, wire)
+                    outcome = await self._forward_in_time(call, wire)
                 else:
                     outcome = await self._forward_streamed(
                         call, call.body_remainder, wire
@@ -163,7 +235,7 @@
     ) -> Outcome:
         async with trio.open_nursery() as nursery:
             body_remainder.nursery = nursery
-            outcome = await self.forwarder.forward(call, wire)
+            outcome = await self._forward_in_time(call, wire)
             nursery.cancel_scope.cancel()
         return outcome
 
--- a/catkinslip/proxy/draining.py
+++ b/catkinslip/proxy/draining.py
@@ -7,6 +7,7 @@
 import trio
 from attrs import Factory, define
 
+from catkinslip.proxy.pipelining import FollowingRequests
 from catkinslip.proxy.wire import Wire, server_wire
 
 CLOSE_HEADER = (b'connection', b'close')
@@ -69,13 +70,27 @@
     """A caller's connection; its answers carry `connection: close` during a drain."""
 
     drain: CallerDrain = Factory(CallerDrain)
+    #: Requests behind the one that is answered, if any are read before their turn.
+    read_ahead: FollowingRequests | None = None
+    #: Whether requests may be read before their turn now.
+    may_read_ahead: bool = False
+    #: Whether the caller has sent a request before the answer to another.
+    is_pipelining: bool = False
 
     def encode(self, *events: object) -> bytes:
         """Return the bytes of events; they must be the next that are sent."""
-        if self.drain.is_closing:
+        if self.drain.is_closing and not self.has_requests_behind():
             events = tuple(with_close_header(event) for event in events)
         return super().encode(*events)
 
+    def is_receiving_body(self) -> bool:
+        """Return whether the body of a request has not been read whole."""
+        return self.codec.their_state is h11.SEND_BODY
+
+    def has_requests_behind(self) -> bool:
+        """Return whether a request behind the one that is answered was started."""
+        return self.read_ahead is not None and self.read_ahead.has_requests()
+
 
 def is_idle(wire: Wire) -> bool:
     """Return whether a connection waits for the first byte of a request."""
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -36,6 +36,9 @@
     idle_timeout: float
     max_body_bytes: int
     max_callers: int
+    max_pipelined_requests: int
+    max_pipelined_bytes: int
+    max_instance_pipelined_bytes: int
     queue_depth: float
     deadline_margin: float
     extra_share: float
@@ -70,4 +73,11 @@
             'seconds must be at least --request-timeout (CATKINSLIP_REQUEST_TIMEOUT) '
             f'of {settings.request_timeout:g}; a stop would abort requests.'
         )
+    if settings.max_instance_pipelined_bytes < settings.max_pipelined_bytes:
+        mistakes.append(
+            '--max-instance-pipelined-bytes (CATKINSLIP_MAX_INSTANCE_PIPELINED_BYTES) '
+            f'of {settings.max_instance_pipelined_bytes} bytes must be at least '
+            '--max-pipelined-bytes (CATKINSLIP_MAX_PIPELINED_BYTES) of '
+            f'{settings.max_pipelined_bytes}; one connection would use it all.'
+        )
     return tuple(mistakes)
--- a/catkinslip/settings/daemon_options.py
+++ b/catkinslip/settings/daemon_options.py
@@ -193,6 +193,27 @@
         'Most connections of callers at one time.',
         REQUESTS,
     ),
+    Option(
+        '--max-pipelined-requests',
+        '1',
+        whole_number(1, 64, 'requests'),
+        'Most requests of one connection in flight at once; 1 turns pipelining off.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-pipelined-bytes',
+        str(256 << 10),
+        whole_number(4096, 1 << 30, 'bytes'),
+        'Most bytes of pipelined requests and held answers of one connection.',
+        REQUESTS,
+    ),
+    Option(
+        '--max-instance-pipelined-bytes',
+        str(4 << 20),
+        whole_number(4096, 1 << 40, 'bytes'),
+        'Most bytes of pipelined requests and held answers of all connections.',
+        REQUESTS,
+    ),
     Option(
         '--policy',
         'expected-delay',
--- a/catkinslip/wiring/callers.py
+++ b/catkinslip/wiring/callers.py
@@ -6,7 +6,8 @@
 from catkinslip.limits.base import LimitSettings
 from catkinslip.limits.service import LimitRegistry
 from catkinslip.membership.members import Member
-from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.caller_limits import CallerLimits
+from catkinslip.proxy.callers import CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.settings.daemon import DaemonSettings
@@ -107,4 +108,7 @@
         idle_timeout=settings.idle_timeout,
         max_body_bytes=settings.max_body_bytes,
         max_connections=settings.max_callers,
+        max_pipelined_requests=settings.max_pipelined_requests,
+        max_pipelined_bytes=settings.max_pipelined_bytes,
+        max_instance_pipelined_bytes=settings.max_instance_pipelined_bytes,
     )
--- a/catkinslip/wiring/daemon.py
+++ b/catkinslip/wiring/daemon.py
@@ -20,6 +20,7 @@
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.metrics.crashes import CrashMetrics
 from catkinslip.metrics.health import HealthMetrics
+from catkinslip.metrics.pipelining import PipelineMetrics
 from catkinslip.metrics.wiring import Metrics
 from catkinslip.proxy.callers import CallerServer
 from catkinslip.proxy.hedges import HedgeTimer
@@ -57,7 +58,7 @@
         """Return the background tasks that run until the daemon stops."""
         return (
             self.watcher.run,
-            self.callers.watch.run,
+            self.callers.run,
             self.pool.run,
             self.hedges.run,
             partial(self.peers.run, self.instances.read),
@@ -87,7 +88,7 @@
             store, shared.config, shared.is_reader, environment.random
         ),
         callers=callers,
-        control=wire_control(settings, shared, peers),
+        control=wire_control(settings, shared, peers, callers),
         pool=shared.pool,
         prober=Prober(health, members, shared.pool, environment.clock),
         drain_gossip=DrainGossip(health, peers, environment.random),
@@ -126,7 +127,10 @@
 
 
 def wire_control(
-    settings: DaemonSettings, shared: Shared, peers: PeerExchange
+    settings: DaemonSettings,
+    shared: Shared,
+    peers: PeerExchange,
+    callers: CallerServer,
 ) -> ControlApi:
     """Build the HTTP interface for peers and operators."""
     metrics, health = shared.metrics, shared.health
@@ -135,6 +139,7 @@
         shared.store,
         HealthMetrics(health),
         CrashMetrics(shared.guard),
+        PipelineMetrics(callers.pipelines),
     )
     operators = OperatorPages(
         shared.members, shared.config, health, sources, metrics.traces
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -41,12 +41,14 @@
 from catkinslip.metrics.discovery import DiscoveryMetrics
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
+from catkinslip.metrics.pipelining import PipelineMetrics
 from catkinslip.metrics.requests import RequestMetrics
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient
 from catkinslip.pages import PageHandler, PageServer
-from catkinslip.proxy.callers import CallerLimits, CallerServer
+from catkinslip.proxy.caller_limits import CallerLimits
+from catkinslip.proxy.callers import CallerServer
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.hedges import HedgeTimer
@@ -83,6 +85,9 @@
 HEDGE_PERCENTILE = 95.0
 #: Longer than the timeout of any route, so that the route's timeout limits a request.
 REQUEST_TIMEOUT_SECONDS = 60.0
+#: Requests of one caller's connection in flight at once. The answers of a connection
+#: are held in 256 kB and those of the instance in 4 MB, of 152 MB of memory.
+MAX_PIPELINED_REQUESTS = 8
 
 
 @frozen
@@ -169,7 +174,7 @@
             self.assembler.backends.run,
             self.assembler.run,
             self.poller.run,
-            self.callers.watch.run,
+            self.callers.run,
             self.pool.run,
             self.hedges.run,
             self.lag.run,
@@ -299,7 +304,11 @@
         config,
         forwarder,
         None,
-        CallerLimits(request_timeout=REQUEST_TIMEOUT_SECONDS, uses_wall_clock=False),
+        CallerLimits(
+            request_timeout=REQUEST_TIMEOUT_SECONDS,
+            uses_wall_clock=False,
+            max_pipelined_requests=MAX_PIPELINED_REQUESTS,
+        ),
         observer,
         dependencies.dialect,
     )
@@ -355,6 +364,7 @@
             HealthMetrics(health),
             DiscoveryMetrics(instances, sampler, sharer),
             CrashMetrics(guard),
+            PipelineMetrics(callers.pipelines),
             *dependencies.sources,
         ),
     )
