--- a/tests/test_settings_start.py
+++ b/tests/test_settings_start.py
@@ -83,6 +83,22 @@
         )
         self.assertEqual(status, ExitStatus.SUCCESS)
 
+    def test_pipelining_limits_are_checked(self):
+        # Guards against one connection that may use the bytes of all.
+        _, output = check(
+            '--instance-id=entry-1',
+            '--zone=zone-a',
+            '--max-pipelined-bytes=8192',
+            '--max-instance-pipelined-bytes=4096',
+        )
+        self.assertIn(
+            '--max-instance-pipelined-bytes (CATKINSLIP_MAX_INSTANCE_PIPELINED_BYTES) '
+            'of 4096 bytes must be at least --max-pipelined-bytes',
+            output,
+        )
+        _, output = check('--max-pipelined-requests=0')
+        self.assertRegex(output, r"--max-pipelined-requests .*'0'.* 1 to 64 requests")
+
     def test_each_heading_of_the_help_appears_once(self):
         headings = re.findall(r'^\w+:$', daemon_help(), re.MULTILINE)
         self.assertIn('Requests:', headings)
