Move Call to a module of its own, without the circle with dialect.py

Cause: dialect.py named Call under TYPE_CHECKING, since calls.py imports Dialect. No change of behaviour.

--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -2,19 +2,16 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
 import h11
 from attrs import frozen
 
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.headers import Header, RequestHead
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from catkinslip.routing.base import LoadReport
 from catkinslip.routing.signals import NO_SIGNALS, ServerSignals
 
-if TYPE_CHECKING:
-    from catkinslip.proxy.calls import Call
-
 
 @frozen
 class CallParameters:
@@ -53,7 +50,7 @@
 
     @abstractmethod
     def request_headers(
-        self, call: 'Call', backend_id: str, number: int, remaining: float
+        self, call: Call, backend_id: str, number: int, remaining: float
     ) -> list[Header]:
         """Return the headers of an attempt, without those that frame the body.
 
@@ -63,7 +60,7 @@
 
     @abstractmethod
     def find_fault(
-        self, call: 'Call', status: int, headers: list[Header]
+        self, call: Call, status: int, headers: list[Header]
     ) -> Unknown | None:
         """Return why an answer must not be forwarded; None if it may."""
 
@@ -80,7 +77,7 @@
         return NO_SIGNALS
 
     @abstractmethod
-    def answer_headers(self, call: 'Call', headers: list[Header]) -> list[Header]:
+    def answer_headers(self, call: Call, headers: list[Header]) -> list[Header]:
         """Return the headers of an answer as forwarded to the caller."""
 
     @abstractmethod
