Let a race know its call by an interface, without the circle with runner.py

Cause: race.py named CallRunner under TYPE_CHECKING, since runner.py starts races. Change: HedgedCall in race.py names what a race needs; CallRunner implements it. No change of behaviour.

--- a/catkinslip/proxy/race.py
+++ b/catkinslip/proxy/race.py
@@ -1,18 +1,19 @@
 """The race between the two attempts of a hedged call."""
 
 import logging
-from typing import TYPE_CHECKING
+from abc import ABC, abstractmethod
 
 import trio
 from attrs import Factory, define
 
+from catkinslip.clock import Clock
+from catkinslip.health.base import Sampler
+from catkinslip.limits.plan import CallPlan
 from catkinslip.proxy.exchange import AnswerHead
-from catkinslip.proxy.hedges import Hedge
+from catkinslip.proxy.hedges import Hedge, HedgeTimer
 from catkinslip.proxy.launch import Launch
-from catkinslip.proxy.outcomes import Reason, Unknown
-
-if TYPE_CHECKING:
-    from catkinslip.proxy.runner import CallRunner
+from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
+from catkinslip.routing.router import ServiceRouter
 
 #: A server counts as slowed down below this share of its speed at the choice.
 SLOWED_SHARE = 0.6
@@ -22,11 +23,42 @@
 log = logging.getLogger('routing')
 
 
+class HedgedCall(ABC):
+    """Interface of a call whose first attempt may be hedged."""
+
+    __slots__ = ()
+
+    plan: CallPlan
+    router: ServiceRouter
+    clock: Clock
+    hedges: HedgeTimer
+    sampler: Sampler
+    launches: list[Launch]
+
+    @abstractmethod
+    def launch_hedge(self) -> Launch | None:
+        """Create a second attempt; return None if no server has an idle slot for it."""
+
+    @abstractmethod
+    def reported_speed(self, backend_id: str) -> float | None:
+        """Return the speed that a server last reported; None if it reported none."""
+
+    @abstractmethod
+    async def start(self, launch: Launch) -> None:
+        """Send an attempt's request and handle the result."""
+
+    @abstractmethod
+    async def handle_result(
+        self, launch: Launch, result: AnswerHead | NotRun | Unknown
+    ) -> None:
+        """Record the result of an attempt: the head of an answer or why none came."""
+
+
 @define(eq=False)
 class Race(Hedge):
     """A race of two attempts; the first answer head cancels the other attempt."""
 
-    runner: 'CallRunner'
+    runner: HedgedCall
     delay: float
     is_over: bool = False
     #: Speed that the first server last reported before the request was sent.
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -32,7 +32,7 @@
     attempt_result,
 )
 from catkinslip.proxy.pool import BackendPool
-from catkinslip.proxy.race import Race
+from catkinslip.proxy.race import HedgedCall, Race
 from catkinslip.proxy.server_wait import ServerWait
 from catkinslip.proxy.wire import Wire
 from catkinslip.routing.base import BackendLoad, Choice, LoadReport
@@ -50,7 +50,7 @@
 
 
 @define
-class CallRunner:
+class CallRunner(HedgedCall):
     """The execution of one call's plan; at most one answer reaches the caller."""
 
     call: Call
