Test pipelined requests that wait for room, are read once, or stay unread

Cause: changes of the code by hand left three faults without a failing test: a deadline that counts anew behind the bound, a call made twice, a close with bytes unread.

--- a/tests/test_proxy_pipelining.py
+++ b/tests/test_proxy_pipelining.py
@@ -7,6 +7,7 @@
 import trio
 
 from catkinslip.proxy import read_ahead
+from catkinslip.proxy.calls import CallFactory
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from tests.pipeline_builders import get, post, running_proxy
 from tests.test_proxy_exchange import run
@@ -135,6 +136,20 @@
             proxy.forwarder.release('/4', '/5')
             self.assertEqual(await caller.read_bodies(3), ['/3', '/4', '/5'])
 
+    @run
+    async def test_a_request_that_waits_for_its_turn_is_made_a_call_once(self):
+        # Guards against drawing twice from the weights of a route for one request.
+        async with running_proxy() as proxy:
+            caller = await proxy.connect()
+            with mock.patch.object(
+                CallFactory, 'make', autospec=True, side_effect=CallFactory.make
+            ) as make:
+                await caller.send(get('/1'), get('/2'), post('/3'))
+                await proxy.forwarder.wait_for_start('/1', '/2')
+                proxy.forwarder.release('/1', '/2')
+                await proxy.forwarder.wait_for_start('/3')
+            self.assertEqual(make.call_count, 3)
+
     @run
     async def test_bodies_that_are_not_read_whole_wait_for_their_turn(self):
         # Guards against chunked and large bodies being split off, or overtaken.
@@ -403,6 +418,26 @@
             await caller.stream.aclose()
             await proxy.server.drain.wait_until_closed()
 
+    @run
+    async def test_requests_left_unread_do_not_reset_the_last_answer(self):
+        # Guards against a close with bytes unread, whose reset takes away answers.
+        limits = {'max_pipelined_requests': 2, 'max_pipelined_bytes': 8192}
+        async with running_proxy(**limits) as proxy, trio.open_nursery() as nursery:
+            caller = await proxy.connect()
+            await caller.send(get('/1'))
+            await proxy.forwarder.wait_for_start('/1')
+            long = f'A: {"a" * 3000}'
+            requests = [get(f'/{number}', long) for number in range(2, 20)]
+            nursery.start_soon(caller.send, *requests)
+            await proxy.forwarder.wait_for_start('/2')
+            proxy.server.drain.start_closing()
+            proxy.forwarder.release('/1', '/2')
+            await proxy.forwarder.wait_for_end('/1', '/2')
+            await trio.sleep(0.1)
+            self.assertEqual(await caller.read_bodies(2), ['/1', '/2'])
+            self.assertTrue(await caller.is_closed())
+            self.assertEqual(proxy.forwarder.started, ['/1', '/2'])
+
 
 class RecordTest(unittest.TestCase):
     """Deadlines, log lines and counts of pipelined requests."""
@@ -428,6 +463,21 @@
                 self.assertLess(deadline - sent_at, 0.3 + 0.15)
                 self.assertLess(proxy.forwarder.call_by_path['/2'].wall_deadline, inf)
 
+    @run
+    async def test_a_deadline_counts_from_the_arrival_behind_the_bound(self):
+        # Guards against time that is given anew to a request that waits for room.
+        async with running_proxy(max_pipelined_requests=2) as proxy:
+            caller = await proxy.connect()
+            last = get('/3', 'Catkinslip-Timeout: 0.3')
+            await caller.send(get('/1'), get('/2'), last)
+            sent_at = proxy.forwarder.clock.monotonic()
+            await proxy.forwarder.wait_for_start('/1', '/2')
+            await trio.sleep(0.2)
+            proxy.forwarder.release('/1')
+            await proxy.forwarder.wait_for_start('/3')
+            deadline = proxy.forwarder.call_by_path['/3'].deadline
+            self.assertLess(deadline - sent_at, 0.3 + 0.15)
+
     @run
     async def test_a_request_after_a_page_has_its_own_arrival(self):
         # Guards against a deadline that counts from the arrival of an earlier request.
