--- a/catkinslip/proxy/draining.py
+++ b/catkinslip/proxy/draining.py
@@ -12,6 +12,8 @@
 
 CLOSE_HEADER = (b'connection', b'close')
 
+ANSWERING = (h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY)
+
 log = logging.getLogger('lifecycle')
 
 
@@ -87,6 +89,10 @@
         """Return whether the body of a request has not been read whole."""
         return self.codec.their_state is h11.SEND_BODY
 
+    def has_answered(self) -> bool:
+        """Return whether the whole answer to the current request was sent."""
+        return self.codec.our_state not in ANSWERING
+
     def has_requests_behind(self) -> bool:
         """Return whether a request behind the one that is answered was started."""
         return self.read_ahead is not None and self.read_ahead.has_requests()
--- a/tests/pipeline_builders.py
+++ b/tests/pipeline_builders.py
@@ -51,6 +51,8 @@
     body_by_path: dict[str, bytes] = Factory(dict)
     #: Paths whose answers break off after the head.
     cut_paths: set[str] = Factory(set)
+    #: Paths whose calls go on after their answers, until `<path> end` is released.
+    lingering_paths: set[str] = Factory(set)
     released: set[str] = Factory(set)
     #: Paths whose answers were passed on or held whole.
     finished: list[str] = Factory(list)
@@ -80,6 +82,8 @@
             return self.outcome_by_path[path]
         for event in answer_events(self.body_by_path.get(path, path.encode())):
             await caller.send(event)
+        if path in self.lingering_paths:
+            await self.wait_for(lambda: f'{path} end' in self.released)
         return Answered(200)
 
     @property
@@ -176,6 +180,11 @@
         self.callers.append(CallerConnection(stream))
         return self.callers[-1]
 
+    def is_pipelining(self) -> bool:
+        """Return whether the server has a second task for its only connection."""
+        (wire,) = self.server.drain.open_wires
+        return wire.is_pipelining
+
     async def close(self) -> None:
         """Close all callers' connections and wait until the server has noticed."""
         for caller in self.callers:
