Bound the memory of all pipelined requests in flight, not only their bytes

Cause: a request in flight takes 6.5 kB besides its bytes, 12.3 kB with the second task of its connection (400 connections, without its attempts). With 7 for each of thousands of connections that is more than the memory of an instance, while a few hundred bytes each were counted. Change: each counts as 16 KiB towards the bytes of the instance; without room, requests wait, and no second task starts.

--- a/catkinslip/proxy/pipelines.py
+++ b/catkinslip/proxy/pipelines.py
@@ -51,7 +51,9 @@
             and wire.codec.their_state is h11.DONE
             and not wire.drain.is_closing
         )
-        if wire.may_read_ahead and (wire.is_pipelining or wire.arrived_at is not None):
+        if not wire.may_read_ahead or not self.instance.has_room():
+            return
+        if wire.is_pipelining or wire.arrived_at is not None:
             self._start(wire)
 
     def handle_readable(self, wire: CallerWire) -> bool:
@@ -59,9 +61,9 @@
 
         Return whether the connection must stay watched for bytes.
         """
-        if wire.read_ahead is not None or wire.has_answered():
+        if wire.read_ahead is not None:
             return False
-        if wire.may_read_ahead:
+        if wire.may_read_ahead and self.instance.has_room():
             self._start(wire)
             return False
         if wire.is_receiving_body():
--- a/catkinslip/proxy/pipelining.py
+++ b/catkinslip/proxy/pipelining.py
@@ -21,6 +21,10 @@
 REQUEST_SHARE = 0.5
 #: Memory of an event and its headers besides the bytes of a body.
 EVENT_BYTES = 256
+#: Memory of a request in flight besides its bytes: measured are 6.5 kB without its
+#: attempts, and 12.3 kB with the second task of its connection (400 connections). It is
+#: counted for the instance: 4 MiB allow 256 pipelined requests at once.
+REQUEST_BYTES = 16 << 10
 
 
 @frozen
@@ -110,6 +114,10 @@
     limit: int
     held: int = 0
 
+    def has_room(self) -> bool:
+        """Return whether another request may start before its turn."""
+        return self.held + REQUEST_BYTES <= self.limit
+
 
 @define
 class ConnectionBytes:
@@ -119,6 +127,8 @@
     instance: InstanceBytes
     requests: int = 0
     answers: int = 0
+    #: Number of requests that started before their turn.
+    started: int = 0
 
     def room_for_requests(self) -> int:
         """Return how many bytes of requests may be read."""
@@ -127,6 +137,20 @@
         common = self.instance.limit - self.instance.held
         return max(0, min(share, own, common, RECEIVE_SIZE))
 
+    def start_request(self) -> bool:
+        """Count a request that starts before its turn and return True if it fits."""
+        if not self.instance.has_room():
+            return False
+        self.started += 1
+        self.instance.held += REQUEST_BYTES
+        return True
+
+    def end_request(self, size: int) -> None:
+        """Count a started request of this size as no longer held."""
+        self.started -= 1
+        self.instance.held -= REQUEST_BYTES
+        self.remove_request(size)
+
     def add_request(self, size: int) -> None:
         """Count bytes of requests that were read."""
         self.requests += size
@@ -155,7 +179,8 @@
     def clear(self) -> None:
         """Count all bytes of the connection as no longer held."""
         self.instance.held -= self.requests + self.answers
-        self.requests = self.answers = 0
+        self.instance.held -= self.started * REQUEST_BYTES
+        self.requests = self.answers = self.started = 0
 
 
 class FollowingRequests(ABC):
--- a/catkinslip/proxy/read_ahead.py
+++ b/catkinslip/proxy/read_ahead.py
@@ -84,8 +84,6 @@
     arrived_at: float
     buffer: bytearray = Factory(bytearray)
     is_at_end: bool = False
-    #: Whether a request was started before its turn.
-    has_started: bool = False
     is_stopping: bool = False
     #: Requests that wait for their turn, in order.
     requests: deque[PipelinedRequest] = Factory(deque)
@@ -124,7 +122,7 @@
     def release(self, request: PipelinedRequest) -> None:
         """Count the bytes of an answered request as no longer held."""
         request.wire.drop_held()
-        self.account.remove_request(request.size)
+        self.account.end_request(request.size)
         self.has_room.set()
 
     async def stop(self) -> None:
@@ -144,7 +142,6 @@
         self.wire.chunk_check = None
         self.wire.arrived_at = self.arrived_at if self.buffer else None
         self.wire.read_ahead = None
-        self.wire.is_pipelining = self.has_started
 
     async def _start_requests(self, nursery: trio.Nursery) -> None:
         while not self.is_stopping and not self.wire.drain.is_closing:
@@ -158,9 +155,13 @@
                 if not await self._read():
                     return
                 continue
+            if not self.account.start_request():
+                await self._wait_for_room()
+                continue
             waited = self.clock.monotonic() - self.arrived_at
             call = self.make_call(request, self.wire.peer, waited)
             if call is None:
+                self.account.end_request(0)
                 return
             nursery.start_soon(self._serve, self._add(request, call))
             if request.is_last:
@@ -182,7 +183,6 @@
         now = self.clock.monotonic()
         added = PipelinedRequest(call, wire, now, request.size, behind)
         self.requests.append(added)
-        self.has_started = True
         return added
 
     async def _serve(self, request: PipelinedRequest) -> None:
--- a/catkinslip/settings/daemon_options.py
+++ b/catkinslip/settings/daemon_options.py
@@ -210,8 +210,8 @@
     Option(
         '--max-instance-pipelined-bytes',
         str(4 << 20),
-        whole_number(4096, 1 << 40, 'bytes'),
-        'Most bytes of pipelined requests and held answers of all connections.',
+        whole_number(64 << 10, 1 << 40, 'bytes'),
+        'Most bytes of memory for pipelined requests of all connections.',
         REQUESTS,
     ),
     Option(
--- a/tests/test_proxy_pipelining_rules.py
+++ b/tests/test_proxy_pipelining_rules.py
@@ -9,6 +9,7 @@
 from catkinslip.proxy.caller_limits import CallerLimits
 from catkinslip.proxy.pipelining import (
     EVENT_BYTES,
+    REQUEST_BYTES,
     ConnectionBytes,
     InstanceBytes,
     SplitRequest,
@@ -87,6 +88,18 @@
         first.clear()
         self.assertTrue(second.hold_answer(600))
 
+    def test_the_memory_of_requests_in_flight_counts(self):
+        # Guards against thousands of connections with several requests of few bytes.
+        instance = InstanceBytes(2 * REQUEST_BYTES)
+        first, second = (ConnectionBytes(100, instance) for _ in range(2))
+        self.assertTrue(first.start_request() and second.start_request())
+        self.assertFalse(first.start_request())
+        self.assertEqual(first.room_for_requests(), 0)
+        second.end_request(0)
+        self.assertTrue(first.start_request())
+        first.clear()
+        self.assertEqual(instance.held, 0)
+
     def test_requests_leave_room_for_answers(self):
         # Guards against requests that use all bytes, so that no answer can be held.
         account = ConnectionBytes(1000, InstanceBytes(10_000))
