--- a/catkinslip/proxy/pipelines.py
+++ b/catkinslip/proxy/pipelines.py
@@ -61,7 +61,7 @@
 
         Return whether the connection must stay watched for bytes.
         """
-        if wire.read_ahead is not None:
+        if wire.read_ahead is not None or wire.has_answered():
             return False
         if wire.may_read_ahead and self.instance.has_room():
             self._start(wire)
--- a/catkinslip/proxy/read_ahead.py
+++ b/catkinslip/proxy/read_ahead.py
@@ -84,6 +84,8 @@
     arrived_at: float
     buffer: bytearray = Factory(bytearray)
     is_at_end: bool = False
+    #: Whether a request was started before its turn.
+    has_started: bool = False
     is_stopping: bool = False
     #: Requests that wait for their turn, in order.
     requests: deque[PipelinedRequest] = Factory(deque)
@@ -142,6 +144,7 @@
         self.wire.chunk_check = None
         self.wire.arrived_at = self.arrived_at if self.buffer else None
         self.wire.read_ahead = None
+        self.wire.is_pipelining = self.has_started
 
     async def _start_requests(self, nursery: trio.Nursery) -> None:
         while not self.is_stopping and not self.wire.drain.is_closing:
@@ -183,6 +186,7 @@
         now = self.clock.monotonic()
         added = PipelinedRequest(call, wire, now, request.size, behind)
         self.requests.append(added)
+        self.has_started = True
         return added
 
     async def _serve(self, request: PipelinedRequest) -> None:
--- a/tests/test_proxy_pipelining.py
+++ b/tests/test_proxy_pipelining.py
@@ -115,6 +115,41 @@
             self.assertEqual(await caller.read_bodies(2), ['/1', '/2'])
 
 
+class CostTest(unittest.TestCase):
+    """Connections have a second task only while their callers pipeline."""
+
+    @run
+    async def test_a_request_right_after_an_answer_is_not_pipelined(self):
+        # Guards against second tasks for callers who wait for each answer: the poll may
+        # find their next request before the call of the last one has ended.
+        async with running_proxy() as proxy:
+            proxy.forwarder.lingering_paths = {'/1'}
+            proxy.forwarder.release('/1', '/2')
+            caller = await proxy.connect()
+            await caller.send(get('/1'))
+            await caller.read()
+            await caller.send(get('/2'))
+            await trio.sleep(0.1)
+            self.assertFalse(proxy.is_pipelining())
+            proxy.forwarder.release('/1 end')
+            self.assertEqual(await caller.read_bodies(1), ['/2'])
+            self.assertEqual(proxy.server.pipelines.started, 0)
+
+    @run
+    async def test_a_caller_that_no_longer_pipelines_has_no_second_task(self):
+        # Guards against a task for each request because of one request long ago.
+        async with running_proxy() as proxy:
+            proxy.forwarder.release('/1', '/2', '/3', '/4')
+            caller = await proxy.connect()
+            await caller.send(get('/1'), get('/2'))
+            self.assertEqual(await caller.read_bodies(2), ['/1', '/2'])
+            for path in ('/3', '/4'):
+                await caller.send(get(path))
+                self.assertEqual(await caller.read_bodies(1), [path])
+            await trio.sleep(0.05)
+            self.assertFalse(proxy.is_pipelining())
+
+
 class BarrierTest(unittest.TestCase):
     """Requests that must not be repeated neither overtake nor are overtaken."""
 
