--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -1,14 +1,15 @@
-"""A caller's request as the request path handles it."""
+"""Making of calls from requests and the configuration in force."""
 
 from math import inf
 from random import Random
 
-from attrs import Factory, define, field
+from attrs import Factory, define
 
 from catkinslip.clock import Clock
 from catkinslip.config.documents import Document, Service
 from catkinslip.config.holder import ConfigHolder
-from catkinslip.proxy.bodies import Body, BodyRemainder
+from catkinslip.proxy.bodies import Body
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.dialect import CallParameters, Dialect
 from catkinslip.proxy.head_checks import has_dot_segment, origin_form
 from catkinslip.proxy.headers import IDEMPOTENCY_KEY, Header, RequestHead, find
@@ -17,76 +18,7 @@
 from catkinslip.workspaces.checker import KeyChecker
 from catkinslip.workspaces.proofs import check_proof
 
-
-@define
-class Call:
-    """One request of a caller.
-
-    `deadline` is in seconds on the monotonic clock, `wall_deadline` in Unix seconds.
-    """
-
-    request_id: str
-    service: str
-    method: bytes
-    target: bytes
-    #: Without the headers of API keys and workspaces.
-    headers: list[Header] = field(repr=False)
-    body: bytes = field(repr=False)
-    repeatable: bool
-    deadline: float
-    attempt: int = 1
-    wall_deadline: float = inf
-    peer: str = ''
-    body_remainder: BodyRemainder | None = None
-    #: Name of the matching route; empty if no route matched.
-    route: str = ''
-    #: Target latency in seconds, from the caller's first attempt; a later answer is of
-    #: little use.
-    target_latency: float = inf
-    #: End of the target latency, in seconds on the monotonic clock.
-    target_deadline: float = inf
-    #: Estimated seconds that the caller had waited before this attempt.
-    spent: float = 0.0
-    #: Timeout in seconds that the caller declared; None if it declared none.
-    caller_timeout: float | None = None
-    #: End of the caller's timeout, or the deadline if it declared none, in seconds on
-    #: the monotonic clock.
-    caller_deadline: float = inf
-    #: Priority of the request; 0 is the most urgent.
-    priority: int = 0
-    #: Name of the caller's workspace; empty without one.
-    workspace: str = ''
-    #: Why the call is refused without being forwarded; None if it is not.
-    refusal: NotRun | None = None
-    #: Maximum number of backend servers that the request is sent to; None for the
-    #: limit of the settings.
-    max_attempts: int | None = None
-    #: Regions in which the request may run; empty for any region.
-    regions: tuple[str, ...] = ()
-    #: Whether servers crashed while running the same request, so that at most one
-    #: server may run this one.
-    is_suspect: bool = False
-
-    def record_spent(self, seconds: float) -> None:
-        """Record the seconds that the caller had waited before this attempt.
-
-        The target deadline becomes earlier by as much.
-        """
-        self.spent = seconds
-        self.target_deadline -= seconds
-
-    @property
-    def is_resendable(self) -> bool:
-        """Return whether the whole request can still be sent to a server."""
-        return self.body_remainder is None or not self.body_remainder.is_started
-
-    def is_expired(self, clock: Clock) -> bool:
-        """Return whether the deadline has passed on either clock.
-
-        Either clock may lag: the wall clock after being set back, the monotonic
-        clock on systems where it does not count suspensions.
-        """
-        return clock.monotonic() >= self.deadline or clock.wall() >= self.wall_deadline
+__all__ = ['Call', 'CallFactory']
 
 
 @define
@@ -111,9 +43,15 @@
         """Return a new random ID for a request that has none."""
         return f'{self.random.getrandbits(64):016x}'
 
-    def make(self, request: RequestHead, body: Body, peer: str) -> Call | NotRun:
-        """Return the call of a request, or a refusal if a call header is malformed."""
-        parameters = self.dialect.read_parameters(request, self.clock.wall())
+    def make(
+        self, request: RequestHead, body: Body, peer: str, waited: float = 0.0
+    ) -> Call | NotRun:
+        """Return the call of a request, or a refusal if a call header is malformed.
+
+        Its deadlines count from its arrival, which was `waited` seconds ago.
+        """
+        wall = self.clock.wall() - waited
+        parameters = self.dialect.read_parameters(request, wall)
         if isinstance(parameters, NotRun):
             return parameters
         self._update_document()
@@ -132,19 +70,32 @@
             peer=peer,
             body_remainder=body.remainder,
         )
-        path = target.decode('latin-1').partition('?')[0]
-        timeout = self._apply_rules(call, parameters, path)
+        now = self.clock.monotonic() - waited
+        path = path_of(target)
+        timeout = self._apply_rules(call, parameters, path, now)
         if self._needs_key(call, parameters, path):
             self._apply_key(call, request)
         if parameters.timeout is not None:
             timeout = min(timeout, parameters.timeout)
-        now = self.clock.monotonic()
         call.deadline = now + timeout
         call.caller_deadline = now + (parameters.timeout or timeout)
         if self.uses_wall_clock:
-            call.wall_deadline = self.clock.wall() + timeout
+            call.wall_deadline = wall + timeout
         return call
 
+    def is_repeatable(self, request: RequestHead) -> bool:
+        """Return whether a request may be sent again; False if it is malformed."""
+        parameters = self.dialect.read_parameters(request, self.clock.wall())
+        if isinstance(parameters, NotRun):
+            return False
+        self._update_document()
+        path = path_of(origin_form(request.target))
+        turns = self.routes.find(parameters.host, path)
+        if turns is not None:
+            return turns.route.repeatable
+        method = request.method.decode('latin-1')
+        return self.document.is_repeatable(parameters.service, method, path)
+
     def _update_document(self) -> None:
         document = self.config.current.document
         if document is not self.document:
@@ -203,7 +154,9 @@
             value.decode('latin-1'), self.keys.workspace_by_name, proof_parts(call)
         )
 
-    def _apply_rules(self, call: Call, parameters: CallParameters, path: str) -> float:
+    def _apply_rules(
+        self, call: Call, parameters: CallParameters, path: str, now: float
+    ) -> float:
         """Apply the rules to a call and return its maximum duration in seconds."""
         turns = self.routes.find(parameters.host, path)
         if turns is not None:
@@ -212,7 +165,7 @@
             call.route = turns.name
             call.repeatable = route.repeatable
             call.target_latency = route.target_latency
-            call.target_deadline = self.clock.monotonic() + route.target_latency
+            call.target_deadline = now + route.target_latency
             call.priority = route.priority
             call.max_attempts = route.max_attempts
             call.regions = route.regions
@@ -225,6 +178,11 @@
         return min(self.request_timeout, service.timeout)
 
 
+def path_of(target: bytes) -> str:
+    """Return the path of a target in origin form, without its query."""
+    return target.decode('latin-1').partition('?')[0]
+
+
 def proof_parts(call: Call) -> tuple[bytes, ...]:
     """Return the parts of a call for which its workspace is proven to another instance.
 
--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -3,19 +3,17 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from functools import cached_property
-from typing import TYPE_CHECKING, ClassVar
+from typing import ClassVar
 
 import h11
 from attrs import frozen
 
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.headers import Header, RequestHead, find_all, without
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
 from catkinslip.routing.base import LoadReport
 from catkinslip.routing.signals import NO_SIGNALS, ServerSignals
 
-if TYPE_CHECKING:
-    from catkinslip.proxy.calls import Call
-
 
 @frozen
 class CallParameters:
@@ -81,7 +79,7 @@
 
     @abstractmethod
     def request_headers(
-        self, call: 'Call', backend_id: str, number: int, remaining: float
+        self, call: Call, backend_id: str, number: int, remaining: float
     ) -> list[Header]:
         """Return the headers of an attempt, without those that frame the body.
 
@@ -91,7 +89,7 @@
 
     @abstractmethod
     def find_fault(
-        self, call: 'Call', status: int, headers: list[Header]
+        self, call: Call, status: int, headers: list[Header]
     ) -> Unknown | None:
         """Return why an answer must not be forwarded; None if it may."""
 
@@ -108,7 +106,7 @@
         return NO_SIGNALS
 
     @abstractmethod
-    def answer_headers(self, call: 'Call', headers: list[Header]) -> list[Header]:
+    def answer_headers(self, call: Call, headers: list[Header]) -> list[Header]:
         """Return the headers of an answer as forwarded to the caller."""
 
     @abstractmethod
