--- a/tests/test_proxy_pipelining.py
+++ b/tests/test_proxy_pipelining.py
@@ -590,7 +590,7 @@
                 await trio.sleep(0.05)
             (line,) = (each for each in logs.output if 'id-2' in each)
             self.assertIn('ended as answered with 200', line)
-            self.assertRegex(line, r'turn_ms=[1-9][0-9]+ behind=1\Z')
+            self.assertRegex(line, r'turn_ms=[1-9][0-9]+ behind=1 workspace=-\Z')
             self.assertEqual(proxy.server.pipelines.instance.held, 0)
 
     @run
--- a/tests/test_workspaces_path.py
+++ b/tests/test_workspaces_path.py
@@ -1,6 +1,7 @@
 """Tests of API keys on the request path of the users' platform."""
 
 import logging
+import re
 import unittest
 
 import trio
@@ -20,6 +21,7 @@
     connect,
     exchange,
     raw_request,
+    receive,
     row,
     spec_with,
     two_workspaces,
@@ -90,6 +92,23 @@
 
         on_platform(check)
 
+    def test_pipelined_requests_are_checked_one_by_one(self):
+        """Guards against a request that passes with the key of the one before it."""
+
+        async def check(platform):
+            await start(platform, work_seconds=0.1)
+            stream = await connect(platform)
+            right, wrong = raw_request(f'X-Api-Key: {KEY}'), raw_request()
+            await stream.send_all(right + wrong + right)
+            data = b''
+            while data.count(b'HTTP/1.1 ') < 3:
+                data += await receive(stream)
+            statuses = re.findall(rb'HTTP/1.1 ([0-9]+)', data)
+            self.assertEqual(statuses, [b'200', b'401', b'200'])
+            self.assertEqual(len(platform.worker_by_id['i-1'].heads), 2)
+
+        on_platform(check)
+
     def test_headers_pass_while_there_never_were_workspaces(self):
         """Guards against deployments without workspaces that lose their own headers."""
 
