Avoid dead pools at instances outside the home sets, too

They check pools each second, which counted as a stall of their own, so a killed pool was asked for ever. Pools are also checked while asks wait, and a permit that comes with the cancellation of its call stays in stock.

--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -138,15 +138,15 @@
         decision = self.decide(call.workspace, trio.Event)
         if not isinstance(decision, Waiter):
             return decision
-        try:
-            if not decision.is_done:
-                remaining = max(0.0, call.deadline - began)
+        if not decision.is_done:
+            remaining = max(0.0, call.deadline - began)
+            try:
                 with trio.move_on_after(min(WAIT_SECONDS, remaining)):
                     await decision.decided.wait()
-        finally:
-            # A permit that arrives for a call that was cancelled stays in stock.
-            refusal = self.end_wait(call.workspace, decision)
-        return refusal
+            except trio.Cancelled:
+                self.cancel_wait(decision)
+                raise
+        return self.end_wait(call.workspace, decision)
 
     def decide(
         self, workspace: str, make_event: Callable[[], Decided]
@@ -173,6 +173,12 @@
             self.has_due.set()
         return waiter
 
+    def cancel_wait(self, waiter: Waiter) -> None:
+        """End the wait of a call that was cancelled; its permit stays in stock."""
+        if waiter.is_granted:
+            waiter.stock.give_back(self.clock.monotonic())
+        waiter.is_done = True
+
     def end_wait(self, workspace: str, waiter: Waiter) -> NotRun | None:
         """Return the refusal of a call that waited; None if it got a permit."""
         now = self.clock.monotonic()
@@ -273,8 +279,12 @@
 
     def repeat(self) -> None:
         """Repeat the asks whose answer is late."""
-        for sent in self.holder.asks_to_repeat(self.clock.monotonic()):
+        now = self.clock.monotonic()
+        for sent in self.holder.asks_to_repeat(now):
             self._send_ask(sent)
+        if self._check_pools(now):
+            self._choose_pools(self._ordered, self.share.in_use)
+            self._renew_leases(now)
         if not self.holder.sent_by_number:
             self.has_sent = trio.Event()
 
@@ -289,14 +299,20 @@
         now = self.clock.monotonic()
         view = self.read_view()
         share = self.share.update(view.share, now, was_listed=view.was_listed)
-        for pool_id in self.health.check(now):
-            log.warning('quotas: pool avoided, it does not answer. pool=%s', pool_id)
+        self._check_pools(now)
         self._choose_pools(view.pool_ids, share)
         self._renew_leases(now)
         for pool_id in self.health.to_greet(now):
             self._send_lease(pool_id, self.generator.greet(pool_id), now)
         self.pool.forget_idle(now)
 
+    def _check_pools(self, now: float) -> bool:
+        """Avoid the pools that do not answer; return whether there are new ones."""
+        silent = self.health.check(now)
+        for pool_id in silent:
+            log.warning('quotas: pool avoided, it does not answer. pool=%s', pool_id)
+        return bool(silent)
+
     def _renew_leases(self, now: float) -> None:
         share = self.share.in_use
         for _ in range(MAX_RENEWALS):
--- a/catkinslip/quotas/liveness.py
+++ b/catkinslip/quotas/liveness.py
@@ -16,8 +16,9 @@
 SILENT_SECONDS = 0.3
 #: Seconds between two messages to a pool that is avoided.
 GREETING_SECONDS = 0.5
-#: A longer time between two checks means that this instance was stopped itself.
-STALL_SECONDS = 0.6
+#: A longer time between two checks means that this instance was stopped itself. Without
+#: leases it checks each second, and more often only while asks wait.
+STALL_SECONDS = 1.6
 
 
 @define
--- a/tests/test_quotas_failures.py
+++ b/tests/test_quotas_failures.py
@@ -100,6 +100,17 @@
         fleet.run(6)
         self.assert_bound(fleet)
 
+    def test_killed_pool_is_replaced_at_an_instance_outside_the_home_sets(self):
+        # It chooses pools only each second, and asks for single permits.
+        fleet = make_fleet(config_of(a=limited(RATE, BURST)), others_serve=True)
+        pool = pool_of(fleet)
+        fleet.node_by_name[pool].is_dead = True
+        fleet.load('a', 5, ['other-1'], 20)
+        fleet.run(3)
+        fleet.forget()
+        fleet.run(15)
+        self.assertGreaterEqual(fleet.share_passed('a'), 0.98)
+
     def test_pool_whose_answers_are_lost_is_avoided(self):
         # Its peers reach it, and it does not reach them.
         fleet = busy_fleet(0)
--- a/tests/test_quotas_parts.py
+++ b/tests/test_quotas_parts.py
@@ -304,6 +304,23 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_permit_that_comes_with_the_cancellation_stays(self):
+        async def main():
+            quotas = make_quotas(TrioClock(), pool_ids=('other',))
+            quotas.apply_config(config_of(a=limited(10, 1)))
+            quotas.renew()
+            stock = quotas.holder.stock_by_name['a']
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(quotas.acquire, call_of('a'))
+                    await trio.testing.wait_all_tasks_blocked()
+                    scope.cancel()
+                    stock.record_use(trio.current_time())
+                    stock.waiters[0].end(is_granted=True)
+            self.assertEqual(stock.in_stock(trio.current_time()), 1)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_no_task_wakes_without_workspaces(self):
         async def main():
             quotas = make_quotas(TrioClock())
