Keep tries of a store that fails at a constant number for each zone

Cause: in an outage each instance of a zone became a reader of last resort and tried every 1.25 s on average, whatever their number; at the return each that succeeded read all kinds before it learned that others read again. The list of instances was read on the same condition.

Change: discovery/readers.py decides by rank who reads and how tries are spread. An instance that is no reader any more after its delay makes no call. A failed try of any kind is reported as a lost store. A reader of last resort announces itself to the leaders, which poll it: leaders that were all refused got no changes before.

Restarts are as before.

--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -1,5 +1,6 @@
 """Answers to the polls of peers, with the values that a peer lacks."""
 
+import logging
 import re
 
 import orjson
@@ -11,13 +12,17 @@
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
+    KIND_PATH,
+    READER_PATH,
+    SNAPSHOT_PATH,
+    STATE_PATH,
     WITH_HEALTH,
     WITH_KNOWN,
     DiscoverySnapshot,
     NamedBackend,
     PeerState,
 )
-from catkinslip.pages import Page
+from catkinslip.pages import Page, PageHandler
 
 QUERY_FORM = re.compile(r'([0-9]+)\.([0-9]+)(\.whole)?\Z')
 #: The most routes that an answer holds. A route takes some 220 bytes, so that 1,400 of
@@ -32,6 +37,8 @@
 #: The most changes of servers in one part; parts are requested one after the other.
 MAX_SENT_CHANGES = 300
 
+log = logging.getLogger('peers')
+
 
 @define
 class PeerAnswers:
@@ -41,6 +48,15 @@
     assembler: Assembler
     kinds: SharedKinds
 
+    def handlers(self) -> dict[str, PageHandler]:
+        """Return the page handlers by path."""
+        return {
+            STATE_PATH: self.state,
+            SNAPSHOT_PATH: self.snapshot,
+            KIND_PATH: self.kind,
+            READER_PATH: self.reader,
+        }
+
     async def state(self, query: str) -> Page:
         """Return the state of this instance, with the additions that a query names."""
         instances = self.instances
@@ -62,6 +78,7 @@
                 state,
                 health=instances.health_by_id(),
                 lost_store=tuple(instances.lost_store_ids()),
+                readers=tuple(instances.announced_readers()),
             )
         return Page(200, orjson.dumps(converter.unstructure(state)))
 
@@ -79,6 +96,12 @@
         )
         return Page(200, orjson.dumps(converter.unstructure(snapshot)))
 
+    async def reader(self, query: str) -> Page:
+        """Poll an instance from now on that announces that it reads the store."""
+        if self.instances.add_announced_reader(query):
+            log.info('peers: reader of last resort announced. instance=%s', query)
+        return Page(200, b'null')
+
     async def kind(self, query: str) -> Page:
         """Return the changes of a kind after the revision in a query."""
         update = self.kinds.update_for(query)
--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -75,7 +75,12 @@
     @property
     def reaches_store(self) -> bool:
         """Return whether the last calls to the store succeeded, if any were made."""
-        return not (self.rules.is_lost or self.backends.is_lost)
+        is_lost = self.rules.is_lost or self.backends.is_lost
+        return not (is_lost or self.rules.outage.has_failed)
+
+    def reads_now(self) -> bool:
+        """Return whether the last calls to the store were made and succeeded."""
+        return self.rules.is_reachable and self.backends.is_reachable
 
     def mark_possibly_stale(self, rules_version: int, backends_revision: int) -> None:
         """Mark as possibly stale each kind of which a peer has a newer state.
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -17,6 +17,12 @@
 
 from catkinslip.discovery.base import Changes, HistoryRemoved, Listing, Source, Value
 from catkinslip.discovery.changes import Change, ChangeLog, difference
+from catkinslip.discovery.readers import (
+    BACKOFF_PACE,
+    FIRST_RETRY_SECONDS,
+    MAX_RETRY_SECONDS,
+    TryPace,
+)
 from catkinslip.discovery.revisions import era_of, text_of
 from catkinslip.store.backoff import Backoff
 
@@ -29,15 +35,6 @@
 SETTLE_SECONDS = 1.0
 #: Pause after changes, so that all changes within it cost one call instead of one each.
 BATCH_SECONDS = 0.4
-#: Bounds of the delay between retries. Reads after an outage have to succeed well
-#: within the 2 s in which changes apply; the mean delay is half of the longest. Refused
-#: calls have a price too.
-FIRST_RETRY_SECONDS = 0.2
-MAX_RETRY_SECONDS = 1.6
-#: Longest delay of an instance that reads only because all instances of the zone that
-#: read first lost the store. Where the store answers this one, changes still have to
-#: apply within 2.5 s.
-LAST_RESORT_SECONDS = 2.5
 
 log = logging.getLogger('discovery')
 
@@ -49,9 +46,9 @@
     return True
 
 
-def never() -> bool:
-    """Return False: this instance is never a last resort."""
-    return False
+def backoff_pace() -> TryPace:
+    """Return the pace of an instance that no other one replaces."""
+    return BACKOFF_PACE
 
 
 @define
@@ -66,12 +63,14 @@
     instead of 6,564 (one run each).
     """
 
-    #: Function that returns whether other instances of the zone failed to read the
-    #: store, so that this one may wait longer.
-    is_last_resort: Callable[[], bool] = never
+    #: Function that returns how this instance spreads its tries, by its rank.
+    pace: Callable[[], TryPace] = backoff_pace
     turn: trio.Lock = Factory(trio.Lock)
     ended: trio.Event = Factory(trio.Event)
     backoff: Backoff = Factory(lambda: Backoff(FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS))
+    #: Whether a call of any kind failed since the last success. The first try is made
+    #: by one kind, and peers have to learn of its failure whichever kind it was.
+    has_failed: bool = False
 
     async def wait(self, random: Random) -> None:
         """Wait for the turn to retry, or until another follower succeeds."""
@@ -86,13 +85,16 @@
         scope.cancel()
 
     def _next_delay(self, random: Random) -> float:
-        if self.is_last_resort():
-            return random.uniform(0, LAST_RESORT_SECONDS)
-        return self.backoff.next_delay(random)
+        return self.pace().next_delay(self.backoff, random)
+
+    def reset(self) -> None:
+        """Forget the failures, as this instance reads again or reads no longer."""
+        self.has_failed = False
+        self.backoff.reset()
 
     def end(self) -> None:
         """End the outage after a success, so that all other followers retry at once."""
-        self.backoff.reset()
+        self.reset()
         self.ended.set()
         self.ended = trio.Event()
 
@@ -152,11 +154,15 @@
         while True:
             if not self.reads_store() and not self.reads_once:
                 self.is_reachable = self.is_lost = False
+                self.outage.reset()
                 await self._wait_until_reader()
                 continue
-            is_delayed = not self.is_reachable and self.outage.is_last_resort()
+            is_delayed = not self.is_reachable and self.outage.pace().is_delayed
             if self.has_failed or is_delayed:
                 await self.outage.wait(self.random)
+                if not self.reads_store() and not self.reads_once:
+                    # Another instance reads the store again.
+                    continue
             if self.must_read:
                 await self._read_all()
             else:
@@ -342,7 +348,7 @@
                 'discovery: store unreachable. kind=%s error=%s', self.kind, error
             )
         self._mark_lost()
-        self.had_outage = True
+        self.had_outage = self.outage.has_failed = True
         self.has_failed = True
 
     def _mark_lost(self) -> None:
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -1,13 +1,14 @@
 """The table of known instances: their health, and which of them callers may use."""
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from enum import Enum, unique
 
 import trio
 import xxhash
 from attrs import Factory, define, field
 
+from catkinslip.discovery import readers
 from catkinslip.discovery.base import InstanceEntry
 from catkinslip.discovery.ranking import (
     Tier,
@@ -21,9 +22,9 @@
 from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
 from catkinslip.warmup.senders import SenderLease, SenderPosition
 
-#: Number of instances that read the store for their whole zone. It is small because
-#: each change wakes every reader and each call has a price.
-READERS = 3
+#: Time for which a reader of last resort is polled after it announced itself, three
+#: times the interval of its announcements.
+ANNOUNCED_SECONDS = 1.5
 #: Number of polled instances beside the home set of the own zone, and in each other
 #: zone; silent ones are not counted.
 NEAR_POLLED = 4
@@ -35,6 +36,11 @@
 MISSED_LISTS = 3
 
 
+def never() -> bool:
+    """Return False: no call of this instance to the store succeeded."""
+    return False
+
+
 @unique
 class PeerHealth(Enum):
     """The health of a peer by its last polls."""
@@ -93,6 +99,13 @@
     peer_by_id: dict[str, Peer] = Factory(dict)
     #: Revision of the store at which the applied list was read.
     list_revision: int = 0
+    #: Function that returns whether the last call of this instance to the store
+    #: succeeded.
+    is_reading: Callable[[], bool] = never
+    #: Readers of last resort that a leader reported last.
+    reported_readers: frozenset[str] = frozenset()
+    #: Until when announced readers of last resort are polled, on the monotonic clock.
+    announced_until_by_id: dict[str, float] = Factory(dict)
     _digest: str | None = field(default=None, init=False)
     #: Ranking of each zone; cleared when an instance is added or removed.
     _ranked_by_zone: dict[str, list[InstanceEntry]] = field(factory=dict, init=False)
@@ -245,6 +258,7 @@
         reporter: str,
         health_by_id: Mapping[str, PeerHealth],
         lost_store: Iterable[str],
+        readers: Iterable[str] = (),
     ) -> list[str]:
         """Apply a peer's report of the instances it polls; return the IDs that changed.
 
@@ -253,6 +267,9 @@
         """
         changed = []
         lost_store_ids = frozenset(lost_store)
+        if self.reported_readers != frozenset(readers):
+            self.reported_readers = frozenset(readers)
+            self.notify_change()
         for instance_id in self.health_by_id().keys() | health_by_id.keys():
             peer = self.peer_by_id.get(instance_id)
             if peer is None or instance_id == reporter:
@@ -321,25 +338,79 @@
             return False
         if self.is_starting and not self.is_own_listed and not self.is_seed:
             return False
-        ranked = self._ranked(self.own.zone)
-        position = ranked.index(self.own)
-        home = self.home_size(self.own.zone)
-        if self.is_starting and position < home:
+        view = self.zone_view()
+        if self.is_starting and view.position < self.home_size(self.own.zone):
             return True
-        readers = sum(map(self._is_reader, ranked[:position]))
-        return readers < (READERS if position <= home + NEAR_POLLED else 1)
+        return readers.reads_store(view)
 
-    def is_last_resort(self) -> bool:
-        """Return whether this instance reads only as those before it lost the store.
+    def reads_list(self) -> bool:
+        """Return whether this instance reads the list of instances from the store.
 
-        The store may refuse just these instances. Where it answers no instance, retries
-        of a whole zone would cost many calls.
+        Each read of 313 entries takes 7 calls to the store, so that all instances
+        together would make 440 calls a second. An instance that sends to restricted
+        servers always reads the list, as its position depends on it.
         """
+        if self.may_be_sender() or not self.has_answering_zone_peer():
+            return True
+        return self.reads_store() and readers.reads_list(self.zone_view())
+
+    def try_pace(self) -> readers.TryPace:
+        """Return how this instance spreads its tries where calls to the store fail."""
+        return readers.try_pace(self.zone_view())
+
+    def zone_view(self) -> readers.ZoneView:
+        """Return what is known of the readers of the own zone."""
         ranked = self._ranked(self.own.zone)
         position = ranked.index(self.own)
-        if position <= self.home_size(self.own.zone) + NEAR_POLLED:
+        before = ranked[:position]
+        return readers.ZoneView(
+            position,
+            len(self._polled(self.own.zone)) + 1,
+            len(ranked),
+            sum(map(self._is_reader, before)),
+            sum(map(self._lost_store, before)),
+            len(self.reported_readers - {self.own.instance_id}),
+            self.is_reading(),
+        )
+
+    def announces_reader(self) -> bool:
+        """Return whether the leaders have to be told that this instance reads."""
+        if not self.is_reading():
             return False
-        return any(map(self._lost_store, ranked[:position]))
+        return self.zone_view().role is readers.ReaderRole.LAST_RESORT
+
+    def add_announced_reader(self, instance_id: str) -> bool:
+        """Poll a reader of last resort for some time; return whether it is new."""
+        now = trio.current_time()
+        self._remove_expired_readers()
+        until_by_id = self.announced_until_by_id
+        is_new = instance_id not in until_by_id
+        if instance_id not in self.peer_by_id:
+            return False
+        if is_new and len(until_by_id) >= readers.READERS:
+            return False
+        until_by_id[instance_id] = now + ANNOUNCED_SECONDS
+        return is_new
+
+    def announced_readers(self) -> list[str]:
+        """Return the IDs of announced readers that are ready and reach the store."""
+        self._remove_expired_readers()
+        peers = (
+            (each, self.peer_by_id.get(each)) for each in self.announced_until_by_id
+        )
+        return [
+            instance_id
+            for instance_id, peer in peers
+            if peer and peer.health is PeerHealth.READY and peer.reaches_store
+        ]
+
+    def _remove_expired_readers(self) -> None:
+        if not self.announced_until_by_id:
+            return
+        now = trio.current_time()
+        for instance_id, until in list(self.announced_until_by_id.items()):
+            if now >= until:
+                del self.announced_until_by_id[instance_id]
 
     def _is_reader(self, entry: InstanceEntry) -> bool:
         peer = self.peer_by_id[entry.instance_id]
@@ -355,7 +426,7 @@
 
     def _lost_store(self, entry: InstanceEntry) -> bool:
         peer = self.peer_by_id[entry.instance_id]
-        return peer.health is PeerHealth.READY and not peer.reaches_store
+        return peer.health in ANSWERING and not peer.reaches_store
 
     def to_poll(self) -> list[InstanceEntry]:
         """Return the instances to poll: those that callers may get, and a few more.
@@ -363,7 +434,11 @@
         Their number in each zone is fixed, however many instances there are.
         """
         zones = {entry.zone for entry in self._entries()}
-        return [each for zone in zones for each in self._polled(zone)]
+        polled = [each for zone in zones for each in self._polled(zone)]
+        self._remove_expired_readers()
+        known = [self.peer_by_id.get(each) for each in self.announced_until_by_id]
+        announced = [peer.entry for peer in known if peer is not None]
+        return [*polled, *(each for each in announced if each not in polled)]
 
     def _polled(self, zone: str) -> list[InstanceEntry]:
         is_near = zone == self.own.zone
@@ -387,10 +462,10 @@
         """Return whether another instance of the own zone is known."""
         return len(self._ranked(self.own.zone)) > 1
 
-    def has_ready_zone_peer(self) -> bool:
-        """Return whether another instance of the own zone is known to be ready."""
+    def has_answering_zone_peer(self) -> bool:
+        """Return whether another instance of the own zone is known to answer."""
         return any(
-            peer.health is PeerHealth.READY and peer.entry.zone == self.own.zone
+            peer.health in ANSWERING and peer.entry.zone == self.own.zone
             for peer in self.peer_by_id.values()
         )
 
--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -17,6 +17,8 @@
 WITH_HEALTH = 'health'
 SNAPSHOT_PATH = '/peer/knowledge'
 KIND_PATH = '/peer/kind'
+#: Page to which a reader of last resort announces itself with its ID.
+READER_PATH = '/peer/reader'
 READ_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
 
 log = logging.getLogger('peers')
@@ -41,6 +43,8 @@
     health: dict[str, PeerHealth] = Factory(dict)
     #: IDs of the polled instances that do not reach the store.
     lost_store: tuple[str, ...] = ()
+    #: IDs of the readers of last resort that it polls, if the query requested health.
+    readers: tuple[str, ...] = ()
     #: Revision at which the instance last received a change, by kind.
     revision_by_kind: dict[str, int] = Factory(dict)
 
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -20,6 +20,7 @@
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
     KIND_PATH,
+    READER_PATH,
     SNAPSHOT_PATH,
     STATE_PATH,
     WITH_HEALTH,
@@ -102,6 +103,8 @@
         fifteen: 313 instances in five zones make 1,060 polls a second instead of 4,800
         (calculated).
         """
+        if self.instances.announces_reader():
+            await self._announce_reader(leaders)
         first = self.random.choice(leaders)
         if await self._poll_leader(first):
             return
@@ -110,13 +113,23 @@
                 if entry is not first:
                     nursery.start_soon(self._poll_leader, entry)
 
+    async def _announce_reader(self, leaders: list[InstanceEntry]) -> None:
+        """Announce to the leaders that this instance reads the store, as they do not.
+
+        They poll it then, so that its values reach the whole zone.
+        """
+        path = f'{READER_PATH}?{self.instances.own.instance_id}'
+        async with trio.open_nursery() as nursery:
+            for entry in leaders:
+                nursery.start_soon(self._read, Address.parse(entry.peer_address), path)
+
     async def _poll_leader(self, entry: InstanceEntry) -> bool:
         """Poll a leader and apply its report of others; return whether it answered."""
         state = await self._poll(entry, WITH_HEALTH)
         if state is None:
             return False
         changed = self.instances.apply_peer_report(
-            entry.instance_id, state.health, state.lost_store
+            entry.instance_id, state.health, state.lost_store, state.readers
         )
         for instance_id in changed:
             health = self.instances.peer_by_id[instance_id].health
@@ -175,24 +188,13 @@
     async def _follow_list(self, nursery: trio.Nursery) -> None:
         delay = FIRST_LIST_SECONDS
         while True:
-            if not self.instances.is_list_attempted or self._reads_list():
+            if not self.instances.is_list_attempted or self.instances.reads_list():
                 await self._read_list(nursery)
             if not self.instances.is_list_attempted:
                 self.instances.record_list_attempt()
             await trio.sleep(delay * self.random.uniform(0.8, 1.2))
             delay = min(2 * delay, LIST_SECONDS)
 
-    def _reads_list(self) -> bool:
-        """Return whether this instance reads the list of instances from the store.
-
-        Each read of 313 entries takes 7 calls to the store, so that all instances
-        together would make 440 calls a second. An instance that sends to restricted
-        servers always reads the list, as its position depends on it.
-        """
-        instances = self.instances
-        reads = instances.reads_store() or instances.may_be_sender()
-        return reads or not instances.has_ready_zone_peer()
-
     async def _read_list(self, nursery: trio.Nursery) -> None:
         asked_at = trio.current_time()
         match await self.source.read_all(may_be_stale=True):
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -26,7 +26,6 @@
 from catkinslip.discovery.follower import Follower, Outage
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKind, shared_kinds
-from catkinslip.discovery.messages import KIND_PATH, SNAPSHOT_PATH, STATE_PATH
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
 from catkinslip.environment import Environment
@@ -45,7 +44,7 @@
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient
-from catkinslip.pages import PageHandler, PageServer
+from catkinslip.pages import PageServer
 from catkinslip.proxy.callers import CallerLimits, CallerServer
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.forwarder import Forwarder
@@ -207,7 +206,7 @@
         random=random,
         reads_store=instances.reads_store,
         wait_change=instances.wait_change,
-        outage=Outage(instances.is_last_resort),
+        outage=Outage(instances.try_pace),
     )
     assembler = Assembler(
         config,
@@ -215,6 +214,7 @@
         make_follower('backends', dependencies.backends),
     )
     assembler.start()
+    instances.is_reading = assembler.reads_now
     directory = make_directory(settings, environment, instances)
     sharer = ReportSharer(
         Address.parse(settings.own.report_address),
@@ -310,11 +310,6 @@
         SharedKind(CrashRecord, crashes), SharedKind(ZoneEvacuation, evacuations)
     )
     answers = PeerAnswers(instances, assembler, kinds)
-    makers: dict[str, PageHandler] = {
-        STATE_PATH: answers.state,
-        SNAPSHOT_PATH: answers.snapshot,
-        KIND_PATH: answers.kind,
-    }
     lag = LoopLag(clock)
     config_metrics = ConfigMetrics(clock, config)
     config.listeners.append(config_metrics.record_change)
@@ -335,7 +330,7 @@
             dependencies.instances,
             Registration(dependencies.instance_registry, settings.own),
         ),
-        peer_pages=PageServer(makers),
+        peer_pages=PageServer(answers.handlers()),
         pool=pool,
         hedges=hedges,
         limits=limits,
--- a/tests/test_discovery_follower.py
+++ b/tests/test_discovery_follower.py
@@ -9,12 +9,11 @@
 
 from catkinslip.discovery.follower import (
     CATCH_UP_SECONDS,
-    LAST_RESORT_SECONDS,
-    MAX_RETRY_SECONDS,
     WAIT_SECONDS,
     Follower,
     Outage,
 )
+from catkinslip.discovery.readers import MAX_RETRY_SECONDS, TryPace
 from tests.discovery_builders import (
     HISTORY_REMOVED,
     OUTAGE,
@@ -24,6 +23,9 @@
     listing,
 )
 
+#: Longest delay of the slow pace, of which an instance makes one try at a time.
+SLOW_SECONDS = 2.5
+SLOW_PACE = TryPace(True, (0.0, SLOW_SECONDS), SLOW_SECONDS)
 ONE, TWO = backend_entry('one'), backend_entry('two', port=81)
 
 
@@ -190,9 +192,37 @@
         self.assertLess(delay, MAX_RETRY_SECONDS + 0.1)
 
     def test_last_resort_calls_rarely_and_is_in_time(self):
-        calls, delay = self.play_outage(Outage(lambda: True), 20.0)
+        calls, delay = self.play_outage(Outage(lambda: SLOW_PACE), 20.0)
         self.assertLess(calls, 25)
-        self.assertLess(delay, LAST_RESORT_SECONDS + 0.1)
+        self.assertLess(delay, SLOW_SECONDS + 0.1)
+
+    def test_instance_that_is_no_reader_after_its_delay_does_not_call(self):
+        """Guards against calls of each waiting instance when the store returns."""
+        source = ScriptedSource([OUTAGE, listing(5, ONE)])
+        is_reader = True
+
+        async def stop_reading() -> None:
+            nonlocal is_reader
+            while source.calls != ['read']:
+                await trio.sleep(0.001)
+            is_reader = False
+
+        follower = Follower(
+            'backends',
+            source,
+            Random(1),
+            reads_store=lambda: is_reader,
+            outage=Outage(lambda: TryPace(True, (0.5, 1.0), 1.0)),
+        )
+
+        async def run():
+            with trio.move_on_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(follower.run)
+                    nursery.start_soon(stop_reading)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(source.calls, ['read'])
 
     def test_kind_that_cannot_be_read_does_not_hold_up_the_others(self):
         outage = Outage()
--- a/tests/test_discovery_instances.py
+++ b/tests/test_discovery_instances.py
@@ -9,11 +9,11 @@
 from catkinslip.discovery.instances import (
     FAR_POLLED,
     NEAR_POLLED,
-    READERS,
     InstanceTable,
     PeerHealth,
 )
 from catkinslip.discovery.ranking import HOME_INSTANCES, HOME_SHARE, RESERVE_SHARE
+from catkinslip.discovery.readers import READERS, ReaderRole
 from tests.discovery_builders import instance_entry
 
 
@@ -172,8 +172,17 @@
                 table.forget_health(entry.instance_id)
         trying = [table for table in tables if table.reads_store()]
         self.assertEqual(len(trying), len(tables))
-        hurried = [table for table in trying if not table.is_last_resort()]
+        roles = [table.zone_view().role for table in trying]
+        hurried = [role for role in roles if role is not ReaderRole.LAST_RESORT]
         self.assertEqual(len(hurried), asked_first)
+        # Each of the others waits for its turn, also before its first try.
+        self.assertTrue(
+            all(
+                table.try_pace().is_delayed
+                for table, role in zip(trying, roles, strict=True)
+                if role is ReaderRole.LAST_RESORT
+            )
+        )
 
     def test_start_waits_for_those_ahead_that_wait_for_the_store(self):
         self.fill(4 * HOME_INSTANCES, ('zone-a',))
--- a/tests/test_discovery_shares.py
+++ b/tests/test_discovery_shares.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from catkinslip.discovery.base import InstanceEntry
-from catkinslip.discovery.instances import READERS, InstanceTable
+from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.readers import READERS
 from tests.discovery_builders import instance_entry
 
 SETTINGS = settings(derandomize=True, deadline=None)
