Let instances that start get the list of instances from a seed

Cause: at a restart of all each instance read the list from the store, 5 calls for 202 entries, and again 0.5 s later while none was ready. Without the store each one knew no others, took itself for the first reader of its zone and retried.

Change: discovery/first_list.py decides where the first list comes from. The seeds read it; all others request it from a seed, compressed, and read the store only if no seed answers, or in turns if a seed has none, and then offer it to the seeds. Nobody reads on the assumption that nobody else does before the first polls ended. Instances with a whole core wait for no seed that does not answer.

--- a/benchmarks/store_calls.py
+++ b/benchmarks/store_calls.py
@@ -6,13 +6,16 @@
 """
 
 import json
+import logging
 from collections.abc import Awaitable, Callable
+from math import inf
 
 import trio
 import trio.testing
 from attrs import asdict, frozen
 
 from benchmarks.store_calls_world import ReplayFleet, make_fleet, rules_at
+from catkinslip.discovery.ranking import HOME_INSTANCES
 
 #: Instances and zones of the replayed deployments.
 SIZES = ((14, 3), (118, 3), (202, 3), (313, 5))
@@ -31,6 +34,8 @@
     calls: int
     calls_after: int = 0
     in_force_seconds: float | None = None
+    #: After a restart, the time until the whole home set of each zone was ready.
+    home_seconds: float | None = None
     #: Number of instances that were not ready, or lacked the change, at the end.
     missing: int = 0
 
@@ -50,7 +55,7 @@
         store.calls_between(start, back_at),
         store.calls_between(back_at, back_at + RETURN_SECONDS),
         in_force,
-        missing_version(fleet, 2),
+        missing=missing_version(fleet, 2),
     )
 
 
@@ -66,7 +71,7 @@
         slowest = max(slowest, await fleet.until_version(version, MAX_WAIT_SECONDS))
     await trio.sleep(max(0.0, start + OUTAGE_SECONDS - trio.current_time()))
     calls = store.calls_between(start, start + OUTAGE_SECONDS)
-    return Outcome(calls, 0, slowest, missing_version(fleet, 3))
+    return Outcome(calls, 0, slowest, missing=missing_version(fleet, 3))
 
 
 def refusal_of_share(share: float) -> Callable[[ReplayFleet], Awaitable[Outcome]]:
@@ -102,14 +107,15 @@
     return play
 
 
-async def play_restart(fleet: ReplayFleet, *, has_store: bool) -> Outcome:
-    """Kill all instances and start them again."""
+async def play_restart(
+    fleet: ReplayFleet, refused: Callable[[str], bool] = lambda _: False
+) -> Outcome:
+    """Kill all instances and start them again, some of them refused for 5 s."""
     store = fleet.store
     fleet.stop()
     await trio.sleep(0.2)
     start = trio.current_time()
-    if not has_store:
-        store.refuse(lambda _: True)
+    store.refuse(refused)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(fleet.run)
         await trio.sleep(RESTART_SECONDS)
@@ -118,21 +124,47 @@
         store.refuse(lambda _: False)
         await trio.sleep(RETURN_SECONDS)
         after = store.calls_between(back_at, back_at + RETURN_SECONDS)
-        ready = [each.ready_at for each in fleet.instance_by_address.values()]
+        ready_at_by_id = {
+            each.table.own.instance_id: each.ready_at or inf
+            for each in fleet.instance_by_address.values()
+        }
         nursery.cancel_scope.cancel()
-    known = [each - start for each in ready if each is not None]
-    slowest = max(known, default=None)
-    return Outcome(calls, after, slowest, len(ready) - len(known))
+    home = [
+        ready_at_by_id[each.instance_id]
+        for zone in fleet.zones()
+        for each in fleet.ranked(zone)[:HOME_INSTANCES]
+        if each.instance_id in ready_at_by_id
+    ]
+    known = [each for each in ready_at_by_id.values() if each < inf]
+    return Outcome(
+        calls,
+        after,
+        max(known, default=inf) - start,
+        max(home) - start,
+        len(ready_at_by_id) - len(known),
+    )
 
 
 async def play_restart_with_store(fleet: ReplayFleet) -> Outcome:
     """Restart all while the store answers."""
-    return await play_restart(fleet, has_store=True)
+    return await play_restart(fleet)
 
 
 async def play_restart_without_store(fleet: ReplayFleet) -> Outcome:
     """Restart all while the store refuses everybody, for five seconds."""
-    return await play_restart(fleet, has_store=False)
+    return await play_restart(fleet, lambda _: True)
+
+
+async def play_restart_seeds_refused(fleet: ReplayFleet) -> Outcome:
+    """Restart all while the store refuses the seeds, for five seconds."""
+    seeds = {each.instance_id for each in fleet.seeds()}
+    return await play_restart(fleet, seeds.__contains__)
+
+
+async def play_restart_seeds_dead(fleet: ReplayFleet) -> Outcome:
+    """Restart all but the seeds while the store answers."""
+    fleet.dead = {each.instance_id for each in fleet.seeds()}
+    return await play_restart(fleet)
 
 
 async def play_partition(fleet: ReplayFleet) -> Outcome:
@@ -147,7 +179,7 @@
     fleet.store.change('rules', 'rules', rules_at(2))
     fleet.connects = lambda _, __: True
     in_force = await fleet.until_version(2, MAX_WAIT_SECONDS)
-    return Outcome(calls, 0, in_force, missing_version(fleet, 2))
+    return Outcome(calls, 0, in_force, missing=missing_version(fleet, 2))
 
 
 def missing_version(fleet: ReplayFleet, version: int) -> int:
@@ -164,6 +196,8 @@
     'first 13 refused': refusal_of_first(13),
     'restart': play_restart_with_store,
     'restart, no store': play_restart_without_store,
+    'restart, seeds refused': play_restart_seeds_refused,
+    'restart, seeds dead': play_restart_seeds_dead,
     'partition': play_partition,
 }
 
@@ -190,15 +224,18 @@
 
 def main() -> None:
     """Play everything and print one row each."""
+    logging.disable(logging.CRITICAL)
     rows = []
     for name, play in PLAYS.items():
         for count, zones in SIZES:
             outcome = replay(play, count, zones)
             seconds = outcome.in_force_seconds
             shown = '-' if seconds is None else f'{seconds:.2f}'
+            home = outcome.home_seconds
+            shown += '' if home is None else f' ({home:.2f} home set)'
             print(
-                f'{name:18} {count:4} {outcome.calls:6} calls {outcome.calls_after:5}'
-                f' after {shown:>6} s, missing {outcome.missing}',
+                f'{name:22} {count:4} {outcome.calls:6} calls {outcome.calls_after:5}'
+                f' after, {shown:>6} s, missing {outcome.missing}',
                 flush=True,
             )
             rows.append({'replay': name, 'instances': count, **asdict(outcome)})
--- a/benchmarks/store_calls_world.py
+++ b/benchmarks/store_calls_world.py
@@ -41,6 +41,10 @@
 #: Number of objects on a page of the store.
 PAGE_OBJECTS = 50
 SEEDS_PER_ZONE = 1
+#: Cores of instances in small deployments, up to SMALL_COUNT, and in others.
+WHOLE_CORES = 1.0
+WEAK_CORES = 0.3
+SMALL_COUNT = 20
 CALL_SECONDS = 0.004
 PEER_SECONDS = 0.002
 #: Longest delay of a process's start, as not all processes start at once.
@@ -185,6 +189,8 @@
     instance_by_address: dict[str, ReplayInstance] = Factory(dict)
     #: Whether two zones reach each other.
     connects: Callable[[str, str], bool] = lambda _, __: True
+    #: IDs of instances that do not start any more.
+    dead: set[str] = Factory(set)
     scope: trio.CancelScope = Factory(trio.CancelScope)
 
     def ranked(self, zone: str) -> list[InstanceEntry]:
@@ -195,11 +201,21 @@
         """Return the zones in order."""
         return sorted({each.zone for each in self.entries})
 
+    def seeds(self) -> list[InstanceEntry]:
+        """Return the first instances of each zone by number."""
+        return [
+            each
+            for zone in self.zones()
+            for each in [it for it in self.entries if it.zone == zone][:SEEDS_PER_ZONE]
+        ]
+
     async def run(self) -> None:
         """Start all instances and run them until `stop`."""
         with trio.CancelScope() as self.scope:
             async with trio.open_nursery() as nursery:
                 for entry in self.entries:
+                    if entry.instance_id in self.dead:
+                        continue
                     instance = self._start(entry)
                     delay = self.random.uniform(0, STAGGER_SECONDS)
                     nursery.start_soon(instance.run, delay)
@@ -210,11 +226,7 @@
         self.instance_by_address.clear()
 
     def _start(self, entry: InstanceEntry) -> ReplayInstance:
-        seeds = tuple(
-            Address.parse(each.peer_address)
-            for zone in self.zones()
-            for each in [it for it in self.entries if it.zone == zone][:SEEDS_PER_ZONE]
-        )
+        seeds = tuple(Address.parse(each.peer_address) for each in self.seeds())
         is_seed = entry.peer_address in map(str, seeds)
         table = InstanceTable(
             entry, is_starting=True, is_list_attempted=False, is_seed=is_seed
@@ -317,6 +329,7 @@
             f'i{number}:80',
             f'i{number}:90',
             f'i{number}:91',
+            WHOLE_CORES if count <= SMALL_COUNT else WEAK_CORES,
         )
         for number in range(count)
     ]
--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -4,24 +4,31 @@
 import re
 
 import orjson
-from attrs import define, evolve
+import trio
+from attrs import Factory, define, evolve
 
 from catkinslip.config.documents import converter
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import RuleSet
+from catkinslip.discovery.first_list import WaitingInstances
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
     KIND_PATH,
+    LIST_PATH,
+    OFFER_PATH,
     READER_PATH,
     SNAPSHOT_PATH,
     STATE_PATH,
     WITH_HEALTH,
     WITH_KNOWN,
     DiscoverySnapshot,
+    InstanceList,
     NamedBackend,
     PeerState,
+    compress_list,
 )
+from catkinslip.models import Address
 from catkinslip.pages import Page, PageHandler
 
 QUERY_FORM = re.compile(r'([0-9]+)\.([0-9]+)(\.whole)?\Z')
@@ -47,6 +54,9 @@
     instances: InstanceTable
     assembler: Assembler
     kinds: SharedKinds
+    waiting: WaitingInstances = Factory(WaitingInstances)
+    #: Compressed list of instances, by its hash and revision.
+    list_by_version: dict[tuple[str, int], bytes] = Factory(dict)
 
     def handlers(self) -> dict[str, PageHandler]:
         """Return the page handlers by path."""
@@ -55,6 +65,8 @@
             SNAPSHOT_PATH: self.snapshot,
             KIND_PATH: self.kind,
             READER_PATH: self.reader,
+            LIST_PATH: self.instance_list,
+            OFFER_PATH: self.offer,
         }
 
     async def state(self, query: str) -> Page:
@@ -102,6 +114,34 @@
             log.info('peers: reader of last resort announced. instance=%s', query)
         return Page(200, b'null')
 
+    async def instance_list(self, query: str) -> Page:
+        """Return the list of instances, compressed, or how many instances wait for it.
+
+        All instances may request it within a second: 313 entries take 60 kB and a tenth
+        of it compressed, once for each version.
+        """
+        instances = self.instances
+        if not instances.list_revision:
+            count = self.waiting.record(query, trio.current_time())
+            return Page(200, compress_list(InstanceList(0, waiting=count)))
+        version = (instances.digest(), instances.list_revision)
+        if version not in self.list_by_version:
+            entries = (instances.own, *(p.entry for p in instances.peer_by_id.values()))
+            body = compress_list(InstanceList(instances.list_revision, entries))
+            self.list_by_version = {version: body}
+        return Page(200, self.list_by_version[version])
+
+    async def offer(self, query: str) -> Page:
+        """Accept an offer of the list from the instance at an address."""
+        try:
+            address = Address.parse(query)
+        except ValueError:
+            return Page(400)
+        if not self.instances.list_revision:
+            self.instances.list_offer = address
+            log.info('peers: list of instances offered. address=%s', address)
+        return Page(200, b'null')
+
     async def kind(self, query: str) -> Page:
         """Return the changes of a kind after the revision in a query."""
         update = self.kinds.update_for(query)
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -106,6 +106,8 @@
     reported_readers: frozenset[str] = frozenset()
     #: Until when announced readers of last resort are polled, on the monotonic clock.
     announced_until_by_id: dict[str, float] = Factory(dict)
+    #: Address of an instance that offers the list while this one has none.
+    list_offer: Address | None = None
     _digest: str | None = field(default=None, init=False)
     #: Ranking of each zone; cleared when an instance is added or removed.
     _ranked_by_zone: dict[str, list[InstanceEntry]] = field(factory=dict, init=False)
@@ -350,13 +352,18 @@
         together would make 440 calls a second. An instance that sends to restricted
         servers always reads the list, as its position depends on it.
         """
-        if self.may_be_sender() or not self.has_answering_zone_peer():
+        if self.may_be_sender():
+            return True
+        if not self.is_starting and not self.has_answering_zone_peer():
             return True
         return self.reads_store() and readers.reads_list(self.zone_view())
 
     def try_pace(self) -> readers.TryPace:
         """Return how this instance spreads its tries where calls to the store fail."""
-        return readers.try_pace(self.zone_view())
+        view = self.zone_view()
+        if self.is_starting and view.position < self.home_size(self.own.zone):
+            return readers.BACKOFF_PACE
+        return readers.try_pace(view)
 
     def zone_view(self) -> readers.ZoneView:
         """Return what is known of the readers of the own zone."""
@@ -371,6 +378,7 @@
             sum(map(self._lost_store, before)),
             len(self.reported_readers - {self.own.instance_id}),
             self.is_reading(),
+            is_polled=not before or any(map(self._is_polled, before)),
         )
 
     def announces_reader(self) -> bool:
@@ -412,6 +420,9 @@
             if now >= until:
                 del self.announced_until_by_id[instance_id]
 
+    def _is_polled(self, entry: InstanceEntry) -> bool:
+        return self.peer_by_id[entry.instance_id].health is not PeerHealth.UNKNOWN
+
     def _is_reader(self, entry: InstanceEntry) -> bool:
         peer = self.peer_by_id[entry.instance_id]
         if self.is_starting:
--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -1,9 +1,11 @@
 """Messages between instances about rules, backend servers and peers, as JSON."""
 
 import logging
+import zlib
 from typing import Any
 
 import cattrs
+import orjson
 from attrs import Factory, frozen
 
 from catkinslip.config.documents import converter
@@ -19,6 +21,13 @@
 KIND_PATH = '/peer/kind'
 #: Page to which a reader of last resort announces itself with its ID.
 READER_PATH = '/peer/reader'
+#: Page with the whole list of instances, compressed, or with the number of instances
+#: that wait for it; a query names the instance that requests it.
+LIST_PATH = '/peer/list'
+#: Page to which an instance that read the list offers it to a seed, with its address.
+OFFER_PATH = '/peer/list-offer'
+#: The largest list that is decompressed, some 20,000 instances.
+MAX_LIST_BYTES = 4 << 20
 READ_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
 
 log = logging.getLogger('peers')
@@ -49,6 +58,16 @@
     revision_by_kind: dict[str, int] = Factory(dict)
 
 
+@frozen
+class InstanceList:
+    """The list of instances of one instance; its revision is 0 if there is none."""
+
+    revision: int
+    instances: tuple[InstanceEntry, ...] = ()
+    #: Number of instances that wait for the list of this one.
+    waiting: int = 0
+
+
 @frozen
 class NamedBackend:
     """A backend server that changed; the entry None is a removal."""
@@ -94,6 +113,22 @@
     value_by_name: dict[str, Any] = Factory(dict)
 
 
+def compress_list(instances: InstanceList) -> bytes:
+    """Return a list as compressed JSON."""
+    return zlib.compress(orjson.dumps(converter.unstructure(instances)), 1)
+
+
+def decompress_list(body: bytes) -> InstanceList | None:
+    """Return a list from compressed JSON; None if it is invalid or too large."""
+    try:
+        decompressor = zlib.decompressobj()
+        plain = orjson.loads(decompressor.decompress(body, MAX_LIST_BYTES))
+    except (zlib.error, orjson.JSONDecodeError) as error:
+        log.warning('peers: list of instances not readable. error=%r', error)
+        return None
+    return structure(plain, InstanceList)
+
+
 def structure(plain: Any, wanted: type) -> Any | None:
     """Return plain data as a value of a class, None if the data does not fit it."""
     if plain is None:
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -16,18 +16,23 @@
 
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import Changes, InstanceEntry, Listing, Source
+from catkinslip.discovery.first_list import FirstList, ListSource
 from catkinslip.discovery.instances import InstanceTable, PeerHealth
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
     KIND_PATH,
+    LIST_PATH,
+    OFFER_PATH,
     READER_PATH,
     SNAPSHOT_PATH,
     STATE_PATH,
     WITH_HEALTH,
     WITH_KNOWN,
     DiscoverySnapshot,
+    InstanceList,
     KindUpdate,
     PeerState,
+    decompress_list,
     structure,
 )
 from catkinslip.discovery.registration import Registration
@@ -50,6 +55,8 @@
 #: Interval of reads of the list of instances, longest and first. The list may be some
 #: seconds old, as the polls show which instances are alive.
 LIST_SECONDS = 5.0
+#: Time after the first list of a seed in which the polls of all leaders have ended.
+POLLED_SECONDS = 0.8
 FIRST_LIST_SECONDS = 0.5
 #: Time after which an instance that starts queries the seeds, if the store has not sent
 #: the list. 313 entries take 0.03 s where the store answers in 4 ms (calculated).
@@ -86,8 +93,7 @@
     async def run(self) -> None:
         """Announce this instance, find the others and poll them until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._query_seeds)
-            nursery.start_soon(self._follow_list, nursery)
+            nursery.start_soon(self._start, nursery)
             nursery.start_soon(self._end_start)
             while True:
                 leaders = self.instances.leaders()
@@ -145,6 +151,84 @@
         await trio.sleep(START_SECONDS)
         self.instances.end_start_phase()
 
+    async def _start(self, nursery: trio.Nursery) -> None:
+        """Get the first list of instances, then follow it."""
+        delay = FIRST_LIST_SECONDS
+        if self.seeds and not self.instances.is_seed:
+            await self._get_first_list(nursery)
+        if self.instances.list_revision:
+            # Polls show meanwhile whether others read the list.
+            delay = POLLED_SECONDS
+            await trio.sleep(delay)
+        nursery.start_soon(self._query_seeds)
+        await self._follow_list(nursery, delay)
+
+    async def _get_first_list(self, nursery: trio.Nursery) -> None:
+        """Get the list from a seed, or from the store where no seed answers."""
+        first = FirstList(self.random, trio.current_time(), self.instances.own.cores)
+        waiting = 0
+        while not self.instances.list_revision:
+            source = first.next_source(trio.current_time())
+            if source is ListSource.STORE:
+                log.info('peers: no seed answers. requests=%d', first.requests)
+                return
+            if source is ListSource.STORE_ONCE:
+                log.info('peers: seed without a list. waiting=%d', waiting)
+                await self._read_list(nursery)
+                first.record_try(trio.current_time(), waiting)
+                await self._offer_list()
+                continue
+            listed = await self._read_seed_list(self.random.choice(self.seeds))
+            if listed is None:
+                await trio.sleep(first.next_delay())
+            elif listed.revision:
+                self._apply_first_list(listed, nursery)
+            else:
+                waiting = listed.waiting
+                first.record_answer(trio.current_time(), waiting)
+                await trio.sleep(first.next_delay())
+        self.instances.record_list_attempt()
+
+    async def _read_seed_list(self, address: Address) -> InstanceList | None:
+        """Return the list of a seed; None if it does not answer."""
+        path = f'{LIST_PATH}?{self.instances.own.instance_id}'
+        reply = await self.client.send(address, path, ANSWER_SECONDS)
+        if not isinstance(reply, Reply) or reply.status != 200:
+            return None
+        return decompress_list(reply.body)
+
+    def _apply_first_list(self, listed: InstanceList, nursery: trio.Nursery) -> None:
+        own = self.instances.own
+        entry_by_id = {each.instance_id: each for each in listed.instances}
+        self.instances.apply_list(listed.instances, listed.revision)
+        self.instances.is_own_listed = own.instance_id in entry_by_id
+        log.info(
+            'peers: list of instances read from a seed. revision=%d count=%d',
+            listed.revision,
+            len(entry_by_id),
+        )
+        self._start_polls(nursery)
+        if self.registration.is_due(entry_by_id.get(own.instance_id)):
+            nursery.start_soon(self.registration.announce)
+
+    async def _offer_list(self) -> None:
+        """Offer the list to the seeds, which may be without one."""
+        if not self.instances.list_revision:
+            return
+        path = f'{OFFER_PATH}?{self.instances.own.peer_address}'
+        async with trio.open_nursery() as nursery:
+            for address in self.seeds:
+                nursery.start_soon(self._read, address, path)
+
+    async def _accept_offer(self, nursery: trio.Nursery) -> None:
+        """Get the list from an instance that offers it while this one has none."""
+        address, self.instances.list_offer = self.instances.list_offer, None
+        if address is None or self.instances.list_revision:
+            return
+        listed = await self._read_seed_list(address)
+        if listed is not None and listed.revision:
+            self._apply_first_list(listed, nursery)
+
     async def _query_seeds(self) -> None:
         """Get the instances from a seed where the store lists none in the own zone.
 
@@ -185,15 +269,17 @@
         if not is_known and self.registration.is_due(None):
             await self.registration.announce()
 
-    async def _follow_list(self, nursery: trio.Nursery) -> None:
-        delay = FIRST_LIST_SECONDS
+    async def _follow_list(self, nursery: trio.Nursery, delay: float) -> None:
         while True:
+            await self._accept_offer(nursery)
             if not self.instances.is_list_attempted or self.instances.reads_list():
                 await self._read_list(nursery)
             if not self.instances.is_list_attempted:
                 self.instances.record_list_attempt()
             await trio.sleep(delay * self.random.uniform(0.8, 1.2))
-            delay = min(2 * delay, LIST_SECONDS)
+            if self.instances.list_revision or not self.instances.is_seed:
+                # All others wait for a seed that has no list.
+                delay = min(2 * delay, LIST_SECONDS)
 
     async def _read_list(self, nursery: trio.Nursery) -> None:
         asked_at = trio.current_time()
--- a/catkinslip/discovery/readers.py
+++ b/catkinslip/discovery/readers.py
@@ -25,6 +25,9 @@
 #: them try within a second; if the store refuses half of the instances, each chosen at
 #: random, it refuses all ten in one of a thousand outages.
 FIRST_TRY_SPACING_SECONDS = 0.1
+#: Time in which an instance that gets its first list learns which others answer: the
+#: interval of polls and one answer.
+FIRST_POLL_SECONDS = 0.6
 #: Tries a second of all other leaders of a zone together, and of all instances of last
 #: resort of a zone together.
 LEADER_TRIES_PER_SECOND = 3.0
@@ -61,6 +64,8 @@
     reported_readers: int = 0
     #: Whether the last call of this instance to the store succeeded.
     is_reading: bool = False
+    #: Whether the health of any instance before this one is known.
+    is_polled: bool = True
 
     @property
     def role(self) -> ReaderRole:
@@ -107,7 +112,8 @@
 
 def try_pace(view: ZoneView) -> TryPace:
     """Return how an instance spreads its tries where calls to the store fail."""
-    is_delayed = view.lost_before > 0
+    is_delayed = view.lost_before > 0 or not view.is_polled
+    wait = 0.0 if view.is_polled else FIRST_POLL_SECONDS
     match view.role:
         case ReaderRole.FIRST:
             return BACKOFF_PACE
@@ -115,13 +121,13 @@
             leaders = min(view.leaders, view.size) - READERS
             # Backoff makes two tries in each MAX_RETRY_SECONDS; few leaders keep to it.
             longest = max(MAX_RETRY_SECONDS, 2 * leaders / LEADER_TRIES_PER_SECOND)
-            first = (view.position - READERS) * FIRST_TRY_SPACING_SECONDS
+            first = wait + (view.position - READERS) * FIRST_TRY_SPACING_SECONDS
             until = first + FIRST_TRY_SPACING_SECONDS
             return TryPace(is_delayed, (first, until), longest)
         case ReaderRole.LAST_RESORT:
             longest = (view.size - view.leaders) / LAST_RESORT_TRIES_PER_SECOND
             longest = max(MAX_RETRY_SECONDS, longest)
-            return TryPace(is_delayed, (0.0, longest), longest)
+            return TryPace(is_delayed, (wait, wait + longest), longest)
 
 
 def reads_list(view: ZoneView) -> bool:
