Show the part of an instance among the readers, and log delayed tries

Cause: a delayed try of the store, and a kind left to another reader, left no line, and no metric showed which part of its zone's readers an instance has. Change: two log lines, bounded as the tries are, and a gauge with three labels.

--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -85,7 +85,11 @@
         scope.cancel()
 
     def _next_delay(self, random: Random) -> float:
-        return self.pace().next_delay(self.backoff, random)
+        tries = self.backoff.failures
+        delay = self.pace().next_delay(self.backoff, random)
+        # The number of these lines is bounded as the tries are.
+        log.info('discovery: try of the store delayed. s=%.2f tries=%d', delay, tries)
+        return delay
 
     def reset(self) -> None:
         """Forget the failures, as this instance reads again or reads no longer."""
@@ -161,7 +165,7 @@
             if self.has_failed or is_delayed:
                 await self.outage.wait(self.random)
                 if not self.reads_store() and not self.reads_once:
-                    # Another instance reads the store again.
+                    log.info('discovery: %s left to another reader.', self.kind)
                     continue
             if self.must_read:
                 await self._read_all()
--- a/catkinslip/metrics/discovery.py
+++ b/catkinslip/metrics/discovery.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.readers import ReaderRole
 from catkinslip.health.sampler import LoadSampler
 from catkinslip.health.sharing import ReportSharer
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge
@@ -45,3 +46,12 @@
         for name, count in sorted(health.items()):
             peers.add(count, name)
         yield peers
+        roles = gauge(
+            'catkinslip_store_reader_role',
+            'Part of this instance among the readers of the store in its zone.',
+            'role',
+        )
+        own_role = self.instances.zone_view().role
+        for role in ReaderRole:
+            roles.add(role is own_role, role.name.lower())
+        yield roles
--- a/tests/test_metrics_discovery.py
+++ b/tests/test_metrics_discovery.py
@@ -22,6 +22,8 @@
             self.assertIn('catkinslip_load_probes_total{state="sent"} 1.0', body)
             self.assertIn('catkinslip_shared_reports_total{state="malformed"} 0', body)
             self.assertIn('catkinslip_peers{health="', body)
+            self.assertIn('catkinslip_store_reader_role{role="first"} 1.0', body)
+            self.assertIn('catkinslip_store_reader_role{role="leader"} 0.0', body)
 
         on_platform(check)
 
