--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 .PHONY: bench-members
 bench-members: install
 	$(RUN) -m benchmarks.peers
+	$(RUN) -m benchmarks.store_calls
 	$(RUN) -m benchmarks.failover
 
 .PHONY: bench-drain
