--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Mapping
-from enum import Enum, unique
 
 import trio
 import xxhash
@@ -10,6 +9,7 @@
 
 from catkinslip.discovery import readers
 from catkinslip.discovery.base import InstanceEntry
+from catkinslip.discovery.peer_health import ANSWERING, Peer, PeerHealth
 from catkinslip.discovery.ranking import (
     Tier,
     home_size,
@@ -29,11 +29,6 @@
 #: zone; silent ones are not counted.
 NEAR_POLLED = 4
 FAR_POLLED = 2
-#: Polls in a row without an answer after which an instance counts as silent.
-MISSED_POLLS = 2
-#: Lists in a row without an instance, after which one that only a peer reported is
-#: removed.
-MISSED_LISTS = 3
 
 
 def never() -> bool:
@@ -41,43 +36,6 @@
     return False
 
 
-@unique
-class PeerHealth(Enum):
-    """The health of a peer by its last polls."""
-
-    UNKNOWN = 'unknown'
-    READY = 'ready'
-    #: The peer answers but accepts no new callers: it starts or stops.
-    NOT_READY = 'not_ready'
-    SILENT = 'silent'
-
-
-#: Health that an instance reports by its own answers.
-ANSWERING = frozenset({PeerHealth.READY, PeerHealth.NOT_READY})
-
-
-@define
-class Peer:
-    """Another instance, with its health as known to this one."""
-
-    entry: InstanceEntry
-    health: PeerHealth = PeerHealth.UNKNOWN
-    missed_polls: int = 0
-    #: Whether the last call of the peer to the store succeeded, if it makes any.
-    reaches_store: bool = False
-    #: Number of lists in a row without the peer; lists lag behind a first start.
-    missed_lists: int = 0
-    was_listed: bool = False
-
-    def is_removable(self) -> bool:
-        """Return whether lists and polls show that the instance no longer exists."""
-        if self.missed_lists == 0 or self.health in ANSWERING:
-            return False
-        if self.health is PeerHealth.SILENT or self.was_listed:
-            return True
-        return self.missed_lists >= MISSED_LISTS
-
-
 @define
 class InstanceTable:
     """The known instances, with this one among them from the start."""
@@ -150,9 +108,7 @@
     def remove_unlisted(self, instance_ids: set[str]) -> None:
         """Remove instances that are no longer listed and do not answer."""
         for instance_id, peer in list(self.peer_by_id.items()):
-            is_listed = instance_id in instance_ids
-            peer.was_listed = peer.was_listed or is_listed
-            peer.missed_lists = 0 if is_listed else peer.missed_lists + 1
+            peer.record_list(instance_id in instance_ids)
             if peer.is_removable():
                 del self.peer_by_id[instance_id]
                 self._forget_ranking()
@@ -237,7 +193,7 @@
         if peer is not None and peer.reaches_store != reaches_store:
             peer.reaches_store = reaches_store
             self.notify_change()
-        return self._set_health(instance_id, health, 0)
+        return self._set_health(instance_id, health)
 
     def health_by_id(self) -> dict[str, PeerHealth]:
         """Return the health of the other instances by ID, where it is known."""
@@ -281,22 +237,20 @@
             if peer.reaches_store != reaches_store:
                 peer.reaches_store = reaches_store
                 self.notify_change()
-            if self._set_health(instance_id, health, 0) is not None:
+            if self._set_health(instance_id, health) is not None:
                 changed.append(instance_id)
         return changed
 
     def forget_health(self, instance_id: str) -> None:
         """Reset the health of an instance that is no longer polled to unknown."""
-        self._set_health(instance_id, PeerHealth.UNKNOWN, 0)
+        self._set_health(instance_id, PeerHealth.UNKNOWN)
 
     def record_missed_poll(self, instance_id: str) -> PeerHealth | None:
         """Record a poll without an answer; return the peer's health if it changed."""
         peer = self.peer_by_id.get(instance_id)
         if peer is None:
             return None
-        missed = peer.missed_polls + 1
-        health = PeerHealth.SILENT if missed >= MISSED_POLLS else peer.health
-        return self._set_health(instance_id, health, missed)
+        return self._health_if_new(peer, peer.record_missed_poll())
 
     def budget_divisor(self) -> float:
         """Return the divisor that gives this instance's part of a shared budget.
@@ -436,8 +390,7 @@
         return has_answered and peer.reaches_store
 
     def _lost_store(self, entry: InstanceEntry) -> bool:
-        peer = self.peer_by_id[entry.instance_id]
-        return peer.health in ANSWERING and not peer.reaches_store
+        return self.peer_by_id[entry.instance_id].has_lost_store
 
     def to_poll(self) -> list[InstanceEntry]:
         """Return the instances to poll: those that callers may get, and a few more.
@@ -551,15 +504,13 @@
             self._ranked_by_zone[zone] = ranked
         return ranked
 
-    def _set_health(
-        self, instance_id: str, health: PeerHealth, missed: int
-    ) -> PeerHealth | None:
+    def _set_health(self, instance_id: str, health: PeerHealth) -> PeerHealth | None:
         peer = self.peer_by_id.get(instance_id)
         if peer is None:
             return None
-        is_new = peer.health is not health
-        peer.health = health
-        peer.missed_polls = missed
+        return self._health_if_new(peer, peer.set_health(health, 0))
+
+    def _health_if_new(self, peer: Peer, is_new: bool) -> PeerHealth | None:
         if is_new:
             self.notify_change()
-        return health if is_new else None
+        return peer.health if is_new else None
