Split the rankings of zones out of the table of instances

Cause: home sets, parts of budgets and the rank of senders were in the same class as the health of peers and the readers of the store. Behaviour is unchanged.

--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -1,6 +1,5 @@
 """The table of known instances: their health, and which of them callers may use."""
 
-from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import trio
@@ -10,14 +9,7 @@
 from catkinslip.discovery import readers
 from catkinslip.discovery.base import InstanceEntry
 from catkinslip.discovery.peer_health import ANSWERING, Peer, PeerHealth
-from catkinslip.discovery.ranking import (
-    Tier,
-    home_size,
-    rank,
-    sender_order,
-    share_of,
-    tier,
-)
+from catkinslip.discovery.zone_rankings import ZoneRankings
 from catkinslip.models import Address
 from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
 from catkinslip.warmup.senders import SenderLease, SenderPosition
@@ -67,12 +59,12 @@
     #: Address of an instance that offers the list while this one has none.
     list_offer: Address | None = None
     _digest: str | None = field(default=None, init=False)
-    #: Ranking of each zone; cleared when an instance is added or removed.
-    _ranked_by_zone: dict[str, list[InstanceEntry]] = field(factory=dict, init=False)
-    _home_size_by_zone: dict[str, int] = field(factory=dict, init=False)
-    #: Cached result of `budget_divisor`, which each probe calls.
-    _budget_divisor: float | None = field(default=None, init=False)
-    _sender_rank: int | None = field(default=None, init=False)
+    #: Rankings of the zones; cleared when an instance is added or removed.
+    _rankings: ZoneRankings = field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Connect the rankings to the known instances."""
+        self._rankings = ZoneRankings(self.own, self._entries)
 
     def add_instance(self, entry: InstanceEntry) -> None:
         """Add the entry of an instance, or replace its earlier one."""
@@ -114,9 +106,8 @@
                 self._forget_ranking()
 
     def _forget_ranking(self) -> None:
-        self._ranked_by_zone.clear()
-        self._home_size_by_zone.clear()
-        self._budget_divisor = self._digest = self._sender_rank = None
+        self._rankings.clear()
+        self._digest = None
         self.notify_change()
 
     def notify_change(self) -> None:
@@ -147,23 +138,20 @@
     def sender(self) -> Sender | None:
         """Return this instance's position among its zone's senders to cold servers."""
         now = trio.current_time()
-        return self.sender_lease.sender(self.own.zone, self._rank_of_senders(), now)
+        return self.sender_lease.sender(
+            self.own.zone, self._rankings.sender_rank(), now
+        )
 
     def sender_position(self) -> SenderPosition | None:
         """Return the position as a sender, also if the list may have changed since."""
         now = trio.current_time()
-        return self.sender_lease.position(self.own.zone, self._rank_of_senders(), now)
+        return self.sender_lease.position(
+            self.own.zone, self._rankings.sender_rank(), now
+        )
 
     def may_be_sender(self) -> bool:
         """Return whether this instance would be a sender if it read the list itself."""
-        return self.is_own_listed and self._rank_of_senders() < SENDERS_PER_ZONE
-
-    def _rank_of_senders(self) -> int:
-        if self._sender_rank is None:
-            zone = self.own.zone
-            entries = [entry for entry in self._entries() if entry.zone == zone]
-            self._sender_rank = sender_order(zone, entries).index(self.own)
-        return self._sender_rank
+        return self.is_own_listed and self._rankings.sender_rank() < SENDERS_PER_ZONE
 
     def end_start_phase(self) -> None:
         """End the start phase: from now on peers are assumed to have all values."""
@@ -253,33 +241,12 @@
         return self._health_if_new(peer, peer.record_missed_poll())
 
     def budget_divisor(self) -> float:
-        """Return the divisor that gives this instance's part of a shared budget.
-
-        The home sets divide most of a budget, the instances next in rank a smaller
-        part, and the others a small rest, for callers with an old address answer.
-        Silent instances count: they may only be unreachable and still spend their
-        parts.
-        """
-        if self._budget_divisor is None:
-            counts = Counter[Tier]()
-            for zone in {entry.zone for entry in self._entries()}:
-                home = self.home_size(zone)
-                counts.update(
-                    tier(position, home) for position in range(len(self._ranked(zone)))
-                )
-            own_zone = self.own.zone
-            position = self._ranked(own_zone).index(self.own)
-            own = tier(position, self.home_size(own_zone))
-            self._budget_divisor = counts[own] / share_of(own, counts)
-        return self._budget_divisor
+        """Return the divisor that gives this instance's part of a shared budget."""
+        return self._rankings.budget_divisor()
 
     def home_size(self, zone: str) -> int:
         """Return the number of instances in the home set of a zone."""
-        size = self._home_size_by_zone.get(zone)
-        if size is None:
-            size = home_size(self._ranked(zone))
-            self._home_size_by_zone[zone] = size
-        return size
+        return self._rankings.home_size(zone)
 
     def reads_store(self) -> bool:
         """Return whether this instance reads the store itself, not through its peers.
@@ -497,12 +464,7 @@
 
     def _ranked(self, zone: str) -> list[InstanceEntry]:
         """Return the instances of a zone, the preferred ones for callers first."""
-        ranked = self._ranked_by_zone.get(zone)
-        if ranked is None:
-            entries = [entry for entry in self._entries() if entry.zone == zone]
-            ranked = rank(zone, entries)
-            self._ranked_by_zone[zone] = ranked
-        return ranked
+        return self._rankings.ranked(zone)
 
     def _set_health(self, instance_id: str, health: PeerHealth) -> PeerHealth | None:
         peer = self.peer_by_id.get(instance_id)
