--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, field
 
 from catkinslip.discovery import readers
+from catkinslip.discovery.announced_readers import AnnouncedReaders
 from catkinslip.discovery.base import InstanceEntry
 from catkinslip.discovery.peer_health import ANSWERING, Peer, PeerHealth
 from catkinslip.discovery.zone_rankings import ZoneRankings
@@ -14,9 +15,6 @@
 from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
 from catkinslip.warmup.senders import SenderLease, SenderPosition
 
-#: Time for which a reader of last resort is polled after it announced itself, three
-#: times the interval of its announcements.
-ANNOUNCED_SECONDS = 1.5
 #: Number of polled instances beside the home set of the own zone, and in each other
 #: zone; silent ones are not counted.
 NEAR_POLLED = 4
@@ -54,10 +52,9 @@
     is_reading: Callable[[], bool] = never
     #: Readers of last resort that a leader reported last.
     reported_readers: frozenset[str] = frozenset()
-    #: Until when announced readers of last resort are polled, on the monotonic clock.
-    announced_until_by_id: dict[str, float] = Factory(dict)
     #: Address of an instance that offers the list while this one has none.
     list_offer: Address | None = None
+    _announced: AnnouncedReaders = field(factory=AnnouncedReaders, init=False)
     _digest: str | None = field(default=None, init=False)
     #: Rankings of the zones; cleared when an instance is added or removed.
     _rankings: ZoneRankings = field(init=False, eq=False, repr=False)
@@ -310,36 +307,23 @@
 
     def add_announced_reader(self, instance_id: str) -> bool:
         """Poll a reader of last resort for some time; return whether it is new."""
-        now = trio.current_time()
-        self._remove_expired_readers()
-        until_by_id = self.announced_until_by_id
-        is_new = instance_id not in until_by_id
         if instance_id not in self.peer_by_id:
             return False
-        if is_new and len(until_by_id) >= readers.READERS:
-            return False
-        until_by_id[instance_id] = now + ANNOUNCED_SECONDS
-        return is_new
+        return self._announced.add(instance_id, trio.current_time())
 
     def announced_readers(self) -> list[str]:
         """Return the IDs of announced readers that are ready and reach the store."""
-        self._remove_expired_readers()
-        peers = (
-            (each, self.peer_by_id.get(each)) for each in self.announced_until_by_id
-        )
         return [
-            instance_id
-            for instance_id, peer in peers
-            if peer and peer.health is PeerHealth.READY and peer.reaches_store
+            peer.entry.instance_id
+            for peer in self._announced_peers()
+            if peer.health is PeerHealth.READY and peer.reaches_store
         ]
 
-    def _remove_expired_readers(self) -> None:
-        if not self.announced_until_by_id:
-            return
-        now = trio.current_time()
-        for instance_id, until in list(self.announced_until_by_id.items()):
-            if now >= until:
-                del self.announced_until_by_id[instance_id]
+    def _announced_peers(self) -> list[Peer]:
+        if not self._announced.until_by_id:
+            return []
+        peers = map(self.peer_by_id.get, self._announced.ids(trio.current_time()))
+        return [peer for peer in peers if peer is not None]
 
     def _is_polled(self, entry: InstanceEntry) -> bool:
         return self.peer_by_id[entry.instance_id].health is not PeerHealth.UNKNOWN
@@ -366,9 +350,7 @@
         """
         zones = {entry.zone for entry in self._entries()}
         polled = [each for zone in zones for each in self._polled(zone)]
-        self._remove_expired_readers()
-        known = [self.peer_by_id.get(each) for each in self.announced_until_by_id]
-        announced = [peer.entry for peer in known if peer is not None]
+        announced = [peer.entry for peer in self._announced_peers()]
         return [*polled, *(each for each in announced if each not in polled)]
 
     def _polled(self, zone: str) -> list[InstanceEntry]:
