--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from functools import partial
 from math import inf
 from random import Random
 from typing import Any
@@ -16,13 +17,10 @@
 
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import Changes, InstanceEntry, Listing, Source
-from catkinslip.discovery.first_list import FirstList, ListSource
 from catkinslip.discovery.instances import InstanceTable, PeerHealth
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
     KIND_PATH,
-    LIST_PATH,
-    OFFER_PATH,
     READER_PATH,
     SNAPSHOT_PATH,
     STATE_PATH,
@@ -32,11 +30,11 @@
     InstanceList,
     KindUpdate,
     PeerState,
-    decompress_list,
     structure,
 )
 from catkinslip.discovery.registration import Registration
 from catkinslip.discovery.revisions import era_of
+from catkinslip.discovery.seed_lists import SeedLists
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
 
@@ -155,7 +153,9 @@
         """Get the first list of instances, then follow it."""
         delay = FIRST_LIST_SECONDS
         if self.seeds and not self.instances.is_seed:
-            await self._get_first_list(nursery)
+            read_list = partial(self._read_list, nursery)
+            apply = partial(self._apply_first_list, nursery)
+            await self._seed_lists().wait_first(read_list, apply)
         if self.instances.list_revision:
             # Polls show meanwhile whether others read the list.
             delay = POLLED_SECONDS
@@ -163,41 +163,10 @@
         nursery.start_soon(self._query_seeds)
         await self._follow_list(nursery, delay)
 
-    async def _get_first_list(self, nursery: trio.Nursery) -> None:
-        """Get the list from a seed, or from the store where no seed answers."""
-        first = FirstList(self.random, trio.current_time(), self.instances.own.cores)
-        waiting = 0
-        while not self.instances.list_revision:
-            source = first.next_source(trio.current_time())
-            if source is ListSource.STORE:
-                log.info('peers: no seed answers. requests=%d', first.requests)
-                return
-            if source is ListSource.STORE_ONCE:
-                log.info('peers: seed without a list. waiting=%d', waiting)
-                await self._read_list(nursery)
-                first.record_try(trio.current_time(), waiting)
-                await self._offer_list()
-                continue
-            listed = await self._read_seed_list(self.random.choice(self.seeds))
-            if listed is None:
-                await trio.sleep(first.next_delay())
-            elif listed.revision:
-                self._apply_first_list(listed, nursery)
-            else:
-                waiting = listed.waiting
-                first.record_answer(trio.current_time(), waiting)
-                await trio.sleep(first.next_delay())
-        self.instances.record_list_attempt()
-
-    async def _read_seed_list(self, address: Address) -> InstanceList | None:
-        """Return the list of a seed; None if it does not answer."""
-        path = f'{LIST_PATH}?{self.instances.own.instance_id}'
-        reply = await self.client.send(address, path, ANSWER_SECONDS)
-        if not isinstance(reply, Reply) or reply.status != 200:
-            return None
-        return decompress_list(reply.body)
+    def _seed_lists(self) -> SeedLists:
+        return SeedLists(self.instances, self.client, self.random, self.seeds)
 
-    def _apply_first_list(self, listed: InstanceList, nursery: trio.Nursery) -> None:
+    def _apply_first_list(self, nursery: trio.Nursery, listed: InstanceList) -> None:
         own = self.instances.own
         entry_by_id = {each.instance_id: each for each in listed.instances}
         self.instances.apply_list(listed.instances, listed.revision)
@@ -211,24 +180,6 @@
         if self.registration.is_due(entry_by_id.get(own.instance_id)):
             nursery.start_soon(self.registration.announce)
 
-    async def _offer_list(self) -> None:
-        """Offer the list to the seeds, which may be without one."""
-        if not self.instances.list_revision:
-            return
-        path = f'{OFFER_PATH}?{self.instances.own.peer_address}'
-        async with trio.open_nursery() as nursery:
-            for address in self.seeds:
-                nursery.start_soon(self._read, address, path)
-
-    async def _accept_offer(self, nursery: trio.Nursery) -> None:
-        """Get the list from an instance that offers it while this one has none."""
-        address, self.instances.list_offer = self.instances.list_offer, None
-        if address is None or self.instances.list_revision:
-            return
-        listed = await self._read_seed_list(address)
-        if listed is not None and listed.revision:
-            self._apply_first_list(listed, nursery)
-
     async def _query_seeds(self) -> None:
         """Get the instances from a seed where the store lists none in the own zone.
 
@@ -271,7 +222,9 @@
 
     async def _follow_list(self, nursery: trio.Nursery, delay: float) -> None:
         while True:
-            await self._accept_offer(nursery)
+            offered = await self._seed_lists().accept_offer()
+            if offered is not None:
+                self._apply_first_list(nursery, offered)
             if not self.instances.is_list_attempted or self.instances.reads_list():
                 await self._read_list(nursery)
             if not self.instances.is_list_attempted:
