--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -1,23 +1,35 @@
 """Answers to the polls of peers, with the values that a peer lacks."""
 
+import logging
 import re
 
 import orjson
-from attrs import define, evolve
+import trio
+from attrs import Factory, define, evolve
 
 from catkinslip.config.documents import converter
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import RuleSet
+from catkinslip.discovery.first_list import WaitingInstances
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
+    KIND_PATH,
+    LIST_PATH,
+    OFFER_PATH,
+    READER_PATH,
+    SNAPSHOT_PATH,
+    STATE_PATH,
     WITH_HEALTH,
     WITH_KNOWN,
     DiscoverySnapshot,
+    InstanceList,
     NamedBackend,
     PeerState,
+    compress_list,
 )
-from catkinslip.pages import Page
+from catkinslip.models import Address
+from catkinslip.pages import Page, PageHandler
 
 QUERY_FORM = re.compile(r'([0-9]+)\.([0-9]+)(\.whole)?\Z')
 #: The most routes that an answer holds. A route takes some 220 bytes, so that 1,400 of
@@ -38,6 +50,8 @@
 #: The most changes of servers in one part; parts are requested one after the other.
 MAX_SENT_CHANGES = 300
 
+log = logging.getLogger('peers')
+
 
 @define
 class PeerAnswers:
@@ -46,6 +60,20 @@
     instances: InstanceTable
     assembler: Assembler
     kinds: SharedKinds
+    waiting: WaitingInstances = Factory(WaitingInstances)
+    #: Compressed list of instances, by its hash and revision.
+    list_by_version: dict[tuple[str, int], bytes] = Factory(dict)
+
+    def handlers(self) -> dict[str, PageHandler]:
+        """Return the page handlers by path."""
+        return {
+            STATE_PATH: self.state,
+            SNAPSHOT_PATH: self.snapshot,
+            KIND_PATH: self.kind,
+            READER_PATH: self.reader,
+            LIST_PATH: self.instance_list,
+            OFFER_PATH: self.offer,
+        }
 
     async def state(self, query: str) -> Page:
         """Return the state of this instance, with the additions that a query names."""
@@ -68,6 +96,7 @@
                 state,
                 health=instances.health_by_id(),
                 lost_store=tuple(instances.lost_store_ids()),
+                readers=tuple(instances.announced_readers()),
             )
         return Page(200, orjson.dumps(converter.unstructure(state)))
 
@@ -85,6 +114,40 @@
         )
         return Page(200, orjson.dumps(converter.unstructure(snapshot)))
 
+    async def reader(self, query: str) -> Page:
+        """Poll an instance from now on that announces that it reads the store."""
+        if self.instances.add_announced_reader(query):
+            log.info('peers: reader of last resort announced. instance=%s', query)
+        return Page(200, b'null')
+
+    async def instance_list(self, query: str) -> Page:
+        """Return the list of instances, compressed, or how many instances wait for it.
+
+        All instances may request it within a second: 313 entries take 60 kB and a tenth
+        of it compressed, once for each version.
+        """
+        instances = self.instances
+        if not instances.list_revision:
+            count = self.waiting.record(query, trio.current_time())
+            return Page(200, compress_list(InstanceList(0, waiting=count)))
+        version = (instances.digest(), instances.list_revision)
+        if version not in self.list_by_version:
+            entries = (instances.own, *(p.entry for p in instances.peer_by_id.values()))
+            body = compress_list(InstanceList(instances.list_revision, entries))
+            self.list_by_version = {version: body}
+        return Page(200, self.list_by_version[version])
+
+    async def offer(self, query: str) -> Page:
+        """Accept an offer of the list from the instance at an address."""
+        try:
+            address = Address.parse(query)
+        except ValueError:
+            return Page(400)
+        if not self.instances.list_revision:
+            self.instances.list_offer = address
+            log.info('peers: list of instances offered. address=%s', address)
+        return Page(200, b'null')
+
     async def kind(self, query: str) -> Page:
         """Return the changes of a kind after the revision in a query."""
         update = self.kinds.update_for(query)
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -1,77 +1,31 @@
 """The table of known instances: their health, and which of them callers may use."""
 
-from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
-from enum import Enum, unique
+from collections.abc import Callable, Collection, Iterable, Mapping
 from math import inf
 
 import trio
 import xxhash
 from attrs import Factory, define, field
 
+from catkinslip.discovery import readers
+from catkinslip.discovery.announced_readers import AnnouncedReaders
 from catkinslip.discovery.base import InstanceEntry
-from catkinslip.discovery.ranking import (
-    Tier,
-    home_size,
-    rank,
-    sender_order,
-    share_of,
-    tier,
-)
+from catkinslip.discovery.peer_health import ANSWERING, Peer, PeerHealth
+from catkinslip.discovery.zone_rankings import ZoneRankings
 from catkinslip.models import Address
 from catkinslip.quotas.view import FleetView
 from catkinslip.warmup.quotas import SENDERS_PER_ZONE, Sender
 from catkinslip.warmup.senders import SenderLease, SenderPosition
 
-#: Number of instances that read the store for their whole zone. It is small because
-#: each change wakes every reader and each call has a price.
-READERS = 3
 #: Number of polled instances beside the home set of the own zone, and in each other
 #: zone; silent ones are not counted.
 NEAR_POLLED = 4
 FAR_POLLED = 2
-#: Polls in a row without an answer after which an instance counts as silent.
-MISSED_POLLS = 2
-#: Lists in a row without an instance, after which one that only a peer reported is
-#: removed.
-MISSED_LISTS = 3
 
 
-@unique
-class PeerHealth(Enum):
-    """The health of a peer by its last polls."""
-
-    UNKNOWN = 'unknown'
-    READY = 'ready'
-    #: The peer answers but accepts no new callers: it starts or stops.
-    NOT_READY = 'not_ready'
-    SILENT = 'silent'
-
-
-#: Health that an instance reports by its own answers.
-ANSWERING = frozenset({PeerHealth.READY, PeerHealth.NOT_READY})
-
-
-@define
-class Peer:
-    """Another instance, with its health as known to this one."""
-
-    entry: InstanceEntry
-    health: PeerHealth = PeerHealth.UNKNOWN
-    missed_polls: int = 0
-    #: Whether the last call of the peer to the store succeeded, if it makes any.
-    reaches_store: bool = False
-    #: Number of lists in a row without the peer; lists lag behind a first start.
-    missed_lists: int = 0
-    was_listed: bool = False
-
-    def is_removable(self) -> bool:
-        """Return whether lists and polls show that the instance no longer exists."""
-        if self.missed_lists == 0 or self.health in ANSWERING:
-            return False
-        if self.health is PeerHealth.SILENT or self.was_listed:
-            return True
-        return self.missed_lists >= MISSED_LISTS
+def never() -> bool:
+    """Return False: no call of this instance to the store succeeded."""
+    return False
 
 
 @define
@@ -95,13 +49,21 @@
     peer_by_id: dict[str, Peer] = Factory(dict)
     #: Revision of the store at which the applied list was read.
     list_revision: int = 0
+    #: Function that returns whether the last call of this instance to the store
+    #: succeeded.
+    is_reading: Callable[[], bool] = never
+    #: Readers of last resort that a leader reported last.
+    reported_readers: frozenset[str] = frozenset()
+    #: Address of an instance that offers the list while this one has none.
+    list_offer: Address | None = None
+    _announced: AnnouncedReaders = field(factory=AnnouncedReaders, init=False)
     _digest: str | None = field(default=None, init=False)
-    #: Ranking of each zone; cleared when an instance is added or removed.
-    _ranked_by_zone: dict[str, list[InstanceEntry]] = field(factory=dict, init=False)
-    _home_size_by_zone: dict[str, int] = field(factory=dict, init=False)
-    #: Cached result of `budget_divisor`, which each probe calls.
-    _budget_divisor: float | None = field(default=None, init=False)
-    _sender_rank: int | None = field(default=None, init=False)
+    #: Rankings of the zones; cleared when an instance is added or removed.
+    _rankings: ZoneRankings = field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Connect the rankings to the known instances."""
+        self._rankings = ZoneRankings(self.own, self._entries)
 
     def add_instance(self, entry: InstanceEntry) -> None:
         """Add the entry of an instance, or replace its earlier one."""
@@ -137,17 +99,14 @@
     def remove_unlisted(self, instance_ids: set[str]) -> None:
         """Remove instances that are no longer listed and do not answer."""
         for instance_id, peer in list(self.peer_by_id.items()):
-            is_listed = instance_id in instance_ids
-            peer.was_listed = peer.was_listed or is_listed
-            peer.missed_lists = 0 if is_listed else peer.missed_lists + 1
+            peer.record_list(instance_id in instance_ids)
             if peer.is_removable():
                 del self.peer_by_id[instance_id]
                 self._forget_ranking()
 
     def _forget_ranking(self) -> None:
-        self._ranked_by_zone.clear()
-        self._home_size_by_zone.clear()
-        self._budget_divisor = self._digest = self._sender_rank = None
+        self._rankings.clear()
+        self._digest = None
         self.notify_change()
 
     def notify_change(self) -> None:
@@ -178,23 +137,20 @@
     def sender(self) -> Sender | None:
         """Return this instance's position among its zone's senders to cold servers."""
         now = trio.current_time()
-        return self.sender_lease.sender(self.own.zone, self._rank_of_senders(), now)
+        return self.sender_lease.sender(
+            self.own.zone, self._rankings.sender_rank(), now
+        )
 
     def sender_position(self) -> SenderPosition | None:
         """Return the position as a sender, also if the list may have changed since."""
         now = trio.current_time()
-        return self.sender_lease.position(self.own.zone, self._rank_of_senders(), now)
+        return self.sender_lease.position(
+            self.own.zone, self._rankings.sender_rank(), now
+        )
 
     def may_be_sender(self) -> bool:
         """Return whether this instance would be a sender if it read the list itself."""
-        return self.is_own_listed and self._rank_of_senders() < SENDERS_PER_ZONE
-
-    def _rank_of_senders(self) -> int:
-        if self._sender_rank is None:
-            zone = self.own.zone
-            entries = [entry for entry in self._entries() if entry.zone == zone]
-            self._sender_rank = sender_order(zone, entries).index(self.own)
-        return self._sender_rank
+        return self.is_own_listed and self._rankings.sender_rank() < SENDERS_PER_ZONE
 
     def end_start_phase(self) -> None:
         """End the start phase: from now on peers are assumed to have all values."""
@@ -224,7 +180,7 @@
         if peer is not None and peer.reaches_store != reaches_store:
             peer.reaches_store = reaches_store
             self.notify_change()
-        return self._set_health(instance_id, health, 0)
+        return self._set_health(instance_id, health)
 
     def health_by_id(self) -> dict[str, PeerHealth]:
         """Return the health of the other instances by ID, where it is known."""
@@ -247,6 +203,7 @@
         reporter: str,
         health_by_id: Mapping[str, PeerHealth],
         lost_store: Iterable[str],
+        readers: Iterable[str] = (),
     ) -> list[str]:
         """Apply a peer's report of the instances it polls; return the IDs that changed.
 
@@ -255,6 +212,9 @@
         """
         changed = []
         lost_store_ids = frozenset(lost_store)
+        if self.reported_readers != frozenset(readers):
+            self.reported_readers = frozenset(readers)
+            self.notify_change()
         for instance_id in self.health_by_id().keys() | health_by_id.keys():
             peer = self.peer_by_id.get(instance_id)
             if peer is None or instance_id == reporter:
@@ -264,51 +224,28 @@
             if peer.reaches_store != reaches_store:
                 peer.reaches_store = reaches_store
                 self.notify_change()
-            if self._set_health(instance_id, health, 0) is not None:
+            if self._set_health(instance_id, health) is not None:
                 changed.append(instance_id)
         return changed
 
     def forget_health(self, instance_id: str) -> None:
         """Reset the health of an instance that is no longer polled to unknown."""
-        self._set_health(instance_id, PeerHealth.UNKNOWN, 0)
+        self._set_health(instance_id, PeerHealth.UNKNOWN)
 
     def record_missed_poll(self, instance_id: str) -> PeerHealth | None:
         """Record a poll without an answer; return the peer's health if it changed."""
         peer = self.peer_by_id.get(instance_id)
         if peer is None:
             return None
-        missed = peer.missed_polls + 1
-        health = PeerHealth.SILENT if missed >= MISSED_POLLS else peer.health
-        return self._set_health(instance_id, health, missed)
+        return self._health_if_new(peer, peer.record_missed_poll())
 
     def budget_divisor(self) -> float:
-        """Return the divisor that gives this instance's part of a shared budget.
-
-        The home sets divide most of a budget, the instances next in rank a smaller
-        part, and the others a small rest, for callers with an old address answer.
-        Silent instances count: they may only be unreachable and still spend their
-        parts.
-        """
-        if self._budget_divisor is None:
-            counts = Counter[Tier]()
-            for zone in {entry.zone for entry in self._entries()}:
-                home = self.home_size(zone)
-                counts.update(
-                    tier(position, home) for position in range(len(self._ranked(zone)))
-                )
-            own_zone = self.own.zone
-            position = self._ranked(own_zone).index(self.own)
-            own = tier(position, self.home_size(own_zone))
-            self._budget_divisor = counts[own] / share_of(own, counts)
-        return self._budget_divisor
+        """Return the divisor that gives this instance's part of a shared budget."""
+        return self._rankings.budget_divisor()
 
     def home_size(self, zone: str) -> int:
         """Return the number of instances in the home set of a zone."""
-        size = self._home_size_by_zone.get(zone)
-        if size is None:
-            size = home_size(self._ranked(zone))
-            self._home_size_by_zone[zone] = size
-        return size
+        return self._rankings.home_size(zone)
 
     def reads_store(self) -> bool:
         """Return whether this instance reads the store itself, not through its peers.
@@ -323,25 +260,75 @@
             return False
         if self.is_starting and not self.is_own_listed and not self.is_seed:
             return False
-        ranked = self._ranked(self.own.zone)
-        position = ranked.index(self.own)
-        home = self.home_size(self.own.zone)
-        if self.is_starting and position < home:
+        view = self.zone_view()
+        if self.is_starting and view.position < self.home_size(self.own.zone):
             return True
-        readers = sum(map(self._is_reader, ranked[:position]))
-        return readers < (READERS if position <= home + NEAR_POLLED else 1)
+        return readers.reads_store(view)
 
-    def is_last_resort(self) -> bool:
-        """Return whether this instance reads only as those before it lost the store.
+    def reads_list(self) -> bool:
+        """Return whether this instance reads the list of instances from the store.
 
-        The store may refuse just these instances. Where it answers no instance, retries
-        of a whole zone would cost many calls.
+        Each read of 313 entries takes 7 calls to the store, so that all instances
+        together would make 440 calls a second. An instance that sends to restricted
+        servers always reads the list, as its position depends on it.
         """
+        if self.may_be_sender():
+            return True
+        if not self.is_starting and not self.has_answering_zone_peer():
+            return True
+        return self.reads_store() and readers.reads_list(self.zone_view())
+
+    def try_pace(self) -> readers.TryPace:
+        """Return how this instance spreads its tries where calls to the store fail."""
+        view = self.zone_view()
+        if self.is_starting and view.position < self.home_size(self.own.zone):
+            return readers.BACKOFF_PACE
+        return readers.try_pace(view)
+
+    def zone_view(self) -> readers.ZoneView:
+        """Return what is known of the readers of the own zone."""
         ranked = self._ranked(self.own.zone)
         position = ranked.index(self.own)
-        if position <= self.home_size(self.own.zone) + NEAR_POLLED:
+        before = ranked[:position]
+        return readers.ZoneView(
+            position,
+            len(self._polled(self.own.zone)) + 1,
+            len(ranked),
+            sum(map(self._is_reader, before)),
+            sum(map(self._lost_store, before)),
+            len(self.reported_readers - {self.own.instance_id}),
+            self.is_reading(),
+            is_polled=not before or any(map(self._is_polled, before)),
+        )
+
+    def announces_reader(self) -> bool:
+        """Return whether the leaders have to be told that this instance reads."""
+        if not self.is_reading():
             return False
-        return any(map(self._lost_store, ranked[:position]))
+        return self.zone_view().role is readers.ReaderRole.LAST_RESORT
+
+    def add_announced_reader(self, instance_id: str) -> bool:
+        """Poll a reader of last resort for some time; return whether it is new."""
+        if instance_id not in self.peer_by_id:
+            return False
+        return self._announced.add(instance_id, trio.current_time())
+
+    def announced_readers(self) -> list[str]:
+        """Return the IDs of announced readers that are ready and reach the store."""
+        return [
+            peer.entry.instance_id
+            for peer in self._announced_peers()
+            if peer.health is PeerHealth.READY and peer.reaches_store
+        ]
+
+    def _announced_peers(self) -> list[Peer]:
+        if not self._announced.until_by_id:
+            return []
+        peers = map(self.peer_by_id.get, self._announced.ids(trio.current_time()))
+        return [peer for peer in peers if peer is not None]
+
+    def _is_polled(self, entry: InstanceEntry) -> bool:
+        return self.peer_by_id[entry.instance_id].health is not PeerHealth.UNKNOWN
 
     def _is_reader(self, entry: InstanceEntry) -> bool:
         peer = self.peer_by_id[entry.instance_id]
@@ -356,8 +343,7 @@
         return has_answered and peer.reaches_store
 
     def _lost_store(self, entry: InstanceEntry) -> bool:
-        peer = self.peer_by_id[entry.instance_id]
-        return peer.health is PeerHealth.READY and not peer.reaches_store
+        return self.peer_by_id[entry.instance_id].has_lost_store
 
     def to_poll(self) -> list[InstanceEntry]:
         """Return the instances to poll: those that callers may get, and a few more.
@@ -365,7 +351,9 @@
         Their number in each zone is fixed, however many instances there are.
         """
         zones = {entry.zone for entry in self._entries()}
-        return [each for zone in zones for each in self._polled(zone)]
+        polled = [each for zone in zones for each in self._polled(zone)]
+        announced = [peer.entry for peer in self._announced_peers()]
+        return [*polled, *(each for each in announced if each not in polled)]
 
     def _polled(self, zone: str) -> list[InstanceEntry]:
         is_near = zone == self.own.zone
@@ -389,10 +377,10 @@
         """Return whether another instance of the own zone is known."""
         return len(self._ranked(self.own.zone)) > 1
 
-    def has_ready_zone_peer(self) -> bool:
-        """Return whether another instance of the own zone is known to be ready."""
+    def has_answering_zone_peer(self) -> bool:
+        """Return whether another instance of the own zone is known to answer."""
         return any(
-            peer.health is PeerHealth.READY and peer.entry.zone == self.own.zone
+            peer.health in ANSWERING and peer.entry.zone == self.own.zone
             for peer in self.peer_by_id.values()
         )
 
@@ -482,22 +470,15 @@
 
     def _ranked(self, zone: str) -> list[InstanceEntry]:
         """Return the instances of a zone, the preferred ones for callers first."""
-        ranked = self._ranked_by_zone.get(zone)
-        if ranked is None:
-            entries = [entry for entry in self._entries() if entry.zone == zone]
-            ranked = rank(zone, entries)
-            self._ranked_by_zone[zone] = ranked
-        return ranked
-
-    def _set_health(
-        self, instance_id: str, health: PeerHealth, missed: int
-    ) -> PeerHealth | None:
+        return self._rankings.ranked(zone)
+
+    def _set_health(self, instance_id: str, health: PeerHealth) -> PeerHealth | None:
         peer = self.peer_by_id.get(instance_id)
         if peer is None:
             return None
-        is_new = peer.health is not health
-        peer.health = health
-        peer.missed_polls = missed
+        return self._health_if_new(peer, peer.set_health(health, 0))
+
+    def _health_if_new(self, peer: Peer, is_new: bool) -> PeerHealth | None:
         if is_new:
             self.notify_change()
-        return health if is_new else None
+        return peer.health if is_new else None
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from functools import partial
 from math import inf
 from random import Random
 from typing import Any
@@ -20,17 +21,20 @@
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
     KIND_PATH,
+    READER_PATH,
     SNAPSHOT_PATH,
     STATE_PATH,
     WITH_HEALTH,
     WITH_KNOWN,
     DiscoverySnapshot,
+    InstanceList,
     KindUpdate,
     PeerState,
     structure,
 )
 from catkinslip.discovery.registration import Registration
 from catkinslip.discovery.revisions import era_of
+from catkinslip.discovery.seed_lists import SeedLists
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
 
@@ -49,6 +53,8 @@
 #: Interval of reads of the list of instances, longest and first. The list may be some
 #: seconds old, as the polls show which instances are alive.
 LIST_SECONDS = 5.0
+#: Time after the first list of a seed in which the polls of all leaders have ended.
+POLLED_SECONDS = 0.8
 FIRST_LIST_SECONDS = 0.5
 #: Time after which an instance that starts queries the seeds, if the store has not sent
 #: the list. 313 entries take 0.03 s where the store answers in 4 ms (calculated).
@@ -85,8 +91,7 @@
     async def run(self) -> None:
         """Announce this instance, find the others and poll them until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._query_seeds)
-            nursery.start_soon(self._follow_list, nursery)
+            nursery.start_soon(self._start, nursery)
             nursery.start_soon(self._end_start)
             while True:
                 leaders = self.instances.leaders()
@@ -102,6 +107,8 @@
         fifteen: 313 instances in five zones make 1,060 polls a second instead of 4,800
         (calculated).
         """
+        if self.instances.announces_reader():
+            await self._announce_reader(leaders)
         first = self.random.choice(leaders)
         if await self._poll_leader(first):
             return
@@ -110,13 +117,23 @@
                 if entry is not first:
                     nursery.start_soon(self._poll_leader, entry)
 
+    async def _announce_reader(self, leaders: list[InstanceEntry]) -> None:
+        """Announce to the leaders that this instance reads the store, as they do not.
+
+        They poll it then, so that its values reach the whole zone.
+        """
+        path = f'{READER_PATH}?{self.instances.own.instance_id}'
+        async with trio.open_nursery() as nursery:
+            for entry in leaders:
+                nursery.start_soon(self._read, Address.parse(entry.peer_address), path)
+
     async def _poll_leader(self, entry: InstanceEntry) -> bool:
         """Poll a leader and apply its report of others; return whether it answered."""
         state = await self._poll(entry, WITH_HEALTH)
         if state is None:
             return False
         changed = self.instances.apply_peer_report(
-            entry.instance_id, state.health, state.lost_store
+            entry.instance_id, state.health, state.lost_store, state.readers
         )
         for instance_id in changed:
             health = self.instances.peer_by_id[instance_id].health
@@ -132,6 +149,37 @@
         await trio.sleep(START_SECONDS)
         self.instances.end_start_phase()
 
+    async def _start(self, nursery: trio.Nursery) -> None:
+        """Get the first list of instances, then follow it."""
+        delay = FIRST_LIST_SECONDS
+        if self.seeds and not self.instances.is_seed:
+            read_list = partial(self._read_list, nursery)
+            apply = partial(self._apply_first_list, nursery)
+            await self._seed_lists().wait_first(read_list, apply)
+        if self.instances.list_revision:
+            # Polls show meanwhile whether others read the list.
+            delay = POLLED_SECONDS
+            await trio.sleep(delay)
+        nursery.start_soon(self._query_seeds)
+        await self._follow_list(nursery, delay)
+
+    def _seed_lists(self) -> SeedLists:
+        return SeedLists(self.instances, self.client, self.random, self.seeds)
+
+    def _apply_first_list(self, nursery: trio.Nursery, listed: InstanceList) -> None:
+        own = self.instances.own
+        entry_by_id = {each.instance_id: each for each in listed.instances}
+        self.instances.apply_list(listed.instances, listed.revision)
+        self.instances.is_own_listed = own.instance_id in entry_by_id
+        log.info(
+            'peers: list of instances read from a seed. revision=%d count=%d',
+            listed.revision,
+            len(entry_by_id),
+        )
+        self._start_polls(nursery)
+        if self.registration.is_due(entry_by_id.get(own.instance_id)):
+            nursery.start_soon(self.registration.announce)
+
     async def _query_seeds(self) -> None:
         """Get the instances from a seed where the store lists none in the own zone.
 
@@ -172,26 +220,19 @@
         if not is_known and self.registration.is_due(None):
             await self.registration.announce()
 
-    async def _follow_list(self, nursery: trio.Nursery) -> None:
-        delay = FIRST_LIST_SECONDS
+    async def _follow_list(self, nursery: trio.Nursery, delay: float) -> None:
         while True:
-            if not self.instances.is_list_attempted or self._reads_list():
+            offered = await self._seed_lists().accept_offer()
+            if offered is not None:
+                self._apply_first_list(nursery, offered)
+            if not self.instances.is_list_attempted or self.instances.reads_list():
                 await self._read_list(nursery)
             if not self.instances.is_list_attempted:
                 self.instances.record_list_attempt()
             await trio.sleep(delay * self.random.uniform(0.8, 1.2))
-            delay = min(2 * delay, LIST_SECONDS)
-
-    def _reads_list(self) -> bool:
-        """Return whether this instance reads the list of instances from the store.
-
-        Each read of 313 entries takes 7 calls to the store, so that all instances
-        together would make 440 calls a second. An instance that sends to restricted
-        servers always reads the list, as its position depends on it.
-        """
-        instances = self.instances
-        reads = instances.reads_store() or instances.may_be_sender()
-        return reads or not instances.has_ready_zone_peer()
+            if self.instances.list_revision or not self.instances.is_seed:
+                # All others wait for a seed that has no list.
+                delay = min(2 * delay, LIST_SECONDS)
 
     async def _read_list(self, nursery: trio.Nursery) -> None:
         asked_at = trio.current_time()
