Lease at once after a start that all home instances confirmed

A pool drops the leases of earlier starts as it confirms a message of a new one, and ignores delayed messages of earlier ones, so no lease is left once all home instances have confirmed; the model has the rule and a guard. The test of the restart fails without it.

--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -415,11 +415,14 @@
         zones = sorted({entry.zone for entry in self._entries()})
         homes = [self._ranked(zone)[: self.home_size(zone)] for zone in zones]
         home = [entry for entries in homes for entry in entries]
-        has_share = self.list_revision > 0 and self.own in home
+        has_list = self.list_revision > 0
+        has_share = has_list and self.own in home
+        peer_ids = frozenset(each.instance_id for each in home if each is not self.own)
         return FleetView(
             1 / len(home) if has_share else 0.0,
             self.sender_lease.listed_since < inf,
             tuple(each.instance_id for each in home if self._may_be_pool(each)),
+            peer_ids if has_list else None,
         )
 
     def _may_be_pool(self, entry: InstanceEntry) -> bool:
--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -299,6 +299,7 @@
         now = self.clock.monotonic()
         view = self.read_view()
         share = self.share.update(view.share, now, was_listed=view.was_listed)
+        self.generator.peer_ids = view.peer_ids
         self._check_pools(now)
         self._choose_pools(view.pool_ids, share)
         self._renew_leases(now)
@@ -367,7 +368,9 @@
             return confirmation is not None and self.generator.confirm(
                 confirmation, now
             )
-        self.health.record_sent(pool_id, now)
+        if pool_id in self._ordered:
+            # Other home instances start or are silent; their silence tells nothing.
+            self.health.record_sent(pool_id, now)
         self._send(pool_id, messages.lease_to_plain(lease))
         return False
 
--- a/catkinslip/quotas/leases.py
+++ b/catkinslip/quotas/leases.py
@@ -18,7 +18,9 @@
 #: Seconds from a pool's stamp to the end of a lease that names the stamp.
 LEASE_SECONDS = 0.8
 #: Seconds from the start of an instance to its first lease. Those of an earlier start
-#: have ended by then.
+#: have ended by then. It need not wait once all home instances confirmed a message of
+#: this start, as a pool drops the leases of earlier ones then: after a restart of the
+#: whole fleet no caller is refused for the wait.
 START_SECONDS = LEASE_SECONDS
 #: Seconds from the start of an instance to the start levels that it gives with its
 #: leases, and between two of a slot. `bounds.py` allows for one in each 2 s.
@@ -97,6 +99,11 @@
     holding_by_slot: dict[int, SlotHolding] = Factory(dict)
     #: Time at which a start level was last given, by slot.
     started_at: dict[int, float] = Factory(dict)
+    #: The other home instances, any of which may hold a lease of an earlier start; None
+    #: while they are not known.
+    peer_ids: frozenset[str] | None = None
+    #: Whether no lease of an earlier start runs any more.
+    is_cleared: bool = False
 
     def renew(
         self, share: float, choose: Callable[[int], str | None], now: float
@@ -104,10 +111,11 @@
         """Return the messages to send now, by pool."""
         if share <= 0:
             choose = no_pool
-        if now < self.began + START_SECONDS:
+        if not self._may_lease(now):
             # Their stamps are there when the first leases may begin.
             pools = {choose(slot) for slot in range(SLOTS)} - {None}
-            return {pool_id: self.greet(pool_id) for pool_id in sorted(pools)}
+            greeted = pools | (self.peer_ids or frozenset())
+            return {pool_id: self.greet(pool_id) for pool_id in sorted(greeted)}
         informed = {
             slot: holding.pool_id
             for slot in range(SLOTS)
@@ -118,6 +126,19 @@
             for pool_id in sorted(set(informed.values()))
         }
 
+    def _may_lease(self, now: float) -> bool:
+        """Return whether all leases of an earlier start have ended."""
+        if not self.is_cleared:
+            has_waited = now >= self.began + START_SECONDS
+            self.is_cleared = has_waited or self._are_all_confirmed()
+        return self.is_cleared
+
+    def _are_all_confirmed(self) -> bool:
+        if self.peer_ids is None:
+            return False
+        links = map(self.link_by_id.get, self.peer_ids)
+        return all(link is not None and link.confirmed > 0 for link in links)
+
     def greet(self, pool_id: str) -> Lease:
         """Return a message that leases nothing, which a pool that runs answers."""
         link = self.link_by_id.setdefault(pool_id, PoolLink())
@@ -137,6 +158,8 @@
         had_stamp = now < link.stamped_at + LEASE_SECONDS
         link.confirmed = message.sequence
         link.stamp, link.stamped_at = message.stamp, now
+        if not self.is_cleared and self._are_all_confirmed():
+            return True
         holdings = [
             each for each in self.holding_by_slot.values() if each.pool_id == message.by
         ]
--- a/catkinslip/quotas/pools.py
+++ b/catkinslip/quotas/pools.py
@@ -32,11 +32,21 @@
     sequence: int
     slots: frozenset[int]
     received_at: float
+    #: Earlier starts of the generator, whose delayed messages have no effect.
+    ended_starts: frozenset[int] = frozenset()
 
     def includes(self, lease: Lease) -> bool:
-        """Return whether a message of the same start is not newer than this one."""
+        """Return whether a message is not newer than this one."""
+        if lease.start in self.ended_starts:
+            return True
         return self.start == lease.start and lease.sequence <= self.sequence
 
+    def ended_by(self, lease: Lease) -> frozenset[int]:
+        """Return the starts that have ended once a newer message is applied."""
+        if lease.start == self.start:
+            return self.ended_starts
+        return self.ended_starts | {self.start}
+
 
 @define
 class UsageCount:
@@ -92,8 +102,9 @@
         if known is not None and known.includes(lease):
             return None
         slots = lease.slots if self._is_fresh(lease.stamp, now) else frozenset()
+        ended_starts = frozenset() if known is None else known.ended_by(lease)
         self.sender_by_id[lease.by] = SenderState(
-            lease.start, lease.sequence, slots, now
+            lease.start, lease.sequence, slots, now, ended_starts
         )
         ended = frozenset() if known is None else known.slots - slots
         for number in ended:
--- a/catkinslip/quotas/view.py
+++ b/catkinslip/quotas/view.py
@@ -14,3 +14,6 @@
     #: Instances of the home sets of all zones that may be pools, this one among them
     #: if it is ready.
     pool_ids: tuple[str, ...] = ()
+    #: The other instances of the home sets of all zones, also silent ones; None without
+    #: a list.
+    peer_ids: frozenset[str] | None = None
--- a/model/quotas.py
+++ b/model/quotas.py
@@ -35,6 +35,7 @@
         'waits-for-end': Guard('the pool is unreachable and still leases', ONE_LEASE),
         'in-order': Guard('a message arrives after a newer one', ONE_LEASE),
         'waits-after-start': Guard('a lease of the last start still runs', ONE_LEASE),
+        'clears-with-all': Guard('a silent pool leases on', ONE_LEASE),
         'cut-at-end': Guard('a frozen pool resumes with its bucket', ONE_CAP),
         'deduct-first': Guard('a grant is sent and not deducted', WINDOW_BOUND),
     }
@@ -44,6 +45,8 @@
         values: dict[str, int | bool] = {
             'now': 0,
             'began': 0,
+            # Whether all pools confirmed that they hold no lease of an earlier start.
+            'cleared': False,
             'holder': NO_POOL,
             'has_window': False,
             'window_at': 0,
@@ -162,7 +165,11 @@
                 self._has_ended(state, index),
             ),
             f'started {index}': z3.Implies(
-                state['holder'] != NO_POOL, now >= began + LEASE
+                state['holder'] != NO_POOL,
+                z3.Or(state['cleared'], now >= began + LEASE),
+            ),
+            f'cleared {index}': z3.Implies(
+                state['cleared'], z3.Or(closed, sent + LEASE <= bound)
             ),
         }
 
@@ -175,6 +182,7 @@
             z3.BoolVal(True),
             {
                 'began': now,
+                'cleared': False,
                 'holder': NO_POOL,
                 **{indexed('stamp', index): -LEASE for index in POOLS},
                 **{indexed('stamped_at', index): -LEASE for index in POOLS},
@@ -182,6 +190,13 @@
                 **{indexed('confirmed', index): False for index in POOLS},
             },
         )
+        confirmed = [state[indexed('confirmed', index)] for index in POOLS]
+        is_clear = z3.And if self.has('clears-with-all') else z3.Or
+        yield Action(
+            'clear',
+            z3.And(state['holder'] == NO_POOL, is_clear(*confirmed)),
+            {'cleared': True},
+        )
         yield Action(
             'window',
             z3.Not(state['has_window']),
@@ -235,7 +250,8 @@
         if self.has('waits-for-end'):
             allowed.extend(free)
         if self.has('waits-after-start'):
-            allowed.append(now >= state['began'] + LEASE)
+            has_waited = now >= state['began'] + LEASE
+            allowed.append(z3.Or(state['cleared'], has_waited))
         yield Action(
             f'choose {index}',
             z3.And(*allowed),
--- a/tests/quota_builders.py
+++ b/tests/quota_builders.py
@@ -227,7 +227,8 @@
         """Start instances; all of the home sets have equal shares."""
         for name in names:
             share = 1 / len(homes) if name in homes else 0.0
-            node = Node(self, name, FleetView(share, True, homes))
+            peer_ids = frozenset(homes) - {name}
+            node = Node(self, name, FleetView(share, True, homes, peer_ids))
             self.node_by_name[name] = node
             node.start()
 
--- a/tests/test_quotas_bound.py
+++ b/tests/test_quotas_bound.py
@@ -226,7 +226,7 @@
     ) -> list[Peaks]:
         """Return the peaks of some runs, of which delays are part by default."""
         fields = {'delay': slow_delay, **fields}
-        return [play(seed, faults, **fields) for seed in range(6)]
+        return [play(seed, faults, **fields) for seed in range(12)]
 
     def test_leases_that_count_from_their_arrival(self):
         with mock.patch.object(Pool, 'apply_lease', lease_from_arrival):
@@ -252,6 +252,16 @@
             peaks = self.peaks((restart_with_other_view,), delay=disorder)
         self.assertGreater(max(each.pools for each in peaks), 1)
 
+    def test_start_that_some_instances_have_not_confirmed(self):
+        with mock.patch.object(Generator, '_are_all_confirmed', lambda _: True):
+            peaks = self.peaks((restart_with_other_view,), delay=disorder)
+        self.assertGreater(max(each.pools for each in peaks), 1)
+
+    def test_messages_of_an_earlier_start_that_are_applied(self):
+        with mock.patch.object(SenderState, 'ended_by', lambda *_: frozenset()):
+            peaks = self.peaks((restart_with_other_view,), delay=disorder)
+        self.assertGreater(max(each.pools for each in peaks), 1)
+
     def test_full_caps_at_each_pool(self):
         with mock.patch.object(Slot, '_cut', cut_without_share):
             peaks = self.peaks()
--- a/tests/test_quotas_failures.py
+++ b/tests/test_quotas_failures.py
@@ -177,6 +177,31 @@
         fleet.run(5)
         self.assert_bound(fleet)
 
+    def test_restart_of_all_refuses_for_a_moment_only(self):
+        # No instance holds a lease of an earlier start, and all say so at once. With a
+        # wait for the end of such leases nobody was served for about a second.
+        fleet = busy_fleet(BELOW)
+        for node in fleet.node_by_name.values():
+            node.start()
+        fleet.run(0.35)
+        fleet.forget()
+        fleet.run(0.65)
+        self.assertGreaterEqual(fleet.share_passed('a'), 0.9)
+        fleet.run(5)
+        self.assert_bound(fleet)
+
+    def test_start_waits_for_an_instance_that_does_not_answer(self):
+        # It may still hold the lease of the earlier start.
+        fleet = busy_fleet(OVERLOAD)
+        pool = pool_of(fleet)
+        other = next(each for each in HOMES if each != pool)
+        fleet.cut = {(other, pool), (pool, other)}
+        fleet.node_by_name[other].start()
+        fleet.run(0.7)
+        self.assertFalse(fleet.node_by_name[other].quotas.generator.holding_by_slot)
+        fleet.run(8)
+        self.assert_bound(fleet)
+
     def test_restarts_again_and_again(self):
         # Each start must not get stock for nothing.
         fleet = busy_fleet(OVERLOAD)
