--- a/catkinslip/metrics/wiring.py
+++ b/catkinslip/metrics/wiring.py
@@ -12,8 +12,10 @@
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
 from catkinslip.metrics.members import MemberMetrics
 from catkinslip.metrics.requests import RequestMetrics
+from catkinslip.metrics.subsets import SubsetMetrics
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
+from catkinslip.proxy.pool import BackendPool
 from catkinslip.routing.directory import Directory
 
 MAX_TRACES = 2_000
@@ -37,6 +39,7 @@
         config: ConfigHolder,
         members: MemberTable,
         log_buffer: LogBuffer,
+        pool: BackendPool,
     ) -> 'Metrics':
         """Build the metric sources and subscribe them to configuration changes."""
         requests = RequestMetrics(clock, directory)
@@ -50,5 +53,6 @@
             MemberMetrics(members),
             lag,
             LogMetrics(log_buffer),
+            SubsetMetrics(directory, pool),
         )
         return cls(ObserverGroup((requests, traces)), traces, lag, sources)
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -144,6 +144,7 @@
         region_by_zone=settings.region_by_zone,
         cold_excess=settings.cold_excess,
         cold_slack=settings.cold_slack,
+        uses_subsets=settings.uses_subsets,
     )
 
 
--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -47,6 +47,8 @@
     cold_excess: float | None
     #: ... plus this number.
     cold_slack: float
+    #: Whether instances of a large fleet use subsets of the servers.
+    uses_subsets: bool
 
 
 @define
@@ -77,6 +79,16 @@
             return default
         return self.read(location, float, default)
 
+    def read_switch(self, location: str, *, default: bool) -> bool:
+        """Return an optional true or false, or the default if the field is missing."""
+        value = self._find(location)
+        if value is None:
+            return default
+        if isinstance(value, bool):
+            return value
+        self.mistakes.append(f'{location}: {value!r} is wrong, allowed: true, false.')
+        return default
+
     def _find(self, location: str) -> Any | None:
         value: Any = self.document
         for name in location.split('.'):
@@ -140,6 +152,7 @@
         # Platforms without limits for cold servers omit these bounds.
         cold_excess=bound_by_name.get('cold_excess'),
         cold_slack=bound_by_name.get('cold_slack', 0.0),
+        uses_subsets=reader.read_switch('server_subsets', default=True),
     )
     return Failure(tuple(reader.mistakes)) if reader.mistakes else Success(settings)
 
--- a/catkinslip/settings/daemon.py
+++ b/catkinslip/settings/daemon.py
@@ -29,6 +29,7 @@
     policy: str
     report_memory: float
     zone_hop: float
+    server_subsets: str
     key_lifetime: float
     key_capacity: int
     head_timeout: float
--- a/catkinslip/settings/daemon_options.py
+++ b/catkinslip/settings/daemon_options.py
@@ -214,6 +214,13 @@
         'Seconds that a request to another zone takes longer.',
         ROUTING,
     ),
+    Option(
+        '--server-subsets',
+        'off',
+        one_of('on', 'off'),
+        'Whether each instance of a large fleet uses a subset of the servers.',
+        ROUTING,
+    ),
     Option(
         '--queue-depth',
         '2',
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
+from math import inf
 from random import Random
 
 from attrs import define, evolve, frozen
@@ -42,6 +43,7 @@
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
 from catkinslip.metrics.requests import RequestMetrics
+from catkinslip.metrics.subsets import SubsetMetrics
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient
@@ -56,6 +58,7 @@
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.directory import Directory, no_bound
 from catkinslip.routing.sample import Sample
+from catkinslip.routing.subset import Subset
 from catkinslip.throttling.gate import ThrottleGate
 from catkinslip.throttling.gossip import RateGossip
 from catkinslip.throttling.shares import divide_rate
@@ -107,6 +110,8 @@
     #: limit.
     cold_excess: float | None
     cold_slack: float
+    #: Whether an instance of a large fleet uses a subset of the servers of a service.
+    uses_subsets: bool = False
 
 
 @frozen
@@ -262,6 +267,7 @@
         directory, clock, random, max_instances=1, counts_closes=False
     )
     pool = BackendPool(instances.budget_divisor)
+    directory.has_idle = pool.has_idle
     config.listeners.extend(
         (directory.update, health.update, pool.update, guard.update)
     )
@@ -354,6 +360,7 @@
             LogMetrics(dependencies.log_buffer),
             HealthMetrics(health),
             DiscoveryMetrics(instances, sampler, sharer),
+            SubsetMetrics(directory, pool),
             CrashMetrics(guard),
             *dependencies.sources,
         ),
@@ -376,7 +383,18 @@
         zones = sorted(settings.region_by_zone)
         return divide_rate(per_second, load.backend_id, load.zone, zones)
 
+    def count_instances() -> float:
+        # Before the list was read, most instances of a fleet are unknown.
+        return len(instances.peer_by_id) + 1 if instances.is_list_attempted else inf
+
     return Directory(
+        make_subset=lambda service: Subset(
+            settings.own.instance_id,
+            zone,
+            service,
+            is_enabled=settings.uses_subsets,
+            count_instances=count_instances,
+        ),
         make_policy=lambda: ExpectedDelay(
             random,
             zone,
--- a/catkinslip/wiring/shared.py
+++ b/catkinslip/wiring/shared.py
@@ -22,6 +22,7 @@
 from catkinslip.routing.choices import make_policy
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.sample import Sample
+from catkinslip.routing.subset import Subset
 from catkinslip.settings.daemon import DaemonSettings
 from catkinslip.store.base import ObjectStore
 from catkinslip.store.budget import TokenBucket
@@ -93,10 +94,18 @@
     directory = Directory(
         partial(make_policy, settings, random),
         make_sample=lambda: Sample(random, own.zone),
+        make_subset=lambda service: Subset(
+            own.member_id,
+            own.zone,
+            service,
+            is_enabled=settings.server_subsets == 'on',
+            count_instances=lambda: len(members.live()),
+        ),
         region_by_zone=lambda: {each.zone: each.region for each in members.live()},
     )
     health = make_tracker(directory, clock, random, settings.max_instances)
     pool = BackendPool()
+    directory.has_idle = pool.has_idle
     store = CountedStore(make_store(settings, dependencies, members))
     guard = make_guard(clock, ObjectCrashStore(store))
     config.listeners.extend(
@@ -117,6 +126,7 @@
             config,
             members,
             dependencies.log_buffer,
+            pool,
         ),
     )
 
