Prefer a connected server only with a fresh report, and probe one at a time

Change: the preference needs a report of at most 30 ms; such an instance probes one server at a time on a new connection, in up to six rounds; the smallest subset has 32 servers instead of 16.

--- a/benchmarks/overload_instances.py
+++ b/benchmarks/overload_instances.py
@@ -138,7 +138,7 @@
         if not call.is_open or call.run is not None:
             return
         desk = self.desk_by_service[call.request.kind.service]
-        may_ask = call.rounds < ROUNDS and not call.waiting.is_late
+        may_ask = call.rounds < self.rounds(desk) and not call.waiting.is_late
         may_ask = may_ask and self.world.mechanisms.probes
         asked = self.leaders(desk, call) if may_ask else []
         if not asked:
@@ -157,6 +157,10 @@
             self.world.after(hop, self.probed, (desk, load, server, hop))
         self.world.after(slowest, self.refresh, call)
 
+    def rounds(self, desk: Desk) -> int:
+        """Return the rounds of probes before a choice."""
+        return ROUNDS
+
     def probed(self, probe: tuple[Desk, BackendLoad, Server, float]) -> None:
         """Let a server tell its load."""
         desk, load, server, hop = probe
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -33,9 +33,13 @@
 #: connection costs the server about 1 ms and the call a round trip. At a server without
 #: a probe, three requests in ten take four times as long, about 270 ms more for 90 ms
 #: of work, so the probe is worth it unless a server with an open connection is good.
-OPENED_AT_ONCE = 2
+#: With two at once, 100 instances opened a quarter more connections for the same worth.
+OPENED_AT_ONCE = 1
 #: Maximum rounds of probes before a choice.
 ROUNDS = 3
+#: Maximum rounds before a choice of an instance with little load, which probes fewer
+#: servers at once. A round with an unanswered probe counts as two.
+LIGHT_ROUNDS = 6
 #: Possibly restarted, hence cold, servers that are probed on each call: a zone of a
 #: hundred is covered within some tens of calls, and no call waits for these probes.
 POSSIBLY_RESTARTED_AT_ONCE = 4
@@ -167,12 +171,27 @@
         """Probe until the choice rests on a fresh report or the budget is spent."""
         self._probe_possibly_restarted(router)
         self._probe_throttled(router)
+        if router.subset.is_light(self.clock.monotonic()):
+            await self._refresh_light(router, tried)
+            return
         for _ in range(ROUNDS):
             leaders = self._stale_leaders(router, tried)
             if not leaders:
                 return
             await self._probe_all(router, leaders)
 
+    async def _refresh_light(
+        self, router: ServiceRouter, tried: Collection[str]
+    ) -> None:
+        """Probe few servers at once, so that few connections are opened."""
+        rounds = 0
+        while rounds < LIGHT_ROUNDS:
+            leaders = self._stale_leaders(router, tried)
+            if not leaders:
+                return
+            await self._probe_all(router, leaders)
+            rounds += 2 if any(load.is_silent for load in leaders) else 1
+
     async def refresh_one(self, router: ServiceRouter, backend_id: str) -> None:
         """Probe one server, unless the budget is spent."""
         load = router.load_by_id.get(backend_id)
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -35,6 +35,10 @@
 #: Seconds for which a report of a full server holds if the server gets hardly any
 #: requests: about as long as a request takes.
 FULL_SECONDS = 0.5
+#: Maximum age of the report with which a connected server is preferred to others. An
+#: instance with little load has few probes left for it, and its speed changes in 0.3 s:
+#: with older reports its callers got 0.90 of the worth of their requests, not 0.95.
+CONNECTED_REPORT_SECONDS = 0.03
 #: Factor on the usual delay up to which the best server of a subset is accepted.
 USUAL_DELAY_FACTOR = 1.1
 
@@ -258,7 +262,12 @@
                 yield sampled, GOOD_DELAY
             return
         if subset.demand.is_light(now):
-            connected = [load for load in used if self.is_connected(load)]
+            connected = [
+                load
+                for load in used
+                if now - load.reported_at <= CONNECTED_REPORT_SECONDS
+                and self.is_connected(load)
+            ]
             if connected:
                 yield connected, GOOD_DELAY
         # A server outside the subset that nothing is known of is no better than usual.
--- a/catkinslip/routing/subset.py
+++ b/catkinslip/routing/subset.py
@@ -21,7 +21,9 @@
 from catkinslip.routing.base import NEVER, BackendLoad
 
 #: Usable servers in the smallest subset. Services with fewer servers have no subset.
-LEAST_SERVERS = 16
+#: With 16 of 220 servers, callers of instances with little load got 0.949 of the worth
+#: of their requests, with 32 they got 0.959 and without subsets 0.952 (four seeds).
+LEAST_SERVERS = 32
 #: Instances below which there are no subsets: few instances open few connections.
 MIN_INSTANCES = 24
 #: Slots in the subset for each request in flight. Other instances use the same slots,
