--- a/benchmarks/subsets.py
+++ b/benchmarks/subsets.py
@@ -118,7 +118,7 @@
     return Score(
         worth=share_of_worth(requests),
         worth_home=share_of_worth(home),
-        worth_others=share_of_worth(others),
+        worth_others=share_of_worth(others) if others else 1.0,
         refused=sum(not each.is_answered for each in requests) / len(requests),
         opened=world.opened.total(),
         opened_by_probes=world.opened['probe'],
