--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -189,7 +189,7 @@
 
 
 def apply_settings(entry: Entry, settings: EntrySettings) -> None:
-    """Apply changed settings; addresses take effect only at the next start."""
+    """Apply changed settings; addresses and subsets only at the next start."""
     entry.settings = evolve(settings, own=entry.settings.own)
     entry.addresses.lifetime = settings.address_lifetime
     entry.sampler.probes_per_second = settings.probes_per_second
--- a/tests/test_health_light_sampler.py
+++ b/tests/test_health_light_sampler.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from catkinslip.health.sampler import LoadSampler
+from catkinslip.health.sampler import ANSWER_SECONDS, ROUNDS, LoadSampler
 from catkinslip.platform.dialect import PlatformDialect
 from catkinslip.routing.base import BackendLoad, LoadReport
 from catkinslip.routing.router import ServiceRouter
@@ -57,6 +57,14 @@
         return True
 
 
+class NoAnswer(OneProbe):
+    """Sampler whose probes are not answered."""
+
+    async def _exchange(self, router: ServiceRouter, load: BackendLoad) -> bool:
+        await trio.sleep(IDLE_SECONDS)
+        return False
+
+
 def hash_of(backend_id: str) -> int:
     """Return a number that is odd for half of the servers."""
     return int(backend_id.split('-')[1]) // 3
@@ -69,6 +77,10 @@
     100 connections in 10 s for 10 to 20 requests.
     """
 
+    def setUp(self):
+        self.make = OneProbe
+        self.waited = 0.0
+
     def play(
         self, *, uses_subset: bool, seconds: int, calls_per_second: int = 1
     ) -> int:
@@ -89,7 +101,7 @@
                 key_by_id=names,
                 rank=lambda router, tried: router.rank(trio.current_time(), tried),
             )
-            sampler = OneProbe(
+            sampler = self.make(
                 health, pool, clock, PlatformDialect(), 60.0, lambda: BUDGET_DIVISOR
             )
             async with trio.open_nursery() as nursery:
@@ -97,7 +109,9 @@
                 await trio.testing.wait_all_tasks_blocked()
                 for _ in range(seconds * calls_per_second):
                     await trio.sleep(1 / calls_per_second)
+                    began = trio.current_time()
                     await sampler.refresh(router, ())
+                    self.waited = max(self.waited, trio.current_time() - began)
                     chosen = router.choose(trio.current_time()).backend_id
                     router.started(chosen, trio.current_time())
                     pool.use(chosen)
@@ -115,6 +129,13 @@
         before = self.play(uses_subset=False, seconds=SECONDS)
         self.assertLess(opened, 0.6 * before)
 
+    def test_silent_servers_delay_a_call_no_longer_than_before(self):
+        # One server at a time: six rounds without an answer would take 0.18 s of the
+        # 0.34 s in which some answers are wanted.
+        self.make = NoAnswer
+        self.play(uses_subset=True, seconds=1)
+        self.assertLess(self.waited, (ROUNDS + 0.5) * ANSWER_SECONDS)
+
     def test_restarted_instances_open_few_connections_in_two_seconds(self):
         # All instances restart at once, without any report or connection.
         opened = self.play(uses_subset=True, seconds=2, calls_per_second=3)
--- a/tests/test_routing_subset.py
+++ b/tests/test_routing_subset.py
@@ -258,7 +258,7 @@
         connected, fresh = sorted(used_ids(router, NOW))[3:5]
         router.is_connected = lambda load: load.backend_id == connected
         for name in used_ids(router, NOW):
-            router.apply_peer_report(name, LoadReport(1, 0.25), NOW)
+            router.apply_peer_report(name, LoadReport(1, 1.0), NOW)
         router.apply_peer_report(connected, LoadReport(0, 1.0), NOW + 0.01)
         router.apply_peer_report(fresh, LoadReport(0, 1.0), NOW + 4.99)
         self.assertEqual(send(router, 1, NOW + 5), [fresh])
