--- a/tests/test_routing_subset.py
+++ b/tests/test_routing_subset.py
@@ -201,6 +201,28 @@
             with self.subTest(number):
                 self.assertIn(added, send(router, 40, NOW + 0.1))
 
+    def test_fleet_gives_it_its_share_in_four_seconds(self):
+        # Six of 30 instances have nearly all the load, as with home sets.
+        added = 'limits-220'
+        routers = [subset_router(number, SERVERS, 30) for number in range(30)]
+        for router in routers[:6]:
+            end(router, send(router, 20, NOW), NOW + 0.1)
+            router.sample.get(router.loads, NOW + 0.1)
+        for router in routers:
+            router.change(SERVICE, {added: backend(220)}, NOW + 0.1)
+        count = Counter()
+        for step in range(20):
+            now = NOW + 0.2 + step / 5
+            for number, router in enumerate(routers):
+                ids = send(router, 10 if number < 6 else step % 5 == 0, now)
+                count.update(ids)
+                end(router, ids, now + 0.1)
+        zone = routers[0].load_by_id[added].zone
+        near = [load.backend_id for load in routers[0].loads if load.zone == zone]
+        mean = statistics.mean(count[name] for name in near)
+        self.assertGreater(count[added], 0.5 * mean)
+        self.assertLess(count[added], 3 * mean)
+
     def test_it_is_in_as_many_subsets_as_others(self):
         count = Counter()
         for number in range(300):
