--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -167,6 +167,7 @@
         cold_excess=settings.cold_excess,
         cold_slack=settings.cold_slack,
         quota_bounds=settings.quota_bounds if reads_quotas(variables) else None,
+        uses_subsets=settings.uses_subsets,
     )
 
 
--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -50,6 +50,8 @@
     cold_slack: float
     #: Bound of the quotas of workspaces; its defaults apply where bounds are missing.
     quota_bounds: QuotaBounds
+    #: Whether instances of a large fleet use subsets of the servers.
+    uses_subsets: bool
 
 
 @define
@@ -80,6 +82,16 @@
             return default
         return self.read(location, float, default)
 
+    def read_switch(self, location: str, *, default: bool) -> bool:
+        """Return an optional true or false, or the default if the field is missing."""
+        value = self._find(location)
+        if value is None:
+            return default
+        if isinstance(value, bool):
+            return value
+        self.mistakes.append(f'{location}: {value!r} is wrong, allowed: true, false.')
+        return default
+
     def _find(self, location: str) -> Any | None:
         value: Any = self.document
         for name in location.split('.'):
@@ -160,6 +172,7 @@
         cold_excess=bound_by_name.get('cold_excess'),
         cold_slack=bound_by_name.get('cold_slack', 0.0),
         quota_bounds=read_quota_bounds(reader, bound_by_name),
+        uses_subsets=reader.read_switch('server_subsets', default=True),
     )
     return Failure(tuple(reader.mistakes)) if reader.mistakes else Success(settings)
 
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
+from math import inf
 from random import Random
 
 from attrs import define, evolve, frozen
@@ -43,6 +44,7 @@
 from catkinslip.metrics.pipelining import PipelineMetrics
 from catkinslip.metrics.quotas import QuotaMetrics
 from catkinslip.metrics.requests import RequestMetrics
+from catkinslip.metrics.subsets import SubsetMetrics
 from catkinslip.metrics.traces import TraceRing
 from catkinslip.metrics.workspaces import WorkspaceMetrics
 from catkinslip.models import Address
@@ -61,6 +63,7 @@
 from catkinslip.routing.delay import ExpectedDelay
 from catkinslip.routing.directory import Directory, no_bound
 from catkinslip.routing.sample import Sample
+from catkinslip.routing.subset import Subset
 from catkinslip.throttling.gate import ThrottleGate
 from catkinslip.throttling.gossip import RateGossip
 from catkinslip.throttling.shares import divide_rate
@@ -118,6 +121,8 @@
     #: Bound of the requests of a workspace at all instances together; None to keep no
     #: quotas.
     quota_bounds: QuotaBounds | None = None
+    #: Whether an instance of a large fleet uses a subset of the servers of a service.
+    uses_subsets: bool = False
 
 
 @frozen
@@ -197,7 +202,7 @@
 
 
 def apply_settings(entry: Entry, settings: EntrySettings) -> None:
-    """Apply changed settings; addresses take effect only at the next start."""
+    """Apply changed settings; addresses and subsets only at the next start."""
     entry.settings = evolve(settings, own=entry.settings.own)
     entry.addresses.lifetime = settings.address_lifetime
     entry.sampler.probes_per_second = settings.probes_per_second
@@ -288,6 +293,7 @@
         directory, clock, random, max_instances=1, counts_closes=False
     )
     pool = BackendPool(instances.budget_divisor)
+    directory.has_idle = pool.has_idle
     config.listeners.extend(
         (
             directory.update,
@@ -389,6 +395,7 @@
             LogMetrics(dependencies.log_buffer),
             HealthMetrics(health),
             DiscoveryMetrics(instances, sampler, sharer),
+            SubsetMetrics(directory, pool),
             CrashMetrics(guard),
             QuotaMetrics(quotas),
             PipelineMetrics(callers.pipelines),
@@ -413,7 +420,18 @@
         zones = sorted(settings.region_by_zone)
         return divide_rate(per_second, load.backend_id, load.zone, zones)
 
+    def count_instances() -> float:
+        # Before the list was read, most instances of a fleet are unknown.
+        return len(instances.peer_by_id) + 1 if instances.is_list_attempted else inf
+
     return Directory(
+        make_subset=lambda service: Subset(
+            settings.own.instance_id,
+            zone,
+            service,
+            is_enabled=settings.uses_subsets,
+            count_instances=count_instances,
+        ),
         make_policy=lambda: ExpectedDelay(
             random,
             zone,
