Keep late reports from restoring crashes that an answer dropped

Cause: datagrams about a crash are sent again after 100 ms. One that arrived after the answer to a trial (28 ms after it in a traced run) restored the three crashes that the answer had dropped, and the instance wrote them to the store instead of deleting the record. Likewise a peer that had not read the removal of a record from the store reported its crashes again, and two such instances could restore it in turn.

Change: the registry remembers the names of dropped crashes (server incarnations, at most 1,000 requests) and ignores them in reports of peers. A crash that the instance sees itself, or that the store holds at a newer revision, counts again.

--- a/catkinslip/crashes/registry.py
+++ b/catkinslip/crashes/registry.py
@@ -13,6 +13,7 @@
 from attrs import Factory, define, evolve
 
 from catkinslip.crashes.base import CrashRecord
+from catkinslip.crashes.dropped import DroppedCrashes
 from catkinslip.crashes.identity import RequestKey
 from catkinslip.crashes.suspect import (
     ALONE,
@@ -55,6 +56,8 @@
     count_by_target: Counter[str] = Factory(Counter)
     #: Keys of the records in the last listing of the store.
     stored_keys: set[RequestKey] = Factory(set)
+    #: Crashes that reports of peers must not restore.
+    dropped: DroppedCrashes = Factory(DroppedCrashes)
     #: Number of crashes that this instance saw, for the metrics.
     crashes: int = 0
     #: Number of verdicts that took effect on this instance, for the metrics.
@@ -89,6 +92,7 @@
         """Record a crash during a request; return the number of crashed servers."""
         self.crashes += 1
         server = cold_server_name(server) if is_cold else server
+        self.dropped.discard(key, [server])
         suspect = self._merge(key, {server: query}, now, 'seen here')
         if suspect.server_count >= MIN_STORED_SERVERS:
             suspect.must_save = True
@@ -103,7 +107,9 @@
         peer: str,
     ) -> None:
         """Apply a peer's report of the servers that crashed during a request."""
-        self._merge(key, query_by_server, now, f'reported by {peer}')
+        new = self.dropped.filter_report(key, query_by_server)
+        if new:
+            self._merge(key, new, now, f'reported by {peer}')
 
     def record_answer(self, key: RequestKey, query: str) -> None:
         """Record an answer to a request, so that crashes with its query are dropped."""
@@ -114,7 +120,9 @@
             'crashes: a suspect request was answered, crashes dropped. request=%s',
             key,
         )
-        kept = exclude_query(suspect.record.query_by_server, query)
+        known = suspect.record.query_by_server
+        kept = exclude_query(known, query)
+        self.dropped.add(key, known.keys() - kept.keys())
         suspect.unsaved = exclude_query(suspect.unsaved, query)
         suspect.record = evolve(suspect.record, query_by_server=kept)
         if suspect.record.revision:
@@ -154,6 +162,7 @@
         if record.revision <= suspect.record.revision:
             return
         stored = record.query_by_server
+        self.dropped.discard(record.key, stored)
         for server in stored.keys() & suspect.unsaved.keys():
             del suspect.unsaved[server]
         known = suspect.record
@@ -259,6 +268,8 @@
     def _apply_removal(self, suspect: Suspect) -> None:
         """Keep only the unsaved crashes of a request whose record the store removed."""
         key = suspect.record.key
+        removed = suspect.record.query_by_server.keys() - suspect.unsaved.keys()
+        self.dropped.add(key, removed)
         suspect.record = CrashRecord(key, dict(suspect.unsaved))
         if not suspect.unsaved:
             self._remove(key)
--- a/tests/test_crashes_registry.py
+++ b/tests/test_crashes_registry.py
@@ -3,6 +3,7 @@
 import unittest
 
 from catkinslip.crashes.base import CrashRecord
+from catkinslip.crashes.dropped import MAX_REQUESTS, DroppedCrashes
 from catkinslip.crashes.identity import RequestKey
 from catkinslip.crashes.registry import (
     MAX_RETRY_SECONDS,
@@ -87,6 +88,41 @@
         registry.record_answer(KEY, 'q')
         self.assertEqual(self.verdict(registry), Verdict.FREE)
 
+    def test_late_report_does_not_restore_what_an_answer_dropped(self):
+        # A peer's second datagram about the last crash came 28 ms after the answer to
+        # a trial; it restored the verdict, which was then written to the store.
+        registry = registry_with(3)
+        registry.mark_saved(stored(3, revision=1), NOW)
+        registry.record_answer(KEY, 'q')
+        registry.apply_peer_report(KEY, {'i-0/1': 'q', 'i-2/1': 'q'}, NOW, 'peer')
+        self.assertEqual(registry.suspect_by_key[KEY].record.query_by_server, {})
+        registry.mark_deleted(KEY)
+        registry.apply_peer_report(KEY, {'i-0/1': 'q', 'i-2/1': 'q'}, NOW, 'peer')
+        self.assertEqual(self.verdict(registry), Verdict.FREE)
+
+    def test_peer_that_has_not_read_a_removal_does_not_restore_the_record(self):
+        # Two instances whose listings differ in time otherwise restore it in turn.
+        registry = CrashRegistry()
+        registry.apply_listing({'one': stored(3, revision=1)}, NOW)
+        registry.apply_listing({}, NOW)
+        registry.apply_peer_report(KEY, {'i-0/1': 'q'}, NOW, 'peer')
+        self.assertEqual(self.verdict(registry), Verdict.FREE)
+
+    def test_new_crashes_count_after_an_answer(self):
+        registry = registry_with(3)
+        registry.record_answer(KEY, 'q')
+        registry.apply_peer_report(KEY, {'i-7/1': 'q'}, NOW, 'peer')
+        registry.record_crash(KEY, 'q', 'i-0/1', NOW)
+        registry.apply_listing({'one': stored(2, revision=9)}, NOW)
+        servers = registry.suspect_by_key[KEY].record.query_by_server
+        self.assertEqual(sorted(servers), ['i-0/1', 'i-1/1', 'i-7/1'])
+
+    def test_memory_of_dropped_crashes_is_bounded(self):
+        dropped = DroppedCrashes()
+        for number in range(2 * MAX_REQUESTS):
+            dropped.add(RequestKey('t', str(number)), ['i-0/1'])
+        self.assertEqual(len(dropped.servers_by_key), MAX_REQUESTS)
+
     def test_answer_to_another_query_clears_nothing(self):
         registry = registry_with(2)
         registry.record_answer(KEY, 'other')
