Let the overload benchmark play workspaces, bursts of one kind and repeating callers

Load files may name workspaces with shares and limits, bursts of one kind or workspace, and a share of callers that return at once. Without them the draws of the existing loads are the same, as their random numbers are drawn as before.

--- a/benchmarks/overload_callers.py
+++ b/benchmarks/overload_callers.py
@@ -5,7 +5,7 @@
 
 from attrs import define
 
-from benchmarks.overload_load import Kind, Load
+from benchmarks.overload_load import Event, Kind, Load
 
 #: Callers keep an address answer so long.
 ADDRESS_SECONDS = 3.0
@@ -26,6 +26,10 @@
     patience: float
     work: float
     address_age: float
+    workspace: str = ''
+    is_repeating: bool = False
+    #: Address of the caller; empty addresses are not told apart.
+    address: str = ''
     tries: int = 0
     ended_at: float | None = None
     outcome: str = ''
@@ -59,12 +63,21 @@
         draw_request(load, kind, at, random)
         for kind in load.kinds
         for at in draw_times(load, kind, random)
+    ] + [
+        request
+        for event in load.events
+        if event.requests or event.workspace
+        for request in draw_extra(load, event, random)
     ]
 
 
 def draw_times(load: Load, kind: Kind, random: Random) -> Iterator[float]:
     """Draw when callers ask for a kind, more of them during a burst."""
-    bursts = [event for event in load.events if event.kind == 'burst']
+    bursts = [
+        event
+        for event in load.events
+        if event.kind == 'burst' and not (event.requests or event.workspace)
+    ]
     most = max([1.0, *(event.x for event in bursts)])
     at = 0.0
     while True:
@@ -76,8 +89,40 @@
             yield at
 
 
+def draw_extra(load: Load, event: Event, random: Random) -> Iterator[Request]:
+    """Draw the additional requests of a burst of one kind or one workspace."""
+    total = sum(each.share for each in load.workspaces)
+    for kind in load.kinds:
+        if event.requests not in ('', kind.name):
+            continue
+        rate = kind.rate * (event.x - 1)
+        if event.workspace:
+            share = next(
+                each.share for each in load.workspaces if each.name == event.workspace
+            )
+            rate *= share / total
+        at = event.at + random.expovariate(rate)
+        while at < event.at + event.for_s:
+            request = draw_request(load, kind, at, random)
+            request.workspace = event.workspace or request.workspace
+            yield request
+            at += random.expovariate(rate)
+
+
 def draw_request(load: Load, kind: Kind, at: float, random: Random) -> Request:
     """Draw one caller."""
+    request = draw_usual(load, kind, at, random)
+    if load.workspaces:
+        shares = [each.share for each in load.workspaces]
+        request.workspace = random.choices(load.workspaces, shares)[0].name
+    if load.repeating_share:
+        request.address = f'{random.getrandbits(32):x}'
+        request.is_repeating = random.random() < load.repeating_share
+    return request
+
+
+def draw_usual(load: Load, kind: Kind, at: float, random: Random) -> Request:
+    """Draw one caller without a workspace that waits before it returns."""
     return Request(
         kind=kind,
         zone=random.choices(load.zones, [zone.share for zone in load.zones])[0].name,
--- a/benchmarks/overload_load.py
+++ b/benchmarks/overload_load.py
@@ -63,6 +63,18 @@
     share: float = 0.0
     x: float = 1.0
     service: str = ''
+    #: Kind or workspace that a burst is limited to; empty for all.
+    requests: str = ''
+    workspace: str = ''
+
+
+@frozen
+class WorkspaceLoad:
+    """The share of the callers of one workspace, and its limit; 0 for no limit."""
+
+    name: str
+    share: float
+    limit: float = 0.0
 
 
 @frozen
@@ -78,6 +90,9 @@
     probes_per_second: float = 60.0
     #: Callers wait for a time that differs by up to this share.
     patience_spread: float = 0.15
+    workspaces: tuple[WorkspaceLoad, ...] = ()
+    #: Share of callers that return at once and three times as often.
+    repeating_share: float = 0.0
 
     @property
     def groups(self) -> dict[str, ServerGroup]:
--- a/benchmarks/overload_world.py
+++ b/benchmarks/overload_world.py
@@ -15,6 +15,7 @@
 from benchmarks.overload_instances import CLIENT_SECONDS, NEAR_SECONDS, Desk, Instance
 from benchmarks.overload_load import Event, Load, ServerGroup
 from benchmarks.overload_servers import Server
+from benchmarks.overload_workspaces import WorkspaceCounts
 from benchmarks.virtual_clock import VirtualClock
 from catkinslip.admission.waiting import AdmissionSettings
 from catkinslip.config.documents import Backend, Service
@@ -41,6 +42,8 @@
 LOST_SECONDS = 0.15
 #: Servers and instances go on so long after the last caller asked.
 TAIL_SECONDS = 3.0
+#: Repeating callers return as many times more often as others.
+REPEATING_FACTOR = 3
 
 
 #: What an event changes of a server, and what it is after it.
@@ -86,6 +89,8 @@
     server_by_id: dict[str, Server] = Factory(dict)
     instances: list[Instance] = Factory(list)
     requests: list[Request] = Factory(list)
+    #: What the quota pools know of the workspaces.
+    workspaces: WorkspaceCounts = Factory(WorkspaceCounts)
 
     @property
     def quiet_at(self) -> float:
@@ -166,7 +171,10 @@
         """Let a caller ask again on a new connection, if it still can."""
         request.tries += 1
         left = request.deadline - self.now
-        if request.tries > request.kind.retries or wait + 3 * CLIENT_SECONDS >= left:
+        most = request.kind.retries
+        if request.is_repeating:
+            wait, most = 0.0, REPEATING_FACTOR * most
+        if request.tries > most or wait + 3 * CLIENT_SECONDS >= left:
             self.end(request, 'refused')
             return
         self.after(wait + 3 * CLIENT_SECONDS, self.reach, request)
@@ -258,6 +266,9 @@
 def build_world(load: Load, seed: int, settings: AdmissionSettings, **fields) -> World:
     """Return a world in which a load is about to begin."""
     world = World(load, Random(f'{seed} world'), settings, **fields)
+    world.workspaces = WorkspaceCounts(
+        {each.name: each.limit for each in load.workspaces}
+    )
     for group in load.groups.values():
         for number in range(group.count):
             zone = load.zones[number % len(load.zones)].name
