--- a/catkinslip/admission/spent.py
+++ b/catkinslip/admission/spent.py
@@ -7,8 +7,7 @@
 patience, so only a caller with less time than the least patient fresh one has certainly
 made an attempt before.
 
-While callers send more than servers can answer, this is worth 0.029 of what the
-overload benchmark weighs, and 0.011 after the loss of all instances (6 seeds each).
+docs/CAPACITY.md gives what this is worth in the overload benchmark.
 """
 
 from bisect import bisect_left, insort
