--- /dev/null
+++ b/catkinslip/admission/served.py
@@ -0,0 +1,80 @@
+"""The share of recent calls that were served, of each workspace or kind of a service.
+
+Load: capacity is scarce, and a rule that prefers some calls to others must not serve
+any group of calls much less often than all. One instance may see three calls a second
+of a group, so the share of a group starts at that of all calls.
+"""
+
+from math import exp
+
+from attrs import Factory, define
+
+#: Seconds after which a call counts 1/e in the shares.
+MEMORY_SECONDS = 5.0
+#: Maximum number of groups; the one that was seen longest ago is removed.
+MAX_GROUPS = 256
+#: Weight of the share of all calls in that of a group, in calls.
+PRIOR_CALLS = 4.0
+
+
+@define
+class Tally:
+    """Recent calls and how many of them were served, with exponential decay."""
+
+    calls: float = 0.0
+    served: float = 0.0
+    at: float = 0.0
+
+    def decay(self, now: float) -> None:
+        """Let the counts decay until now."""
+        factor = exp(min(0.0, self.at - now) / MEMORY_SECONDS)
+        self.calls *= factor
+        self.served *= factor
+        self.at = now
+
+    def record(self, is_served: bool, now: float) -> None:
+        """Count a call."""
+        self.decay(now)
+        self.calls += 1
+        self.served += is_served
+
+
+@define
+class ServedShares:
+    """The share of recent calls that were served, for all calls and each group."""
+
+    total: Tally = Factory(Tally)
+    tally_by_group: dict[str, Tally] = Factory(dict)
+
+    def record(self, group: str, is_served: bool, now: float) -> None:
+        """Count a call of a group whose outcome is known."""
+        self.total.record(is_served, now)
+        # Moves the group to the end, as the first one is removed.
+        tally = self.tally_by_group.pop(group, None)
+        if tally is None:
+            tally = Tally(at=now)
+            if len(self.tally_by_group) >= MAX_GROUPS:
+                del self.tally_by_group[next(iter(self.tally_by_group))]
+        self.tally_by_group[group] = tally
+        tally.record(is_served, now)
+
+    def share(self, group: str, now: float) -> float:
+        """Return the share of a group's calls that were served; 1.0 without calls."""
+        self.total.decay(now)
+        if not self.total.calls:
+            return 1.0
+        overall = self.total.served / self.total.calls
+        tally = self.tally_by_group.get(group)
+        if tally is None:
+            return overall
+        tally.decay(now)
+        served = tally.served + PRIOR_CALLS * overall
+        return served / (tally.calls + PRIOR_CALLS)
+
+    def relative(self, group: str, now: float) -> float:
+        """Return the share of a group divided by that of all calls; 1.0 if unknown."""
+        self.total.decay(now)
+        if not self.total.served:
+            return 1.0
+        overall = self.total.served / self.total.calls
+        return self.share(group, now) / overall
