--- /dev/null
+++ b/catkinslip/admission/repeats.py
@@ -0,0 +1,59 @@
+"""Callers that return before the time that they were told.
+
+Load: 0.3 of the callers send again at once, three times as often as others, while the
+servers have no room or refuse half of their requests. A caller whose address sends
+again before the time of its last refusal is recognised, as long as the address has one
+call at a time: addresses with several calls at once belong to several callers, whose
+fresh calls must not count as repeated ones.
+"""
+
+from attrs import Factory, define
+
+#: Seconds by which a caller may return early: timers are rounded.
+TOLERANCE_SECONDS = 0.005
+#: Seconds after which an address that had several calls at once may be one caller.
+SHARED_SECONDS = 60.0
+#: Maximum number of addresses; the one that was seen longest ago is removed.
+MAX_ADDRESSES = 4096
+
+
+@define
+class Address:
+    """The calls of one address; times are monotonic seconds."""
+
+    open_calls: int = 0
+    #: Time until which a refused caller was told to wait.
+    told_until: float = 0.0
+    #: Time until which the address counts as shared by several callers.
+    shared_until: float = 0.0
+
+
+@define
+class RepeatedCalls:
+    """Recognition of callers that return too early, in bounded memory."""
+
+    by_address: dict[str, Address] = Factory(dict)
+
+    def arrive(self, address: str, now: float) -> bool:
+        """Count a call that arrived; return whether its caller returned too early."""
+        if not address:
+            return False
+        known = self.by_address.pop(address, None) or Address()
+        if len(self.by_address) >= MAX_ADDRESSES:
+            del self.by_address[next(iter(self.by_address))]
+        self.by_address[address] = known
+        known.open_calls += 1
+        if known.open_calls > 1:
+            known.shared_until = now + SHARED_SECONDS
+        if now < known.shared_until:
+            return False
+        return now < known.told_until - TOLERANCE_SECONDS
+
+    def end(self, address: str, now: float, retry_after: float | None) -> None:
+        """Count a call that ended, refused with a time to return if there is one."""
+        known = self.by_address.get(address)
+        if known is None:
+            return
+        known.open_calls = max(0, known.open_calls - 1)
+        if retry_after is not None:
+            known.told_until = max(known.told_until, now + retry_after)
--- a/catkinslip/limits/plan.py
+++ b/catkinslip/limits/plan.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from catkinslip.admission.retries import MOST_URGENT, Urgency
 from catkinslip.limits.budget import ExtraBudget
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 
@@ -33,6 +34,7 @@
     budget: ExtraBudget
     max_attempts: int = 3
     reserved_for_retries: float = 0.0
+    urgency: Urgency = MOST_URGENT
     started: int = 0
     running: int = 0
     sent: int = 0
@@ -41,7 +43,10 @@
 
     def may_start(self) -> bool:
         """Return whether an attempt may still start, as other calls may take tokens."""
-        return not self.sent or self.budget.has_token()
+        if not self.sent:
+            return True
+        share = self.urgency.reserved_share(self.sent - 1)
+        return self.budget.has_token(share * self.budget.reserve)
 
     def start(self) -> int:
         """Count an attempt that starts now and return its number."""
