Share scarce capacity among workspaces, kinds and callers

The benchmark now tells callers 50 ms after a refusal by a server, as the product does; it told them a quarter of their time. It also counts calls that expired or met restricted servers as not served.

--- a/benchmarks/overload_instances.py
+++ b/benchmarks/overload_instances.py
@@ -7,7 +7,11 @@
 
 from benchmarks.overload_callers import Request
 from benchmarks.overload_servers import Run, Server
+from catkinslip.admission.fairness import ServiceFairness
+from catkinslip.admission.patience import Kind
+from catkinslip.admission.repeats import RepeatedCalls
 from catkinslip.admission.restricted import restricted_retry_after
+from catkinslip.admission.retries import Urgency, refused_retry_after
 from catkinslip.admission.spent import SpentTimes
 from catkinslip.admission.waiting import GOOD_DELAY, Decision, WaitingCall
 from catkinslip.admission.work import WorkTimes
@@ -51,6 +55,8 @@
 #: Second sends of an instance: a share of its calls, and so many saved up.
 RESEND_SHARE = 0.16
 RESEND_RESERVE = 10.0
+#: Shortest time that the product tells a caller to wait.
+SHED_RETRY_SECONDS = 0.05
 
 KIND_BY_RESULT = {
     ResultKind.ANSWERED: AnswerKind.ANSWER,
@@ -68,6 +74,8 @@
     is_open: bool = True
     tried: list[str] = Factory(list)
     rounds: int = 0
+    #: Whether its first decision was counted.
+    is_counted: bool = False
 
 
 @define(eq=False)
@@ -78,6 +86,7 @@
     work: WorkTimes = Factory(WorkTimes)
     news: dict[str, BackendLoad] = Factory(dict)
     budget: ExtraBudget = Factory(lambda: ExtraBudget(RESEND_SHARE, RESEND_RESERVE))
+    fairness: ServiceFairness = Factory(ServiceFairness)
 
 
 @define(eq=False)
@@ -90,6 +99,7 @@
     desk_by_service: dict[str, Desk] = Factory(dict)
     bucket_by_id: dict[str, TokenBucket] = Factory(dict)
     spent: SpentTimes = Factory(lambda: SpentTimes(0.0))
+    repeats: RepeatedCalls = Factory(RepeatedCalls)
     #: Its place among the senders of its zone to guarded servers.
     place: SenderPosition | None = None
     is_up: bool = True
@@ -102,6 +112,9 @@
         if not self.is_up:
             self.world.lost(request)
             return
+        if not self.world.workspaces.acquire(request.workspace, now):
+            self.world.after(CLIENT_SECONDS, self.world.refused, (request, 1.0))
+            return
         given = request.deadline - now + CLIENT_SECONDS
         known = self.spent.observe(kind.name, given, kind.target, now)
         if self.world.knows_spent:
@@ -119,10 +132,20 @@
             spent=known,
         )
         desk = self.desk_by_service[kind.service]
+        work = desk.work.expect(kind.name, 1.0, kind.target)
+        is_repeated = self.repeats.arrive(request.address, now)
+        waiting.standing = desk.fairness.assess(
+            self.world.settings,
+            Kind(kind.name, work, kind.target, kind.priority),
+            request.workspace,
+            self.world.workspaces.usage(request.workspace, now),
+            now,
+            is_repeated=is_repeated and self.world.settings.ranks_retries,
+        )
         desk.budget.earn()
         call = Call(request, waiting)
         self.open_calls[call] = None
-        waiting.update_lateness(desk.work.expect(kind.name, 1.0, kind.target), now)
+        waiting.update_lateness(work, now)
         left = request.deadline + CLIENT_SECONDS - now
         self.world.after(min(left, kind.timeout), self.expire, call)
         self.look(call)
@@ -228,7 +251,11 @@
         best = ranked[0]
         work = desk.work.expect(kind.name, 1.0, kind.target)
         waiting, is_known = call.waiting, not best.load.is_silent
-        match waiting.decide(best.delay, work, now, is_known=is_known):
+        decision = waiting.decide(best.delay, work, now, is_known=is_known)
+        if not call.is_counted:
+            call.is_counted = True
+            desk.fairness.scarcity.record(decision is Decision.SEND, now)
+        match decision:
             case Decision.SEND:
                 self.send(desk, call, best)
             case Decision.HOLD:
@@ -257,9 +284,17 @@
         """Refuse a call and tell its caller when to come back."""
         now = self.world.now
         refusal = call.waiting.refuse(expected, now, self.random)
+        self.turn_away(call, refusal.retry_after)
+
+    def turn_away(self, call: Call, seconds: float) -> None:
+        """End a call without an answer and tell its caller when to come back."""
+        now = self.world.now
         self.close(call)
+        self.record(call, is_served=False)
+        self.repeats.end(call.request.address, now, seconds)
         self.spent.record_unanswered(now)
-        told = (call.request, refusal.retry_after)
+        self.world.workspaces.record_refused(call.request.workspace, now)
+        told = (call.request, seconds)
         self.world.after(CLIENT_SECONDS, self.world.refused, told)
 
     def refuse_closed(self, desk: Desk, call: Call) -> None:
@@ -272,11 +307,7 @@
             retry_after = restricted_retry_after(
                 closure, call.waiting, self.random, now
             )
-        self.close(call)
-        self.spent.record_unanswered(now)
-        self.world.after(
-            CLIENT_SECONDS, self.world.refused, (call.request, retry_after)
-        )
+        self.turn_away(call, retry_after)
 
     def answered(self, told: tuple[Run, ResultKind, LoadReport, ServerSignals]) -> None:
         """Take a server's answer."""
@@ -299,20 +330,30 @@
             call.run = None
             if self.may_send_again(desk, call):
                 self.look(call)
+            elif self.world.settings.ranks_retries:
+                seconds = refused_retry_after(call.waiting, self.random, now)
+                self.turn_away(call, seconds)
             else:
-                self.refuse(call, 0.0)
+                # The least that the product tells callers.
+                self.turn_away(call, SHED_RETRY_SECONDS)
             return
         target = request.kind.target
         desk.work.record(request.kind.name, latency, run.delay, target)
+        self.record(call, is_served=True)
+        self.repeats.end(request.address, now, None)
         self.close(call)
         self.world.after(CLIENT_SECONDS, self.world.done, request)
 
     def may_send_again(self, desk: Desk, call: Call) -> bool:
         """Take a token for a second send; tell whether there was one."""
-        if (
-            len(call.tried) >= call.request.kind.max_attempts
-            or not desk.budget.has_token()
-        ):
+        reserved = 0.0
+        if self.world.settings.ranks_retries:
+            is_late = call.waiting.is_late or call.waiting.spent > 0
+            urgency = Urgency(call.waiting.priority, is_late)
+            share = urgency.reserved_share(len(call.tried) - 1)
+            reserved = share * desk.budget.reserve
+        is_last = len(call.tried) >= call.request.kind.max_attempts
+        if is_last or not desk.budget.has_token(reserved):
             return False
         desk.budget.take()
         return True
@@ -323,6 +364,8 @@
             return
         desk = self.desk_by_service[call.request.kind.service]
         self.close(call)
+        self.record(call, is_served=False)
+        self.repeats.end(call.request.address, self.world.now, None)
         if call.run is not None:
             self.give_up(desk, call.run)
         self.world.after(CLIENT_SECONDS, self.world.failed, call.request)
@@ -335,6 +378,14 @@
         hop = self.world.hop(self.zone, run.server.zone)
         self.world.after(hop, run.server.cancel, run)
 
+    def record(self, call: Call, *, is_served: bool) -> None:
+        """Record for the sharing of capacity whether a call was answered."""
+        request = call.request
+        desk = self.desk_by_service[request.kind.service]
+        desk.fairness.record(
+            request.kind.name, request.workspace, is_served, self.world.now
+        )
+
     def close(self, call: Call) -> None:
         """Note that a call has ended."""
         call.is_open = False
--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -15,6 +15,7 @@
 
 from attrs import define, frozen
 
+from catkinslip.admission.standing import USUAL, Standing
 from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.routing.base import GOOD_DELAY, Estimate
 
@@ -37,29 +38,33 @@
 class AdmissionSettings:
     """How long calls wait, and which servers late calls get; shares are of call times.
 
-    Figures are the loss of the overload benchmark's total, from 0 to 1, without the
-    mechanism: three loads, six seeds each.
+    docs/CAPACITY.md gives the loss without each mechanism.
     """
 
-    #: Share of its target for which a call that can be in time is held: 0.023 to 0.047.
+    #: Share of its target for which a call that can be in time is held: a server often
+    #: has room a moment later, and after a longer wait refused callers return too late.
     hold_share: float = 0.16
     #: Share of its target that a less urgent call must leave free, for each step of
     #: priority. Without it the least urgent kind is refused half as often, but the most
-    #: urgent one twice as often (ten replayed days); the benchmark gains 0.010 to
-    #: 0.038.
+    #: urgent one twice as often.
     spare_share_per_priority: float = 0.1
     #: Whether the time that a caller had waited before its request arrived counts.
     counts_spent: bool = True
-    #: Whether late calls may use idle servers at which a fresh one would be late: 0.003
-    #: to 0.023, each within its noise.
+    #: Whether late calls may use idle servers at which a fresh one would be late.
     uses_slow: bool = True
     #: Share of the remaining time within which an answer of a slow server must be
     #: expected, as the server's speed may fall further.
     slow_time_share: float = 0.5
-    #: Share of the time that a late caller still waits after which the caller returns:
-    #: 0.005 to 0.010, and 0.024 of the two worst windows after the loss of all
-    #: instances.
+    #: Share of the time that a late caller still waits after which the caller returns,
+    #: when the rush may be over.
     late_retry_share: float = 0.25
+    #: Whether workspaces that use much of their limit give way to others.
+    shares_workspaces: bool = True
+    #: Whether patient kinds wait for room, and give way to more urgent ones.
+    shares_kinds: bool = True
+    #: Whether retries go to urgent calls first, and calls that return too early are
+    #: late.
+    ranks_retries: bool = True
 
 
 @unique
@@ -91,6 +96,8 @@
     spent: float = 0.0
     #: Whether its answer cannot be in time any more.
     is_late: bool = False
+    #: What the sharing of scarce capacity requires of the call.
+    standing: Standing = USUAL
 
     def decide(
         self,
@@ -111,8 +118,7 @@
         if delay <= GOOD_DELAY:
             return Decision.SEND
         if not self.is_late:
-            spare = self.settings.spare_share_per_priority * self.priority * self.target
-            if now + delay * work + spare <= self.best_until:
+            if self._is_in_time(delay * work, now) and self._may_use(delay, now):
                 return Decision.SEND
             if now < self.hold_until:
                 return Decision.HOLD
@@ -128,6 +134,21 @@
         """
         if self.spent and now + work > self.best_until:
             self.is_late = True
+        if self.standing.is_repeated:
+            self.is_late = True
+
+    def _is_in_time(self, seconds: float, now: float) -> bool:
+        """Return whether an answer after some seconds leaves the required time free."""
+        share = self.standing.spare_share
+        if not self.standing.is_forward:
+            share += self.settings.spare_share_per_priority * self.priority
+        return now + seconds + share * self.target <= self.best_until
+
+    def _may_use(self, delay: float, now: float) -> bool:
+        """Return whether the call may use a server while it can still wait."""
+        if delay <= self.standing.max_delay:
+            return True
+        return now >= self.hold_until and not self.standing.is_strict
 
     def find_slow(
         self, ranked: Sequence[Estimate], work: float, now: float
@@ -147,11 +168,15 @@
     @property
     def hold_until(self) -> float:
         """Return the time until which the call may be held."""
-        return self.began + self.settings.hold_share * self.target
+        share = self.standing.hold_share
+        if share is None:
+            share = self.settings.hold_share
+        return self.began + share * self.target
 
     def recheck_seconds(self, now: float) -> float:
         """Return the seconds until the next search for a server."""
         usual = RECHECK_SECONDS + RECHECK_SECONDS_PER_PRIORITY * self.priority
+        usual *= self.standing.recheck_factor
         return max(0.0, min(usual, self.hold_until - now))
 
     def refuse(self, expected: float, now: float, random: Random) -> NotRun:
--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -4,6 +4,8 @@
 
 from attrs import Factory, define
 
+from catkinslip.admission.fairness import ServiceFairness
+from catkinslip.admission.retries import MOST_URGENT, Urgency
 from catkinslip.admission.work import WorkTimes
 from catkinslip.limits.admission import DeadlineLimit
 from catkinslip.limits.base import Admission, LimitSettings
@@ -28,6 +30,7 @@
     latency: LatencyWindow
     work: WorkTimes = Factory(WorkTimes)
     load: ServiceLoad = Factory(ServiceLoad)
+    fairness: ServiceFairness = Factory(ServiceFairness)
     resized_at: float = -RESIZE_SECONDS
 
     def refuse(self, time_left: float) -> NotRun | None:
@@ -42,6 +45,7 @@
         first_layer: bool,
         deadline: float,
         max_attempts: int | None = None,
+        urgency: Urgency = MOST_URGENT,
     ) -> CallPlan:
         """Return the plan of an admitted call, which earns its share of a token."""
         self.budget.earn()
@@ -52,6 +56,7 @@
             budget=self.budget,
             max_attempts=max_attempts or self.settings.max_attempts,
             reserved_for_retries=self.budget.reserve / 2,
+            urgency=urgency,
         )
 
     def hedge_delay(self, now: float) -> float | None:
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -1,16 +1,21 @@
 """The entry to forwarding: calls are admitted or refused, then attempted."""
 
+from collections.abc import Callable
 from math import inf
 from random import Random
 
 from attrs import Factory, define
 
+from catkinslip.admission.patience import Kind
+from catkinslip.admission.repeats import RepeatedCalls
+from catkinslip.admission.retries import Urgency
 from catkinslip.admission.spent import SpentTimes
+from catkinslip.admission.standing import Standing
 from catkinslip.clock import Clock
 from catkinslip.crashes.guard import CrashGuard
 from catkinslip.health.base import NoSampler, Sampler
 from catkinslip.health.tracker import HealthTracker
-from catkinslip.limits.service import LimitRegistry
+from catkinslip.limits.service import LimitRegistry, ServiceLimits
 from catkinslip.proxy.base import CallForwarder
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.exchange import OWN_DIALECT, Call
@@ -20,6 +25,7 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.runner import CallRunner
 from catkinslip.proxy.wire import Wire
+from catkinslip.quotas.base import WorkspaceUsage
 from catkinslip.routing.directory import Directory
 
 #: Operators reopen an evacuated zone after some seconds at the earliest; callers retry
@@ -45,6 +51,9 @@
     sampler: Sampler = Factory(NoSampler)
     random: Random = Factory(Random)
     guard: CrashGuard = Factory(lambda self: CrashGuard(self.clock), takes_self=True)
+    #: Returns the recent use of a workspace over all instances, if it is known.
+    usage: Callable[[str], WorkspaceUsage | None] = lambda _: None
+    repeats: RepeatedCalls = Factory(RepeatedCalls)
     spent: SpentTimes = Factory(
         lambda self: SpentTimes(self.clock.monotonic()), takes_self=True
     )
@@ -52,7 +61,14 @@
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward a call within its deadline and return its outcome."""
         self._record_spent(call)
-        outcome = await self._forward(call, caller)
+        is_repeated = self.repeats.arrive(call.peer, self.clock.monotonic())
+        retry_after = None
+        try:
+            outcome = await self._forward(call, caller, is_repeated)
+            if isinstance(outcome, NotRun):
+                retry_after = outcome.retry_after
+        finally:
+            self.repeats.end(call.peer, self.clock.monotonic(), retry_after)
         if not isinstance(outcome, Answered):
             self.spent.record_unanswered(self.clock.monotonic())
         return outcome
@@ -67,7 +83,23 @@
                 )
             )
 
-    async def _forward(self, call: Call, caller: Wire) -> Outcome:
+    def _assess(
+        self, call: Call, limits: ServiceLimits, is_repeated: bool, now: float
+    ) -> Standing:
+        work = limits.work.expect(call.route, 1.0, call.target_latency)
+        kind = Kind(call.route, work, call.target_latency, call.priority)
+        usage = self.usage(call.workspace) if call.workspace else None
+        settings = limits.settings.admission
+        return limits.fairness.assess(
+            settings,
+            kind,
+            call.workspace,
+            usage,
+            now,
+            is_repeated=is_repeated and settings.ranks_retries,
+        )
+
+    async def _forward(self, call: Call, caller: Wire, is_repeated: bool) -> Outcome:
         if not self.directory.is_ready:
             return NotRun(Reason.NOT_READY, retry_after=NOT_READY_RETRY_SECONDS)
         router = self.directory.router_by_service.get(call.service)
@@ -85,11 +117,17 @@
         refusal = limits.refuse(call.deadline - now)
         if refusal is not None:
             return refusal
+        standing = self._assess(call, limits, is_repeated, now)
         plan = limits.plan(
             call.repeatable and not call.is_suspect,
             call.attempt == 1,
             call.deadline,
             call.max_attempts,
+            Urgency(
+                call.priority,
+                is_late=call.spent > 0 or standing.is_repeated,
+                is_ranked=limits.settings.admission.ranks_retries,
+            ),
         )
         runner = CallRunner(
             call=call,
@@ -109,5 +147,13 @@
             excluded_by_region=self.directory.servers_outside(
                 call.service, call.regions
             ),
+            standing=standing,
         )
-        return await runner.run()
+        outcome = await runner.run()
+        limits.fairness.record(
+            call.route,
+            call.workspace,
+            isinstance(outcome, Answered),
+            self.clock.monotonic(),
+        )
+        return outcome
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -9,6 +9,7 @@
 import trio
 from attrs import Factory, define
 
+from catkinslip.admission.standing import USUAL, Standing
 from catkinslip.clock import Clock
 from catkinslip.crashes.guard import CrashGuard
 from catkinslip.crashes.hidden_crashes import server_name
@@ -69,6 +70,8 @@
     guard: CrashGuard
     #: Servers in regions in which the call must not run.
     excluded_by_region: frozenset[str] = frozenset()
+    #: What the sharing of scarce capacity requires of the call.
+    standing: Standing = USUAL
     launches: list[Launch] = Factory(list)
     #: Attempt whose answer is passed on to the caller.
     passed_on: Launch | None = None
@@ -81,7 +84,7 @@
         try:
             remaining = max(0.0, self.call.deadline - self.clock.monotonic())
             with trio.move_on_after(remaining) as self.scope:
-                return await self._run_attempts()
+                return self.wait.with_retry_after(await self._run_attempts())
             return self._expire()
         finally:
             for launch in self.launches:
@@ -218,6 +221,7 @@
             self.clock,
             self.random,
             self.began,
+            self.standing,
         )
 
     async def _race(self, first: Launch, delay: float) -> Launch:
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -6,16 +6,18 @@
 from random import Random
 
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from catkinslip.admission.restricted import restricted_retry_after
+from catkinslip.admission.retries import refused_retry_after
+from catkinslip.admission.standing import USUAL, Standing
 from catkinslip.admission.waiting import Decision, WaitingCall
 from catkinslip.clock import Clock
 from catkinslip.health.base import Sampler
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.calls import Call
-from catkinslip.proxy.outcomes import NotRun, Reason
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
 from catkinslip.routing.base import Choice
 from catkinslip.routing.gates import RestrictionReason
 from catkinslip.routing.router import ServiceRouter
@@ -46,7 +48,10 @@
     clock: Clock
     random: Random
     began: float
+    standing: Standing = USUAL
     waiting: WaitingCall = field(init=False)
+    #: Whether the first decision was counted.
+    is_counted: bool = False
 
     def __attrs_post_init__(self) -> None:
         call = self.call
@@ -59,6 +64,7 @@
             target=call.target_latency,
             priority=call.priority,
             spent=call.spent,
+            standing=self.standing,
         )
 
     async def choose(self, tried: Collection[str]) -> Choice | NotRun | None:
@@ -79,13 +85,44 @@
             now = self.clock.monotonic()
             work = self.expect(1.0)
             is_known = not self.router.is_silent(choice.backend_id)
-            match self.waiting.decide(choice.delay, work, now, is_known=is_known):
+            decision = self.waiting.decide(choice.delay, work, now, is_known=is_known)
+            self._count(decision, now)
+            match decision:
                 case Decision.SEND:
                     return choice
                 case Decision.REFUSE:
                     return self._find_slow(tried, now) or self._refuse(choice, now)
             await trio.sleep(self.waiting.recheck_seconds(now))
 
+    def _count(self, decision: Decision, now: float) -> None:
+        if not self.is_counted:
+            self.is_counted = True
+            has_room = decision is Decision.SEND
+            self.limits.fairness.scarcity.record(has_room, now)
+
+    def with_retry_after(self, outcome: Outcome) -> Outcome:
+        """Add a time to return to the outcome of a call that servers refused."""
+        if not self.limits.settings.admission.ranks_retries:
+            return outcome
+        if self.call.target_deadline == inf or not isinstance(outcome, NotRun):
+            return outcome
+        if outcome.reason is not Reason.SHED or outcome.retry_after is not None:
+            return outcome
+        now = self.clock.monotonic()
+        retry_after = refused_retry_after(self.waiting, self.random, now)
+        log.info(
+            'limits: %s %s was refused by servers, no retry is left. priority=%d '
+            'spent_ms=%.0f back_ms=%.0f workspace=%s %s.',
+            self.call.request_id,
+            self.call.service,
+            self.call.priority,
+            self.call.spent * 1e3,
+            retry_after * 1e3,
+            self.call.workspace,
+            self.standing.describe(now),
+        )
+        return evolve(outcome, retry_after=retry_after)
+
     def _excluded(self, tried: Collection[str]) -> Collection[str]:
         """Return the servers that must not get the call.
 
@@ -137,7 +174,8 @@
         expected = self.expect(choice.delay)
         refusal = self.waiting.refuse(expected, now, self.random)
         log.info(
-            'limits: %s %s is refused, %s, spent_ms=%.0f back_ms=%.0f, at %s, %s.',
+            'limits: %s %s is refused, %s, spent_ms=%.0f back_ms=%.0f, at %s, %s, '
+            'priority=%d workspace=%s %s.',
             self.call.request_id,
             self.call.service,
             refusal.detail,
@@ -145,5 +183,8 @@
             refusal.retry_after * 1e3,
             choice.backend_id,
             choice.reason,
+            self.call.priority,
+            self.call.workspace,
+            self.standing.describe(now),
         )
         return refusal
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -39,6 +39,7 @@
 from catkinslip.metrics.base import MetricSource
 from catkinslip.metrics.crashes import CrashMetrics
 from catkinslip.metrics.discovery import DiscoveryMetrics
+from catkinslip.metrics.fairness import FairnessMetrics
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
 from catkinslip.metrics.requests import RequestMetrics
@@ -349,6 +350,7 @@
         rate_gossip=rate_gossip,
         sources=(
             requests,
+            FairnessMetrics(limits),
             config_metrics,
             lag,
             LogMetrics(dependencies.log_buffer),
