--- a/catkinslip/admission/repeats.py
+++ b/catkinslip/admission/repeats.py
@@ -22,8 +22,8 @@
     """The calls of one address; times are monotonic seconds."""
 
     open_calls: int = 0
-    #: Time until which a refused caller was told to wait.
-    told_until: float = 0.0
+    #: Time before which a refused caller must not return.
+    refused_until: float = 0.0
     #: Time until which the address counts as shared by several callers.
     shared_until: float = 0.0
 
@@ -47,7 +47,7 @@
             known.shared_until = now + SHARED_SECONDS
         if now < known.shared_until:
             return False
-        return now < known.told_until - TOLERANCE_SECONDS
+        return now < known.refused_until - TOLERANCE_SECONDS
 
     def end(self, address: str, now: float, retry_after: float | None) -> None:
         """Count a call that ended, refused with a time to return if there is one."""
@@ -56,4 +56,4 @@
             return
         known.open_calls = max(0, known.open_calls - 1)
         if retry_after is not None:
-            known.told_until = max(known.told_until, now + retry_after)
+            known.refused_until = max(known.refused_until, now + retry_after)
