--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -9,6 +9,7 @@
 import trio
 from attrs import Factory, define
 
+from catkinslip.admission.standing import USUAL, Standing
 from catkinslip.clock import Clock
 from catkinslip.crashes.guard import CrashGuard
 from catkinslip.crashes.hidden_crashes import server_name
@@ -71,6 +72,8 @@
     permits: CallPermits
     #: Servers in regions in which the call must not run.
     excluded_by_region: frozenset[str] = frozenset()
+    #: What the sharing of scarce capacity requires of the call.
+    standing: Standing = USUAL
     launches: list[Launch] = Factory(list)
     #: Attempt whose answer is passed on to the caller.
     passed_on: Launch | None = None
@@ -83,7 +86,7 @@
         try:
             remaining = max(0.0, self.call.deadline - self.clock.monotonic())
             with trio.move_on_after(remaining) as self.scope:
-                return await self._run_attempts()
+                return self.wait.with_retry_after(await self._run_attempts())
             return self._expire()
         finally:
             # Counted first: the abandoning may be cancelled.
@@ -229,6 +232,7 @@
             self.clock,
             self.random,
             self.began,
+            self.standing,
         )
 
     async def _race(self, first: Launch, delay: float) -> Launch:
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -39,6 +39,7 @@
 from catkinslip.metrics.base import MetricSource
 from catkinslip.metrics.crashes import CrashMetrics
 from catkinslip.metrics.discovery import DiscoveryMetrics
+from catkinslip.metrics.fairness import FairnessMetrics
 from catkinslip.metrics.health import HealthMetrics
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
 from catkinslip.metrics.pipelining import PipelineMetrics
@@ -390,6 +391,7 @@
         sources=(
             requests,
             workspaces,
+            FairnessMetrics(limits),
             config_metrics,
             lag,
             LogMetrics(dependencies.log_buffer),
