Bound the replayed restart by the range over eight seeds

Cause: the test bounds the calls of a restart of 202 instances by 450, a guess from one seed (412); a run of eight seeds gave 367 to 575, so that a harmless change of the order of random numbers would fail it. Change: the bound is 660; the one for refused seeds stays 300 a zone.

--- a/tests/test_discovery_first_list.py
+++ b/tests/test_discovery_first_list.py
@@ -26,8 +26,10 @@
 from tests.discovery_builders import instance_entry
 
 WEAK_CORES = 0.3
-#: Bound of the calls for each zone within 5 s of a restart of all instances.
-RESTART_CALLS_PER_ZONE = 150
+#: Bound of the calls for each zone within 5 s of a restart of all instances. Replays of
+#: 202 instances made 367 to 575 calls with eight seeds of the random numbers, as those
+#: that start well before the first seed read the store.
+RESTART_CALLS_PER_ZONE = 220
 #: Start of the last process, its wait for seeds, one request to them, and its reads.
 NO_SEED_SECONDS = STAGGER_SECONDS + SEED_WAIT_SECONDS + SPREAD_SECONDS + 0.3
 FEW_SIZES = (SIZES[0], SIZES[2])
@@ -130,7 +132,7 @@
         for count, zones in FEW_SIZES:
             outcome = replay(PLAYS['restart, seeds refused'], count, zones)
             self.assertLess(outcome.home_seconds, 2.5, count)
-            self.assertLess(outcome.calls, 2 * RESTART_CALLS_PER_ZONE * zones, count)
+            self.assertLess(outcome.calls, 300 * zones, count)
 
     def test_restart_without_seeds(self):
         for count, zones in FEW_SIZES:
