Use shares at once after a first list from a peer, and pools that start

Cause: after a restart of all instances most get their first list from a seed, which did not tell whether they had been listed, so they waited two seconds before they used their shares; and peers that were polled while they started were no pools until the next poll, up to two seconds later in other zones.

--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -1,7 +1,6 @@
 """The table of known instances: their health, and which of them callers may use."""
 
 from collections.abc import Callable, Collection, Iterable, Mapping
-from math import inf
 
 import trio
 import xxhash
@@ -49,6 +48,8 @@
     peer_by_id: dict[str, Peer] = Factory(dict)
     #: Revision of the store at which the applied list was read.
     list_revision: int = 0
+    #: Whether the first applied list, from the store or a peer, held this instance.
+    was_listed: bool = False
     #: Function that returns whether the last call of this instance to the store
     #: succeeded.
     is_reading: Callable[[], bool] = never
@@ -77,6 +78,10 @@
     def apply_list(self, entries: Iterable[InstanceEntry], revision: int) -> None:
         """Apply the list of instances, as it was at a revision of the store."""
         known = list(entries)
+        if not self.list_revision:
+            self.was_listed = any(
+                entry.instance_id == self.own.instance_id for entry in known
+            )
         for entry in known:
             self.add_instance(entry)
         if revision >= self.list_revision:
@@ -420,16 +425,23 @@
         peer_ids = frozenset(each.instance_id for each in home if each is not self.own)
         return FleetView(
             1 / len(home) if has_share else 0.0,
-            self.sender_lease.listed_since < inf,
+            self.was_listed,
             tuple(each.instance_id for each in home if self._may_be_pool(each)),
             peer_ids if has_list else None,
         )
 
     def _may_be_pool(self, entry: InstanceEntry) -> bool:
+        """Return whether an instance may be a pool of permits.
+
+        One that is not ready starts or leaves. Where this one starts too, probably all
+        do, and the polls show only seconds later that the others are ready.
+        """
         if entry is self.own:
-            return self.is_own_ready
+            return self.is_own_ready or self.is_starting
         health = self.peer_by_id[entry.instance_id].health
-        return health in (PeerHealth.READY, PeerHealth.UNKNOWN)
+        if health is PeerHealth.NOT_READY:
+            return self.is_starting
+        return health is not PeerHealth.SILENT
 
     def usable(
         self, zone: str, region: str = '', bound_regions: Collection[str] = ()
