--- a/tests/test_discovery_quota_view.py
+++ b/tests/test_discovery_quota_view.py
@@ -1,8 +1,8 @@
 """What the list of instances tells the quotas of workspaces, also at a restart of all.
 
-After a restart of all instances, shares were not used for two seconds by instances that
-got their first list from a peer, and instances that were not ready yet were no pools, so
-that most requests of workspaces were refused.
+After a restart of all instances, those that got their first list from a peer did not use
+their shares for two seconds, and those that were not ready yet were no pools, so that
+most requests of workspaces were refused.
 """
 
 import unittest
