--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -161,7 +161,13 @@
                 self.outage.reset()
                 await self._wait_until_reader()
                 continue
-            is_delayed = not self.is_reachable and self.outage.pace().is_delayed
+            # A single read for values that peers cannot send is not delayed: the first
+            # failure makes peers send them whole.
+            is_delayed = (
+                not self.is_reachable
+                and not self.reads_once
+                and self.outage.pace().is_delayed
+            )
             if self.has_failed or is_delayed:
                 await self.outage.wait(self.random)
                 if not self.reads_store() and not self.reads_once:
--- a/tests/test_discovery_follower.py
+++ b/tests/test_discovery_follower.py
@@ -196,6 +196,28 @@
         self.assertLess(calls, 25)
         self.assertLess(delay, SLOW_SECONDS + 0.1)
 
+    def test_single_read_on_request_is_not_delayed(self):
+        """Guards against rules that are too large for a peer and come late.
+
+        Peers send them whole only after the store refused the instance.
+        """
+        source = ScriptedSource([OUTAGE])
+        follower = Follower(
+            'rules',
+            source,
+            Random(1),
+            reads_store=lambda: False,
+            outage=Outage(lambda: SLOW_PACE),
+        )
+        follower.read_once()
+
+        async def run():
+            with trio.move_on_after(0.1):
+                await follower.run()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertTrue(follower.is_lost)
+
     def test_instance_that_is_no_reader_after_its_delay_does_not_call(self):
         """Guards against calls of each waiting instance when the store returns."""
         source = ScriptedSource([OUTAGE, listing(5, ONE)])
