Keep servers of evacuated zones out of the sample, and use subsets once the fleet is known

A new server joined the sample although its zone was closed, and the next calls chose it first. The test fails without the change. A fleet whose list was not read yet counted as large, so a small one used subsets at its start.

--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -119,7 +119,8 @@
             load.slots = backend.slots or service.slots
             load.draining = backend.draining
             self._apply_cold_entry(load, backend, now, is_new=is_new)
-            if is_new and self.subset.applies:
+            is_open = backend.zone not in self.closed_zones
+            if is_new and is_open and self.subset.applies:
                 self.sample.add(load)
         self._list_loads()
 
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -3,7 +3,6 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
-from math import inf
 from random import Random
 
 from attrs import define, evolve, frozen
@@ -422,9 +421,8 @@
         zones = sorted(settings.region_by_zone)
         return divide_rate(per_second, load.backend_id, load.zone, zones)
 
-    def count_instances() -> float:
-        # Before the list was read, most instances of a fleet are unknown.
-        return len(instances.peer_by_id) + 1 if instances.is_list_attempted else inf
+    def count_instances() -> int:
+        return len(instances.peer_by_id) + 1
 
     return Directory(
         make_subset=lambda service: Subset(
--- a/tests/test_routing_subset.py
+++ b/tests/test_routing_subset.py
@@ -201,6 +201,14 @@
             with self.subTest(number):
                 self.assertIn(added, send(router, 40, NOW + 0.1))
 
+    def test_server_of_an_evacuated_zone_is_not_selected(self):
+        # It joined the sample, from which closed zones are not filtered.
+        router = subset_router(1)
+        router.close_zones(frozenset({router.subset.zone}), NOW)
+        send(router, 20, NOW)
+        router.change(SERVICE, {'limits-220': backend(220)}, NOW)
+        self.assertNotIn('limits-220', send(router, 40, NOW + 0.1))
+
     def test_fleet_gives_it_its_share_in_four_seconds(self):
         # Six of 30 instances have nearly all the load, as with home sets.
         added = 'limits-220'
