Start no reading task once the server of callers ends

A connection that was answered as the server ended started a task in a closed nursery and then waited for it for ever. The test fails without the change.

--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -84,7 +84,12 @@
         async with trio.open_nursery() as nursery:
             if self.pipelines.limits.is_enabled:
                 self.pipelines.nursery = nursery
-            await self.watch.run()
+            try:
+                await self.watch.run()
+            finally:
+                # A connection that is served until the end must not start a task in a
+                # nursery that is closed.
+                self.pipelines.nursery = None
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until either side closes it."""
--- a/tests/test_discovery_quota_view.py
+++ b/tests/test_discovery_quota_view.py
@@ -1,8 +1,8 @@
-"""What the list of instances tells the quotas of workspaces, also at a restart of all.
+"""What the list of instances tells the quotas, also at a restart of all.
 
-After a restart of all instances, those that got their first list from a peer did not use
-their shares for two seconds, and those that were not ready yet were no pools, so that
-most requests of workspaces were refused.
+Most requests of workspaces were refused after a restart of all instances. Those that
+got their first list from a peer did not use their shares for two seconds, and those
+that were not ready yet were no pools.
 """
 
 import unittest
--- a/tests/test_proxy_pipelining.py
+++ b/tests/test_proxy_pipelining.py
@@ -475,6 +475,20 @@
             await caller.stream.aclose()
             await proxy.server.drain.wait_until_closed()
 
+    @run
+    async def test_connection_that_outlives_the_reading_tasks_ends(self):
+        # A task started in a closed nursery left the connection waiting for its end.
+        async with running_proxy() as proxy:
+            caller = await proxy.connect()
+            await caller.send(post('/1') + get('/2') + get('/3'))
+            await proxy.forwarder.wait_for_start('/1')
+            proxy.server.pipelines.nursery.cancel_scope.cancel()
+            while proxy.server.pipelines.nursery is not None:
+                await trio.sleep(0.01)
+            proxy.forwarder.release('/1', '/2', '/3')
+            answers = [await caller.read() for _ in range(3)]
+            self.assertEqual([body for _, _, body in answers], [b'/1', b'/2', b'/3'])
+
     @run
     async def test_requests_left_unread_do_not_reset_the_last_answer(self):
         # Guards against a close with bytes unread, whose reset takes away answers.
