--- a/catkinslip/admission/repeats.py
+++ b/catkinslip/admission/repeats.py
@@ -2,9 +2,9 @@
 
 Load: 0.3 of the callers send again at once, three times as often as others, while the
 servers have no room or refuse half of their requests. A caller whose address sends
-again before the time of its last refusal is recognised, as long as the address has one
-call at a time: addresses with several calls at once belong to several callers, whose
-fresh calls must not count as repeated ones.
+again before the time of its last refusal for want of room is recognised, as long as the
+address has one call at a time. Addresses with several calls at once belong to several
+callers, whose fresh calls must not count as repeated ones.
 """
 
 from attrs import Factory, define
@@ -40,7 +40,7 @@
             return False
         known = self.by_address.pop(address, None) or Address()
         if len(self.by_address) >= MAX_ADDRESSES:
-            del self.by_address[next(iter(self.by_address))]
+            del self.by_address[self._evicted()]
         self.by_address[address] = known
         known.open_calls += 1
         if known.open_calls > 1:
@@ -55,5 +55,12 @@
         if known is None:
             return
         known.open_calls = max(0, known.open_calls - 1)
-        if retry_after is not None:
+        if retry_after is None:
+            known.refused_until = 0.0
+        else:
             known.refused_until = max(known.refused_until, now + retry_after)
+
+    def _evicted(self) -> str:
+        """Return the address seen longest ago, one without open calls if any."""
+        idle = (name for name, each in self.by_address.items() if not each.open_calls)
+        return next(idle, next(iter(self.by_address)))
--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Sequence
 from enum import Enum, auto, unique
+from math import inf
 from random import Random
 
 from attrs import define, frozen
@@ -134,7 +135,7 @@
         """
         if self.spent and now + work > self.best_until:
             self.is_late = True
-        if self.standing.is_repeated:
+        if self.standing.is_repeated and self.target < inf:
             self.is_late = True
 
     def _is_in_time(self, seconds: float, now: float) -> bool:
--- a/catkinslip/limits/plan.py
+++ b/catkinslip/limits/plan.py
@@ -46,7 +46,8 @@
         if not self.sent:
             return True
         share = self.urgency.reserved_share(self.sent - 1)
-        return self.budget.has_token(share * self.budget.reserve)
+        # A full budget has a token for each call, however small the reserve is.
+        return self.budget.has_token(share * max(0.0, self.budget.reserve - 1))
 
     def start(self) -> int:
         """Count an attempt that starts now and return its number."""
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -9,7 +9,7 @@
 from catkinslip.admission.repeats import RepeatedCalls
 from catkinslip.admission.retries import Urgency
 from catkinslip.admission.spent import SpentTimes
-from catkinslip.admission.standing import Standing
+from catkinslip.admission.standing import USUAL, Standing
 from catkinslip.clock import Clock
 from catkinslip.crashes.guard import CrashGuard
 from catkinslip.health.base import NoSampler, Sampler
@@ -35,6 +35,18 @@
 #: Slow instances are ready 0.4 to 1.4 s after all instances start (logs of 22); a
 #: caller that retries after 0.05 s is most likely refused by the same instance again.
 NOT_READY_RETRY_SECONDS = 0.5
+#: Refusals for want of room, after which a caller that returns too early takes the room
+#: of others.
+CAPACITY_REASONS = frozenset(
+    {
+        Reason.SHED,
+        Reason.DEADLINE_UNMET,
+        Reason.OVERLOADED,
+        Reason.THROTTLED,
+        Reason.COLD,
+        Reason.RESTING,
+    }
+)
 
 
 @define
@@ -59,18 +71,28 @@
     quotas: QuotaGate = Factory(NoQuotas)
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
-        """Forward a call within its deadline and return its outcome."""
+        """Forward a call within its deadline and return its outcome.
+
+        Capacity is shared by the rules of `admission/fairness.py` among the calls of
+        workspaces; without workspaces all calls are admitted alike.
+        """
         self._record_spent(call)
-        is_repeated = self.repeats.arrive(call.peer, self.clock.monotonic())
+        outcome = await self._forward_recognised(call, caller)
+        if not isinstance(outcome, Answered):
+            self.spent.record_unanswered(self.clock.monotonic())
+        return outcome
+
+    async def _forward_recognised(self, call: Call, caller: Wire) -> Outcome:
+        """Forward a call and record whether its caller returned too early."""
+        name = f'{call.workspace} {call.peer}' if call.workspace else ''
+        is_repeated = self.repeats.arrive(name, self.clock.monotonic())
         retry_after = None
         try:
             outcome = await self._forward(call, caller, is_repeated)
-            if isinstance(outcome, NotRun):
+            if isinstance(outcome, NotRun) and outcome.reason in CAPACITY_REASONS:
                 retry_after = outcome.retry_after
         finally:
-            self.repeats.end(call.peer, self.clock.monotonic(), retry_after)
-        if not isinstance(outcome, Answered):
-            self.spent.record_unanswered(self.clock.monotonic())
+            self.repeats.end(name, self.clock.monotonic(), retry_after)
         return outcome
 
     def _record_spent(self, call: Call) -> None:
@@ -86,9 +108,11 @@
     def _assess(
         self, call: Call, limits: ServiceLimits, is_repeated: bool, now: float
     ) -> Standing:
+        if not call.workspace:
+            return USUAL
         work = limits.work.expect(call.route, 1.0, call.target_latency)
         kind = Kind(call.route, work, call.target_latency, call.priority)
-        usage = self.quotas.usage(call.workspace) if call.workspace else None
+        usage = self.quotas.usage(call.workspace)
         settings = limits.settings.admission
         return limits.fairness.assess(
             settings,
@@ -143,7 +167,8 @@
             Urgency(
                 call.priority,
                 is_late=call.spent > 0 or standing.is_repeated,
-                is_ranked=limits.settings.admission.ranks_retries,
+                is_ranked=bool(call.workspace)
+                and limits.settings.admission.ranks_retries,
             ),
         )
         runner = CallRunner(
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -102,7 +102,7 @@
 
     def with_retry_after(self, outcome: Outcome) -> Outcome:
         """Add a time to return to the outcome of a call that servers refused."""
-        if not self.limits.settings.admission.ranks_retries:
+        if not (self.call.workspace and self.limits.settings.admission.ranks_retries):
             return outcome
         if self.call.target_deadline == inf or not isinstance(outcome, NotRun):
             return outcome
--- a/tests/test_admission_retries.py
+++ b/tests/test_admission_retries.py
@@ -50,6 +50,15 @@
     def test_all_may_retry_while_the_budget_is_full(self):
         self.assertTrue(may_retry(RESERVE, sent=2, priority=9, is_late=True))
 
+    def test_all_may_retry_while_a_small_budget_is_full(self):
+        # An instance of a large fleet may save one token, and less urgent calls of the
+        # whole fleet had no retry then.
+        for reserve in (1.0, 1.3, 2.0):
+            budget = ExtraBudget(0.1, reserve, reserve)
+            urgency = Urgency(priority=9, is_late=True)
+            plan = CallPlan(True, True, 10.0, budget, urgency=urgency, sent=2)
+            self.assertTrue(plan.may_start(), reserve)
+
     def test_it_can_be_switched_off(self):
         self.assertTrue(may_retry(1.0, sent=2, priority=2, is_ranked=False))
 
@@ -73,6 +82,21 @@
         self.refuse('one', 1.0, 0.5)
         self.assertTrue(self.calls.arrive('one', 1.1))
 
+    def test_answer_in_between_ends_the_wait(self):
+        self.refuse('one', 1.0, 5.0)
+        self.calls.arrive('one', 1.1)
+        self.calls.end('one', 1.2, None)
+        self.assertFalse(self.calls.arrive('one', 1.3))
+
+    def test_address_with_open_calls_is_not_forgotten(self):
+        # Its next call would look like the only one of the address.
+        self.calls.arrive('shared', 1.0)
+        for number in range(MAX_ADDRESSES):
+            self.refuse(f'other-{number}', 1.0, 0.5)
+        self.calls.arrive('shared', 1.1)
+        self.calls.end('shared', 1.2, 5.0)
+        self.assertFalse(self.calls.arrive('shared', 1.3))
+
     def test_caller_that_returns_in_time_is_not(self):
         self.refuse('one', 1.0, 0.5)
         self.assertFalse(self.calls.arrive('one', 1.5))
