--- a/catkinslip/discovery/first_list.py
+++ b/catkinslip/discovery/first_list.py
@@ -16,9 +16,10 @@
 #: longest additional time, which spreads the reads of the store.
 SEED_WAIT_SECONDS = 0.2
 SPREAD_SECONDS = 0.4
-#: Least number of cores of an instance that reads the store at once where no seed
-#: answers: it starts sooner than weaker ones and is likely to be in the home set.
-IMPATIENT_CORES = 1.0
+#: Number of cores from which an instance reads its first list from the store itself. It
+#: starts sooner than weaker ones, callers are sent to it first, and large fleets have
+#: few such instances.
+DIRECT_READ_CORES = 0.5
 #: Time after an answer of a seed in which it counts as alive.
 SEED_ALIVE_SECONDS = 1.0
 #: Time for which a seed may be without a list before others try the store.
@@ -50,7 +51,6 @@
 
     random: Random
     started_at: float
-    cores: float
     #: When a seed that had no list last answered.
     answered_at: float = -inf
     #: When to try the store although a seed answers.
@@ -60,9 +60,8 @@
 
     def __attrs_post_init__(self) -> None:
         """Draw how long this instance waits for seeds that do not answer."""
-        if self.cores < IMPATIENT_CORES:
-            spread = self.random.uniform(0, SPREAD_SECONDS)
-            self._patience = SEED_WAIT_SECONDS + spread
+        spread = self.random.uniform(0, SPREAD_SECONDS)
+        self._patience = SEED_WAIT_SECONDS + spread
 
     def record_answer(self, now: float, waiting: int) -> None:
         """Record the answer of a seed without a list, for which `waiting` wait."""
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -17,6 +17,7 @@
 
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import Changes, InstanceEntry, Listing, Source
+from catkinslip.discovery.first_list import DIRECT_READ_CORES
 from catkinslip.discovery.instances import InstanceTable, PeerHealth
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
@@ -153,9 +154,7 @@
         """Get the first list of instances, then follow it."""
         delay = FIRST_LIST_SECONDS
         if self.seeds and not self.instances.is_seed:
-            read_list = partial(self._read_list, nursery)
-            apply = partial(self._apply_first_list, nursery)
-            await self._seed_lists().wait_first(read_list, apply)
+            await self._get_first_list(nursery)
         if self.instances.list_revision:
             # Polls show meanwhile whether others read the list.
             delay = POLLED_SECONDS
@@ -163,6 +162,19 @@
         nursery.start_soon(self._query_seeds)
         await self._follow_list(nursery, delay)
 
+    async def _get_first_list(self, nursery: trio.Nursery) -> None:
+        """Get the list from the store with many cores, else from a seed."""
+        read_list = partial(self._read_list, nursery)
+        if self.instances.own.cores < DIRECT_READ_CORES:
+            apply = partial(self._apply_first_list, nursery)
+            await self._seed_lists().wait_first(read_list, apply)
+            return
+        await read_list()
+        if not self.instances.is_list_attempted:
+            self.instances.record_list_attempt()
+        # The store may have refused the seeds.
+        nursery.start_soon(self._seed_lists().offer)
+
     def _seed_lists(self) -> SeedLists:
         return SeedLists(self.instances, self.client, self.random, self.seeds)
 
--- a/catkinslip/discovery/seed_lists.py
+++ b/catkinslip/discovery/seed_lists.py
@@ -44,7 +44,7 @@
 
         `read_list` reads it from the store, `apply` applies one from a seed.
         """
-        first = FirstList(self.random, trio.current_time(), self.instances.own.cores)
+        first = FirstList(self.random, trio.current_time())
         waiting = 0
         while not self.instances.list_revision:
             source = first.next_source(trio.current_time())
