--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -78,7 +78,8 @@
         """Start instances; all of the home sets have equal shares."""
         for name in names:
             share = 1 / len(homes) if name in homes else 0.0
-            node = TimedNode(self, name, FleetView(share, True, homes))
+            peer_ids = frozenset(homes) - {name}
+            node = TimedNode(self, name, FleetView(share, True, homes, peer_ids))
             self.node_by_name[name] = node
             node.start()
 
@@ -144,7 +145,7 @@
         BOUNDS,
         clock,
         Random(1),
-        lambda: FleetView(1.0, True, ('other',)),
+        lambda: FleetView(1.0, True, ('other',), frozenset()),
         lambda name: Address(name, 1),
         lambda data, addresses: None,
     )
--- a/catkinslip/admission/workspaces.py
+++ b/catkinslip/admission/workspaces.py
@@ -11,7 +11,6 @@
 """
 
 from math import inf
-from statistics import median_high, median_low
 
 from attrs import Factory, define, frozen
 
@@ -126,11 +125,13 @@
             for seen in self.seen_by_name.values()
             if seen.share is not None and now - seen.seen_at <= SEEN_SECONDS
         ]
-        shares = [seen.share for seen in lately]
+        shares = sorted(seen.share for seen in lately)
+        served = sorted(served_share(seen.usage) for seen in lately)
         self.reference = Reference(
-            median_low(shares),
-            max(shares),
-            median_high(served_share(seen.usage) for seen in lately),
+            # The lower middle of the shares in use, and the upper one of those served.
+            shares[(len(shares) - 1) // 2],
+            shares[-1],
+            served[len(served) // 2],
             now,
         )
 
--- a/catkinslip/health/sharing.py
+++ b/catkinslip/health/sharing.py
@@ -31,7 +31,14 @@
 MAX_REPORT_AGE_SECONDS = 0.05
 #: A request sent at least this long before a report is counted in the report.
 REQUEST_TRANSIT_SECONDS = 0.002
-READ_ERRORS = (orjson.JSONDecodeError, AttributeError, KeyError, TypeError, ValueError)
+READ_ERRORS = (
+    orjson.JSONDecodeError,
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 log = logging.getLogger('health')
 
--- a/catkinslip/platform/workspaces.py
+++ b/catkinslip/platform/workspaces.py
@@ -10,11 +10,13 @@
 from typing import Any
 
 from catkinslip.config.documents import Workspace
-from catkinslip.platform.fields import MAX_NUMBER, read_integer, read_number, rows_of
+from catkinslip.platform.fields import read_integer, read_number, rows_of
 
 #: A name goes into a header and into log lines.
 NAME_FORM = re.compile(r'[!-~]([ -~]{0,126}[!-~])?\Z')
 MAX_PRIORITY = 1000
+#: The largest limit in requests per second, and the largest burst.
+MAX_REQUESTS = 1_000_000
 MISTAKES = (AttributeError, IndexError, KeyError, TypeError, ValueError)
 
 
@@ -63,7 +65,7 @@
 
 def read_rate(index: int, row: Mapping[str, Any], column: str) -> float:
     """Return the number in a column; 0 if there is none."""
-    return read_column(index, column, read_number, row.get(column, 0), MAX_NUMBER)
+    return read_column(index, column, read_number, row.get(column, 0), MAX_REQUESTS)
 
 
 def read_column(index: int, column: str, read: Any, value: Any, maximum: float) -> Any:
@@ -71,7 +73,7 @@
     try:
         return read(value, 0, maximum)
     except MISTAKES:
-        wanted = 'a finite number of at least 0'
+        wanted = f'a number from 0 to {maximum}'
         if read is read_integer:
             wanted = f'a whole number from 0 to {maximum}'
         raise ValueError(f'tenants row {index}: {column} must be {wanted}') from None
--- a/catkinslip/proxy/call.py
+++ b/catkinslip/proxy/call.py
@@ -48,6 +48,9 @@
     priority: int = 0
     #: Name of the caller's workspace; empty without one.
     workspace: str = ''
+    #: When the permit of its workspace's quota expires, in seconds on the monotonic
+    #: clock; 0 without one.
+    permit_expires_at: float = 0.0
     #: Why the call is refused without being forwarded; None if it is not.
     refusal: NotRun | None = None
     #: Maximum number of backend servers that the request is sent to; None for the
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -107,10 +107,11 @@
     def _headers_to_forward(self, headers: list[Header]) -> list[Header]:
         """Return the caller's headers without those of keys and workspaces.
 
-        Without workspaces these headers are like any others. Once there were some, a
-        caller may still send a key although the configuration has no workspaces now.
+        Without workspaces, headers with common names are like any others. Once there
+        were some, a caller may still send a key although there are none now.
         """
-        if not self.keys.has_had_workspaces:
+        is_reserved = self.dialect.reserves_workspace_headers
+        if not is_reserved and not self.keys.has_had_workspaces:
             return headers
         return self.dialect.without_workspace_headers(headers)
 
--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -45,6 +45,8 @@
     key_header: ClassVar[bytes]
     #: Header in which servers receive the workspace; only this instance sets it.
     workspace_header: ClassVar[bytes]
+    #: Whether these headers belong to this product, also without workspaces.
+    reserves_workspace_headers: ClassVar[bool] = False
     #: Header in which another instance passes the workspace on; None if none does.
     passed_header: ClassVar[bytes | None] = None
 
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -138,7 +138,7 @@
         refusal = await self.quotas.acquire(call)
         if refusal is not None:
             return refusal
-        permits = CallPermits(self.quotas, call.workspace)
+        permits = CallPermits(self.quotas, call.workspace, call.permit_expires_at)
         try:
             return await self._run(call, caller, router, permits, is_repeated)
         finally:
--- a/catkinslip/proxy/native_dialect.py
+++ b/catkinslip/proxy/native_dialect.py
@@ -23,6 +23,7 @@
 
     key_header = names.API_KEY
     workspace_header = names.WORKSPACE
+    reserves_workspace_headers = True
     passed_header = names.PASSED_WORKSPACE
 
     def read_parameters(
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -160,6 +160,9 @@
 
     def _may_send(self, launch: Launch) -> bool:
         """Return whether the first byte may be sent on the open connection now."""
+        if not launch.is_open:
+            # Its caller left as the connection opened, and its permits are back.
+            return False
         load, now = launch.load, self.clock.monotonic()
         if not self.router.may_send(load, launch.permits, now):
             return False
--- a/catkinslip/quotas/base.py
+++ b/catkinslip/quotas/base.py
@@ -31,8 +31,11 @@
         """Take a permit for a hedge or a further attempt; never wait for one."""
 
     @abstractmethod
-    def release(self, workspace: str) -> None:
-        """Give back the permit of a call that did not run."""
+    def release(self, workspace: str, expires_at: float) -> None:
+        """Give back the permit of a call that did not run, until its expiry.
+
+        The time is `Call.permit_expires_at`, in seconds on the monotonic clock.
+        """
 
     @abstractmethod
     def usage(self, workspace: str) -> WorkspaceUsage | None:
@@ -50,7 +53,7 @@
         """Return True: every attempt passes."""
         return True
 
-    def release(self, workspace: str) -> None:
+    def release(self, workspace: str, expires_at: float) -> None:
         """Do nothing: there are no permits."""
 
     def usage(self, workspace: str) -> WorkspaceUsage | None:
--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -137,7 +137,10 @@
         began = self.clock.monotonic()
         decision = self.decide(call.workspace, trio.Event)
         if not isinstance(decision, Waiter):
-            return decision
+            if isinstance(decision, NotRun):
+                return decision
+            call.permit_expires_at = decision
+            return None
         if not decision.is_done:
             remaining = max(0.0, call.deadline - began)
             try:
@@ -146,24 +149,30 @@
             except trio.Cancelled:
                 self.cancel_wait(decision)
                 raise
+        call.permit_expires_at = decision.expires_at
         return self.end_wait(call.workspace, decision)
 
     def decide(
         self, workspace: str, make_event: Callable[[], Decided]
-    ) -> NotRun | Waiter | None:
-        """Let a call pass, refuse it, or let it wait for a pool's answer."""
+    ) -> NotRun | Waiter | float:
+        """Let a call pass, refuse it, or let it wait for a pool's answer.
+
+        A call that passes gets the time until which its permit can be given back, 0
+        without a limit.
+        """
         stock = self.holder.stock_by_name.get(workspace)
         if stock is None:
-            return None
+            return 0.0
         now = self.clock.monotonic()
         stock.count_request(now)
         if stock.limit is None:
-            return None
-        if not stock.waiters and stock.take(now):
+            return 0.0
+        expires_at = None if stock.waiters else stock.take(now)
+        if expires_at is not None:
             self.counts.granted[workspace] += 1
             if self.holder.mark_due(stock, now):
                 self.has_due.set()
-            return None
+            return expires_at
         if now < stock.refused_until:
             return self._refuse(workspace, stock, stock.refused_until - now)
         waiter = self.holder.add_waiter(stock, make_event(), now)
@@ -176,7 +185,8 @@
     def cancel_wait(self, waiter: Waiter) -> None:
         """End the wait of a call that was cancelled; its permit stays in stock."""
         if waiter.is_granted:
-            waiter.stock.give_back(self.clock.monotonic())
+            now = self.clock.monotonic()
+            waiter.stock.give_back(waiter.expires_at, now)
         waiter.is_done = True
 
     def end_wait(self, workspace: str, waiter: Waiter) -> NotRun | None:
@@ -202,7 +212,7 @@
         if stock is None or stock.limit is None:
             return True
         now = self.clock.monotonic()
-        has_permit = stock.take(now) or self._take_own(stock, now)
+        has_permit = stock.take(now) is not None or self._take_own(stock, now)
         if has_permit:
             self.counts.granted[workspace] += 1
         else:
@@ -213,19 +223,16 @@
         """Take a permit from the own pool, if this instance is the workspace's pool."""
         if self.pool_by_slot.get(slot_of(stock.key)) != self.own_id:
             return False
-        if self.pool.take(stock.key, 1, now).permits < 1:
-            return False
-        stock.record_use(now)
-        return True
+        return self.pool.take(stock.key, 1, now).permits >= 1
 
-    def release(self, workspace: str) -> None:
+    def release(self, workspace: str, expires_at: float) -> None:
         """Give back the permit of a call that did not run."""
         stock = self.holder.stock_by_name.get(workspace)
         if stock is None:
             return
         stock.refused += 1
         if stock.limit is not None:
-            stock.give_back(self.clock.monotonic())
+            stock.give_back(expires_at, self.clock.monotonic())
             self.counts.returned += 1
 
     def usage(self, workspace: str) -> WorkspaceUsage | None:
@@ -298,8 +305,10 @@
         """Choose the pools, and renew the leases to them."""
         now = self.clock.monotonic()
         view = self.read_view()
-        share = self.share.update(view.share, now, was_listed=view.was_listed)
-        self.generator.peer_ids = view.peer_ids
+        share = self.share.in_use
+        if view.peer_ids is not None:
+            share = self.share.update(view.share, now, was_listed=view.was_listed)
+            self.generator.record_peers(view.peer_ids)
         self._check_pools(now)
         self._choose_pools(view.pool_ids, share)
         self._renew_leases(now)
@@ -395,7 +404,13 @@
         }
 
     def receive_lease(self, message: dict) -> None:
-        """Apply a generator's lease and confirm it."""
+        """Apply a generator's lease and confirm it, unless quotas are turned off here.
+
+        A pool that knows no limits would refuse everything; one that does not answer is
+        avoided.
+        """
+        if self.bounds is None:
+            return
         lease = messages.lease_from_plain(message)
         self.counts.received += 1
         now = self.clock.monotonic()
@@ -414,7 +429,9 @@
             self._renew_leases(now)
 
     def receive_ask(self, message: dict) -> None:
-        """Grant permits to a holder."""
+        """Grant permits to a holder, unless quotas are turned off here."""
+        if self.bounds is None:
+            return
         ask = messages.ask_from_plain(message)
         self.counts.received += 1
         answer = self.pool.answer(ask, self.clock.monotonic())
--- a/catkinslip/quotas/holders.py
+++ b/catkinslip/quotas/holders.py
@@ -30,8 +30,6 @@
 PREFETCH_BELOW_SECONDS = 0.06
 #: Seconds over which the demand is averaged.
 DEMAND_SECONDS = 0.5
-#: Seconds for which the use of a permit is remembered, so that it can be given back.
-RETURN_SECONDS = 2.0
 #: Seconds since the last request during which the use of a workspace is requested.
 ACTIVE_SECONDS = 3.0
 #: Age from which the use by a pool's last answer is no longer reported.
@@ -54,6 +52,8 @@
     began: float
     is_granted: bool = False
     is_done: bool = False
+    #: When the permit expires, if it is granted.
+    expires_at: float = 0.0
 
     def end(self, *, is_granted: bool) -> None:
         """Set the result and wake the call."""
@@ -83,57 +83,40 @@
     unlogged: int = 0
     usage: AnswerEntry | None = None
     usage_at: float = 0.0
-    #: Permits used in the current period of RETURN_SECONDS and in the one before.
-    used: int = 0
-    used_before: int = 0
-    period: int = 0
 
-    def take(self, now: float) -> bool:
-        """Use a permit in stock; return whether there was one."""
+    def take(self, now: float) -> float | None:
+        """Use a permit in stock; return when it expires, None if there was none."""
         while self.permits and self.permits[0][0] <= now:
             self.permits.popleft()
         if not self.permits:
-            return False
+            return None
+        expires_at = self.permits[0][0]
         self.permits[0][1] -= 1
         if self.permits[0][1] < 1:
             self.permits.popleft()
-        self.record_use(now)
-        return True
+        return expires_at
 
     def add(self, count: int, expires_at: float) -> None:
         """Add permits that expire at a time."""
-        if count > 0:
+        if count <= 0:
+            return
+        if self.permits and expires_at < self.permits[0][0]:
+            self.permits.appendleft([expires_at, count])
+        else:
             self.permits.append([expires_at, count])
 
     def in_stock(self, now: float) -> int:
         """Return the number of permits that have not expired."""
         return int(sum(count for expires_at, count in self.permits if expires_at > now))
 
-    def record_use(self, now: float) -> None:
-        """Count a permit that a call got."""
-        self._begin_period(now)
-        self.used += 1
+    def give_back(self, expires_at: float, now: float) -> None:
+        """Put a used permit back until its expiry.
 
-    def give_back(self, now: float) -> None:
-        """Put a used permit back, unless all that were used recently are back.
-
-        Permits of calls from before a long freeze must not add to those in stock.
+        With a new expiry for each return, permits would add up while servers run
+        nothing, and all of them would be spent in one window afterwards.
         """
-        self._begin_period(now)
-        if self.used:
-            self.used -= 1
-        elif self.used_before:
-            self.used_before -= 1
-        else:
-            return
-        self.add(1, now + PERMIT_SECONDS)
-
-    def _begin_period(self, now: float) -> None:
-        period = int(now / RETURN_SECONDS)
-        if period != self.period:
-            is_next = period == self.period + 1
-            self.used_before = self.used if is_next else 0
-            self.used, self.period = 0, period
+        if expires_at > now:
+            self.add(1, expires_at)
 
     def count_request(self, now: float) -> None:
         """Count a request of the workspace."""
@@ -335,8 +318,7 @@
         for waiter in waiters:
             if waiter.is_done:
                 continue
-            if permits > 0:
-                stock.record_use(now)
+            waiter.expires_at = sent_at + PERMIT_SECONDS
             waiter.end(is_granted=permits > 0)
             permits -= 1
         stock.add(permits, sent_at + PERMIT_SECONDS)
--- a/catkinslip/quotas/leases.py
+++ b/catkinslip/quotas/leases.py
@@ -99,9 +99,9 @@
     holding_by_slot: dict[int, SlotHolding] = Factory(dict)
     #: Time at which a start level was last given, by slot.
     started_at: dict[int, float] = Factory(dict)
-    #: The other home instances, any of which may hold a lease of an earlier start; None
-    #: while they are not known.
-    peer_ids: frozenset[str] | None = None
+    #: The other home instances of all lists since the start. Any of them may hold a
+    #: lease of an earlier start.
+    peer_ids: frozenset[str] = frozenset()
     #: Whether no lease of an earlier start runs any more.
     is_cleared: bool = False
 
@@ -114,7 +114,7 @@
         if not self._may_lease(now):
             # Their stamps are there when the first leases may begin.
             pools = {choose(slot) for slot in range(SLOTS)} - {None}
-            greeted = pools | (self.peer_ids or frozenset())
+            greeted = pools | self.peer_ids
             return {pool_id: self.greet(pool_id) for pool_id in sorted(greeted)}
         informed = {
             slot: holding.pool_id
@@ -126,6 +126,11 @@
             for pool_id in sorted(set(informed.values()))
         }
 
+    def record_peers(self, peer_ids: frozenset[str]) -> None:
+        """Record the other home instances of the current list."""
+        if not self.is_cleared:
+            self.peer_ids |= peer_ids
+
     def _may_lease(self, now: float) -> bool:
         """Return whether all leases of an earlier start have ended."""
         if not self.is_cleared:
@@ -134,7 +139,8 @@
         return self.is_cleared
 
     def _are_all_confirmed(self) -> bool:
-        if self.peer_ids is None:
+        if not self.peer_ids:
+            # The list may lack the others.
             return False
         links = map(self.link_by_id.get, self.peer_ids)
         return all(link is not None and link.confirmed > 0 for link in links)
--- a/catkinslip/quotas/permits.py
+++ b/catkinslip/quotas/permits.py
@@ -11,6 +11,8 @@
 
     gate: QuotaGate
     workspace: str
+    #: Expiry of the first permit, on the monotonic clock. Further ones expire later.
+    expires_at: float = 0.0
     held: int = 1
     #: Number of sends that may have run.
     ran: int = 0
@@ -32,4 +34,4 @@
             return
         self.is_settled = True
         for _ in range(self.held - self.ran):
-            self.gate.release(self.workspace)
+            self.gate.release(self.workspace, self.expires_at)
--- a/catkinslip/quotas/shares.py
+++ b/catkinslip/quotas/shares.py
@@ -35,6 +35,6 @@
         is_known = self._is_first and was_listed and listed > 0
         if listed < self.in_use or is_known or now - self._since >= SETTLE_SECONDS:
             self.in_use = listed
-        if listed > 0:
-            self._is_first = False
+        # An instance that enters a home set later is new to the others' lists.
+        self._is_first = False
         return self.in_use
--- a/catkinslip/workspaces/proofs.py
+++ b/catkinslip/workspaces/proofs.py
@@ -35,7 +35,9 @@
     if workspace is None or not 0 < len(proofs) <= MAX_PROOFS:
         return None
     parts = tuple(parts)
-    expected = [proof_under(key, name, parts) for key in workspace.api_keys]
+    # A wrong proof must not cost a hash under each of many keys.
+    keys = workspace.api_keys[: 2 * MAX_PROOFS]
+    expected = [proof_under(key, name, parts) for key in keys]
     is_right = any(
         compare_digest(proof.encode(), each.encode())
         for proof in proofs
--- a/tests/quota_builders.py
+++ b/tests/quota_builders.py
@@ -160,7 +160,9 @@
     def _request(self, workspace: str) -> None:
         decision = self.quotas.decide(workspace, lambda: Wake(self, workspace))
         if not isinstance(decision, Waiter):
-            self.fleet.record(workspace, decision)
+            is_refused = isinstance(decision, NotRun)
+            expires_at = 0.0 if is_refused else decision
+            self.fleet.record(workspace, decision if is_refused else None, expires_at)
             return
         decision.decided.begin(decision)
 
@@ -195,7 +197,7 @@
         if not self.is_over:
             self.is_over = True
             outcome = self.node.quotas.end_wait(self.workspace, self.waiter)
-            self.node.fleet.record(self.workspace, outcome)
+            self.node.fleet.record(self.workspace, outcome, self.waiter.expires_at)
 
 
 @define
@@ -268,7 +270,9 @@
 
         self.later(self.random.expovariate(per_second), send)
 
-    def record(self, workspace: str, refusal: NotRun | None) -> None:
+    def record(
+        self, workspace: str, refusal: NotRun | None, expires_at: float = 0.0
+    ) -> None:
         """Record the decision on a request."""
         if refusal is None:
             self.passed[workspace] += 1
--- a/tests/test_quotas_failures.py
+++ b/tests/test_quotas_failures.py
@@ -1,9 +1,11 @@
 """Failures, one at a time: the bound holds, and below it most requests pass."""
 
 import unittest
+from unittest import mock
 
 from attrs import evolve
 
+from catkinslip.proxy.outcomes import NotRun
 from catkinslip.quotas.slots import key_of, slot_of
 from tests.quota_builders import (
     BOUNDS,
@@ -202,6 +204,52 @@
         fleet.run(8)
         self.assert_bound(fleet)
 
+    def test_start_waits_for_home_instances_that_left_its_list(self):
+        # One of them may hold the lease of the earlier start.
+        fleet = busy_fleet(OVERLOAD)
+        other = next(each for each in HOMES if each != pool_of(fleet))
+        node = fleet.node_by_name[other]
+        fleet.cut = {(other, each) for each in HOMES} | {(e, other) for e in HOMES}
+        node.start()
+        fleet.run(0.3)
+        node.view = evolve(node.view, peer_ids=frozenset())
+        fleet.run(0.4)
+        self.assertFalse(node.quotas.generator.holding_by_slot)
+        fleet.run(8)
+        self.assert_bound(fleet)
+
+    def test_instance_with_quotas_turned_off_is_no_pool(self):
+        # It knew no limits, so it refused everything of the workspaces of its slots.
+        fleet = busy_fleet(0)
+        fleet.node_by_name[pool_of(fleet)].quotas.apply_bounds(None)
+        fleet.run(3)
+        fleet.forget()
+        on = [n for n in HOMES if fleet.node_by_name[n].quotas.bounds is not None]
+        fleet.load('a', BELOW, on, 10)
+        fleet.run(11)
+        self.assertGreaterEqual(fleet.share_passed('a'), 0.98)
+
+    def test_servers_that_run_nothing_leave_no_permits_over(self):
+        # Each permit that came back had a new expiry, so they added up, and all were
+        # used once servers ran requests again.
+        fleet = make_fleet(config_of(a=limited(RATE)), HOMES[:1], others=0)
+        node = fleet.node_by_name[HOMES[0]]
+        end = 14.0
+        record = Fleet.record
+
+        def record_refused(
+            fleet: Fleet, workspace: str, refusal: NotRun | None, expires_at: float
+        ):
+            if refusal is None and fleet.now < end:
+                fleet.later(0.28, lambda: node.quotas.release(workspace, expires_at))
+            else:
+                record(fleet, workspace, refusal)
+
+        fleet.load('a', OVERLOAD, [HOMES[0]], 20)
+        with mock.patch.object(Fleet, 'record', record_refused):
+            fleet.run(21)
+        self.assert_bound(fleet, BOUNDS.largest(RATE, 0))
+
     def test_restarts_again_and_again(self):
         # Each start must not get stock for nothing.
         fleet = busy_fleet(OVERLOAD)
--- a/tests/test_quotas_fleet.py
+++ b/tests/test_quotas_fleet.py
@@ -170,5 +170,5 @@
         self.assertIsNone(quotas.decide('', Exception))
         self.assertIsNone(quotas.usage(''))
         self.assertTrue(quotas.try_acquire(''))
-        quotas.release('')
+        quotas.release('', 1.0)
         self.assertEqual(quotas.counts.granted.total(), 0)
--- a/tests/test_quotas_parts.py
+++ b/tests/test_quotas_parts.py
@@ -20,7 +20,7 @@
 from catkinslip.quotas import messages
 from catkinslip.quotas.bounds import QuotaBounds
 from catkinslip.quotas.exchange import MAX_REFUSAL_LINES, FleetQuotas
-from catkinslip.quotas.holders import RETURN_SECONDS, Stock
+from catkinslip.quotas.holders import Stock
 from catkinslip.quotas.leases import Lease, LeaseConfirmation, Stamp
 from catkinslip.quotas.liveness import PoolHealth
 from catkinslip.quotas.messages import Answer, AnswerEntry, Ask, AskEntry
@@ -58,6 +58,12 @@
         later = 10.0 + SETTLE_SECONDS
         self.assertEqual(share.update(0.25, later, was_listed=True), 0.25)
 
+    def test_instance_that_enters_a_home_set_later_waits(self):
+        # The others count its share only when they have the new list.
+        share = GeneratorShare()
+        share.update(0.0, 10.0, was_listed=True)
+        self.assertEqual(share.update(0.25, 3600.0, was_listed=True), 0.0)
+
     def test_smaller_share_counts_at_once_and_larger_late(self):
         share = GeneratorShare()
         share.update(0.25, 10.0, was_listed=True)
@@ -151,17 +157,23 @@
 
     def test_permit_comes_back_once(self):
         self.stock.add(1, 100.3)
-        self.stock.take(100.0)
-        self.stock.give_back(100.1)
-        self.stock.give_back(100.1)
+        expires_at = self.stock.take(100.0)
+        self.stock.give_back(expires_at, 100.1)
         self.assertTrue(self.stock.take(100.2))
         self.assertFalse(self.stock.take(100.2))
 
-    def test_permits_from_before_a_freeze_do_not_come_back(self):
+    def test_permit_comes_back_until_its_first_expiry_only(self):
+        # With a new expiry at each return, permits added up while servers refused all
+        # calls, and 650 requests ran in a window in which 570 may.
+        self.stock.add(1, 100.3)
+        self.stock.give_back(self.stock.take(100.2), 100.25)
+        self.assertEqual(self.stock.in_stock(100.29), 1)
+        self.assertEqual(self.stock.in_stock(100.31), 0)
+
+    def test_expired_permit_does_not_come_back(self):
         self.stock.add(1, 100.3)
-        self.stock.take(100.0)
-        self.stock.give_back(100.0 + 3 * RETURN_SECONDS)
-        self.assertEqual(self.stock.in_stock(100.0 + 3 * RETURN_SECONDS), 0)
+        self.stock.give_back(self.stock.take(100.0), 100.31)
+        self.assertFalse(self.stock.permits)
 
 
 class MessageTest(unittest.TestCase):
@@ -315,7 +327,7 @@
                     nursery.start_soon(quotas.acquire, call_of('a'))
                     await trio.testing.wait_all_tasks_blocked()
                     scope.cancel()
-                    stock.record_use(trio.current_time())
+                    stock.waiters[0].expires_at = trio.current_time() + 0.3
                     stock.waiters[0].end(is_granted=True)
             self.assertEqual(stock.in_stock(trio.current_time()), 1)
 
@@ -461,7 +473,7 @@
         fleet = make_fleet(config_of(a=limited(0.01)), others=0)
         quotas = fleet.node_by_name[home_names()[0]].quotas
         quotas.apply_bounds(None)
-        self.assertIsNone(quotas.decide('a', trio.Event))
+        self.assertEqual(quotas.decide('a', trio.Event), 0.0)
         self.assertFalse(quotas.is_active.is_set())
         quotas.apply_bounds(BOUNDS)
         self.assertTrue(quotas.is_active.is_set())
@@ -487,7 +499,7 @@
     """Return the quotas of a lone instance."""
 
     def view() -> FleetView:
-        return FleetView(1.0, True, pool_ids)
+        return FleetView(1.0, True, pool_ids, frozenset())
 
     return FleetQuotas(
         'i-1',
--- a/tests/test_quotas_path.py
+++ b/tests/test_quotas_path.py
@@ -33,7 +33,7 @@
         self.refused_attempts += not is_taken
         return is_taken
 
-    def release(self, workspace: str) -> None:
+    def release(self, workspace: str, expires_at: float) -> None:
         self.returned.append(workspace)
 
     def usage(self, workspace: str) -> WorkspaceUsage | None:
