--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -30,10 +30,8 @@
 #: Servers probed at once before a choice.
 PROBED_AT_ONCE = 3
 #: Servers probed at once on new connections by an instance with little load. A new
-#: connection costs the server about 1 ms and the call a round trip. At a server without
-#: a probe, three requests in ten take four times as long, about 270 ms more for 90 ms
-#: of work, so the probe is worth it unless a server with an open connection is good.
-#: With two at once, 100 instances opened a quarter more connections for the same worth.
+#: connection delays the call by a round trip, which is less than a slow server would.
+#: More at once would open connections that no request uses.
 OPENED_AT_ONCE = 1
 #: Maximum rounds of probes before a choice.
 ROUNDS = 3
--- a/catkinslip/proxy/pipelining.py
+++ b/catkinslip/proxy/pipelining.py
@@ -21,9 +21,9 @@
 REQUEST_SHARE = 0.5
 #: Memory of an event and its headers besides the bytes of a body.
 EVENT_BYTES = 256
-#: Memory of a request in flight besides its bytes: measured are 6.5 kB without its
-#: attempts, and 12.3 kB with the second task of its connection (400 connections). It is
-#: counted for the instance: 4 MiB allow 256 pipelined requests at once.
+#: Memory of a request in flight besides its bytes, with the second task of its
+#: connection, rounded up (docs/design/pipelining.md). It is counted for the instance:
+#: 4 MiB allow 256 pipelined requests at once.
 REQUEST_BYTES = 16 << 10
 
 
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -35,9 +35,9 @@
 #: Seconds for which a report of a full server holds if the server gets hardly any
 #: requests: about as long as a request takes.
 FULL_SECONDS = 0.5
-#: Maximum age of the report with which a connected server is preferred to others. An
-#: instance with little load has few probes left for it, and its speed changes in 0.3 s:
-#: with older reports its callers got 0.90 of the worth of their requests, not 0.95.
+#: Maximum age of the report with which a connected server is preferred to others. The
+#: speed of a server may change within 0.3 s, and an instance with little load has few
+#: probes left to notice it.
 CONNECTED_REPORT_SECONDS = 0.03
 #: Factor on the usual delay up to which the best server of a subset is accepted.
 USUAL_DELAY_FACTOR = 1.1
--- a/catkinslip/routing/subset.py
+++ b/catkinslip/routing/subset.py
@@ -1,10 +1,10 @@
 """The subset of a service's servers that one instance uses, and when it grows.
 
-Load: 121 instances before 220 servers. The six instances of the home sets got most
-requests; each of the others got one or two a second. In ten seconds 8,992 connections
-to servers were opened for 6,300 requests, 7,285 of them for probes, because a selection
-without a good server in its sample examined all servers. The load of an instance jumps
+Load: many instances before many servers, where most instances get one or two requests
+a second. Without subsets, a selection without a good server in its sample examines all
+servers, and most connections are opened only for probes. The load of an instance jumps
 when others are lost or callers move, so a subset grows at once and shrinks slowly.
+docs/design/server-subsets.md has the figures.
 
 The servers are ordered by rendezvous hashing, those of the own zone first. The subset
 is the beginning of that order that holds enough usable servers. The order depends on
@@ -20,9 +20,8 @@
 from catkinslip.addresses.rendezvous import weight
 from catkinslip.routing.base import NEVER, BackendLoad
 
-#: Usable servers in the smallest subset. Services with fewer servers have no subset.
-#: With 16 of 220 servers, callers of instances with little load got 0.949 of the worth
-#: of their requests, with 32 they got 0.959 and without subsets 0.952 (four seeds).
+#: Usable servers in the smallest subset; services with fewer servers have no subset.
+#: docs/design/server-subsets.md compares sizes.
 LEAST_SERVERS = 32
 #: Instances below which there are no subsets: few instances open few connections.
 MIN_INSTANCES = 24
