Name kinds of calls by delay tolerance, and bound maps in one place

'Patience' already stands for callers' timeouts in this package. The kinds that were seen lately are kept as SeenKind instead of a tuple, and four modules share put_newest for maps in bounded memory.

--- a/benchmarks/overload_instances.py
+++ b/benchmarks/overload_instances.py
@@ -8,7 +8,7 @@
 from benchmarks.overload_callers import Request
 from benchmarks.overload_servers import Run, Server
 from catkinslip.admission.fairness import ServiceFairness
-from catkinslip.admission.patience import Kind
+from catkinslip.admission.kinds import Kind
 from catkinslip.admission.repeats import RepeatedCalls
 from catkinslip.admission.restricted import restricted_retry_after
 from catkinslip.admission.retries import Urgency, refused_retry_after
--- a/catkinslip/admission/fairness.py
+++ b/catkinslip/admission/fairness.py
@@ -10,7 +10,7 @@
 
 from attrs import Factory, define, evolve
 
-from catkinslip.admission.patience import Kind, KindShares, KindStanding
+from catkinslip.admission.kinds import Kind, KindShares, KindStanding
 from catkinslip.admission.scarcity import Scarcity
 from catkinslip.admission.standing import Standing
 from catkinslip.admission.waiting import AdmissionSettings
@@ -21,18 +21,17 @@
 )
 from catkinslip.quotas.base import WorkspaceUsage
 
-#: Share of its target that a call must leave free that gives way in full.
+#: Share of its target that a call must leave free if it gives way in full.
 YIELD_SPARE_SHARE = 0.4
-#: Share of its target for which a call is held that others give way to: what they leave
-#: is free a moment later.
+#: Share of its target for which a call is held if others give way to it, as the slots
+#: that they leave become free a moment later.
 AHEAD_HOLD_SHARE = 0.4
-#: How much less often a call that gives way in full looks for a server, so that a free
-#: slot goes to the others.
-YIELD_RECHECK_FACTOR = 2.0
-
-
-#: How far a call must give way to be refused rather than sent beyond its `max_delay`.
-STRICT_SHARE = 0.5
+#: Increase of the interval between searches for a server, as a multiple of the usual
+#: one, if a call gives way in full. Free slots then go to the other calls.
+YIELD_RECHECK_INCREASE = 2.0
+#: Degree of giving way, from 0 to 1, from which a call is refused rather than sent
+#: beyond its `max_delay`.
+STRICT_DEGREE = 0.5
 
 
 @define
@@ -81,7 +80,9 @@
             seen = self.workspaces.record(workspace, usage, now)
             if is_scarce:
                 of_workspace = self.workspaces.assess(workspace, seen, now)
-        standing = evolve(combine(of_kind, of_workspace), is_repeated=is_repeated)
+        standing = evolve(
+            combine_standings(of_kind, of_workspace), is_repeated=is_repeated
+        )
         self.counts.add(standing)
         if seen is None:
             return standing
@@ -94,7 +95,7 @@
             self.workspaces.served.record(workspace, is_served, now)
 
 
-def combine(kind: KindStanding, workspace: WorkspaceStanding) -> Standing:
+def combine_standings(kind: KindStanding, workspace: WorkspaceStanding) -> Standing:
     """Return the standing of a call of a kind and a workspace."""
     is_forward = kind.is_forward or workspace.is_forward
     hold_share = kind.hold_share
@@ -105,8 +106,8 @@
         spare_share=YIELD_SPARE_SHARE * gives_way,
         hold_share=hold_share,
         max_delay=inf if kind.max_delay is None else kind.max_delay,
-        is_strict=gives_way >= STRICT_SHARE,
-        recheck_factor=1 + YIELD_RECHECK_FACTOR * gives_way,
+        is_strict=gives_way >= STRICT_DEGREE,
+        recheck_factor=1 + YIELD_RECHECK_INCREASE * gives_way,
         is_forward=is_forward,
         is_ahead=workspace.is_ahead,
         gives_way=gives_way,
--- a/catkinslip/admission/patience.py
+++ b/catkinslip/admission/kinds.py
@@ -10,27 +10,28 @@
 
 from attrs import Factory, define, frozen
 
+from catkinslip.admission.bounded import put_newest
 from catkinslip.admission.served import ServedShares
 from catkinslip.routing.base import GOOD_DELAY
 
-#: Ratio of target to work from which a kind is patient; the others are at 2.5 to 5.
-PATIENT_RATIO = 6.0
-#: Share of its target for which a patient call is held. The rest is for the call itself
-#: at a slow server.
-PATIENT_HOLD_SHARE = 0.6
-#: Delay up to which a patient call is sent while it may wait: a free slot, also at a
-#: server that is nearly full then, but no queue.
-SLOT_DELAY = 2.0
+#: Ratio of target to work from which a kind is delay-tolerant. Kinds below it, usually
+#: at 2.5 to 5, are delay-sensitive.
+TOLERANT_RATIO = 6.0
+#: Share of its target for which a delay-tolerant call is held. The rest is for the call
+#: itself at a slow server.
+TOLERANT_HOLD_SHARE = 0.6
+#: Delay, in multiples of the work, up to which a delay-tolerant call is sent while it
+#: may wait. It admits a free slot at a server that is nearly full, but no queue.
+TOLERANT_MAX_DELAY = 2.0
 #: Seconds for which a kind counts after its last call.
 SEEN_SECONDS = 3.0
-#: Difference of the served shares that is noise.
-SERVED_NOISE = 0.02
-#: The same for kinds that cannot wait: what they leave often serves nobody, and 0.02
-#: lost 0.010 of the overload benchmark after the loss of all instances.
-IMPATIENT_SERVED_NOISE = 0.05
+#: Difference of the served shares that is noise, for delay-tolerant kinds and for
+#: others. The latter is larger, as the capacity that they leave often stays unused.
+TOLERANT_SERVED_NOISE = 0.02
+SENSITIVE_SERVED_NOISE = 0.05
 #: Difference of the served shares, beyond the noise, at which a kind gives way in full.
 FULL_LEAD = 0.1
-#: Share of the served share of all calls below which a kind gives way no more.
+#: Served share, relative to that of all calls, below which a kind no longer gives way.
 FLOOR_SHARE = 0.5
 #: Maximum number of kinds of a service; the one that was seen longest ago is removed.
 MAX_KINDS = 64
@@ -42,7 +43,8 @@
 
     #: Share of the target for which the call is held; None for the usual one.
     hold_share: float | None = None
-    #: Delay up to which the call is sent while it can still wait.
+    #: Delay, in multiples of the work, up to which the call is sent while it can wait;
+    #: None for no bound.
     max_delay: float | None = None
     #: How far the call gives way to a more urgent kind that is served less often, from
     #: 0 to 1.
@@ -61,33 +63,43 @@
     priority: int
 
     @property
-    def is_patient(self) -> bool:
+    def is_delay_tolerant(self) -> bool:
         """Return whether a call can wait several times as long as it works."""
-        return self.target >= PATIENT_RATIO * self.work
+        return self.target >= TOLERANT_RATIO * self.work
+
+
+@frozen
+class SeenKind:
+    """A kind and the monotonic time of its last call in seconds."""
+
+    kind: Kind
+    at: float
 
 
 @define
 class KindShares:
     """The kinds of calls that one instance saw lately in one service."""
 
-    kind_by_name: dict[str, tuple[Kind, float]] = Factory(dict)
+    seen_by_name: dict[str, SeenKind] = Factory(dict)
     served: ServedShares = Factory(ServedShares)
 
     def assess(self, kind: Kind, is_scarce: bool, now: float) -> KindStanding:
         """Record a call's kind and return how long and for what the call waits."""
         self._record(kind, now)
         others = [
-            other
-            for other, seen_at in self.kind_by_name.values()
-            if other.name != kind.name and now - seen_at <= SEEN_SECONDS
+            seen.kind
+            for seen in self.seen_by_name.values()
+            if seen.kind.name != kind.name and now - seen.at <= SEEN_SECONDS
         ]
-        hold_share = PATIENT_HOLD_SHARE if kind.is_patient else None
-        max_delay = SLOT_DELAY if kind.is_patient else None
+        hold_share = TOLERANT_HOLD_SHARE if kind.is_delay_tolerant else None
+        max_delay = TOLERANT_MAX_DELAY if kind.is_delay_tolerant else None
         if not is_scarce:
             return KindStanding(hold_share, max_delay)
         if self.served.relative(kind.name, now) < FLOOR_SHARE:
             return KindStanding(hold_share, max_delay, is_forward=True)
-        if kind.is_patient and not all(other.is_patient for other in others):
+        if kind.is_delay_tolerant and not all(
+            other.is_delay_tolerant for other in others
+        ):
             max_delay = GOOD_DELAY
         gives_way = self._gives_way(kind, others, now)
         return KindStanding(hold_share, max_delay, gives_way)
@@ -101,13 +113,11 @@
         ]
         if not shares:
             return 0.0
-        noise = SERVED_NOISE if kind.is_patient else IMPATIENT_SERVED_NOISE
+        noise = (
+            TOLERANT_SERVED_NOISE if kind.is_delay_tolerant else SENSITIVE_SERVED_NOISE
+        )
         ahead = self.served.share(kind.name, now) - min(shares) - noise
         return min(1.0, max(0.0, ahead / FULL_LEAD))
 
     def _record(self, kind: Kind, now: float) -> None:
-        # Moves the kind to the end, as the first one is removed.
-        known = self.kind_by_name.pop(kind.name, None)
-        if known is None and len(self.kind_by_name) >= MAX_KINDS:
-            del self.kind_by_name[next(iter(self.kind_by_name))]
-        self.kind_by_name[kind.name] = (kind, now)
+        put_newest(self.seen_by_name, kind.name, SeenKind(kind, now), MAX_KINDS)
--- a/catkinslip/admission/repeats.py
+++ b/catkinslip/admission/repeats.py
@@ -1,6 +1,6 @@
-"""Callers that return before the time that they were told.
+"""Callers that send a refused request again before their retry delay has passed.
 
-Load: 0.3 of the callers send again at once, three times as often as others, while the
+Load: three callers in ten send again at once, three times as often as others, while the
 servers have no room or refuse half of their requests. A caller whose address sends
 again before the time of its last refusal is recognised, as long as the address has one
 call at a time: addresses with several calls at once belong to several callers, whose
@@ -9,6 +9,8 @@
 
 from attrs import Factory, define
 
+from catkinslip.admission.bounded import put_newest
+
 #: Seconds by which a caller may return early: timers are rounded.
 TOLERANCE_SECONDS = 0.005
 #: Seconds after which an address that had several calls at once may be one caller.
@@ -18,7 +20,7 @@
 
 
 @define
-class Address:
+class AddressCalls:
     """The calls of one address; times are monotonic seconds."""
 
     open_calls: int = 0
@@ -32,16 +34,14 @@
 class RepeatedCalls:
     """Recognition of callers that return too early, in bounded memory."""
 
-    by_address: dict[str, Address] = Factory(dict)
+    calls_by_address: dict[str, AddressCalls] = Factory(dict)
 
     def arrive(self, address: str, now: float) -> bool:
         """Count a call that arrived; return whether its caller returned too early."""
         if not address:
             return False
-        known = self.by_address.pop(address, None) or Address()
-        if len(self.by_address) >= MAX_ADDRESSES:
-            del self.by_address[next(iter(self.by_address))]
-        self.by_address[address] = known
+        known = self.calls_by_address.get(address) or AddressCalls()
+        put_newest(self.calls_by_address, address, known, MAX_ADDRESSES)
         known.open_calls += 1
         if known.open_calls > 1:
             known.shared_until = now + SHARED_SECONDS
@@ -51,7 +51,7 @@
 
     def end(self, address: str, now: float, retry_after: float | None) -> None:
         """Count a call that ended, refused with a time to return if there is one."""
-        known = self.by_address.get(address)
+        known = self.calls_by_address.get(address)
         if known is None:
             return
         known.open_calls = max(0, known.open_calls - 1)
--- a/catkinslip/admission/served.py
+++ b/catkinslip/admission/served.py
@@ -9,6 +9,8 @@
 
 from attrs import Factory, define
 
+from catkinslip.admission.bounded import put_newest
+
 #: Seconds after which a call counts 1/e in the shares.
 MEMORY_SECONDS = 5.0
 #: Maximum number of groups; the one that was seen longest ago is removed.
@@ -49,13 +51,10 @@
     def record(self, group: str, is_served: bool, now: float) -> None:
         """Count a call of a group whose outcome is known."""
         self.total.record(is_served, now)
-        # Moves the group to the end, as the first one is removed.
-        tally = self.tally_by_group.pop(group, None)
+        tally = self.tally_by_group.get(group)
         if tally is None:
             tally = Tally(at=now)
-            if len(self.tally_by_group) >= MAX_GROUPS:
-                del self.tally_by_group[next(iter(self.tally_by_group))]
-        self.tally_by_group[group] = tally
+        put_newest(self.tally_by_group, group, tally, MAX_GROUPS)
         tally.record(is_served, now)
 
     def share(self, group: str, now: float) -> float:
--- a/catkinslip/admission/standing.py
+++ b/catkinslip/admission/standing.py
@@ -15,13 +15,14 @@
     spare_share: float = 0.0
     #: Share of the target for which the call is held; None for the usual one.
     hold_share: float | None = None
-    #: Delay up to which the call is sent while it can still wait.
+    #: Delay, in multiples of the work, up to which the call is sent while it can wait.
     max_delay: float = inf
-    #: Whether the call need not leave free a share by its priority.
+    #: Whether others give way to the call, which then leaves no share free by its
+    #: priority.
     is_forward: bool = False
-    #: Whether the caller returned before the time that it was told.
+    #: Whether the caller returned before the retry delay of its last refusal.
     is_repeated: bool = False
-    #: Whether the call is never sent beyond that delay.
+    #: Whether the call is refused rather than sent beyond `max_delay`.
     is_strict: bool = False
     #: Factor of the seconds between two searches for a server.
     recheck_factor: float = 1.0
--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -60,7 +60,7 @@
     late_retry_share: float = 0.25
     #: Whether workspaces that use much of their limit give way to others.
     shares_workspaces: bool = True
-    #: Whether patient kinds wait for room, and give way to more urgent ones.
+    #: Whether delay-tolerant kinds wait for room, and kinds give way to urgent ones.
     shares_kinds: bool = True
     #: Whether retries go to urgent calls first, and calls that return too early are
     #: late.
--- a/catkinslip/admission/workspaces.py
+++ b/catkinslip/admission/workspaces.py
@@ -15,6 +15,7 @@
 
 from attrs import Factory, define, frozen
 
+from catkinslip.admission.bounded import put_newest
 from catkinslip.admission.served import ServedShares
 from catkinslip.quotas.base import WorkspaceUsage
 
@@ -32,8 +33,8 @@
 FULL_EXCESS = 0.3
 #: Differences below this are noise: counts of a few seconds of small workspaces.
 MIN_EXCESS = 0.1
-#: Share of the served share of all calls at which a workspace stops to give way. The
-#: bound that must hold is a quarter; the counts are noisy and late.
+#: Served share, relative to that of all calls, at which a workspace stops to give way.
+#: The guaranteed minimum is 0.25; the counts are noisy and late.
 FLOOR_SHARE = 0.5
 #: Share of the limit from which a workspace is not put forward, however many of its
 #: calls are refused: those beyond the limit are refused for its own excess.
@@ -85,14 +86,11 @@
 
     def record(self, name: str, usage: WorkspaceUsage, now: float) -> SeenUsage:
         """Record the use of a workspace whose call has arrived."""
-        # Moves the workspace to the end, as the first one is removed.
-        seen = self.seen_by_name.pop(name, None)
+        seen = self.seen_by_name.get(name)
         if seen is None or seen.usage != usage:
             seen = SeenUsage(usage, share_of_limit(usage), now, now)
-        if len(self.seen_by_name) >= MAX_WORKSPACES:
-            del self.seen_by_name[next(iter(self.seen_by_name))]
         seen.seen_at = now
-        self.seen_by_name[name] = seen
+        put_newest(self.seen_by_name, name, seen, MAX_WORKSPACES)
         return seen
 
     def assess(self, name: str, seen: SeenUsage, now: float) -> WorkspaceStanding:
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -5,7 +5,7 @@
 
 from attrs import Factory, define
 
-from catkinslip.admission.patience import Kind
+from catkinslip.admission.kinds import Kind
 from catkinslip.admission.repeats import RepeatedCalls
 from catkinslip.admission.retries import Urgency
 from catkinslip.admission.spent import SpentTimes
--- a/tests/test_admission_kinds.py
+++ b/tests/test_admission_kinds.py
@@ -4,7 +4,7 @@
 
 from attrs import evolve
 
-from catkinslip.admission.patience import (
+from catkinslip.admission.kinds import (
     MAX_KINDS,
     Kind,
     KindShares,
@@ -19,7 +19,7 @@
 
 USUAL = AdmissionSettings()
 OFF = evolve(USUAL, shares_kinds=False)
-PATIENT = Kind('upload', 0.11, 1.734, 2)
+TOLERANT = Kind('upload', 0.11, 1.734, 2)
 URGENT = Kind('pledge', 0.072, 0.29, 0)
 OTHER = Kind('listing', 0.09, 0.34, 1)
 NOW = 50.0
@@ -43,35 +43,35 @@
         for number in range(100):
             self.kinds.served.record(kind.name, number < share * 100, NOW)
 
-    def test_impatient_kinds_alone_are_decided_as_before(self):
+    def test_delay_sensitive_kinds_alone_are_decided_as_before(self):
         for kind in (URGENT, OTHER):
             standing = self.kinds.assess(kind, True, NOW)
             self.assertEqual(standing, KindStanding())
 
-    def test_patient_kind_waits_longer(self):
-        self.assertGreater(self.kinds.assess(PATIENT, False, NOW).hold_share, 0.5)
+    def test_delay_tolerant_kind_waits_longer(self):
+        self.assertGreater(self.kinds.assess(TOLERANT, False, NOW).hold_share, 0.5)
 
-    def test_patient_kind_leaves_the_last_slots_to_an_impatient_one(self):
-        alone = self.kinds.assess(PATIENT, True, NOW)
+    def test_delay_tolerant_kind_leaves_the_last_slots_to_a_delay_sensitive_one(self):
+        alone = self.kinds.assess(TOLERANT, True, NOW)
         self.kinds.assess(URGENT, True, NOW)
-        beside = self.kinds.assess(PATIENT, True, NOW)
+        beside = self.kinds.assess(TOLERANT, True, NOW)
         self.assertGreater(alone.max_delay, GOOD_DELAY)
         self.assertEqual(beside.max_delay, GOOD_DELAY)
 
     def test_kind_gives_way_to_a_more_urgent_one_that_is_served_less(self):
         self.kinds.assess(URGENT, True, NOW)
         self.serve(URGENT, 0.7)
-        self.serve(PATIENT, 0.95)
+        self.serve(TOLERANT, 0.95)
         self.serve(OTHER, 0.95)
-        self.assertEqual(self.kinds.assess(PATIENT, True, NOW).gives_way, 1.0)
+        self.assertEqual(self.kinds.assess(TOLERANT, True, NOW).gives_way, 1.0)
         self.assertEqual(self.kinds.assess(OTHER, True, NOW).gives_way, 1.0)
         self.assertEqual(self.kinds.assess(URGENT, True, NOW).gives_way, 0.0)
 
     def test_nothing_is_given_way_while_servers_have_room(self):
         self.kinds.assess(URGENT, False, NOW)
         self.serve(URGENT, 0.7)
-        self.serve(PATIENT, 0.95)
-        self.assertEqual(self.kinds.assess(PATIENT, False, NOW).gives_way, 0.0)
+        self.serve(TOLERANT, 0.95)
+        self.assertEqual(self.kinds.assess(TOLERANT, False, NOW).gives_way, 0.0)
 
     def test_kind_that_is_rarely_served_is_put_forward(self):
         self.serve(URGENT, 0.9)
@@ -81,13 +81,13 @@
     def test_memory_is_bounded(self):
         for number in range(2 * MAX_KINDS):
             self.kinds.assess(Kind(str(number), 0.1, 0.4, 0), False, NOW)
-        self.assertEqual(len(self.kinds.kind_by_name), MAX_KINDS)
+        self.assertEqual(len(self.kinds.seen_by_name), MAX_KINDS)
 
 
 class WaitingTest(unittest.TestCase):
     """A call that waits for a slot."""
 
-    def test_patient_call_is_held_though_a_full_server_would_be_in_time(self):
+    def test_delay_tolerant_call_is_held_though_a_full_server_would_be_in_time(self):
         call = make_call(standing=Standing(hold_share=0.6, max_delay=2.0))
         self.assertIs(call.decide(3.0, WORK, 10.0), Decision.HOLD)
         self.assertIs(call.decide(1.9, WORK, 10.0), Decision.SEND)
--- a/tests/test_admission_retries.py
+++ b/tests/test_admission_retries.py
@@ -95,7 +95,7 @@
     def test_memory_is_bounded(self):
         for number in range(2 * MAX_ADDRESSES):
             self.calls.arrive(str(number), 1.0)
-        self.assertEqual(len(self.calls.by_address), MAX_ADDRESSES)
+        self.assertEqual(len(self.calls.calls_by_address), MAX_ADDRESSES)
 
     def test_repeated_call_gets_only_a_free_server(self):
         call = make_call(standing=Standing(is_repeated=True))
--- a/tests/test_admission_workspaces.py
+++ b/tests/test_admission_workspaces.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 
 from catkinslip.admission.fairness import ServiceFairness
-from catkinslip.admission.patience import Kind
+from catkinslip.admission.kinds import Kind
 from catkinslip.admission.scarcity import Scarcity
 from catkinslip.admission.standing import USUAL
 from catkinslip.admission.waiting import AdmissionSettings, Decision
