Split the exchange of quotas, and name its parts plainly

PoolChoice chooses the pool of each slot, log_lines writes the limited log lines, and PermitBatch replaces a list of pairs. A message that leases nothing is a ping.

--- a/catkinslip/quotas/buckets.py
+++ b/catkinslip/quotas/buckets.py
@@ -19,8 +19,9 @@
 #: Level, as a part of the cap, from which spare permits are granted. Most of them
 #: expire unused, and a bucket at that level would soon be full.
 SPARE_LEVEL = 0.75
-#: Seconds until holders ask again: where nothing is leased here, and at most.
+#: Seconds until holders ask again if nothing is leased here.
 NO_LEASE_RETRY_SECONDS = 0.1
+#: Bounds of the seconds until holders ask again otherwise.
 MIN_RETRY_SECONDS = 0.02
 MAX_RETRY_SECONDS = 5.0
 
@@ -87,9 +88,9 @@
         """Add a generator's share of the start level to each bucket."""
         self.advance(now)
         for bucket in self.bucket_by_key.values():
-            self._fill(bucket)
+            self._add_generated(bucket)
             bucket.level += bucket.limit.start_level * share
-            self._cut(bucket)
+            self._limit_level(bucket)
 
     def apply_limits(
         self, limit_by_key: Mapping[int, WorkspaceLimit], now: float
@@ -103,9 +104,9 @@
             if bucket is None:
                 self.bucket_by_key[key] = Bucket(limit, credited=self.generated)
             elif bucket.limit != limit:
-                self._fill(bucket)
+                self._add_generated(bucket)
                 bucket.limit = limit
-                self._cut(bucket)
+                self._limit_level(bucket)
 
     def grant(
         self, key: int, needed: int, now: float, extra: int = 0, spare: int = 0
@@ -115,7 +116,7 @@
         bucket = self.bucket_by_key.get(key)
         if bucket is None:
             return Grant(0, NO_LEASE_RETRY_SECONDS)
-        self._fill(bucket)
+        self._add_generated(bucket)
         permits = min(needed, floor(bucket.level + ROUNDING))
         bucket.level -= permits
         if permits < needed:
@@ -142,7 +143,7 @@
 
     def _set_lease(self, sender: str, lease: SlotLease | None) -> None:
         for bucket in self.bucket_by_key.values():
-            self._fill(bucket)
+            self._add_generated(bucket)
         if lease is None:
             self.lease_by_sender.pop(sender, None)
         else:
@@ -151,13 +152,13 @@
         self.share = sum(each.share for each in self.lease_by_sender.values())
         if self.share < before:
             for bucket in self.bucket_by_key.values():
-                self._cut(bucket)
+                self._limit_level(bucket)
 
-    def _fill(self, bucket: Bucket) -> None:
+    def _add_generated(self, bucket: Bucket) -> None:
         added = bucket.limit.rate * (self.generated - bucket.credited)
         bucket.level += added
         bucket.credited = self.generated
-        self._cut(bucket)
+        self._limit_level(bucket)
 
-    def _cut(self, bucket: Bucket) -> None:
+    def _limit_level(self, bucket: Bucket) -> None:
         bucket.level = min(bucket.level, bucket.limit.cap * self.share)
--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -25,33 +25,34 @@
 from catkinslip.quotas.counts import QuotaCounts
 from catkinslip.quotas.holders import (
     WAIT_SECONDS,
-    Decided,
     Holder,
     SentAsk,
     Stock,
     Waiter,
+    WakeEvent,
 )
 from catkinslip.quotas.leases import RENEWAL_SECONDS, Generator, Lease
 from catkinslip.quotas.liveness import PoolHealth
+from catkinslip.quotas.log_lines import log_changes, log_refusals
+from catkinslip.quotas.pool_choice import PoolChoice
 from catkinslip.quotas.pools import Pool
 from catkinslip.quotas.shares import GeneratorShare
-from catkinslip.quotas.slots import SLOTS, key_of, order_pools, slot_of
+from catkinslip.quotas.slots import key_of
 from catkinslip.quotas.view import FleetView
 
 #: Seconds between two rounds of asks; calls that arrive meanwhile share a datagram.
 FLUSH_SECONDS = 0.008
 #: Seconds between two checks for asks to repeat.
 REPEAT_CHECK_SECONDS = 0.02
-#: Renewals in a row where the own pool's answer permits another one.
+#: Maximum renewals in a row, each after the own pool's confirmation permits another.
 MAX_RENEWALS = 3
 #: Seconds between two choices of pools at an instance that leases nothing.
 IDLE_RENEWAL_SECONDS = 1.0
 #: Seconds between two reports of the use of workspaces.
 REPORT_SECONDS = 0.5
-#: Maximum number of log lines about refusals in one second.
-MAX_REFUSAL_LINES = 20
-#: Jitter of periodic messages, so that instances do not send at the same time.
-JITTER = 0.1
+#: Jitter of periodic messages as a share of the interval, so that instances do not
+#: send at the same time.
+JITTER_SHARE = 0.1
 
 Post = Callable[[bytes, list[Address]], None]
 
@@ -80,12 +81,10 @@
     pool: Pool = field(init=False)
     holder: Holder = field(init=False)
     workspace_by_name: dict[str, Workspace] = Factory(dict)
-    pool_by_slot: dict[int, str | None] = Factory(dict)
+    choice: PoolChoice = field(init=False)
     is_active: trio.Event = Factory(trio.Event)
     has_due: trio.Event = Factory(trio.Event)
     has_sent: trio.Event = Factory(trio.Event)
-    _ordered: tuple[str, ...] = ()
-    _order_by_slot: dict[int, list[str]] = field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the parts."""
@@ -93,6 +92,7 @@
         self.generator = Generator(self.own_id, self.start, now)
         self.pool = Pool(self.own_id, self.start)
         self.holder = Holder(self.own_id, self.start)
+        self.choice = PoolChoice(self.own_id, self.health, self.counts)
 
     def apply_config(self, config: AcceptedConfig) -> None:
         """Apply the workspaces of the configuration that is now in force."""
@@ -149,7 +149,7 @@
         return self.end_wait(call.workspace, decision)
 
     def decide(
-        self, workspace: str, make_event: Callable[[], Decided]
+        self, workspace: str, make_event: Callable[[], WakeEvent]
     ) -> NotRun | Waiter | None:
         """Let a call pass, refuse it, or let it wait for a pool's answer."""
         stock = self.holder.stock_by_name.get(workspace)
@@ -167,7 +167,7 @@
         if now < stock.refused_until:
             return self._refuse(workspace, stock, stock.refused_until - now)
         waiter = self.holder.add_waiter(stock, make_event(), now)
-        if self._pool_of(slot_of(stock.key)) in (None, self.own_id):
+        if self.choice.pool_of_key(stock.key) in (None, self.own_id):
             self._send_asks([stock], now)
         else:
             self.has_due.set()
@@ -211,7 +211,7 @@
 
     def _take_own(self, stock: Stock, now: float) -> bool:
         """Take a permit from the own pool, if this instance is the workspace's pool."""
-        if self.pool_by_slot.get(slot_of(stock.key)) != self.own_id:
+        if self.choice.pool_of_key(stock.key) != self.own_id:
             return False
         if self.pool.take(stock.key, 1, now).permits < 1:
             return False
@@ -270,7 +270,7 @@
             self.repeat()
 
     def _jitter(self) -> float:
-        return self.random.uniform(1 - JITTER, 1 + JITTER)
+        return self.random.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
 
     def flush(self) -> None:
         """Send the asks that are due."""
@@ -283,7 +283,7 @@
         for sent in self.holder.asks_to_repeat(now):
             self._send_ask(sent)
         if self._check_pools(now):
-            self._choose_pools(self._ordered, self.share.in_use)
+            self.choice.update(self.choice.pool_ids, self.share.in_use)
             self._renew_leases(now)
         if not self.holder.sent_by_number:
             self.has_sent = trio.Event()
@@ -301,10 +301,10 @@
         share = self.share.update(view.share, now, was_listed=view.was_listed)
         self.generator.peer_ids = view.peer_ids
         self._check_pools(now)
-        self._choose_pools(view.pool_ids, share)
+        self.choice.update(view.pool_ids, share)
         self._renew_leases(now)
-        for pool_id in self.health.to_greet(now):
-            self._send_lease(pool_id, self.generator.greet(pool_id), now)
+        for pool_id in self.health.to_ping(now):
+            self._send_lease(pool_id, self.generator.make_ping(pool_id), now)
         self.pool.forget_idle(now)
 
     def _check_pools(self, now: float) -> bool:
@@ -317,35 +317,15 @@
     def _renew_leases(self, now: float) -> None:
         share = self.share.in_use
         for _ in range(MAX_RENEWALS):
-            leases = self.generator.renew(share, self._pool_of, now)
+            leases = self.generator.renew(share, self.choice.pool_of, now)
             # A list, as all of them are sent before the first is renewed again.
             if not any([self._send_lease(*item, now) for item in leases.items()]):
                 return
 
-    def _choose_pools(self, pool_ids: tuple[str, ...], share: float) -> None:
-        if pool_ids != self._ordered or not self._order_by_slot:
-            self._ordered = pool_ids
-            self._order_by_slot = {
-                slot: order_pools(slot, pool_ids) for slot in range(SLOTS)
-            }
-            self.health.forget(frozenset(pool_ids))
-        own = self.own_id if share > 0 else None
-        for slot, ordered in self._order_by_slot.items():
-            usable = (each for each in ordered if not self.health.is_avoided(each))
-            chosen = next(usable, own)
-            before = self.pool_by_slot.get(slot)
-            if chosen != before:
-                self.pool_by_slot[slot] = chosen
-                self.counts.pool_changes += 1
-                log.info('quotas: pool. slot=%d pool=%s was=%s', slot, chosen, before)
-
-    def _pool_of(self, slot: int) -> str | None:
-        return self.pool_by_slot.get(slot)
-
     def _send_asks(self, stocks: list[Stock], now: float) -> None:
         asks = self.holder.make_asks(
             stocks,
-            lambda key: self.pool_by_slot.get(slot_of(key)),
+            self.choice.pool_of_key,
             messages.MAX_ENTRIES,
             now,
         )
@@ -368,8 +348,8 @@
             return confirmation is not None and self.generator.confirm(
                 confirmation, now
             )
-        if pool_id in self._ordered:
-            # Other home instances start or are silent; their silence tells nothing.
+        if pool_id in self.choice.pool_ids:
+            # Only these must answer; other home instances may be starting or stopped.
             self.health.record_sent(pool_id, now)
         self._send(pool_id, messages.lease_to_plain(lease))
         return False
@@ -433,64 +413,4 @@
 
     def log_refusals(self) -> None:
         """Write a line for each workspace with refusals since the last lines."""
-        refused = [
-            (stock.unlogged, name, stock)
-            for name, stock in self.holder.stock_by_name.items()
-            if stock.unlogged
-        ]
-        refused.sort(key=lambda each: -each[0])
-        now = self.clock.monotonic()
-        for count, name, stock in refused[:MAX_REFUSAL_LINES]:
-            usage = stock.usage
-            log.info(
-                'quotas: requests refused. workspace=%s count=%d limit=%s in_use=%s '
-                'usage_age_s=%s retry_s=%.3f',
-                name,
-                count,
-                stock.limit and stock.limit.requests_per_second,
-                usage and round(usage.per_second, 1),
-                usage and round(now - stock.usage_at, 1),
-                max(0.0, stock.refused_until - now),
-            )
-        others = refused[MAX_REFUSAL_LINES:]
-        if others:
-            count = sum(each[0] for each in others)
-            log.info(
-                'quotas: requests of others refused. workspaces=%d count=%d',
-                len(others),
-                count,
-            )
-        for _, _, stock in refused:
-            stock.unlogged = 0
-
-
-def log_changes(
-    before: dict[str, Workspace], after: dict[str, Workspace], version: object
-) -> None:
-    """Log the limits that come into force, in at most MAX_REFUSAL_LINES lines."""
-    changed = [
-        name
-        for name in sorted(before.keys() | after.keys())
-        if limits_of(before.get(name)) != limits_of(after.get(name))
-    ]
-    for name in changed[:MAX_REFUSAL_LINES]:
-        log.info(
-            'quotas: limit in force. workspace=%s limit=%s was=%s version=%s',
-            name,
-            limits_of(after.get(name)),
-            limits_of(before.get(name)),
-            version,
-        )
-    if len(changed) > MAX_REFUSAL_LINES:
-        log.info(
-            'quotas: more limits in force. workspaces=%d version=%s',
-            len(changed) - MAX_REFUSAL_LINES,
-            version,
-        )
-
-
-def limits_of(workspace: Workspace | None) -> tuple[float, float] | None:
-    """Return the rate and burst of a workspace; None if there is none."""
-    if workspace is None:
-        return None
-    return workspace.requests_per_second, workspace.burst
+        log_refusals(self.holder.stock_by_name, self.clock.monotonic())
--- a/catkinslip/quotas/holders.py
+++ b/catkinslip/quotas/holders.py
@@ -38,7 +38,7 @@
 MAX_USAGE_AGE_SECONDS = 3.0
 
 
-class Decided(Protocol):
+class WakeEvent(Protocol):
     """Event that is set when a call's wait has ended."""
 
     def set(self) -> object:
@@ -50,7 +50,7 @@
     """A call that waits for a permit since a monotonic time in seconds."""
 
     stock: 'Stock'
-    decided: Decided
+    decided: WakeEvent
     began: float
     is_granted: bool = False
     is_done: bool = False
@@ -61,6 +61,14 @@
         self.decided.set()
 
 
+@define
+class PermitBatch:
+    """Permits that expire at the same monotonic time in seconds."""
+
+    expires_at: float
+    count: int
+
+
 @define
 class Stock:
     """The permits and the demand of one workspace at this instance."""
@@ -68,8 +76,8 @@
     key: int
     limit: WorkspaceLimit | None
     demand: RecentRate
-    #: Expiry time and number of the permits of each grant, the oldest first.
-    permits: deque[list[float]] = Factory(deque)
+    #: Permits of each grant, the oldest first.
+    batches: deque[PermitBatch] = Factory(deque)
     #: Calls that no ask names yet.
     waiters: list[Waiter] = Factory(list)
     refused_until: float = 0.0
@@ -90,24 +98,24 @@
 
     def take(self, now: float) -> bool:
         """Use a permit in stock; return whether there was one."""
-        while self.permits and self.permits[0][0] <= now:
-            self.permits.popleft()
-        if not self.permits:
+        while self.batches and self.batches[0].expires_at <= now:
+            self.batches.popleft()
+        if not self.batches:
             return False
-        self.permits[0][1] -= 1
-        if self.permits[0][1] < 1:
-            self.permits.popleft()
+        self.batches[0].count -= 1
+        if self.batches[0].count < 1:
+            self.batches.popleft()
         self.record_use(now)
         return True
 
     def add(self, count: int, expires_at: float) -> None:
         """Add permits that expire at a time."""
         if count > 0:
-            self.permits.append([expires_at, count])
+            self.batches.append(PermitBatch(expires_at, count))
 
     def in_stock(self, now: float) -> int:
         """Return the number of permits that have not expired."""
-        return int(sum(count for expires_at, count in self.permits if expires_at > now))
+        return sum(each.count for each in self.batches if each.expires_at > now)
 
     def record_use(self, now: float) -> None:
         """Count a permit that a call got."""
@@ -146,7 +154,7 @@
         self.refused += 1
         self.unlogged += 1
 
-    def wanted(self, now: float) -> int:
+    def prefetch_count(self, now: float) -> int:
         """Return the number of permits to prefetch; 0 if no prefetch is due."""
         if now < self.prefetch_until or now < self.refused_until:
             return 0
@@ -215,13 +223,13 @@
                 self.stock_by_name[name] = self.stock_by_key[key] = stock
             elif stock.limit != limit:
                 stock.limit = limit
-                stock.permits.clear()
+                stock.batches.clear()
                 stock.refused_until = 0.0
                 if limit is None:
                     end_all(stock.waiters, is_granted=True)
                     self.due_by_key.pop(stock.key, None)
 
-    def add_waiter(self, stock: Stock, decided: Decided, now: float) -> Waiter:
+    def add_waiter(self, stock: Stock, decided: WakeEvent, now: float) -> Waiter:
         """Let a call wait for a permit."""
         waiter = Waiter(stock, decided, now)
         stock.waiters.append(waiter)
@@ -230,7 +238,7 @@
 
     def mark_due(self, stock: Stock, now: float) -> bool:
         """Schedule a prefetch if one is due, and return whether it is."""
-        if stock.wanted(now) <= 0:
+        if stock.prefetch_count(now) <= 0:
             return False
         self.due_by_key[stock.key] = stock
         return True
@@ -246,17 +254,17 @@
 
         Calls whose slot has no pool are refused.
         """
-        entries_by_pool: dict[str, list[Stock]] = {}
+        stocks_by_pool: dict[str, list[Stock]] = {}
         for stock in stocks:
             self.due_by_key.pop(stock.key, None)
             pool_id = choose(stock.key)
             if pool_id is None:
                 end_all(stock.waiters, is_granted=False)
             else:
-                entries_by_pool.setdefault(pool_id, []).append(stock)
+                stocks_by_pool.setdefault(pool_id, []).append(stock)
         return [
             self._make_ask(pool_id, part, now)
-            for pool_id, asked in entries_by_pool.items()
+            for pool_id, asked in stocks_by_pool.items()
             for part in chunks(asked, max_entries)
         ]
 
@@ -271,7 +279,7 @@
                 waiters_by_key[stock.key] = waiting
             # Permits of the own pool need no stock.
             is_limited = stock.limit is not None and pool_id != self.own_id
-            extra = stock.wanted(now) if is_limited else 0
+            extra = stock.prefetch_count(now) if is_limited else 0
             if extra:
                 stock.prefetch_until = now + ANSWER_SECONDS
             spare = int(bool(waiting) and not extra)
--- a/catkinslip/quotas/leases.py
+++ b/catkinslip/quotas/leases.py
@@ -22,10 +22,10 @@
 #: this start, as a pool drops the leases of earlier ones then: after a restart of the
 #: whole fleet no caller is refused for the wait.
 START_SECONDS = LEASE_SECONDS
-#: Seconds from the start of an instance to the start levels that it gives with its
-#: leases, and between two of a slot. `bounds.py` allows for one in each 2 s.
+#: Seconds from the start of an instance until its leases include start levels, and
+#: between two start levels of a slot. `bounds.py` allows for one in each 2 s.
 START_LEVEL_SECONDS = 2.0
-START_LEVEL_AGAIN_SECONDS = 5.0
+START_LEVEL_INTERVAL_SECONDS = 5.0
 #: Seconds between two renewals. Two in a row may be lost without an effect.
 RENEWAL_SECONDS = 0.25
 
@@ -66,7 +66,7 @@
 
 @define
 class PoolLink:
-    """What a generator knows of one pool; times are on the generator's clock."""
+    """The messages to one pool and back; times are on the generator's clock."""
 
     sequence: int = 0
     confirmed: int = 0
@@ -112,18 +112,18 @@
         if share <= 0:
             choose = no_pool
         if not self._may_lease(now):
-            # Their stamps are there when the first leases may begin.
+            # Their confirmations bring the stamps that the first leases need.
             pools = {choose(slot) for slot in range(SLOTS)} - {None}
-            greeted = pools | (self.peer_ids or frozenset())
-            return {pool_id: self.greet(pool_id) for pool_id in sorted(greeted)}
-        informed = {
-            slot: holding.pool_id
+            pinged = pools | (self.peer_ids or frozenset())
+            return {pool_id: self.make_ping(pool_id) for pool_id in sorted(pinged)}
+        pool_ids = {
+            holding.pool_id
             for slot in range(SLOTS)
             if (holding := self._move(slot, choose(slot), now)) is not None
         }
         return {
-            pool_id: self._message(pool_id, share, now)
-            for pool_id in sorted(set(informed.values()))
+            pool_id: self._make_lease(pool_id, share, now)
+            for pool_id in sorted(pool_ids)
         }
 
     def _may_lease(self, now: float) -> bool:
@@ -139,8 +139,8 @@
         links = map(self.link_by_id.get, self.peer_ids)
         return all(link is not None and link.confirmed > 0 for link in links)
 
-    def greet(self, pool_id: str) -> Lease:
-        """Return a message that leases nothing, which a pool that runs answers."""
+    def make_ping(self, pool_id: str) -> Lease:
+        """Return a message that leases nothing; a pool that runs confirms it."""
         link = self.link_by_id.setdefault(pool_id, PoolLink())
         link.sequence += 1
         return Lease(self.own_id, self.start, link.sequence, 0.0, frozenset(), None)
@@ -168,7 +168,7 @@
         )
 
     def _move(self, slot: int, chosen: str | None, now: float) -> SlotHolding | None:
-        """Move a slot towards its pool; return the holding to tell its pool about."""
+        """Move a slot towards a pool; return the holding whose pool gets a message."""
         holding = self.holding_by_slot.get(slot)
         if holding is not None and self._has_ended(holding, now):
             del self.holding_by_slot[slot]
@@ -188,7 +188,7 @@
         link = self.link_by_id[holding.pool_id]
         return link.confirmed >= holding.ended_by or now >= link.ends_at
 
-    def _message(self, pool_id: str, share: float, now: float) -> Lease:
+    def _make_lease(self, pool_id: str, share: float, now: float) -> Lease:
         link = self.link_by_id[pool_id]
         link.sequence += 1
         stamp = link.stamp if now - link.stamped_at < LEASE_SECONDS else None
@@ -200,21 +200,23 @@
         starting: frozenset[int] = frozenset()
         if slots and stamp is not None:
             link.ends_at = max(link.ends_at, link.stamped_at + LEASE_SECONDS)
-            starting = frozenset(each for each in slots if self._starts(each, now))
+            starting = frozenset(
+                each for each in slots if self._take_start_level(each, now)
+            )
         return Lease(
             self.own_id, self.start, link.sequence, share, slots, stamp, starting
         )
 
-    def _starts(self, slot: int, now: float) -> bool:
-        """Return whether a slot's pool gets a start level now, and record that.
+    def _take_start_level(self, slot: int, now: float) -> bool:
+        """Return whether a slot's pool gets a start level now, and record it as sent.
 
-        It is recorded before it is sent: with a lost message it is lost too.
+        A start level in a message that is lost is not sent again.
         """
         holding = self.holding_by_slot[slot]
         last = self.started_at.get(slot, -inf)
         if holding.has_started or now < self.began + START_LEVEL_SECONDS:
             return False
-        if now < last + START_LEVEL_AGAIN_SECONDS:
+        if now < last + START_LEVEL_INTERVAL_SECONDS:
             return False
         holding.has_started = True
         self.started_at[slot] = now
--- a/catkinslip/quotas/liveness.py
+++ b/catkinslip/quotas/liveness.py
@@ -15,7 +15,7 @@
 MISSED_MESSAGES = 3
 SILENT_SECONDS = 0.3
 #: Seconds between two messages to a pool that is avoided.
-GREETING_SECONDS = 0.5
+PING_SECONDS = 0.5
 #: A longer time between two checks means that this instance was stopped itself. Without
 #: leases it checks each second, and more often only while asks wait.
 STALL_SECONDS = 1.6
@@ -28,7 +28,7 @@
     missed: int = 0
     since: float = inf
     is_avoided: bool = False
-    greeted_at: float = -inf
+    pinged_at: float = -inf
 
 
 @define
@@ -74,15 +74,15 @@
         self.avoided += len(found)
         return found
 
-    def to_greet(self, now: float) -> list[str]:
+    def to_ping(self, now: float) -> list[str]:
         """Return the avoided pools to send a message to now."""
         due = [
             pool_id
             for pool_id, state in self.state_by_id.items()
-            if state.is_avoided and now - state.greeted_at >= GREETING_SECONDS
+            if state.is_avoided and now - state.pinged_at >= PING_SECONDS
         ]
         for pool_id in due:
-            self.state_by_id[pool_id].greeted_at = now
+            self.state_by_id[pool_id].pinged_at = now
         return due
 
     def forget(self, known_ids: frozenset[str]) -> None:
--- a/catkinslip/quotas/pools.py
+++ b/catkinslip/quotas/pools.py
@@ -35,8 +35,8 @@
     #: Earlier starts of the generator, whose delayed messages have no effect.
     ended_starts: frozenset[int] = frozenset()
 
-    def includes(self, lease: Lease) -> bool:
-        """Return whether a message is not newer than this one."""
+    def supersedes(self, lease: Lease) -> bool:
+        """Return whether a message is the same as or older than the newest one."""
         if lease.start in self.ended_starts:
             return True
         return self.start == lease.start and lease.sequence <= self.sequence
@@ -99,7 +99,7 @@
     def apply_lease(self, lease: Lease, now: float) -> LeaseConfirmation | None:
         """Apply a generator's message; None if a newer one arrived before it."""
         known = self.sender_by_id.get(lease.by)
-        if known is not None and known.includes(lease):
+        if known is not None and known.supersedes(lease):
             return None
         slots = lease.slots if self._is_fresh(lease.stamp, now) else frozenset()
         ended_starts = frozenset() if known is None else known.ended_by(lease)
@@ -163,8 +163,10 @@
             grant = self.take(entry.key, entry.needed, now, entry.extra, entry.spare)
         seen = usage.seen.per_second(now)
         refused = usage.refused.per_second(now)
-        share = min(1.0, refused / seen) if seen > 0 else 0.0
-        return AnswerEntry(entry.key, grant.permits, grant.retry_after, seen, share)
+        refused_share = min(1.0, refused / seen) if seen > 0 else 0.0
+        return AnswerEntry(
+            entry.key, grant.permits, grant.retry_after, seen, refused_share
+        )
 
     def _is_fresh(self, stamp: Stamp | None, now: float) -> bool:
         if stamp is None or stamp.pool_start != self.start:
--- a/tests/test_quotas_bound.py
+++ b/tests/test_quotas_bound.py
@@ -263,7 +263,7 @@
         self.assertGreater(max(each.pools for each in peaks), 1)
 
     def test_full_caps_at_each_pool(self):
-        with mock.patch.object(Slot, '_cut', cut_without_share):
+        with mock.patch.object(Slot, '_limit_level', cut_without_share):
             peaks = self.peaks()
         cap = BOUNDS.limit(RATE, BURST).cap
         self.assertGreater(max(each.level for each in peaks), 1.1 * cap)
--- a/tests/test_quotas_failures.py
+++ b/tests/test_quotas_failures.py
@@ -32,7 +32,7 @@
 def pool_of(fleet: Fleet, workspace: str = 'a') -> str:
     """Return the pool that the first home instance uses for a workspace."""
     quotas = fleet.node_by_name[HOMES[0]].quotas
-    return quotas.pool_by_slot[slot_of(key_of(workspace))]
+    return quotas.choice.pool_by_slot[slot_of(key_of(workspace))]
 
 
 def callers_elsewhere(fleet: Fleet, without: str, per_second: float) -> None:
--- a/tests/test_quotas_parts.py
+++ b/tests/test_quotas_parts.py
@@ -19,10 +19,11 @@
 from catkinslip.proxy.outcomes import Reason
 from catkinslip.quotas import messages
 from catkinslip.quotas.bounds import QuotaBounds
-from catkinslip.quotas.exchange import MAX_REFUSAL_LINES, FleetQuotas
+from catkinslip.quotas.exchange import FleetQuotas
 from catkinslip.quotas.holders import RETURN_SECONDS, Stock
 from catkinslip.quotas.leases import Lease, LeaseConfirmation, Stamp
 from catkinslip.quotas.liveness import PoolHealth
+from catkinslip.quotas.log_lines import MAX_LINES
 from catkinslip.quotas.messages import Answer, AnswerEntry, Ask, AskEntry
 from catkinslip.quotas.rates import RecentRate
 from catkinslip.quotas.shares import SETTLE_SECONDS, GeneratorShare
@@ -117,8 +118,8 @@
         self.assertEqual(health.check(10.25), [])
         self.assertEqual(health.check(10.31), ['a'])
         self.assertTrue(health.is_avoided('a'))
-        self.assertEqual(health.to_greet(10.4), ['a'])
-        self.assertEqual(health.to_greet(10.5), [])
+        self.assertEqual(health.to_ping(10.4), ['a'])
+        self.assertEqual(health.to_ping(10.5), [])
         self.assertTrue(health.record_answer('a'))
         self.assertFalse(health.is_avoided('a'))
 
@@ -379,7 +380,7 @@
             fleet.run(0.02)
         with self.assertLogs('quotas', 'INFO') as logs:
             node.quotas.log_refusals()
-        self.assertEqual(len(logs.output), MAX_REFUSAL_LINES + 1)
+        self.assertEqual(len(logs.output), MAX_LINES + 1)
         self.assertIn('workspace=w', logs.output[0])
         self.assertIn('workspaces=40', logs.output[-1])
         with self.assertNoLogs('quotas', 'INFO'):
@@ -480,7 +481,7 @@
 def pool_name(fleet) -> str:
     """Return the pool of the workspace a."""
     quotas = fleet.node_by_name[home_names()[0]].quotas
-    return quotas.pool_by_slot[slot_of(key_of('a'))]
+    return quotas.choice.pool_by_slot[slot_of(key_of('a'))]
 
 
 def make_quotas(clock, pool_ids: tuple[str, ...] = ('i-1',)) -> FleetQuotas:
