--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -4,7 +4,7 @@
 from math import inf
 from random import Random
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from catkinslip.config.documents import Backend, Service
 from catkinslip.resting.gate import RestGate
@@ -47,6 +47,14 @@
     """Ignore a change of a server's load."""
 
 
+@frozen
+class Candidates:
+    """Servers to select among, and the delay up to which the best one is accepted."""
+
+    loads: list[BackendLoad]
+    accepted_delay: float
+
+
 def is_never_connected(load: BackendLoad) -> bool:
     """Return that there is no idle connection to a server."""
     return False
@@ -178,9 +186,9 @@
         due = self._due(excluded, now)
         if due:
             return self.policy.choice_of(due[0], now)
-        for candidates, accepted_delay in self._candidates(excluded, now):
-            choice = self.policy.choose(candidates, now)
-            if choice.delay <= accepted_delay:
+        for candidates in self._candidates(excluded, now):
+            choice = self.policy.choose(candidates.loads, now)
+            if choice.delay <= candidates.accepted_delay:
                 return choice
         candidates = available_servers(self.loads, excluded)
         return self.policy.choose(candidates, now) if candidates else None
@@ -194,9 +202,9 @@
         return [*due, *self._rank(excluded, now)]
 
     def _rank(self, excluded: Collection[str], now: float) -> list[Estimate]:
-        for candidates, accepted_delay in self._candidates(excluded, now):
-            ranked = self.policy.rank(candidates, now)
-            if ranked[0].delay <= accepted_delay:
+        for candidates in self._candidates(excluded, now):
+            ranked = self.policy.rank(candidates.loads, now)
+            if ranked[0].delay <= candidates.accepted_delay:
                 return ranked
         candidates = available_servers(self.loads, excluded)
         return self.policy.rank(candidates, now) if candidates else []
@@ -252,29 +260,33 @@
 
     def _candidates(
         self, excluded: Collection[str], now: float
-    ) -> Iterator[tuple[list[BackendLoad], float]]:
-        """Yield servers to select among before all, and the delay to accept there."""
+    ) -> Iterator[Candidates]:
+        """Yield the groups of servers to select among before all servers."""
         subset = self.subset
         used = self._used(excluded, now) if subset.applies else []
         if not used or len(used) > self.sample.size:
             sampled = self._sampled(excluded, now)
             if sampled:
-                yield sampled, GOOD_DELAY
+                yield Candidates(sampled, GOOD_DELAY)
             return
         if subset.demand.is_light(now):
-            connected = [
-                load
-                for load in used
-                if now - load.reported_at <= CONNECTED_REPORT_SECONDS
-                and self.is_connected(load)
-            ]
+            connected = self._connected(used, now)
             if connected:
-                yield connected, GOOD_DELAY
+                yield Candidates(connected, GOOD_DELAY)
         # A server outside the subset that nothing is known of is no better than usual.
         usual_delay = self.policy.usual_delay(used[0].slots) * USUAL_DELAY_FACTOR
         accepted_delay = max(GOOD_DELAY, usual_delay)
-        yield used, accepted_delay
-        yield self._used(excluded, now, scale=2), accepted_delay
+        yield Candidates(used, accepted_delay)
+        yield Candidates(self._used(excluded, now, scale=2), accepted_delay)
+
+    def _connected(self, loads: list[BackendLoad], now: float) -> list[BackendLoad]:
+        """Return the servers with an idle connection and a recent report."""
+        return [
+            load
+            for load in loads
+            if now - load.reported_at <= CONNECTED_REPORT_SECONDS
+            and self.is_connected(load)
+        ]
 
     def _used(
         self, excluded: Collection[str], now: float, scale: int = 1
