--- a/catkinslip/discovery/first_list.py
+++ b/catkinslip/discovery/first_list.py
@@ -2,7 +2,7 @@
 
 The load that this answers: all of 202 instances restart at once, with the store or
 without it. If each read the list from the store, that would be 5 calls each, and one
-that knows no list would take itself for the first reader of its zone. The seeds read
+without a list would act as the first reader of its zone. The seeds read
 the list, and all others get it from them.
 """
 
@@ -18,7 +18,7 @@
 SPREAD_SECONDS = 0.4
 #: Least number of cores of an instance that reads the store at once where no seed
 #: answers: it starts sooner than weaker ones and is likely to be in the home set.
-IMPATIENT_CORES = 1.0
+IMMEDIATE_READ_CORES = 1.0
 #: Time after an answer of a seed in which it counts as alive.
 SEED_ALIVE_SECONDS = 1.0
 #: Time for which a seed may be without a list before others try the store.
@@ -56,13 +56,14 @@
     #: When to try the store although a seed answers.
     try_at: float = inf
     requests: int = 0
-    _patience: float = 0.0
+    #: Seconds without an answer of a seed after which the store is read.
+    _max_silence: float = 0.0
 
     def __attrs_post_init__(self) -> None:
-        """Draw how long this instance waits for seeds that do not answer."""
-        if self.cores < IMPATIENT_CORES:
+        """Choose how long this instance waits for seeds that do not answer."""
+        if self.cores < IMMEDIATE_READ_CORES:
             spread = self.random.uniform(0, SPREAD_SECONDS)
-            self._patience = SEED_WAIT_SECONDS + spread
+            self._max_silence = SEED_WAIT_SECONDS + spread
 
     def record_answer(self, now: float, waiting: int) -> None:
         """Record the answer of a seed without a list, for which `waiting` wait."""
@@ -83,8 +84,8 @@
         if now - self.answered_at <= SEED_ALIVE_SECONDS:
             return ListSource.STORE_ONCE if now >= self.try_at else ListSource.SEED
         silent_since = max(self.started_at, self.answered_at)
-        is_patient = now - silent_since < self._patience or not self.requests
-        return ListSource.SEED if is_patient else ListSource.STORE
+        is_waiting = now - silent_since < self._max_silence or not self.requests
+        return ListSource.SEED if is_waiting else ListSource.STORE
 
     def next_delay(self) -> float:
         """Return the delay until the next request to the seeds."""
--- a/catkinslip/discovery/readers.py
+++ b/catkinslip/discovery/readers.py
@@ -77,14 +77,22 @@
         return ReaderRole.LAST_RESORT
 
 
+@frozen
+class DelayBounds:
+    """The range of a random delay, in seconds."""
+
+    least: float
+    most: float
+
+
 @frozen
 class TryPace:
     """How an instance that does not reach the store spreads its tries."""
 
     #: Whether others lost the store, so that even the first call waits for its turn.
     is_delayed: bool = False
-    #: Bounds of the first delay in an outage, in seconds; None stands for backoff.
-    first_delay: tuple[float, float] | None = None
+    #: Bounds of the first delay in an outage; None stands for backoff.
+    first_delay: DelayBounds | None = None
     #: Upper bound of all later delays, in seconds; None stands for backoff.
     max_delay: float | None = None
 
@@ -92,9 +100,9 @@
         """Count a try in the backoff and return the delay until it."""
         bounds = self.first_delay
         if backoff.failures and self.max_delay is not None:
-            bounds = (0.0, self.max_delay)
+            bounds = DelayBounds(0.0, self.max_delay)
         delay = backoff.next_delay(random)
-        return delay if bounds is None else random.uniform(*bounds)
+        return delay if bounds is None else random.uniform(bounds.least, bounds.most)
 
 
 BACKOFF_PACE = TryPace()
@@ -123,11 +131,11 @@
             longest = max(MAX_RETRY_SECONDS, 2 * leaders / LEADER_TRIES_PER_SECOND)
             first = wait + (view.position - READERS) * FIRST_TRY_SPACING_SECONDS
             until = first + FIRST_TRY_SPACING_SECONDS
-            return TryPace(is_delayed, (first, until), longest)
+            return TryPace(is_delayed, DelayBounds(first, until), longest)
         case ReaderRole.LAST_RESORT:
             longest = (view.size - view.leaders) / LAST_RESORT_TRIES_PER_SECOND
             longest = max(MAX_RETRY_SECONDS, longest)
-            return TryPace(is_delayed, (wait, wait + longest), longest)
+            return TryPace(is_delayed, DelayBounds(wait, wait + longest), longest)
 
 
 def reads_list(view: ZoneView) -> bool:
--- a/tests/test_discovery_first_list.py
+++ b/tests/test_discovery_first_list.py
@@ -7,7 +7,7 @@
 from benchmarks.store_calls import PLAYS, SIZES, replay
 from benchmarks.store_calls_world import STAGGER_SECONDS
 from catkinslip.discovery.first_list import (
-    IMPATIENT_CORES,
+    IMMEDIATE_READ_CORES,
     MAX_WAITING,
     SEED_READ_SECONDS,
     SEED_WAIT_SECONDS,
@@ -50,7 +50,7 @@
         self.assertIs(first.next_source(longest), ListSource.STORE)
 
     def test_strong_instance_makes_one_request_to_a_seed(self):
-        first = self.first_list(IMPATIENT_CORES)
+        first = self.first_list(IMMEDIATE_READ_CORES)
         self.assertIs(first.next_source(0.0), ListSource.SEED)
         first.next_delay()
         self.assertIs(first.next_source(0.0), ListSource.STORE)
--- a/tests/test_discovery_follower.py
+++ b/tests/test_discovery_follower.py
@@ -13,7 +13,7 @@
     Follower,
     Outage,
 )
-from catkinslip.discovery.readers import MAX_RETRY_SECONDS, TryPace
+from catkinslip.discovery.readers import MAX_RETRY_SECONDS, DelayBounds, TryPace
 from tests.discovery_builders import (
     HISTORY_REMOVED,
     OUTAGE,
@@ -25,7 +25,7 @@
 
 #: Longest delay of the slow pace, of which an instance makes one try at a time.
 SLOW_SECONDS = 2.5
-SLOW_PACE = TryPace(True, (0.0, SLOW_SECONDS), SLOW_SECONDS)
+SLOW_PACE = TryPace(True, DelayBounds(0.0, SLOW_SECONDS), SLOW_SECONDS)
 ONE, TWO = backend_entry('one'), backend_entry('two', port=81)
 
 
@@ -212,7 +212,7 @@
             source,
             Random(1),
             reads_store=lambda: is_reader,
-            outage=Outage(lambda: TryPace(True, (0.5, 1.0), 1.0)),
+            outage=Outage(lambda: TryPace(True, DelayBounds(0.5, 1.0), 1.0)),
         )
 
         async def run():
