--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -111,7 +111,7 @@
     def _probe_silent(self, router: ServiceRouter) -> None:
         """Probe all silent servers in the background."""
         silent = [each for each in router.loads if each.is_silent and not each.draining]
-        # Few of them concern an instance with little load, until its load grows.
+        # An instance with little load seldom sends to any of them.
         is_light = router.subset.is_light(self.clock.monotonic())
         most = OPENED_AT_ONCE if is_light else len(silent)
         self._probe_in_background(router, silent, most)
@@ -142,16 +142,8 @@
         if self._nursery is None or not loads:
             return
         now = self.clock.monotonic()
-        rate = self._probe_rate()
-        started = 0
-        for load in loads:
-            if started == most:
-                return
-            if not self._may_probe(router, load):
-                continue
-            if self._spend_probe(load.backend_id, rate, now):
-                self._start(router, load)
-                started += 1
+        for load in self._spend_probes(router, loads, most, now):
+            self._start(router, load)
 
     def _may_probe(self, router: ServiceRouter, load: BackendLoad) -> bool:
         """Return whether a server may be probed and the probe would be sent at once.
@@ -260,20 +252,20 @@
         ]
         if router.subset.is_light(now):
             return self._connected_leaders(router, stale, now)
-        return self._take(router, stale, PROBED_AT_ONCE, now)
+        return self._spend_probes(router, stale, PROBED_AT_ONCE, now)
 
     def _connected_leaders(
         self, router: ServiceRouter, stale: list[BackendLoad], now: float
     ) -> list[BackendLoad]:
         """Return servers to probe without, or else with few, new connections."""
         connected = filter(router.is_connected, stale)
-        leaders = self._take(router, connected, PROBED_AT_ONCE, now)
-        return leaders or self._take(router, stale, OPENED_AT_ONCE, now)
+        leaders = self._spend_probes(router, connected, PROBED_AT_ONCE, now)
+        return leaders or self._spend_probes(router, stale, OPENED_AT_ONCE, now)
 
-    def _take(
+    def _spend_probes(
         self, router: ServiceRouter, loads: Iterable[BackendLoad], most: int, now: float
     ) -> list[BackendLoad]:
-        """Return the first servers that may be probed, within the budget."""
+        """Return the first servers that may be probed, and spend a probe of each."""
         rate = self._probe_rate()
         taken: list[BackendLoad] = []
         for load in loads:
