--- a/tests/test_quotas_bound.py
+++ b/tests/test_quotas_bound.py
@@ -234,7 +234,7 @@
         self.assertGreater(max(each.pools for each in peaks), 1)
 
     def test_messages_that_are_applied_out_of_order(self):
-        with mock.patch.object(SenderState, 'includes', lambda *_: False):
+        with mock.patch.object(SenderState, 'supersedes', lambda *_: False):
             peaks = self.peaks((change_views, wait), delay=disorder, duplicates=1.0)
         self.assertGreater(max(each.pools for each in peaks), 1)
 
