--- a/catkinslip/admission/waiting.py
+++ b/catkinslip/admission/waiting.py
@@ -45,8 +45,7 @@
     #: has room a moment later, and after a longer wait refused callers return too late.
     hold_share: float = 0.16
     #: Share of its target that a less urgent call must leave free, for each step of
-    #: priority. Without it the least urgent kind is refused half as often, but the most
-    #: urgent one twice as often.
+    #: priority. The time goes to the most urgent calls.
     spare_share_per_priority: float = 0.1
     #: Whether the time that a caller had waited before its request arrived counts.
     counts_spent: bool = True
--- a/catkinslip/routing/sample.py
+++ b/catkinslip/routing/sample.py
@@ -12,9 +12,8 @@
 
 from catkinslip.routing.base import NEVER, BackendLoad
 
-#: Callers got 0.845 of the total value of their requests with this size, 0.842 with all
-#: of 282 servers and 0.823 with 24 (six seeds). A selection among 660 servers takes
-#: 0.12 ms instead of 0.9 (mean of 200, on a busy machine).
+#: Large enough to contain a good server, and small enough for a fast selection.
+#: docs/ROUTING.md compares sizes.
 SAMPLE_SIZE = 48
 #: Lifetime of a sample in seconds: its servers' reports serve more than one selection,
 #: and connections to them are reused.
