--- a/catkinslip/crashes/dropped.py
+++ b/catkinslip/crashes/dropped.py
@@ -2,8 +2,8 @@
 
 Load: a server answers a request on trial while the reports of the last crash are still
 on the way. Datagrams are sent again after 100 ms, and a peer reports its crashes until
-it has read the removal from the store. Such a report used to restore the verdict, and
-the instance wrote it back to the store (seen in 6 of 16 runs of a test).
+it has read the removal from the store. Without this record such a report restores the
+verdict, and the instance writes it back to the store.
 """
 
 from collections.abc import Iterable, Mapping
