--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -20,7 +20,7 @@
 from catkinslip.limits.base import LimitSettings
 from catkinslip.limits.service import LimitRegistry
 from catkinslip.models import Address
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.outcomes import NotRun
--- a/catkinslip/crashes/guard.py
+++ b/catkinslip/crashes/guard.py
@@ -19,7 +19,7 @@
 from catkinslip.crashes.suspect import Decision, Verdict
 from catkinslip.crashes.synchronizer import CrashSynchronizer
 from catkinslip.models import Address
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import NotRun, Reason
 
 #: Seconds allowed for the check of a port. The port of a process that ended refuses
--- a/catkinslip/crashes/identity.py
+++ b/catkinslip/crashes/identity.py
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 from catkinslip.proxy import headers as names
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 
 #: Bytes of a content hash: long enough that nobody can make another caller's request
 #: look like one that crashes servers.
--- a/catkinslip/metrics/requests.py
+++ b/catkinslip/metrics/requests.py
@@ -8,7 +8,7 @@
 from catkinslip.clock import Clock
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge, summary
 from catkinslip.metrics.durations import COARSE, FINE, Durations
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.exchange import ConnectionBreak
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason
--- a/catkinslip/metrics/traces.py
+++ b/catkinslip/metrics/traces.py
@@ -6,7 +6,7 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.routing.base import Choice
--- a/catkinslip/metrics/workspaces.py
+++ b/catkinslip/metrics/workspaces.py
@@ -12,7 +12,7 @@
 
 from catkinslip.clock import Clock
 from catkinslip.metrics.base import Family, MetricSource, counter
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.observer import RequestObserver
 from catkinslip.proxy.outcomes import SERVER_ERRORS, Answered, NotRun, Outcome, Reason
 from catkinslip.routing.base import Choice
--- a/catkinslip/platform/workspaces.py
+++ b/catkinslip/platform/workspaces.py
@@ -105,7 +105,9 @@
         raise ValueError(f'tenants {first!r} and {second!r} have a key in common')
 
 
-def find_shared(workspace_by_name: Mapping[str, Workspace]) -> Iterable[tuple]:
+def find_shared(
+    workspace_by_name: Mapping[str, Workspace],
+) -> Iterable[tuple[str, str]]:
     """Yield the names of two workspaces for each key that both have."""
     name_by_key: dict[str, str] = {}
     for name, workspace in workspace_by_name.items():
--- a/catkinslip/proxy/base.py
+++ b/catkinslip/proxy/base.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.outcomes import NotRun, Outcome
 from catkinslip.proxy.wire import Wire
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -10,9 +10,10 @@
 from catkinslip.environment import Environment
 from catkinslip.proxy.base import CallForwarder, LocalPages
 from catkinslip.proxy.bodies import BodyReader, BodyRemainder, has_whole_body
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.caller_limits import CallerLimits
 from catkinslip.proxy.caller_watch import CallerWatch
-from catkinslip.proxy.calls import Call, CallFactory
+from catkinslip.proxy.calls import CallFactory
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.draining import CallerDrain, CallerWire
 from catkinslip.proxy.head_checks import fault_text
@@ -134,7 +135,7 @@
             if not await self._answer_in_turn(ahead, ahead.take_next()):
                 return False
         await ahead.stop()
-        ahead.hand_back()
+        ahead.return_unparsed()
         return True
 
     async def _answer_in_turn(
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -18,8 +18,6 @@
 from catkinslip.workspaces.checker import KeyChecker
 from catkinslip.workspaces.proofs import check_proof
 
-__all__ = ['Call', 'CallFactory']
-
 
 @define
 class CallFactory:
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -10,7 +10,7 @@
 from catkinslip.models import Address
 from catkinslip.proxy import answers
 from catkinslip.proxy import headers as names
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.native_dialect import NativeDialect
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
--- a/catkinslip/proxy/native_dialect.py
+++ b/catkinslip/proxy/native_dialect.py
@@ -7,7 +7,7 @@
 
 from catkinslip.proxy import answers, problems
 from catkinslip.proxy import headers as names
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.dialect import CallParameters, Dialect, ProbeAnswer
 from catkinslip.proxy.head_checks import malformed
 from catkinslip.proxy.headers import Header, RequestHead
--- a/catkinslip/proxy/observer.py
+++ b/catkinslip/proxy/observer.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.exchange import ConnectionBreak
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.routing.base import Choice
--- a/catkinslip/proxy/pipelines.py
+++ b/catkinslip/proxy/pipelines.py
@@ -11,7 +11,8 @@
 from catkinslip.clock import Clock
 from catkinslip.proxy.base import LocalPages
 from catkinslip.proxy.bodies import Body
-from catkinslip.proxy.calls import Call, CallFactory
+from catkinslip.proxy.call import Call
+from catkinslip.proxy.calls import CallFactory
 from catkinslip.proxy.draining import CallerWire
 from catkinslip.proxy.pipelining import (
     ConnectionBytes,
--- a/catkinslip/proxy/pipelining.py
+++ b/catkinslip/proxy/pipelining.py
@@ -42,7 +42,7 @@
 
 
 @unique
-class Unsplit(Enum):
+class SplitFailure(Enum):
     """Reasons why no request can be split off the bytes of a connection."""
 
     #: More bytes are needed.
@@ -66,21 +66,21 @@
         return self.codec.their_state is not h11.DONE
 
 
-def split_request(data: bytes) -> SplitRequest | Unsplit:
+def split_request(data: bytes) -> SplitRequest | SplitFailure:
     """Return the whole request at the start of the data, or why there is none."""
     head = extract_head(data)
     if head is None:
-        return Unsplit.INCOMPLETE
+        return SplitFailure.INCOMPLETE
     if not isinstance(head, bytes):
-        return Unsplit.IN_TURN
+        return SplitFailure.IN_TURN
     codec = server_codec()
     codec.receive_data(head)
     request = parse_head(codec, head)
     if not isinstance(request, RequestHead) or must_wait(request):
-        return Unsplit.IN_TURN
+        return SplitFailure.IN_TURN
     size = len(head) + (declared_length(request) or 0)
     if len(data) < size:
-        return Unsplit.INCOMPLETE
+        return SplitFailure.INCOMPLETE
     body = bytes(data[len(head) : size])
     codec.receive_data(body)
     while type(codec.next_event()) is not h11.EndOfMessage:
@@ -98,7 +98,7 @@
 
 
 def size_of(event: object) -> int:
-    """Return about how many bytes of memory an event of an answer uses."""
+    """Return the approximate memory of an event of an answer, in bytes."""
     size = EVENT_BYTES
     if type(event) is h11.Data:
         size += len(event.data)
--- a/catkinslip/proxy/read_ahead.py
+++ b/catkinslip/proxy/read_ahead.py
@@ -13,15 +13,15 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.draining import CallerWire
 from catkinslip.proxy.held_answers import HeldWire
 from catkinslip.proxy.outcomes import Answered, Outcome, Reason, Unknown
 from catkinslip.proxy.pipelining import (
     ConnectionBytes,
     FollowingRequests,
+    SplitFailure,
     SplitRequest,
-    Unsplit,
     split_request,
 )
 from catkinslip.proxy.wire import ConnectionErrors, server_codec
@@ -134,8 +134,8 @@
         await self.ended.wait()
         self.account.clear()
 
-    def hand_back(self) -> None:
-        """Give the unparsed bytes back to the connection, which awaits a request."""
+    def return_unparsed(self) -> None:
+        """Return the unparsed bytes to the connection, which awaits a request."""
         codec = self.wire.codec = server_codec()
         if self.buffer:
             codec.receive_data(bytes(self.buffer))
@@ -152,24 +152,28 @@
                 await self._wait_for_room()
                 continue
             request = split_request(bytes(self.buffer))
-            if request is Unsplit.IN_TURN:
+            if request is SplitFailure.IN_TURN:
                 return
-            if request is Unsplit.INCOMPLETE:
+            if request is SplitFailure.INCOMPLETE:
                 if not await self._read():
                     return
                 continue
             if not self.account.start_request():
                 await self._wait_for_room()
                 continue
-            waited = self.clock.monotonic() - self.arrived_at
-            call = self.make_call(request, self.wire.peer, waited)
-            if call is None:
-                self.account.end_request(0)
-                return
-            nursery.start_soon(self._serve, self._add(request, call))
-            if request.is_last:
+            if not self._start(request, nursery) or request.is_last:
                 return
 
+    def _start(self, request: SplitRequest, nursery: trio.Nursery) -> bool:
+        """Start a request; return False if it must wait for its turn."""
+        waited = self.clock.monotonic() - self.arrived_at
+        call = self.make_call(request, self.wire.peer, waited)
+        if call is None:
+            self.account.end_request(0)
+            return False
+        nursery.start_soon(self._serve, self._add(request, call))
+        return True
+
     def _add(self, request: SplitRequest, call: Call) -> PipelinedRequest:
         del self.buffer[: request.size]
         wire = HeldWire(
--- a/catkinslip/proxy/request_log.py
+++ b/catkinslip/proxy/request_log.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import Outcome
 
 log = logging.getLogger('request')
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -16,7 +16,7 @@
 from catkinslip.health.base import Sampler
 from catkinslip.health.tracker import HealthTracker
 from catkinslip.limits.service import ServiceLimits
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
 from catkinslip.routing.base import Choice
 from catkinslip.routing.gates import RestrictionReason
--- a/catkinslip/quotas/exchange.py
+++ b/catkinslip/quotas/exchange.py
@@ -17,7 +17,7 @@
 from catkinslip.clock import Clock
 from catkinslip.config.documents import AcceptedConfig, Workspace
 from catkinslip.models import Address
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import NotRun, Reason
 from catkinslip.quotas import messages
 from catkinslip.quotas.base import QuotaGate, WorkspaceUsage
--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -11,7 +11,7 @@
 from catkinslip.membership.members import MemberTable
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.base import CallForwarder
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.wire import Wire
--- a/catkinslip/tickets/passing.py
+++ b/catkinslip/tickets/passing.py
@@ -10,7 +10,8 @@
 from catkinslip.membership.members import Member
 from catkinslip.models import Address
 from catkinslip.proxy import headers as names
-from catkinslip.proxy.calls import Call, proof_parts
+from catkinslip.proxy.call import Call
+from catkinslip.proxy.calls import proof_parts
 from catkinslip.proxy.exchange import AnswerHead, Attempt
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -12,9 +12,9 @@
 from catkinslip.environment import Environment
 from catkinslip.membership.members import Member, MemberTable
 from catkinslip.models import Address
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.caller_limits import CallerLimits
 from catkinslip.proxy.callers import CallerServer
-from catkinslip.proxy.calls import Call
 from catkinslip.proxy.exchange import Attempt
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.proxy.pool import BackendPool
--- a/tests/pipeline_builders.py
+++ b/tests/pipeline_builders.py
@@ -7,8 +7,8 @@
 from attrs import Factory, define
 
 from catkinslip.clock import Clock, SystemClock
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.callers import CallerServer
-from catkinslip.proxy.calls import Call
 from catkinslip.proxy.outcomes import Answered, Outcome
 from catkinslip.proxy.wire import Wire
 from tests.builders import caller_server
--- a/tests/test_crashes_identity.py
+++ b/tests/test_crashes_identity.py
@@ -3,7 +3,7 @@
 import unittest
 
 from catkinslip.crashes.identity import key_of
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from standins.workers import Fault
 from tests.small_platform import on_platform
 
--- a/tests/test_proxy_pipelining_rules.py
+++ b/tests/test_proxy_pipelining_rules.py
@@ -12,8 +12,8 @@
     REQUEST_BYTES,
     ConnectionBytes,
     InstanceBytes,
+    SplitFailure,
     SplitRequest,
-    Unsplit,
     size_of,
     split_request,
 )
@@ -25,7 +25,7 @@
 )
 
 
-def split_all(data: bytes) -> tuple[list[SplitRequest], Unsplit]:
+def split_all(data: bytes) -> tuple[list[SplitRequest], SplitFailure]:
     """Return all whole requests at the start of the data, and why there are no more."""
     requests = []
     while isinstance(found := split_request(data), SplitRequest):
@@ -45,13 +45,13 @@
         self.assertEqual(targets, [b'/1', b'/2', b'/3'])
         self.assertEqual(requests[1].body, b'GET /x HTTP/1.1\r\n\r\n')
         self.assertEqual(sum(each.size for each in requests), len(data))
-        self.assertIs(rest, Unsplit.INCOMPLETE)
+        self.assertIs(rest, SplitFailure.INCOMPLETE)
 
     def test_every_cut_leaves_an_incomplete_request(self):
         # Guards against a request that starts before its last byte.
         data = post('/1', b'abc')
         for end in range(len(data)):
-            self.assertIs(split_request(data[:end]), Unsplit.INCOMPLETE)
+            self.assertIs(split_request(data[:end]), SplitFailure.INCOMPLETE)
 
     def test_what_must_be_read_in_its_turn_is_not_split(self):
         # Guards against refusals and bodies that are handled out of their turn.
@@ -65,7 +65,7 @@
             b'GET /1 HTTP/1.1\nHost: limits\n\n',
             get('/' + 'a' * 40_000),
         ):
-            self.assertIs(split_request(data), Unsplit.IN_TURN, data[:80])
+            self.assertIs(split_request(data), SplitFailure.IN_TURN, data[:80])
 
     def test_the_last_request_of_a_connection_is_known(self):
         # Guards against requests that run behind the end of the connection.
--- a/tests/test_quotas_parts.py
+++ b/tests/test_quotas_parts.py
@@ -15,7 +15,7 @@
 from catkinslip.models import Address
 from catkinslip.platform.program import QUOTAS_VARIABLE, entry_settings
 from catkinslip.platform.settings import read_settings
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import Reason
 from catkinslip.quotas import messages
 from catkinslip.quotas.bounds import QuotaBounds
--- a/tests/test_throttling_path.py
+++ b/tests/test_throttling_path.py
@@ -15,7 +15,7 @@
 from catkinslip.entry import metrics_page
 from catkinslip.health.base import NoSampler
 from catkinslip.health.sharing import MAX_DATAGRAM_BYTES
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import NotRun
 from catkinslip.proxy.server_wait import ServerWait
 from catkinslip.routing.base import BackendLoad, Choice
--- a/tests/test_tickets_gate.py
+++ b/tests/test_tickets_gate.py
@@ -12,7 +12,7 @@
 from catkinslip.config.documents import AcceptedConfig, ConfigVersion
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.membership.members import Member, MemberTable
-from catkinslip.proxy.calls import Call
+from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import server_wire
--- a/tests/test_workspaces_native.py
+++ b/tests/test_workspaces_native.py
@@ -11,7 +11,8 @@
 from catkinslip.crashes.identity import key_of
 from catkinslip.membership.members import Member
 from catkinslip.proxy.bodies import NO_BODY
-from catkinslip.proxy.calls import Call, CallFactory
+from catkinslip.proxy.call import Call
+from catkinslip.proxy.calls import CallFactory
 from catkinslip.proxy.headers import RequestHead, find, find_all
 from catkinslip.proxy.native_dialect import NativeDialect
 from catkinslip.proxy.outcomes import Answered, Reason
