--- a/catkinslip/routing/subset.py
+++ b/catkinslip/routing/subset.py
@@ -22,14 +22,14 @@
 
 #: Usable servers in the smallest subset; services with fewer servers have no subset.
 #: docs/design/server-subsets.md compares sizes.
-LEAST_SERVERS = 32
+MIN_SERVERS = 32
 #: Instances below which there are no subsets: few instances open few connections.
 MIN_INSTANCES = 24
 #: Slots in the subset for each request in flight. Other instances use the same slots,
 #: and with noisy neighbours about half of the servers are full or slow at a time.
 SLOTS_PER_REQUEST = 16
-#: Time constant, in seconds, at which the demand decays: longer than the pause between
-#: two crests of a wave of 15 s.
+#: Time constant, in seconds, at which the demand decays. It exceeds the period of loads
+#: that rise and fall every 15 s, so that the subset keeps its size between two peaks.
 DEMAND_MEMORY_SECONDS = 20.0
 #: Share of the next smaller size that the need must fall below before a subset shrinks.
 SHRINK_SHARE = 0.75
@@ -115,10 +115,10 @@
     is_enabled: bool = False
     #: Function that returns the number of known instances.
     count_instances: Callable[[], float] = no_instances
-    least: int = LEAST_SERVERS
+    min_servers: int = MIN_SERVERS
     demand: Demand = Factory(Demand)
     #: Number of usable servers wanted.
-    size: int = LEAST_SERVERS
+    size: int = MIN_SERVERS
     order: list[BackendLoad] = Factory(list)
     weight_by_id: dict[str, int] = Factory(dict)
 
@@ -143,7 +143,7 @@
     @property
     def applies(self) -> bool:
         """Return whether the service and the fleet are large enough for a subset."""
-        if not self.is_enabled or len(self.order) <= self.least:
+        if not self.is_enabled or len(self.order) <= self.min_servers:
             return False
         return self.count_instances() >= MIN_INSTANCES
 
@@ -176,7 +176,7 @@
         needed, before = self.needed(now), self.size
         while self.size < needed:
             self.size *= 2
-        if self.size > self.least and needed < SHRINK_SHARE * self.size / 2:
+        if self.size > self.min_servers and needed < SHRINK_SHARE * self.size / 2:
             self.size //= 2
         if self.size != before:
             log.info(
--- a/tests/test_routing_subset.py
+++ b/tests/test_routing_subset.py
@@ -8,9 +8,9 @@
 from catkinslip.routing.base import LoadReport
 from catkinslip.routing.sample import SAMPLE_SIZE
 from catkinslip.routing.subset import (
-    LEAST_SERVERS,
     LIGHT_REQUESTS_PER_SECOND,
     MIN_INSTANCES,
+    MIN_SERVERS,
     Demand,
 )
 from catkinslip.warmup.gate import ColdGate
@@ -43,7 +43,7 @@
             count = Counter()
             for number in range(instances):
                 count.update(used_ids(subset_router(number, SERVERS, instances), NOW))
-            mean = instances * LEAST_SERVERS / SERVERS
+            mean = instances * MIN_SERVERS / SERVERS
             each = [count[name] for name in backends_of_zones(SERVERS)]
             with self.subTest(instances=instances):
                 self.assertAlmostEqual(statistics.mean(each), mean)
@@ -96,8 +96,8 @@
     """Small services and fleets have no subset, and are served as before."""
 
     def test_small_service_has_no_subset(self):
-        self.assertFalse(subset_router(0, LEAST_SERVERS).subset.applies)
-        self.assertTrue(subset_router(0, LEAST_SERVERS + 1).subset.applies)
+        self.assertFalse(subset_router(0, MIN_SERVERS).subset.applies)
+        self.assertTrue(subset_router(0, MIN_SERVERS + 1).subset.applies)
 
     def test_small_fleet_has_no_subset(self):
         self.assertFalse(subset_router(0, SERVERS, 14).subset.applies)
@@ -123,7 +123,7 @@
         for name in before:
             router.mark_silent(name)
         after = used_ids(router, NOW)
-        self.assertEqual(len(after - before), LEAST_SERVERS)
+        self.assertEqual(len(after - before), MIN_SERVERS)
         self.assertNotIn(router.choose(NOW).backend_id, before)
 
     def test_all_servers_are_used_if_few_are_usable(self):
@@ -138,7 +138,7 @@
         router.apply_peer_report(first.backend_id, LoadReport(SLOTS, 1.0), NOW)
         second.cold_until = third.paused_until = NOW + 1
         fourth.draining = True
-        self.assertEqual(len(used_ids(router, NOW)), LEAST_SERVERS + 3)
+        self.assertEqual(len(used_ids(router, NOW)), MIN_SERVERS + 3)
 
     def test_hot_instance_uses_what_it_needs(self):
         router = subset_router()
@@ -155,7 +155,7 @@
         self.assertEqual(len(used_ids(router, NOW + 5)), large)
         for second in range(6, 120):
             small = len(used_ids(router, NOW + second))
-        self.assertEqual(small, LEAST_SERVERS)
+        self.assertEqual(small, MIN_SERVERS)
 
     def test_size_does_not_flap_at_a_step(self):
         router = subset_router()
