--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -14,6 +14,7 @@
 from catkinslip.crashes.guard import CrashGuard
 from catkinslip.health.base import NoSampler, Sampler
 from catkinslip.health.tracker import HealthTracker
+from catkinslip.limits.plan import CallPlan
 from catkinslip.limits.service import LimitRegistry, ServiceLimits
 from catkinslip.proxy.base import CallForwarder
 from catkinslip.proxy.dialect import Dialect
@@ -135,21 +136,29 @@
         if refusal is not None:
             return refusal
         standing = self._assess(call, limits, is_repeated, now)
-        plan = limits.plan(
-            call.repeatable and not call.is_suspect,
-            call.attempt == 1,
-            call.deadline,
-            call.max_attempts,
-            Urgency(
-                call.priority,
-                is_late=call.spent > 0 or standing.is_repeated,
-                is_ranked=limits.settings.admission.ranks_retries,
-            ),
+        runner = self._make_runner(call, caller, router, limits, permits, standing)
+        outcome = await runner.run()
+        limits.fairness.record(
+            call.route,
+            call.workspace,
+            isinstance(outcome, Answered),
+            self.clock.monotonic(),
         )
-        runner = CallRunner(
+        return outcome
+
+    def _make_runner(
+        self,
+        call: Call,
+        caller: Wire,
+        router: ServiceRouter,
+        limits: ServiceLimits,
+        permits: CallPermits,
+        standing: Standing,
+    ) -> CallRunner:
+        return CallRunner(
             call=call,
             caller=caller,
-            plan=plan,
+            plan=make_plan(call, limits, standing),
             limits=limits,
             router=router,
             health=self.health,
@@ -167,11 +176,18 @@
             ),
             standing=standing,
         )
-        outcome = await runner.run()
-        limits.fairness.record(
-            call.route,
-            call.workspace,
-            isinstance(outcome, Answered),
-            self.clock.monotonic(),
-        )
-        return outcome
+
+
+def make_plan(call: Call, limits: ServiceLimits, standing: Standing) -> CallPlan:
+    """Return the plan of the attempts and hedges of a call."""
+    return limits.plan(
+        call.repeatable and not call.is_suspect,
+        call.attempt == 1,
+        call.deadline,
+        call.max_attempts,
+        Urgency(
+            call.priority,
+            is_late=call.spent > 0 or standing.is_repeated,
+            is_ranked=limits.settings.admission.ranks_retries,
+        ),
+    )
