--- a/catkinslip/admission/scarcity.py
+++ b/catkinslip/admission/scarcity.py
@@ -4,9 +4,9 @@
 then, so that no call is refused for fairness while servers have room.
 """
 
-from math import exp
+from attrs import Factory, define
 
-from attrs import define
+from catkinslip.admission.tally import Tally
 
 #: Seconds after which a call counts 1/e.
 MEMORY_SECONDS = 3.0
@@ -21,23 +21,14 @@
 class Scarcity:
     """Recent calls of a service, and those that found no room, with decay."""
 
-    calls: float = 0.0
-    without_room: float = 0.0
-    at: float = 0.0
+    #: Marked calls found no room.
+    tally: Tally = Factory(lambda: Tally(MEMORY_SECONDS))
 
     def record(self, has_room: bool, now: float) -> None:
         """Count the first decision on a call."""
-        self._decay(now)
-        self.calls += 1
-        self.without_room += not has_room
+        self.tally.record(not has_room, now)
 
     def is_scarce(self, now: float) -> bool:
         """Return whether calls found no room lately."""
-        self._decay(now)
-        return self.without_room >= max(MIN_CALLS, SCARCE_SHARE * self.calls)
-
-    def _decay(self, now: float) -> None:
-        factor = exp(min(0.0, self.at - now) / MEMORY_SECONDS)
-        self.calls *= factor
-        self.without_room *= factor
-        self.at = now
+        self.tally.decay(now)
+        return self.tally.marked >= max(MIN_CALLS, SCARCE_SHARE * self.tally.calls)
--- a/catkinslip/admission/served.py
+++ b/catkinslip/admission/served.py
@@ -5,11 +5,10 @@
 of a group, so the share of a group starts at that of all calls.
 """
 
-from math import exp
-
 from attrs import Factory, define
 
 from catkinslip.admission.bounded import put_newest
+from catkinslip.admission.tally import Tally
 
 #: Seconds after which a call counts 1/e in the shares.
 MEMORY_SECONDS = 5.0
@@ -19,33 +18,11 @@
 PRIOR_CALLS = 4.0
 
 
-@define
-class Tally:
-    """Recent calls and how many of them were served, with exponential decay."""
-
-    calls: float = 0.0
-    served: float = 0.0
-    at: float = 0.0
-
-    def decay(self, now: float) -> None:
-        """Let the counts decay until now."""
-        factor = exp(min(0.0, self.at - now) / MEMORY_SECONDS)
-        self.calls *= factor
-        self.served *= factor
-        self.at = now
-
-    def record(self, is_served: bool, now: float) -> None:
-        """Count a call."""
-        self.decay(now)
-        self.calls += 1
-        self.served += is_served
-
-
 @define
 class ServedShares:
     """The share of recent calls that were served, for all calls and each group."""
 
-    total: Tally = Factory(Tally)
+    total: Tally = Factory(lambda: Tally(MEMORY_SECONDS))
     tally_by_group: dict[str, Tally] = Factory(dict)
 
     def record(self, group: str, is_served: bool, now: float) -> None:
@@ -53,7 +30,7 @@
         self.total.record(is_served, now)
         tally = self.tally_by_group.get(group)
         if tally is None:
-            tally = Tally(at=now)
+            tally = Tally(MEMORY_SECONDS, at=now)
         put_newest(self.tally_by_group, group, tally, MAX_GROUPS)
         tally.record(is_served, now)
 
@@ -62,18 +39,18 @@
         self.total.decay(now)
         if not self.total.calls:
             return 1.0
-        overall = self.total.served / self.total.calls
+        overall = self.total.marked / self.total.calls
         tally = self.tally_by_group.get(group)
         if tally is None:
             return overall
         tally.decay(now)
-        served = tally.served + PRIOR_CALLS * overall
+        served = tally.marked + PRIOR_CALLS * overall
         return served / (tally.calls + PRIOR_CALLS)
 
     def relative(self, group: str, now: float) -> float:
         """Return the share of a group divided by that of all calls; 1.0 if unknown."""
         self.total.decay(now)
-        if not self.total.served:
+        if not self.total.marked:
             return 1.0
-        overall = self.total.served / self.total.calls
+        overall = self.total.marked / self.total.calls
         return self.share(group, now) / overall
