--- a/catkinslip/admission/repeats.py
+++ b/catkinslip/admission/repeats.py
@@ -1,6 +1,6 @@
-"""Callers that return before the time that they were told.
+"""Callers that send a refused request again before their retry delay has passed.
 
-Load: 0.3 of the callers send again at once, three times as often as others, while the
+Load: three callers in ten send again at once, three times as often as others, while the
 servers have no room or refuse half of their requests. A caller whose address sends
 again before the time of its last refusal for want of room is recognised, as long as the
 address has one call at a time. Addresses with several calls at once belong to several
@@ -18,7 +18,7 @@
 
 
 @define
-class Address:
+class AddressCalls:
     """The calls of one address; times are monotonic seconds."""
 
     open_calls: int = 0
@@ -32,16 +32,16 @@
 class RepeatedCalls:
     """Recognition of callers that return too early, in bounded memory."""
 
-    by_address: dict[str, Address] = Factory(dict)
+    calls_by_address: dict[str, AddressCalls] = Factory(dict)
 
     def arrive(self, address: str, now: float) -> bool:
         """Count a call that arrived; return whether its caller returned too early."""
         if not address:
             return False
-        known = self.by_address.pop(address, None) or Address()
-        if len(self.by_address) >= MAX_ADDRESSES:
-            del self.by_address[self._evicted()]
-        self.by_address[address] = known
+        known = self.calls_by_address.pop(address, None) or AddressCalls()
+        if len(self.calls_by_address) >= MAX_ADDRESSES:
+            del self.calls_by_address[self._evicted()]
+        self.calls_by_address[address] = known
         known.open_calls += 1
         if known.open_calls > 1:
             known.shared_until = now + SHARED_SECONDS
@@ -51,7 +51,7 @@
 
     def end(self, address: str, now: float, retry_after: float | None) -> None:
         """Count a call that ended, refused with a time to return if there is one."""
-        known = self.by_address.get(address)
+        known = self.calls_by_address.get(address)
         if known is None:
             return
         known.open_calls = max(0, known.open_calls - 1)
@@ -62,5 +62,6 @@
 
     def _evicted(self) -> str:
         """Return the address seen longest ago, one without open calls if any."""
-        idle = (name for name, each in self.by_address.items() if not each.open_calls)
-        return next(idle, next(iter(self.by_address)))
+        by_address = self.calls_by_address
+        idle = (name for name, each in by_address.items() if not each.open_calls)
+        return next(idle, next(iter(by_address)))
--- a/catkinslip/routing/subset.py
+++ b/catkinslip/routing/subset.py
@@ -1,10 +1,10 @@
 """The subset of a service's servers that one instance uses, and when it grows.
 
-Load: 121 instances before 220 servers. The six instances of the home sets got most
-requests; each of the others got one or two a second. In ten seconds 8,992 connections
-to servers were opened for 6,300 requests, 7,285 of them for probes, because a selection
-without a good server in its sample examined all servers. The load of an instance jumps
+Load: many instances before many servers, where most instances get one or two requests
+a second. Without subsets, a selection without a good server in its sample examines all
+servers, and most connections are opened only for probes. The load of an instance jumps
 when others are lost or callers move, so a subset grows at once and shrinks slowly.
+docs/design/server-subsets.md has the figures.
 
 The servers are ordered by rendezvous hashing, those of the own zone first. The subset
 is the beginning of that order that holds enough usable servers. The order depends on
@@ -20,17 +20,16 @@
 from catkinslip.addresses.rendezvous import weight
 from catkinslip.routing.base import NEVER, BackendLoad
 
-#: Usable servers in the smallest subset. Services with fewer servers have no subset.
-#: With 16 of 220 servers, callers of instances with little load got 0.949 of the worth
-#: of their requests, with 32 they got 0.959 and without subsets 0.952 (four seeds).
-LEAST_SERVERS = 32
+#: Usable servers in the smallest subset; services with fewer servers have no subset.
+#: docs/design/server-subsets.md compares sizes.
+MIN_SERVERS = 32
 #: Instances below which there are no subsets: few instances open few connections.
 MIN_INSTANCES = 24
 #: Slots in the subset for each request in flight. Other instances use the same slots,
 #: and with noisy neighbours about half of the servers are full or slow at a time.
 SLOTS_PER_REQUEST = 16
-#: Time constant, in seconds, at which the demand decays: longer than the pause between
-#: two crests of a wave of 15 s.
+#: Time constant, in seconds, at which the demand decays. It exceeds the period of loads
+#: that rise and fall every 15 s, so that the subset keeps its size between two peaks.
 DEMAND_MEMORY_SECONDS = 20.0
 #: Share of the next smaller size that the need must fall below before a subset shrinks.
 SHRINK_SHARE = 0.75
@@ -116,10 +115,10 @@
     is_enabled: bool = False
     #: Function that returns the number of known instances.
     count_instances: Callable[[], float] = no_instances
-    least: int = LEAST_SERVERS
+    min_servers: int = MIN_SERVERS
     demand: Demand = Factory(Demand)
     #: Number of usable servers wanted.
-    size: int = LEAST_SERVERS
+    size: int = MIN_SERVERS
     order: list[BackendLoad] = Factory(list)
     weight_by_id: dict[str, int] = Factory(dict)
 
@@ -144,7 +143,7 @@
     @property
     def applies(self) -> bool:
         """Return whether the service and the fleet are large enough for a subset."""
-        if not self.is_enabled or len(self.order) <= self.least:
+        if not self.is_enabled or len(self.order) <= self.min_servers:
             return False
         return self.count_instances() >= MIN_INSTANCES
 
@@ -177,7 +176,7 @@
         needed, before = self.needed(now), self.size
         while self.size < needed:
             self.size *= 2
-        if self.size > self.least and needed < SHRINK_SHARE * self.size / 2:
+        if self.size > self.min_servers and needed < SHRINK_SHARE * self.size / 2:
             self.size //= 2
         if self.size != before:
             log.info(
