--- a/catkinslip/admission/spent.py
+++ b/catkinslip/admission/spent.py
@@ -7,7 +7,7 @@
 patience, so only a caller with less time than the least patient fresh one has certainly
 made an attempt before.
 
-docs/CAPACITY.md gives what this is worth in the overload benchmark.
+docs/CAPACITY.md has the loss without these estimates.
 """
 
 from bisect import bisect_left, insort
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -16,7 +16,7 @@
 from catkinslip.proxy.outcomes import NotRun
 from catkinslip.routing.routes import RouteTable
 from catkinslip.workspaces.checker import KeyChecker
-from catkinslip.workspaces.proofs import check_proof
+from catkinslip.workspaces.signatures import verify_signature
 
 
 @define
@@ -149,8 +149,8 @@
         value = find(request.headers, name) if name else None
         if value is None:
             return None
-        return check_proof(
-            value.decode('latin-1'), self.keys.workspace_by_name, proof_parts(call)
+        return verify_signature(
+            value.decode('latin-1'), self.keys.workspace_by_name, signed_parts(call)
         )
 
     def _apply_rules(
@@ -182,10 +182,11 @@
     return target.decode('latin-1').partition('?')[0]
 
 
-def proof_parts(call: Call) -> tuple[bytes, ...]:
-    """Return the parts of a call for which its workspace is proven to another instance.
+def signed_parts(call: Call) -> tuple[bytes, ...]:
+    """Return the parts of a call that the signature of its workspace covers.
 
-    The idempotency key is part of them, so that a proof is of use for one request only.
+    The idempotency key is one of them, so that a signature is of use for one request
+    only.
     """
     key = find(call.headers, IDEMPOTENCY_KEY) or b''
     return (call.method, call.target, call.request_id.encode(), key)
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -21,7 +21,7 @@
 REQUEST_ID_FORM = re.compile(rb'[\x21-\x7e]{1,128}\Z')
 IDEMPOTENCY_KEY = b'idempotency-key'
 PASSED_BY = b'catkinslip-passed-by'
-#: The workspace of a request that another instance passed on, with proofs.
+#: The workspace of a request that another instance passed on, with signatures.
 PASSED_WORKSPACE = b'catkinslip-passed-workspace'
 API_KEY = b'catkinslip-api-key'
 WORKSPACE = b'catkinslip-workspace'
--- a/catkinslip/tickets/passing.py
+++ b/catkinslip/tickets/passing.py
@@ -11,13 +11,13 @@
 from catkinslip.models import Address
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.call import Call
-from catkinslip.proxy.calls import proof_parts
+from catkinslip.proxy.calls import signed_parts
 from catkinslip.proxy.exchange import AnswerHead, Attempt
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.problems import TYPE_PREFIX
 from catkinslip.proxy.wire import Wire
-from catkinslip.workspaces.proofs import make_proof
+from catkinslip.workspaces.signatures import make_signatures
 
 #: Size in bytes beyond which no more of a problem document is read.
 MAX_PROBLEM_BYTES = 16 << 10
@@ -34,7 +34,7 @@
 
     own_id: str = ''
     #: The header that proves the call's workspace to the home, if it has one.
-    workspace_proof: list[names.Header] = Factory(list)
+    workspace_signature: list[names.Header] = Factory(list)
 
     async def start(self) -> AnswerHead | NotRun | Unknown:
         """Send the request on a new connection and wait for the answer's head.
@@ -65,7 +65,7 @@
         request, *rest = super()._request_events()
         service = (names.SERVICE, self.call.service.encode())
         passed_by = (names.PASSED_BY, self.own_id.encode())
-        headers = [*request.headers, service, passed_by, *self.workspace_proof]
+        headers = [*request.headers, service, passed_by, *self.workspace_signature]
         request = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
@@ -90,19 +90,19 @@
             self.pool,
             self.clock,
             own_id=self.own_id,
-            workspace_proof=self._workspace_proof(call),
+            workspace_signature=self._workspace_signature(call),
         )
         with trio.move_on_after(max(0.0, call.deadline - self.clock.monotonic())):
             return await attempt.run()
         return Unknown(Reason.DEADLINE, 'no whole answer of the home')
 
-    def _workspace_proof(self, call: Call) -> list[names.Header]:
+    def _workspace_signature(self, call: Call) -> list[names.Header]:
         """Return the header that proves a call's workspace; empty if it has none."""
         workspaces = self.config.current.document.rules.workspaces
         workspace = workspaces.get(call.workspace)
         if workspace is None:
             return []
-        value = make_proof(call.workspace, workspace, proof_parts(call))
+        value = make_signatures(call.workspace, workspace, signed_parts(call))
         return [(names.PASSED_WORKSPACE, value.encode())]
 
 
--- a/tests/test_workspaces_index.py
+++ b/tests/test_workspaces_index.py
@@ -1,4 +1,4 @@
-"""Tests of the index of keys, of wrong keys, proofs and fingerprints."""
+"""Tests of the index of keys, of wrong keys, signatures and fingerprints."""
 
 import unittest
 from unittest import mock
@@ -10,7 +10,7 @@
 from catkinslip.workspaces.fingerprints import fingerprint_of, hide_keys
 from catkinslip.workspaces.index import KeyIndex
 from catkinslip.workspaces.keys import MAX_KEY_BYTES, KeyFault, read_key
-from catkinslip.workspaces.proofs import check_proof, make_proof
+from catkinslip.workspaces.signatures import make_signatures, verify_signature
 from tests.test_metrics_requests import FixedClock
 from tests.workspace_builders import (
     ACME,
@@ -125,16 +125,16 @@
         self.assertIn(f'omitted={500 - MAX_LINES_PER_SECOND}', logs.output[-1])
 
 
-class ProofTest(unittest.TestCase):
-    """Proofs of the workspace of a request that another instance passed on."""
+class SignatureTest(unittest.TestCase):
+    """Signatures of the workspace of a request that another instance passed on."""
 
     def setUp(self):
         self.workspace = Workspace((KEY, NEW_KEY))
-        self.value = make_proof(ACME, self.workspace, PARTS)
+        self.value = make_signatures(ACME, self.workspace, PARTS)
 
     def check(self, value: str, *keys: str, parts=PARTS) -> str | None:
         workspaces = {ACME: Workspace(keys), BIRCH: Workspace((OTHER_KEY,))}
-        return check_proof(value, workspaces, parts)
+        return verify_signature(value, workspaces, parts)
 
     def test_proof_holds_while_one_key_is_common(self):
         """Guards against refusals while two instances have different keys.
@@ -147,9 +147,10 @@
 
     def test_nobody_else_can_name_a_workspace(self):
         """Guards against callers that send the header of another instance."""
-        proofs = self.value.partition(' ')[2]
-        forged = make_proof(ACME, Workspace((OTHER_KEY,)), PARTS)
-        for value in (ACME, f'{ACME} ', f'{BIRCH} {proofs}', forged, '', 'x y \xff'):
+        signatures = self.value.partition(' ')[2]
+        forged = make_signatures(ACME, Workspace((OTHER_KEY,)), PARTS)
+        moved = f'{BIRCH} {signatures}'
+        for value in (ACME, f'{ACME} ', moved, forged, '', 'x y \xff'):
             with self.subTest(value):
                 self.assertIsNone(self.check(value, KEY, NEW_KEY))
         other = (b'POST', b'/claim', b'r2', b'ck1.key')
