Ask the records of a key before a refusal says that a request did not run

What callers saw: a request with an idempotency key ran, its answer was lost, and the same key sent again was answered with 504 `not-run`, `too-late`. A caller may then take a new key (docs/AT-MOST-ONCE.md), and the request runs twice.

Cause: the deadline of a call and its API key were checked before the call reached the at-most-once forwarder, so the refusal was made without a look at the table of keys or the record. Instances that are not the home refused the same way.

No line "key looked up" is logged for the refused sending. Without freeze or load: the new process test sends a key that was answered again, in 12 kinds (home and other instance, timeout of 0, of 1 ms, a deadline that passed; key of a home, key recorded by the platform).

Ruled out: a table that lost its entry (the entry is there, a sending in time gets the kept answer), and the forwarder's own deadline (the answer came from the home).

Change: a refusal that is made before forwarding is reviewed where requests have keys. The home looks the key up without admitting it: a new key is refused as before, a known one gets its answer or what is known of it. An instance that is not the home, or would have to ask the platform, says "unknown", and so does a refused API key, which must not tell about requests. Requests without a key, repeatable ones, and instances without keys (the platform's program) are refused as before.

--- a/catkinslip/metrics/workspaces.py
+++ b/catkinslip/metrics/workspaces.py
@@ -14,7 +14,14 @@
 from catkinslip.metrics.base import Family, MetricSource, counter
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.observer import RequestObserver
-from catkinslip.proxy.outcomes import SERVER_ERRORS, Answered, NotRun, Outcome, Reason
+from catkinslip.proxy.outcomes import (
+    SERVER_ERRORS,
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
 from catkinslip.routing.base import Choice
 
 #: Number of workspaces with series of their own.
@@ -123,5 +130,5 @@
 
 
 def outcome_is(outcome: Outcome, reason: Reason) -> bool:
-    """Return whether a request was not run for a reason."""
-    return isinstance(outcome, NotRun) and outcome.reason is reason
+    """Return whether a request was refused for a reason."""
+    return isinstance(outcome, NotRun | Unknown) and outcome.reason is reason
--- a/catkinslip/proxy/base.py
+++ b/catkinslip/proxy/base.py
@@ -18,6 +18,26 @@
         """Forward one call within its deadline and return how it ended."""
 
 
+class RefusalReview(ABC):
+    """Interface that decides what a refusal before forwarding may tell the caller.
+
+    A refusal says that the request did not run, which is false of a repeated request
+    that ran before.
+    """
+
+    @abstractmethod
+    async def review(self, call: Call, refusal: NotRun, caller: Wire) -> Outcome:
+        """Return the outcome of a call that is refused instead of being forwarded."""
+
+
+class NoReview(RefusalReview):
+    """The review where no request repeats another: each refusal is true as it is."""
+
+    async def review(self, call: Call, refusal: NotRun, caller: Wire) -> Outcome:
+        """Return the refusal."""
+        return refusal
+
+
 class LocalPages(ABC):
     """Interface for pages that this instance serves itself."""
 
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -8,7 +8,12 @@
 
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.environment import Environment
-from catkinslip.proxy.base import CallForwarder, LocalPages
+from catkinslip.proxy.base import (
+    CallForwarder,
+    LocalPages,
+    NoReview,
+    RefusalReview,
+)
 from catkinslip.proxy.bodies import BodyReader, BodyRemainder, has_whole_body
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.caller_limits import CallerLimits
@@ -42,6 +47,7 @@
     limits: CallerLimits
     observer: RequestObserver = ObserverGroup()
     dialect: Dialect = Factory(NativeDialect)
+    refusal_review: RefusalReview = Factory(NoReview)
     drain: CallerDrain = Factory(CallerDrain)
     watch: CallerWatch = Factory(CallerWatch)
     connections: int = 0
@@ -219,10 +225,11 @@
         return outcome
 
     async def _forward_in_time(self, call: Call, wire: Wire) -> Outcome:
-        if call.refusal is not None:
-            return call.refusal
-        if call.is_expired(self.environment.clock):
-            return NotRun(Reason.TOO_LATE)
+        refusal = call.refusal
+        if refusal is None and call.is_expired(self.environment.clock):
+            refusal = NotRun(Reason.TOO_LATE)
+        if refusal is not None:
+            return await self.refusal_review.review(call, refusal, wire)
         return await self.forwarder.forward(call, wire)
 
     async def _forward(self, call: Call, wire: Wire) -> Outcome:
--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -55,12 +55,10 @@
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward one call within its deadline and return its outcome."""
-        if call.repeatable:
+        if self.is_repeatable(call):
             return await self.forwarder.forward(call, caller)
-        text = (names.find(call.headers, names.IDEMPOTENCY_KEY) or b'').decode(
-            'latin-1'
-        )
-        recorded = self._record_place(call) is RecordPlace.PLATFORM
+        text = key_text(call)
+        recorded = self.is_recorded(call)
         key = parse_key(text)
         if key is None:
             return await self._forward_without_ticket(call, caller, text, recorded)
@@ -68,6 +66,25 @@
             return await self._forward_at_home(call, caller, key)
         return await self._forward_to_home(call, caller, key)
 
+    def is_repeatable(self, call: Call) -> bool:
+        """Return whether a call may run again, so that its key does not matter."""
+        return call.repeatable
+
+    def is_recorded(self, call: Call) -> bool:
+        """Return whether the rules ask for a record of a call in the platform."""
+        method = call.method.decode('latin-1')
+        path = call.target.decode('latin-1').partition('?')[0]
+        document = self.config.current.document
+        rule: RequestRule | None = document.find_rule(call.service, method, path)
+        return rule is not None and rule.record is RecordPlace.PLATFORM
+
+    def look_up(self, call: Call, key: TicketKey) -> tickets.Decision:
+        """Return the decision on a key whose home is this instance, without admission.
+
+        `Admitted` means that no request with this key has run here.
+        """
+        return self.table.look_up(key, fingerprint(call), self.clock.now())
+
     async def _forward_without_ticket(
         self, call: Call, caller: Wire, text: str, recorded: bool
     ) -> Outcome:
@@ -90,16 +107,9 @@
             call.request_id,
             describe(decision),
         )
-        match decision:
-            case tickets.Admitted():
-                return await self._run(call, caller, key)
-            case tickets.Replay(answer):
-                await send_replay(answer, caller, call.request_id)
-                return Answered(answer.status)
-            case tickets.AlreadySent(state, status):
-                detail = state.value if status is None else f'{state.value} {status}'
-                return Unknown(Reason.ALREADY_SENT, detail)
-        return REASON_BY_REFUSAL[decision]
+        if decision == tickets.Admitted():
+            return await self._run(call, caller, key)
+        return await answer_repeated(decision, call, caller)
 
     async def _run(self, call: Call, caller: Wire, key: TicketKey) -> Outcome:
         if call.is_expired(self.home_forwarder.clock):
@@ -155,12 +165,25 @@
                 await self.records.release(claim)
         return outcome
 
-    def _record_place(self, call: Call) -> RecordPlace:
-        method = call.method.decode('latin-1')
-        path = call.target.decode('latin-1').partition('?')[0]
-        document = self.config.current.document
-        rule: RequestRule | None = document.find_rule(call.service, method, path)
-        return RecordPlace.HOME if rule is None else rule.record
+
+async def answer_repeated(
+    decision: tickets.Decision, call: Call, caller: Wire
+) -> Outcome:
+    """Answer a request whose key is not admitted, and return its outcome."""
+    match decision:
+        case tickets.Replay(answer):
+            await send_replay(answer, caller, call.request_id)
+            return Answered(answer.status)
+        case tickets.AlreadySent(state, status):
+            detail = state.value if status is None else f'{state.value} {status}'
+            return Unknown(Reason.ALREADY_SENT, detail)
+    return REASON_BY_REFUSAL[decision]
+
+
+def key_text(call: Call) -> str:
+    """Return the idempotency key of a call; empty if it has none."""
+    value = names.find(call.headers, names.IDEMPOTENCY_KEY) or b''
+    return value.decode('latin-1')
 
 
 def fingerprint(call: Call) -> bytes:
--- a/catkinslip/tickets/table.py
+++ b/catkinslip/tickets/table.py
@@ -99,6 +99,14 @@
 
     def admit(self, key: TicketKey, fingerprint: bytes, now: float) -> Decision:
         """Decide whether a request may run; call before its first byte is sent."""
+        decision = self.look_up(key, fingerprint, now)
+        if decision == Admitted():
+            self.entry_by_key[key.text] = Entry(key, fingerprint)
+            self.keys_by_expiry.setdefault(key.expiry, set()).add(key.text)
+        return decision
+
+    def look_up(self, key: TicketKey, fingerprint: bytes, now: float) -> Decision:
+        """Return the decision that `admit` would make, without admitting the key."""
         self._remove_expired(now)
         if (key.member_id, key.incarnation) != (self.member_id, self.incarnation):
             return Refusal.OTHER_INCARNATION
@@ -111,8 +119,6 @@
             return Refusal.TOO_FAR_AHEAD
         if len(self.entry_by_key) >= self.capacity:
             return Refusal.FULL
-        self.entry_by_key[key.text] = Entry(key, fingerprint)
-        self.keys_by_expiry.setdefault(key.expiry, set()).add(key.text)
         return Admitted()
 
     def release(self, key: TicketKey) -> None:
--- a/catkinslip/wiring/callers.py
+++ b/catkinslip/wiring/callers.py
@@ -15,6 +15,7 @@
 from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
 from catkinslip.tickets.passing import HomeForwarder
 from catkinslip.tickets.records import PlatformRecords
+from catkinslip.tickets.refusals import KeyedRefusalReview
 from catkinslip.tickets.table import TicketTable
 from catkinslip.wiring.shared import Shared
 
@@ -59,6 +60,7 @@
         AddressPages(address_resolver),
         make_caller_limits(settings),
         shared.metrics.observer,
+        refusal_review=KeyedRefusalReview(at_most_once_forwarder),
     )
 
 
--- a/tests/test_tickets_gate.py
+++ b/tests/test_tickets_gate.py
@@ -1,86 +1,32 @@
 """Tests of at-most-once forwarding: local runs, forwarding to the home, outcomes."""
 
 import unittest
-from random import Random
 
-import h11
 import trio
 import trio.testing
-from attrs import Factory, define
 
-from catkinslip.clock import SystemClock
-from catkinslip.config.documents import AcceptedConfig, ConfigVersion
 from catkinslip.config.holder import ConfigHolder
-from catkinslip.membership.members import Member, MemberTable
+from catkinslip.membership.members import Member
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
-from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import server_wire
-from catkinslip.store.embedded import EmbeddedStore
-from catkinslip.tickets.gate import AtMostOnceForwarder
-from catkinslip.tickets.keys import AnchoredClock
-from catkinslip.tickets.passing import HomeForwarder
-from catkinslip.tickets.records import PlatformRecords
-from catkinslip.tickets.table import TicketTable
-from tests.builders import document_of, document_plain, ticket_key
-
-OWN = Member('entry-2', 3, 'zone-a', '127.0.0.1:1', '127.0.0.1:1')
-#: No process listens on port 1, so this home is unreachable.
-HOME = Member('entry-1', 7, 'zone-a', '127.0.0.1:1', '127.0.0.1:1')
-RULES = [
-    {'service': '*', 'path': path, 'methods': ['POST'], 'repeatable': False, **more}
-    for path, more in (('/recorded', {'record': 'platform'}), ('*', {}))
-]
-
-
-@define
-class ScriptedForwarder:
-    """A forwarder that records calls and ends each with a set outcome."""
-
-    outcome: Outcome = Answered(201)
-    answers: bool = True
-    calls: list[Call] = Factory(list)
-
-    async def forward(self, call, caller):
-        self.calls.append(call)
-        if self.outcome is None:
-            await trio.sleep_forever()
-        if self.answers and isinstance(self.outcome, Answered):
-            headers = [('content-length', '2'), ('connection', 'close')]
-            response = h11.Response(status_code=201, headers=headers)
-            await caller.send(response, h11.Data(data=b'ok'), h11.EndOfMessage())
-        return self.outcome
+from tests.builders import ticket_key
+from tests.ticket_builders import HOME, OWN, ScriptedForwarder, new_gate
 
 
 class GateTest(unittest.TestCase):
     """The at-most-once forwarder of one instance before a scripted forwarder."""
 
     def setUp(self):
-        self.clock = SystemClock()
-        anchored = AnchoredClock(self.clock)
-        expiry = int(anchored.now()) + 60
+        self.forwarder = ScriptedForwarder()
+        self.gate = new_gate(self.forwarder)
+        self.clock = self.gate.home_forwarder.clock
+        self.members = self.gate.members
+        expiry = int(self.gate.clock.now()) + 60
         own = (expiry, OWN.incarnation, OWN.member_id)
         self.own_key = ticket_key('a', *own).text
         self.other_own_key = ticket_key('b', *own).text
         self.home_key = ticket_key('a', expiry, HOME.incarnation, HOME.member_id).text
-        config = ConfigHolder()
-        plain = document_plain({}, 'claims')
-        plain['rules']['requests'] = RULES
-        version = ConfigVersion(0, 1)
-        config.offer(AcceptedConfig(version, 'change', 'ana', document_of(plain)))
-        self.forwarder = ScriptedForwarder()
-        self.store = EmbeddedStore()
-        self.members = MemberTable(OWN)
-        self.members.merge(HOME)
-        self.gate = AtMostOnceForwarder(
-            forwarder=self.forwarder,
-            table=TicketTable('entry-2', 3, 60.0, 10, anchored.now()),
-            records=PlatformRecords(self.store, Random(1)),
-            home_forwarder=HomeForwarder('entry-2', BackendPool(), self.clock),
-            config=config,
-            members=self.members,
-            clock=anchored,
-        )
 
     def forward(self, key: str = '', path: bytes = b'/claim', **fields) -> Outcome:
         return trio.run(self.forward_async, key, path, fields)
--- a/tests/test_tickets_processes.py
+++ b/tests/test_tickets_processes.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import tempfile
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -14,6 +15,7 @@
 from tests.builders import document_plain
 
 ADDRESSES_PATH = '/.well-known/catkinslip/addresses/claims'
+LATE = {'Catkinslip-Timeout': '0'}
 RECORDED = {
     'service': 'claims',
     'path': '/recorded/*',
@@ -72,11 +74,15 @@
         return f'{prefix}.{self._testMethodName}'
 
     def post(self, name: str, key: str, request_id: str, path='/claim', timeout=10):
+        headers = {'Catkinslip-Timeout': str(timeout)}
+        return self.send(name, key, request_id, path, headers)
+
+    def send(self, name: str, key: str, request_id: str, path: str, headers: dict):
         headers = {
             'Host': 'claims',
             'Idempotency-Key': key,
             'Catkinslip-Request-Id': request_id,
-            'Catkinslip-Timeout': str(timeout),
+            **headers,
         }
         url = f'http://{self.address(name)}{path}'
         return httpx.post(url, headers=headers, content=b'claim', timeout=20)
@@ -192,6 +198,27 @@
         again = self.post('entry-2', 'down', 'down-2', '/recorded/3')
         self.assertEqual(again.status_code, 200, again.text)
 
+    def test_late_resend_of_an_answered_request_is_not_answered_as_not_run(self):
+        # Guards against a refusal by deadline before the records of the key are read.
+        late_headers = (
+            {'Catkinslip-Timeout': '0'},
+            {'Catkinslip-Timeout': '0.001'},
+            {'Catkinslip-Deadline': str(int(time.time()) - 60)},
+        )
+        keys = ((self.key('entry-1'), '/claim'), ('late', '/recorded/5'))
+        for key, path in keys:
+            first = self.post('entry-1', key, f'{path}-first', path)
+            self.assertEqual(first.status_code, 200, first.text)
+            for name in ('entry-1', 'entry-2'):
+                for headers in late_headers:
+                    with self.subTest(path=path, instance=name, headers=headers):
+                        again = self.send(name, key, f'{path}-again', path, headers)
+                        outcome = again.headers.get('catkinslip-outcome')
+                        self.assertNotEqual(outcome, 'not-run', again.text)
+                        is_replay = 'catkinslip-replayed' in again.headers
+                        self.assertTrue(outcome == 'unknown' or is_replay)
+            self.assertEqual(self.run_count(key), 1)
+
     def test_same_key_runs_after_not_run(self):
         for key, path in (('shed', '/recorded/4'), (self.key('entry-1'), '/claim')):
             self.set_behaviour(slots=1, queue=-1)
