Do not run a keyed request whose caller had left before it was read

What callers saw: the first sending of a key waited unread in a stopped home; its caller gave up and sent the key again. Where the second sending was read first, it was refused as not run, and the first one ran after that.

Cause: a connection is looked at for the end of its caller every 25 ms, but a request that was read together with that end was admitted and sent at once. A deadline that the caller gave as a timeout counts from the reading, so it does not stop such a request.

Evidence: in the logs of the failure above the home admitted the first sending a millisecond after it resumed and sent it on, and ended it as `caller-left` 38 ms later.

Change: the home polls the caller's connection right after the key was admitted, and before and after a record is claimed; a request without a caller is not sent, its key is released. So a sending that was given up can no longer run after a later one was answered as not run, if the close is seen in time. docs/MODEL.md says what is not proved.

--- a/catkinslip/proxy/caller_watch.py
+++ b/catkinslip/proxy/caller_watch.py
@@ -68,3 +68,12 @@
         if self.on_readable is None:
             return select.POLLRDHUP
         return select.POLLIN | select.POLLRDHUP
+
+
+def has_left(caller: Wire) -> bool:
+    """Return whether a caller has closed its connection or its sending half."""
+    if type(caller.stream) is not trio.SocketStream:
+        return False
+    poll = select.poll()
+    poll.register(caller.stream.socket.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -12,6 +12,7 @@
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.base import CallForwarder
 from catkinslip.proxy.call import Call
+from catkinslip.proxy.caller_watch import has_left
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.wire import Wire
@@ -112,6 +113,10 @@
         return await answer_repeated(decision, call, caller)
 
     async def _run(self, call: Call, caller: Wire, key: TicketKey) -> Outcome:
+        if has_left(caller):
+            # A later request with this key may have been answered as not run.
+            self.table.release(key)
+            return NotRun(Reason.CALLER_LEFT)
         if call.is_expired(self.home_forwarder.clock):
             self.table.release(key)
             return NotRun(Reason.TOO_LATE)
@@ -148,6 +153,8 @@
         return await self.home_forwarder.send(call, home, caller)
 
     async def _forward_recorded(self, call: Call, caller: Wire, text: str) -> Outcome:
+        if has_left(caller):
+            return NotRun(Reason.CALLER_LEFT)
         name = f'{call.service}\0{text}'
         claim = await self.records.claim(name, fingerprint(call))
         match claim:
@@ -159,12 +166,19 @@
                 return Unknown(Reason.RECORD_UNAVAILABLE, reason)
             case _:
                 return Unknown(Reason.ALREADY_SENT)
-        outcome = await self.forwarder.forward(call, caller)
+        outcome = await self._run_recorded(call, caller)
         if isinstance(outcome, NotRun):
             with trio.move_on_after(RELEASE_SECONDS, shield=True):
                 await self.records.release(claim)
         return outcome
 
+    async def _run_recorded(self, call: Call, caller: Wire) -> Outcome:
+        if has_left(caller):
+            # The claim may have taken long, and a later request with this key may have
+            # been answered as not run.
+            return NotRun(Reason.CALLER_LEFT)
+        return await self.forwarder.forward(call, caller)
+
 
 async def answer_repeated(
     decision: tickets.Decision, call: Call, caller: Wire
--- a/tests/test_tickets_processes.py
+++ b/tests/test_tickets_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import tempfile
 import time
 import unittest
@@ -219,6 +220,34 @@
                         self.assertTrue(outcome == 'unknown' or is_replay)
             self.assertEqual(self.run_count(key), 1)
 
+    def test_request_read_after_its_caller_left_does_not_run(self):
+        # Guards against a run after a resend of the same key was answered as not run:
+        # the home is stopped, the first sending waits unread, and its caller leaves.
+        key = self.key('entry-1')
+        home = self.group.process_by_name['entry-1']
+        home.send_signal(signal.SIGSTOP)
+        try:
+            host, _, port = self.address('entry-1').rpartition(':')
+            with socket.create_connection((host, int(port))) as connection:
+                request = (
+                    'POST /claim HTTP/1.1',
+                    'Host: claims',
+                    f'Idempotency-Key: {key}',
+                    'Catkinslip-Request-Id: left-1',
+                    'Content-Length: 5',
+                )
+                head = '\r\n'.join(request)
+                connection.sendall(f'{head}\r\n\r\nclaim'.encode())
+        finally:
+            home.send_signal(signal.SIGCONT)
+        wait_until(lambda: 'left-1' in home.log_path.read_text())
+        late = self.send('entry-1', key, 'left-2', '/claim', LATE)
+        self.assert_outcome(late, 'not-run', 'too-late')
+        self.assertEqual(self.run_count(key), 0)
+        again = self.post('entry-1', key, 'left-3')
+        self.assertEqual(again.status_code, 200, again.text)
+        self.assertEqual(self.run_count(key), 1)
+
     def test_same_key_runs_after_not_run(self):
         for key, path in (('shed', '/recorded/4'), (self.key('entry-1'), '/claim')):
             self.set_behaviour(slots=1, queue=-1)
