Say "unknown" where a request with a key is refused before it is a call

What callers saw: a request with a key ran and its answer was lost; the same key sent again was answered as not run, because its body came too slowly or was over the limit of another instance (408, 413), a call header was malformed (400), or too many callers were connected (503 `connection-limit`). After "not run" a caller may take a new key.

Cause: these refusals are made from the head or the bytes alone; the table of keys of the home, or the record, is not asked.

Change: such a refusal of a request with a key has the outcome "unknown", and so has one of which no whole head came, since it may have a key. Without a key it stays "not run". An instance with too many callers waits for the head of the request for up to 1 s, as long as it waited for the caller's close before; instances without keys refuse at once, as before.

--- a/catkinslip/proxy/base.py
+++ b/catkinslip/proxy/base.py
@@ -1,12 +1,13 @@
 """Interfaces of the request handlers behind a caller's connection."""
 
 from abc import ABC, abstractmethod
+from typing import ClassVar
 
 import h11
 
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.headers import RequestHead
-from catkinslip.proxy.outcomes import NotRun, Outcome
+from catkinslip.proxy.outcomes import NotRun, Outcome, Unknown
 from catkinslip.proxy.wire import Wire
 
 
@@ -25,10 +26,22 @@
     that ran before.
     """
 
+    #: How long to wait for the head of a request that is refused anyway, in seconds.
+    refused_head_seconds: ClassVar[float] = 0.0
+
     @abstractmethod
     async def review(self, call: Call, refusal: NotRun, caller: Wire) -> Outcome:
         """Return the outcome of a call that is refused instead of being forwarded."""
 
+    @abstractmethod
+    def review_unread(
+        self, refusal: NotRun, head: RequestHead | None, data: bytes
+    ) -> NotRun | Unknown:
+        """Return the outcome of a request that is refused before it is a call.
+
+        `head` is None if the head was not parsed; `data` is what was received of it.
+        """
+
 
 class NoReview(RefusalReview):
     """The review where no request repeats another: each refusal is true as it is."""
@@ -37,6 +50,12 @@
         """Return the refusal."""
         return refusal
 
+    def review_unread(
+        self, refusal: NotRun, head: RequestHead | None, data: bytes
+    ) -> NotRun | Unknown:
+        """Return the refusal."""
+        return refusal
+
 
 class LocalPages(ABC):
     """Interface for pages that this instance serves itself."""
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -125,8 +125,7 @@
 
     async def _serve_requests(self, wire: CallerWire) -> None:
         if self.connections > self.limits.max_connections:
-            detail = f'at most {self.limits.max_connections} callers'
-            await self._refuse(wire, NotRun(Reason.CONNECTION_LIMIT, detail))
+            await self._refuse_connection(wire)
             return
         while await self._serve_request(wire):
             ahead = wire.read_ahead
@@ -140,6 +139,16 @@
             # may lose an answer that it has not read yet.
             await wire.close_gracefully()
 
+    async def _refuse_connection(self, wire: CallerWire) -> None:
+        detail = f'at most {self.limits.max_connections} callers'
+        request = None
+        seconds = self.refusal_review.refused_head_seconds
+        if seconds > 0:
+            with trio.move_on_after(seconds):
+                request = await self.heads.read(wire)
+        head = request if isinstance(request, RequestHead) else None
+        await self._refuse(wire, NotRun(Reason.CONNECTION_LIMIT, detail), head)
+
     async def _answer_read_ahead(self, ahead: ReadAhead) -> bool:
         """Answer pipelined requests in order; return whether the next may be read."""
         while ahead.has_requests():
@@ -280,14 +289,16 @@
         self, wire: Wire, refusal: NotRun, request: RequestHead | None = None
     ) -> bool:
         request_id = self.calls.new_request_id()
+        outcome = self.refusal_review.review_unread(refusal, request, wire.refused_head)
         log.info(
-            'request: %s refused as %s, %s.',
+            'request: %s refused as %s, %s. outcome=%s',
             request_id,
             refusal.reason.slug,
             refusal.detail,
+            outcome,
         )
         method = request.method if request else b''
-        return await self._send_problem(wire, refusal, request_id, method, close=True)
+        return await self._send_problem(wire, outcome, request_id, method, close=True)
 
     async def _send_problem(
         self,
--- a/catkinslip/proxy/head_reader.py
+++ b/catkinslip/proxy/head_reader.py
@@ -26,11 +26,14 @@
         """Return the next request head, a refusal, or None if no request arrives."""
         head = await self._read_raw(wire)
         if not isinstance(head, bytes):
+            wire.refused_head = wire.codec.trailing_data[0]
             return head
         request = parse_head(wire.codec, head)
-        if not isinstance(request, RequestHead):
-            return request
-        return self._start_chunk_check(wire, request)
+        if isinstance(request, RequestHead):
+            request = self._start_chunk_check(wire, request)
+        if isinstance(request, NotRun):
+            wire.refused_head = head
+        return request
 
     def _start_chunk_check(
         self, wire: Wire, request: RequestHead
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -33,6 +33,8 @@
     must_close: bool = False
     #: Check of the chunked body that is received, if any.
     chunk_check: ChunkCheck | None = None
+    #: Bytes of a request head that was refused.
+    refused_head: bytes = b''
     #: When the bytes arrived that wait to be parsed, in monotonic seconds; None if they
     #: are parsed as they arrive.
     arrived_at: float | None = None
--- a/catkinslip/tickets/refusals.py
+++ b/catkinslip/tickets/refusals.py
@@ -5,11 +5,14 @@
 """
 
 import logging
+from typing import ClassVar
 
 from attrs import define
 
+from catkinslip.proxy import headers as names
 from catkinslip.proxy.base import RefusalReview
 from catkinslip.proxy.call import Call
+from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.wire import Wire
 from catkinslip.tickets.gate import (
@@ -21,6 +24,10 @@
 from catkinslip.tickets.keys import parse_key
 from catkinslip.tickets.table import Admitted
 
+#: Refusals of connections or bytes of which no whole head was received: the request may
+#: have a key.
+WITHOUT_WHOLE_HEAD = frozenset({Reason.SLOW_REQUEST, Reason.CONNECTION_LIMIT})
+
 log = logging.getLogger('tickets')
 
 
@@ -28,6 +35,8 @@
 class KeyedRefusalReview(RefusalReview):
     """The review that looks a key up, or says that the outcome is unknown."""
 
+    refused_head_seconds: ClassVar[float] = 1.0
+
     gate: AtMostOnceForwarder
 
     async def review(self, call: Call, refusal: NotRun, caller: Wire) -> Outcome:
@@ -69,3 +78,14 @@
     def _never_accepts(self, call: Call) -> bool:
         """Return whether no instance accepts a key that the caller generated."""
         return self.gate.config.is_ready and not self.gate.is_recorded(call)
+
+    def review_unread(
+        self, refusal: NotRun, head: RequestHead | None, data: bytes
+    ) -> NotRun | Unknown:
+        """Return the outcome of a request that is refused before it is a call."""
+        if head is not None:
+            may_have_key = names.find(head.headers, names.IDEMPOTENCY_KEY) is not None
+        else:
+            is_incomplete = refusal.reason in WITHOUT_WHOLE_HEAD
+            may_have_key = is_incomplete or names.IDEMPOTENCY_KEY in data.lower()
+        return Unknown(refusal.reason, refusal.detail) if may_have_key else refusal
--- a/tests/test_tickets_refusals.py
+++ b/tests/test_tickets_refusals.py
@@ -95,3 +95,29 @@
         offer_rules(self.gate.config, 3, workspaces={ACME: {'api_keys': [NEW_KEY]}})
         self.assert_refused(self.send(post(key, api_key)), 401, UNKNOWN)
         self.assert_refused(self.send(post('', api_key)), 401, NOT_RUN)
+
+    def test_resend_that_is_refused_before_it_is_read_is_unknown(self):
+        # Guards against refusals of heads and bodies: none of them looks the key up.
+        key = key_of(OWN)
+        self.run_once(key)
+        kinds = {
+            'bad header': (400, ('Catkinslip-Timeout: soon',), {}),
+            'bad line': (400, ('Bad : 1',), {}),
+            'body too large': (413, ('Content-Length: 99',), {'max_body_bytes': 9}),
+            'slow body': (408, ('Content-Length: 99',), {'body_timeout': 0.01}),
+            'connection limit': (503, (), {'max_connections': 0}),
+        }
+        for name, (status, lines, limits) in kinds.items():
+            with self.subTest(name):
+                again = self.send(post(key, *lines), ends=False, **limits)
+                self.assert_refused(again, status, UNKNOWN)
+                other = self.send(post('', *lines), ends=False, **limits)
+                self.assert_refused(other, status, NOT_RUN)
+
+    def test_request_without_a_whole_head_is_unknown(self):
+        # Guards against a resend whose key was not received before it was refused.
+        part = post(key_of(OWN))[:20]
+        slow = self.send(part, ends=False, head_timeout=SHORT_SECONDS)
+        self.assert_refused(slow, 408, UNKNOWN)
+        refused = self.send(part, ends=False, max_connections=0)
+        self.assert_refused(refused, 503, UNKNOWN)
