--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -68,8 +68,11 @@
         return await self._forward_to_home(call, caller, key)
 
     def is_repeatable(self, call: Call) -> bool:
-        """Return whether a call may run again, so that its key does not matter."""
-        return call.repeatable
+        """Return whether a call may run again, so that its key does not matter.
+
+        Without a configuration this is not known of a call with a key.
+        """
+        return call.repeatable and (self.config.is_ready or not key_text(call))
 
     def is_recorded(self, call: Call) -> bool:
         """Return whether the rules ask for a record of a call in the platform."""
--- a/tests/test_tickets_refusals.py
+++ b/tests/test_tickets_refusals.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from catkinslip.config.holder import ConfigHolder
+from catkinslip.proxy.outcomes import NotRun, Reason
 from tests.builders import ticket_key
 from tests.ticket_builders import (
     HOME,
@@ -121,3 +123,14 @@
         self.assert_refused(slow, 408, UNKNOWN)
         refused = self.send(part, ends=False, max_connections=0)
         self.assert_refused(refused, 503, UNKNOWN)
+
+    def test_resend_to_an_instance_without_a_configuration_is_unknown(self):
+        # Guards against a GET that a rule calls not repeatable: without the rules it
+        # looks repeatable, and was refused without a look at its key.
+        self.gate.config = ConfigHolder()
+        self.forwarder.outcome = NotRun(Reason.NOT_READY)
+        request = post('own', path='/once').replace(b'POST', b'GET')
+        self.assert_refused(self.send(request), 503, UNKNOWN)
+        self.assert_refused(
+            self.send(request.replace(b'Idem', b'X-Idem')), 503, NOT_RUN
+        )
