--- a/model/replay/tickets.py
+++ b/model/replay/tickets.py
@@ -93,6 +93,8 @@
                 sending.place = Place.TO_HOME
             case ('admit' | 'full' | 'refuse', Place.TO_HOME):
                 self._admit(sending)
+            case ('refuse_late', Place.TO_HOME):
+                self._refuse_unless_known(sending)
             case ('first_byte', Place.ADMITTED):
                 sending.place = Place.SENT
                 sending.is_in_flight = True
@@ -124,6 +126,12 @@
         sending.runs_when_refused = self.runs
         sending.place = Place.ENDED
 
+    def _refuse_unless_known(self, sending: SendingReplay) -> None:
+        decision = self.table.look_up(self.key, FINGERPRINT, self.home_clock.now())
+        if decision == Admitted():
+            sending.runs_when_refused = self.runs
+        sending.place = Place.ENDED
+
     def _admit_another(self) -> None:
         text = self.key.text + '2'
         other = TicketKey(text, HOME, self.incarnation, self.key.expiry)
--- a/model/tickets.py
+++ b/model/tickets.py
@@ -3,7 +3,8 @@
 The home may crash and restart with another incarnation, be slow, or be frozen, and
 then performs no action. Messages may be late. Each sending may go to the home or to
 another instance that forwards it to the home. A backend server may run a request whose
-sender no longer waits.
+sender no longer waits. The home may read a sending after its connection was closed, and
+after it read a later sending.
 """
 
 from collections.abc import Iterator
@@ -21,6 +22,7 @@
 ONCE = 'at most once'
 TRUE = 'not run is true when sent'
 STAYS_TRUE = 'not run stays true'
+KEY_STAYS_TRUE = 'not run stays true of sendings that were closed'
 ANSWERED = 'answered means ran'
 IN_TIME = 'no run after the deadline'
 
@@ -78,6 +80,10 @@
         'record-before-first-byte': Guard('two sendings pass the look-up', ONCE),
         'keep-unknown': Guard('a request that may have run runs again', ONCE),
         'never-run-elsewhere': Guard('only the home sees its table', ONCE),
+        'look-up-before-refusal': Guard('an earlier sending may have run', TRUE),
+        'refuse-left-callers': Guard(
+            'a sending is read after a later one was refused', KEY_STAYS_TRUE
+        ),
         'unknown-when-unreachable': Guard('an earlier sending may have run', TRUE),
         'unknown-when-silent': Guard('the home may still run it', STAYS_TRUE),
         'no-retry-after-first-byte': Guard('the first server may run it', ONCE),
@@ -93,9 +99,12 @@
             'entry': Entry.NONE,
             'runs': 0,
             'false_not_run': False,
+            'broken_not_run': False,
             'late_run': False,
         }
         for index in SENDINGS:
+            values[indexed('closed', index)] = False
+            values[indexed('void', index)] = False
             values[indexed('place', index)] = Place.CALLER
             values[indexed('backend', index)] = Backend.NOTHING
             values[indexed('second_copy', index)] = False
@@ -116,6 +125,7 @@
                     for each, here in zip(answers, ran, strict=True)
                 )
             ),
+            KEY_STAYS_TRUE: z3.Not(state['broken_not_run']),
             ANSWERED: z3.And(
                 *(z3.Implies(e == Answer.ANSWERED, state['runs'] == 1) for e in answers)
             ),
@@ -143,6 +153,7 @@
             'runs are counted': z3.If(some_ran, state['runs'] == 1, state['runs'] == 0),
             'no answer was false': z3.Not(state['false_not_run']),
             'no run was late': z3.Not(state['late_run']),
+            'no answer was broken': z3.Not(state['broken_not_run']),
         }
         for each in sendings:
             facts[f'held is recorded {each.index}'] = z3.Implies(
@@ -155,6 +166,14 @@
             facts[f'live is used up {each.index}'] = z3.Implies(each.is_live(), used_up)
             facts[f'order {each.index}'] = each.is_ordered()
             facts[f'answer {each.index}'] = each.is_answer_right()
+            facts[f'void {each.index}'] = z3.Implies(
+                each.void,
+                z3.And(
+                    each.closed,
+                    z3.Not(each.is_held()),
+                    each.backend != Backend.IN_FLIGHT,
+                ),
+            )
         for one, other in combinations(sendings, 2):
             facts[f'one lives {one.index} {other.index}'] = z3.Not(
                 z3.And(one.is_live(), other.is_live())
@@ -208,6 +227,8 @@
             answer = Answer.NOT_RUN
         in_transit = sending.place == Place.TO_HOME
         yield sending.act('give_up', in_transit, sending.record_answer(answer))
+        gave_up = sending.told != Answer.NOTHING
+        yield sending.act('close', gave_up, {indexed('closed', sending.index): True})
         yield sending.act('lose', in_transit, sending.end(Answer.UNKNOWN))
         passes = z3.Not(sending.late)
         yield sending.act('deadline', passes, {indexed('late', sending.index): True})
@@ -226,6 +247,11 @@
         )
         new = z3.And(here, z3.Not(refused), z3.Not(seen))
         yield sending.act('full', new, sending.end(Answer.NOT_RUN))
+        may_refuse = new if self.has('look-up-before-refusal') else here
+        refuse = z3.And(may_refuse, sending.late)
+        yield sending.act('refuse_late', refuse, sending.end(Answer.NOT_RUN))
+        if self.has('refuse-left-callers'):
+            new = z3.And(new, z3.Not(sending.closed))
         updates = sending.at(Place.ADMITTED)
         if self.has('record-before-first-byte'):
             updates['entry'] = Entry.RUNNING.value
@@ -254,6 +280,7 @@
         run = {
             'runs': z3.If(state['runs'] < MAX_RUNS, state['runs'] + 1, MAX_RUNS),
             'late_run': z3.Or(state['late_run'], sending.late),
+            'broken_not_run': z3.Or(state['broken_not_run'], sending.void),
         }
         ran = {**run, **sending.backend_is(Backend.RAN)}
         yield sending.act('backend_runs', z3.And(in_flight, in_time), ran)
@@ -347,8 +374,17 @@
         if answer is Answer.NOT_RUN:
             false = z3.And(first, self.state['runs'] > 0)
             updates['false_not_run'] = z3.Or(self.state['false_not_run'], false)
+            updates.update(self.void_closed(first))
         return updates
 
+    def void_closed(self, refused: z3.BoolRef) -> dict:
+        """Return the updates that forbid a run of other sendings that were closed."""
+        others = (Sending(self.state, i) for i in SENDINGS if i != self.index)
+        return {
+            indexed('void', each.index): z3.Or(each.void, z3.And(refused, each.closed))
+            for each in others
+        }
+
     def end(self, answer: Answer) -> dict:
         """Return the updates that end the sending with an answer to the caller."""
         return {**self.at(Place.ENDED), **self.record_answer(answer)}
--- a/tests/test_model_conformance.py
+++ b/tests/test_model_conformance.py
@@ -25,6 +25,7 @@
     'keep-until-expiry',
     'record-before-first-byte',
     'keep-unknown',
+    'look-up-before-refusal',
 )
 
 
