Close the connections of a drain only after their callers did

What callers saw: a slow reader lost the end of a ready answer (40 KB of 2 MiB) when the instance stopped and the caller had sent another request behind a change.

Cause: a close with unread bytes resets the connection, and the kernel drops what waits to be sent. Bytes behind a request were looked for by a poll each 25 ms, and only where pipelining is on.

Change: while an instance drains, a connection that it ends is half-closed, and what comes is read until the caller closes, 1 s at most, as after pipelined requests before.

--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -133,7 +133,7 @@
                 wire.start_next_cycle()
             elif not await self._answer_read_ahead(ahead):
                 break
-        if wire.is_pipelining or wire.arrived_at is not None:
+        if may_have_unread_requests(wire):
             await self._stop_read_ahead(wire)
             # A plain close with requests unread resets the connection, and the caller
             # may lose an answer that it has not read yet.
@@ -317,6 +317,15 @@
         return is_reusable(wire)
 
 
+def may_have_unread_requests(wire: CallerWire) -> bool:
+    """Return whether a caller may have sent requests that are not read any more.
+
+    During a drain this instance closes connections that callers would keep.
+    """
+    is_pipelined = wire.is_pipelining or wire.arrived_at is not None
+    return is_pipelined or wire.drain.is_closing
+
+
 def has_begun(wire: Wire) -> bool:
     """Return whether any byte of an answer may have been sent to the caller."""
     return wire.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
