Remove no instance while the list of a restored store may be incomplete

What callers saw: after the store had come back from a copy that lists few instances, a workspace with a quota could send more than is promised; others pay for it.

Cause: instances that the copy lacks were removed from the tables at once, but for those that are polled, so instances divided the limits by fewer. And an instance that does not read the list itself did not learn that its entry was missing, so the list stayed short.

Change: for 15 s after a list of a later era no instance is removed; an instance that does not read the list writes its entry again once a peer has a list of a later era, and again each 5 s until that succeeds.

--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -10,6 +10,7 @@
 from catkinslip.discovery.announced_readers import AnnouncedReaders
 from catkinslip.discovery.base import InstanceEntry
 from catkinslip.discovery.peer_health import ANSWERING, Peer, PeerHealth
+from catkinslip.discovery.restored_lists import RestoredList, is_of_later_era
 from catkinslip.discovery.zone_rankings import ZoneRankings
 from catkinslip.models import Address
 from catkinslip.quotas.view import FleetView
@@ -48,6 +49,7 @@
     peer_by_id: dict[str, Peer] = Factory(dict)
     #: Revision of the store at which the applied list was read.
     list_revision: int = 0
+    restored_list: RestoredList = Factory(RestoredList)
     #: Whether the first applied list, from the store or a peer, held this instance.
     was_listed: bool = False
     #: Function that returns whether the last call of this instance to the store
@@ -85,8 +87,9 @@
         for entry in known:
             self.add_instance(entry)
         if revision >= self.list_revision:
-            self.list_revision = revision
-            self.remove_unlisted({entry.instance_id for entry in known})
+            self._set_list_revision(revision)
+            if not self.restored_list.may_be_incomplete():
+                self.remove_unlisted({entry.instance_id for entry in known})
 
     def is_behind(self, digest: str, revision: int) -> bool:
         """Return whether a peer has a newer list with other instances than this one.
@@ -97,10 +100,18 @@
         if revision <= self.list_revision:
             return False
         if digest == self.digest():
-            self.list_revision = revision
+            self._set_list_revision(revision)
             return False
         return True
 
+    def is_of_restored_store(self, revision: int) -> bool:
+        """Return whether a list is of a store that was restored since the own list."""
+        return is_of_later_era(revision, self.list_revision)
+
+    def _set_list_revision(self, revision: int) -> None:
+        self.restored_list.compare(self.list_revision, revision)
+        self.list_revision = revision
+
     def remove_unlisted(self, instance_ids: set[str]) -> None:
         """Remove instances that are no longer listed and do not answer."""
         for instance_id, peer in list(self.peer_by_id.items()):
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -34,7 +34,6 @@
     structure,
 )
 from catkinslip.discovery.registration import Registration
-from catkinslip.discovery.revisions import era_of
 from catkinslip.discovery.seed_lists import SeedLists
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
@@ -216,6 +215,11 @@
 
     async def _compare_members(self, address: Address, state: PeerState) -> None:
         """Request all instances from a peer whose newer list has other ones."""
+        if self.instances.is_of_restored_store(state.list_revision):
+            # An instance that does not read the list would not see that its entry is
+            # missing.
+            self.registration.is_unsure = not self.instances.reads_list()
+        await self.registration.announce_if_unsure()
         now = trio.current_time()
         if now - self.requested_members_at < MEMBERS_SECONDS:
             return
@@ -251,7 +255,7 @@
         match await self.source.read_all(may_be_stale=True):
             case Success(listing):
                 entry_by_id = listing.value_by_name
-                if era_of(listing.revision) > era_of(self.instances.list_revision):
+                if self.instances.is_of_restored_store(listing.revision):
                     self.registration.note_restored()
                 self.instances.apply_list(entry_by_id.values(), listing.revision)
                 self._start_polls(nursery)
--- a/tests/test_discovery_peers.py
+++ b/tests/test_discovery_peers.py
@@ -2,6 +2,7 @@
 
 import unittest
 from random import Random
+from unittest import mock
 
 import trio
 import trio.testing
@@ -13,8 +14,10 @@
 from catkinslip.discovery.base import InstanceEntry, InstanceRegistry, Listing
 from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.messages import PeerState
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import ANNOUNCE_AGAIN_SECONDS, Registration
+from catkinslip.discovery.revisions import revision_of
 from catkinslip.page_client import PageClient
 from tests.discovery_builders import OUTAGE, ScriptedSource, instance_entry, no_kinds
 
@@ -116,6 +119,32 @@
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual(self.registry.calls, ['withdraw own'])
 
+    def test_entry_is_written_again_where_only_peers_tell_of_a_restored_store(self):
+        # Guards against an instance that a short copy lacks and that does not read the
+        # list: nobody wrote its entry again, and later starts did not know it.
+        poller = make_poller([], self.registry)
+        self.registry.results = [OUTAGE]
+        table = poller.instances
+        table.apply_list([OWN], revision_of(0, 100))
+        table.is_starting = False
+        state = PeerState(
+            instance_entry('near'),
+            True,
+            1,
+            1,
+            members=table.digest(),
+            list_revision=revision_of(1, 50),
+        )
+
+        async def run():
+            for _ in range(40):
+                await poller._compare_members(None, state)
+                await trio.sleep(0.5)
+
+        with mock.patch.object(InstanceTable, 'reads_list', lambda table: False):
+            trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(self.registry.calls, ['announce own'] * 2)
+
     def test_store_is_read_after_a_failed_read_of_the_list(self):
         poller = poll([OUTAGE], self.registry, 0.1)
         self.assertTrue(poller.instances.reads_store())
