Tell an instance that starts of crashes that the store does not hold

What callers saw: while the store was unavailable, a request that had ended three servers was refused everywhere, but an instance that started then let it end three more, and the callers of those servers lost their requests.

Cause: crash reports go once to the listed instances that serve; later only the store's records tell of them. In an outage no record is written, and who starts is in no list.

Evidence: two new tests with the store away: three more servers ended at an instance that started after the ends, and three at one that had started before them; none in three runs of both now.

Change: each instance asks three that serve for the crashes that the store does not hold, at its start and each 20 s; who asked is told of later ones too. Both directions are datagrams of at most one packet.

--- a/catkinslip/crashes/publisher.py
+++ b/catkinslip/crashes/publisher.py
@@ -40,6 +40,10 @@
 SendDatagram = Callable[[bytes, list[Address]], None]
 
 
+def ignore_answer() -> None:
+    """Do nothing after an answer."""
+
+
 @define
 class CrashPublisher(CrashListener):
     """Exchange of crash reports with other instances by datagrams."""
@@ -52,6 +56,8 @@
     targets: Callable[[], list[Address]]
     #: Sends a datagram to several addresses.
     send: SendDatagram
+    #: Called after the answer to a query for crashes was applied.
+    on_answer: Callable[[], None] = ignore_answer
     #: Crashes to report: the query that each server ran, by request.
     query_by_server_by_key: dict[RequestKey, dict[str, str]] = Factory(dict)
     #: Set while there are crashes to report.
@@ -101,3 +107,5 @@
             self.registry.apply_peer_report(
                 each.key, crashes, self.clock.monotonic(), peer
             )
+        if 'answers' in datagram:
+            self.on_answer()
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -10,6 +10,7 @@
 from catkinslip.addresses.zonal import ZoneAddresses
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.crashes.base import CrashRecord, CrashStore
+from catkinslip.crashes.catch_up import CrashCatchUp
 from catkinslip.crashes.guard import CrashGuard, make_guard
 from catkinslip.crashes.publisher import CrashPublisher
 from catkinslip.crashes.registry import CrashRegistry
@@ -165,6 +166,7 @@
     evacuations: Follower[ZoneEvacuation]
     guard: CrashGuard
     crash_publisher: CrashPublisher
+    crash_catch_up: CrashCatchUp
     rate_gossip: RateGossip
     quotas: FleetQuotas
     sources: tuple[MetricSource, ...]
@@ -196,6 +198,7 @@
             self.evacuations.run,
             self.guard.synchronizer.run,
             self.crash_publisher.run,
+            self.crash_catch_up.run,
             self.rate_gossip.run,
             self.quotas.run,
         )
@@ -255,12 +258,21 @@
             Address.parse(each.report_address) for each in instances.serving_peers()
         ]
 
+    crash_catch_up = CrashCatchUp(
+        settings.own.instance_id,
+        Address.parse(settings.own.report_address),
+        guard.registry,
+        random,
+        serving_addresses,
+        sharer.send_datagram,
+    )
     crash_publisher = CrashPublisher(
         settings.own.instance_id,
         guard.registry,
         clock,
-        serving_addresses,
+        crash_catch_up.targets,
         sharer.send_datagram,
+        crash_catch_up.record_answer,
     )
     guard.listeners.append(crash_publisher)
     rate_gossip = RateGossip(
@@ -286,6 +298,7 @@
     sharer.handler_by_topic = {
         **quotas.handlers(),
         'ends': crash_publisher.apply_datagram,
+        'ends-wanted': crash_catch_up.receive_query,
         'rates': rate_gossip.receive_rates,
         'doubts': rate_gossip.receive_queries,
     }
@@ -385,6 +398,7 @@
         evacuations=evacuations,
         guard=guard,
         crash_publisher=crash_publisher,
+        crash_catch_up=crash_catch_up,
         rate_gossip=rate_gossip,
         quotas=quotas,
         sources=(
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -114,13 +114,21 @@
         item = server_item(server_id, service, port, **fields)
         self.store.put('servers', server_id, item['spec'], item['status'])
 
-    async def add_entry(self) -> Entry:
-        """Start an instance in this loop and wait until it accepts callers."""
+    async def add_entry(self, seed: int | None = None) -> Entry:
+        """Start an instance in this loop and wait until it accepts callers.
+
+        Its seed is the instance with this index, or itself.
+        """
         names = ('front', 'ready', 'peer', 'directory', 'report')
         ports = dict(zip(names, free_ports(len(names)), strict=True))
         fields = {'bounds': self.bounds, 'zones': self.zones}
         text = settings_text(store=self.store_port, **fields, **ports)
         text = text.replace('edge-1', f'edge-{len(self.entries) + 1}')
+        if seed is not None:
+            address = self.entries[seed].settings.own.peer_address
+            text = text.replace(
+                f'seeds = ["127.0.0.1:{ports["peer"]}"]', f'seeds = ["{address}"]'
+            )
         settings = read_settings(text).unwrap()
         client = StoreClient(settings.store_address)
         environment = Environment(random=Random(len(self.entries)))
--- a/tests/test_crashes_incident.py
+++ b/tests/test_crashes_incident.py
@@ -214,6 +214,37 @@
 
         on_platform(check)
 
+    def test_instance_that_starts_while_the_store_is_unavailable_refuses(self):
+        # Guards against a start that knows of no crash since the outage began: records
+        # are not written, and datagrams reached only those that served then.
+        async def check(platform):
+            await fleet_with_long_timeouts(platform)
+            platform.store.faults.refuse_with = 503
+            platform.restart_seconds = None
+            await crash(platform, 3)
+            latest = await platform.add_entry(seed=0)
+            in_time = await wait_at_most(WINDOW_SECONDS, lambda: has_verdict(latest))
+            crashes = await count_crashes_during(platform, INSTANCES)
+            self.assertEqual((in_time, crashes), (True, 0))
+
+        on_platform(check)
+
+    def test_instance_that_is_not_listed_is_told_of_later_crashes(self):
+        # Guards against reports that go only to listed instances: one that starts while
+        # the store is unavailable is in no list.
+        async def check(platform):
+            await fleet_with_long_timeouts(platform)
+            platform.store.faults.refuse_with = 503
+            platform.restart_seconds = None
+            latest = await platform.add_entry(seed=0)
+            await trio.sleep(WINDOW_SECONDS)
+            await crash(platform, 3)
+            in_time = await wait_at_most(WINDOW_SECONDS, lambda: has_verdict(latest))
+            crashes = await count_crashes_during(platform, INSTANCES)
+            self.assertEqual((in_time, crashes), (True, 0))
+
+        on_platform(check)
+
     def test_operator_lets_a_request_through_by_removing_its_record(self):
         async def check(platform):
             await fleet_with_long_timeouts(platform)
