Do not take a request from a renamed workspace for another request

What callers saw: a request with a key ran; its workspace was renamed (or its API key moved to another workspace), and the same key sent again was answered with 422 `key-of-other-request`, not run, use a new key: the request runs twice.

Cause: the table held one digest over content and workspace, to keep answers from other workspaces, and any difference counted as another request.

Change: the table compares content and workspace apart.

--- a/catkinslip/tickets/table.py
+++ b/catkinslip/tickets/table.py
@@ -25,6 +25,14 @@
     UNKNOWN = 'unknown'
 
 
+@frozen
+class Fingerprint:
+    """What identifies a request: a digest of its content, and its workspace."""
+
+    content: bytes
+    workspace: bytes = b''
+
+
 @frozen
 class KeptAnswer:
     """A complete answer, kept for repeated requests with the same key."""
@@ -43,7 +51,7 @@
     """The entry of one admitted key; `status` is that of the answer."""
 
     key: TicketKey
-    fingerprint: bytes
+    fingerprint: Fingerprint
     state: EntryState = EntryState.RUNNING
     status: int | None = None
     answer: KeptAnswer | None = None
@@ -97,7 +105,7 @@
     kept_bytes: int = 0
     _next_expiry: int = Factory(lambda self: int(self.started_at), takes_self=True)
 
-    def admit(self, key: TicketKey, fingerprint: bytes, now: float) -> Decision:
+    def admit(self, key: TicketKey, fingerprint: Fingerprint, now: float) -> Decision:
         """Decide whether a request may run; call before its first byte is sent."""
         decision = self.look_up(key, fingerprint, now)
         if decision == Admitted():
@@ -105,7 +113,7 @@
             self.keys_by_expiry.setdefault(key.expiry, set()).add(key.text)
         return decision
 
-    def look_up(self, key: TicketKey, fingerprint: bytes, now: float) -> Decision:
+    def look_up(self, key: TicketKey, fingerprint: Fingerprint, now: float) -> Decision:
         """Return the decision that `admit` would make, without admitting the key."""
         self._remove_expired(now)
         if (key.member_id, key.incarnation) != (self.member_id, self.incarnation):
@@ -158,10 +166,13 @@
             self._next_expiry += 1
 
 
-def decide_repeated(entry: Entry, fingerprint: bytes) -> Decision:
+def decide_repeated(entry: Entry, fingerprint: Fingerprint) -> Decision:
     """Decide on a repeated request, whose key is in the table."""
-    if entry.fingerprint != fingerprint:
+    if entry.fingerprint.content != fingerprint.content:
         return Refusal.OTHER_REQUEST
+    if entry.fingerprint.workspace != fingerprint.workspace:
+        # A workspace may be renamed between two sendings; its answers are its own.
+        return AlreadySent(EntryState.UNKNOWN, None)
     if entry.answer is not None:
         return Replay(entry.answer)
     return AlreadySent(entry.state, entry.status)
--- a/tests/test_tickets_table.py
+++ b/tests/test_tickets_table.py
@@ -13,6 +13,7 @@
     Admitted,
     AlreadySent,
     EntryState,
+    Fingerprint,
     KeptAnswer,
     Refusal,
     Replay,
@@ -23,7 +24,7 @@
 
 LIFETIME = 50.0
 CAPACITY = 4
-SAME, OTHER = b'same', b'other'
+SAME, OTHER = Fingerprint(b'same'), Fingerprint(b'other')
 NAMES = strategies.sampled_from('abcdefg')
 
 
