Show that a first list without a pool keeps the bound of quotas

The open finding: a generator whose first list lacks a home instance that holds its earlier lease leases twice for up to 0.8 s. No change of the product.

--- a/tests/test_quotas_failures.py
+++ b/tests/test_quotas_failures.py
@@ -7,6 +7,7 @@
 
 from catkinslip.proxy.outcomes import NotRun
 from catkinslip.quotas.slots import key_of, slot_of
+from catkinslip.quotas.view import FleetView
 from tests.quota_builders import (
     BOUNDS,
     Fleet,
@@ -250,6 +251,29 @@
             fleet.run(21)
         self.assert_bound(fleet, BOUNDS.largest(RATE, 0))
 
+    def test_first_lists_that_lack_a_pool_are_within_the_bound(self):
+        # Guards against generators that lease at once after a restart although a pool
+        # that their first list lacks still holds a lease of their earlier start.
+        rate = 300.0
+        for seed in range(3):
+            fleet = make_fleet(config_of(a=limited(rate)), others=2, seed=seed)
+            fleet.load('a', 5 * rate, list(HOMES), 20)
+            fleet.run(6)
+            pool = pool_of(fleet)
+            others = [each for each in HOMES if each != pool]
+            for name in others:
+                node = fleet.node_by_name[name]
+                node.view = FleetView(
+                    1 / 5, True, tuple(others), frozenset(others) - {name}
+                )
+                node.start()
+            fleet.run(1.5)
+            for name in others:
+                peer_ids = frozenset(HOMES) - {name}
+                fleet.node_by_name[name].view = FleetView(1 / 6, True, HOMES, peer_ids)
+            fleet.run(10)
+            self.assert_bound(fleet, BOUNDS.largest(rate, 0.0))
+
     def test_pool_that_ignores_all_generators_is_replaced(self):
         # Guards against callers that are refused for as long as a pool that started
         # again ignores generators: it got a late message of an earlier start of each.
