--- a/catkinslip/crashes/catch_up.py
+++ b/catkinslip/crashes/catch_up.py
@@ -69,7 +69,7 @@
         for address, until in list(self.until_by_requester.items()):
             if now >= until:
                 del self.until_by_requester[address]
-        return list({*self.serving(), *self.until_by_requester})
+        return list(dict.fromkeys([*self.serving(), *self.until_by_requester]))
 
     def receive_query(self, datagram: dict) -> None:
         """Answer a query; raise one of `messages.MALFORMED` if it is malformed."""
--- a/catkinslip/discovery/registration.py
+++ b/catkinslip/discovery/registration.py
@@ -27,6 +27,7 @@
     is_withdrawn: bool = False
     #: Whether a restored store may lack the entry, and no read of the list shows it.
     is_unsure: bool = False
+    #: Time of the last try to announce, on the clock of the loop.
     tried_at: float = -inf
 
     def is_due(self, listed: InstanceEntry | None) -> bool:
--- a/catkinslip/tickets/refusals.py
+++ b/catkinslip/tickets/refusals.py
@@ -57,12 +57,12 @@
         self, call: Call, text: str, refusal: NotRun, caller: Wire
     ) -> Outcome:
         unknown = Unknown(refusal.reason, refusal.detail)
-        if refusal.reason is Reason.KEY_REJECTED:
-            # Without a valid API key nothing is told about requests.
-            return unknown
         key = parse_key(text)
         if key is None:
             return refusal if self._never_accepts(call) else unknown
+        if refusal.reason is Reason.KEY_REJECTED:
+            # Without a valid API key nothing is told about requests.
+            return unknown
         if key.member_id != self.gate.members.own.member_id:
             return unknown
         decision = self.gate.look_up(call, key)
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -262,7 +262,7 @@
         settings.own.instance_id,
         Address.parse(settings.own.report_address),
         guard.registry,
-        random,
+        Random(settings.own.instance_id),
         serving_addresses,
         sharer.send_datagram,
     )
