--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -16,6 +16,7 @@
 )
 from catkinslip.proxy.bodies import BodyReader, BodyRemainder, has_whole_body
 from catkinslip.proxy.call import Call
+from catkinslip.proxy.caller_answers import CallerAnswers
 from catkinslip.proxy.caller_limits import CallerLimits
 from catkinslip.proxy.caller_watch import CallerWatch
 from catkinslip.proxy.calls import CallFactory
@@ -26,7 +27,7 @@
 from catkinslip.proxy.headers import RequestHead
 from catkinslip.proxy.native_dialect import NativeDialect
 from catkinslip.proxy.observer import ObserverGroup, RequestObserver
-from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pipelines import Pipelines
 from catkinslip.proxy.read_ahead import PipelinedRequest, ReadAhead
 from catkinslip.proxy.request_log import log_end
@@ -70,6 +71,12 @@
         ),
         takes_self=True,
     )
+    answers: CallerAnswers = Factory(
+        lambda self: CallerAnswers(
+            self.dialect, self.calls.new_request_id, self.refusal_review
+        ),
+        takes_self=True,
+    )
     pipelines: Pipelines = Factory(
         lambda self: Pipelines(
             self.limits.pipeline_limits(),
@@ -147,7 +154,7 @@
             with trio.move_on_after(seconds):
                 request = await self.heads.read(wire)
         head = request if isinstance(request, RequestHead) else None
-        await self._refuse(wire, NotRun(Reason.CONNECTION_LIMIT, detail), head)
+        await self.answers.refuse(wire, NotRun(Reason.CONNECTION_LIMIT, detail), head)
 
     async def _answer_read_ahead(self, ahead: ReadAhead) -> bool:
         """Answer pipelined requests in order; return whether the next may be read."""
@@ -172,7 +179,7 @@
         finally:
             ahead.release(request)
             self._record_pipelined(request, outcome)
-        return await self._report(request.wire, request.call, outcome)
+        return await self.answers.report(request.wire, request.call, outcome)
 
     async def _stop_read_ahead(self, wire: CallerWire) -> None:
         ahead = wire.read_ahead
@@ -194,24 +201,24 @@
         if request is None:
             return False
         if isinstance(request, NotRun):
-            return await self._refuse(wire, request)
+            return await self.answers.refuse(wire, request)
         if wire.arrived_at is not None and not has_whole_body(wire, request):
             wire.arrived_at = None
         body = await self.bodies.read(wire, request)
         if isinstance(body, NotRun):
-            return await self._refuse(wire, body, request)
+            return await self.answers.refuse(wire, body, request)
         waited = self._waited(wire)
         if self.pages is not None and self.pages.has(request.target):
-            return await self._answer_locally(wire, request, self.pages)
+            return await self.answers.answer_locally(wire, request, self.pages)
         call = self.calls.make(request, body, wire.peer, waited)
         if isinstance(call, NotRun):
-            return await self._refuse(wire, call, request)
+            return await self.answers.refuse(wire, call, request)
         if self.pipelines.limits.is_enabled:
             self.pipelines.allow(wire, call)
         began_at = self.environment.clock.monotonic()
         outcome = await self._forward_observed(call, wire)
         log_end(call, outcome, began_at, self.environment.clock.monotonic())
-        return await self._report(wire, call, outcome)
+        return await self.answers.report(wire, call, outcome)
 
     def _waited(self, wire: CallerWire) -> float:
         """Return the seconds since the arrival of the request that was just read."""
@@ -265,57 +272,6 @@
             nursery.cancel_scope.cancel()
         return outcome
 
-    async def _report(self, wire: Wire, call: Call, outcome: Outcome) -> bool:
-        if isinstance(outcome, Answered):
-            if wire.codec.their_state is h11.SEND_BODY:
-                await wire.close_gracefully()
-            return is_reusable(wire)
-        if outcome.reason is Reason.CALLER_LEFT or has_begun(wire):
-            await wire.reset()
-            return False
-        return await self._send_problem(wire, outcome, call.request_id, call.method)
-
-    async def _answer_locally(
-        self, wire: Wire, request: RequestHead, pages: LocalPages
-    ) -> bool:
-        answer = pages.answer(request)
-        if isinstance(answer, NotRun):
-            request_id = self.calls.new_request_id()
-            return await self._send_problem(wire, answer, request_id, request.method)
-        await wire.send(*answer)
-        return is_reusable(wire)
-
-    async def _refuse(
-        self, wire: Wire, refusal: NotRun, request: RequestHead | None = None
-    ) -> bool:
-        request_id = self.calls.new_request_id()
-        outcome = self.refusal_review.review_unread(refusal, request, wire.refused_head)
-        log.info(
-            'request: %s refused as %s, %s. outcome=%s',
-            request_id,
-            refusal.reason.slug,
-            refusal.detail,
-            outcome,
-        )
-        method = request.method if request else b''
-        return await self._send_problem(wire, outcome, request_id, method, close=True)
-
-    async def _send_problem(
-        self,
-        wire: Wire,
-        outcome: NotRun | Unknown,
-        request_id: str,
-        method: bytes,
-        *,
-        close: bool = False,
-    ) -> bool:
-        close = close or wire.codec.their_state is h11.SEND_BODY
-        events = self.dialect.problem_events(outcome, request_id, method, close=close)
-        await wire.send(*events)
-        if close:
-            await wire.close_gracefully()
-        return is_reusable(wire)
-
 
 def may_have_unread_requests(wire: CallerWire) -> bool:
     """Return whether a caller may have sent requests that are not read any more.
@@ -324,13 +280,3 @@
     """
     is_pipelined = wire.is_pipelining or wire.arrived_at is not None
     return is_pipelined or wire.drain.is_closing
-
-
-def has_begun(wire: Wire) -> bool:
-    """Return whether any byte of an answer may have been sent to the caller."""
-    return wire.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
-
-
-def is_reusable(wire: Wire) -> bool:
-    """Return whether the connection is reusable: both sides completed the exchange."""
-    return wire.codec.our_state is h11.DONE and wire.codec.their_state is h11.DONE
