--- a/benchmarks/tickets.py
+++ b/benchmarks/tickets.py
@@ -10,13 +10,13 @@
 import orjson
 
 from catkinslip.tickets.keys import TicketKey, parse_key
-from catkinslip.tickets.table import Fingerprint, KeptAnswer, TicketTable
+from catkinslip.tickets.table import KeptAnswer, TicketTable
 
 KEYS = 50_000
 LIFETIME_SECONDS = 300
 START_SECONDS = 999.0
 END_SECONDS = 2000.0
-FINGERPRINT = Fingerprint(bytes(16))
+FINGERPRINT = bytes(16)
 ANSWER_BODY_BYTES = 100
 
 
--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -87,7 +87,7 @@
 
         `Admitted` means that no request with this key has run here.
         """
-        return self.table.look_up(key, table_fingerprint(call), self.clock.now())
+        return self.table.look_up(key, fingerprint(call), self.clock.now())
 
     async def _forward_without_ticket(
         self, call: Call, caller: Wire, text: str, recorded: bool
@@ -105,7 +105,7 @@
     async def _forward_at_home(
         self, call: Call, caller: Wire, key: TicketKey
     ) -> Outcome:
-        decision = self.table.admit(key, table_fingerprint(call), self.clock.now())
+        decision = self.table.admit(key, fingerprint(call), self.clock.now())
         log.info(
             'tickets: key looked up. request=%s decision=%s',
             call.request_id,
@@ -203,28 +203,16 @@
     return value.decode('latin-1')
 
 
-def table_fingerprint(call: Call) -> tickets.Fingerprint:
-    """Return the digests of a request for the table of its home."""
-    return tickets.Fingerprint(digest_of(content_of(call)), call.workspace.encode())
-
-
 def fingerprint(call: Call) -> bytes:
-    """Return a digest of a request and its workspace for a record of the platform."""
-    return digest_of(content_of(call), call.workspace.encode())
-
-
-def content_of(call: Call) -> tuple[bytes, ...]:
-    """Return the parts of a call that are the same in each sending."""
-    return call.service.encode(), call.method, call.target, call.body
-
+    """Return a digest of the service, method, target, body and workspace of a request.
 
-def digest_of(parts: tuple[bytes, ...], suffix: bytes = b'') -> bytes:
-    """Return a digest of parts, each with its length, and of a suffix."""
+    The workspace keeps a kept answer from callers of other workspaces.
+    """
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in parts:
+    for part in (call.service.encode(), call.method, call.target, call.body):
         digest.update(b'%d:' % len(part))
         digest.update(part)
-    digest.update(suffix)
+    digest.update(call.workspace.encode())
     return digest.digest()
 
 
--- a/catkinslip/tickets/table.py
+++ b/catkinslip/tickets/table.py
@@ -25,14 +25,6 @@
     UNKNOWN = 'unknown'
 
 
-@frozen
-class Fingerprint:
-    """What identifies a request: a digest of its content, and its workspace."""
-
-    content: bytes
-    workspace: bytes = b''
-
-
 @frozen
 class KeptAnswer:
     """A complete answer, kept for repeated requests with the same key."""
@@ -51,7 +43,7 @@
     """The entry of one admitted key; `status` is that of the answer."""
 
     key: TicketKey
-    fingerprint: Fingerprint
+    fingerprint: bytes
     state: EntryState = EntryState.RUNNING
     status: int | None = None
     answer: KeptAnswer | None = None
@@ -105,7 +97,7 @@
     kept_bytes: int = 0
     _next_expiry: int = Factory(lambda self: int(self.started_at), takes_self=True)
 
-    def admit(self, key: TicketKey, fingerprint: Fingerprint, now: float) -> Decision:
+    def admit(self, key: TicketKey, fingerprint: bytes, now: float) -> Decision:
         """Decide whether a request may run; call before its first byte is sent."""
         decision = self.look_up(key, fingerprint, now)
         if decision == Admitted():
@@ -113,7 +105,7 @@
             self.keys_by_expiry.setdefault(key.expiry, set()).add(key.text)
         return decision
 
-    def look_up(self, key: TicketKey, fingerprint: Fingerprint, now: float) -> Decision:
+    def look_up(self, key: TicketKey, fingerprint: bytes, now: float) -> Decision:
         """Return the decision that `admit` would make, without admitting the key."""
         self._remove_expired(now)
         if (key.member_id, key.incarnation) != (self.member_id, self.incarnation):
@@ -166,13 +158,10 @@
             self._next_expiry += 1
 
 
-def decide_repeated(entry: Entry, fingerprint: Fingerprint) -> Decision:
+def decide_repeated(entry: Entry, fingerprint: bytes) -> Decision:
     """Decide on a repeated request, whose key is in the table."""
-    if entry.fingerprint.content != fingerprint.content:
+    if entry.fingerprint != fingerprint:
         return Refusal.OTHER_REQUEST
-    if entry.fingerprint.workspace != fingerprint.workspace:
-        # A workspace may be renamed between two sendings; its answers are its own.
-        return AlreadySent(EntryState.UNKNOWN, None)
     if entry.answer is not None:
         return Replay(entry.answer)
     return AlreadySent(entry.state, entry.status)
--- a/model/replay/tickets.py
+++ b/model/replay/tickets.py
@@ -6,13 +6,13 @@
 
 from catkinslip.clock import Clock
 from catkinslip.tickets.keys import AnchoredClock, TicketKey
-from catkinslip.tickets.table import Admitted, Fingerprint, Refusal, TicketTable
+from catkinslip.tickets.table import Admitted, Refusal, TicketTable
 from model.replay.base import Replay
 
 HOME = 'entry-1'
 INCARNATION = 7
 LIFETIME_SECONDS = 60
-FINGERPRINT = Fingerprint(b'same')
+FINGERPRINT = b'same'
 REFUSED_AS_NOT_RUN = (Refusal.FULL, Refusal.TOO_FAR_AHEAD)
 
 
