Log when no server of a service is reached from an instance

Each service now has a count of the servers that failed since the last answer of any; the loss and its end are logged (failed, failing_ms, answered_s) and counted. No decision uses it yet.

--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -218,6 +218,7 @@
         backend_id = probe.load.backend_id
         if not router.is_known(probe.load):
             return
+        self.health.record_unreached(backend_id)
         if not probe.load.is_silent:
             log.info('health: probe unanswered. backend=%s', backend_id)
         router.mark_silent(backend_id)
@@ -316,6 +317,8 @@
             if wire.reason is Reason.CONNECT_FAILED:
                 self.health.record_refusal(backend_id)
             return False
+        if not wire.is_reused:
+            self.health.record_reached(backend_id)
         is_done = False
         try:
             is_done = await self._probe(router, load, wire)
@@ -341,6 +344,7 @@
             return True
         await wire.send(request, h11.EndOfMessage())
         response = await receive_response(wire)
+        self.health.record_reached(load.backend_id)
         await drain_body(wire)
         answer = self.dialect.read_probe(response.status_code, list(response.headers))
         if answer is None or answer.backend_id not in (None, load.backend_id):
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -13,11 +13,12 @@
 from catkinslip.health.budget import ProbeBudget, ProbeLimits
 from catkinslip.health.counters import HealthCounters
 from catkinslip.health.drain import DrainSignal, DrainTable
+from catkinslip.health.reach import ServerReach
 from catkinslip.health.reachability import Reachability
 from catkinslip.health.reports import ObservedReport, ReportTable
 from catkinslip.health.signals import CloseCounter, closes_connection, has_drain_header
 from catkinslip.models import BackendKey
-from catkinslip.routing.base import Choice, Estimate, LoadReport
+from catkinslip.routing.base import BackendLoad, Choice, Estimate, LoadReport
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
 from catkinslip.store.base import ListedInstance
@@ -58,6 +59,9 @@
     reports: ReportTable = Factory(ReportTable)
     closes: CloseCounter = Factory(CloseCounter)
     counters: HealthCounters = Factory(HealthCounters)
+    reach: ServerReach = Factory(
+        lambda self: ServerReach(self.clock, self._usable_servers), takes_self=True
+    )
     #: The configuration applied last.
     document: Document = Factory(Document)
     key_by_id: dict[str, BackendKey] = Factory(dict)
@@ -75,6 +79,7 @@
             self.probe_limits_by_service = make_probe_limits(
                 config.document, self.max_instances
             )
+            self.reach.forget_others(config.document.register.services)
         now = self.clock.monotonic()
         for backend_id in difference.backends:
             self._replace_key(backend_id, now)
@@ -123,6 +128,7 @@
         if key is None:
             return
         now = self.clock.monotonic()
+        self.record_reached(backend_id)
         self.reports.record_answer(key, now)
         if self.reachability.record_connection(key):
             log.info('health: server answers again. backend=%s', backend_id)
@@ -153,6 +159,7 @@
         if key is None:
             return
         self.counters.connects_refused += 1
+        self.record_unreached(backend_id)
         now = self.clock.monotonic()
         pause = self.reachability.record_refusal(key, now)
         self._mark_possibly_restarted(key, now)
@@ -160,6 +167,30 @@
             'health: connection refused. backend=%s next_s=%.1f', backend_id, pause
         )
 
+    def record_reached(self, backend_id: str) -> None:
+        """Record that a server answered this instance or accepted a connection."""
+        backend = self.document.register.backends.get(backend_id)
+        if backend is not None:
+            self.reach.record_answer(backend.service)
+
+    def record_unreached(self, backend_id: str) -> None:
+        """Record that a server did not answer or refused a connection."""
+        backend = self.document.register.backends.get(backend_id)
+        if backend is not None:
+            self.reach.record_failure(backend.service, backend_id)
+
+    def _usable_servers(self, service: str) -> list[BackendLoad]:
+        """Return the servers of a service that accept requests and may be probed."""
+        router = self.directory.router_by_service.get(service)
+        if router is None:
+            return []
+        now = self.clock.monotonic()
+        return [
+            load
+            for load in router.loads
+            if not load.draining and router.may_probe(load, now)
+        ]
+
     def _mark_possibly_restarted(self, key: BackendKey, now: float) -> None:
         router = self.router(key)
         if router is not None:
--- a/catkinslip/metrics/health.py
+++ b/catkinslip/metrics/health.py
@@ -35,6 +35,7 @@
         yield cold
         yield from self._throttling()
         yield from self._resting(now)
+        yield from self._reach()
         leaving = gauge('catkinslip_leaving_backends', 'Backend servers that leave.')
         leaving.add(len(self.health.leaving_ids()))
         yield leaving
@@ -61,6 +62,20 @@
         yield resting
         yield events
 
+    def _reach(self) -> Iterable[Family]:
+        """Return the families of the services that this instance does not reach."""
+        lost = gauge(
+            'catkinslip_lost_services', 'Services of which no server is reached.'
+        )
+        lost.add(len(self.health.reach.lost_services()))
+        yield lost
+        losses = counter(
+            'catkinslip_service_losses_total',
+            'Times that no server of a service was reached any more.',
+        )
+        losses.add(self.health.reach.losses)
+        yield losses
+
     def _throttling(self) -> Iterable[Family]:
         """Return the families of throttled servers and of rate events."""
         throttled = gauge(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -23,6 +23,27 @@
 from standins.registers import many_workers
 
 
+@define
+class ManualClock(Clock):
+    """A clock that a test advances."""
+
+    now: float = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+def ignored_reach() -> dict[str, object]:
+    """Return the functions of a stand-in health tracker that ignore reached servers."""
+    return {
+        'record_reached': lambda backend_id: None,
+        'record_unreached': lambda backend_id: None,
+    }
+
+
 def backend_plain(service: str, address: str, zone: str = 'zone-a') -> dict:
     """Return a registered backend server as plain data."""
     parsed = Address.parse(address)
--- a/tests/test_health_light_sampler.py
+++ b/tests/test_health_light_sampler.py
@@ -11,6 +11,7 @@
 from catkinslip.platform.dialect import PlatformDialect
 from catkinslip.routing.base import BackendLoad, LoadReport
 from catkinslip.routing.router import ServiceRouter
+from tests.builders import ignored_reach
 from tests.subset_builders import SLOTS, backends_of_zones, end, subset_router
 
 #: Seconds after which the servers close idle connections.
@@ -100,6 +101,7 @@
                 ),
                 key_by_id=names,
                 rank=lambda router, tried: router.rank(trio.current_time(), tried),
+                **ignored_reach(),
             )
             sampler = self.make(
                 health, pool, clock, PlatformDialect(), 60.0, lambda: BUDGET_DIVISOR
--- a/tests/test_health_sampler.py
+++ b/tests/test_health_sampler.py
@@ -18,6 +18,7 @@
 from catkinslip.routing.policies import LeastInFlight
 from catkinslip.routing.router import ServiceRouter
 from catkinslip.warmup.gate import ColdGate
+from tests.builders import ignored_reach
 
 NOW = 100.0
 ROUND_TRIP_SECONDS = 0.01
@@ -54,7 +55,9 @@
             backends={'i-1': BACKEND}, services={'limits': SERVICE}
         )
         sampler = LoadSampler(
-            health=SimpleNamespace(document=SimpleNamespace(register=register)),
+            health=SimpleNamespace(
+                document=SimpleNamespace(register=register), **ignored_reach()
+            ),
             pool=None,
             clock=SimpleNamespace(monotonic=lambda: self.now),
             dialect=PlatformDialect(),
@@ -119,6 +122,7 @@
             directory=directory,
             key_by_id={'i-1': None},
             rank=lambda router, tried: router.rank(NOW, tried),
+            **ignored_reach(),
         )
         return LoadSampler(
             health=health,
--- a/tests/test_health_tracker.py
+++ b/tests/test_health_tracker.py
@@ -3,7 +3,6 @@
 import unittest
 from random import Random
 
-from attrs import define
 from returns.pipeline import is_successful
 
 from catkinslip.clock import Clock
@@ -22,26 +21,13 @@
 from catkinslip.routing.base import LoadReport
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.policies import LeastInFlight
-from tests.builders import document_plain
+from tests.builders import ManualClock, document_plain
 
 KEY = BackendKey('limits-1', '10.0.0.1:80')
 ADDRESSES = {'limits-1': '10.0.0.1:80', 'limits-2': '10.0.0.2:80'}
 DRAIN = [(b'catkinslip-drain', b'true')]
 
 
-@define
-class ManualClock(Clock):
-    """A clock that a test advances."""
-
-    now: float = 1000.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
 def tracker(clock: Clock, addresses: dict | None = None, **fields) -> HealthTracker:
     directory = Directory(lambda: LeastInFlight(Random(1)))
     made = make_tracker(directory, clock, Random(1), max_instances=4)
