Show that callers of partitioned instances are refused

Small platform in one loop: four instances in two zones, eight servers, 40 requests a second; partitions that are silent, reset connections or refuse new ones. Served of first tries from 3 s after the cut: 0 of 40 against 40 of 40 in three cases, 0 of 60 against 20 of 20 where one instance is left; a partitioned instance stays in the address answers. Where open connections live on, and after the end of a partition, callers are served on this code too.

The pool of connections gets its opener as a field, which the tests replace; decisions are as before.

--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from enum import Enum, unique
 
 import h11
@@ -32,6 +32,10 @@
 )
 
 
+#: Opens a connection to an address, with or without TCP keep-alive.
+Connector = Callable[[Address, bool], Awaitable[Wire | NotRun]]
+
+
 @unique
 class Purpose(Enum):
     """Purpose for which a connection is acquired."""
@@ -92,6 +96,8 @@
     #: Idle connections that the next trim closes.
     dropped: list[IdleWire] = Factory(list)
     document: Document = Factory(Document)
+    #: Opener of new connections.
+    connect: Connector = field(factory=lambda: connect)
     #: Number of connections opened, by purpose.
     opened_by_purpose: Counter[Purpose] = Factory(Counter)
 
@@ -159,7 +165,7 @@
         try:
             wire = await self._acquire_idle(connections, max_idle_seconds)
             if wire is None:
-                wire = await connect(address, uses_keepalive=self.uses_keepalive)
+                wire = await self.connect(address, self.uses_keepalive)
         except BaseException:
             connections.release_slot()
             raise
@@ -247,7 +253,7 @@
         return None
 
 
-async def connect(address: Address, *, uses_keepalive: bool = False) -> Wire | NotRun:
+async def connect(address: Address, uses_keepalive: bool = False) -> Wire | NotRun:
     """Open a connection to a backend server, or return why that failed."""
     family = trio.socket.AF_INET6 if ':' in address.host else trio.socket.AF_INET
     sock = trio.socket.socket(family)
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -30,6 +30,7 @@
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
 from catkinslip.environment import Environment
+from catkinslip.health.reach import ServerReach
 from catkinslip.health.sampler import LoadSampler
 from catkinslip.health.sharing import ReportSharer
 from catkinslip.health.tracker import make_tracker
@@ -157,6 +158,7 @@
     poller: PeerPoller
     peer_pages: PageServer
     pool: BackendPool
+    reach: ServerReach
     hedges: HedgeTimer
     limits: LimitRegistry
     sampler: LoadSampler
@@ -389,6 +391,7 @@
         ),
         peer_pages=PageServer(answers.handlers()),
         pool=pool,
+        reach=health.reach,
         hedges=hedges,
         limits=limits,
         sampler=sampler,
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -114,7 +114,7 @@
         item = server_item(server_id, service, port, **fields)
         self.store.put('servers', server_id, item['spec'], item['status'])
 
-    async def add_entry(self, seed: int | None = None) -> Entry:
+    async def add_entry(self, seed: int | None = None, zone: str = 'zone-a') -> Entry:
         """Start an instance in this loop and wait until it accepts callers.
 
         Its seed is the instance with this index, or itself.
@@ -124,6 +124,7 @@
         fields = {'bounds': self.bounds, 'zones': self.zones}
         text = settings_text(store=self.store_port, **fields, **ports)
         text = text.replace('edge-1', f'edge-{len(self.entries) + 1}')
+        text = text.replace('zone = "zone-a"', f'zone = "{zone}"')
         if seed is not None:
             address = self.entries[seed].settings.own.peer_address
             text = text.replace(
