Send the length of a request body once where the caller sends a Connection header

Servers got two Content-Length headers, of the caller and of the attempt, for each request with a body and a Connection header. Found while requests were relayed to another instance, which refuses a head with two of them (400, seen as crossed by the sender). Cause: to keep the length where a Connection header names it, it was removed from the set of headers that the instance replaces. It is now removed from the named ones only. The first test of test_proxy_headers failed before (2 lengths), the second one guards the old intent.

--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -104,8 +104,8 @@
     headers = list(headers)
     named = find(headers, b'connection')
     if named is not None:
-        replaced = replaced | {name.strip().lower() for name in named.split(b',')}
-        replaced -= {b'content-length', b'host'}
+        dropped = {name.strip().lower() for name in named.split(b',')}
+        replaced = replaced | (dropped - {b'content-length', b'host'})
     return [each for each in headers if each[0] not in replaced]
 
 
