Relay requests through other instances where this one reaches no server

Cause: an instance had no belief about its own paths. Each failure was put down to the server that was tried, peers' reports went on making the servers look idle, and the address answers rest on rules, servers and the store only.

Class: a failure of one's own taken for that of the servers.

The change: a service is lost when six of its servers, in all of its availability zones, fail over 0.2 s without an answer of any between; any answer ends it, and probes look for one every 0.25 s. A call to a lost service goes at once to an instance that reaches it: polls of the state page carry the lost services and a token of each start, which a relayed request has to present, so that callers cannot make theirs look relayed. Calls under way that were not sent, or may run again, go there too; so do calls that ended without a connection. At most one hop; runs are counted on; an outcome is told as not run only if nothing was sent before. With no instance that reaches the service a call is refused at once. Instances without a path to any server leave the address answers. Pauses of servers end with the loss.

Why it works: the receiver is an instance that serves its own callers now.

--- a/catkinslip/discovery/answers.py
+++ b/catkinslip/discovery/answers.py
@@ -87,6 +87,7 @@
             instances.digest(),
             instances.list_revision,
             revision_by_kind=self.kinds.revisions(),
+            paths=instances.own_paths(),
         )
         if query == WITH_KNOWN:
             known = tuple(each.entry for each in instances.peer_by_id.values())
@@ -97,6 +98,7 @@
                 health=instances.health_by_id(),
                 lost_store=tuple(instances.lost_store_ids()),
                 readers=tuple(instances.announced_readers()),
+                cut_off=tuple(instances.cut_off_ids()),
             )
         return Page(200, orjson.dumps(converter.unstructure(state)))
 
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -4,11 +4,12 @@
 
 import trio
 import xxhash
-from attrs import Factory, define, field
+from attrs import Factory, define, evolve, field
 
 from catkinslip.discovery import readers
 from catkinslip.discovery.announced_readers import AnnouncedReaders
 from catkinslip.discovery.base import InstanceEntry
+from catkinslip.discovery.paths import PeerPaths
 from catkinslip.discovery.peer_health import ANSWERING, Peer, PeerHealth
 from catkinslip.discovery.restored_lists import RestoredList, is_of_later_era
 from catkinslip.discovery.zone_rankings import ZoneRankings
@@ -55,6 +56,8 @@
     #: Function that returns whether the last call of this instance to the store
     #: succeeded.
     is_reading: Callable[[], bool] = never
+    #: Function that returns the paths from this instance to servers.
+    own_paths: Callable[[], PeerPaths] = PeerPaths
     #: Readers of last resort that a leader reported last.
     reported_readers: frozenset[str] = frozenset()
     #: Address of an instance that offers the list while this one has none.
@@ -220,6 +223,7 @@
         health_by_id: Mapping[str, PeerHealth],
         lost_store: Iterable[str],
         readers: Iterable[str] = (),
+        cut_off: Iterable[str] = (),
     ) -> list[str]:
         """Apply a peer's report of the instances it polls; return the IDs that changed.
 
@@ -228,6 +232,7 @@
         """
         changed = []
         lost_store_ids = frozenset(lost_store)
+        cut_off_ids = frozenset(cut_off)
         if self.reported_readers != frozenset(readers):
             self.reported_readers = frozenset(readers)
             self.notify_change()
@@ -236,6 +241,8 @@
             if peer is None or instance_id == reporter:
                 continue
             health = health_by_id.get(instance_id, PeerHealth.UNKNOWN)
+            is_cut_off = instance_id in cut_off_ids
+            peer.paths = evolve(peer.paths, is_cut_off=is_cut_off)
             reaches_store = instance_id not in lost_store_ids
             if peer.reaches_store != reaches_store:
                 peer.reaches_store = reaches_store
@@ -244,6 +251,24 @@
                 changed.append(instance_id)
         return changed
 
+    def record_paths(self, instance_id: str, paths: PeerPaths) -> bool:
+        """Record the paths that a peer reported; return whether services changed."""
+        peer = self.peer_by_id.get(instance_id)
+        if peer is None:
+            return False
+        before, peer.paths = peer.paths, paths
+        return before.lost_services != paths.lost_services
+
+    def ready_peers(self) -> list[Peer]:
+        """Return the other instances that are ready."""
+        peers = self.peer_by_id.values()
+        return [peer for peer in peers if peer.health is PeerHealth.READY]
+
+    def cut_off_ids(self) -> list[str]:
+        """Return the IDs of the ready instances that reach no server."""
+        peers = self.ready_peers()
+        return [peer.entry.instance_id for peer in peers if peer.paths.is_cut_off]
+
     def forget_health(self, instance_id: str) -> None:
         """Reset the health of an instance that is no longer polled to unknown."""
         self._set_health(instance_id, PeerHealth.UNKNOWN)
@@ -463,16 +488,41 @@
         zone; the ready instances of its region; those of the regions that the callers'
         requests are bound to; all ready instances; the home set of the zone without
         silent ones, which is ready first where all start at once; all instances.
+        Instances that reach no server are left out where others do.
         """
         near = self._ready_home_set(zone)
         if near:
-            return near
+            return self._reaching(near, region)
         ready = [entry for entry in self._entries() if self._is_ready(entry)]
         in_region = [entry for entry in ready if entry.region == region]
         in_bound_region = [entry for entry in ready if entry.region in bound_regions]
         starting = self._answering_home_set(zone)
         return in_region or in_bound_region or ready or starting or self._entries()
 
+    def _reaching(self, near: list[InstanceEntry], region: str) -> list[InstanceEntry]:
+        """Return instances of a home set that reach servers.
+
+        Where these are less than half of it, those of the region join them; where no
+        instance reaches servers, the home set is returned as it is.
+        """
+        reaching = [entry for entry in near if not self._is_cut_off(entry)]
+        if 2 * len(reaching) >= len(near):
+            return reaching
+        others = [
+            entry
+            for entry in self._entries()
+            if entry.region == region
+            and entry not in near
+            and self._is_ready(entry)
+            and not self._is_cut_off(entry)
+        ]
+        return [*reaching, *others] or near
+
+    def _is_cut_off(self, entry: InstanceEntry) -> bool:
+        if entry is self.own:
+            return self.own_paths().is_cut_off
+        return self.peer_by_id[entry.instance_id].paths.is_cut_off
+
     def _answering_home_set(self, zone: str) -> list[InstanceEntry]:
         """Return the home set of a zone without silent instances, ready or not.
 
--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -11,6 +11,7 @@
 from catkinslip.config.documents import converter, describe_error
 from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
 from catkinslip.discovery.instances import PeerHealth
+from catkinslip.discovery.paths import PeerPaths
 
 STATE_PATH = '/peer/state'
 #: Queries of the state page: with all known instances, or with the health of the
@@ -56,6 +57,9 @@
     readers: tuple[str, ...] = ()
     #: Revision at which the instance last received a change, by kind.
     revision_by_kind: dict[str, int] = Factory(dict)
+    paths: PeerPaths = PeerPaths()
+    #: IDs of the polled instances that reach no server.
+    cut_off: tuple[str, ...] = ()
 
 
 @frozen
--- a/catkinslip/discovery/peer_health.py
+++ b/catkinslip/discovery/peer_health.py
@@ -5,6 +5,7 @@
 from attrs import define
 
 from catkinslip.discovery.base import InstanceEntry
+from catkinslip.discovery.paths import PeerPaths
 
 #: Polls in a row without an answer after which an instance counts as silent.
 MISSED_POLLS = 2
@@ -40,6 +41,7 @@
     #: Number of lists in a row without the peer; lists lag behind a first start.
     missed_lists: int = 0
     was_listed: bool = False
+    paths: PeerPaths = PeerPaths()
 
     def is_removable(self) -> bool:
         """Return whether lists and polls show that the instance no longer exists."""
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -33,6 +33,7 @@
     PeerState,
     structure,
 )
+from catkinslip.discovery.paths import PeerPaths
 from catkinslip.discovery.registration import Registration
 from catkinslip.discovery.seed_lists import SeedLists
 from catkinslip.models import Address
@@ -133,7 +134,11 @@
         if state is None:
             return False
         changed = self.instances.apply_peer_report(
-            entry.instance_id, state.health, state.lost_store, state.readers
+            entry.instance_id,
+            state.health,
+            state.lost_store,
+            state.readers,
+            state.cut_off,
         )
         for instance_id in changed:
             health = self.instances.peer_by_id[instance_id].health
@@ -310,12 +315,22 @@
             reaches_store=state.reaches_store,
         )
         self._log_health(entry, health)
+        self._record_paths(entry, state.paths)
         await self._catch_up(address, state)
         await self._update_kinds(address, state)
         if entry.zone == self.instances.own.zone:
             await self._compare_members(address, state)
         return state
 
+    def _record_paths(self, entry: InstanceEntry, paths: PeerPaths) -> None:
+        if self.instances.record_paths(entry.instance_id, paths):
+            log.info(
+                'peers: paths to servers changed. instance=%s lost=%s cut_off=%s',
+                entry.instance_id,
+                ','.join(paths.lost_services) or '-',
+                paths.is_cut_off,
+            )
+
     def _log_health(self, entry: InstanceEntry, health: PeerHealth | None) -> None:
         if health is not None:
             log.info(
--- a/catkinslip/health/reach.py
+++ b/catkinslip/health/reach.py
@@ -20,6 +20,8 @@
 #: Seconds between the first and the last of these failures. A process that was paused
 #: finds all of its probes unanswered at once, and their answers right after that.
 LOST_SECONDS = 0.2
+#: Servers of a service that are probed at once while none is reached.
+PROBED_SERVERS = 4
 #: Seconds after the last failure at which a service is tried again like any other: then
 #: neither probes nor requests were sent to it.
 LAPSE_SECONDS = 2.0
@@ -49,11 +51,15 @@
         was_lost = self.is_lost
         self.answered_at = now
         if self.failed_at_by_id:
-            self.failed_at_by_id.clear()
-            self.first_failed_at = inf
-        self.is_lost = False
+            self.forget_failures()
         return was_lost
 
+    def forget_failures(self) -> None:
+        """Forget all failures and the loss that they showed."""
+        self.failed_at_by_id.clear()
+        self.first_failed_at = inf
+        self.is_lost = False
+
     def record_failure(self, backend_id: str, now: float) -> None:
         """Record that a server did not answer or refused a connection."""
         self.failed_at_by_id[backend_id] = now
@@ -65,6 +71,14 @@
         failed = [load.backend_id in self.failed_at_by_id for load in loads]
         return bool(failed) and sum(failed) >= min(needed, len(failed))
 
+    def zones(self, loads: Iterable[BackendLoad]) -> set[str]:
+        """Return the availability zones of those of some servers that failed."""
+        return {each.zone for each in loads if each.backend_id in self.failed_at_by_id}
+
+    def failed_at(self, load: BackendLoad) -> float:
+        """Return when a server failed last; minus infinity if it did not."""
+        return self.failed_at_by_id.get(load.backend_id, -inf)
+
     def failing_seconds(self) -> float:
         """Return the seconds between the first and the last failure; 0 without one."""
         return max(0.0, self.last_failed_at - self.first_failed_at)
@@ -81,6 +95,8 @@
     clock: Clock
     #: Returns the servers of a service that accept requests and may be probed.
     usable_servers: Callable[[str], list[BackendLoad]]
+    #: Returns the names of all services.
+    services: Callable[[], Iterable[str]]
     reach_by_service: dict[str, ServiceReach] = Factory(dict)
     #: Callbacks for a service that was lost or regained.
     listeners: list[OnReachChange] = Factory(list)
@@ -106,29 +122,39 @@
         """Record that a server of a service did not answer or refused a connection."""
         reach = self.reach_by_service.setdefault(service, ServiceReach())
         now = self.clock.monotonic()
-        if not reach.is_lost and reach.has_lapsed(now):
-            reach.failed_at_by_id.clear()
-            reach.first_failed_at = inf
+        if reach.has_lapsed(now):
+            reach.forget_failures()
         reach.record_failure(backend_id, now)
         if not reach.is_lost and self._shows_loss(service, reach):
             self._lose(service, reach, now)
 
-    def unconfirmed(self, service: str) -> list[BackendLoad]:
-        """Return one server of each zone in which none failed, while in doubt.
+    def servers_to_probe(self, service: str) -> list[BackendLoad]:
+        """Return servers whose probes show whether a service is lost or regained.
 
-        Where they fail too, the service is lost; where one answers, it is not.
+        They are one of each zone in which none failed, and those that failed longest
+        ago. The list is empty unless the service is in doubt, or another one was lost
+        since its last answer.
         """
-        if not self.is_in_doubt(service):
+        if not (self.is_in_doubt(service) or self._is_suspected(service)):
             return []
-        failed_at_by_id = self.reach_by_service[service].failed_at_by_id
+        reach = self.reach_by_service.setdefault(service, ServiceReach())
         usable = self.usable_servers(service)
-        failed_zones = {each.zone for each in usable if self._has_failed(service, each)}
+        failed_zones = reach.zones(usable)
         server_by_zone = {
-            each.zone: each
-            for each in usable
-            if each.zone not in failed_zones and each.backend_id not in failed_at_by_id
+            each.zone: each for each in usable if each.zone not in failed_zones
         }
-        return list(server_by_zone.values())
+        first = list(server_by_zone.values())
+        rest = sorted(
+            (each for each in usable if each not in first), key=reach.failed_at
+        )
+        return [*first, *rest[:PROBED_SERVERS]]
+
+    def is_cut_off(self) -> bool:
+        """Return whether this instance reaches no server of any service."""
+        if not any(reach.is_lost for reach in self.reach_by_service.values()):
+            return False
+        services = filter(self.usable_servers, self.services())
+        return all(map(self.is_lost, services))
 
     def is_in_doubt(self, service: str) -> bool:
         """Return whether the last attempts at a service failed, none in between."""
@@ -158,8 +184,14 @@
         for service in self.reach_by_service.keys() - set(services):
             del self.reach_by_service[service]
 
-    def _has_failed(self, service: str, load: BackendLoad) -> bool:
-        return load.backend_id in self.reach_by_service[service].failed_at_by_id
+    def _is_suspected(self, service: str) -> bool:
+        """Return whether another service was lost since the last answer of this one."""
+        reach = self.reach_by_service.get(service)
+        answered_at = -inf if reach is None else reach.answered_at
+        return any(
+            other.is_lost and other.first_failed_at > answered_at
+            for other in self.reach_by_service.values()
+        )
 
     def _shows_loss(self, service: str, reach: ServiceReach) -> bool:
         if reach.failing_seconds() < LOST_SECONDS:
@@ -167,9 +199,7 @@
         usable = self.usable_servers(service)
         if not reach.has_failed(usable, LOST_SERVERS):
             return False
-        zones = {each.zone for each in usable}
-        failed = {each.zone for each in usable if self._has_failed(service, each)}
-        return zones == failed
+        return reach.zones(usable) == {each.zone for each in usable}
 
     def _lose(self, service: str, reach: ServiceReach, now: float) -> None:
         reach.is_lost = True
--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -50,6 +50,8 @@
 LATE_ANSWER_SECONDS = 1.0
 #: Seconds between two probes of a silent server.
 SILENT_SECONDS = 0.5
+#: Seconds between two rounds of probes of a service of which no server is reached.
+UNREACHED_SECONDS = 0.25
 #: Share of the budget that is used; the rest is for instances that others have not
 #: yet discovered.
 BUDGET_SHARE = 0.8
@@ -95,6 +97,7 @@
     async def run(self) -> None:
         """Probe silent servers periodically and run all probes until cancelled."""
         async with trio.open_nursery() as self._nursery:
+            self._nursery.start_soon(self._probe_unreached_services)
             try:
                 await self._probe_silent_servers()
             finally:
@@ -108,6 +111,13 @@
             for router in self.health.directory.router_by_service.values():
                 self._probe_silent(router)
 
+    async def _probe_unreached_services(self) -> None:
+        while True:
+            await trio.sleep(UNREACHED_SECONDS)
+            for service, router in self.health.directory.router_by_service.items():
+                servers = self.health.reach.servers_to_probe(service)
+                self._probe_in_background(router, servers, len(servers))
+
     def _probe_silent(self, router: ServiceRouter) -> None:
         """Probe all silent servers in the background."""
         silent = [each for each in router.loads if each.is_silent and not each.draining]
@@ -200,6 +210,7 @@
                 await probe.ended.wait()
         for probe in started:
             if not probe.ended.is_set():
+                self.health.record_unreached(probe.load.backend_id)
                 self._mark_unanswered(router, probe)
         # Where no server answers, the fault may be in this instance: silence is sent to
         # the other instances only if another server answered.
@@ -218,7 +229,6 @@
         backend_id = probe.load.backend_id
         if not router.is_known(probe.load):
             return
-        self.health.record_unreached(backend_id)
         if not probe.load.is_silent:
             log.info('health: probe unanswered. backend=%s', backend_id)
         router.mark_silent(backend_id)
@@ -303,6 +313,8 @@
             log.exception('health: probe failed. backend=%s', load.backend_id)
         finally:
             self.probing_ids.discard(load.backend_id)
+        if not probe.is_answered:
+            self.health.record_unreached(load.backend_id)
         if not probe.is_answered and not load.is_silent:
             self._mark_unanswered(router, probe)
         probe.ended.set()
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -60,7 +60,10 @@
     closes: CloseCounter = Factory(CloseCounter)
     counters: HealthCounters = Factory(HealthCounters)
     reach: ServerReach = Factory(
-        lambda self: ServerReach(self.clock, self._usable_servers), takes_self=True
+        lambda self: ServerReach(
+            self.clock, self._usable_servers, lambda: self.directory.router_by_service
+        ),
+        takes_self=True,
     )
     #: The configuration applied last.
     document: Document = Factory(Document)
@@ -71,6 +74,17 @@
     #: the change.
     drain_changed: trio.Event = Factory(trio.Event)
 
+    def __attrs_post_init__(self) -> None:
+        """End the pauses that arose while no server of a service was reached."""
+        self.reach.listeners.append(self._handle_reach_change)
+
+    def _handle_reach_change(self, service: str, is_lost: bool) -> None:
+        if is_lost:
+            return
+        for key in list(self.reachability.pause_by_key):
+            if self._service_of(key.backend_id) == service:
+                self.reachability.forget(key)
+
     def update(self, config: AcceptedConfig) -> None:
         """Apply a new configuration, after the directory has applied it."""
         difference = compare_documents(self.document, config.document)
@@ -169,15 +183,19 @@
 
     def record_reached(self, backend_id: str) -> None:
         """Record that a server answered this instance or accepted a connection."""
-        backend = self.document.register.backends.get(backend_id)
-        if backend is not None:
-            self.reach.record_answer(backend.service)
+        service = self._service_of(backend_id)
+        if service is not None:
+            self.reach.record_answer(service)
 
     def record_unreached(self, backend_id: str) -> None:
         """Record that a server did not answer or refused a connection."""
+        service = self._service_of(backend_id)
+        if service is not None:
+            self.reach.record_failure(service, backend_id)
+
+    def _service_of(self, backend_id: str) -> str | None:
         backend = self.document.register.backends.get(backend_id)
-        if backend is not None:
-            self.reach.record_failure(backend.service, backend_id)
+        return None if backend is None else backend.service
 
     def _usable_servers(self, service: str) -> list[BackendLoad]:
         """Return the servers of a service that accept requests and may be probed."""
--- a/catkinslip/limits/plan.py
+++ b/catkinslip/limits/plan.py
@@ -91,6 +91,15 @@
             and self.budget.has_token(self.reserved_for_retries)
         )
 
+    def may_send_again(self, runs: int) -> bool:
+        """Return whether a call that may have run `runs` times may run once more."""
+        return (
+            self.repeatable
+            and self.first_layer
+            and runs < self.max_attempts
+            and self.budget.has_token()
+        )
+
     def hedge(self) -> int:
         """Count an attempt that starts in parallel and return its number."""
         self.sent += 1
--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -81,12 +81,17 @@
         self, call: Call, backend_id: str, number: int, remaining: float
     ) -> list[Header]:
         """Return the headers of an attempt, without those that frame the body."""
-        headers = names.end_to_end(call.headers, REPLACED_IN_REQUESTS)
+        headers = self.relay_headers(call, remaining)
         headers += self.workspace_headers(call)
+        headers.append((wire.TARGET, backend_id.encode()))
+        return headers
+
+    def relay_headers(self, call: Call, remaining: float) -> list[Header]:
+        """Return the headers with which a call is relayed to another instance."""
+        headers = names.end_to_end(call.headers, REPLACED_IN_REQUESTS)
         if names.find(headers, wire.REQUEST_ID) is None:
             headers.append((wire.REQUEST_ID, call.request_id.encode()))
         headers.append((wire.DEADLINE, b'%d' % max(1, int(remaining * 1000))))
-        headers.append((wire.TARGET, backend_id.encode()))
         return headers
 
     def find_fault(
--- a/catkinslip/proxy/call.py
+++ b/catkinslip/proxy/call.py
@@ -8,6 +8,7 @@
 from catkinslip.proxy.bodies import BodyRemainder
 from catkinslip.proxy.headers import Header
 from catkinslip.proxy.outcomes import NotRun
+from catkinslip.proxy.relayed import RelayHead
 
 
 @define
@@ -61,6 +62,12 @@
     #: Whether servers crashed while running the same request, so that at most one
     #: server may run this one.
     is_suspect: bool = False
+    #: What another instance sent with the call that it relayed; None for a caller's.
+    relayed: RelayHead | None = None
+    #: Number of times that the call may have run.
+    runs: int = 0
+    #: Whether its attempts were ended as this instance reaches no server.
+    is_diverted: bool = False
 
     def record_spent(self, seconds: float) -> None:
         """Record the seconds that the caller had waited before this attempt.
--- a/catkinslip/proxy/caller_answers.py
+++ b/catkinslip/proxy/caller_answers.py
@@ -1,7 +1,7 @@
 """Answers of an instance to callers: outcomes, refusals and local pages."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import h11
 from attrs import define
@@ -9,8 +9,9 @@
 from catkinslip.proxy.base import LocalPages, RefusalReview
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.dialect import Dialect
-from catkinslip.proxy.headers import RequestHead
+from catkinslip.proxy.headers import Header, RequestHead
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from catkinslip.proxy.relayed import encode_outcome
 from catkinslip.proxy.wire import Wire
 
 log = logging.getLogger('request')
@@ -33,7 +34,10 @@
         if outcome.reason is Reason.CALLER_LEFT or has_begun(wire):
             await wire.reset()
             return False
-        return await self.send_problem(wire, outcome, call.request_id, call.method)
+        headers = [] if call.relayed is None else [encode_outcome(outcome)]
+        return await self.send_problem(
+            wire, outcome, call.request_id, call.method, headers=headers
+        )
 
     async def answer_locally(
         self, wire: Wire, request: RequestHead, pages: LocalPages
@@ -70,16 +74,26 @@
         method: bytes,
         *,
         close: bool = False,
+        headers: Sequence[Header] = (),
     ) -> bool:
         """Send an error answer; return whether the connection is reusable."""
         close = close or wire.codec.their_state is h11.SEND_BODY
         events = self.dialect.problem_events(outcome, request_id, method, close=close)
+        if headers:
+            events[0] = with_headers(events[0], headers)
         await wire.send(*events)
         if close:
             await wire.close_gracefully()
         return is_reusable(wire)
 
 
+def with_headers(response: h11.Response, headers: Sequence[Header]) -> h11.Response:
+    """Return a response head with further headers."""
+    return h11.Response(
+        status_code=response.status_code, headers=[*response.headers, *headers]
+    )
+
+
 def has_begun(wire: Wire) -> bool:
     """Return whether any byte of an answer may have been sent to the caller."""
     return wire.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -30,6 +30,7 @@
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pipelines import Pipelines
 from catkinslip.proxy.read_ahead import PipelinedRequest, ReadAhead
+from catkinslip.proxy.relayed import NoRelays, RelayGate
 from catkinslip.proxy.request_log import log_end
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 
@@ -49,6 +50,8 @@
     observer: RequestObserver = ObserverGroup()
     dialect: Dialect = Factory(NativeDialect)
     refusal_review: RefusalReview = Factory(NoReview)
+    #: Gate of the requests that other instances relay to this one.
+    relays: RelayGate = Factory(NoRelays)
     drain: CallerDrain = Factory(CallerDrain)
     watch: CallerWatch = Factory(CallerWatch)
     connections: int = 0
@@ -68,6 +71,7 @@
             self.limits.request_timeout,
             self.dialect,
             self.limits.uses_wall_clock,
+            self.relays,
         ),
         takes_self=True,
     )
--- a/catkinslip/proxy/calls.py
+++ b/catkinslip/proxy/calls.py
@@ -13,8 +13,9 @@
 from catkinslip.proxy.dialect import CallParameters, Dialect
 from catkinslip.proxy.head_checks import has_dot_segment, origin_form
 from catkinslip.proxy.headers import IDEMPOTENCY_KEY, Header, RequestHead, find
-from catkinslip.proxy.outcomes import NotRun
-from catkinslip.routing.routes import RouteTable
+from catkinslip.proxy.outcomes import NotRun, Reason
+from catkinslip.proxy.relayed import NoRelays, RelayGate, RelayHead
+from catkinslip.routing.routes import RouteTable, RouteTurns
 from catkinslip.workspaces.checker import KeyChecker
 from catkinslip.workspaces.signatures import verify_signature
 
@@ -31,6 +32,8 @@
     #: Whether deadlines also apply on the wall clock; False where that clock is set in
     #: jumps.
     uses_wall_clock: bool = True
+    #: Gate of the requests that other instances relay to this one.
+    relays: RelayGate = Factory(NoRelays)
     #: Configuration document that the services and routes were read from.
     document: Document | None = None
     service_by_name: dict[str, Service] = Factory(dict)
@@ -70,8 +73,13 @@
         )
         now = self.clock.monotonic() - waited
         path = path_of(target)
+        relayed = self.relays.read(request.headers)
+        if relayed is not None:
+            call.relayed, call.refusal = relayed.head, relayed.refusal
         timeout = self._apply_rules(call, parameters, path, now)
-        if self._needs_key(call, parameters, path):
+        if call.relayed is not None and call.refusal is None:
+            self._apply_relay_head(call, call.relayed, parameters, path)
+        elif call.refusal is None and self._needs_key(call, parameters, path):
             self._apply_key(call, request)
         if parameters.timeout is not None:
             timeout = min(timeout, parameters.timeout)
@@ -138,8 +146,22 @@
         if isinstance(found, NotRun):
             call.refusal = found
             return
-        call.workspace = found
-        priority = self.keys.workspace_by_name[found].priority
+        self._set_workspace(call, found)
+
+    def _apply_relay_head(
+        self, call: Call, head: RelayHead, parameters: CallParameters, path: str
+    ) -> None:
+        """Set the workspace that the sender found, or the refusal, and the limit."""
+        call.runs = head.runs
+        if head.workspace in self.keys.workspace_by_name:
+            self._set_workspace(call, head.workspace)
+        elif head.workspace or self._needs_key(call, parameters, path):
+            # The rules differ: those of the sender had another key or none.
+            call.refusal = NotRun(Reason.NOT_READY, 'other workspaces')
+
+    def _set_workspace(self, call: Call, name: str) -> None:
+        call.workspace = name
+        priority = self.keys.workspace_by_name[name].priority
         if priority is not None:
             call.priority = priority
 
@@ -153,6 +175,13 @@
             value.decode('latin-1'), self.keys.workspace_by_name, signed_parts(call)
         )
 
+    def _service_of(self, turns: RouteTurns, relayed: RelayHead | None) -> str:
+        """Return the service of a request: the sender's choice if it was relayed."""
+        services = [part.service for part in turns.route.parts]
+        if relayed is not None and relayed.service in services:
+            return relayed.service
+        return turns.next_service()
+
     def _apply_rules(
         self, call: Call, parameters: CallParameters, path: str, now: float
     ) -> float:
@@ -160,7 +189,7 @@
         turns = self.routes.find(parameters.host, path)
         if turns is not None:
             route = turns.route
-            call.service = turns.next_service()
+            call.service = self._service_of(turns, call.relayed)
             call.route = turns.name
             call.repeatable = route.repeatable
             call.target_latency = route.target_latency
--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -89,6 +89,13 @@
         deadline in seconds.
         """
 
+    def relay_headers(self, call: Call, remaining: float) -> list[Header]:
+        """Return the headers with which a call is relayed to another instance.
+
+        `remaining` is the time to the caller's deadline in seconds.
+        """
+        return self.request_headers(call, '', 1, remaining)
+
     @abstractmethod
     def find_fault(
         self, call: Call, status: int, headers: list[Header]
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -25,6 +25,8 @@
 # A request that is not repeatable is sent on a reused connection only if that was in
 # use this recently: servers close idle connections after seconds, not at once.
 RECENT_SECONDS = 1.0
+#: Time to pass an answer on whose head came before the deadline.
+ANSWER_GRACE_SECONDS = 1.0
 OWN_DIALECT = NativeDialect()
 METHODS_WITH_BODY = frozenset({b'POST', b'PUT', b'PATCH'})
 
@@ -253,10 +255,7 @@
 
     def _request_events(self) -> list[h11.Event]:
         call = self.call
-        remaining_time = call.deadline - self.clock.monotonic()
-        headers = self.dialect.request_headers(
-            call, self.backend_id, self.number, remaining_time
-        )
+        headers = self._request_headers()
         if call.body_remainder is not None:
             headers.append(framing_header(call.body_remainder.length))
         elif call.body or call.method in METHODS_WITH_BODY:
@@ -272,6 +271,12 @@
             events.append(h11.EndOfMessage())
         return events
 
+    def _request_headers(self) -> list[names.Header]:
+        remaining = self.call.deadline - self.clock.monotonic()
+        return self.dialect.request_headers(
+            self.call, self.backend_id, self.number, remaining
+        )
+
     def _start_upload(self, wire: Wire) -> None:
         body_remainder = self.call.body_remainder
         if body_remainder is not None:
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -70,6 +70,8 @@
         lambda self: SpentTimes(self.clock.monotonic()), takes_self=True
     )
     quotas: QuotaGate = Factory(NoQuotas)
+    #: Calls in progress, by service.
+    running_by_service: dict[str, set[CallRunner]] = Factory(dict)
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
         """Forward a call within its deadline and return its outcome.
@@ -96,6 +98,11 @@
             self.repeats.end(name, self.clock.monotonic(), retry_after)
         return outcome
 
+    def divert(self, service: str) -> None:
+        """End the calls of a service that another instance may send instead."""
+        for runner in tuple(self.running_by_service.get(service, ())):
+            runner.divert()
+
     def _record_spent(self, call: Call) -> None:
         has_times = call.caller_timeout is not None and call.target_latency < inf
         if has_times and self.limits.settings.admission.counts_spent:
@@ -161,7 +168,12 @@
             return refusal
         standing = self._assess(call, limits, is_repeated, now)
         runner = self._make_runner(call, caller, router, limits, permits, standing)
-        outcome = await runner.run()
+        running = self.running_by_service.setdefault(call.service, set())
+        running.add(runner)
+        try:
+            outcome = await runner.run()
+        finally:
+            running.discard(runner)
         limits.fairness.record(
             call.route,
             call.workspace,
@@ -204,11 +216,12 @@
 
 def make_plan(call: Call, limits: ServiceLimits, standing: Standing) -> CallPlan:
     """Return the plan of the attempts and hedges of a call."""
+    max_attempts = call.max_attempts or limits.settings.max_attempts
     return limits.plan(
         call.repeatable and not call.is_suspect,
         call.attempt == 1,
         call.deadline,
-        call.max_attempts,
+        max(1, max_attempts - call.runs),
         Urgency(
             call.priority,
             is_late=call.spent > 0 or standing.is_repeated,
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -28,6 +28,8 @@
 #: On each answer 401, https://www.rfc-editor.org/rfc/rfc9110#section-11.6.1
 AUTHENTICATE = (b'www-authenticate', b'ApiKey')
 REPLAYED = b'catkinslip-replayed'
+#: Of a request that one instance relays to another, and of its answer.
+RELAYED = b'catkinslip-relayed'
 
 FORWARDED_FOR = b'x-forwarded-for'
 VIA = b'via'
@@ -40,6 +42,7 @@
         b'proxy-authenticate',
         b'proxy-authorization',
         b'proxy-connection',
+        RELAYED,
         b'te',
         b'trailer',
         b'transfer-encoding',
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -36,6 +36,11 @@
         'The backend server takes no new work now.',
     )
     CONNECT_FAILED = ('connect-failed', 503, 'No backend server could be reached.')
+    UNREACHED = (
+        'unreached',
+        503,
+        'This instance reaches no backend server of the service.',
+    )
     CONNECTION_LIMIT = ('connection-limit', 503, 'Too many connections are open.')
     SHED = ('shed', 503, 'The backend servers refused new work.')
     MISDIRECTED = ('misdirected', 503, 'Another server has the address.')
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -19,7 +19,13 @@
 from catkinslip.limits.plan import CallPlan, Step
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.dialect import Dialect
-from catkinslip.proxy.exchange import AnswerHead, Attempt, Call, ConnectionBreak
+from catkinslip.proxy.exchange import (
+    ANSWER_GRACE_SECONDS,
+    AnswerHead,
+    Attempt,
+    Call,
+    ConnectionBreak,
+)
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.launch import Launch
 from catkinslip.proxy.observer import RequestObserver
@@ -43,15 +49,13 @@
 from catkinslip.routing.signals import ServerSignals
 from catkinslip.throttling.signals import AnswerKind
 
-#: Time to pass an answer on whose head came before the deadline.
-ANSWER_GRACE_SECONDS = 1.0
 #: Enough to identify a request; a caller may send a target of 32 kB.
 LOGGED_TARGET_BYTES = 200
 
 log = logging.getLogger('routing')
 
 
-@define
+@define(eq=False)
 class CallRunner(HedgedCall):
     """The execution of one call's plan; at most one answer reaches the caller."""
 
@@ -87,13 +91,39 @@
             remaining = max(0.0, self.call.deadline - self.clock.monotonic())
             with trio.move_on_after(remaining) as self.scope:
                 return self.wait.with_retry_after(await self._run_attempts())
-            return self._expire()
+            return self._end_diverted() if self.call.is_diverted else self._expire()
         finally:
             # Counted first: the abandoning may be cancelled.
-            self.permits.ran = sum(launch.runs for launch in self.launches)
+            self.permits.ran = self._runs()
+            self.call.runs += self.permits.ran
             for launch in self.launches:
                 await self._abandon(launch)
 
+    def divert(self) -> None:
+        """End the attempts if another instance may send the call instead.
+
+        A call that may have run and must not run again waits for its answer. Otherwise
+        a further run takes a token of the budget, like any other resend.
+        """
+        runs = self._runs()
+        if self.passed_on is not None or self.scope.cancel_called:
+            return
+        if runs and not self.plan.may_send_again(runs):
+            return
+        if runs:
+            self.plan.budget.take()
+        self.call.is_diverted = True
+        self.scope.cancel()
+
+    def _runs(self) -> int:
+        """Return how many times the call may have run."""
+        return sum(launch.runs for launch in self.launches)
+
+    def _end_diverted(self) -> NotRun | Unknown:
+        if self._runs():
+            return Unknown(Reason.BROKEN, Reason.UNREACHED.title)
+        return NotRun(Reason.UNREACHED)
+
     async def _run_attempts(self) -> Outcome:
         while True:
             choice = await self.wait.choose(self._tried())
--- /dev/null
+++ b/catkinslip/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying of requests through instances that reach the servers."""
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -45,6 +45,7 @@
 from catkinslip.metrics.instance import ConfigMetrics, LogMetrics, LoopLag
 from catkinslip.metrics.pipelining import PipelineMetrics
 from catkinslip.metrics.quotas import QuotaMetrics
+from catkinslip.metrics.relaying import RelayMetrics
 from catkinslip.metrics.requests import RequestMetrics
 from catkinslip.metrics.subsets import SubsetMetrics
 from catkinslip.metrics.traces import TraceRing
@@ -71,6 +72,7 @@
 from catkinslip.throttling.shares import divide_rate
 from catkinslip.warmup.gate import ColdGate
 from catkinslip.warmup.quotas import Sender, divide
+from catkinslip.wiring.relaying import Relaying, wire_relaying
 
 #: Fraction of the shared resend limit that the instances use together; the rest is a
 #: margin, because a few instances may not be in each other's membership view.
@@ -159,6 +161,7 @@
     peer_pages: PageServer
     pool: BackendPool
     reach: ServerReach
+    relaying: Relaying
     hedges: HedgeTimer
     limits: LimitRegistry
     sampler: LoadSampler
@@ -349,10 +352,23 @@
         guard=guard,
         quotas=quotas,
     )
+    health.reach.listeners.append(
+        lambda service, is_lost: forwarder.divert(service) if is_lost else None
+    )
+    relaying = wire_relaying(
+        settings.own,
+        forwarder,
+        health.reach,
+        instances,
+        clock,
+        random,
+        dependencies.dialect,
+        lambda: assembler.rules_version,
+    )
     callers = CallerServer(
         environment,
         config,
-        forwarder,
+        relaying.forwarder,
         None,
         CallerLimits(
             request_timeout=REQUEST_TIMEOUT_SECONDS,
@@ -361,6 +377,7 @@
         ),
         observer,
         dependencies.dialect,
+        relays=relaying.gate,
     )
     evacuations = make_follower('evacuations', dependencies.evacuations)
     evacuations.restore_listeners.append(assembler.hold_evacuations)
@@ -392,6 +409,7 @@
         peer_pages=PageServer(answers.handlers()),
         pool=pool,
         reach=health.reach,
+        relaying=relaying,
         hedges=hedges,
         limits=limits,
         sampler=sampler,
@@ -417,6 +435,7 @@
             CrashMetrics(guard),
             QuotaMetrics(quotas),
             PipelineMetrics(callers.pipelines),
+            RelayMetrics(relaying.forwarder),
             *dependencies.sources,
         ),
     )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data."""
 
 from random import Random
+from types import SimpleNamespace
 
 from attrs import Factory, define
 
@@ -41,6 +42,7 @@
     return {
         'record_reached': lambda backend_id: None,
         'record_unreached': lambda backend_id: None,
+        'reach': SimpleNamespace(servers_to_probe=lambda service: []),
     }
 
 
--- a/tests/partitions.py
+++ b/tests/partitions.py
@@ -144,6 +144,16 @@
         for entry in entries:
             self.links_by_entry[entry].start(how)
 
+    async def lose(self, entry: int, how: Cut = Cut.RESET) -> None:
+        """Partition an instance and let it find that all servers of `one` fail."""
+        self.cut([entry], how)
+        reach = self.platform.entries[entry].reach
+        while not reach.is_lost('one'):
+            for worker_id in self.platform.worker_by_id:
+                if worker_id.startswith('i-'):
+                    reach.record_failure('one', worker_id)
+            await trio.sleep(STEP_SECONDS)
+
     async def send_for(self, seconds: float) -> FirstTries:
         """Send requests to all instances for some seconds and count the answers."""
         tries = FirstTries()
--- a/tests/test_health_reach.py
+++ b/tests/test_health_reach.py
@@ -21,7 +21,9 @@
     def __attrs_post_init__(self) -> None:
         if not self.loads:
             self.loads = servers('a', 4) + servers('b', 4)
-        self.reach = ServerReach(self.clock, lambda service: self.loads)
+        self.reach = ServerReach(
+            self.clock, lambda service: self.loads, lambda: ['one']
+        )
         self.reach.listeners.append(
             lambda service, is_lost: self.changes.append((service, is_lost))
         )
@@ -67,8 +69,8 @@
         case = ReachCase()
         case.fail(servers('a', 4) * 5, 5 * LOST_SECONDS)
         self.assertFalse(case.reach.is_lost('one'))
-        unconfirmed = [each.zone for each in case.reach.unconfirmed('one')]
-        self.assertEqual(unconfirmed, ['b'])
+        probed = [each.zone for each in case.reach.servers_to_probe('one')]
+        self.assertEqual(probed[0], 'b')
 
     def test_probes_that_a_paused_process_missed_are_no_loss(self):
         case = ReachCase()
