Report no server to peers while the own paths are in doubt

A partitioned instance sent its peers of the zone that servers are silent, with each load that changed, and how many requests of its own it counted at them, which never arrived. Without the change the first test of WithheldReportTest fails: the datagram names the server. Also tested: pauses of a partition do not outlive it.

--- a/catkinslip/health/reach.py
+++ b/catkinslip/health/reach.py
@@ -175,6 +175,10 @@
             return False
         return not reach.has_lapsed(self.clock.monotonic())
 
+    def doubted_services(self) -> frozenset[str]:
+        """Return the services whose last attempts failed, none in between."""
+        return frozenset(filter(self.is_in_doubt, self.reach_by_service))
+
     def lost_services(self) -> tuple[str, ...]:
         """Return the names of the lost services in order."""
         return tuple(sorted(filter(self.is_lost, self.reach_by_service)))
--- a/catkinslip/health/sharing.py
+++ b/catkinslip/health/sharing.py
@@ -43,6 +43,11 @@
 log = logging.getLogger('health')
 
 
+def all_servers(loads: list[BackendLoad]) -> list[BackendLoad]:
+    """Return all servers."""
+    return loads
+
+
 @define
 class ReportSharer:
     """Exchange of new reports with the other instances of the zone."""
@@ -52,6 +57,9 @@
     targets: Callable[[], list[Address]]
     directory: Directory
     clock: Clock
+    #: Returns the servers of which this instance may report: failures of its own paths
+    #: say nothing of servers.
+    reportable: Callable[[list[BackendLoad]], list[BackendLoad]] = all_servers
     #: Servers with a change to send, by backend ID.
     load_by_id: dict[str, BackendLoad] = Factory(dict)
     #: Set while there are changes to send.
@@ -110,7 +118,7 @@
     def encode(self) -> bytes | None:
         """Return the queued changes as a datagram; None if there is nothing to send."""
         now = self.clock.monotonic()
-        loads = list(self.load_by_id.values())[:MAX_REPORTS]
+        loads = self.reportable(list(self.load_by_id.values())[:MAX_REPORTS])
         self.load_by_id.clear()
         silent = [[load.backend_id, load.start_tag] for load in loads if load.is_silent]
         reports = [
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -197,6 +197,15 @@
         backend = self.document.register.backends.get(backend_id)
         return None if backend is None else backend.service
 
+    def reportable(self, loads: list[BackendLoad]) -> list[BackendLoad]:
+        """Return those of some servers whose service is not in doubt."""
+        doubted = self.reach.doubted_services()
+        if not doubted:
+            return loads
+        return [
+            load for load in loads if self._service_of(load.backend_id) not in doubted
+        ]
+
     def _usable_servers(self, service: str) -> list[BackendLoad]:
         """Return the servers of a service that accept requests and may be probed."""
         router = self.directory.router_by_service.get(service)
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -312,6 +312,7 @@
     )
     pool = BackendPool(instances.budget_divisor)
     directory.has_idle = pool.has_idle
+    sharer.reportable = health.reportable
     config.listeners.extend(
         (
             directory.update,
--- a/tests/test_health_reach.py
+++ b/tests/test_health_reach.py
@@ -5,8 +5,11 @@
 from attrs import define, field
 
 from catkinslip.health.reach import LAPSE_SECONDS, LOST_SECONDS, ServerReach
+from catkinslip.health.sharing import ReportSharer
+from catkinslip.models import Address
 from catkinslip.routing.base import BackendLoad
 from tests.builders import ManualClock
+from tests.test_health_tracker import tracker
 
 
 @define
@@ -108,3 +111,48 @@
         case.clock.now += 2 * LOST_SECONDS
         case.reach.record_failure('one', 'a-0')
         self.assertFalse(case.reach.is_lost('one'))
+
+
+class WithheldReportTest(unittest.TestCase):
+    """Reports of servers to peers while the paths of this instance are in doubt."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.tracker = tracker(self.clock)
+        self.sharer = ReportSharer(
+            Address('127.0.0.1', 1),
+            list,
+            self.tracker.directory,
+            self.clock,
+            self.tracker.reportable,
+        )
+
+    def encode(self) -> bytes | None:
+        """Return the datagram after a server turned silent."""
+        router = self.tracker.directory.router_by_service['limits']
+        router.mark_silent('limits-1')
+        self.sharer.queue_load(router.load_by_id['limits-1'])
+        return self.sharer.encode()
+
+    def test_partitioned_instance_reported_servers_as_silent(self):
+        # Peers then avoided servers that they reached until their own probes.
+        for backend_id in ('limits-1', 'limits-2'):
+            self.tracker.record_unreached(backend_id)
+        self.assertIsNone(self.encode())
+
+    def test_one_silent_server_is_reported(self):
+        self.tracker.record_unreached('limits-1')
+        self.assertIn(b'limits-1', self.encode())
+        self.tracker.record_unreached('limits-2')
+        self.tracker.record_reached('limits-2')
+        self.assertIn(b'limits-1', self.encode())
+
+    def test_pauses_of_a_partition_do_not_outlive_it(self):
+        for _ in range(20):
+            self.tracker.record_refusal('limits-1')
+            self.tracker.record_refusal('limits-2')
+            self.clock.now += 0.1
+        self.assertTrue(self.tracker.reach.is_lost('limits'))
+        self.tracker.record_reached('limits-2')
+        avoided = self.tracker.reachability.avoided_ids(self.clock.now)
+        self.assertEqual(avoided, [])
