Conclude no crash of a server while another one refuses connections too

An instance whose connections were reset and whose new ones were refused took each request under way for one that ended its server, recorded the crash and told its peers: two such requests alike, and all instances would refuse that request. A refused port now counts as a crash only if the server of the service that answered last, and is not avoided, accepts a connection. Where it does not, the request is kept with the broken ones, which the change of a server's registration still turns into crashes.

--- a/catkinslip/crashes/guard.py
+++ b/catkinslip/crashes/guard.py
@@ -96,14 +96,31 @@
         return bool(by_target) and target_of(call) in by_target
 
     async def detect_crash(
-        self, call: Call, server: str, address: Address, *, is_cold: bool = False
+        self,
+        call: Call,
+        server: str,
+        address: Address,
+        *,
+        is_cold: bool = False,
+        witness: Address | None = None,
     ) -> bool:
         """Return whether a server whose connection broke has crashed, and record it.
 
         A refused connection takes one round trip, 0.4 ms in the instance's own zone.
+        Where `witness`, the address of another server, refuses connections too, the
+        path from this instance is as likely at fault as the server.
         """
         with trio.CancelScope(shield=True):
             has_crashed = await refuses_connection(address)
+            if has_crashed and witness is not None:
+                has_crashed = not await refuses_connection(witness)
+                if not has_crashed:
+                    log.info(
+                        'crashes: no crash of %s concluded, another server refuses '
+                        'connections too. request=%s',
+                        server,
+                        key_of(call),
+                    )
         now = self.clock.monotonic()
         broken = BrokenRequest(server, key_of(call), query_of(call), is_cold, now)
         if not has_crashed:
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -17,7 +17,7 @@
 from catkinslip.health.reachability import Reachability
 from catkinslip.health.reports import ObservedReport, ReportTable
 from catkinslip.health.signals import CloseCounter, closes_connection, has_drain_header
-from catkinslip.models import BackendKey
+from catkinslip.models import Address, BackendKey
 from catkinslip.routing.base import BackendLoad, Choice, Estimate, LoadReport
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
@@ -238,6 +238,23 @@
         now = self.clock.monotonic()
         return router.rank(now, [*tried, *self.reachability.avoided_ids(now)])
 
+    def find_witness(self, router: ServiceRouter, backend_id: str) -> Address | None:
+        """Return the address of the other server of a service that answered last.
+
+        Return None if no other one accepted connections so far.
+        """
+        now = self.clock.monotonic()
+        avoided = self.reachability.avoided_ids(now)
+        others = [
+            self.key_by_id[load.backend_id]
+            for load in router.loads
+            if load.backend_id not in (backend_id, *avoided) and not load.draining
+        ]
+        if not others:
+            return None
+        last = min(others, key=lambda key: self.reports.silent_for(key, now))
+        return self.directory.address_by_backend.get(last.backend_id)
+
     def apply_list(self, listed: Iterable[ListedInstance]) -> None:
         """Apply one read of the platform's instance list."""
         leaving_by_name = {each.name: each.leaving for each in listed}
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -351,7 +351,11 @@
         server = server_name(launch.backend_id, load.incarnation)
         is_cold = load.is_cold(launch.began)
         has_crashed = await self.guard.detect_crash(
-            self.call, server, launch.attempt.address, is_cold=is_cold
+            self.call,
+            server,
+            launch.attempt.address,
+            is_cold=is_cold,
+            witness=self.health.find_witness(self.router, launch.backend_id),
         )
         if self.call.is_suspect:
             self.plan.repeatable = False
