Relay requests that may run again after their connection broke on a lost path

While the paths are in doubt such a request is relayed, within the number of attempts of its route, and each further run takes a token of the instance's budget of resends. The new test of test_relaying_requests got 502 before.

--- a/catkinslip/limits/service.py
+++ b/catkinslip/limits/service.py
@@ -104,6 +104,19 @@
             limits.settings = settings
             limits.budget.share = settings.extra_share
 
+    def take_resend(self, service: str, runs: int, max_attempts: int | None) -> bool:
+        """Take a token for a call that may have run `runs` times, to run it once more.
+
+        Return whether it may run again.
+        """
+        limits = self.limits_by_service.get(service)
+        if limits is None or runs >= (max_attempts or self.settings.max_attempts):
+            return False
+        if not limits.budget.has_token():
+            return False
+        limits.budget.take()
+        return True
+
     def limits_of(
         self, service: str, router: ServiceRouter, now: float
     ) -> ServiceLimits:
--- a/catkinslip/proxy/call.py
+++ b/catkinslip/proxy/call.py
@@ -66,7 +66,8 @@
     relayed: RelayHead | None = None
     #: Number of times that the call may have run.
     runs: int = 0
-    #: Whether its attempts were ended as this instance reaches no server.
+    #: Whether its attempts were ended as this instance reaches no server, and a token
+    #: was taken if it may have run.
     is_diverted: bool = False
 
     def record_spent(self, seconds: float) -> None:
--- a/catkinslip/relaying/forwarder.py
+++ b/catkinslip/relaying/forwarder.py
@@ -42,6 +42,10 @@
 #: those that refuse connections as restarted.
 DOUBTED_REASONS = PATH_REASONS | {Reason.DEADLINE_UNMET, Reason.COLD, Reason.TOO_LATE}
 
+#: Takes a token to run a call once more, from its service, the number of times that it
+#: may have run and its limit; returns whether it may run again.
+TakeResend = Callable[[str, int, int | None], bool]
+
 log = logging.getLogger('relaying')
 
 
@@ -58,6 +62,8 @@
     dialect: Dialect
     #: Returns the version of the rules in force.
     rules_version: Callable[[], int]
+    #: Takes a token of the budget of resends for one more run of a call.
+    take_resend: TakeResend
     #: Number of relayed requests by outcome, and of requests that others relayed here.
     count_by_outcome: Counter[str] = Factory(Counter)
     accepted: int = 0
@@ -97,13 +103,27 @@
         if not call.is_resendable or call.is_expired(self.clock):
             return False
         if isinstance(outcome, Unknown):
-            # Set for a call that may run again, unless it was sent just then.
-            return call.is_diverted and call.repeatable and not call.is_suspect
+            is_path_at_fault = call.is_diverted or self.reach.is_in_doubt(call.service)
+            return is_path_at_fault and self._may_run_again(call, outcome)
         if not isinstance(outcome, NotRun):
             return False
         is_doubted = self.reach.is_in_doubt(call.service)
         return outcome.reason in (DOUBTED_REASONS if is_doubted else PATH_REASONS)
 
+    def _may_run_again(self, call: Call, outcome: Unknown) -> bool:
+        """Return whether a call whose connection broke may run once more.
+
+        The token of a diverted call was taken as its attempts were ended.
+        """
+        if outcome.reason is not Reason.BROKEN or outcome.answer_started:
+            return False
+        if not call.repeatable or call.is_suspect:
+            return False
+        if call.is_diverted:
+            call.is_diverted = False
+            return True
+        return self.take_resend(call.service, call.runs, call.max_attempts)
+
     async def _relay(
         self, call: Call, caller: Wire, fallback: NotRun | Unknown
     ) -> Outcome:
@@ -114,12 +134,16 @@
             if peer is None:
                 break
             outcome = await self._send(call, peer, caller)
-            if isinstance(outcome, NotRun) and call.runs:
-                # Not run there, but perhaps before.
-                return fallback
-            if not is_receiver_refusal(outcome):
-                return outcome
             tried.add(peer.entry.instance_id)
+            if isinstance(outcome, Unknown):
+                call.runs += 1
+                if not self._may_run_again(call, outcome):
+                    return outcome
+                fallback = outcome
+            elif not is_receiver_refusal(outcome):
+                # Not run there, but perhaps before.
+                is_told = isinstance(outcome, NotRun) and isinstance(fallback, Unknown)
+                return fallback if is_told else outcome
         log.info(
             'relaying: %s %s is relayed to no instance. tried=%s outcome=%s',
             call.request_id,
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -365,6 +365,7 @@
         random,
         dependencies.dialect,
         lambda: assembler.rules_version,
+        limits.take_resend,
     )
     callers = CallerServer(
         environment,
--- a/catkinslip/wiring/relaying.py
+++ b/catkinslip/wiring/relaying.py
@@ -14,7 +14,7 @@
 from catkinslip.proxy.base import CallForwarder
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.pool import BackendPool
-from catkinslip.relaying.forwarder import RelayingForwarder
+from catkinslip.relaying.forwarder import RelayingForwarder, TakeResend
 from catkinslip.relaying.gate import TOKEN_BYTES, TokenRelayGate
 from catkinslip.relaying.peers import RelayPeers
 
@@ -36,6 +36,7 @@
     random: Random,
     dialect: Dialect,
     rules_version: Callable[[], int],
+    take_resend: TakeResend,
 ) -> Relaying:
     """Build the parts that relay requests, with a token of this start."""
     gate = TokenRelayGate(token_hex(TOKEN_BYTES), rules_version)
@@ -51,5 +52,6 @@
         clock,
         dialect,
         rules_version,
+        take_resend,
     )
     return Relaying(relaying_forwarder, gate)
--- a/tests/test_relaying_requests.py
+++ b/tests/test_relaying_requests.py
@@ -154,7 +154,21 @@
 
         run(check)
 
-    async def _send_into_cut(self, platform, method: str, path: str):
+    def test_request_whose_connection_was_reset_is_relayed_if_it_may_run_twice(self):
+        await_answers = self._send_into_cut
+
+        async def check(platform):
+            limits = platform.platform.entries[0].limits
+            await platform.platform.get('/p/x', request_id='r0')
+            limits.limits_by_service['one'].budget.tokens = 2.0
+            answer = await await_answers(platform, 'GET', '/q/x', Cut.RESET)
+            self.assertEqual(answer.status_code, 200)
+
+        run(check)
+
+    async def _send_into_cut(
+        self, platform, method: str, path: str, how: Cut = Cut.SILENT
+    ):
         """Send a request whose server runs it as the paths of the instance are cut."""
         answers = []
 
@@ -166,7 +180,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
             await wait_for(lambda: platform.platform.runs() == 1)
-            await platform.lose(0, Cut.SILENT)
+            await platform.lose(0, how)
         return answers[0]
 
 
