Partition instances from all servers in the soak

From 3 s after the cut callers there must be served at least two thirds as often as elsewhere, 2 s after its end as before; the checks of runs and refusals hold all the while. A link finds the instance behind a connection by the process that holds its socket. A connection that a proxy accepts shows no longer that a server is reached, unless the server reports no load and may let probes wait.

--- a/catkinslip/health/sampler.py
+++ b/catkinslip/health/sampler.py
@@ -329,7 +329,8 @@
             if wire.reason is Reason.CONNECT_FAILED:
                 self.health.record_refusal(backend_id)
             return False
-        if not wire.is_reused:
+        if not wire.is_reused and load.report is None:
+            # A server that reports no load may answer a probe only in its turn.
             self.health.record_reached(backend_id)
         is_done = False
         try:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 from soak.checks import find_unexpected_exits, find_unrecovered, find_violations
 from soak.faults import FaultPlayer
 from soak.needs import ThrottlePlayer
+from soak.partitions import PartitionPlayer
 from soak.restores import RestorePlayer
 from soak.rests import RestPlayer
 from soak.world import World, make_folder, wait_for
@@ -49,6 +50,7 @@
     has_needs: bool = False,
     has_rests: bool = False,
     has_restores: bool = False,
+    has_partitions: bool = False,
 ) -> Result:
     """Run the soak test with one seed, and keep the logs if a check failed."""
     random = Random(seed)
@@ -62,6 +64,7 @@
                 has_needs=has_needs,
                 has_rests=has_rests,
                 has_restores=has_restores,
+                has_partitions=has_partitions,
             )
             try:
                 result = await play(world, seed, seconds)
@@ -83,6 +86,7 @@
     throttles = ThrottlePlayer(world, Random(f'{seed} needs'))
     rests = RestPlayer(world, Random(f'{seed} rests'), callers)
     restores = RestorePlayer(world, Random(f'{seed} restores'))
+    partitions = PartitionPlayer(world, Random(f'{seed} partitions'), callers)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run, CALLERS)
         await wait_for(lambda: any(each.status == 200 for each in callers.requests))
@@ -96,7 +100,11 @@
                 players.start_soon(rests.run, seconds)
             if world.has_restores:
                 players.start_soon(restores.run, seconds)
+            if world.has_partitions:
+                players.start_soon(partitions.run, seconds)
         await trio.sleep(RECOVERY_SECONDS)
+        if world.has_partitions:
+            await partitions.run_calm()
         since = trio.current_time()
         await trio.sleep(CHECKED_SECONDS)
         unexpected_exits = tuple(find_unexpected_exits(world))
@@ -109,6 +117,7 @@
         *zones.violations(),
         *throttles.violations(),
         *rests.violations(),
+        *partitions.violations(),
         *unexpected_exits,
         *unrecovered,
     )
@@ -136,6 +145,11 @@
     parser.add_argument(
         '--restores', action='store_true', help='Also restore the store from backups.'
     )
+    parser.add_argument(
+        '--partitions',
+        action='store_true',
+        help='Also partition instances from all servers.',
+    )
     arguments = parser.parse_args()
     seeds = list(arguments.seeds or ())
     seeds += [
@@ -149,6 +163,7 @@
             has_needs=arguments.needs,
             has_rests=arguments.rests,
             has_restores=arguments.restores,
+            has_partitions=arguments.partitions,
         )
         result = trio.run(run, seed, arguments.seconds, arguments.keep)
         failed += bool(result.violations)
--- a/soak/links.py
+++ b/soak/links.py
@@ -1,5 +1,6 @@
 """Loopback proxies that delay, reset, cut one way or silence connections."""
 
+from abc import ABC, abstractmethod
 from enum import Enum, auto, unique
 
 import trio
@@ -7,6 +8,7 @@
 
 CHUNK_BYTES = 65536
 DELAY_SECONDS = 0.2
+STEP_SECONDS = 0.02
 
 
 @unique
@@ -24,6 +26,33 @@
     SILENCE = auto()
 
 
+@define(eq=False)
+class Path:
+    """The path from one instance to all servers."""
+
+    fault: LinkFault = LinkFault.NONE
+    streams: set[trio.SocketStream] = Factory(set)
+
+    async def set_fault(self, fault: LinkFault) -> None:
+        """Apply a fault to the connections of the instance, or end it with `NONE`."""
+        self.fault = fault
+        if fault is LinkFault.RESET:
+            for stream in list(self.streams):
+                await trio.aclose_forcefully(stream)
+
+
+#: The path of connections whose instance is not known.
+NO_PATH = Path()
+
+
+class Paths(ABC):
+    """Interface that finds the path to which an accepted connection belongs."""
+
+    @abstractmethod
+    def path_of(self, stream: trio.SocketStream) -> Path:
+        """Return the path of the instance that opened a connection."""
+
+
 @define(eq=False)
 class Link:
     """A proxy that forwards connections from its own port to a target port."""
@@ -36,6 +65,8 @@
     fault_spans: list[tuple[float, float]] = Factory(list)
     fault_began: float = 0.0
     streams: set[trio.SocketStream] = Factory(set)
+    #: Faults of the paths from single instances; None if all have the same.
+    paths: Paths | None = None
 
     async def open(self, nursery: trio.Nursery) -> None:
         """Start to listen on a port that the kernel chooses."""
@@ -64,28 +95,37 @@
 
     async def _serve(self, inbound: trio.SocketStream) -> None:
         self.streams.add(inbound)
+        path = self.paths.path_of(inbound) if self.paths else NO_PATH
         try:
-            if self.fault is LinkFault.RESET:
+            if LinkFault.RESET in (self.fault, path.fault):
                 raise trio.BrokenResourceError
+            path.streams.add(inbound)
             outbound = await trio.open_tcp_stream('127.0.0.1', self.target_port)
             self.streams.add(outbound)
             async with outbound, trio.open_nursery() as nursery:
-                nursery.start_soon(self._pump, inbound, outbound, False)
-                await self._pump(outbound, inbound, True)
+                nursery.start_soon(self._pump, inbound, outbound, False, path)
+                await self._pump(outbound, inbound, True, path)
                 nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             # Either side may close or reset the connection as part of a fault.
             pass
         finally:
             self.streams.discard(inbound)
+            path.streams.discard(inbound)
             await trio.aclose_forcefully(inbound)
 
     async def _pump(
-        self, source: trio.SocketStream, target: trio.SocketStream, answers: bool
+        self,
+        source: trio.SocketStream,
+        target: trio.SocketStream,
+        answers: bool,
+        path: Path,
     ) -> None:
         while data := await source.receive_some(CHUNK_BYTES):
             while self._holds_back(answers):
                 await self.fault_ended.wait()
+            while path.fault is LinkFault.SILENCE:
+                await trio.sleep(STEP_SECONDS)
             if self.fault is LinkFault.DELAY:
                 await trio.sleep(DELAY_SECONDS)
             await target.send_all(data)
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,13 +5,14 @@
 import subprocess
 import sys
 import tempfile
-from pathlib import Path
+from pathlib import Path as FilePath
 from random import Random
 
 import trio
 from attrs import Factory, define
 
-from soak.links import Link
+from soak.links import Link, Path
+from soak.owners import InstancePaths
 from standins.objects import ObjectsStandin, serve_objects
 from standins.processes import ROOT
 from standins.workers import Worker
@@ -42,14 +43,16 @@
 
     name: str
     port_by_name: dict[str, int]
-    settings_path: Path
-    log_path: Path
+    settings_path: FilePath
+    log_path: FilePath
     store_link: Link
     process: subprocess.Popen | None = None
     #: The reason why the process may exit; empty while it must keep running.
     exit_reason: str = ''
     is_paused: bool = False
     started_at: float = 0.0
+    #: The path to all servers.
+    path: Path = Factory(Path)
 
     def start(self) -> None:
         """Start the process and append its log to the same file."""
@@ -85,7 +88,7 @@
 class World:
     """All stand-ins, links and instances of one run."""
 
-    folder: Path
+    folder: FilePath
     nursery: trio.Nursery
     random: Random
     store: ObjectsStandin = Factory(ObjectsStandin)
@@ -103,6 +106,11 @@
     has_rests: bool = False
     #: Whether the store is restored from backups.
     has_restores: bool = False
+    #: Whether instances are partitioned from all servers.
+    has_partitions: bool = False
+    paths: InstancePaths = Factory(
+        lambda self: InstancePaths(self.instances), takes_self=True
+    )
     #: Start and end times of spans in which the store was disturbed or an instance was
     #: stopped or paused.
     disturbances: list[tuple[float, float]] = Factory(list)
@@ -136,6 +144,7 @@
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         self.nursery.start_soon(trio.serve_listeners, worker.serve, listeners)
         link = Link(listeners[0].socket.getsockname()[1])
+        link.paths = self.paths
         await link.open(self.nursery)
         self.worker_by_id[server_id] = worker
         self.link_by_worker[server_id] = link
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak.checks import find_unrecovered, find_violations
 from soak.links import Link
 from soak.needs import ThrottledSpan, ThrottlePlayer
+from soak.partitions import Partition, PartitionPlayer
 from soak.rests import RestPlayer
 from soak.world import World as SoakWorld
 from soak.zones import Evacuation, ZonePlayer
@@ -28,6 +29,8 @@
 THROTTLE_SECONDS = 14.0
 REST_SEED = 850407095
 REST_SECONDS = 10.0
+PARTITION_SEED = 1
+PARTITION_SECONDS = 5.0
 KEPT_LOGS = ROOT / 'build' / 'soak'
 
 
@@ -97,6 +100,34 @@
         self.assertFalse(list(self.player([], [1.0] * bound).violations()))
 
 
+class PartitionChecksTest(unittest.TestCase):
+    """The check of partitioned instances compares them with the others."""
+
+    def violations(self, inside: Outcome, outside: Outcome, at: float) -> list[str]:
+        """Return the violations of a partition with some requests at each instance."""
+        callers = Callers(None, Random(1))
+        callers.requests += [
+            Request(f'r{number}', True, name, at, outcome)
+            for name, outcome in (('edge-0', inside), ('edge-1', outside))
+            for number in range(10)
+        ]
+        world = SoakWorld(None, None, Random(1))
+        partition = Partition(frozenset({'edge-0'}), 10.0, 16.0)
+        player = PartitionPlayer(world, Random(1), callers, [partition])
+        return list(player.violations())
+
+    def test_callers_of_partitioned_instances_are_refused(self):
+        refused, answered = Outcome.NOT_RUN, Outcome.ANSWERED
+        self.assertTrue(self.violations(refused, answered, 13.5))
+        self.assertFalse(self.violations(refused, refused, 13.5))
+        self.assertFalse(self.violations(answered, answered, 13.5))
+
+    def test_first_seconds_and_the_time_after_do_not_count(self):
+        refused, answered = Outcome.NOT_RUN, Outcome.ANSWERED
+        self.assertFalse(self.violations(refused, answered, 12.5))
+        self.assertFalse(self.violations(refused, answered, 16.5))
+
+
 class ThrottleChecksTest(unittest.TestCase):
     """The checks of throttled servers find requests beyond the bound."""
 
@@ -170,6 +201,12 @@
         self.assertEqual(result.violations, (), f'logs in {KEPT_LOGS}')
         self.assertGreater(result.requests, 100)
 
+    def test_partitioned_instances_serve_their_callers(self):
+        run = partial(soak, has_partitions=True)
+        result = trio.run(run, PARTITION_SEED, PARTITION_SECONDS, KEPT_LOGS)
+        self.assertEqual(result.violations, (), f'logs in {KEPT_LOGS}')
+        self.assertGreater(result.requests, 100)
+
     def test_evacuated_zones_and_cold_servers(self):
         run = partial(soak, has_zones=True)
         result = trio.run(run, ZONE_SEED, ZONE_SECONDS, KEPT_LOGS)
