--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -7,6 +7,7 @@
 import cattrs
 import orjson
 from attrs import Factory, frozen
+from cattrs.gen import make_dict_unstructure_fn
 
 from catkinslip.config.documents import converter, describe_error
 from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
@@ -33,6 +34,12 @@
 
 log = logging.getLogger('peers')
 
+# Most instances reach all services, and each poll carries their paths.
+converter.register_unstructure_hook(
+    PeerPaths,
+    make_dict_unstructure_fn(PeerPaths, converter, _cattrs_omit_if_default=True),
+)
+
 
 @frozen
 class PeerState:
