--- a/catkinslip/health/reach.py
+++ b/catkinslip/health/reach.py
@@ -28,13 +28,10 @@
 
 log = logging.getLogger('health')
 
+#: Handles that a service was lost or regained.
 OnReachChange = Callable[[str, bool], None]
 
 
-def ignore_reach_change(service: str, is_lost: bool) -> None:
-    """Ignore that a service was lost or regained."""
-
-
 @define
 class ServiceReach:
     """The failures at the servers of one service since the last answer of any."""
--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -241,7 +241,7 @@
     def find_witness(self, router: ServiceRouter, backend_id: str) -> Address | None:
         """Return the address of the other server of a service that answered last.
 
-        Return None if no other one accepted connections so far.
+        Return None if all others refused connections or are leaving.
         """
         now = self.clock.monotonic()
         avoided = self.reachability.avoided_ids(now)
--- a/catkinslip/relaying/attempt.py
+++ b/catkinslip/relaying/attempt.py
@@ -24,6 +24,11 @@
         """Send the request on a new connection and wait for the answer's head."""
         return await self._start(0.0)
 
+    async def _release(self, wire: Wire) -> None:
+        # A kept connection would hold up the receiver's shutdown and is never reused.
+        wire.must_close = True
+        await super()._release(wire)
+
     async def _classify_response(
         self, wire: Wire, response: h11.Response
     ) -> AnswerHead | NotRun | Unknown:
--- a/soak/world.py
+++ b/soak/world.py
@@ -144,7 +144,7 @@
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         self.nursery.start_soon(trio.serve_listeners, worker.serve, listeners)
         link = Link(listeners[0].socket.getsockname()[1])
-        link.paths = self.paths
+        link.paths = self.paths if self.has_partitions else None
         await link.open(self.nursery)
         self.worker_by_id[server_id] = worker
         self.link_by_worker[server_id] = link
--- a/tests/test_relaying_requests.py
+++ b/tests/test_relaying_requests.py
@@ -42,6 +42,17 @@
 
         run(check)
 
+    def test_no_connection_to_the_receiver_is_kept(self):
+        async def check(platform):
+            await platform.lose(0)
+            for number in range(3):
+                await platform.platform.get(request_id=f'r{number}')
+            relays = platform.platform.entries[0].relaying.forwarder.pool
+            kept = relays.connections_by_address.values()
+            self.assertEqual([(each.in_use, each.idle) for each in kept], [(0, [])])
+
+        run(check)
+
     def test_request_is_relayed_over_one_hop_only(self):
         # Each of two lost instances took the other for one that reaches the servers.
         async def check(platform):
