--- a/model/__main__.py
+++ b/model/__main__.py
@@ -17,6 +17,7 @@
 from model.lease import LeaseSpecification
 from model.quotas import QuotaSpecification
 from model.records import RecordSpecification
+from model.relays import RelaySpecification
 from model.senders import SenderSpecification
 from model.specification import Specification
 from model.tickets import TicketSpecification
@@ -29,6 +30,7 @@
     LeaseSpecification,
     SenderSpecification,
     QuotaSpecification,
+    RelaySpecification,
 )
 
 
