Review: measure again where chunks were passed on in parts

On a busy machine the instance may read two chunks at once; the measurement of case 1 is then made again instead of giving up.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,7 +35,7 @@
 #: Size of the chunks without the disruption, when nothing is measured.
 CALM_CHUNKS = [CHUNK_BYTES, CHUNK_BYTES, 32_000]
 #: Pause after each chunk, so that the instance passes on one chunk at a time.
-PAUSE_SECONDS = 0.004
+PAUSE_SECONDS = 0.01
 #: Time until the worker answers, in which it reads nothing of the body.
 EARLY_ANSWER_SECONDS = 1.0
 #: Time after its answer until the worker reads on.
@@ -44,6 +44,9 @@
 FOLLOWING = 4
 ATTEMPTS = 12
 ATTEMPTS_FOR_EACH_MEASUREMENT = 3
+#: A measurement is made again where the instance passed on parts of chunks, as it may
+#: on a busy machine.
+MEASUREMENTS = 6
 CALM_ATTEMPTS = 3
 SERVICE = 'suivi-bagages'
 ROUTES = [
@@ -250,7 +253,7 @@
     sizes = CALM_CHUNKS
     for number in range(ATTEMPTS if has_trouble else CALM_ATTEMPTS):
         if has_trouble and number % ATTEMPTS_FOR_EACH_MEASUREMENT == 0:
-            sizes = await measure(instance, behaviour, record, f'measure-{number}')
+            sizes = await measure_chunks(instance, behaviour, record, number)
         await attempt(instance, record, sizes, number)
         if behaviour.foreign:
             record.write(f'broken in attempt {number + 1}')
@@ -258,10 +261,24 @@
     return True
 
 
+async def measure_chunks(
+    instance: Instance, behaviour: Behaviour, record: Record, number: int
+) -> list[int]:
+    """Return sizes of chunks of which a connection takes all but the body's end."""
+    for again in range(MEASUREMENTS):
+        name = f'measure-{number}-{again}'
+        stream = await measure(instance, behaviour, record, name)
+        record.write(f'measured: a connection takes {len(stream)} bytes of a body')
+        sizes = sizes_that_fill(stream)
+        if sizes is not None:
+            return sizes
+    raise CannotRunError('the chunks were not passed on one by one')
+
+
 async def measure(
     instance: Instance, behaviour: Behaviour, record: Record, name: str
-) -> list[int]:
-    """Return sizes of chunks of which a connection takes all but the body's end.
+) -> bytes:
+    """Return what a connection takes of a body while the worker reads nothing.
 
     The instance is stopped for a moment, so that it writes no more while the worker
     reads what it has written so far.
@@ -280,7 +297,7 @@
     instance.signal(signal.SIGCONT)
     await upload
     behaviour.measures = False
-    return sizes_that_fill(behaviour.measured[-1], record)
+    return behaviour.measured[-1]
 
 
 async def wait_for(condition) -> None:
@@ -292,8 +309,11 @@
         await asyncio.sleep(0.01)
 
 
-def sizes_that_fill(stream: bytes, record: Record) -> list[int]:
-    """Return sizes of chunks for a stream of this length without its end."""
+def sizes_that_fill(stream: bytes) -> list[int] | None:
+    """Return sizes of chunks for a stream of this length without its end.
+
+    Return None if the stream has parts of chunks.
+    """
     position, passed_on = 0, 0
     while (end := stream.find(b'\r\n', position)) >= 0:
         length = int(stream[position:end], 16)
@@ -302,9 +322,8 @@
         passed_on += length
         position = end + 2 + length + 2
     left = len(stream) - position
-    record.write(f'measured: a connection takes {len(stream)} bytes of a body')
     if passed_on % CHUNK_BYTES or left < 8:
-        raise CannotRunError('the chunks were not passed on one by one')
+        return None
     sizes = [CHUNK_BYTES] * (passed_on // CHUNK_BYTES)
     last = next(n for n in range(left, 0, -1) if len(f'{n:x}') + n + 4 <= left)
     return [*sizes, last]
