--- a/review/1/case.py
+++ b/review/1/case.py
@@ -246,14 +246,17 @@
     behaviour = Behaviour(is_early=has_trouble)
     for number in range(2):
         EarlyWorker(f'i-{number}', record, store, behaviour)
-    instance = Instance('edge-1', folder, store, record)
-    instances.append(instance)
-    instance.start()
-    await instance.wait_ready()
+    measured = Instance('edge-0', folder, store, record)
+    instance = Instance('edge-1', folder, store, record, measured.address('control'))
+    instances += [measured, instance]
+    for each in instances:
+        each.start()
+    for each in instances:
+        await each.wait_ready()
     sizes = CALM_CHUNKS
     for number in range(ATTEMPTS if has_trouble else CALM_ATTEMPTS):
         if has_trouble and number % ATTEMPTS_FOR_EACH_MEASUREMENT == 0:
-            sizes = await measure_chunks(instance, behaviour, record, number)
+            sizes = await measure_chunks(measured, behaviour, record, number)
         await attempt(instance, record, sizes, number)
         if behaviour.foreign:
             record.write(f'broken in attempt {number + 1}')
@@ -281,7 +284,8 @@
     """Return what a connection takes of a body while the worker reads nothing.
 
     The instance is stopped for a moment, so that it writes no more while the worker
-    reads what it has written so far.
+    reads what it has written so far. The attempts are made at another instance, which
+    nothing disturbs.
     """
     behaviour.measures = True
     behaviour.is_waiting.clear()
