Log where each change of rules and servers came from, and marks of servers

New: source=store or the peer on each change; 'server leaves' and 'accepts requests again' with the revision; 'missing server kept' with the time left. One line for each change, as before, and one for each mark. No decision changes.

--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -18,12 +18,13 @@
 from catkinslip.config.holder import ConfigHolder
 from catkinslip.discovery.base import BackendEntry, RuleSet
 from catkinslip.discovery.changes import Change, difference
-from catkinslip.discovery.follower import Follower
+from catkinslip.discovery.follower import PEER, Follower
 from catkinslip.discovery.restored import (
     RESTORED_GRACE_SECONDS,
     RemovedBackends,
     reconcile_with_backup,
 )
+from catkinslip.discovery.revisions import text_of
 
 #: Within this time after an outage of the store the entries that expired in it are
 #: back.
@@ -120,17 +121,18 @@
     def apply_rules(self) -> None:
         """Apply the rules of the store if they are newer."""
         for rules in self.rules.value_by_name.values():
-            self.offer_rules(rules)
+            self.offer_rules(rules, self.rules.last_source)
 
-    def offer_rules(self, rules: RuleSet) -> bool:
+    def offer_rules(self, rules: RuleSet, source: str = PEER) -> bool:
         """Apply rules if they are newer; return whether they were applied."""
         if not rules.is_newer_than(self.current_rules):
             return False
         log.info(
-            'discovery: rules in force. version=%08x was=%08x workspaces=%s',
+            'discovery: rules in force. version=%08x was=%08x workspaces=%s source=%s',
             rules.version,
             self.rules_version,
             'unknown' if rules.workspaces is None else len(rules.workspaces),
+            source,
         )
         rules = rules.keeping_workspaces(self.current_rules)
         services_before = self.current_rules and self.current_rules.services
@@ -157,15 +159,35 @@
             if now < until and not self._has_address(entry, listed):
                 merged[backend_id] = entry
                 self.grace_changed.set()
+                log.info(
+                    'discovery: missing server kept. name=%s left_s=%.1f',
+                    backend_id,
+                    until - now,
+                )
             else:
                 del self.kept_until_by_id[backend_id]
         changes = difference(self.current_backends, merged)
         if changes:
+            self._log_leaving(changes)
             self.removed.record(self.current_backends, merged, now)
             self.current_backends = merged
             self._update_backends(changes)
             self._offer()
 
+    def _log_leaving(self, changes: Iterable[Change]) -> None:
+        """Log each server that began or ceased to leave by its entry."""
+        for backend_id, entry in changes:
+            before = self.current_backends.get(backend_id)
+            was_draining = before is not None and before.is_draining
+            if entry is not None and entry.is_draining != was_draining:
+                log.info(
+                    'discovery: server %s. name=%s revision=%s source=%s',
+                    'leaves' if entry.is_draining else 'accepts requests again',
+                    backend_id,
+                    text_of(self.backends.revision),
+                    self.backends.last_source,
+                )
+
     def hold_evacuations(self) -> None:
         """Keep zones evacuated while a restored store may lack their orders."""
         self.held_zones = self.evacuated_zones
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -36,6 +36,10 @@
 #: Pause after changes, so that all changes within it cost one call instead of one each.
 BATCH_SECONDS = 0.4
 
+#: Names of sources of values in logs: the store, and a peer that is not identified.
+STORE = 'store'
+PEER = 'peer'
+
 log = logging.getLogger('discovery')
 
 Listener = Callable[[], None]
@@ -115,6 +119,8 @@
     revision: int = 0
     #: Revision at which the last change was received; peers need no later one.
     changed_at: int = 0
+    #: Where the last values came from: the store, or a peer by its ID.
+    last_source: str = ''
     changes: ChangeLog[Value] = Factory(ChangeLog)
     listeners: list[Listener] = Factory(list)
     #: Functions called before listeners get the values of a store that was restored
@@ -228,6 +234,7 @@
             text_of(self.revision),
             len(listing.value_by_name),
         )
+        self.last_source = source
         self.must_read = False
         is_restored = self.is_known and self._is_of_later_era(listing.revision)
         changes = difference(self.value_by_name, listing.value_by_name)
@@ -266,7 +273,9 @@
         """Return the first changes after a peer's revision; None if it needs all."""
         return self.changes.part_after(revision, most) if revision else None
 
-    def apply_peer_changes(self, update: Changes[Value], since: int) -> bool:
+    def apply_peer_changes(
+        self, update: Changes[Value], since: int, source: str = PEER
+    ) -> bool:
         """Apply changes that a peer sent; return whether they were applied.
 
         `since` is the revision that the changes follow. They are not applied if they
@@ -278,7 +287,7 @@
         if self._is_of_later_era(update.revision):
             return False
         self.must_read = False
-        self._apply(update)
+        self._apply(update, source)
         return True
 
     async def _read_all(self) -> None:
@@ -287,7 +296,7 @@
             case Success(listing):
                 self._record_success()
                 self.must_read = self.reads_once = False
-                self.offer(listing, 'store')
+                self.offer(listing, STORE)
                 if is_start:
                     await trio.sleep(SETTLE_SECONDS)
             case Failure(error):
@@ -319,18 +328,20 @@
             case Failure(error):
                 self._record_failure(error)
 
-    def _apply(self, update: Changes[Value]) -> None:
+    def _apply(self, update: Changes[Value], source: str = STORE) -> None:
         if update.revision < self.revision:
             # A peer sent newer changes meanwhile.
             return
         self.revision = update.revision
+        self.last_source = source
         for name, value in update.changes:
             log.info(
-                'discovery: %s %s. name=%s revision=%s',
+                'discovery: %s %s. name=%s revision=%s source=%s',
                 self.kind,
                 'removed' if value is None else 'changed',
                 name,
                 text_of(update.revision),
+                source,
             )
             if value is None:
                 self.value_by_name.pop(name, None)
--- a/catkinslip/discovery/kinds.py
+++ b/catkinslip/discovery/kinds.py
@@ -52,7 +52,9 @@
             self.follower.offer(Listing(known, update.revision), source)
         else:
             changes = tuple(value_by_name.items())
-            self.follower.apply_peer_changes(Changes(changes, update.revision), since)
+            self.follower.apply_peer_changes(
+                Changes(changes, update.revision), since, source
+            )
 
 
 @define
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -389,7 +389,7 @@
         self, snapshot: DiscoverySnapshot, since: int, source: str
     ) -> None:
         if snapshot.rules is not None:
-            self.assembler.offer_rules(snapshot.rules)
+            self.assembler.offer_rules(snapshot.rules, source)
             self.assembler.rules.reads_once = False
         elif snapshot.are_rules_large:
             self.assembler.rules.read_once()
@@ -403,7 +403,7 @@
             backends.offer(Listing(snapshot.backends, revision), source)
         else:
             changes = tuple((each.name, each.entry) for each in snapshot.changes)
-            backends.apply_peer_changes(Changes(changes, revision), since)
+            backends.apply_peer_changes(Changes(changes, revision), since, source)
 
     def _remove_known_versions(self) -> None:
         """Remove the versions and revisions that this instance has by now."""
