Do not let an old report of a server undo that it leaves

What callers saw: requests went to a server more than the bound after it had said that it leaves. Cause: a server numbers its reports (seq) and nothing read the number; the entry with the highest revision of the store won. The store may carry out a write up to 6 s after it was sent, so a report 'ready' of before got a later revision than 'draining', and all instances took the server back.

Class: the order of arrival taken for the order of events. NewestReport compares the numbers of one start of a server, in every way that values come in: changes and listings, of the store and of peers, also where both reports come in one answer. A server that left does not return by an old report after its entry was removed either. Peers get the merged value.

--- a/catkinslip/discovery/base.py
+++ b/catkinslip/discovery/base.py
@@ -27,6 +27,9 @@
     #: Number that differs at each start of the server under the same ID; 0 if it is not
     #: reported.
     incarnation: int = 0
+    #: Number of the server's report, which rises within an incarnation; 0 if it is not
+    #: reported.
+    sequence: int = 0
 
 
 @frozen
--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from math import inf, isfinite
 from random import Random
 from typing import Generic
@@ -17,6 +17,7 @@
 
 from catkinslip.discovery.base import Changes, HistoryRemoved, Listing, Source, Value
 from catkinslip.discovery.changes import Change, ChangeLog, difference
+from catkinslip.discovery.merging import LastValue, ValueMerge
 from catkinslip.discovery.readers import (
     BACKOFF_PACE,
     FIRST_RETRY_SECONDS,
@@ -122,6 +123,8 @@
     #: Where the last values came from: the store, or a peer by its ID.
     last_source: str = ''
     changes: ChangeLog[Value] = Factory(ChangeLog)
+    #: What becomes of a known value when another one of the same name arrives.
+    merge: ValueMerge[Value] = Factory(LastValue)
     listeners: list[Listener] = Factory(list)
     #: Functions called before listeners get the values of a store that was restored
     #: from a backup.
@@ -237,7 +240,8 @@
         self.last_source = source
         self.must_read = False
         is_restored = self.is_known and self._is_of_later_era(listing.revision)
-        changes = difference(self.value_by_name, listing.value_by_name)
+        value_by_name = self._merge_listing(listing.value_by_name)
+        changes = difference(self.value_by_name, value_by_name)
         if self.is_known and not is_restored:
             self.changes.add(changes, listing.revision)
         else:
@@ -248,10 +252,18 @@
             self._note_restored()
         if changes or not self.changed_at:
             self.changed_at = listing.revision
-            self.value_by_name = dict(listing.value_by_name)
+            self.value_by_name = value_by_name
         self._notify_listeners()
         return True
 
+    def _merge_listing(self, listed: Mapping[str, Value]) -> dict[str, Value]:
+        for name in self.value_by_name.keys() - listed.keys():
+            self.merge.record_removed(name, self.value_by_name[name])
+        return {name: self._merge(name, value) for name, value in listed.items()}
+
+    def _merge(self, name: str, offered: Value) -> Value:
+        return self.merge.merge(name, self.value_by_name.get(name), offered)
+
     def _is_of_later_era(self, revision: int) -> bool:
         return era_of(revision) > era_of(self.revision)
 
@@ -334,6 +346,7 @@
             return
         self.revision = update.revision
         self.last_source = source
+        applied: list[Change] = []
         for name, value in update.changes:
             log.info(
                 'discovery: %s %s. name=%s revision=%s source=%s',
@@ -343,15 +356,22 @@
                 text_of(update.revision),
                 source,
             )
-            if value is None:
-                self.value_by_name.pop(name, None)
-            else:
-                self.value_by_name[name] = value
-        if update.changes:
-            self.changes.add(update.changes, update.revision)
+            applied.append((name, self._apply_change(name, value)))
+        if applied:
+            self.changes.add(applied, update.revision)
             self.changed_at = update.revision
             self._notify_listeners()
 
+    def _apply_change(self, name: str, offered: Value | None) -> Value | None:
+        """Apply the change of one value, and return the value that is held now."""
+        if offered is None:
+            known = self.value_by_name.pop(name, None)
+            if known is not None:
+                self.merge.record_removed(name, known)
+            return None
+        self.value_by_name[name] = value = self._merge(name, offered)
+        return value
+
     def _record_success(self) -> None:
         self.is_lost = self.has_failed = False
         self.outage.end()
--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -36,6 +36,8 @@
 MAX_PORT = 65_535
 #: Milliseconds since 1970 stay below this limit for some 280,000 years.
 MAX_MILLISECONDS = 2**53
+#: No server reports as often.
+MAX_SEQUENCE = 2**53
 #: A longer time, over a day, cannot be that of a cold start.
 MAX_COLD_SECONDS = 86_400.0
 MAX_CORES = 10_000.0
@@ -66,6 +68,7 @@
         is_draining=state == DRAINING,
         cold_seconds=read_cold_seconds(status.get('cold_left_s')),
         incarnation=incarnation,
+        sequence=read_integer(status.get('seq', 0), 0, MAX_SEQUENCE),
     )
 
 
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -27,6 +27,7 @@
 from catkinslip.discovery.follower import Follower, Outage
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKind, shared_kinds
+from catkinslip.discovery.merging import NewestReport
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
 from catkinslip.environment import Environment
@@ -239,7 +240,7 @@
     assembler = Assembler(
         config,
         make_follower('rules', dependencies.rules),
-        make_follower('backends', dependencies.backends),
+        make_follower('backends', dependencies.backends, merge=NewestReport()),
     )
     assembler.start()
     instances.is_reading = assembler.reads_now
