Move requests to peers for newer values into a module of their own

Versions names what was three fields. No change of behaviour: a request is answered, applied and repeated as before.

--- a/catkinslip/discovery/messages.py
+++ b/catkinslip/discovery/messages.py
@@ -13,6 +13,7 @@
 from catkinslip.discovery.base import BackendEntry, InstanceEntry, RuleSet
 from catkinslip.discovery.instances import PeerHealth
 from catkinslip.discovery.paths import PeerPaths
+from catkinslip.discovery.versions import Versions
 
 STATE_PATH = '/peer/state'
 #: Queries of the state page: with all known instances, or with the health of the
@@ -68,6 +69,12 @@
     #: IDs of the polled instances that reach no server.
     cut_off: tuple[str, ...] = ()
 
+    def versions(self) -> Versions:
+        """Return the versions of the instance's last changes."""
+        return Versions(
+            self.rules_version, self.backends_revision, self.revision_by_kind
+        )
+
 
 @frozen
 class InstanceList:
--- a/catkinslip/discovery/peers.py
+++ b/catkinslip/discovery/peers.py
@@ -8,28 +8,23 @@
 from functools import partial
 from math import inf
 from random import Random
-from typing import Any
 
-import orjson
 import trio
 from attrs import Factory, define
 from returns.result import Failure, Success
 
 from catkinslip.discovery.assembly import Assembler
-from catkinslip.discovery.base import Changes, InstanceEntry, Listing, Source
+from catkinslip.discovery.base import InstanceEntry, Source
+from catkinslip.discovery.catch_up import CatchUp, read_page
 from catkinslip.discovery.first_list import DIRECT_READ_CORES
 from catkinslip.discovery.instances import InstanceTable, PeerHealth
 from catkinslip.discovery.kinds import SharedKinds
 from catkinslip.discovery.messages import (
-    KIND_PATH,
     READER_PATH,
-    SNAPSHOT_PATH,
     STATE_PATH,
     WITH_HEALTH,
     WITH_KNOWN,
-    DiscoverySnapshot,
     InstanceList,
-    KindUpdate,
     PeerState,
     structure,
 )
@@ -37,7 +32,7 @@
 from catkinslip.discovery.registration import Registration
 from catkinslip.discovery.seed_lists import SeedLists
 from catkinslip.models import Address
-from catkinslip.page_client import PageClient, Reply
+from catkinslip.page_client import PageClient
 
 #: Interval of polls in the own zone. A dead peer is left out of the address answers
 #: after two missed polls.
@@ -45,12 +40,6 @@
 #: Interval of polls in other zones. Their instances are needed only where a zone has no
 #: other one, or none that reaches the store, and traffic between zones has a price.
 FAR_POLL_SECONDS = 2.0
-#: Time limit of an answer.
-ANSWER_SECONDS = 0.4
-#: Time limit of an answer with rules of any size, 1 MB at most, on a link of 10 Mbit/s.
-WHOLE_ANSWER_SECONDS = 1.5
-#: Delay by which an instance that reads the store itself may be behind a peer.
-BEHIND_SECONDS = 0.6
 #: Interval of reads of the list of instances, longest and first. The list may be some
 #: seconds old, as the polls show which instances are alive.
 LIST_SECONDS = 5.0
@@ -62,8 +51,6 @@
 LIST_WAIT_SECONDS = 0.3
 #: Shortest time between two requests for all instances, some 200 bytes each.
 MEMBERS_SECONDS = 1.0
-#: The most parts of a peer's changes that are fetched one after the other.
-MAX_PARTS = 12
 #: Time after a start in which peers that started too may still be reading the store.
 START_SECONDS = 1.5
 
@@ -82,10 +69,10 @@
     seeds: tuple[Address, ...]
     source: Source[InstanceEntry]
     registration: Registration
+    catch_up: CatchUp = Factory(
+        lambda self: CatchUp(self.assembler, self.kinds, self.client), takes_self=True
+    )
     scope_by_id: dict[str, trio.CancelScope] = Factory(dict)
-    #: When newer rules versions and revisions were first seen at a peer, on the
-    #: monotonic clock.
-    seen_at_by_versions: dict[tuple[int, int], float] = Factory(dict)
     #: When all instances were last requested from a peer, on the monotonic clock.
     requested_members_at: float = -inf
 
@@ -126,7 +113,8 @@
         path = f'{READER_PATH}?{self.instances.own.instance_id}'
         async with trio.open_nursery() as nursery:
             for entry in leaders:
-                nursery.start_soon(self._read, Address.parse(entry.peer_address), path)
+                address = Address.parse(entry.peer_address)
+                nursery.start_soon(read_page, self.client, address, path)
 
     async def _poll_leader(self, entry: InstanceEntry) -> bool:
         """Poll a leader and apply its report of others; return whether it answered."""
@@ -216,7 +204,7 @@
                 continue
             for entry in (state.instance, *state.known):
                 self.instances.add_instance(entry)
-            await self._catch_up(address, state)
+            await self.catch_up.run(state.instance, state.versions())
 
     async def _compare_members(self, address: Address, state: PeerState) -> None:
         """Request all instances from a peer whose newer list has other ones."""
@@ -316,8 +304,7 @@
         )
         self._log_health(entry, health)
         self._record_paths(entry, state.paths)
-        await self._catch_up(address, state)
-        await self._update_kinds(address, state)
+        await self.catch_up.run(state.instance, state.versions())
         if entry.zone == self.instances.own.zone:
             await self._compare_members(address, state)
         return state
@@ -339,94 +326,6 @@
                 health.name.lower(),
             )
 
-    async def _catch_up(self, address: Address, state: PeerState) -> None:
-        """Fetch rules and servers from a peer if it has newer ones."""
-        backends = self.assembler.backends
-        if (
-            state.rules_version <= self.assembler.rules_version
-            and state.backends_revision <= backends.revision
-        ):
-            return
-        self._remove_known_versions()
-        now = trio.current_time()
-        versions = (state.rules_version, state.backends_revision)
-        self.seen_at_by_versions.setdefault(versions, now)
-        is_following = backends.is_reachable and self.assembler.is_ready
-        if (
-            is_following
-            and now - min(self.seen_at_by_versions.values()) < BEHIND_SECONDS
-        ):
-            return
-        self.assembler.mark_possibly_stale(state.rules_version, state.backends_revision)
-        for _ in range(MAX_PARTS):
-            since = backends.revision
-            await self._fetch(address, state.instance.instance_id)
-            if not since < backends.revision < state.backends_revision:
-                return
-
-    async def _fetch(self, address: Address, instance_id: str) -> None:
-        """Fetch newer rules and servers from a peer, or the first part of them."""
-        since = self.assembler.backends.revision
-        # A peer has to send rules of any size only where the store does not answer.
-        is_whole = self.assembler.rules.is_lost
-        query = f'{self.assembler.rules_version}.{since}{".whole" * is_whole}'
-        seconds = WHOLE_ANSWER_SECONDS if is_whole else ANSWER_SECONDS
-        plain = await self._read(address, f'{SNAPSHOT_PATH}?{query}', seconds)
-        snapshot = structure(plain, DiscoverySnapshot)
-        if snapshot is not None:
-            self._apply_snapshot(snapshot, since, f'peer {instance_id}')
-
-    async def _update_kinds(self, address: Address, state: PeerState) -> None:
-        """Fetch and apply updates of the kinds of which a peer has a newer revision."""
-        for kind in self.kinds.kinds_behind(state.revision_by_kind):
-            since = kind.follower.revision
-            plain = await self._read(address, f'{KIND_PATH}?{kind.name}.{since}')
-            update = structure(plain, KindUpdate)
-            if update is not None:
-                kind.apply(update, since, f'peer {state.instance.instance_id}')
-
-    def _apply_snapshot(
-        self, snapshot: DiscoverySnapshot, since: int, source: str
-    ) -> None:
-        if snapshot.rules is not None:
-            self.assembler.offer_rules(snapshot.rules, source)
-            self.assembler.rules.reads_once = False
-        elif snapshot.are_rules_large:
-            self.assembler.rules.read_once()
-        backends = self.assembler.backends
-        revision = snapshot.backends_revision
-        # Entries that expired in an outage are kept for some time on this instance too.
-        backends.apply_peer_recovery(snapshot.regained_seconds)
-        if snapshot.are_backends_large:
-            backends.read_once()
-        elif snapshot.changes is None:
-            backends.offer(Listing(snapshot.backends, revision), source)
-        else:
-            changes = tuple((each.name, each.entry) for each in snapshot.changes)
-            backends.apply_peer_changes(Changes(changes, revision), since, source)
-
-    def _remove_known_versions(self) -> None:
-        """Remove the versions and revisions that this instance has by now."""
-        rules = self.assembler.rules_version
-        backends = self.assembler.backends.revision
-        for versions in list(self.seen_at_by_versions):
-            if versions[0] <= rules and versions[1] <= backends:
-                del self.seen_at_by_versions[versions]
-
     async def _read_state(self, address: Address, query: str = '') -> PeerState | None:
         path = f'{STATE_PATH}?{query}' if query else STATE_PATH
-        return structure(await self._read(address, path), PeerState)
-
-    async def _read(
-        self, address: Address, path: str, seconds: float = ANSWER_SECONDS
-    ) -> Any | None:
-        """Return a peer's answer as plain data; None if none arrives in time."""
-        reply = await self.client.send(address, path, seconds)
-        if not isinstance(reply, Reply):
-            log.debug('peers: no answer. address=%s reason=%s', address, reply)
-            return None
-        try:
-            return orjson.loads(reply.body)
-        except orjson.JSONDecodeError as error:
-            log.warning('peers: answer not readable. error=%r', error)
-            return None
+        return structure(await read_page(self.client, address, path), PeerState)
--- a/tests/test_discovery_changes.py
+++ b/tests/test_discovery_changes.py
@@ -17,10 +17,11 @@
 )
 from catkinslip.discovery.assembly import Assembler
 from catkinslip.discovery.base import Changes, Listing
+from catkinslip.discovery.catch_up import MAX_PARTS
 from catkinslip.discovery.changes import MAX_CHANGES, ChangeLog, difference
 from catkinslip.discovery.follower import Follower
 from catkinslip.discovery.instances import InstanceTable
-from catkinslip.discovery.peers import MAX_PARTS, PeerPoller
+from catkinslip.discovery.peers import PeerPoller
 from catkinslip.page_client import PageClient
 from tests.discovery_builders import (
     ScriptedSource,
@@ -203,7 +204,7 @@
         )
         many = self.many(MAX_SENT_BACKENDS + 1)
         self.assembler.backends.offer(Listing(many, 9), 'test')
-        poller._apply_snapshot(self.answers.snapshot_after(0, 0), 0, 'peer')
+        poller.catch_up.apply_snapshot(self.answers.snapshot_after(0, 0), 0, 'peer')
         self.assertEqual(peer.rules_version, 3)
         self.assertTrue(peer.backends.reads_once)
         self.assertEqual(peer.backends.revision, 0)
