Notify instances of changes, so that calm ones have them in time

Cause: a change travelled by polls alone, and nobody had added up the hops: lag of the store 0.8 s, pause of a reader 0.4, a leader's poll 0.55, a poll of one leader at random 0.55, 2.3 s with nothing wrong. A reader whose wait hangs counts as a reader, is replaced by nobody and has a change 0.6 to 1.2 s after its peers; where all readers of a zone hang, its leaders learn of a change from two instances of each other zone, every 2.2 s.

Class: a bound for the whole that no hop has a part of. A change is now announced: a reader of the store notifies its zone and three instances of each other zone, with versions only, and who lacks them asks a sender at once. A leader or an instance that got a change from another zone notifies its zone where the zone's own readers did not. Polls go on as before. Budget, at its longest: lag 0.8, pause 0.4, notice of the own zone awaited 0.45, spread of requests 0.2, one answer that does not come 0.4: 2.25 s of 2.5. Borne at once: all readers of all but one zone, with half of the instances of each zone silent.

Cost: about 40 datagrams of 120 bytes a reader for each change; the requests that follow are those that polls made before.

--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -414,6 +414,26 @@
             return []
         return [each for each in polled if not self._is_silent(each)]
 
+    def is_near(self, instance_id: str) -> bool:
+        """Return whether another known instance is of the own zone."""
+        peer = self.peer_by_id.get(instance_id)
+        return peer is not None and peer.entry.zone == self.own.zone
+
+    def notified_near(self) -> list[InstanceEntry]:
+        """Return the other instances of the own zone that may answer."""
+        near = self._ranked(self.own.zone)
+        return [
+            each for each in near if not (each is self.own or self._is_silent(each))
+        ]
+
+    def notified_far_by_zone(self) -> dict[str, list[InstanceEntry]]:
+        """Return the instances that may answer of each other zone."""
+        zones = {entry.zone for entry in self._entries()} - {self.own.zone}
+        return {
+            zone: [each for each in self._ranked(zone) if not self._is_silent(each)]
+            for zone in sorted(zones)
+        }
+
     def has_zone_peer(self) -> bool:
         """Return whether another instance of the own zone is known."""
         return len(self._ranked(self.own.zone)) > 1
--- a/catkinslip/metrics/discovery.py
+++ b/catkinslip/metrics/discovery.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from catkinslip.discovery.instances import InstanceTable
+from catkinslip.discovery.notices import ChangeNotices
 from catkinslip.discovery.readers import ReaderRole
 from catkinslip.health.sampler import LoadSampler
 from catkinslip.health.sharing import ReportSharer
@@ -19,6 +20,7 @@
     instances: InstanceTable
     sampler: LoadSampler
     sharer: ReportSharer
+    notices: ChangeNotices
 
     def families(self) -> Iterable[Family]:
         """Return the current metric families."""
@@ -37,6 +39,14 @@
         reports.add(self.sharer.received, 'taken')
         reports.add(self.sharer.malformed, 'malformed')
         yield reports
+        notices = counter(
+            'catkinslip_change_notices_total',
+            'Notices of newer rules, servers and other values, between instances.',
+            'event',
+        )
+        for event, count in sorted(self.notices.count_by_event.items()):
+            notices.add(count, event)
+        yield notices
         peers = gauge(
             'catkinslip_peers', 'Other instances by what polls tell.', 'health'
         )
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -28,6 +28,8 @@
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKind, shared_kinds
 from catkinslip.discovery.merging import NewestReport
+from catkinslip.discovery.notice_follower import NoticeFollower
+from catkinslip.discovery.notices import TOPIC, ChangeNotices
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
 from catkinslip.environment import Environment
@@ -159,6 +161,8 @@
     addresses: ZoneAddresses
     callers: CallerServer
     poller: PeerPoller
+    notices: ChangeNotices
+    notice_follower: NoticeFollower
     peer_pages: PageServer
     pool: BackendPool
     reach: ServerReach
@@ -194,6 +198,8 @@
             self.assembler.backends.run,
             self.assembler.run,
             self.poller.run,
+            self.notices.run,
+            self.notice_follower.run,
             self.callers.run,
             self.pool.run,
             self.hedges.run,
@@ -389,6 +395,27 @@
         SharedKind(CrashRecord, crashes), SharedKind(ZoneEvacuation, evacuations)
     )
     answers = PeerAnswers(instances, assembler, kinds)
+    poller = PeerPoller(
+        instances,
+        assembler,
+        kinds,
+        PageClient(),
+        random,
+        settings.seeds,
+        dependencies.instances,
+        Registration(dependencies.instance_registry, settings.own),
+    )
+    notices = ChangeNotices(
+        instances,
+        poller.catch_up.offered,
+        poller.catch_up.known,
+        random,
+        sharer.send_datagram,
+    )
+    config.listeners.append(lambda _: notices.note_change())
+    for kind in kinds.kind_by_name.values():
+        kind.follower.listeners.append(notices.note_change)
+    sharer.handler_by_topic[TOPIC] = notices.receive
     lag = LoopLag(clock)
     config_metrics = ConfigMetrics(clock, config)
     config.listeners.append(config_metrics.record_change)
@@ -399,16 +426,9 @@
         instances=instances,
         addresses=ZoneAddresses(instances, settings.address_lifetime, random, config),
         callers=callers,
-        poller=PeerPoller(
-            instances,
-            assembler,
-            kinds,
-            PageClient(),
-            random,
-            settings.seeds,
-            dependencies.instances,
-            Registration(dependencies.instance_registry, settings.own),
-        ),
+        poller=poller,
+        notices=notices,
+        notice_follower=NoticeFollower(notices, poller.catch_up, random),
         peer_pages=PageServer(answers.handlers()),
         pool=pool,
         reach=health.reach,
@@ -433,7 +453,7 @@
             lag,
             LogMetrics(dependencies.log_buffer),
             HealthMetrics(health),
-            DiscoveryMetrics(instances, sampler, sharer),
+            DiscoveryMetrics(instances, sampler, sharer, notices),
             SubsetMetrics(directory, pool),
             CrashMetrics(guard),
             QuotaMetrics(quotas),
--- a/tests/discovery_fleet.py
+++ b/tests/discovery_fleet.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any
 
+import orjson
 import trio
 import trio.testing
 from attrs import Factory, define, field
@@ -30,6 +31,8 @@
 from catkinslip.discovery.follower import Follower, Outage
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKind, SharedKinds, shared_kinds
+from catkinslip.discovery.notice_follower import NoticeFollower
+from catkinslip.discovery.notices import ChangeNotices
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
 from catkinslip.models import Address
@@ -178,7 +181,9 @@
     assembler: Assembler = field(init=False)
     kinds: SharedKinds = field(init=False)
     poller: PeerPoller = field(init=False)
+    notices: ChangeNotices = field(init=False)
     answers: PeerAnswers = field(init=False)
+    follower: NoticeFollower = field(init=False)
 
     def lose_store(self, path: StorePath) -> None:
         """Cut this instance off from the store."""
@@ -226,6 +231,9 @@
     random: Random
     store: FleetStore
     member_by_id: dict[str, Member] = Factory(dict)
+    datagrams: int = 0
+    #: Share of the datagrams that are lost.
+    lost_share: float = 0.0
 
     async def start(self, size: int) -> None:
         """Start `size` instances in each zone and let them learn of each other."""
@@ -247,6 +255,8 @@
                 member.assembler.run,
                 *(it.follower.run for it in member.kinds.kind_by_name.values()),
                 member.poller.run,
+                member.notices.run,
+                member.follower.run,
             ):
                 self.nursery.start_soon(task)
         await trio.sleep(SETTLE_SECONDS + self.random.random())
@@ -290,9 +300,34 @@
             FixedList({each.instance_id: each for each in entries}),
             Registration(NoRegistry(), entry),
         )
+        notices = member.notices = ChangeNotices(
+            table,
+            member.poller.catch_up.offered,
+            member.poller.catch_up.known,
+            random,
+            lambda data, addresses: self._send_datagram(member, data, addresses),
+        )
+        assembler.config.listeners.append(lambda _: notices.note_change())
+        evacuations.listeners.append(notices.note_change)
+        member.follower = NoticeFollower(notices, member.poller.catch_up, random)
         member.answers = PeerAnswers(table, assembler, member.kinds)
         self.member_by_id[entry.instance_id] = member
 
+    def _send_datagram(
+        self, sender: Member, data: bytes, addresses: list[Address]
+    ) -> None:
+        self.datagrams += len(addresses)
+        for address in addresses:
+            self.nursery.start_soon(
+                self._deliver, sender, self.member_by_id[address.host], data
+            )
+
+    async def _deliver(self, sender: Member, receiver: Member, data: bytes) -> None:
+        await trio.sleep(HOP_SECONDS)
+        is_lost = self.random.random() < self.lost_share
+        if not (is_lost or sender.is_cut or receiver.is_cut):
+            receiver.notices.receive(orjson.loads(data))
+
     def ranked(self, zone: str) -> list[Member]:
         """Return the instances of a zone by rank: readers and leaders come first."""
         members = [it for it in self.member_by_id.values() if it.entry.zone == zone]
