Keep running beside an entry that no log line or error can show

Cause: the log is encoded strictly, so a line with half of a surrogate pair ended the writer's task; errors of the decoder show the value in full, which raises RecursionError for nested lists, and no caller of a decoder expects that.

The log writes such characters as escapes, whatever the line; errors show values shortened, and RecursionError counts as unreadable; a name that is no text names no server.

--- a/catkinslip/logs/flush.py
+++ b/catkinslip/logs/flush.py
@@ -47,7 +47,7 @@
 
     def _next_chunk(self) -> bytes:
         if not self.pending:
-            self.pending = self.buffer.pop_lines(
-                self.formatter, MAX_CHUNK_LINES
-            ).encode()
+            lines = self.buffer.pop_lines(self.formatter, MAX_CHUNK_LINES)
+            # A value of another program may hold characters that UTF-8 lacks.
+            self.pending = lines.encode(errors='backslashreplace')
         return self.pending
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -342,10 +342,12 @@
     """Return the name of an object; an empty text if it has none."""
     try:
         name = item['metadata']['name']
+        # Raises UnicodeEncodeError for bytes that are no text.
+        name.encode()
     except DECODE_ERRORS as error:
         log.warning('store: object without a name ignored. error=%r', error)
         return ''
-    return name if isinstance(name, str) else ''
+    return name
 
 
 @define
--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -28,7 +28,14 @@
 from catkinslip.platform.workspaces import decode_workspaces
 
 #: Exceptions that a decoder raises for an unreadable object.
-DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
+DECODE_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 READY = 'ready'
 DRAINING = 'draining'
 IDEMPOTENT = 'idempotent'
--- a/catkinslip/platform/fields.py
+++ b/catkinslip/platform/fields.py
@@ -1,6 +1,11 @@
-"""Readers of the fields of the platform's objects, which any writer may have filled."""
+"""Readers of the fields of the platform's objects, which any writer may have filled.
+
+Errors show values with `reprlib`, as the full text of nested lists exceeds the depth of
+recursion.
+"""
 
 from collections.abc import Mapping, Sequence
+from reprlib import repr as shorten
 from sys import float_info
 from typing import Any
 
@@ -10,7 +15,7 @@
 def read_text(value: Any) -> str:
     """Return a value that is a non-empty text; raise TypeError for any other."""
     if not isinstance(value, str) or not value:
-        raise TypeError(f'{value!r} is not a non-empty text')
+        raise TypeError(f'{shorten(value)} is not a non-empty text')
     return value
 
 
@@ -20,7 +25,9 @@
     True and false are not numbers here.
     """
     if type(value) is not int or not minimum <= value <= maximum:
-        raise ValueError(f'{value!r} is not a whole number from {minimum} to {maximum}')
+        raise ValueError(
+            f'{shorten(value)} is not a whole number from {minimum} to {maximum}'
+        )
     return value
 
 
@@ -31,16 +38,16 @@
     """
     # A comparison, as `isfinite` raises OverflowError for a whole number of 400 digits.
     if type(value) not in (int, float) or not -MAX_NUMBER <= value <= MAX_NUMBER:
-        raise ValueError(f'{value!r} is not a finite number')
+        raise ValueError(f'{shorten(value)} is not a finite number')
     if not minimum <= value <= maximum:
-        raise ValueError(f'{value!r} is not from {minimum} to {maximum}')
+        raise ValueError(f'{shorten(value)} is not from {minimum} to {maximum}')
     return float(value)
 
 
 def read_boolean(value: Any) -> bool:
     """Return a value that is true or false; raise TypeError for any other."""
     if not isinstance(value, bool):
-        raise TypeError(f'{value!r} is neither true nor false')
+        raise TypeError(f'{shorten(value)} is neither true nor false')
     return value
 
 
--- a/tests/test_logs_buffer.py
+++ b/tests/test_logs_buffer.py
@@ -82,6 +82,13 @@
         trio.run(main)
         self.assertEqual(writer.written.decode(), expected)
 
+    def test_line_with_half_a_surrogate_pair_ended_the_process(self):
+        # Such a line comes from a name of another writer in the store.
+        buffer, writer = LogBuffer(), SlowWriter()
+        new_logger(buffer).info('name=%s.', 'i-\udcff')
+        trio.run(LogFlusher(buffer, writer).flush)
+        self.assertIn(b'name=i-\\udcff.', writer.written)
+
     def test_idle_flusher_sleeps_and_writes_the_first_line_at_once(self):
         buffer, writer = CountingBuffer(), SlowWriter()
 
--- /dev/null
+++ b/tests/test_platform_foreign_entries.py
@@ -0,0 +1,51 @@
+"""Entries of another writer that can be read but not written strictly."""
+
+import unittest
+
+from catkinslip.platform.client import load_json
+from catkinslip.platform.decoding import DECODE_ERRORS, decode_backend
+from tests.platform_builders import server_item
+from tests.small_platform import SmallPlatform, on_platform, wait_for
+
+#: Half of a surrogate pair, as JSON writers show a byte that is no UTF-8.
+HALF_PAIR = '\udcff'
+NESTING = 1000
+
+
+def nested_lists() -> object:
+    """Return lists in lists, as deep as readers of JSON accept."""
+    return load_json(b'[' * NESTING + b']' * NESTING)
+
+
+async def add_foreign_entry(platform: SmallPlatform, name: str, **fields) -> None:
+    """Start two instances, then write an entry beside that of a sound server."""
+    await platform.add_worker('i-1')
+    for seed in (None, 0):
+        entry = await platform.add_entry(seed)
+        await wait_for(lambda each=entry: each.assembler.current_backends)
+    platform.register(name, 'one', 9, **fields)
+
+
+class ForeignEntryTest(unittest.TestCase):
+    """What instances make of entries that they cannot pass on or log."""
+
+    def test_name_that_is_no_text_names_no_server(self):
+        async def check(platform):
+            await add_foreign_entry(platform, f'i-{HALF_PAIR}')
+            platform.register('i-2', 'one', 10)
+            entry = platform.entries[0]
+            await wait_for(lambda: 'i-2' in entry.assembler.current_backends)
+            self.assertEqual(set(entry.assembler.current_backends), {'i-1', 'i-2'})
+
+        on_platform(check)
+
+    def test_nested_lists_ended_the_reader_of_the_store(self):
+        for field in ('addr', 'info', 'born'):
+            item = server_item('i-1', 'one', 9)
+            item['spec'][field] = nested_lists()
+            with self.subTest(field=field), self.assertRaises(DECODE_ERRORS):
+                decode_backend('i-1', item)
+
+
+if __name__ == '__main__':
+    unittest.main()
