Leave out entries that peers could not be sent

Cause: an entry whose zone is half of a surrogate pair was accepted, orjson does not encode it, so each answer to a peer failed and those that do not read the store learned nothing any more. Class: a value that is accepted in one form and cannot be given on in the other.

Evidence: test_instances_did_not_learn_from_peers_that_cannot_encode_an_entry failed before with 'str is not valid UTF-8'.

--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -310,6 +310,8 @@
 
     def _decode(self, name: str, item: Mapping[str, Any], era: int) -> Value | None:
         try:
+            # Peers that cannot be sent a value would learn nothing any more.
+            orjson.dumps(item)
             value = self.decode(name, with_era(item, era))
         except DECODE_ERRORS as error:
             self.client.unreadable_by_kind[self.kind] += 1
--- a/tests/test_platform_foreign_entries.py
+++ b/tests/test_platform_foreign_entries.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import orjson
+
 from catkinslip.platform.client import load_json
 from catkinslip.platform.decoding import DECODE_ERRORS, decode_backend
 from tests.platform_builders import server_item
@@ -29,6 +31,19 @@
 class ForeignEntryTest(unittest.TestCase):
     """What instances make of entries that they cannot pass on or log."""
 
+    def test_instances_did_not_learn_from_peers_that_cannot_encode_an_entry(self):
+        # Those that do not read the store ran requests on a dropped route.
+        async def check(platform):
+            await add_foreign_entry(platform, 'i-other', zone=HALF_PAIR)
+            revision = platform.store.revision
+            for entry in platform.entries:
+                backends = entry.assembler.backends
+                await wait_for(lambda each=backends: each.revision >= revision)
+                page = await entry.peer_pages.handler_by_path['/peer/knowledge']('0.0')
+                self.assertEqual(set(orjson.loads(page.body)['backends']), {'i-1'})
+
+        on_platform(check)
+
     def test_name_that_is_no_text_names_no_server(self):
         async def check(platform):
             await add_foreign_entry(platform, f'i-{HALF_PAIR}')
