Read in relayed answers that a server leaves

An instance that reaches no servers passes answers on that came over another instance. One may say that its server leaves; the sender passed that on to the caller and did not take it in, so it sent requests there once its own paths were back, where the store's entry came later or not at all.

The receiver of a relayed request names the server in a header of its answer, which neither servers nor callers can send or see. A rest is asked of one instance and rates are exchanged between instances anyway, so only the leaving is taken in.

--- a/catkinslip/health/tracker.py
+++ b/catkinslip/health/tracker.py
@@ -21,6 +21,7 @@
 from catkinslip.routing.base import BackendLoad, Choice, Estimate, LoadReport
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.router import ServiceRouter
+from catkinslip.routing.signals import ServerSignals
 from catkinslip.store.base import ListedInstance
 
 Headers = Iterable[tuple[bytes, bytes]]
@@ -167,6 +168,15 @@
             self.drain.add_signal(key, DrainSignal.OWN, self.clock.monotonic())
             self.apply_changes()
 
+    def apply_relayed_signals(self, backend_id: str, signals: ServerSignals) -> None:
+        """Apply what an answer signals that came over another instance.
+
+        A rest period concerns the instance to which the server answered, and rates are
+        exchanged between instances; that a server leaves concerns all.
+        """
+        if signals.is_leaving:
+            self.mark_leaving(backend_id)
+
     def record_refusal(self, backend_id: str) -> None:
         """Record a refused connection and avoid the server until the next trial."""
         key = self.key_by_id.get(backend_id)
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -300,6 +300,8 @@
 
     def _answer_head(self, head: AnswerHead) -> h11.Response:
         headers = self.dialect.answer_headers(self.call, head.headers)
+        if self.call.relayed is not None:
+            headers.append((names.RELAYED_SERVER, self.backend_id.encode()))
         if self.caller.codec.their_state is h11.SEND_BODY:
             headers.append((b'connection', b'close'))
         return h11.Response(
--- a/catkinslip/proxy/headers.py
+++ b/catkinslip/proxy/headers.py
@@ -30,6 +30,8 @@
 REPLAYED = b'catkinslip-replayed'
 #: Of a request that one instance relays to another, and of its answer.
 RELAYED = b'catkinslip-relayed'
+#: On an answer to a relayed request, which only its receiver may send: the server's ID.
+RELAYED_SERVER = b'catkinslip-relayed-server'
 
 FORWARDED_FOR = b'x-forwarded-for'
 VIA = b'via'
@@ -43,6 +45,7 @@
         b'proxy-authorization',
         b'proxy-connection',
         RELAYED,
+        RELAYED_SERVER,
         b'te',
         b'trailer',
         b'transfer-encoding',
--- a/catkinslip/relaying/attempt.py
+++ b/catkinslip/relaying/attempt.py
@@ -1,5 +1,7 @@
 """One attempt to relay a request: at another instance, which answers like a server."""
 
+from collections.abc import Callable
+
 import h11
 from attrs import define
 
@@ -9,6 +11,13 @@
 from catkinslip.proxy.outcomes import NotRun, Unknown
 from catkinslip.proxy.relayed import RelayHead, decode_outcome
 from catkinslip.proxy.wire import Wire
+from catkinslip.routing.signals import ServerSignals
+
+OnServerSignals = Callable[[str, ServerSignals], None]
+
+
+def ignore_server_signals(server: str, signals: ServerSignals) -> None:
+    """Ignore the signals of a server."""
 
 
 @define
@@ -19,6 +28,8 @@
     head: RelayHead | None = None
     #: ID of the receiver.
     receiver: str = ''
+    #: Called with the ID of the server that answered, and what its answer signals.
+    on_server_signals: OnServerSignals = ignore_server_signals
 
     async def start(self) -> AnswerHead | NotRun | Unknown:
         """Send the request on a new connection and wait for the answer's head."""
@@ -41,6 +52,10 @@
         if fault is not None:
             wire.must_close = True
             return fault
+        server = names.find(headers, names.RELAYED_SERVER)
+        if server is not None:
+            signals = self.dialect.read_signals(response.status_code, headers)
+            self.on_server_signals(server.decode('latin-1'), signals)
         return AnswerHead(response, headers, None, wire)
 
     def _request_headers(self) -> list[names.Header]:
--- a/catkinslip/relaying/forwarder.py
+++ b/catkinslip/relaying/forwarder.py
@@ -19,7 +19,11 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.relayed import RelayHead
 from catkinslip.proxy.wire import Wire
-from catkinslip.relaying.attempt import RelayAttempt
+from catkinslip.relaying.attempt import (
+    OnServerSignals,
+    RelayAttempt,
+    ignore_server_signals,
+)
 from catkinslip.relaying.peers import RelayPeers
 
 #: Instances that one request is relayed to, until one of them accepts it.
@@ -64,6 +68,8 @@
     rules_version: Callable[[], int]
     #: Takes a token of the budget of resends for one more run of a call.
     take_resend: TakeResend
+    #: Called with what the answer to a relayed request signals of its server.
+    on_server_signals: OnServerSignals = ignore_server_signals
     #: Number of relayed requests by outcome, and of requests that others relayed here.
     count_by_outcome: Counter[str] = Factory(Counter)
     accepted: int = 0
@@ -193,6 +199,7 @@
             dialect=self.dialect,
             head=self._make_head(call, peer),
             receiver=peer.entry.instance_id,
+            on_server_signals=self.on_server_signals,
         )
         remaining = max(0.0, call.deadline - self.clock.monotonic())
         with trio.move_on_after(remaining) as scope:
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -373,6 +373,7 @@
         dependencies.dialect,
         lambda: assembler.rules_version,
         limits.take_resend,
+        health.apply_relayed_signals,
     )
     callers = CallerServer(
         environment,
--- a/tests/test_relaying_requests.py
+++ b/tests/test_relaying_requests.py
@@ -42,6 +42,30 @@
 
         run(check)
 
+    def test_sender_did_not_read_in_relayed_answers_that_a_server_leaves(self):
+        # DRAIN: it sent requests there as soon as its own paths were back.
+        async def check(platform):
+            await platform.lose(0)
+            workers = platform.platform.worker_by_id.values()
+            for worker in workers:
+                worker.work_seconds = 0.3
+            answers = []
+
+            async def call():
+                answers.append(await platform.platform.get())
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await wait_for(lambda: any(worker.running for worker in workers))
+                [server] = [worker for worker in workers if worker.running]
+                server.is_leaving = True
+            self.assertEqual(answers[0].headers['server-leaving'], '1')
+            self.assertNotIn(f'{RELAYED}-server', answers[0].headers)
+            sender = platform.platform.entries[0]
+            self.assertEqual(sender.sampler.health.leaving_ids(), [server.server_id])
+
+        run(check)
+
     def test_no_connection_to_the_receiver_is_kept(self):
         async def check(platform):
             await platform.lose(0)
