Keep missing servers after an outage only where their entries expired

What callers may see: requests at a server that left without a word, up to 1.8 s longer than meant. Cause: after the end of an outage all missing entries are kept for 1.8 s, as entries expire while the store is away. An outage of one instance, which the store alone refused, is told to its peers like one of the store, and they keep what left meanwhile.

Class: a local failure taken for one of all. An instance can't tell the two apart by itself, but entries that expire in an outage are most of a service's, and servers that leave are few: up to a tenth of a service's servers that are missing since the outage count as having left. More are kept as before, also a service's only server.

Evidence: test_server_that_left_was_kept_after_an_outage_of_one_instance failed before (10 != 9).

--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -1,7 +1,8 @@
 """Assembly of rules and registered backend servers into one configuration."""
 
 import logging
-from collections.abc import Collection, Iterable
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
 from math import inf
 
 import trio
@@ -29,6 +30,10 @@
 #: Within this time after an outage of the store the entries that expired in it are
 #: back.
 EXPIRY_GRACE_SECONDS = 1.8
+#: Largest share of a service's entries that may be missing because their servers left.
+#: In an outage of the store most entries expire; without a tenth of its servers a
+#: service has room for its load.
+MAX_LEFT_SHARE = 0.1
 
 log = logging.getLogger('discovery')
 
@@ -60,6 +65,10 @@
     held_zones: frozenset[str] = frozenset()
     zones_held_until: float = -inf
     removed: RemovedBackends = Factory(RemovedBackends)
+    #: Number of servers that left each service since the last outage of the store, and
+    #: the end of that outage on the monotonic clock.
+    left_by_service: Counter[str] = Factory(Counter)
+    left_since: float = -inf
     changes: int = 0
     grace_changed: trio.Event = Factory(trio.Event)
 
@@ -153,9 +162,18 @@
         grace_end = self.backends.recovered_at + EXPIRY_GRACE_SECONDS
         for backend_id in self.kept_until_by_id.keys() & listed.keys():
             del self.kept_until_by_id[backend_id]
-        for backend_id in self.current_backends.keys() - listed.keys():
-            entry = self.current_backends[backend_id]
-            until = self.kept_until_by_id.setdefault(backend_id, grace_end)
+        missing = {
+            backend_id: entry
+            for backend_id, entry in self.current_backends.items()
+            if backend_id not in listed
+        }
+        expired_services = self._services_with_expired(missing.values(), listed)
+        for backend_id, entry in missing.items():
+            if backend_id not in self.kept_until_by_id:
+                has_expired = entry.service in expired_services
+                self.left_by_service[entry.service] += not has_expired
+                self.kept_until_by_id[backend_id] = grace_end if has_expired else -inf
+            until = self.kept_until_by_id[backend_id]
             if now < until and not self._has_address(entry, listed):
                 merged[backend_id] = entry
                 self.grace_changed.set()
@@ -174,6 +192,27 @@
             self._update_backends(changes)
             self._offer()
 
+    def _services_with_expired(
+        self, missing: Collection[BackendEntry], listed: Mapping[str, BackendEntry]
+    ) -> set[str]:
+        """Return the services of which so many entries are missing that they expired.
+
+        Those that left since the last outage count too.
+        """
+        if self.left_since != self.backends.recovered_at:
+            self.left_since = self.backends.recovered_at
+            self.left_by_service.clear()
+        missing_by_service = Counter(entry.service for entry in missing)
+        if not missing_by_service:
+            return set()
+        listed_by_service = Counter(entry.service for entry in listed.values())
+        expired = set()
+        for service, count in missing_by_service.items():
+            gone = count + self.left_by_service[service]
+            if gone > MAX_LEFT_SHARE * (gone + listed_by_service[service]):
+                expired.add(service)
+        return expired
+
     def _log_leaving(self, changes: Iterable[Change]) -> None:
         """Log each server that began or ceased to leave by its entry."""
         for backend_id, entry in changes:
--- a/tests/test_discovery_assembly.py
+++ b/tests/test_discovery_assembly.py
@@ -95,6 +95,47 @@
 
         run(check)
 
+    def test_server_that_left_was_kept_after_an_outage_of_one_instance(self):
+        # DRAIN: the store refused one instance, whose peers kept what left meanwhile.
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(1))
+            servers = [backend_entry(f'i-{each}', port=each) for each in range(80, 90)]
+            assembler.backends.offer(listing(4, *servers), 'test')
+            assembler.backends.apply_peer_recovery(0.1)
+            assembler.backends.offer(listing(5, *servers[1:]), 'test')
+            self.assertEqual(len(self.backend_ids(assembler)), 9)
+            # Entries that expire in an outage of the store do so together.
+            assembler.backends.offer(listing(6, *servers[6:]), 'test')
+            self.assertEqual(len(self.backend_ids(assembler)), 9)
+
+        run(check)
+
+    def test_servers_whose_entries_expire_one_by_one_are_kept(self):
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(1))
+            servers = [backend_entry(f'i-{each}', port=each) for each in range(80, 100)]
+            assembler.backends.offer(listing(4, *servers), 'test')
+            assembler.backends.apply_peer_recovery(0.1)
+            for number in range(1, 20):
+                assembler.backends.offer(listing(4 + number, *servers[number:]), 'test')
+            # A tenth of them may have left.
+            self.assertEqual(len(self.backend_ids(assembler)), 18)
+
+        run(check)
+
+    def test_only_server_of_a_service_is_kept_after_an_outage(self):
+        async def check():
+            assembler = started()
+            assembler.offer_rules(rule_set(1))
+            assembler.backends.offer(listing(4, ONE), 'test')
+            assembler.backends.apply_peer_recovery(0.1)
+            assembler.backends.offer(listing(5), 'test')
+            self.assertEqual(self.backend_ids(assembler), ['one'])
+
+        run(check)
+
     def test_expired_entry_is_removed_when_another_server_has_its_address(self):
         async def check():
             assembler = started()
