--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -173,15 +173,11 @@
                 has_expired = entry.service in expired_services
                 self.left_by_service[entry.service] += not has_expired
                 self.kept_until_by_id[backend_id] = grace_end if has_expired else -inf
+                self._log_missing(entry, has_expired, grace_end - now)
             until = self.kept_until_by_id[backend_id]
             if now < until and not self._has_address(entry, listed):
                 merged[backend_id] = entry
                 self.grace_changed.set()
-                log.info(
-                    'discovery: missing server kept. name=%s left_s=%.1f',
-                    backend_id,
-                    until - now,
-                )
             else:
                 del self.kept_until_by_id[backend_id]
         changes = difference(self.current_backends, merged)
@@ -213,6 +209,17 @@
                 expired.add(service)
         return expired
 
+    def _log_missing(self, entry: BackendEntry, has_expired: bool, left: float) -> None:
+        """Log that a missing server is kept, or that it is not within a grace period."""
+        if left > 0:
+            log.info(
+                'discovery: missing server %s. name=%s service=%s left_s=%.1f',
+                'kept' if has_expired else 'counts as gone',
+                entry.backend_id,
+                entry.service,
+                left,
+            )
+
     def _log_leaving(self, changes: Iterable[Change]) -> None:
         """Log each server that began or ceased to leave by its entry."""
         for backend_id, entry in changes:
