--- a/catkinslip/discovery/assembly.py
+++ b/catkinslip/discovery/assembly.py
@@ -210,7 +210,7 @@
         return expired
 
     def _log_missing(self, entry: BackendEntry, has_expired: bool, left: float) -> None:
-        """Log that a missing server is kept, or that it is not within a grace period."""
+        """Log what becomes of a missing server within a grace period."""
         if left > 0:
             log.info(
                 'discovery: missing server %s. name=%s service=%s left_s=%.1f',
