Probe the store while waiting there, and notify leaders of its loss

Cause: a wait that hangs looks like one without changes; who reads was lost without anybody's notice, in all zones at once.

--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -215,6 +215,11 @@
             log.info(
                 'discovery: wait without changes that a peer has. kind=%s', self.kind
             )
+            self.end_wait()
+
+    def end_wait(self) -> None:
+        """End the wait for changes, as the path to the store does not answer."""
+        if self.is_reachable:
             self._mark_lost()
             self._wait_scope.cancel()
 
--- a/catkinslip/discovery/instances.py
+++ b/catkinslip/discovery/instances.py
@@ -414,6 +414,19 @@
             return []
         return [each for each in polled if not self._is_silent(each)]
 
+    def record_store_lost(self, instance_id: str) -> bool:
+        """Record that an instance lost the store; return whether that is new."""
+        peer = self.peer_by_id.get(instance_id)
+        if peer is None or not peer.reaches_store:
+            return False
+        peer.reaches_store = False
+        self.notify_change()
+        return True
+
+    def polled_near(self) -> list[InstanceEntry]:
+        """Return the leaders of the own zone, others than this instance."""
+        return self._polled(self.own.zone)
+
     def is_near(self, instance_id: str) -> bool:
         """Return whether another known instance is of the own zone."""
         peer = self.peer_by_id.get(instance_id)
--- a/catkinslip/discovery/notices.py
+++ b/catkinslip/discovery/notices.py
@@ -26,8 +26,9 @@
 from catkinslip.discovery.versions import Versions
 from catkinslip.models import Address
 
-#: Name of the topic in datagrams.
+#: Names of the topics in datagrams: newer values, and a reader that lost the store.
 TOPIC = 'newer'
+LOSS_TOPIC = 'store-lost'
 #: Shortest time between two notices of an instance.
 NOTICE_SECONDS = 0.1
 #: Number of instances of each other zone that a reader of the store sends notices to:
@@ -92,6 +93,24 @@
         self.send_datagram(orjson.dumps({TOPIC: body}), addresses)
         self.count_by_event['sent'] += len(targets)
 
+    def send_loss(self) -> None:
+        """Notify the leaders of the zone that this instance lost the store.
+
+        Those next in rank then read it, before a poll would show them the loss.
+        """
+        body = orjson.dumps({LOSS_TOPIC: self.instances.own.instance_id})
+        leaders = self.instances.polled_near()
+        addresses = [Address.parse(each.report_address) for each in leaders]
+        self.send_datagram(body, addresses)
+        self.count_by_event['loss_sent'] += len(leaders)
+
+    def receive_loss(self, message: dict[str, Any]) -> None:
+        """Record that another instance lost the store."""
+        instance_id = str(message[LOSS_TOPIC])
+        self.count_by_event['loss_received'] += 1
+        if self.instances.record_store_lost(instance_id):
+            log.info('peers: notice of a lost store. instance=%s', instance_id)
+
     def _targets(self, offered: Versions) -> list[InstanceEntry]:
         """Return the instances that may not have the own values yet."""
         if self.instances.is_reading():
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -29,9 +29,10 @@
 from catkinslip.discovery.kinds import SharedKind, shared_kinds
 from catkinslip.discovery.merging import NewestReport
 from catkinslip.discovery.notice_follower import NoticeFollower
-from catkinslip.discovery.notices import TOPIC, ChangeNotices
+from catkinslip.discovery.notices import LOSS_TOPIC, TOPIC, ChangeNotices
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
+from catkinslip.discovery.store_probe import StoreProbe
 from catkinslip.environment import Environment
 from catkinslip.health.reach import ServerReach
 from catkinslip.health.sampler import LoadSampler
@@ -163,6 +164,7 @@
     poller: PeerPoller
     notices: ChangeNotices
     notice_follower: NoticeFollower
+    store_probe: StoreProbe
     peer_pages: PageServer
     pool: BackendPool
     reach: ServerReach
@@ -200,6 +202,7 @@
             self.poller.run,
             self.notices.run,
             self.notice_follower.run,
+            self.store_probe.run,
             self.callers.run,
             self.pool.run,
             self.hedges.run,
@@ -410,13 +413,20 @@
         instances,
         poller.catch_up.offered,
         poller.catch_up.known,
-        random,
+        Random(settings.own.instance_id),
         sharer.send_datagram,
     )
     config.listeners.append(lambda _: notices.note_change())
     for kind in kinds.kind_by_name.values():
         kind.follower.listeners.append(notices.note_change)
     sharer.handler_by_topic[TOPIC] = notices.receive
+    sharer.handler_by_topic[LOSS_TOPIC] = notices.receive_loss
+    store_probe = StoreProbe(
+        dependencies.evacuations,
+        (assembler.rules, assembler.backends, crashes, evacuations),
+        Random(settings.own.instance_id),
+        notices.send_loss,
+    )
     lag = LoopLag(clock)
     config_metrics = ConfigMetrics(clock, config)
     config.listeners.append(config_metrics.record_change)
@@ -429,7 +439,10 @@
         callers=callers,
         poller=poller,
         notices=notices,
-        notice_follower=NoticeFollower(notices, poller.catch_up, random),
+        store_probe=store_probe,
+        notice_follower=NoticeFollower(
+            notices, poller.catch_up, Random(settings.own.instance_id)
+        ),
         peer_pages=PageServer(answers.handlers()),
         pool=pool,
         reach=health.reach,
--- a/tests/discovery_fleet.py
+++ b/tests/discovery_fleet.py
@@ -32,9 +32,10 @@
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.kinds import SharedKind, SharedKinds, shared_kinds
 from catkinslip.discovery.notice_follower import NoticeFollower
-from catkinslip.discovery.notices import ChangeNotices
+from catkinslip.discovery.notices import TOPIC, ChangeNotices
 from catkinslip.discovery.peers import PeerPoller
 from catkinslip.discovery.registration import Registration
+from catkinslip.discovery.store_probe import StoreProbe
 from catkinslip.models import Address
 from catkinslip.page_client import Reply
 from catkinslip.proxy.outcomes import NotRun, Reason, Unknown
@@ -184,6 +185,7 @@
     notices: ChangeNotices = field(init=False)
     answers: PeerAnswers = field(init=False)
     follower: NoticeFollower = field(init=False)
+    probe: StoreProbe = field(init=False)
 
     def lose_store(self, path: StorePath) -> None:
         """Cut this instance off from the store."""
@@ -257,6 +259,7 @@
                 member.poller.run,
                 member.notices.run,
                 member.follower.run,
+                member.probe.run,
             ):
                 self.nursery.start_soon(task)
         await trio.sleep(SETTLE_SECONDS + self.random.random())
@@ -309,6 +312,12 @@
         )
         assembler.config.listeners.append(lambda _: notices.note_change())
         evacuations.listeners.append(notices.note_change)
+        member.probe = StoreProbe(
+            evacuations.source,
+            (assembler.rules, assembler.backends, evacuations),
+            random,
+            notices.send_loss,
+        )
         member.follower = NoticeFollower(notices, member.poller.catch_up, random)
         member.answers = PeerAnswers(table, assembler, member.kinds)
         self.member_by_id[entry.instance_id] = member
@@ -326,7 +335,10 @@
         await trio.sleep(HOP_SECONDS)
         is_lost = self.random.random() < self.lost_share
         if not (is_lost or sender.is_cut or receiver.is_cut):
-            receiver.notices.receive(orjson.loads(data))
+            message = orjson.loads(data)
+            notices = receiver.notices
+            handle = notices.receive if TOPIC in message else notices.receive_loss
+            handle(message)
 
     def ranked(self, zone: str) -> list[Member]:
         """Return the instances of a zone by rank: readers and leaders come first."""
--- a/tests/test_discovery_late_changes.py
+++ b/tests/test_discovery_late_changes.py
@@ -61,6 +61,20 @@
             member.freeze()
 
 
+def lose_all_readers(fleet: Fleet) -> None:
+    """Let the store fall silent for the readers of all availability zones."""
+    for zone in ZONES:
+        lose_store(fleet.ranked(zone)[:READERS])
+
+
+def lose_most_instances(fleet: Fleet) -> None:
+    """Let the store fall silent for all readers and half of all others."""
+    lose_all_readers(fleet)
+    for zone in ZONES:
+        others = fleet.ranked(zone)[READERS:]
+        lose_store(fleet.random.sample(others, len(others) // 2))
+
+
 def freeze_leaders_of_a_zone(fleet: Fleet) -> None:
     """Freeze all instances of a zone that the others poll."""
     for member in fleet.ranked(ZONES[0])[:LEADERS]:
@@ -81,6 +95,12 @@
     def test_changes_were_late_as_the_readers_of_two_zones_lost_the_store(self):
         self._assert_in_time(lose_all_readers_of_two_zones)
 
+    def test_changes_were_late_as_all_readers_lost_the_store(self):
+        self._assert_in_time(lose_all_readers)
+
+    def test_changes_were_late_as_most_instances_lost_the_store(self):
+        self._assert_in_time(lose_most_instances)
+
     def test_changes_were_late_as_instances_in_other_zones_froze_too(self):
         self._assert_in_time(lose_readers_while_others_freeze)
 
