--- a/catkinslip/metrics/discovery.py
+++ b/catkinslip/metrics/discovery.py
@@ -8,6 +8,7 @@
 from catkinslip.discovery.instances import InstanceTable
 from catkinslip.discovery.notices import ChangeNotices
 from catkinslip.discovery.readers import ReaderRole
+from catkinslip.discovery.store_probe import StoreProbe
 from catkinslip.health.sampler import LoadSampler
 from catkinslip.health.sharing import ReportSharer
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge
@@ -21,6 +22,7 @@
     sampler: LoadSampler
     sharer: ReportSharer
     notices: ChangeNotices
+    store_probe: StoreProbe
 
     def families(self) -> Iterable[Family]:
         """Return the current metric families."""
@@ -47,6 +49,14 @@
         for event, count in sorted(self.notices.count_by_event.items()):
             notices.add(count, event)
         yield notices
+        store_probes = counter(
+            'catkinslip_store_probes_total',
+            'Probes of the store while this instance waits there for changes.',
+            'state',
+        )
+        store_probes.add(self.store_probe.sent, 'sent')
+        store_probes.add(self.store_probe.failed, 'failed')
+        yield store_probes
         peers = gauge(
             'catkinslip_peers', 'Other instances by what polls tell.', 'health'
         )
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -467,7 +467,7 @@
             lag,
             LogMetrics(dependencies.log_buffer),
             HealthMetrics(health),
-            DiscoveryMetrics(instances, sampler, sharer, notices),
+            DiscoveryMetrics(instances, sampler, sharer, notices, store_probe),
             SubsetMetrics(directory, pool),
             CrashMetrics(guard),
             QuotaMetrics(quotas),
