Make tries in an outage with cheap reads, and keep a slow store

A try of an outage is now the same stale read as a probe, at a tenth of the price, and the calls needed follow once it is answered. A store that takes longer than 0.4 s for an answer would have been lost at each probe; the limit is doubled after a loss that an answer followed, up to 1.6 s, and back after a quick answer.

--- a/catkinslip/discovery/follower.py
+++ b/catkinslip/discovery/follower.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from math import inf, isfinite
 from random import Random
-from typing import Generic
+from typing import Any, Generic
 
 import trio
 from attrs import Factory, define, field
@@ -76,6 +76,16 @@
     #: Whether a call of any kind failed since the last success. The first try is made
     #: by one kind, and peers have to learn of its failure whichever kind it was.
     has_failed: bool = False
+    #: Source of a small kind. A stale read of it costs a tenth of another call, so that
+    #: the tries of an outage are made with it; None to make them with the calls needed.
+    probe_source: Source[Any] | None = None
+
+    async def is_served(self) -> bool:
+        """Return whether the store answers a cheap read, or that it is not tried."""
+        if self.probe_source is None:
+            return True
+        result = await self.probe_source.read_all(may_be_stale=True)
+        return not isinstance(result, Failure)
 
     async def wait(self, random: Random) -> None:
         """Wait for the turn to retry, or until another follower succeeds."""
@@ -182,6 +192,9 @@
                 if not self.reads_store() and not self.reads_once:
                     log.info('discovery: %s left to another reader.', self.kind)
                     continue
+                if not await self.outage.is_served():
+                    self._record_failure('no answer to a probe')
+                    continue
             if self.must_read:
                 await self._read_all()
             else:
--- a/catkinslip/discovery/store_probe.py
+++ b/catkinslip/discovery/store_probe.py
@@ -22,6 +22,8 @@
 PROBE_SECONDS = 0.8
 #: Time limit of an answer; a slow store takes some tens of times its usual 4 ms.
 ANSWER_SECONDS = 0.4
+#: Longest time limit, for a store that is slower than that.
+MAX_ANSWER_SECONDS = 1.6
 
 log = logging.getLogger('discovery')
 
@@ -39,6 +41,9 @@
     followers: tuple[Follower[Any], ...]
     random: Random
     on_loss: Callable[[], None] = ignore_loss
+    #: Time limit of the next probe: doubled where the store answered after a loss.
+    answer_seconds: float = ANSWER_SECONDS
+    has_lost: bool = False
     sent: int = 0
     failed: int = 0
 
@@ -51,14 +56,32 @@
 
     async def _probe(self) -> None:
         self.sent += 1
+        if self.has_lost:
+            # The store answered since then, perhaps it is only slow.
+            self.answer_seconds = min(2 * self.answer_seconds, MAX_ANSWER_SECONDS)
+            self.has_lost = False
+        began = trio.current_time()
         error: object = 'no answer'
-        with trio.move_on_after(ANSWER_SECONDS):
+        with trio.move_on_after(self.answer_seconds):
             result = await self.source.read_all(may_be_stale=True)
             if not isinstance(result, Failure):
+                self._record_answer(trio.current_time() - began)
                 return
             error = result.failure()
+        self._record_loss(error)
+
+    def _record_answer(self, seconds: float) -> None:
+        if seconds < ANSWER_SECONDS / 2:
+            self.answer_seconds = ANSWER_SECONDS
+
+    def _record_loss(self, error: object) -> None:
         self.failed += 1
-        log.warning('discovery: probe of the store failed. error=%s', error)
+        self.has_lost = True
+        log.warning(
+            'discovery: probe of the store failed. limit_s=%.1f error=%s',
+            self.answer_seconds,
+            error,
+        )
         for follower in self.followers:
             follower.end_wait()
         self.on_loss()
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -244,7 +244,7 @@
         random=random,
         reads_store=instances.reads_store,
         wait_change=instances.wait_change,
-        outage=Outage(instances.try_pace),
+        outage=Outage(instances.try_pace, probe_source=dependencies.evacuations),
     )
     assembler = Assembler(
         config,
--- a/tests/discovery_fleet.py
+++ b/tests/discovery_fleet.py
@@ -271,7 +271,8 @@
             entry, is_own_ready=True, is_seed=False
         )
         table.apply_list(entries, 1)
-        outage = Outage(table.try_pace)
+        probe_source = FleetSource(self.store, 'evacuations', member)
+        outage = Outage(table.try_pace, probe_source=probe_source)
 
         def follower(kind: str) -> Follower:
             return Follower(
