Close connections on which a message was not written whole

What callers saw: a caller uploaded a long body in chunks to a server that answered early and read on later.

Cause: the codec counts an event as sent once it is encoded. The pool asked the codec alone whether the exchange had ended, while the write of the last bytes still waited; the upload was cancelled after the connection had been kept.

Ruled out: the end of a body with a length, which has no bytes of its own, and earlier parts of a body in chunks, before which the codec is not done. Losers of a race, probes and calls to the store or to peers are written whole before an answer is read.

Why it works: a wire knows from encode to the end of write that bytes are outstanding. Such a connection is never kept, and nothing more is encoded behind them.

--- a/catkinslip/proxy/caller_answers.py
+++ b/catkinslip/proxy/caller_answers.py
@@ -101,4 +101,6 @@
 
 def is_reusable(wire: Wire) -> bool:
     """Return whether the connection is reusable: both sides completed the exchange."""
+    if wire.has_unwritten:
+        return False
     return wire.codec.our_state is h11.DONE and wire.codec.their_state is h11.DONE
--- a/catkinslip/proxy/draining.py
+++ b/catkinslip/proxy/draining.py
@@ -90,7 +90,7 @@
         return self.codec.their_state is h11.SEND_BODY
 
     def has_answered(self) -> bool:
-        """Return whether the whole answer to the current request was sent."""
+        """Return whether the whole answer to the current request was encoded."""
         return self.codec.our_state not in ANSWERING
 
     def has_requests_behind(self) -> bool:
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -150,6 +150,13 @@
         await self._release(head.wire)
 
     async def _release(self, wire: Wire) -> None:
+        if wire.has_unwritten:
+            log.info(
+                'routing: %s the connection to %s is closed, the request is not '
+                'written whole.',
+                self.call.request_id,
+                self.address,
+            )
         await self.pool.release(self.address, wire)
 
     async def _start(self, max_idle_seconds: float) -> AnswerHead | NotRun | Unknown:
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -275,9 +275,12 @@
 
 
 def ended_cleanly(wire: Wire) -> bool:
-    """Return whether request and answer are complete without surplus bytes."""
+    """Return whether request and answer are complete without surplus bytes.
+
+    A server may answer before the whole request is written to it.
+    """
     codec = wire.codec
-    if wire.must_close:
+    if wire.must_close or wire.has_unwritten:
         return False
     if codec.our_state is not h11.DONE or codec.their_state is not h11.DONE:
         return False
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -38,6 +38,8 @@
     #: When the bytes arrived that wait to be parsed, in monotonic seconds; None if they
     #: are parsed as they arrive.
     arrived_at: float | None = None
+    #: Whether encoded bytes are not all written; the codec counts them as sent.
+    has_unwritten: bool = False
 
     async def receive(self) -> Any:
         """Return the next event; raise h11.RemoteProtocolError or a trio error."""
@@ -63,8 +65,16 @@
             raise h11.RemoteProtocolError(fault)
 
     def encode(self, *events: Any) -> bytes:
-        """Return the bytes of events; they must be the next that are sent."""
-        return b''.join([self.codec.send(event) or b'' for event in events])
+        """Return the bytes of events; they must be the next that are written.
+
+        Raise trio.BrokenResourceError if earlier bytes are not all written: these would
+        follow a part of a message, which the other side takes for the rest of it.
+        """
+        if self.has_unwritten:
+            raise trio.BrokenResourceError('an earlier message is not written whole')
+        data = b''.join([self.codec.send(event) or b'' for event in events])
+        self.has_unwritten = bool(data)
+        return data
 
     async def send(self, *events: Any) -> None:
         """Send events in one write."""
@@ -73,16 +83,19 @@
             await self.write(data)
 
     async def write(self, data: bytes) -> None:
-        """Send bytes, without a task switch if the socket accepts them at once."""
+        """Write encoded bytes, without a task switch if the socket takes them at once.
+
+        If the write fails or is cancelled, the bytes remain unwritten for good.
+        """
         if type(self.stream) is trio.SocketStream:
             try:
                 sent = os.write(self._descriptor(), data)
             except BlockingIOError:
                 sent = 0
-            if sent == len(data):
-                return
             data = data[sent:]
-        await self.stream.send_all(data)
+        if data:
+            await self.stream.send_all(data)
+        self.has_unwritten = False
 
     async def read(self, max_bytes: int = RECEIVE_SIZE) -> bytes:
         """Return the next bytes, past the codec; no bytes at the end of the stream."""
