Refuse requests that a stopping instance would have to cut

Cause: one moment stood for the last request to take, the last to pass on and the end of the process, and nothing that sends a request asked how much time was left.

Ruled out: the server breaking off, the route's timeout (2 s) and the caller's deadline (4 s), both later than the cut; the log has the five open connections at the cut.

Why it works: a call ends at its deadline, or its route's timeout, at the latest. Each send asks before its first byte: attempts, hedges, relayed calls; a wait for a connection slot ends by the same rule. The listener closes when no request could be passed on any more.

tests/small_platform.py can stop an instance; the pool of test_limits_attempts.py says that it is not full.

--- a/catkinslip/core.py
+++ b/catkinslip/core.py
@@ -69,6 +69,8 @@
     return Lifecycle(
         stop=stop,
         drain=daemon.callers.drain,
+        stop_gate=daemon.callers.stop_gate,
+        clock=daemon.callers.environment.clock,
         address_lifetime=daemon.settings.address_lifetime,
         peer_interval=daemon.settings.peer_interval,
         drain_timeout=daemon.settings.drain_timeout,
--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -9,19 +9,15 @@
 import trio
 from attrs import frozen
 
+from catkinslip.clock import Clock
 from catkinslip.lifecycle import StopRequest, listen_for_reload
 from catkinslip.models import Address
 from catkinslip.pages import Page, PageServer
+from catkinslip.proxy.stopping import StopTimes
+from catkinslip.stop_budget import plan_stop
 from catkinslip.wiring.entry import Entry
 
 LISTEN_BACKLOG = 1024
-#: Callers keep an address answer for up to three times its lifetime.
-ADDRESS_REUSE_FACTOR = 3
-#: The shutdown must end before SIGKILL, so it cuts the requests that still run after
-#: this share of the time. In the last sixth, a request may be left unfinished.
-STOP_SHARE = 5 / 6
-#: The time for the last requests that arrive before idle connections are closed.
-LAST_REQUEST_SECONDS = 1.5
 READY_CHECK_SECONDS = 0.02
 #: The time to wait for an address in use. While the instance was down, an outgoing
 #: connection may have taken its port; most such connections end within seconds.
@@ -57,10 +53,10 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(stop.listen)
         await nursery.start(listen_for_reload, reload)
-        await start(nursery, entry, addresses, page_servers)
+        accepting = await start(nursery, entry, addresses, page_servers)
         gc.freeze()
         await stop.requested.wait()
-        await drain(entry)
+        await drain(entry, accepting)
         nursery.cancel_scope.cancel()
 
 
@@ -69,8 +65,11 @@
     entry: Entry,
     addresses: ListenAddresses,
     page_servers: dict[Address, PageServer],
-) -> None:
-    """Start the listeners and the tasks of an instance."""
+) -> trio.CancelScope:
+    """Start the listeners and the tasks of an instance.
+
+    Return the scope in which connections of callers are accepted.
+    """
     pages = {
         **page_servers,
         addresses.peers: entry.peer_pages,
@@ -85,23 +84,30 @@
         log.error('lifecycle: no metrics at %s. error=%s', addresses.metrics, error)
     for task in entry.tasks():
         nursery.start_soon(task)
-    await nursery.start(listen, entry.callers.serve, addresses.callers)
+    listen_for_callers = partial(listen, handler_nursery=nursery)
+    accepting = await nursery.start(
+        listen_for_callers, entry.callers.serve, addresses.callers
+    )
     nursery.start_soon(become_ready, entry)
+    return accepting
 
 
 async def listen(
     handler: Handler,
     address: Address,
     wait_seconds: float = ADDRESS_WAIT_SECONDS,
+    handler_nursery: trio.Nursery | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Accept connections at an address until cancelled.
+    """Accept connections at an address until the scope that is started is cancelled.
 
-    `wait_seconds` is how long an address in use is waited for.
+    `wait_seconds` is how long an address in use is waited for. Connections are served
+    in `handler_nursery`, if there is one, beyond the end of the scope.
     """
     listeners = await open_listeners(address, wait_seconds)
-    task_status.started()
-    await trio.serve_listeners(handler, listeners)
+    with trio.CancelScope() as scope:
+        task_status.started(scope)
+        await trio.serve_listeners(handler, listeners, handler_nursery=handler_nursery)
 
 
 async def open_listeners(
@@ -141,22 +147,71 @@
     )
 
 
-async def drain(entry: Entry) -> None:
-    """Withdraw this instance and wait for its callers' connections to end."""
-    began = trio.current_time()
-    end = began + entry.settings.stop_seconds * STOP_SHARE
+async def drain(entry: Entry, accepting: trio.CancelScope) -> None:
+    """Withdraw this instance and wait for its callers' connections to end.
+
+    `accepting` is the scope in which connections of callers are accepted.
+    """
+    callers, gate = entry.callers.drain, entry.callers.stop_gate
+    clock = entry.callers.environment.clock
+    times = plan_entry_stop(entry, clock.monotonic())
+    log_stop(entry, times, clock.monotonic())
+    gate.start(times)
     entry.instances.leave()
-    callers = entry.callers.drain
-    log.info('lifecycle: stopping. connections=%d', len(callers.open_wires))
     callers.start_closing()
-    reuse_seconds = ADDRESS_REUSE_FACTOR * entry.settings.address_lifetime
-    with trio.move_on_after(WITHDRAW_TIMEOUT_SECONDS):
-        await entry.poller.registration.withdraw()
-    await trio.sleep_until(min(began + reuse_seconds, end - LAST_REQUEST_SECONDS))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(withdraw, entry)
+        await sleep_until(clock, times.unsure_until)
+        gate.end_waits(clock.monotonic())
+        await sleep_until(clock, times.last_request)
+    accepting.cancel()
     callers.close_idle()
-    with trio.move_on_at(end):
+    log.info(
+        'lifecycle: no connections are accepted any more. connections=%d',
+        len(callers.open_wires),
+    )
+    with trio.move_on_after(max(0.0, times.cut_at - clock.monotonic())):
         await callers.wait_until_closed()
-    log.info('lifecycle: stopped. connections=%d', len(callers.open_wires))
+    log.info(
+        'lifecycle: stopped. connections=%d refused=%d',
+        len(callers.open_wires),
+        gate.refused,
+    )
+
+
+def plan_entry_stop(entry: Entry, now: float) -> StopTimes:
+    """Return the moments of a stop of an instance that begins now."""
+    routes = entry.config.current.document.rules.routes
+    timeouts = [route.timeout for route in routes.values()]
+    return plan_stop(
+        now,
+        entry.settings.stop_seconds,
+        entry.settings.unsure_stop_seconds,
+        min(timeouts, default=entry.callers.limits.request_timeout),
+    )
+
+
+def log_stop(entry: Entry, times: StopTimes, now: float) -> None:
+    """Log the start of a stop and the moments of it."""
+    log.info(
+        'lifecycle: stopping. connections=%d unsure_s=%.2f last_request_s=%.2f '
+        'cut_s=%.2f',
+        len(entry.callers.drain.open_wires),
+        times.unsure_until - now,
+        times.last_request - now,
+        times.cut_at - now,
+    )
+
+
+async def withdraw(entry: Entry) -> None:
+    """Remove the entry of this instance from the store, if that succeeds in time."""
+    with trio.move_on_after(WITHDRAW_TIMEOUT_SECONDS):
+        await entry.poller.registration.withdraw()
+
+
+async def sleep_until(clock: Clock, moment: float) -> None:
+    """Sleep until a moment on the monotonic clock, in seconds."""
+    await trio.sleep(max(0.0, moment - clock.monotonic()))
 
 
 async def metrics_page(entry: Entry, query: str) -> Page:
--- a/catkinslip/lifecycle.py
+++ b/catkinslip/lifecycle.py
@@ -13,7 +13,9 @@
 import trio
 from attrs import Factory, define
 
+from catkinslip.clock import Clock
 from catkinslip.proxy.draining import CallerDrain
+from catkinslip.proxy.stopping import StopGate, StopTimes
 
 #: Added to the lifetime of address answers, since answers take time to arrive and
 #: callers' clocks differ.
@@ -66,6 +68,8 @@
 
     stop: StopRequest
     drain: CallerDrain
+    stop_gate: StopGate
+    clock: Clock
     address_lifetime: float
     peer_interval: float
     drain_timeout: float
@@ -111,6 +115,8 @@
             await self.drain.wait_until_closed()
 
     async def _wait_for_requests(self) -> None:
+        now = self.clock.monotonic()
+        self.stop_gate.start(StopTimes(now, now, now + self.drain_timeout))
         self.drain.close_idle()
         with trio.move_on_after(self.drain_timeout) as scope:
             await self.drain.wait_until_closed()
--- a/catkinslip/limits/plan.py
+++ b/catkinslip/limits/plan.py
@@ -8,7 +8,7 @@
 from catkinslip.limits.budget import ExtraBudget
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 
-FINAL_REASONS = frozenset({Reason.TOO_LATE, Reason.DEADLINE})
+FINAL_REASONS = frozenset({Reason.TOO_LATE, Reason.DEADLINE, Reason.STOPPING})
 
 
 @unique
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -51,6 +51,9 @@
 #: The lifetime of address answers. Callers may keep using an instance that has left
 #: for three times as long.
 ADDRESS_LIFETIME_SECONDS = 3.0
+#: A request that is sent no later than this after SIGTERM may be left unfinished at the
+#: end of the grace period; a later one that is passed on must be answered.
+UNSURE_STOP_SECONDS = 3.0
 
 log = logging.getLogger('lifecycle')
 
@@ -160,6 +163,7 @@
         seeds=settings.seeds,
         address_lifetime=min(ADDRESS_LIFETIME_SECONDS, settings.max_address_seconds),
         stop_seconds=settings.stop_seconds,
+        unsure_stop_seconds=UNSURE_STOP_SECONDS,
         probes_per_second=settings.probes_per_second,
         resend_share=settings.resend_share,
         resend_slack=settings.resend_slack,
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -32,6 +32,7 @@
 from catkinslip.proxy.read_ahead import PipelinedRequest, ReadAhead
 from catkinslip.proxy.relayed import NoRelays, RelayGate
 from catkinslip.proxy.request_log import log_end
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 
 log = logging.getLogger('request')
@@ -54,6 +55,7 @@
     relays: RelayGate = Factory(NoRelays)
     drain: CallerDrain = Factory(CallerDrain)
     watch: CallerWatch = Factory(CallerWatch)
+    stop_gate: StopGate = Factory(StopGate)
     connections: int = 0
     heads: HeadReader = Factory(
         lambda self: HeadReader(self.limits.idle_timeout, self.limits.head_timeout),
@@ -246,8 +248,11 @@
 
     async def _forward_in_time(self, call: Call, wire: Wire) -> Outcome:
         refusal = call.refusal
-        if refusal is None and call.is_expired(self.environment.clock):
+        clock = self.environment.clock
+        if refusal is None and call.is_expired(clock):
             refusal = NotRun(Reason.TOO_LATE)
+        if refusal is None:
+            refusal = self.stop_gate.check(call, clock.monotonic())
         if refusal is not None:
             return await self.refusal_review.review(call, refusal, wire)
         return await self.forwarder.forward(call, wire)
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 import h11
-from attrs import define, evolve, frozen
+from attrs import Factory, define, evolve, frozen
 
 from catkinslip.clock import Clock
 from catkinslip.models import Address
@@ -15,6 +15,7 @@
 from catkinslip.proxy.native_dialect import NativeDialect
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import MAX_IDLE_SECONDS, BackendPool
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.routing import reports
 from catkinslip.routing.signals import ServerSignals
@@ -105,6 +106,8 @@
     on_break: OnBreak = ignore_break
     #: Check that runs right before the first byte, as a connection may take time.
     may_send: Callable[[], bool] = always_allow
+    #: Check of the time that this instance has left, likewise.
+    stop_gate: StopGate = Factory(StopGate)
     is_sent: bool = False
     sent_at: float = 0.0
     #: How the last connection broke after the request was sent; None if it did not.
@@ -160,7 +163,7 @@
         await self.pool.release(self.address, wire)
 
     async def _start(self, max_idle_seconds: float) -> AnswerHead | NotRun | Unknown:
-        wire = await self.pool.acquire(self.address, max_idle_seconds)
+        wire = await self._acquire(max_idle_seconds)
         if isinstance(wire, NotRun):
             return wire
         result = None
@@ -171,12 +174,22 @@
                 await self._release(wire)
         return result
 
+    async def _acquire(self, max_idle_seconds: float) -> Wire | NotRun:
+        if not self.pool.is_full(self.address):
+            return await self.pool.acquire(self.address, max_idle_seconds)
+        with self.stop_gate.waiting(self.call):
+            return await self.pool.acquire(self.address, max_idle_seconds)
+        return self.stop_gate.refuse(self.call, self.clock.monotonic())
+
     async def _exchange(self, wire: Wire) -> AnswerHead | NotRun | Unknown:
         try:
             data = wire.encode(*self._request_events())
             # No await between these checks and the first byte.
             if self.call.is_expired(self.clock):
                 return NotRun(Reason.TOO_LATE)
+            refusal = self.stop_gate.check(self.call, self.clock.monotonic())
+            if refusal is not None:
+                return refusal
             if not self.may_send():
                 return NotRun(Reason.SERVER_LEFT)
             self.is_sent = True
--- a/catkinslip/proxy/forwarder.py
+++ b/catkinslip/proxy/forwarder.py
@@ -24,6 +24,7 @@
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.runner import CallRunner
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.proxy.wire import Wire
 from catkinslip.quotas.base import NoQuotas, QuotaGate
 from catkinslip.quotas.permits import CallPermits
@@ -70,6 +71,7 @@
         lambda self: SpentTimes(self.clock.monotonic()), takes_self=True
     )
     quotas: QuotaGate = Factory(NoQuotas)
+    stop_gate: StopGate = Factory(StopGate)
     #: Calls in progress, by service.
     running_by_service: dict[str, set[CallRunner]] = Factory(dict)
 
@@ -207,6 +209,7 @@
             random=self.random,
             guard=self.guard,
             permits=permits,
+            stop_gate=self.stop_gate,
             excluded_by_region=self.directory.servers_outside(
                 call.service, call.regions
             ),
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -61,6 +61,7 @@
     DEADLINE_UNMET = ('deadline-unmet', 503, 'The answer would come too late.')
     CRASHES = ('crashes', 503, 'The request ended backend servers; it is not sent.')
     NOT_READY = ('not-ready', 503, 'This instance has no configuration yet.')
+    STOPPING = ('stopping', 503, 'This instance stops before the answer is due.')
 
     KEY_REQUIRED = ('key-required', 400, 'The rules ask for an Idempotency-Key.')
     KEY_NOT_ACCEPTED = (
--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -41,6 +41,7 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.race import HedgedCall, Race
 from catkinslip.proxy.server_wait import ServerWait
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.proxy.wire import Wire
 from catkinslip.quotas.permits import CallPermits
 from catkinslip.routing.base import BackendLoad, Choice, LoadReport
@@ -74,6 +75,7 @@
     random: Random
     guard: CrashGuard
     permits: CallPermits
+    stop_gate: StopGate
     #: Servers in regions in which the call must not run.
     excluded_by_region: frozenset[str] = frozenset()
     #: What the sharing of scarce capacity requires of the call.
@@ -144,6 +146,8 @@
 
     def launch_hedge(self) -> Launch | None:
         """Create a second attempt; return None if no server has an idle slot for it."""
+        if not self.stop_gate.is_open_to(self.call, self.clock.monotonic()):
+            return None
         choice = self.health.choose(self.router, self._tried())
         if choice is None or not self.limits.has_idle_slot(choice.backend_id):
             return None
@@ -178,6 +182,7 @@
             number=number,
             dialect=self.dialect,
             backend_id=choice.backend_id,
+            stop_gate=self.stop_gate,
             on_head=partial(self._handle_head, load),
             on_signals=partial(self._apply_signals, load),
             on_break=partial(self._handle_break, choice.backend_id),
@@ -265,6 +270,7 @@
             self.clock,
             self.random,
             self.began,
+            self.stop_gate,
             self.standing,
         )
 
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -18,6 +18,7 @@
 from catkinslip.limits.service import ServiceLimits
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.routing.base import Choice
 from catkinslip.routing.gates import RestrictionReason
 from catkinslip.routing.router import ServiceRouter
@@ -48,6 +49,7 @@
     clock: Clock
     random: Random
     began: float
+    stop_gate: StopGate
     standing: Standing = USUAL
     waiting: WaitingCall = field(init=False)
     #: Whether the first decision was counted.
@@ -74,6 +76,9 @@
         """
         self.waiting.update_lateness(self.expect(1.0), self.clock.monotonic())
         while True:
+            stop_refusal = self.stop_gate.check(self.call, self.clock.monotonic())
+            if stop_refusal is not None:
+                return stop_refusal
             if not self.waiting.is_late:
                 # Probes are reserved for calls that can still be answered in time.
                 await self.sampler.refresh(self.router, tried)
--- a/catkinslip/relaying/forwarder.py
+++ b/catkinslip/relaying/forwarder.py
@@ -18,6 +18,7 @@
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.relayed import RelayHead
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.proxy.wire import Wire
 from catkinslip.relaying.attempt import (
     OnServerSignals,
@@ -38,6 +39,7 @@
         Reason.CONNECTION_LIMIT,
         Reason.NOT_READY,
         Reason.SERVER_LEFT,
+        Reason.STOPPING,
     }
 )
 #: Refusals after which another instance may have a path to a server.
@@ -70,6 +72,7 @@
     take_resend: TakeResend
     #: Called with what the answer to a relayed request signals of its server.
     on_server_signals: OnServerSignals = ignore_server_signals
+    stop_gate: StopGate = Factory(StopGate)
     #: Number of relayed requests by outcome, and of requests that others relayed here.
     count_by_outcome: Counter[str] = Factory(Counter)
     accepted: int = 0
@@ -136,6 +139,9 @@
         """Relay a call; return `fallback` if no instance accepts it."""
         tried: set[str] = set()
         while call.is_resendable and len(tried) < MAX_RECEIVERS:
+            refusal = self.stop_gate.check(call, self.clock.monotonic())
+            if refusal is not None:
+                return fallback if isinstance(fallback, Unknown) else refusal
             peer = self.peers.choose(call.service, tried)
             if peer is None:
                 break
@@ -197,6 +203,7 @@
             self.pool,
             self.clock,
             dialect=self.dialect,
+            stop_gate=self.stop_gate,
             head=self._make_head(call, peer),
             receiver=peer.entry.instance_id,
             on_server_signals=self.on_server_signals,
--- a/catkinslip/tickets/passing.py
+++ b/catkinslip/tickets/passing.py
@@ -16,6 +16,7 @@
 from catkinslip.proxy.outcomes import NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.problems import TYPE_PREFIX
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.proxy.wire import Wire
 from catkinslip.workspaces.signatures import make_signatures
 
@@ -80,6 +81,7 @@
     pool: BackendPool
     clock: Clock
     config: ConfigHolder = Factory(ConfigHolder)
+    stop_gate: StopGate = Factory(StopGate)
 
     async def send(self, call: Call, home: Member, caller: Wire) -> Outcome:
         """Forward one request to its home within its deadline."""
@@ -89,6 +91,7 @@
             caller,
             self.pool,
             self.clock,
+            stop_gate=self.stop_gate,
             own_id=self.own_id,
             workspace_signature=self._workspace_signature(call),
         )
--- a/catkinslip/wiring/callers.py
+++ b/catkinslip/wiring/callers.py
@@ -10,6 +10,7 @@
 from catkinslip.proxy.callers import CallerServer
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.hedges import HedgeTimer
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.settings.daemon import DaemonSettings
 from catkinslip.tickets.gate import AtMostOnceForwarder
 from catkinslip.tickets.keys import AnchoredClock, KeyIssuer
@@ -29,6 +30,7 @@
     """Build the caller server with the forwarders and limits behind it."""
     ticket_clock = AnchoredClock(environment.clock)
     address_resolver = make_address_resolver(settings, shared, ticket_clock)
+    stop_gate = StopGate()
     forwarder = Forwarder(
         shared.directory,
         shared.pool,
@@ -40,6 +42,7 @@
         hedges,
         shared.metrics.observer,
         guard=shared.guard,
+        stop_gate=stop_gate,
     )
     own = shared.members.own
     at_most_once_forwarder = AtMostOnceForwarder(
@@ -47,7 +50,7 @@
         table=make_ticket_table(settings, own, ticket_clock),
         records=PlatformRecords(shared.store, environment.random),
         home_forwarder=HomeForwarder(
-            own.member_id, shared.pool, environment.clock, shared.config
+            own.member_id, shared.pool, environment.clock, shared.config, stop_gate
         ),
         config=shared.config,
         members=shared.members,
@@ -61,6 +64,7 @@
         make_caller_limits(settings),
         shared.metrics.observer,
         refusal_review=KeyedRefusalReview(at_most_once_forwarder),
+        stop_gate=stop_gate,
     )
 
 
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -64,6 +64,7 @@
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.observer import ObserverGroup
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.quotas.bounds import QuotaBounds
 from catkinslip.quotas.exchange import FleetQuotas
 from catkinslip.routing.base import BackendLoad
@@ -111,8 +112,10 @@
     own: InstanceEntry
     seeds: tuple[Address, ...]
     address_lifetime: float
-    #: Time from the stop request to the exit of the process.
+    #: Time from the stop request to the kill of the process.
     stop_seconds: float
+    #: Time from the stop request in which requests may come that are left unfinished.
+    unsure_stop_seconds: float
     #: Load probes per second of one backend server, from all instances together.
     probes_per_second: float
     #: Limit of resends of all instances together: this share of a service's requests
@@ -349,6 +352,7 @@
         settings.probes_per_second,
         instances.budget_divisor,
     )
+    stop_gate = StopGate()
     forwarder = Forwarder(
         directory,
         pool,
@@ -362,6 +366,7 @@
         random,
         guard=guard,
         quotas=quotas,
+        stop_gate=stop_gate,
     )
     health.reach.listeners.append(
         lambda service, is_lost: forwarder.divert(service) if is_lost else None
@@ -377,6 +382,7 @@
         lambda: assembler.rules_version,
         limits.take_resend,
         health.apply_relayed_signals,
+        stop_gate,
     )
     callers = CallerServer(
         environment,
@@ -391,6 +397,7 @@
         observer,
         dependencies.dialect,
         relays=relaying.gate,
+        stop_gate=stop_gate,
     )
     evacuations = make_follower('evacuations', dependencies.evacuations)
     evacuations.restore_listeners.append(assembler.hold_evacuations)
--- a/catkinslip/wiring/relaying.py
+++ b/catkinslip/wiring/relaying.py
@@ -14,6 +14,7 @@
 from catkinslip.proxy.base import CallForwarder
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.pool import BackendPool
+from catkinslip.proxy.stopping import StopGate
 from catkinslip.relaying.attempt import OnServerSignals
 from catkinslip.relaying.forwarder import RelayingForwarder, TakeResend
 from catkinslip.relaying.gate import TOKEN_BYTES, TokenRelayGate
@@ -39,6 +40,7 @@
     rules_version: Callable[[], int],
     take_resend: TakeResend,
     on_server_signals: OnServerSignals,
+    stop_gate: StopGate,
 ) -> Relaying:
     """Build the parts that relay requests, with a token of this start."""
     gate = TokenRelayGate(token_hex(TOKEN_BYTES), rules_version)
@@ -56,5 +58,6 @@
         rules_version,
         take_resend,
         on_server_signals,
+        stop_gate,
     )
     return Relaying(relaying_forwarder, gate)
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -9,7 +9,7 @@
 import trio
 from attrs import Factory, define
 
-from catkinslip.entry import ListenAddresses, start
+from catkinslip.entry import ListenAddresses, drain, start
 from catkinslip.environment import Environment
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.models import Address
@@ -30,6 +30,14 @@
 PORTS = iter(range(20_000 + os.getpid() % 1_000 * 10, 32_000))
 
 
+@define
+class Running:
+    """The tasks of an instance, and the scope in which it accepts callers."""
+
+    nursery: trio.Nursery
+    accepting: trio.CancelScope
+
+
 @define
 class SmallPlatform:
     """Store, servers and instances that run until their nursery is cancelled."""
@@ -38,6 +46,8 @@
     store: ObjectsStandin = Factory(ObjectsStandin)
     worker_by_id: dict[str, Worker] = Factory(dict)
     entries: list[Entry] = Factory(list)
+    #: The tasks of the instances, in the order of `entries`.
+    running: list[Running] = Factory(list)
     store_port: int = 0
     #: The callers' deadline in milliseconds.
     deadline_ms: int = 2000
@@ -143,13 +153,21 @@
         pages_by_address = dict.fromkeys(
             (settings.ready_address, settings.directory_address), pages
         )
-        await start(self.nursery, entry, addresses, pages_by_address)
+        nursery = await self.nursery.start(run_nursery)
+        accepting = await start(nursery, entry, addresses, pages_by_address)
+        self.running.append(Running(nursery, accepting))
         # Longer than usual, so that servers do not count as silent on a busy machine.
         entry.sampler.answer_seconds = PROBE_SECONDS
         self.entries.append(entry)
         await wait_for(lambda: entry.instances.is_own_ready)
         return entry
 
+    async def stop_entry(self, entry: int = 0) -> None:
+        """Stop an instance as after SIGTERM, and return when it has ended."""
+        running = self.running[entry]
+        await drain(self.entries[entry], running.accepting)
+        running.nursery.cancel_scope.cancel()
+
     async def get(self, path: str = '/q/a', entry: int = 0, **fields) -> httpx.Response:
         """Send one GET request on a new connection and return the response."""
         return await self.send('GET', path, entry, **fields)
@@ -192,6 +210,13 @@
         return sum(worker.runs_by_request[request_id] for worker in workers)
 
 
+async def run_nursery(task_status=trio.TASK_STATUS_IGNORED) -> None:
+    """Keep a nursery open until it is cancelled."""
+    async with trio.open_nursery() as nursery:
+        task_status.started(nursery)
+        await trio.sleep_forever()
+
+
 def duplicates_of(listeners: list[trio.SocketListener]) -> list[trio.SocketListener]:
     """Return listeners on duplicates of sockets, which outlive the originals."""
     return [trio.SocketListener(each.socket.dup()) for each in listeners]
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -25,6 +25,7 @@
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.outcomes import Answered, NotRun, Reason, Unknown
 from catkinslip.proxy.runner import ANSWER_GRACE_SECONDS
+from catkinslip.proxy.stopping import StopTimes
 from catkinslip.proxy.wire import client_wire, server_wire
 from catkinslip.routing.directory import Directory
 from catkinslip.routing.policies import LeastInFlight
@@ -67,6 +68,9 @@
     attempts: list[int] = Factory(list)
     in_use: int = 0
 
+    def is_full(self, address) -> bool:
+        return False
+
     async def acquire(self, address, max_idle_seconds):
         script = self.scripts[len(self.reached) % len(self.scripts)]
         self.reached.append(script)
@@ -151,7 +155,14 @@
 
 
 def forward(
-    scripts, *, repeatable, attempt=1, tokens=5.0, limits=None, competitor=None
+    scripts,
+    *,
+    repeatable,
+    attempt=1,
+    tokens=5.0,
+    limits=None,
+    competitor=None,
+    stop_times=None,
 ) -> Result:
     """Forward one call on a virtual clock."""
 
@@ -159,6 +170,7 @@
         async with trio.open_nursery() as nursery:
             pool = ScriptedPool(nursery, list(scripts))
             forwarder = make_forwarder(pool, limits or LimitSettings())
+            forwarder.stop_gate.times = stop_times
             nursery.start_soon(forwarder.hedges.run)
             router = forwarder.directory.router_by_service['limits']
             service = forwarder.limits.limits_of('limits', router, 0.0)
@@ -426,3 +438,34 @@
         requests += requests_at_the_last_layer(layers - 1, number)
         step = plan.ended(Unknown(Reason.BROKEN), 0.0, is_sent=True)
     return requests
+
+
+class StoppingInstanceTest(unittest.TestCase):
+    """A call of an instance that stops starts no attempt that it may have to cut."""
+
+    def test_call_that_was_refused_is_not_sent_again_too_late(self):
+        # A second attempt after "not run" was started and cut at the end of the stop.
+        times = StopTimes(SLOW / 2, SLOW / 2, DEADLINE)
+        result = forward(['slow shed', 'answer'], repeatable=False, stop_times=times)
+        self.assertEqual(result.pool.reached, ['slow shed'])
+        self.assertIs(result.outcome.reason, Reason.STOPPING)
+        self.assertIsInstance(result.outcome, NotRun)
+
+    def test_call_in_flight_is_not_hedged_too_late(self):
+        # A hedge is an attempt like any other.
+        times = StopTimes(HEDGE_DELAY / 2, HEDGE_DELAY / 2, DEADLINE)
+        result = forward(
+            ['slow', 'answer'], repeatable=True, tokens=10.0, stop_times=times
+        )
+        self.assertEqual(result.pool.reached, ['slow'])
+        self.assertIsInstance(result.outcome, Answered)
+
+    def test_call_that_ends_in_time_is_sent_again_and_hedged(self):
+        # Refusing more than has to be refused costs callers an answer.
+        times = StopTimes(0.0, 0.0, DEADLINE + 1)
+        result = forward(['slow shed', 'answer'], repeatable=False, stop_times=times)
+        self.assertEqual(result.pool.reached, ['slow shed', 'answer'])
+        result = forward(
+            ['slow', 'answer'], repeatable=True, tokens=10.0, stop_times=times
+        )
+        self.assertEqual(result.pool.reached, ['slow', 'answer'])
