Send answers to keyed requests over the caller's connection

An answer to a request with an Idempotency-Key that is kept for replays was written past the connection's own state: bytes that were not written stayed unknown there, and an instance that drains did not say `connection: close`.

Cause: the recording wire was a second wire on the same stream and codec.

Evidence: the new test fails before (the connection does not know of the unwritten byte) and holds now, with the tests of tickets.

Why it works: the recording wire passes the events to the caller's connection, the one place that knows what was written on it.

--- a/catkinslip/tickets/gate.py
+++ b/catkinslip/tickets/gate.py
@@ -123,7 +123,9 @@
         if call.is_expired(self.home_forwarder.clock):
             self.table.release(key)
             return NotRun(Reason.TOO_LATE)
-        recorder = RecordingWire(caller.stream, caller.codec, caller.peer)
+        recorder = RecordingWire(
+            caller.stream, caller.codec, caller.peer, caller=caller
+        )
         outcome: Outcome = Unknown(Reason.BROKEN)
         try:
             outcome = await self.forwarder.forward(call, recorder)
--- a/catkinslip/tickets/replay.py
+++ b/catkinslip/tickets/replay.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 import h11
-from attrs import Factory, define
+from attrs import Factory, define, field
 
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.wire import Wire
@@ -20,6 +20,8 @@
 class RecordingWire(Wire):
     """A caller's connection that keeps the answer sent over it, if it is small."""
 
+    #: The connection, which knows what is written on it and whether it closes.
+    caller: Wire = field(kw_only=True)
     response: h11.Response | None = None
     chunks: list[bytes] = Factory(list)
     size: int = 0
@@ -29,7 +31,7 @@
         """Keep the events of an answer and send them to the caller."""
         for event in events:
             self._keep(event)
-        await Wire.send(self, *events)
+        await self.caller.send(*events)
 
     def kept_answer(self) -> KeptAnswer | None:
         """Return the answer if it is complete and small, else None."""
--- a/tests/test_proxy_unwritten_ends.py
+++ b/tests/test_proxy_unwritten_ends.py
@@ -9,8 +9,10 @@
 from catkinslip.clock import SystemClock
 from catkinslip.models import Address
 from catkinslip.proxy.caller_answers import is_reusable
+from catkinslip.proxy.draining import CallerDrain
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire, client_wire, server_wire
+from catkinslip.tickets.replay import RecordingWire
 from tests.builders import OneBackendForwarder, caller_server
 from tests.stalled_streams import StalledStream
 
@@ -142,3 +144,23 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(check)
+
+    def test_answer_to_a_keyed_request_counts_on_the_callers_connection(self):
+        # The part that keeps such answers wrote past the connection: what was unwritten
+        # stayed unknown there, and a connection that drains was not said to close.
+        async def check():
+            stream = StalledStream(b'ok', 1)
+            drain = CallerDrain()
+            caller = drain.open(stream)
+            drain.start_closing()
+            caller.codec.receive_data(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+            caller.codec.next_event()
+            caller.codec.next_event()
+            recorder = RecordingWire(stream, caller.codec, caller=caller)
+            response = h11.Response(status_code=200, headers=[('content-length', '2')])
+            with trio.move_on_after(0):
+                await recorder.send(response, h11.Data(data=b'ok'), h11.EndOfMessage())
+            self.assertTrue(caller.has_unwritten)
+            self.assertIn(b'connection: close', stream.written.lower())
+
+        trio.run(check)
