--- a/catkinslip/proxy/runner.py
+++ b/catkinslip/proxy/runner.py
@@ -270,8 +270,8 @@
             self.clock,
             self.random,
             self.began,
-            self.stop_gate,
             self.standing,
+            self.stop_gate,
         )
 
     async def _race(self, first: Launch, delay: float) -> Launch:
--- a/catkinslip/proxy/server_wait.py
+++ b/catkinslip/proxy/server_wait.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import trio
-from attrs import define, evolve, field
+from attrs import Factory, define, evolve, field
 
 from catkinslip.admission.restricted import restricted_retry_after
 from catkinslip.admission.retries import refused_retry_after
@@ -49,8 +49,8 @@
     clock: Clock
     random: Random
     began: float
-    stop_gate: StopGate
     standing: Standing = USUAL
+    stop_gate: StopGate = Factory(StopGate)
     waiting: WaitingCall = field(init=False)
     #: Whether the first decision was counted.
     is_counted: bool = False
