Keep running where a service is dropped with a hedge due

Cause: the directory dropped the router and the addresses; calls in flight kept the router with its servers, and the choice among them had no address. Nothing caught an error of a hedge before its first byte.

Why it works: a dropped router gives up its servers, so that hedges and second attempts find none, and an error in one hedge is logged and ends that hedge.

--- a/catkinslip/proxy/race.py
+++ b/catkinslip/proxy/race.py
@@ -70,6 +70,14 @@
 
     async def run(self) -> None:
         """Start the second attempt, or reschedule the hedge."""
+        try:
+            await self._run()
+        except Exception:
+            # An error in the hedge of one call must not stop the process.
+            log.exception('routing: the hedge of a call failed.')
+            self.second_ended.set()
+
+    async def _run(self) -> None:
         runner = self.runner
         if self.is_over:
             return
--- a/catkinslip/routing/directory.py
+++ b/catkinslip/routing/directory.py
@@ -78,7 +78,7 @@
         services = document.effective_services()
         now = self.clock.monotonic()
         for name in difference.services - services.keys():
-            self.router_by_service.pop(name, None)
+            self._drop_router(name)
         for name in difference.redefined & services.keys():
             router = self._router(name)
             self._configure_cold(router, services[name])
@@ -87,6 +87,12 @@
             if name in services and name not in difference.redefined:
                 self._router(name).change(services[name], changed, now)
 
+    def _drop_router(self, service: str) -> None:
+        router = self.router_by_service.pop(service, None)
+        if router is not None:
+            # Calls in flight still have the router, and must find no server there.
+            router.remove_servers()
+
     def _configure_cold(self, router: ServiceRouter, service: Service) -> None:
         bound = inf
         if service.cold_requests_per_second > 0:
--- a/catkinslip/routing/router.py
+++ b/catkinslip/routing/router.py
@@ -107,10 +107,7 @@
         for backend_id, backend in backend_by_id.items():
             load = self.load_by_id.get(backend_id)
             if load is not None and not is_same_start(load, backend):
-                del self.load_by_id[backend_id]
-                self.sample.remove(load)
-                self.subset.demand.forget(load.in_flight)
-                self.gates.forget(load)
+                self._remove(load)
                 load = None
             if backend is None:
                 continue
@@ -132,6 +129,18 @@
                 self.sample.add(load)
         self._list_loads()
 
+    def remove_servers(self) -> None:
+        """Remove all backend servers: the service is configured no longer."""
+        for load in list(self.load_by_id.values()):
+            self._remove(load)
+        self._list_loads()
+
+    def _remove(self, load: BackendLoad) -> None:
+        del self.load_by_id[load.backend_id]
+        self.sample.remove(load)
+        self.subset.demand.forget(load.in_flight)
+        self.gates.forget(load)
+
     def _apply_cold_entry(
         self, load: BackendLoad, backend: Backend, now: float, *, is_new: bool
     ) -> None:
--- a/tests/test_limits_attempts.py
+++ b/tests/test_limits_attempts.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from catkinslip.clock import Clock
-from catkinslip.config.documents import AcceptedConfig
+from catkinslip.config.documents import AcceptedConfig, Document
 from catkinslip.crashes.guard import CrashGuard
 from catkinslip.health.base import NoSampler
 from catkinslip.health.tracker import make_tracker
@@ -24,7 +24,7 @@
 from catkinslip.proxy.forwarder import Forwarder
 from catkinslip.proxy.hedges import HedgeTimer
 from catkinslip.proxy.outcomes import Answered, NotRun, Reason, Unknown
-from catkinslip.proxy.runner import ANSWER_GRACE_SECONDS
+from catkinslip.proxy.runner import ANSWER_GRACE_SECONDS, CallRunner
 from catkinslip.proxy.stopping import StopTimes
 from catkinslip.proxy.wire import client_wire, server_wire
 from catkinslip.routing.directory import Directory
@@ -163,6 +163,7 @@
     limits=None,
     competitor=None,
     stop_times=None,
+    meanwhile=None,
 ) -> Result:
     """Forward one call on a virtual clock."""
 
@@ -172,6 +173,8 @@
             forwarder = make_forwarder(pool, limits or LimitSettings())
             forwarder.stop_gate.times = stop_times
             nursery.start_soon(forwarder.hedges.run)
+            if meanwhile is not None:
+                nursery.start_soon(meanwhile, forwarder)
             router = forwarder.directory.router_by_service['limits']
             service = forwarder.limits.limits_of('limits', router, 0.0)
             service.budget.tokens = tokens
@@ -469,3 +472,41 @@
             ['slow', 'answer'], repeatable=True, tokens=10.0, stop_times=times
         )
         self.assertEqual(result.pool.reached, ['slow', 'answer'])
+
+
+async def drop_service(forwarder: Forwarder) -> None:
+    """Apply a configuration without the service and its servers to a call in flight."""
+    await trio.sleep(HEDGE_DELAY / 2)
+    config = AcceptedConfig(document=Document())
+    forwarder.directory.update(config)
+    forwarder.health.update(config)
+
+
+class DroppedServiceTest(unittest.TestCase):
+    """A version of the configuration drops a service with calls in flight."""
+
+    def test_hedge_to_a_dropped_service_does_not_end_the_instance(self):
+        # The hedge chose a server that had no address any more, and the error ended the
+        # process with all its requests.
+        result = forward(
+            ['slow', 'answer'], repeatable=True, tokens=10.0, meanwhile=drop_service
+        )
+        self.assertEqual(result.outcome, Answered(200))
+        self.assertEqual(result.pool.reached, ['slow'])
+
+    def test_second_attempt_at_a_dropped_service_is_refused(self):
+        # The same choice, after a refusal of the first server.
+        result = forward(
+            ['slow shed', 'answer'], repeatable=False, meanwhile=drop_service
+        )
+        self.assertEqual(result.pool.reached, ['slow shed'])
+        self.assertIsInstance(result.outcome, NotRun)
+
+    def test_error_of_a_hedge_does_not_end_the_instance(self):
+        # An error in the hedge of one call must not end the others.
+        with (
+            mock.patch.object(CallRunner, 'launch_hedge', side_effect=KeyError('x')),
+            self.assertLogs('routing', 'ERROR'),
+        ):
+            result = forward(['slow'], repeatable=True, tokens=10.0)
+        self.assertEqual(result.outcome, Answered(200))
