Keep running without descriptors, and leave some to servers and the store

Cause: the socket of a new connection was made outside the try that turns errors into outcomes, so EMFILE ended the tasks of the store and of peers. Callers' connections were bounded by 4,096 whatever max_fds said.

Not played with real descriptors.

Why it works: no socket is an outcome that is not put down to the server, and callers take at most three quarters of the descriptors that the platform leaves beside files.

--- a/catkinslip/crashes/guard.py
+++ b/catkinslip/crashes/guard.py
@@ -174,11 +174,11 @@
 async def refuses_connection(address: Address) -> bool:
     """Return whether a connection to an address is refused."""
     family = trio.socket.AF_INET6 if ':' in address.host else trio.socket.AF_INET
-    with trio.socket.socket(family) as sock, trio.move_on_after(PORT_CHECK_SECONDS):
-        try:
+    try:
+        with trio.socket.socket(family) as sock, trio.move_on_after(PORT_CHECK_SECONDS):
             await sock.connect((address.host, address.port))
-        except ConnectionRefusedError:
-            return True
-        except OSError as error:
-            log.debug('crashes: a server is unreachable. error=%r', error)
+    except ConnectionRefusedError:
+        return True
+    except OSError as error:
+        log.debug('crashes: a server is unreachable. error=%r', error)
     return False
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -162,6 +162,7 @@
         ),
         seeds=settings.seeds,
         address_lifetime=min(ADDRESS_LIFETIME_SECONDS, settings.max_address_seconds),
+        max_callers=settings.max_callers,
         stop_seconds=settings.stop_seconds,
         unsure_stop_seconds=UNSURE_STOP_SECONDS,
         probes_per_second=settings.probes_per_second,
--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -12,6 +12,11 @@
 from catkinslip.quotas.bounds import QuotaBounds, check_bounds
 
 FILE_VARIABLE = 'CATKINSLIP_NODE_FILE'
+DEFAULT_DESCRIPTORS = 4100
+#: Descriptors of a process that the platform reserves for files.
+FILE_DESCRIPTORS = 200
+#: Share of the others for callers; servers, the store and peers take the rest.
+CALLERS_SHARE = 0.75
 
 
 @frozen
@@ -34,6 +39,8 @@
     store_address: Address
     #: Processor cores that the process may use.
     cores: float
+    #: Limit of callers' connections.
+    max_callers: int
     #: Time between SIGTERM and SIGKILL.
     stop_seconds: float
     #: The longest allowed lifetime of an address answer.
@@ -136,6 +143,12 @@
     return bounds
 
 
+def read_max_callers(reader: SettingsReader) -> int:
+    """Return how many of the process's descriptors callers' connections may take."""
+    descriptors = reader.read_number('limits.max_fds', DEFAULT_DESCRIPTORS)
+    return max(1, int((descriptors - FILE_DESCRIPTORS) * CALLERS_SHARE))
+
+
 def read_settings(text: str) -> Result[PlatformSettings, tuple[str, ...]]:
     """Parse the settings, or return every mistake with its location."""
     try:
@@ -163,6 +176,7 @@
         # The process gets a share of one core, which is as fast as `cpus` cores.
         cores=reader.read_number('limits.cpu_share', 1.0)
         * reader.read_number('limits.cpus', 1.0),
+        max_callers=read_max_callers(reader),
         stop_seconds=reader.read_bound(bound_by_name, 'grace_s'),
         max_address_seconds=reader.read_bound(bound_by_name, 'ttl_max_s'),
         probes_per_second=reader.read_bound(bound_by_name, 'probes_per_s'),
--- a/catkinslip/proxy/pool.py
+++ b/catkinslip/proxy/pool.py
@@ -1,5 +1,6 @@
 """A pool of connections to backend servers, limited in number and reused."""
 
+import logging
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
@@ -32,6 +33,8 @@
 )
 
 
+log = logging.getLogger('pool')
+
 #: Opens a connection to an address, with or without TCP keep-alive.
 Connector = Callable[[Address, bool], Awaitable[Wire | NotRun]]
 
@@ -256,7 +259,12 @@
 async def connect(address: Address, uses_keepalive: bool = False) -> Wire | NotRun:
     """Open a connection to a backend server, or return why that failed."""
     family = trio.socket.AF_INET6 if ':' in address.host else trio.socket.AF_INET
-    sock = trio.socket.socket(family)
+    try:
+        sock = trio.socket.socket(family)
+    except OSError as error:
+        # This instance lacks descriptors or memory; the server is not at fault.
+        log.warning('pool: no socket for a connection to %s. error=%s', address, error)
+        return NotRun(Reason.CONNECTION_LIMIT, str(error))
     try:
         if uses_keepalive:
             for option in KEEPALIVE_OPTIONS:
--- a/catkinslip/wiring/entry.py
+++ b/catkinslip/wiring/entry.py
@@ -112,6 +112,8 @@
     own: InstanceEntry
     seeds: tuple[Address, ...]
     address_lifetime: float
+    #: Limit of callers' connections.
+    max_callers: int
     #: Time from the stop request to the kill of the process.
     stop_seconds: float
     #: Time from the stop request in which requests may come that are left unfinished.
@@ -391,6 +393,7 @@
         None,
         CallerLimits(
             request_timeout=REQUEST_TIMEOUT_SECONDS,
+            max_connections=settings.max_callers,
             uses_wall_clock=False,
             max_pipelined_requests=MAX_PIPELINED_REQUESTS,
         ),
