Do not take a late answer to a health check for a refusal of a request

Cause: a refusal without a request ID was taken as an answer to the request sent last, although health checks go over the same connections and their answers bear no ID.

Evidence: the new test fails before (not run, shed) and holds now.

Why it works: on a reused connection only a refusal that names the request counts; any other means that the request may have run.

--- a/catkinslip/platform/dialect.py
+++ b/catkinslip/platform/dialect.py
@@ -95,12 +95,18 @@
         return headers
 
     def find_fault(
-        self, call: Call, status: int, headers: list[Header]
+        self,
+        call: Call,
+        status: int,
+        headers: list[Header],
+        *,
+        is_reused: bool = False,
     ) -> Unknown | None:
         """Return why an answer must not be forwarded; None if it may."""
         echoed_id = names.find(headers, wire.REQUEST_ID)
         is_same_id = echoed_id == call.request_id.encode()
-        # A success must have its ID and signature; a refusal may have no such header.
+        # A success must have its ID and signature. A refusal may have no such header,
+        # but where health checks came before it, it may be an answer to one of these.
         if echoed_id is not None and not is_same_id:
             return Unknown(Reason.CROSSED)
         if 200 <= status < 300:
@@ -110,7 +116,7 @@
                 return Unknown(Reason.BROKEN, "the body is not the server's own")
         elif status < 400:
             return Unknown(Reason.BROKEN, f'status {status} is no answer')
-        elif find_refusal(status, headers) is None and not is_same_id:
+        elif not is_same_id and (is_reused or find_refusal(status, headers) is None):
             return Unknown(Reason.BROKEN, 'an answer without its request ID')
         return answers.find_framing_fault(headers)
 
--- a/catkinslip/proxy/dialect.py
+++ b/catkinslip/proxy/dialect.py
@@ -98,9 +98,12 @@
 
     @abstractmethod
     def find_fault(
-        self, call: Call, status: int, headers: list[Header]
+        self, call: Call, status: int, headers: list[Header], *, is_reused: bool = False
     ) -> Unknown | None:
-        """Return why an answer must not be forwarded; None if it may."""
+        """Return why an answer must not be forwarded; None if it may.
+
+        On a reused connection, a late second answer to an earlier exchange may come.
+        """
 
     @abstractmethod
     def find_refusal(self, status: int, headers: list[Header]) -> Reason | None:
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -209,7 +209,7 @@
         call = self.call
         headers = list(response.headers)
         status = response.status_code
-        fault = self.dialect.find_fault(call, status, headers)
+        fault = self.dialect.find_fault(call, status, headers, is_reused=wire.is_reused)
         if fault is not None:
             wire.must_close = True
             return fault
--- a/catkinslip/proxy/native_dialect.py
+++ b/catkinslip/proxy/native_dialect.py
@@ -61,7 +61,12 @@
         return headers
 
     def find_fault(
-        self, call: Call, status: int, headers: list[Header]
+        self,
+        call: Call,
+        status: int,
+        headers: list[Header],
+        *,
+        is_reused: bool = False,
     ) -> Unknown | None:
         """Return why an answer must not be forwarded; None if it may."""
         echo = names.find(headers, names.REQUEST_ID)
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -148,7 +148,7 @@
         headers = dict(head.headers)
         request_id = headers[b'request-id']
         if headers.get(b'target-instance') != self.server_id.encode():
-            await self._send(stream, codec, 421, [], b'')
+            await self._send(stream, codec, 421, [(b'request-id', request_id)], b'')
             return True
         self.arrived_at.append(trio.current_time())
         self.arrivals.append((trio.current_time(), request_id.decode()))
@@ -159,7 +159,11 @@
                 await trio.sleep_forever()
         if self.fault is Fault.SHED:
             self.sheds += 1
-            headers = [(b'not-executed', b'1'), *self._rate_headers(is_answer=False)]
+            headers = [
+                (b'request-id', request_id),
+                (b'not-executed', b'1'),
+                *self._rate_headers(is_answer=False),
+            ]
             if self.rest is not None:
                 headers.append((b'retry-after', self.rest))
                 refused = RefusedRequest(
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -26,8 +26,12 @@
         head = RequestHead(b'GET', b'/a/', b'1.1', [(b'host', b'a:81'), *headers])
         return self.dialect.read_parameters(head, 0.0)
 
-    def fault(self, status: int, *headers: tuple[bytes, bytes]) -> Unknown | None:
-        return self.dialect.find_fault(self.call, status, list(headers))
+    def fault(
+        self, status: int, *headers: tuple[bytes, bytes], is_reused: bool = False
+    ) -> Unknown | None:
+        return self.dialect.find_fault(
+            self.call, status, list(headers), is_reused=is_reused
+        )
 
     def problem(self, outcome: NotRun | Unknown) -> h11.Response:
         return self.dialect.problem_events(outcome, 'r')[0]
@@ -56,6 +60,15 @@
         crossed = self.fault(200, (b'request-id', b'other'), SIGNED)
         self.assertIs(crossed.reason, Reason.CROSSED)
 
+    def test_refusal_without_an_id_is_not_trusted_on_a_reused_connection(self):
+        # It may be a late second answer to a health check, and the request may run.
+        refusal = (b'not-executed', b'1')
+        for status in (421, 429, 503):
+            self.assertIsNone(self.fault(status, refusal))
+            self.assertIsNone(self.fault(status, refusal, OWN_ID, is_reused=True))
+            fault = self.fault(status, refusal, is_reused=True)
+            self.assertIs(fault.reason, Reason.BROKEN)
+
     def test_encoded_body_is_not_the_servers_own(self):
         encoded = (b'content-encoding', b'gzip')
         self.assertIsNotNone(self.fault(200, OWN_ID, SIGNED, encoded))
