Close the listener of a stopping instance when address answers expire

Where nearly all instances stop in turn, a refused caller went on to another that stopped as well, and instances were back later.

Change: the listener closes half a second after the answers that name the instance have expired.

--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -154,7 +154,13 @@
     """
     callers, gate = entry.callers.drain, entry.callers.stop_gate
     clock = entry.callers.environment.clock
-    times = plan_entry_stop(entry, clock.monotonic())
+    settings = entry.settings
+    times = plan_stop(
+        clock.monotonic(),
+        settings.stop_seconds,
+        settings.unsure_stop_seconds,
+        settings.address_lifetime,
+    )
     log_stop(entry, times, clock.monotonic())
     gate.start(times)
     entry.instances.leave()
@@ -179,18 +185,6 @@
     )
 
 
-def plan_entry_stop(entry: Entry, now: float) -> StopTimes:
-    """Return the moments of a stop of an instance that begins now."""
-    routes = entry.config.current.document.rules.routes
-    timeouts = [route.timeout for route in routes.values()]
-    return plan_stop(
-        now,
-        entry.settings.stop_seconds,
-        entry.settings.unsure_stop_seconds,
-        min(timeouts, default=entry.callers.limits.request_timeout),
-    )
-
-
 def log_stop(entry: Entry, times: StopTimes, now: float) -> None:
     """Log the start of a stop and the moments of it."""
     log.info(
--- a/catkinslip/proxy/stopping.py
+++ b/catkinslip/proxy/stopping.py
@@ -11,7 +11,7 @@
 from catkinslip.proxy.outcomes import NotRun, Reason
 
 #: Time to write an answer that arrives at the deadline of its call.
-ANSWER_SECONDS = 0.2
+ANSWER_SECONDS = 0.1
 #: Callers hold the addresses of other instances, which may take the request at once.
 RETRY_SECONDS = 0.0
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from soak.partitions import PartitionPlayer
 from soak.restores import RestorePlayer
 from soak.rests import RestPlayer
+from soak.stops import DEADLINES_MS, StopPlayer, find_lost
 from soak.world import World, make_folder, wait_for
 from soak.zones import ZonePlayer
 
@@ -51,6 +52,9 @@
     has_rests: bool = False,
     has_restores: bool = False,
     has_partitions: bool = False,
+    has_stops: bool = False,
+    instances: int = INSTANCES,
+    callers: int = CALLERS,
 ) -> Result:
     """Run the soak test with one seed, and keep the logs if a check failed."""
     random = Random(seed)
@@ -65,9 +69,10 @@
                 has_rests=has_rests,
                 has_restores=has_restores,
                 has_partitions=has_partitions,
+                has_stops=has_stops,
             )
             try:
-                result = await play(world, seed, seconds)
+                result = await play(world, seed, seconds, instances, callers)
             finally:
                 for instance in world.instances:
                     instance.end()
@@ -77,18 +82,23 @@
     return result
 
 
-async def play(world: World, seed: int, seconds: float) -> Result:
+async def play(
+    world: World, seed: int, seconds: float, instances: int, caller_count: int
+) -> Result:
     """Inject faults under load, wait for recovery, and run all checks."""
-    await world.open(WORKERS, INSTANCES)
+    await world.open(WORKERS, instances)
     callers = Callers(world, Random(seed))
     player = FaultPlayer(world)
+    if world.has_stops:
+        player = StopPlayer(world)
+        callers.deadlines_ms = DEADLINES_MS
     zones = ZonePlayer(world, Random(f'{seed} zones'))
     throttles = ThrottlePlayer(world, Random(f'{seed} needs'))
     rests = RestPlayer(world, Random(f'{seed} rests'), callers)
     restores = RestorePlayer(world, Random(f'{seed} restores'))
     partitions = PartitionPlayer(world, Random(f'{seed} partitions'), callers)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(callers.run, CALLERS)
+        nursery.start_soon(callers.run, caller_count)
         await wait_for(lambda: any(each.status == 200 for each in callers.requests))
         async with trio.open_nursery() as players:
             players.start_soon(player.run, seconds)
@@ -118,6 +128,7 @@
         *throttles.violations(),
         *rests.violations(),
         *partitions.violations(),
+        *(find_lost(callers, player.stops) if world.has_stops else ()),
         *unexpected_exits,
         *unrecovered,
     )
@@ -150,6 +161,11 @@
         action='store_true',
         help='Also partition instances from all servers.',
     )
+    parser.add_argument(
+        '--stops', action='store_true', help='Play planned work only, without faults.'
+    )
+    parser.add_argument('--instances', type=int, default=INSTANCES)
+    parser.add_argument('--callers', type=int, default=CALLERS)
     arguments = parser.parse_args()
     seeds = list(arguments.seeds or ())
     seeds += [
@@ -164,6 +180,9 @@
             has_rests=arguments.rests,
             has_restores=arguments.restores,
             has_partitions=arguments.partitions,
+            has_stops=arguments.stops,
+            instances=arguments.instances,
+            callers=arguments.callers,
         )
         result = trio.run(run, seed, arguments.seconds, arguments.keep)
         failed += bool(result.violations)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -36,6 +36,8 @@
     outcome: Outcome | None = None
     status: int = 0
     ended_at: float = 0.0
+    #: Seconds that the caller waits, as it declared.
+    deadline: float = DEADLINE_MS / 1000
 
 
 @define
@@ -47,6 +49,8 @@
     requests: list[Request] = Factory(list)
     violations: list[str] = Factory(list)
     count: int = 0
+    #: Deadlines of the requests in milliseconds, one of which is drawn for each.
+    deadlines_ms: tuple[int, ...] = (DEADLINE_MS,)
 
     async def run(self, callers: int) -> None:
         """Send requests from a number of callers until cancelled."""
@@ -73,10 +77,14 @@
             trio.current_time(),
         )
         self.requests.append(request)
+        deadline_ms = self.deadlines_ms[0]
+        if len(self.deadlines_ms) > 1:
+            deadline_ms = self.random.choice(self.deadlines_ms)
+        request.deadline = deadline_ms / 1000
         headers = {
             'Host': 'a.example',
             'Request-Id': request.request_id,
-            'Deadline-Ms': str(DEADLINE_MS),
+            'Deadline-Ms': str(deadline_ms),
         }
         method, path = ('GET', '/q/x') if request.is_idempotent else ('POST', '/p/x')
         try:
--- a/soak/world.py
+++ b/soak/world.py
@@ -108,6 +108,8 @@
     has_restores: bool = False
     #: Whether instances are partitioned from all servers.
     has_partitions: bool = False
+    #: Whether there is planned work only: stops, signals and changes of rules.
+    has_stops: bool = False
     paths: InstancePaths = Factory(
         lambda self: InstancePaths(self.instances), takes_self=True
     )
