Play stops in series in the soak, with callers that stay until the end

The check counts a request as cut if it ran, no answer of a server reached its caller and neither its deadline, the route's timeout nor the last sixth of the grace period excuses it; as held if an instance has read it, by its log, and ended its connection unanswered later than 0.2 s. Two earlier forms of the second check are not kept: they counted connections that were not accepted, or closed with the request unread (in no instance's log).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import shutil
 import sys
 import time
+from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -18,7 +19,7 @@
 from soak.partitions import PartitionPlayer
 from soak.restores import RestorePlayer
 from soak.rests import RestPlayer
-from soak.stops import DEADLINES_MS, StopPlayer, find_lost
+from soak.stops import DEADLINES_MS, StopPlayer, find_lost, find_read_ids
 from soak.world import World, make_folder, wait_for
 from soak.zones import ZonePlayer
 
@@ -86,7 +87,8 @@
     world: World, seed: int, seconds: float, instances: int, caller_count: int
 ) -> Result:
     """Inject faults under load, wait for recovery, and run all checks."""
-    await world.open(WORKERS, instances)
+    workers = max(WORKERS, WORKERS * caller_count // CALLERS)
+    await world.open(workers, instances)
     callers = Callers(world, Random(seed))
     player = FaultPlayer(world)
     if world.has_stops:
@@ -128,13 +130,21 @@
         *throttles.violations(),
         *rests.violations(),
         *partitions.violations(),
-        *(find_lost(callers, player.stops) if world.has_stops else ()),
+        *find_violations_of_stops(world, callers, player),
         *unexpected_exits,
         *unrecovered,
     )
     return Result(seed, len(player.played), len(callers.requests), violations)
 
 
+def find_violations_of_stops(
+    world: World, callers: Callers, player: FaultPlayer
+) -> Iterator[str]:
+    """Yield the requests that stops cut, if there was planned work only."""
+    if isinstance(player, StopPlayer):
+        yield from find_lost(callers, player.stops, find_read_ids(world.instances))
+
+
 def main() -> int:
     """Run the seeds from the command line; return 1 if a check failed for any."""
     parser = argparse.ArgumentParser(prog='soak', description=__doc__)
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -1,7 +1,8 @@
 """Planned work only: instances stop in series, beside signals and changes of rules."""
 
+import re
 import signal
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterable, Iterator
 
 import trio
 from attrs import Factory, define, frozen
@@ -16,6 +17,8 @@
 LAST_SIXTH_SECONDS = STOP_SECONDS * 5 / 6
 #: A request that was read and not passed on is answered within this time.
 LOST_SLACK_SECONDS = 0.2
+#: The line in an instance's log of a request that it has read.
+READ_LINE = re.compile(r' request: (r\d+) ')
 #: Timeout of the routes in the configuration.
 TIMEOUT_SECONDS = 1.5
 #: Time from the grace period's end until a cut counts as one of the stop.
@@ -85,9 +88,13 @@
 
     async def run(self, seconds: float) -> None:
         """Play planned work for some seconds, then wait until all has ended."""
-        for worker in self.world.worker_by_id.values():
+        workers = self.world.worker_by_id.values()
+        usual_seconds = [worker.work_seconds for worker in workers]
+        for worker in workers:
             worker.work_seconds = WORK_SECONDS
         await super().run(seconds)
+        for worker, seconds_before in zip(workers, usual_seconds, strict=True):
+            worker.work_seconds = seconds_before
 
     def _instance(self) -> Instance | None:
         """Return an instance that does not stop; all may stop at the same time."""
@@ -95,8 +102,13 @@
         return self.world.random.choice(free) if free else None
 
 
-def find_lost(callers: Callers, stops: list[Stop]) -> Iterator[str]:
-    """Yield the requests that a stop cut or left without an answer."""
+def find_lost(
+    callers: Callers, stops: list[Stop], read_ids: Collection[str]
+) -> Iterator[str]:
+    """Yield the requests that a stop cut or left without an answer.
+
+    `read_ids` are the IDs of the requests that an instance has read.
+    """
     for request in callers.requests:
         runs = callers.world.runs(request.request_id)
         if runs and is_unanswered(request) and not is_excused(request, stops):
@@ -105,15 +117,11 @@
                 f'{request.ended_at - request.sent_at:.2f} s after it was sent, '
                 f'{describe(request, stops)}'
             )
-        seconds = request.ended_at - request.sent_at
-        if (
-            not runs
-            and request.outcome is Outcome.NOTHING
-            and seconds > LOST_SLACK_SECONDS
-        ):
+        if not runs and request.request_id in read_ids and is_held(request):
             yield (
-                f'{request.request_id} at {request.instance} was held {seconds:.2f} s '
-                f'and not answered, {describe(request, stops)}'
+                f'{request.request_id} at {request.instance} was held '
+                f'{request.ended_at - request.sent_at:.2f} s and not answered, '
+                f'{describe(request, stops)}'
             )
 
 
@@ -122,6 +130,21 @@
     return request.outcome in (Outcome.NOTHING, Outcome.FAILED)
 
 
+def is_held(request: Request) -> bool:
+    """Return whether the connection of a request ended late and without an answer."""
+    is_late = request.ended_at - request.sent_at > LOST_SLACK_SECONDS
+    return request.outcome is Outcome.NOTHING and is_late
+
+
+def find_read_ids(instances: Iterable[Instance]) -> frozenset[str]:
+    """Return the IDs of the requests whose end instances have logged."""
+    return frozenset(
+        request_id
+        for instance in instances
+        for request_id in READ_LINE.findall(instance.log_path.read_text())
+    )
+
+
 def is_excused(request: Request, stops: list[Stop]) -> bool:
     """Return whether a request may be cut: it lasted too long, or was sent early."""
     seconds = request.ended_at - request.sent_at
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from soak.needs import ThrottledSpan, ThrottlePlayer
 from soak.partitions import Partition, PartitionPlayer
 from soak.rests import RestPlayer
+from soak.stops import Stop, find_lost
 from soak.world import World as SoakWorld
 from soak.zones import Evacuation, ZonePlayer
 from standins.processes import ROOT
@@ -31,6 +32,12 @@
 REST_SECONDS = 10.0
 PARTITION_SEED = 1
 PARTITION_SECONDS = 5.0
+#: Stops of 6 s in series, which overlap; as many instances and callers as CI bears.
+STOP_SEEDS = (1, 2)
+STOP_SECONDS = 10.0
+LARGE_STOP_SEED = 3
+LARGE_INSTANCES = 6
+LARGE_CALLERS = 24
 KEPT_LOGS = ROOT / 'build' / 'soak'
 
 
@@ -128,6 +135,46 @@
         self.assertFalse(self.violations(refused, answered, 16.5))
 
 
+class StopChecksTest(unittest.TestCase):
+    """The check of stops finds requests that are cut or left without an answer."""
+
+    def lost(
+        self,
+        runs: int,
+        outcome: Outcome,
+        sent: float,
+        ended: float,
+        *,
+        is_read: bool = True,
+    ) -> list[str]:
+        """Return the violations of one request; the instance got SIGTERM at 10 s."""
+        callers = Callers(World(runs), Random(1))
+        request = Request('r1', False, 'edge-0', sent, outcome, ended_at=ended)
+        request.deadline = 3.0
+        callers.requests.append(request)
+        read_ids = {'r1'} if is_read else set()
+        return list(find_lost(callers, [Stop('edge-0', 10.0)], read_ids))
+
+    def test_request_that_was_passed_on_late_and_cut(self):
+        for outcome in (Outcome.NOTHING, Outcome.FAILED):
+            self.assertTrue(self.lost(1, outcome, 14.0, 15.0))
+            self.assertTrue(self.lost(1, outcome, 12.0, 13.0))
+        self.assertFalse(self.lost(1, Outcome.ANSWERED, 14.0, 15.0))
+
+    def test_early_request_that_lasts_into_the_last_sixth(self):
+        self.assertFalse(self.lost(1, Outcome.NOTHING, 12.9, 15.1))
+        self.assertFalse(self.lost(1, Outcome.NOTHING, 13.5, 15.1))
+        self.assertTrue(self.lost(1, Outcome.NOTHING, 13.9, 15.1))
+
+    def test_request_that_is_held_and_not_answered(self):
+        self.assertTrue(self.lost(0, Outcome.NOTHING, 14.0, 14.3))
+        self.assertFalse(self.lost(0, Outcome.NOTHING, 14.0, 14.1))
+        self.assertFalse(self.lost(0, Outcome.NOT_RUN, 14.0, 14.3))
+
+    def test_request_that_no_instance_has_read_is_not_held(self):
+        self.assertFalse(self.lost(0, Outcome.NOTHING, 14.0, 14.3, is_read=False))
+
+
 class ThrottleChecksTest(unittest.TestCase):
     """The checks of throttled servers find requests beyond the bound."""
 
@@ -207,6 +254,27 @@
         self.assertEqual(result.violations, (), f'logs in {KEPT_LOGS}')
         self.assertGreater(result.requests, 100)
 
+    def test_stops_in_series_cut_no_request(self):
+        # Requests that were read late in a stop were cut.
+        run = partial(soak, has_stops=True)
+        for seed in STOP_SEEDS:
+            with self.subTest(seed):
+                result = trio.run(run, seed, STOP_SECONDS, KEPT_LOGS)
+                self.assertEqual(result.violations, (), f'logs in {KEPT_LOGS}')
+                self.assertGreater(result.requests, 100)
+
+    def test_stops_of_many_instances_cut_no_request(self):
+        # The same, with more processes and callers.
+        run = partial(
+            soak,
+            has_stops=True,
+            instances=LARGE_INSTANCES,
+            callers=LARGE_CALLERS,
+        )
+        result = trio.run(run, LARGE_STOP_SEED, STOP_SECONDS, KEPT_LOGS)
+        self.assertEqual(result.violations, (), f'logs in {KEPT_LOGS}')
+        self.assertGreater(result.requests, 100)
+
     def test_evacuated_zones_and_cold_servers(self):
         run = partial(soak, has_zones=True)
         result = trio.run(run, ZONE_SEED, ZONE_SECONDS, KEPT_LOGS)
