--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -18,12 +18,7 @@
 from catkinslip.models import Address
 from catkinslip.pages import PageServer
 from catkinslip.platform import names
-from catkinslip.platform.client import (
-    KindSource,
-    StoreClient,
-    StoredCrashes,
-    StoredInstances,
-)
+from catkinslip.platform.client import StoreClient
 from catkinslip.platform.decoding import (
     decode_backend,
     decode_crash,
@@ -34,6 +29,8 @@
 from catkinslip.platform.dialect import PlatformDialect
 from catkinslip.platform.pages import PlatformPages
 from catkinslip.platform.settings import PlatformSettings, read_settings_file
+from catkinslip.platform.sources import KindSource
+from catkinslip.platform.stored import StoredCrashes, StoredInstances
 from catkinslip.status import ExitStatus
 from catkinslip.wiring.entry import (
     Dependencies,
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -12,14 +12,10 @@
 from catkinslip.discovery.revisions import era_of
 from catkinslip.models import Address
 from catkinslip.platform import names
-from catkinslip.platform.client import (
-    RESTORED,
-    KindSource,
-    StoreClient,
-    StoredCrashes,
-    load_json,
-)
+from catkinslip.platform.client import RESTORED, StoreClient, load_json
 from catkinslip.platform.decoding import decode_backend
+from catkinslip.platform.sources import KindSource
+from catkinslip.platform.stored import StoredCrashes
 from catkinslip.proxy.pool import KEEPALIVE_OPTIONS
 from catkinslip.store.base import Conflict, OverBudget
 from tests.small_platform import GENEROUS_SECONDS, SmallPlatform, on_platform
--- a/tests/test_platform_workspaces.py
+++ b/tests/test_platform_workspaces.py
@@ -8,8 +8,9 @@
 from catkinslip.config.documents import Workspace
 from catkinslip.models import Address
 from catkinslip.platform import names
-from catkinslip.platform.client import KindSource, StoreClient
+from catkinslip.platform.client import StoreClient
 from catkinslip.platform.decoding import DECODE_ERRORS, decode_rules
+from catkinslip.platform.sources import KindSource
 from tests.small_platform import on_platform, wait_for
 from tests.test_platform_decoding import ANY_JSON
 from tests.workspace_builders import (
