Keep sound objects beside one that the store's decoder rejects

With three instances a new server got 0 of 36 requests, also after the restart of one instance; after the restart of all none got ready, so callers had no instance.

Cause: an answer was decoded as one value by two decoders with different limits (1,024 levels and no halves of surrogate pairs; the interpreter's recursion limit and 4,300 digits). A text within one object that both reject failed the listing or the watch. Also: a page whose last names are no text ended the listing, as these names were not sent on in `after`.

Change: an answer that neither decoder reads is split into its objects by brackets and texts, without decoding, and each object is decoded by itself; its name is taken from its metadata, so that an unreadable change still removes the server that it replaces. Names go back to the store with the bytes that they had. Bytes that are no UTF-8 make their object unreadable; before, U+FFFD stood for them, and a server was used under a name that it does not have. Nesting is bounded by a number of ours, not by the interpreter's. An unreadable object is logged once, not at each reading, and errors are shortened.

Ruled out: a third decoder (each has limits of its own); listing by single reads (a call for each).

--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -1,6 +1,5 @@
 """The client of the platform's store; it retries no call."""
 
-import json
 import logging
 import re
 from collections import Counter
@@ -13,17 +12,14 @@
 from attrs import Factory, define, evolve, frozen
 from returns.result import Failure, Result, Success
 
-from catkinslip.discovery.base import (
-    HistoryRemoved,
-)
+from catkinslip.discovery.base import HistoryRemoved
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge
 from catkinslip.metrics.calls import call_outcome, calls_family
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient, Reply
-from catkinslip.platform.names import (
-    OBJECTS_PATH,
-    STORE_ERA,
-)
+from catkinslip.platform.fields import describe
+from catkinslip.platform.json_text import load_answer
+from catkinslip.platform.names import OBJECTS_PATH, STORE_ERA
 from catkinslip.proxy.headers import find
 from catkinslip.proxy.outcomes import NotRun, Unknown
 from catkinslip.proxy.pool import BackendPool
@@ -171,18 +167,7 @@
         # Such a status is understood without its body.
         return Success(StoreAnswer(reply.status, None))
     try:
-        return Success(StoreAnswer(reply.status, load_json(reply.body or b'null')))
-    except (ValueError, RecursionError) as error:
-        return Failure(Unavailable(f'the answer of the store is not JSON, {error}'))
-
-
-def load_json(body: bytes) -> Any:
-    """Decode JSON, also with bytes that are not UTF-8 and numbers such as NaN.
-
-    An unreadable value from another writer then affects only its own object.
-    """
-    try:
-        return orjson.loads(body)
-    except orjson.JSONDecodeError:
-        # Decodes invalid bytes to U+FFFD, and NaN and infinity to floats.
-        return json.loads(body.decode(errors='replace'))
+        return Success(StoreAnswer(reply.status, load_answer(reply.body or b'null')))
+    except ValueError as error:
+        reason = describe(error)
+        return Failure(Unavailable(f'the answer of the store is not JSON, {reason}'))
--- a/catkinslip/platform/fields.py
+++ b/catkinslip/platform/fields.py
@@ -10,6 +10,13 @@
 from typing import Any
 
 MAX_NUMBER = float_info.max
+#: Characters of an error in log lines.
+MAX_ERROR_LENGTH = 200
+
+
+def describe(error: Exception) -> str:
+    """Return type and text of an error for a log line, shortened."""
+    return f'{type(error).__name__}: {error}'[:MAX_ERROR_LENGTH]
 
 
 def read_text(value: Any) -> str:
--- a/catkinslip/platform/sources.py
+++ b/catkinslip/platform/sources.py
@@ -19,8 +19,15 @@
 from catkinslip.discovery.revisions import era_of, number_of, revision_of
 from catkinslip.platform.client import RESTORED, StoreAnswer, StoreClient
 from catkinslip.platform.decoding import DECODE_ERRORS
+from catkinslip.platform.fields import describe
+from catkinslip.platform.json_text import UndecodableObject
 from catkinslip.store.base import PlatformError, Unavailable
 
+#: Names of unreadable objects that are kept to log each of them once.
+MAX_LOGGED_NAMES = 1000
+#: Characters of a name in log lines.
+MAX_NAME_LENGTH = 200
+
 log = logging.getLogger('store')
 
 
@@ -36,6 +43,8 @@
     #: configuration must; otherwise it counts as removed.
     keeps_readable: bool = False
     readable_by_name: dict[str, Value] = Factory(dict)
+    #: Errors of the unreadable objects, which are logged once, by name.
+    error_by_name: dict[str, str] = Factory(dict)
 
     async def read_all(
         self, *, may_be_stale: bool = False
@@ -46,11 +55,12 @@
         """
         value_by_name: dict[str, Value] = {}
         after = ''
+        page_ends = {after}
         # The revision of the first page is kept: later changes may be missing from
         # the pages, and are then returned by the next wait.
         revision = None
         while True:
-            query = f'?after={quote(after)}' if after else ''
+            query = f'?after={quote_name(after)}' if after else ''
             if may_be_stale:
                 query += f'{"&" if query else "?"}serializable=1'
             result = await self.client.call('GET', self.kind + query)
@@ -65,11 +75,13 @@
                     return Failure(Unavailable('restored during a listing'))
                 if not reply.body.get('more'):
                     return Success(Listing(value_by_name, revision))
-                if last <= after:
+                if last in page_ends:
                     return Failure(Unavailable(f'no name follows {after!r}'))
+                page_ends.add(last)
                 after = last
             except DECODE_ERRORS as error:
-                return Failure(Unavailable(f'a listing cannot be read, {error!r}'))
+                reason = describe(error)
+                return Failure(Unavailable(f'a listing cannot be read, {reason}'))
 
     async def wait_for_changes(
         self, revision: int, wait: float
@@ -98,7 +110,8 @@
             return Success(Changes(kept, revision_of(reply.era, reply.body['as_of'])))
         except DECODE_ERRORS as error:
             # A full listing includes the changes of this answer.
-            return Failure(HistoryRemoved(f'changes cannot be read, {error!r}'))
+            reason = describe(error)
+            return Failure(HistoryRemoved(f'changes cannot be read, {reason}'))
 
     def _read_event(
         self, event: Mapping[str, Any], era: int
@@ -109,9 +122,10 @@
             return None
         if event['tombstone']:
             self.readable_by_name.pop(name, None)
-            return name, None
+            self.error_by_name.pop(name, None)
+            return (name, None) if is_text(name) else None
         value = self._decode(name, item, era)
-        if value is None and self.keeps_readable:
+        if not is_text(name) or (value is None and self.keeps_readable):
             return None
         # Otherwise an unreadable object counts as removed.
         return name, value
@@ -130,27 +144,45 @@
                 value_by_name[name] = value
         return last
 
-    def _decode(self, name: str, item: Mapping[str, Any], era: int) -> Value | None:
+    def _decode(self, name: str, item: Any, era: int) -> Value | None:
         try:
-            # Peers that cannot be sent a value would learn nothing any more.
-            orjson.dumps(item)
-            value = self.decode(name, with_era(item, era))
+            value = self._read_value(name, item, era)
         except DECODE_ERRORS as error:
-            self.client.unreadable_by_kind[self.kind] += 1
-            log.warning(
-                'store: unreadable object ignored. kind=%s name=%s kept=%s error=%r',
-                self.kind,
-                name,
-                name in self.readable_by_name,
-                error,
-            )
+            self._note_unreadable(name, describe(error))
             return None
+        self.error_by_name.pop(name, None)
         if self.keeps_readable:
             self.readable_by_name[name] = value
         return value
 
+    def _read_value(self, name: str, item: Any, era: int) -> Value:
+        """Return the value of an object; raise one of DECODE_ERRORS without one."""
+        if isinstance(item, UndecodableObject):
+            raise ValueError(item.error)
+        if not is_text(name):
+            raise ValueError('the name is missing or no text')
+        # Peers that cannot be sent a value would learn nothing any more.
+        orjson.dumps(item)
+        return self.decode(name, with_era(item, era))
+
+    def _note_unreadable(self, name: str, error: str) -> None:
+        """Count an unreadable object, and log it unless it was logged already."""
+        self.client.unreadable_by_kind[self.kind] += 1
+        if self.error_by_name.get(name) == error:
+            return
+        if len(self.error_by_name) >= MAX_LOGGED_NAMES:
+            self.error_by_name.clear()
+        self.error_by_name[name] = error
+        log.warning(
+            'store: unreadable object ignored. kind=%s name=%s kept=%s error=%s',
+            self.kind,
+            name[:MAX_NAME_LENGTH],
+            name in self.readable_by_name,
+            error,
+        )
+
     def _is_wanted(self, name: str) -> bool:
-        return bool(name) and self.name in (None, name)
+        return self.name in (None, name)
 
 
 def with_era(item: Mapping[str, Any], era: int) -> Mapping[str, Any]:
@@ -163,12 +195,27 @@
 
 
 def name_of(item: Any) -> str:
-    """Return the name of an object; an empty text if it has none."""
+    """Return the name of an object as it is; an empty text if it has none."""
+    if isinstance(item, UndecodableObject):
+        return item.name
     try:
         name = item['metadata']['name']
-        # Raises UnicodeEncodeError for bytes that are no text.
-        name.encode()
-    except DECODE_ERRORS as error:
-        log.warning('store: object without a name ignored. error=%r', error)
+    except DECODE_ERRORS:
         return ''
-    return name
+    return name if isinstance(name, str) else ''
+
+
+def is_text(name: str) -> bool:
+    """Return whether a name is not empty and has no bytes that are no text."""
+    try:
+        return bool(name.encode())
+    except UnicodeEncodeError:
+        return False
+
+
+def quote_name(name: str) -> str:
+    """Return a name for a query, with the bytes that halves of surrogate pairs mean."""
+    try:
+        return quote(name, errors='surrogateescape')
+    except UnicodeEncodeError:
+        return quote(name, errors='surrogatepass')
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -1,6 +1,7 @@
 """Stand-in object store with revisions, watches and configurable faults."""
 
 from collections.abc import Callable
+from urllib.parse import parse_qs
 
 import trio
 from attrs import Factory, define, frozen
@@ -41,6 +42,8 @@
 
     item_by_key: dict[tuple[str, str], dict] = Factory(dict)
     history: list[tuple[int, str, dict, bool]] = Factory(list)
+    #: JSON texts that answers hold in place of a value, by the value.
+    text_by_value: dict[str, str] = Factory(dict)
     revision: int = 1
     #: Number sent in all answers, which rises with each restore from a backup; None
     #: if answers carry no era.
@@ -69,6 +72,12 @@
         self._record(kind, item, tombstone=False)
         return item
 
+    def put_text(self, kind: str, name: str, text: str) -> None:
+        """Write an object whose spec is a JSON text, which no decoder has to accept."""
+        value = f'text {len(self.text_by_value)}'
+        self.text_by_value[value] = text
+        self.put(kind, name, value)
+
     def remove(self, kind: str, name: str) -> bool:
         """Remove an object; return whether it existed."""
         item = self.item_by_key.pop((kind, name), None)
@@ -130,7 +139,12 @@
         return None
 
     async def after(self, response: Response) -> Response:
-        """Add the era of the store to each answer."""
+        """Add the era of the store and the texts of values to each answer."""
+        if self.text_by_value:
+            body = await response.get_data(as_text=True)
+            for value, text in self.text_by_value.items():
+                body = body.replace(f'"{value}"', text)
+            response.set_data(body)
         if self.era is not None:
             response.headers['Store-Era'] = str(self.era)
         return response
@@ -139,7 +153,9 @@
         """Answer with a page of a kind's objects, or with its changes for a watch."""
         if 'watch' in request.args:
             return await self._watch(kind)
-        after = request.args.get('after', '')
+        # Names may have bytes that are no text.
+        query = parse_qs(request.query_string.decode(), errors='surrogateescape')
+        after = query.get('after', [''])[0]
         names = sorted(name for each, name in self.item_by_key if each == kind)
         names = [name for name in names if name > after]
         items = [self.item_by_key[kind, name] for name in names[: self.page_items]]
--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -14,10 +14,13 @@
 from catkinslip.logs.buffer import LogBuffer
 from catkinslip.models import Address
 from catkinslip.pages import PageServer
+from catkinslip.platform import names
 from catkinslip.platform.client import StoreClient
+from catkinslip.platform.decoding import decode_backend
 from catkinslip.platform.pages import PlatformPages
 from catkinslip.platform.program import make_entry
 from catkinslip.platform.settings import read_settings
+from catkinslip.platform.sources import KindSource
 from catkinslip.wiring.entry import Entry
 from standins.objects import ObjectsStandin, serve_objects
 from standins.workers import Worker
@@ -124,13 +127,18 @@
         item = server_item(server_id, service, port, **fields)
         self.store.put('servers', server_id, item['spec'], item['status'])
 
+    def server_source(self) -> KindSource:
+        """Return a source of the servers registered in the store."""
+        address = Address('127.0.0.1', self.store_port)
+        return KindSource(StoreClient(address), names.SERVERS_KIND, decode_backend)
+
     async def add_entry(self, seed: int | None = None, zone: str = 'zone-a') -> Entry:
         """Start an instance in this loop and wait until it accepts callers.
 
         Its seed is the instance with this index, or itself.
         """
-        names = ('front', 'ready', 'peer', 'directory', 'report')
-        ports = dict(zip(names, free_ports(len(names)), strict=True))
+        listeners = ('front', 'ready', 'peer', 'directory', 'report')
+        ports = dict(zip(listeners, free_ports(len(listeners)), strict=True))
         fields = {'bounds': self.bounds, 'zones': self.zones}
         text = settings_text(store=self.store_port, **fields, **ports)
         text = text.replace('edge-1', f'edge-{len(self.entries) + 1}')
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -10,21 +10,12 @@
 from catkinslip.crashes.identity import RequestKey
 from catkinslip.discovery.base import HistoryRemoved
 from catkinslip.discovery.revisions import era_of
-from catkinslip.models import Address
-from catkinslip.platform import names
-from catkinslip.platform.client import RESTORED, StoreClient, load_json
-from catkinslip.platform.decoding import decode_backend
-from catkinslip.platform.sources import KindSource
+from catkinslip.platform.client import RESTORED
+from catkinslip.platform.json_text import load_json
 from catkinslip.platform.stored import StoredCrashes
 from catkinslip.proxy.pool import KEEPALIVE_OPTIONS
 from catkinslip.store.base import Conflict, OverBudget
-from tests.small_platform import GENEROUS_SECONDS, SmallPlatform, on_platform
-
-
-def backends(platform: SmallPlatform) -> KindSource:
-    """Return a source of the servers registered in a small platform's store."""
-    address = Address('127.0.0.1', platform.store_port)
-    return KindSource(StoreClient(address), names.SERVERS_KIND, decode_backend)
+from tests.small_platform import GENEROUS_SECONDS, on_platform
 
 
 class ListingTest(unittest.TestCase):
@@ -44,7 +35,7 @@
                     store.remove('servers', 'i-0')
 
             store.on_page = remove_from_the_first_page
-            source = backends(platform)
+            source = platform.server_source()
             listing = (await source.read_all()).unwrap()
             self.assertEqual(len(pages), 3)
             self.assertEqual(len(listing.value_by_name), 5)
@@ -65,7 +56,7 @@
             platform.store.item_by_key['servers', 'i-4'] = {'spec': {}}
             platform.store.put('servers', 'i-5', {'addr': float('nan')})
             platform.store.page_items = 2
-            listing = (await backends(platform).read_all()).unwrap()
+            listing = (await platform.server_source().read_all()).unwrap()
             self.assertEqual(sorted(listing.value_by_name), ['i-1', 'i-3'])
 
         on_platform(check)
@@ -75,14 +66,14 @@
             for name in ('i-1', 'i-2', 'i-3'):
                 platform.store.item_by_key['servers', name] = {'spec': {}}
             platform.store.page_items = 2
-            self.assertIsInstance(await backends(platform).read_all(), Failure)
+            self.assertIsInstance(await platform.server_source().read_all(), Failure)
 
         on_platform(check)
 
     def test_unreadable_change_removes_the_server_it_replaces(self):
         async def check(platform):
             platform.register('i-1', 'one', 9001)
-            source = backends(platform)
+            source = platform.server_source()
             listing = (await source.read_all()).unwrap()
             platform.store.put('servers', 'i-1', {'addr': '10.0.0.1:0'})
             news = (await source.wait_for_changes(listing.revision, 1.0)).unwrap()
@@ -101,7 +92,7 @@
 
     def test_removed_history_is_recognized_by_the_status_alone(self):
         async def check(platform):
-            source = backends(platform)
+            source = platform.server_source()
             listing = (await source.read_all()).unwrap()
             platform.store.put('config', 'other', {})
             platform.store.forget_history()
@@ -116,7 +107,7 @@
 
     def test_answer_of_an_earlier_era_or_of_none_is_refused(self):
         async def check(platform):
-            source = backends(platform)
+            source = platform.server_source()
             for era, is_accepted in (
                 (None, 1),
                 (2, 1),
@@ -135,7 +126,7 @@
     def test_refusal_is_recognized_without_an_era(self):
         async def check(platform):
             platform.store.era = 1
-            source = backends(platform)
+            source = platform.server_source()
             await source.read_all()
             platform.store.era, platform.store.faults.refuse_with = None, 429
             result = await source.read_all()
@@ -151,7 +142,7 @@
             platform.store.page_items = 2
             backup = platform.store.backup()
             platform.store.on_page = lambda: platform.store.restore(backup)
-            result = await backends(platform).read_all()
+            result = await platform.server_source().read_all()
             self.assertIsInstance(result, Failure)
 
         on_platform(check)
@@ -159,7 +150,7 @@
     def test_wait_ends_when_another_answer_names_a_later_era(self):
         async def check(platform):
             platform.store.era, platform.store.answers_gone = 1, False
-            source = backends(platform)
+            source = platform.server_source()
             revision = (await source.read_all()).unwrap().revision
             ended = []
 
@@ -178,7 +169,7 @@
     def test_nothing_is_written_on_a_revision_of_an_earlier_era(self):
         async def check(platform):
             platform.store.era = 1
-            source = backends(platform)
+            source = platform.server_source()
             await source.read_all()
             crashes = StoredCrashes(source.client)
             record = CrashRecord(RequestKey('t', 'c'), {'i-1/1': 'q'})
@@ -200,7 +191,7 @@
 
     def test_silent_connection_is_ended_by_the_kernel(self):
         async def check(platform):
-            source = backends(platform)
+            source = platform.server_source()
             await source.read_all()
             address = source.client.address
             pool = source.client.pages.pool
--- a/tests/test_platform_foreign_entries.py
+++ b/tests/test_platform_foreign_entries.py
@@ -4,14 +4,22 @@
 
 import orjson
 
-from catkinslip.platform.client import load_json
 from catkinslip.platform.decoding import DECODE_ERRORS, decode_backend
+from catkinslip.platform.json_text import load_json
 from tests.platform_builders import server_item
 from tests.small_platform import SmallPlatform, on_platform, wait_for
 
 #: Half of a surrogate pair, as JSON writers show a byte that is no UTF-8.
 HALF_PAIR = '\udcff'
 NESTING = 1000
+#: JSON texts that decoders reject for different reasons.
+REJECTED_TEXTS = (
+    f'{{"addr":{"[" * 1021}{"]" * 1021},"info":{{}}}}',
+    f'{{"addr":{"[" * 5000}{"]" * 5000},"info":{{}}}}',
+    f'{{"addr":"127.0.0.1:9","info":{{"slots":{"9" * 5000}}}}}',
+    '{"addr":"127.0.0.1:9\x01\n","info":{"slots":1e999}}',
+    '{"addr":"127.0.0.1:9",,"info":nothing}',
+)
 
 
 def nested_lists() -> object:
@@ -54,6 +62,44 @@
 
         on_platform(check)
 
+    def test_rejected_entries_hid_all_servers_and_their_changes(self):
+        # One value that a decoder rejects took the whole answer of the store with it.
+        async def check(platform):
+            await add_foreign_entry(platform, f'i-{HALF_PAIR}')
+            for number, text in enumerate(REJECTED_TEXTS):
+                platform.store.put_text('servers', f'i-other-{number}', text)
+            platform.register('i-2', 'one', 10)
+            await platform.add_entry(0)
+            for entry in platform.entries:
+                known = entry.assembler
+                await wait_for(lambda each=known: 'i-2' in each.current_backends)
+                self.assertEqual(set(known.current_backends), {'i-1', 'i-2'})
+
+        on_platform(check)
+
+    def test_listing_ended_at_a_page_whose_names_are_no_text(self):
+        async def check(platform):
+            for name in ('i-1', f'i-{HALF_PAIR}', f'i-{HALF_PAIR}x', 'j-1'):
+                platform.register(name, 'one', 9)
+            platform.store.page_items = 1
+            listing = (await platform.server_source().read_all()).unwrap()
+            self.assertEqual(set(listing.value_by_name), {'i-1', 'j-1'})
+
+        on_platform(check)
+
+    def test_rejected_change_left_the_server_that_it_replaced(self):
+        async def check(platform):
+            platform.register('i-1', 'one', 9)
+            platform.register('i-2', 'one', 9)
+            source = platform.server_source()
+            listing = (await source.read_all()).unwrap()
+            platform.store.put_text('servers', 'i-1', REJECTED_TEXTS[1])
+            platform.store.remove('servers', 'i-2')
+            news = (await source.wait_for_changes(listing.revision, 1.0)).unwrap()
+            self.assertEqual(news.changes, (('i-1', None), ('i-2', None)))
+
+        on_platform(check)
+
     def test_nested_lists_ended_the_reader_of_the_store(self):
         for field in ('addr', 'info', 'born'):
             item = server_item('i-1', 'one', 9)
