Refuse rules with fields of another type, and keep running beside infinite numbers

What callers saw: rules with an infinite or too large number (`1e999`, 400 digits) ended every instance that read them, again at each start; rules with a list as a host or a text as a path without its slash came into force instead of the last valid ones.

--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -4,8 +4,10 @@
 0 or with a time that is not a number could otherwise be chosen for requests.
 """
 
+import re
 import socket
 from collections.abc import Mapping
+from reprlib import repr as shorten
 from typing import Any
 
 from catkinslip.config.documents import Route, Service, SplitPart
@@ -29,6 +31,7 @@
 
 #: Exceptions that a decoder raises for an unreadable object.
 DECODE_ERRORS = (
+    ArithmeticError,
     AttributeError,
     IndexError,
     KeyError,
@@ -48,6 +51,15 @@
 #: A longer time, over a day, cannot be that of a cold start.
 MAX_COLD_SECONDS = 86_400.0
 MAX_CORES = 10_000.0
+#: Eight digits, and room for more in a whole number of 64 bits.
+VERSION_FORM = re.compile(r'[0-9a-fA-F]{1,15}\Z')
+#: What a request line can hold.
+PATH_FORM = re.compile(r'/[!-~]*\Z')
+MAX_CONNECTIONS = 10_000_000
+MAX_REQUEST_SECONDS = 86_400.0
+MAX_PRIORITY = 1_000_000
+MAX_ATTEMPTS = 1_000
+MAX_WEIGHT = 1e9
 MAX_COLD_REQUESTS_PER_SECOND = 1_000_000.0
 
 
@@ -63,7 +75,9 @@
         status = {}
     state = status.get('state', READY)
     if state not in (READY, DRAINING):
-        raise ValueError(f'the state {state!r} is neither {READY!r} nor {DRAINING!r}')
+        raise ValueError(
+            f'the state {shorten(state)} is neither {READY!r} nor {DRAINING!r}'
+        )
     address = read_address(spec['addr'])
     return BackendEntry(
         backend_id=read_text(name),
@@ -98,26 +112,40 @@
     try:
         socket.inet_pton(socket.AF_INET, address.host)
     except OSError:
-        raise ValueError(f'{address.host!r} is not an IPv4 address') from None
+        raise ValueError(f'{shorten(address.host)} is not an IPv4 address') from None
     read_integer(address.port, 1, MAX_PORT)
     return address
 
 
 def decode_rules(name: str, item: Mapping[str, Any]) -> RuleSet:
-    """Decode the operators' configuration of services and routes."""
+    """Decode the operators' configuration of services and routes.
+
+    Raises one of DECODE_ERRORS if any part is invalid, so that the last valid
+    configuration stays in force.
+    """
     spec = item['spec']
-    services = {row['name']: decode_service(row) for row in rows_of(spec['services'])}
-    routes = {row['name']: decode_route(row) for row in rows_of(spec['routes'])}
+    services = {
+        read_text(row['name']): decode_service(row) for row in rows_of(spec['services'])
+    }
+    routes = {
+        read_text(row['name']): decode_route(row) for row in rows_of(spec['routes'])
+    }
     workspaces = decode_workspaces(spec.get('tenants'))
-    # The version is eight hexadecimal digits and grows in uneven steps.
-    return RuleSet(int(spec['version'], 16), services, routes, workspaces)
+    return RuleSet(read_version(spec['version']), services, routes, workspaces)
+
+
+def read_version(value: Any) -> int:
+    """Return a version, which is written in hexadecimal digits."""
+    if VERSION_FORM.match(read_text(value)) is None:
+        raise ValueError(f'the version {shorten(value)} is not a hexadecimal number')
+    return int(value, 16)
 
 
 def decode_service(row: Mapping[str, Any]) -> Service:
     """Decode one service of the configuration."""
     return Service(
-        max_connections=int(row['max_conns']),
-        health_path=row['health_path'],
+        max_connections=read_integer(row['max_conns'], 1, MAX_CONNECTIONS),
+        health_path=read_request_path(row['health_path']),
         cold_seconds=read_number(row.get('cold_s', 0), 0.0, MAX_COLD_SECONDS),
         cold_requests_per_second=read_number(
             row.get('cold_per_s', 0), 0.0, MAX_COLD_REQUESTS_PER_SECOND
@@ -129,19 +157,33 @@
     """Decode one route, which names one service or several with weights."""
     split = row.get('split') or [{'service': row['service'], 'weight': 1}]
     return Route(
-        host=row['host'],
-        path_prefix=row['path_prefix'],
-        parts=tuple(SplitPart(part['service'], part['weight']) for part in split),
-        repeatable=row['kind'] == IDEMPOTENT,
-        timeout=float(row['timeout_s']),
-        target_latency=float(row['target_latency_s']),
-        priority=int(row['priority']),
-        max_attempts=int(row['max_attempts']),
+        host=read_text(row['host']),
+        path_prefix=read_text(row['path_prefix']),
+        parts=tuple(map(decode_part, split)),
+        repeatable=read_text(row['kind']) == IDEMPOTENT,
+        timeout=read_number(row['timeout_s'], 0.0, MAX_REQUEST_SECONDS),
+        target_latency=read_number(row['target_latency_s'], 0.0, MAX_REQUEST_SECONDS),
+        priority=read_integer(row['priority'], 0, MAX_PRIORITY),
+        max_attempts=read_integer(row['max_attempts'], 1, MAX_ATTEMPTS),
         regions=tuple(map(read_text, row.get('allowed_regions') or ())),
         public=read_boolean(row.get('public', False)),
     )
 
 
+def decode_part(part: Mapping[str, Any]) -> SplitPart:
+    """Decode one service of a route, with its weight."""
+    weight = part['weight']
+    read_number(weight, 0.0, MAX_WEIGHT)
+    return SplitPart(read_text(part['service']), weight)
+
+
+def read_request_path(value: Any) -> str:
+    """Return a path that a request can have; raise ValueError for any other text."""
+    if PATH_FORM.match(read_text(value)) is None:
+        raise ValueError(f'{shorten(value)} is not a path')
+    return value
+
+
 def decode_instance(name: str, item: Mapping[str, Any]) -> InstanceEntry:
     """Decode the entry of one catkinslip instance."""
     spec = item['spec']
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,6 +1,7 @@
 """Tests of reading the platform's settings file and decoding its objects."""
 
 import unittest
+from itertools import product
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,15 +22,34 @@
     server_item,
     settings_text,
 )
+from tests.unsound_json import ANY_JSON
 
 NAN, INFINITY = float('nan'), float('inf')
 #: Values that another writer may put into a field.
 ODD_VALUES = (None, True, '', 'x', -1, 0.5, NAN, INFINITY, [], {}, 2**60)
-ANY_JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
-    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
-    max_leaves=8,
-)
+#: Columns of the configuration that each row needs.
+COLUMNS_BY_TABLE = {
+    'routes': (
+        'name',
+        'host',
+        'path_prefix',
+        'kind',
+        'timeout_s',
+        'target_latency_s',
+        'priority',
+        'max_attempts',
+        'service',
+    ),
+    'services': ('name', 'health_path', 'max_conns'),
+}
+SOUND_VALUES_BY_COLUMN = {
+    'timeout_s': (0.5,),
+    'target_latency_s': (0.5,),
+    'health_path': (),
+    'max_conns': (),
+    'priority': (),
+    'max_attempts': (),
+}
 
 
 class SettingsTest(unittest.TestCase):
@@ -181,6 +201,23 @@
             del item['spec'][field]
             self.assert_unreadable(decode_instance, item)
 
+    def test_rules_with_a_field_of_another_type_or_range_came_into_force(self):
+        # A number that is infinite or too large ended the process.
+        for table, columns in COLUMNS_BY_TABLE.items():
+            for column, value in product(columns, (*ODD_VALUES, 10**400)):
+                if value in SOUND_VALUES_BY_COLUMN.get(column, ('x',)):
+                    continue
+                with self.subTest(table=table, column=column, value=value):
+                    item = config_item()
+                    rows = item['spec'][table]
+                    rows['rows'][-1][rows['columns'].index(column)] = value
+                    self.assert_unreadable(decode_rules, item)
+
+    def test_version_that_is_no_plain_hexadecimal_number(self):
+        for version in (*ODD_VALUES, '-1', '0x1', '1_0', ' 1', '9' * 400, 12):
+            with self.subTest(version=version):
+                self.assert_unreadable(decode_rules, config_item(version=version))
+
     @settings(max_examples=300, deadline=None)
     @given(ANY_JSON, ANY_JSON, st.sampled_from(['spec', 'spec.info', 'status']))
     def test_any_object_is_decoded_or_known_as_unreadable(self, item, part, path):
--- a/tests/test_platform_foreign_entries.py
+++ b/tests/test_platform_foreign_entries.py
@@ -1,12 +1,13 @@
 """Entries of another writer that can be read but not written strictly."""
 
+import json
 import unittest
 
 import orjson
 
 from catkinslip.platform.decoding import DECODE_ERRORS, decode_backend
 from catkinslip.platform.json_text import load_json
-from tests.platform_builders import server_item
+from tests.platform_builders import config_spec, server_item
 from tests.small_platform import SmallPlatform, on_platform, wait_for
 
 #: Half of a surrogate pair, as JSON writers show a byte that is no UTF-8.
@@ -100,6 +101,19 @@
 
         on_platform(check)
 
+    def test_infinite_number_in_the_rules_ended_the_process(self):
+        async def check(platform):
+            await platform.add_worker('i-1')
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.assembler.current_backends)
+            text = json.dumps(config_spec('0000000b'))
+            platform.store.put_text('config', 'main', text.replace('220', '1e999'))
+            platform.store.put('config', 'main', config_spec('0000000c'))
+            await wait_for(lambda: entry.assembler.rules_version == 0xC)
+            self.assertEqual((await platform.get()).status_code, 200)
+
+        on_platform(check)
+
     def test_nested_lists_ended_the_reader_of_the_store(self):
         for field in ('addr', 'info', 'born'):
             item = server_item('i-1', 'one', 9)
