Use no server under a name that no header can hold

What servers saw: an entry of another writer under a name with line ends added header lines to the requests that were sent to its address, as the name is written into Target-Instance; a longer name could have held a whole request. Cause: names were read as any text.

Evidence: test_server_under_a_name_that_no_header_can_hold_was_sent_requests (7 of 7 names) and test_name_of_a_server_added_headers_to_requests failed before.

--- a/catkinslip/platform/decoding.py
+++ b/catkinslip/platform/decoding.py
@@ -23,6 +23,7 @@
 from catkinslip.platform.fields import (
     read_boolean,
     read_integer,
+    read_name,
     read_number,
     read_text,
     rows_of,
@@ -80,9 +81,9 @@
         )
     address = read_address(spec['addr'])
     return BackendEntry(
-        backend_id=read_text(name),
-        service=read_text(info['service']),
-        zone=read_text(info['zone']),
+        backend_id=read_name(name),
+        service=read_name(info['service']),
+        zone=read_name(info['zone']),
         host=address.host,
         port=address.port,
         slots=read_integer(info['slots'], 1, MAX_SLOTS),
@@ -125,7 +126,7 @@
     """
     spec = item['spec']
     services = {
-        read_text(row['name']): decode_service(row) for row in rows_of(spec['services'])
+        read_name(row['name']): decode_service(row) for row in rows_of(spec['services'])
     }
     routes = {
         read_text(row['name']): decode_route(row) for row in rows_of(spec['routes'])
--- a/catkinslip/platform/fields.py
+++ b/catkinslip/platform/fields.py
@@ -4,12 +4,16 @@
 recursion.
 """
 
+import re
 from collections.abc import Mapping, Sequence
 from reprlib import repr as shorten
 from sys import float_info
 from typing import Any
 
 MAX_NUMBER = float_info.max
+#: No control characters, and spaces only between others.
+NAME_FORM = re.compile(r'[^\x00-\x20\x7f]+( +[^\x00-\x20\x7f]+)*\Z')
+MAX_NAME_LENGTH = 256
 #: Characters of an error in log lines.
 MAX_ERROR_LENGTH = 200
 
@@ -26,6 +30,13 @@
     return value
 
 
+def read_name(value: Any) -> str:
+    """Return a name that a header can hold; raise ValueError for any other text."""
+    if NAME_FORM.match(read_text(value)) is None or len(value) > MAX_NAME_LENGTH:
+        raise ValueError(f'{shorten(value)} is too long, or no header can hold it')
+    return value
+
+
 def read_integer(value: Any, minimum: int, maximum: int) -> int:
     """Return a whole number within a range; raise ValueError for any other value.
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -168,6 +168,17 @@
                     item = replaced(server_item('i-1', 'one', 80), path, value)
                     self.assert_unreadable(decode_backend, item)
 
+    def test_server_under_a_name_that_no_header_can_hold_was_sent_requests(self):
+        for name in ('i-\n', ' ', 'i-1 ', 'i\r\nHost: x', '\x00', 'i-\x7f', 'i' * 300):
+            with self.subTest(name=name):
+                item = server_item(name, 'one', 80)
+                with self.assertRaises(DECODE_ERRORS):
+                    decode_backend(name, item)
+                item = server_item('i-1', name, 80)
+                self.assert_unreadable(decode_backend, item)
+        entry = decode_backend('i é 1', server_item('i é 1', 'one', 80))
+        self.assertEqual(entry.backend_id, 'i é 1')
+
     def test_server_whose_address_cannot_be_connected_to(self):
         for address in ('10.0.0.1:0', '10.0.0.1:65536', 'nowhere:80', '10.0.0.1:-4'):
             with self.subTest(address):
--- a/tests/test_platform_foreign_entries.py
+++ b/tests/test_platform_foreign_entries.py
@@ -114,6 +114,21 @@
 
         on_platform(check)
 
+    def test_name_of_a_server_added_headers_to_requests(self):
+        # A name with line ends was written into the heads of requests as it is.
+        async def check(platform):
+            name = 'i-1\r\nInjected: yes'
+            await platform.add_worker(name, service='two')
+            await platform.add_worker('i-1', service='one')
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.assembler.current_backends)
+            self.assertEqual(set(entry.assembler.current_backends), {'i-1'})
+            for number in range(20):
+                await platform.get(request_id=f'r{number}')
+            self.assertFalse(platform.worker_by_id[name].runs_by_request)
+
+        on_platform(check)
+
     def test_nested_lists_ended_the_reader_of_the_store(self):
         for field in ('addr', 'info', 'born'):
             item = server_item('i-1', 'one', 9)
