--- a/tests/test_logs_buffer.py
+++ b/tests/test_logs_buffer.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import sys
 import unittest
 
 import trio
@@ -89,6 +90,27 @@
         trio.run(LogFlusher(buffer, writer).flush)
         self.assertIn(b'name=i-\\udcff.', writer.written)
 
+    def test_value_of_another_program_made_lines_of_its_own(self):
+        buffer, writer = LogBuffer(), SlowWriter()
+        new_logger(buffer).info('name=%s.', 'i-1\nhealth: a false line.\x1b[2J')
+        new_logger(buffer).info('name=%s.', 'x' * 1_000_000)
+        trio.run(LogFlusher(buffer, writer).flush)
+        first, second, end = writer.written.decode().split('\n')
+        self.assertTrue(first.endswith('name=i-1\\nhealth: a false line.\\x1b[2J.'))
+        self.assertLess(len(second), 5000)
+        self.assertEqual(end, '')
+
+    def test_line_that_cannot_be_formatted_ended_the_process(self):
+        nested = []
+        for _ in range(sys.getrecursionlimit()):
+            nested = [nested]
+        for value in (nested, 'no number'):
+            buffer, writer = LogBuffer(), SlowWriter()
+            new_logger(buffer).info('part: a line. value=%d', value)
+            new_logger(buffer).info('part: a line. value=%r', value)
+            trio.run(LogFlusher(buffer, writer).flush)
+            self.assertEqual(writer.written.count(b'value='), 2)
+
     def test_idle_flusher_sleeps_and_writes_the_first_line_at_once(self):
         buffer, writer = CountingBuffer(), SlowWriter()
 
