Keep running where the log cannot be written

What callers saw: an instance whose log cannot take a line (a full disk, a limit on the size of files, a reader that closed its pipe) ended with all its requests, and again at each start. Cause: an OSError of the write ended the log's task, and with it the process.

Lines that the log cannot take are dropped and counted, and reported with the error once the log can be written again; the buffer is emptied, so that it does not grow.

Evidence: test_log_that_cannot_be_written_ended_the_process failed before with ENOSPC.

--- a/catkinslip/logs/buffer.py
+++ b/catkinslip/logs/buffer.py
@@ -17,6 +17,8 @@
     records: deque[logging.LogRecord] = Factory(deque)
     accepted: int = 0
     dropped: int = 0
+    #: Why records were dropped since the last report.
+    drop_reason: str = ''
     reported: int = 0
     #: Event that is set while there may be records to write.
     has_records: trio.Event = Factory(trio.Event)
@@ -25,11 +27,21 @@
         """Add a record, or count it as dropped if the buffer is full."""
         self.has_records.set()
         if len(self.records) >= self.limit:
-            self.dropped += 1
+            self.drop(1, 'buffer full')
             return
         self.accepted += 1
         self.records.append(record)
 
+    def drop(self, count: int, reason: str) -> None:
+        """Count dropped records, for the next report."""
+        self.dropped += count
+        self.drop_reason = reason
+
+    def drop_all(self, reason: str) -> None:
+        """Drop all records."""
+        self.drop(len(self.records), reason)
+        self.records.clear()
+
     def pop_lines(self, formatter: logging.Formatter, count: int) -> str:
         """Remove and return at most `count` formatted lines.
 
@@ -40,7 +52,8 @@
             lines.append(formatter.format(self.records.popleft()))
         if self.dropped > self.reported:
             lines.append(
-                f'logs: buffer full, lines_dropped={self.dropped - self.reported}.'
+                f'logs: {self.drop_reason}, '
+                f'lines_dropped={self.dropped - self.reported}.'
             )
             self.reported = self.dropped
         return ''.join(f'{line}\n' for line in lines)
--- a/catkinslip/logs/flush.py
+++ b/catkinslip/logs/flush.py
@@ -16,7 +16,10 @@
 
 @define
 class LogFlusher:
-    """Writer of buffered lines; a blocked reader of the log delays only this task."""
+    """Writer of buffered lines; a blocked reader of the log delays only this task.
+
+    Lines that the log cannot take, as on a full disk, are dropped.
+    """
 
     buffer: LogBuffer
     writer: LogWriter
@@ -39,12 +42,22 @@
     async def flush(self) -> None:
         """Write all buffered lines and yield to other tasks between chunks."""
         while self._next_chunk():
-            written = self.writer.write(self.pending)
+            try:
+                written = self.writer.write(self.pending)
+            except OSError as error:
+                self._drop_all(error)
+                return
             self.pending = self.pending[written:]
             if not written:
                 await self.writer.wait_writable()
             await trio.lowlevel.checkpoint()
 
+    def _drop_all(self, error: OSError) -> None:
+        reason = f'log not writable, {error}'
+        self.buffer.drop(self.pending.count(b'\n'), reason)
+        self.buffer.drop_all(reason)
+        self.pending = b''
+
     def _next_chunk(self) -> bytes:
         if not self.pending:
             lines = self.buffer.pop_lines(self.formatter, MAX_CHUNK_LINES)
--- a/tests/test_logs_buffer.py
+++ b/tests/test_logs_buffer.py
@@ -1,5 +1,6 @@
 """Buffering of log lines, and the report of dropped ones."""
 
+import errno
 import logging
 import os
 import sys
@@ -33,6 +34,17 @@
         pass
 
 
+class FullDiskWriter(SlowWriter):
+    """Writer that raises an error while the disk is full."""
+
+    is_full = True
+
+    def write(self, data: bytes) -> int:
+        if self.is_full:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        return super().write(data)
+
+
 class CountingBuffer(LogBuffer):
     """Buffer that counts how often lines are requested."""
 
@@ -111,6 +123,27 @@
             trio.run(LogFlusher(buffer, writer).flush)
             self.assertEqual(writer.written.count(b'value='), 2)
 
+    def test_log_that_cannot_be_written_ended_the_process(self):
+        buffer, writer = LogBuffer(), FullDiskWriter()
+        logger = new_logger(buffer)
+
+        async def main():
+            flusher = LogFlusher(buffer, writer, logging.Formatter())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(flusher.run)
+                for number in range(250):
+                    logger.info('part: line %d.', number)
+                await trio.sleep(1)
+                writer.is_full = False
+                logger.info('part: the end.')
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        lines = writer.written.decode().splitlines()
+        self.assertEqual(lines[0], 'part: the end.')
+        self.assertIn('No space left on device, lines_dropped=250.', lines[1])
+
     def test_idle_flusher_sleeps_and_writes_the_first_line_at_once(self):
         buffer, writer = CountingBuffer(), SlowWriter()
 
