Say in the last line why a process ended

The last line of a process that ended by an error was the frame of a stack trace, and the trace went to stderr, apart from the log. Its log now ends with the stack traces and a line for each error: task, place in the code, error, with characters that cannot be shown as escapes.

--- a/catkinslip/daemon.py
+++ b/catkinslip/daemon.py
@@ -14,6 +14,7 @@
 from catkinslip.environment import Environment
 from catkinslip.listeners import ListenError
 from catkinslip.logs.buffer import LogBuffer
+from catkinslip.logs.ends import report_end
 from catkinslip.logs.flush import LogFlusher
 from catkinslip.logs.setup import configure_buffered
 from catkinslip.logs.writers import open_writer
@@ -68,7 +69,11 @@
     """Set up logging, serve until a signal stops the daemon, return its status."""
     buffer = configure_buffered(settings.log_level)
     log_warnings(settings, environment)
-    return trio.run(serve_and_log, settings, environment, buffer, clock=LoopClock())
+    try:
+        return trio.run(serve_and_log, settings, environment, buffer, clock=LoopClock())
+    except Exception as error:
+        report_end(error, environment.stderr)
+        return ExitStatus.ERROR
 
 
 async def serve_and_log(
--- a/catkinslip/platform/program.py
+++ b/catkinslip/platform/program.py
@@ -12,6 +12,7 @@
 from catkinslip.entry import ListenAddresses, serve
 from catkinslip.environment import Environment
 from catkinslip.logs.buffer import LogBuffer
+from catkinslip.logs.ends import report_end
 from catkinslip.logs.flush import LogFlusher
 from catkinslip.logs.setup import configure_buffered
 from catkinslip.logs.writers import open_writer
@@ -65,7 +66,11 @@
             return ExitStatus.USAGE
         case Success(settings):
             buffer = configure_buffered('info')
-            trio.run(run, settings, environment, buffer, clock=LoopClock())
+            try:
+                trio.run(run, settings, environment, buffer, clock=LoopClock())
+            except Exception as error:
+                report_end(error, environment.stdout)
+                return ExitStatus.ERROR
     return ExitStatus.SUCCESS
 
 
