Start on Python 3.12 and 3.13 as on 3.11, and say that no other is meant

What operators saw: with Python 3.13, which requires-python admitted, no instance got ready (TypeError in logging). Cause: the handler of the log set no lock, which logging.Handler.handle uses unchecked from 3.13 on. The handler now adds records in handle itself, without a lock, as all come from one thread.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Every target installs what it needs into VENV; only Python 3.11 and make are required.
+# Every target installs what it needs into VENV; only Python 3.11 to 3.13 and make are required.
 PYTHON ?= python3
 VENV ?= .venv
 RUN = $(VENV)/bin/python
--- a/catkinslip/logs/buffer.py
+++ b/catkinslip/logs/buffer.py
@@ -66,9 +66,10 @@
         super().__init__()
         self.buffer = buffer
 
-    def createLock(self) -> None:  # noqa: N802 - overrides logging.Handler
-        """Set no lock, because all records come from one thread."""
-        self.lock = None
+    def handle(self, record: logging.LogRecord) -> bool:
+        """Add a record without a lock, because all records come from one thread."""
+        self.emit(record)
+        return True
 
     def emit(self, record: logging.LogRecord) -> None:
         """Add a record to the buffer."""
--- a/tests/test_logs_buffer.py
+++ b/tests/test_logs_buffer.py
@@ -144,6 +144,14 @@
         self.assertEqual(lines[0], 'part: the end.')
         self.assertIn('No space left on device, lines_dropped=250.', lines[1])
 
+    def test_handler_without_a_lock_kept_instances_from_starting(self):
+        # From Python 3.13 on, `logging` uses the lock of a handler unchecked.
+        buffer = LogBuffer()
+        handler = BufferHandler(buffer)
+        with handler.lock:
+            new_logger(buffer).info('part: a line.')
+        self.assertEqual(buffer.accepted, 1)
+
     def test_idle_flusher_sleeps_and_writes_the_first_line_at_once(self):
         buffer, writer = CountingBuffer(), SlowWriter()
 
