List again where changes are more than an answer may hold

What callers saw: nothing yet; a new server was not known while an entry of another writer of 1 MB was written again and again. Cause: the answer to a watch holds all changes since a revision; over 4 MiB it was not read and counted as lost, and each further watch asked for the same changes and more. The class is that of the other entries of another writer: one value takes the whole answer with it.

An answer that is too long is an outcome of its own, after which all is listed, in pages. An answer may have 8 MiB, as a page of 1 MB takes up to six times as much where each byte is escaped.

Evidence: test_large_entry_that_is_often_written_hid_all_changes failed before (30 s without the new server). test_instance_that_starts_beside_unreadable_rules_has_those_of_peers holds before and now.

--- a/catkinslip/page_client.py
+++ b/catkinslip/page_client.py
@@ -15,7 +15,17 @@
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 
-MAX_ANSWER_BYTES = 4 << 20
+#: A page of the store has 1 MB, or six times as much where all bytes are escaped.
+MAX_ANSWER_BYTES = 8 << 20
+
+
+class AnswerTooLongError(h11.RemoteProtocolError):
+    """An answer above MAX_ANSWER_BYTES."""
+
+
+@frozen
+class TooLong(Unknown):
+    """The outcome of a request whose answer was not read, as it is too long."""
 
 
 @frozen
@@ -66,6 +76,8 @@
             reply = await receive_reply(wire)
             is_done = True
             return reply
+        except AnswerTooLongError as error:
+            return TooLong(Reason.BROKEN, str(error))
         except (*ConnectionErrors, h11.ProtocolError) as error:
             return Unknown(Reason.BROKEN, repr(error))
         finally:
@@ -89,7 +101,8 @@
 async def receive_reply(wire: Wire) -> Reply:
     """Receive a complete answer; raise h11.RemoteProtocolError if it is invalid.
 
-    An answer above MAX_ANSWER_BYTES, or cut off by the connection's end, is invalid.
+    An answer that is cut off by the connection's end is invalid. One that is too long
+    raises AnswerTooLongError.
     """
     status, headers = 0, ()
     parts: list[bytes] = []
@@ -102,7 +115,7 @@
             parts.append(bytes(event.data))
             size += len(event.data)
             if size > MAX_ANSWER_BYTES:
-                raise h11.RemoteProtocolError('the answer is too long')
+                raise AnswerTooLongError('the answer is too long')
         elif type(event) is h11.EndOfMessage:
             return Reply(status, b''.join(parts), headers)
         elif type(event) is h11.ConnectionClosed:
--- a/catkinslip/platform/client.py
+++ b/catkinslip/platform/client.py
@@ -16,7 +16,7 @@
 from catkinslip.metrics.base import Family, MetricSource, counter, gauge
 from catkinslip.metrics.calls import call_outcome, calls_family
 from catkinslip.models import Address
-from catkinslip.page_client import PageClient, Reply
+from catkinslip.page_client import PageClient, Reply, TooLong
 from catkinslip.platform.fields import describe
 from catkinslip.platform.json_text import load_answer
 from catkinslip.platform.names import OBJECTS_PATH, STORE_ERA
@@ -46,6 +46,11 @@
 log = logging.getLogger('store')
 
 
+@frozen
+class AnswerTooLong(AnswerLost):
+    """Error of a call whose answer is too long to be read."""
+
+
 @frozen
 class StoreAnswer:
     """Status and decoded body of an answer from the store."""
@@ -105,6 +110,8 @@
             b'' if body is None else orjson.dumps(body),
         )
         match reply:
+            case TooLong(_, detail):
+                result = Failure(AnswerTooLong(detail))
             case NotRun():
                 result = Failure(Unavailable(str(reply)))
             case Unknown():
--- a/catkinslip/platform/sources.py
+++ b/catkinslip/platform/sources.py
@@ -17,7 +17,12 @@
     Value,
 )
 from catkinslip.discovery.revisions import era_of, number_of, revision_of
-from catkinslip.platform.client import RESTORED, StoreAnswer, StoreClient
+from catkinslip.platform.client import (
+    RESTORED,
+    AnswerTooLong,
+    StoreAnswer,
+    StoreClient,
+)
 from catkinslip.platform.decoding import DECODE_ERRORS
 from catkinslip.platform.fields import describe
 from catkinslip.platform.json_text import UndecodableObject
@@ -94,6 +99,9 @@
         with self.client.cancelled_on_restore():
             result = await self.client.call('GET', path, wait=wait)
         if isinstance(result, Failure):
+            if isinstance(result.failure(), AnswerTooLong):
+                # Each further wait would end so; a listing comes in pages.
+                return Failure(HistoryRemoved('the changes are too long to be read'))
             return result
         reply = result.unwrap()
         if reply.era > era_of(revision):
--- a/tests/test_platform_foreign_entries.py
+++ b/tests/test_platform_foreign_entries.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from catkinslip.page_client import MAX_ANSWER_BYTES
 from catkinslip.platform.decoding import DECODE_ERRORS, decode_backend
 from catkinslip.platform.json_text import load_json
 from tests.platform_builders import config_spec, server_item
@@ -13,6 +14,7 @@
 #: Half of a surrogate pair, as JSON writers show a byte that is no UTF-8.
 HALF_PAIR = '\udcff'
 NESTING = 1000
+LARGE_TEXT = 1_000_000
 #: JSON texts that decoders reject for different reasons.
 REJECTED_TEXTS = (
     f'{{"addr":{"[" * 1021}{"]" * 1021},"info":{{}}}}',
@@ -129,6 +131,33 @@
 
         on_platform(check)
 
+    def test_large_entry_that_is_often_written_hid_all_changes(self):
+        # Its changes were more than an answer may hold, at each further wait as well.
+        async def check(platform):
+            await platform.add_worker('i-1')
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.assembler.current_backends)
+            text = f'"{"x" * LARGE_TEXT}"'
+            for _ in range(MAX_ANSWER_BYTES // LARGE_TEXT + 1):
+                platform.store.put_text('servers', 'i-other', text)
+            platform.register('i-2', 'one', 10)
+            await wait_for(lambda: 'i-2' in entry.assembler.current_backends)
+
+        on_platform(check)
+
+    def test_instance_that_starts_beside_unreadable_rules_has_those_of_peers(self):
+        async def check(platform):
+            await platform.add_worker('i-1')
+            entry = await platform.add_entry()
+            await wait_for(lambda: entry.assembler.current_backends)
+            platform.store.put_text('config', 'main', REJECTED_TEXTS[1])
+            started = await platform.add_entry(0)
+            await wait_for(lambda: started.assembler.current_backends)
+            for each in platform.entries:
+                self.assertEqual(each.assembler.rules_version, 0xA)
+
+        on_platform(check)
+
     def test_nested_lists_ended_the_reader_of_the_store(self):
         for field in ('addr', 'info', 'born'):
             item = server_item('i-1', 'one', 9)
