Play another writer in the soak, whose objects cannot be read

`--entries` writes and removes objects that decoders reject (nesting, digits, halves of surrogate pairs, names with line ends, 300 kB), rules among them, beside all other faults, and compares the servers and rules of each instance with the sound ones at the end. The last objects stay.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from soak.callers import Callers
 from soak.checks import find_unexpected_exits, find_unrecovered, find_violations
+from soak.entries import EntryPlayer
 from soak.faults import FaultPlayer
 from soak.needs import ThrottlePlayer
 from soak.partitions import PartitionPlayer
@@ -54,6 +55,7 @@
     has_restores: bool = False,
     has_partitions: bool = False,
     has_stops: bool = False,
+    has_entries: bool = False,
     instances: int = INSTANCES,
     callers: int = CALLERS,
 ) -> Result:
@@ -71,6 +73,7 @@
                 has_restores=has_restores,
                 has_partitions=has_partitions,
                 has_stops=has_stops,
+                has_entries=has_entries,
             )
             try:
                 result = await play(world, seed, seconds, instances, callers)
@@ -99,26 +102,29 @@
     rests = RestPlayer(world, Random(f'{seed} rests'), callers)
     restores = RestorePlayer(world, Random(f'{seed} restores'))
     partitions = PartitionPlayer(world, Random(f'{seed} partitions'), callers)
+    entries = EntryPlayer(world, Random(f'{seed} entries'))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run, caller_count)
         await wait_for(lambda: any(each.status == 200 for each in callers.requests))
         async with trio.open_nursery() as players:
             players.start_soon(player.run, seconds)
-            if world.has_zones:
-                players.start_soon(zones.run, seconds)
-            if world.has_needs:
-                players.start_soon(throttles.run, seconds)
-            if world.has_rests:
-                players.start_soon(rests.run, seconds)
-            if world.has_restores:
-                players.start_soon(restores.run, seconds)
-            if world.has_partitions:
-                players.start_soon(partitions.run, seconds)
+            for is_played, each in (
+                (world.has_zones, zones),
+                (world.has_needs, throttles),
+                (world.has_rests, rests),
+                (world.has_restores, restores),
+                (world.has_partitions, partitions),
+                (world.has_entries, entries),
+            ):
+                if is_played:
+                    players.start_soon(each.run, seconds)
         await trio.sleep(RECOVERY_SECONDS)
         if world.has_partitions:
             await partitions.run_calm()
         since = trio.current_time()
         await trio.sleep(CHECKED_SECONDS)
+        if world.has_entries:
+            await entries.check()
         unexpected_exits = tuple(find_unexpected_exits(world))
         nursery.cancel_scope.cancel()
     unrecovered = tuple(find_unrecovered(callers, since))
@@ -130,6 +136,7 @@
         *throttles.violations(),
         *rests.violations(),
         *partitions.violations(),
+        *entries.violations(),
         *find_violations_of_stops(world, callers, player),
         *unexpected_exits,
         *unrecovered,
@@ -174,6 +181,11 @@
     parser.add_argument(
         '--stops', action='store_true', help='Play planned work only, without faults.'
     )
+    parser.add_argument(
+        '--entries',
+        action='store_true',
+        help='Also write objects that cannot be read into the store.',
+    )
     parser.add_argument('--instances', type=int, default=INSTANCES)
     parser.add_argument('--callers', type=int, default=CALLERS)
     arguments = parser.parse_args()
@@ -191,6 +203,7 @@
             has_restores=arguments.restores,
             has_partitions=arguments.partitions,
             has_stops=arguments.stops,
+            has_entries=arguments.entries,
             instances=arguments.instances,
             callers=arguments.callers,
         )
--- a/soak/world.py
+++ b/soak/world.py
@@ -110,6 +110,8 @@
     has_partitions: bool = False
     #: Whether there is planned work only: stops, signals and changes of rules.
     has_stops: bool = False
+    #: Whether another writer writes objects that cannot be read.
+    has_entries: bool = False
     paths: InstancePaths = Factory(
         lambda self: InstancePaths(self.instances), takes_self=True
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,8 @@
 REST_SECONDS = 10.0
 PARTITION_SEED = 1
 PARTITION_SECONDS = 5.0
+ENTRIES_SEED = 1
+ENTRIES_SECONDS = 6.0
 #: Stops of 6 s in series, which overlap; as many instances and callers as CI bears.
 STOP_SEEDS = (1, 2)
 STOP_SECONDS = 10.0
@@ -254,6 +256,13 @@
         self.assertEqual(result.violations, (), f'logs in {KEPT_LOGS}')
         self.assertGreater(result.requests, 100)
 
+    def test_entries_of_another_writer_hide_no_server(self):
+        # One value that cannot be read took whole answers of the store with it.
+        run = partial(soak, has_entries=True)
+        result = trio.run(run, ENTRIES_SEED, ENTRIES_SECONDS, KEPT_LOGS)
+        self.assertEqual(result.violations, (), f'logs in {KEPT_LOGS}')
+        self.assertGreater(result.requests, 100)
+
     def test_stops_in_series_cut_no_request(self):
         # Requests that were read late in a stop were cut.
         run = partial(soak, has_stops=True)
