Keep the settings in force where a changed file cannot be read

What callers saw: nothing yet. SIGHUP with a settings file that holds lists nested too deeply, an empty range of ports, or an infinite number ended the process with all its requests (RecursionError, IndexError, KeyError, OverflowError), where other mistakes are logged and the settings kept.

All errors of a conversion are mistakes of the file; numbers are finite, and a bound that is not counts as missing.

--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -2,7 +2,9 @@
 
 import tomllib
 from collections.abc import Callable, Mapping
+from math import isfinite
 from pathlib import Path
+from reprlib import repr as shorten
 from typing import Any
 
 from attrs import Factory, define, frozen
@@ -13,6 +15,14 @@
 
 FILE_VARIABLE = 'CATKINSLIP_NODE_FILE'
 DEFAULT_DESCRIPTORS = 4100
+#: Errors of a field that cannot be converted.
+CONVERSION_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 #: Descriptors of a process that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 #: Share of the others for callers; servers, the store and peers take the rest.
@@ -79,15 +89,15 @@
             return default
         try:
             return convert(value)
-        except (TypeError, ValueError, AttributeError) as error:
-            self.mistakes.append(f'{location}: {value!r} is wrong, {error}.')
+        except CONVERSION_ERRORS as error:
+            self.mistakes.append(f'{location}: {shorten(value)} is wrong, {error}.')
             return default
 
     def read_number(self, location: str, default: float) -> float:
         """Return an optional number, or the default if the field is missing."""
         if self._find(location) is None:
             return default
-        return self.read(location, float, default)
+        return self.read(location, finite, default)
 
     def read_switch(self, location: str, *, default: bool) -> bool:
         """Return an optional true or false, or the default if the field is missing."""
@@ -113,7 +123,9 @@
         for text in self.read('bounds', list, []):
             name, separator, number = str(text).partition('=')
             try:
-                bound_by_name[name.strip()] = float(number)
+                bound = float(number)
+                if isfinite(bound):
+                    bound_by_name[name.strip()] = bound
             except ValueError:
                 # Some bounds are true or false; none of those is used here.
                 if not separator or number.strip() not in ('true', 'false'):
@@ -127,6 +139,14 @@
         return bound_by_name.get(name, 1.0)
 
 
+def finite(value: Any) -> float:
+    """Return a value as a number; raise ValueError if it is NaN or infinite."""
+    number = float(value)
+    if not isfinite(number):
+        raise ValueError('a number must be finite')
+    return number
+
+
 def read_quota_bounds(
     reader: SettingsReader, bound_by_name: dict[str, float]
 ) -> QuotaBounds:
@@ -153,7 +173,7 @@
     """Parse the settings, or return every mistake with its location."""
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         return Failure((f'the settings file is not TOML, {error}.',))
     reader = SettingsReader(document)
     unset_address = Address('0.0.0.0', 0)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -77,6 +77,23 @@
         self.assertIn('node: is missing.', mistakes)
         self.assertIn('bounds: grace_s is missing.', mistakes)
 
+    def test_settings_that_cannot_be_read_ended_the_process_at_a_reload(self):
+        texts = (
+            f'a = {"[" * 3000}{"]" * 3000}',
+            *(
+                settings_text().replace('[7005, 7005]', value)
+                for value in ('[inf, 7005]', '[]', '{}', '["x"]', '0')
+            ),
+            settings_text().replace('"grace_s=6"', '"grace_s=inf"'),
+            *(
+                f'{settings_text()}[limits]\nmax_fds = {value}\n'
+                for value in ('inf', 'nan', '[]', '"x"')
+            ),
+        )
+        for text in texts:
+            with self.subTest(text=text[-100:]):
+                self.assertIsInstance(read_settings(text), Failure)
+
     def test_unknown_fields_are_ignored(self):
         text = 'future = [1]\n' + settings_text()
         self.assertEqual(read_settings(text).unwrap().instance_id, 'edge-1')
