Bound the names kept of unreadable objects, and report an end in any encoding

Names of unreadable objects are kept to log each once; they may have any length, so 200 characters are kept. The report of an end escapes what is not ASCII, as the log may have any encoding.

--- a/catkinslip/logs/ends.py
+++ b/catkinslip/logs/ends.py
@@ -16,7 +16,9 @@
     """Write the stack traces of an error and, as the last lines, its causes."""
     lines = ''.join(traceback.format_exception(error)).splitlines()
     lines.extend(end_line(cause) for cause in causes_of(error))
-    print('\n'.join(map(escape, lines)), file=stream, flush=True)
+    text = '\n'.join(map(escape, lines))
+    # A stream of any encoding can hold these characters.
+    print(text.encode('ascii', 'backslashreplace').decode(), file=stream, flush=True)
 
 
 def causes_of(error: BaseException) -> Iterator[BaseException]:
--- a/catkinslip/platform/sources.py
+++ b/catkinslip/platform/sources.py
@@ -30,7 +30,7 @@
 
 #: Names of unreadable objects that are kept to log each of them once.
 MAX_LOGGED_NAMES = 1000
-#: Characters of a name in log lines.
+#: Characters of the name of an unreadable object that are kept and logged.
 MAX_NAME_LENGTH = 200
 
 log = logging.getLogger('store')
@@ -48,7 +48,7 @@
     #: configuration must; otherwise it counts as removed.
     keeps_readable: bool = False
     readable_by_name: dict[str, Value] = Factory(dict)
-    #: Errors of the unreadable objects, which are logged once, by name.
+    #: Errors of the unreadable objects, which are logged once, by shortened name.
     error_by_name: dict[str, str] = Factory(dict)
 
     async def read_all(
@@ -130,7 +130,7 @@
             return None
         if event['tombstone']:
             self.readable_by_name.pop(name, None)
-            self.error_by_name.pop(name, None)
+            self.error_by_name.pop(name[:MAX_NAME_LENGTH], None)
             return (name, None) if is_text(name) else None
         value = self._decode(name, item, era)
         if not is_text(name) or (value is None and self.keeps_readable):
@@ -158,7 +158,7 @@
         except DECODE_ERRORS as error:
             self._note_unreadable(name, describe(error))
             return None
-        self.error_by_name.pop(name, None)
+        self.error_by_name.pop(name[:MAX_NAME_LENGTH], None)
         if self.keeps_readable:
             self.readable_by_name[name] = value
         return value
@@ -176,15 +176,16 @@
     def _note_unreadable(self, name: str, error: str) -> None:
         """Count an unreadable object, and log it unless it was logged already."""
         self.client.unreadable_by_kind[self.kind] += 1
-        if self.error_by_name.get(name) == error:
+        shown = name[:MAX_NAME_LENGTH]
+        if self.error_by_name.get(shown) == error:
             return
         if len(self.error_by_name) >= MAX_LOGGED_NAMES:
             self.error_by_name.clear()
-        self.error_by_name[name] = error
+        self.error_by_name[shown] = error
         log.warning(
             'store: unreadable object ignored. kind=%s name=%s kept=%s error=%s',
             self.kind,
-            name[:MAX_NAME_LENGTH],
+            shown,
             name in self.readable_by_name,
             error,
         )
--- a/tests/test_logs_ends.py
+++ b/tests/test_logs_ends.py
@@ -36,7 +36,7 @@
     """The last lines of a log tell why a process ended."""
 
     def report_of(self, *values: str) -> list[str]:
-        stream = io.TextIOWrapper(io.BytesIO(), 'utf-8')
+        stream = io.TextIOWrapper(io.BytesIO(), 'latin-1')
         try:
             trio.run(serve, list(values))
         except Exception as error:
@@ -45,10 +45,10 @@
         return stream.read().splitlines()
 
     def test_last_line_of_an_ended_process_named_neither_task_nor_error(self):
-        last = self.report_of('i-\udcff\n')[-1]
+        last = self.report_of('i-\udcff\n\u4e00')[-1]
         self.assertTrue(last.startswith('lifecycle: ended by an error. '), last)
         self.assertIn('task=Reader.run at=test_logs_ends.py:', last)
-        self.assertIn("Reader.read error=KeyError: 'i-\\udcff\\n'", last)
+        self.assertIn("Reader.read error=KeyError: 'i-\\udcff\\n\\u4e00'", last)
 
     def test_each_error_of_several_tasks_has_its_line(self):
         lines = self.report_of('a', 'b')
