--- a/tests/partitions.py
+++ b/tests/partitions.py
@@ -105,7 +105,8 @@
 
     sent: Counter[int] = Factory(Counter)
     served: Counter[int] = Factory(Counter)
-    statuses: Counter[tuple[int, int]] = Factory(Counter)
+    #: Statuses, with the reason of a refusal.
+    statuses: Counter[tuple[int, str]] = Factory(Counter)
 
     def share(self, entries: list[int]) -> float:
         """Return the share of the requests at some instances that was served."""
@@ -173,9 +174,9 @@
         try:
             answer = await self.platform.send(method, path, entry, request_id)
         except httpx.HTTPError:
-            tries.statuses[entry, 0] += 1
+            tries.statuses[entry, 'cut'] += 1
             return
-        tries.statuses[entry, answer.status_code] += 1
+        tries.statuses[entry, status_of(answer)] += 1
         tries.served[entry] += answer.status_code == 200
 
     def runs_twice(self) -> list[str]:
@@ -187,6 +188,12 @@
         ]
 
 
+def status_of(answer: httpx.Response) -> str:
+    """Return the status of an answer, with the reason if it is a refusal."""
+    reason = '' if answer.is_success else f', {answer.text.strip()}'
+    return f'{answer.status_code}{reason}'
+
+
 def reset(stream: CuttableStream) -> None:
     """End a connection at once for both sides."""
     try:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -15,6 +15,7 @@
 from catkinslip.routing.policies import LeastInFlight
 from tests.builders import backend_plain, document_of, document_plain
 from tests.discovery_builders import OUTAGE, ScriptedSource, rule_set
+from tests.partitions import status_of
 from tests.platform_builders import config_spec
 from tests.small_platform import (
     GENEROUS_SECONDS,
@@ -169,13 +170,13 @@
 
 async def send_requests(
     platform: SmallPlatform, entry: int = 0, count: int = 6
-) -> set[int]:
-    """Send requests one after another; return the set of their statuses."""
+) -> set[str]:
+    """Send requests one after another; return their statuses and reasons."""
     answers = [
         await platform.send('POST', '/p/x', entry, request_id=f'r{number}')
         for number in range(count)
     ]
-    return {answer.status_code for answer in answers}
+    return set(map(status_of, answers))
 
 
 def have_evacuated(platform: SmallPlatform, zones: set[str]) -> bool:
@@ -189,7 +190,7 @@
     def test_zone_gets_nothing_until_the_evacuation_ends(self):
         async def check(platform):
             near, far = await start_two_zones(platform, instances=2)
-            self.assertEqual(await send_requests(platform), {200})
+            self.assertEqual(await send_requests(platform), {'200'})
             platform.store.put('evacuations', 'zone-a', {})
             self.assertTrue(
                 await wait_at_most(
@@ -199,11 +200,11 @@
             for worker in (near, far):
                 worker.heads.clear()
             for entry in range(2):
-                self.assertEqual(await send_requests(platform, entry), {200})
+                self.assertEqual(await send_requests(platform, entry), {'200'})
             self.assertEqual((len(near.heads), len(far.heads)), (0, 12))
             platform.store.remove('evacuations', 'zone-a')
             await wait_for(lambda: have_evacuated(platform, set()))
-            self.assertEqual(await send_requests(platform), {200})
+            self.assertEqual(await send_requests(platform), {'200'})
             self.assertTrue(near.heads)
 
         on_platform(check)
@@ -252,7 +253,7 @@
         async def check(platform):
             platform.store.put('evacuations', 'zone-a', {})
             near, _ = await start_two_zones(platform)
-            self.assertEqual(await send_requests(platform), {200})
+            self.assertEqual(await send_requests(platform), {'200'})
             self.assertEqual(near.heads, [])
 
         on_platform(check)
@@ -271,7 +272,7 @@
             self.assertTrue(
                 await wait_at_most(5.0, lambda: have_evacuated(platform, {'zone-a'}))
             )
-            self.assertEqual(await send_requests(platform, entry=1), {200})
+            self.assertEqual(await send_requests(platform, entry=1), {'200'})
             self.assertEqual(near.heads, [])
 
         on_platform(check)
@@ -284,7 +285,7 @@
             platform.store.faults.refuse_with = 503
             platform.store.forget_history()
             await wait_for(lambda: platform.entries[0].evacuations.is_lost)
-            self.assertEqual(await send_requests(platform), {200})
+            self.assertEqual(await send_requests(platform), {'200'})
             self.assertEqual(near.heads, [])
             platform.store.remove('evacuations', 'zone-a')
             platform.store.faults.refuse_with = 0
