Name a bound that is not finite as a mistake of the settings again

A bound that is used and not finite is a mistake, with its name; one that is not used stays ignored.

--- a/catkinslip/platform/settings.py
+++ b/catkinslip/platform/settings.py
@@ -123,9 +123,7 @@
         for text in self.read('bounds', list, []):
             name, separator, number = str(text).partition('=')
             try:
-                bound = float(number)
-                if isfinite(bound):
-                    bound_by_name[name.strip()] = bound
+                bound_by_name[name.strip()] = float(number)
             except ValueError:
                 # Some bounds are true or false; none of those is used here.
                 if not separator or number.strip() not in ('true', 'false'):
@@ -134,9 +132,19 @@
 
     def read_bound(self, bound_by_name: dict[str, float], name: str) -> float:
         """Return one of the bounds, or 1 and record a mistake if it is missing."""
-        if name not in bound_by_name:
+        bound = self.read_optional_bound(bound_by_name, name)
+        if bound is None:
             self.mistakes.append(f'bounds: {name} is missing.')
-        return bound_by_name.get(name, 1.0)
+        return 1.0 if bound is None else bound
+
+    def read_optional_bound(
+        self, bound_by_name: dict[str, float], name: str
+    ) -> float | None:
+        """Return one of the bounds, None if it is missing; record one not finite."""
+        bound = bound_by_name.get(name)
+        if bound is not None and not isfinite(bound):
+            self.mistakes.append(f'bounds: {name} must be finite, not {bound:g}.')
+        return bound
 
 
 def finite(value: Any) -> float:
@@ -203,8 +211,8 @@
         resend_share=reader.read_bound(bound_by_name, 'retry_budget_ratio'),
         resend_slack=reader.read_bound(bound_by_name, 'retry_budget_slack'),
         # Platforms without limits for cold servers omit these bounds.
-        cold_excess=bound_by_name.get('cold_excess'),
-        cold_slack=bound_by_name.get('cold_slack', 0.0),
+        cold_excess=reader.read_optional_bound(bound_by_name, 'cold_excess'),
+        cold_slack=reader.read_optional_bound(bound_by_name, 'cold_slack') or 0.0,
         quota_bounds=read_quota_bounds(reader, bound_by_name),
         uses_subsets=reader.read_switch('server_subsets', default=True),
     )
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -85,6 +85,7 @@
                 for value in ('[inf, 7005]', '[]', '{}', '["x"]', '0')
             ),
             settings_text().replace('"grace_s=6"', '"grace_s=inf"'),
+            settings_text().replace('"grace_s=6"', '"grace_s=6","cold_excess=nan"'),
             *(
                 f'{settings_text()}[limits]\nmax_fds = {value}\n'
                 for value in ('inf', 'nan', '[]', '"x"')
