--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import multiprocessing
 import os
 import random
 import signal
@@ -27,6 +28,8 @@
 SEED = int(os.environ.get('SEED', time.time_ns() % 100_000))
 CLIENTS = int(os.environ.get('CLIENTS', '4500'))
 INSTANCES = 3
+#: The clients are divided among some processes, as one would be too slow for them.
+CLIENT_PROCESSES = 4
 WORKERS = 2
 #: A client thinks this long between an answer and its next request; it may reuse a
 #: connection for four fifths of idle_timeout_s, which is 12 s here.
@@ -39,6 +42,7 @@
 GRACE_SECONDS = 6.0
 #: Pause between the end of a stop and the next one.
 PAUSE_SECONDS = 4.0
+CASE_SECONDS = STEADY_SECONDS + INSTANCES * (GRACE_SECONDS + 1.0 + PAUSE_SECONDS)
 BODY = b'r' * 300
 
 
@@ -189,28 +193,60 @@
             writer.close()
         return json.loads(answer.partition(b'\r\n\r\n')[2])
 
-    async def run(self) -> None:
-        """Let clients work, stop one instance, and wait until it has ended."""
-        clients = [Client(number, self) for number in range(CLIENTS)]
+    async def run_clients(self, numbers: range) -> None:
+        """Let some clients work for the time of the case."""
+        clients = [Client(number, self) for number in numbers]
         tasks = [asyncio.create_task(each.run()) for each in clients]
-        await asyncio.sleep(STEADY_SECONDS)
-        for each in self.deployment.instances:
-            await self._restart(each)
+        await asyncio.sleep(CASE_SECONDS)
         self.is_over = True
         await asyncio.sleep(DEADLINE_MS / 1000)
         for each in tasks:
+            if each.done() and each.exception() is not None:
+                raise each.exception()
             each.cancel()
 
-    async def _restart(self, instance) -> None:
-        self.term_at[instance.front] = time.monotonic()
-        if TROUBLE:
-            instance.signal(signal.SIGTERM)
-        await asyncio.sleep(GRACE_SECONDS + 1.0)
-        if TROUBLE:
-            if instance.process.poll() is None:
-                raise CaseError(f'{instance.name} did not end within its grace period')
-            instance.start()
-        await asyncio.sleep(PAUSE_SECONDS)
+    def restart_all(self) -> None:
+        """Stop the instances in turn and start them again."""
+        time.sleep(STEADY_SECONDS)
+        for each in self.deployment.instances:
+            self.term_at[each.front] = time.monotonic()
+            if TROUBLE:
+                each.signal(signal.SIGTERM)
+            time.sleep(GRACE_SECONDS + 1.0)
+            if TROUBLE:
+                if each.process.poll() is None:
+                    raise CaseError(f'{each.name} did not end in its grace period')
+                each.start()
+            time.sleep(PAUSE_SECONDS)
+
+
+def run_process(case: Case, number: int, path: Path) -> None:
+    """Run the clients of one process and write what they saw."""
+    asyncio.run(case.run_clients(range(number, CLIENTS, CLIENT_PROCESSES)))
+    path.write_text(json.dumps(case.rows))
+
+
+def play(case: Case) -> None:
+    """Let clients work in processes of their own while the instances are restarted."""
+    folder = case.deployment.folder
+    context = multiprocessing.get_context('fork')
+    processes = {}
+    for number in range(CLIENT_PROCESSES):
+        path = folder / f'rows-{number}.json'
+        processes[path] = context.Process(target=run_process, args=(case, number, path))
+    try:
+        for each in processes.values():
+            each.start()
+        case.restart_all()
+        for path, each in processes.items():
+            each.join(20.0)
+            if each.exitcode != 0:
+                raise CaseError(f'clients ended with {each.exitcode}')
+            case.rows += json.loads(path.read_text())
+    finally:
+        for each in processes.values():
+            each.kill()
+            each.join()
 
 
 def judge(case: Case, runs: set[str]) -> list[str]:
@@ -264,7 +300,7 @@
         deployment.add_instances(INSTANCES)
         time.sleep(2.0)
         case = Case(deployment)
-        asyncio.run(case.run())
+        play(case)
         return report(case, deployment)
     finally:
         deployment.end()
@@ -277,7 +313,7 @@
     count_by_end: dict[str, int] = {}
     for row in case.rows:
         found = row[5]
-        name = str(found[0]) if isinstance(found, tuple) else str(found)
+        name = str(found[0]) if isinstance(found, list) else str(found)
         count_by_end[name] = count_by_end.get(name, 0) + 1
     lines = [
         f'trouble={TROUBLE} seed={SEED} clients={CLIENTS}',
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -288,7 +288,7 @@
         while (left := ends_at - time.monotonic()) > 0:
             if reader.at_eof() or reader.exception() is not None:
                 return True
-            await asyncio.sleep(min(left, 0.02))
+            await asyncio.sleep(min(left, 0.06))
         return False
 
 
