Keep an instance's own close of idle connections apart from its callers' leaving

Cause: close_idle shut down the receiving half of idle connections. Linux still delivers bytes that come after that, so a request that arrived before the next read of its connection was read as usual, and poll reports POLLRDHUP for the socket whoever closed it: the watch of callers took the instance's own action for the caller's leaving and cancelled the call.

Ruled out: the cut at the end of a stop (nothing was open there), calls that reach their deadline or timeout (none had).

Change: the wait for a request is cancelled and the socket left alone; before the connection is closed it is read once more without waiting, also at the idle timeout, so that what has arrived is answered. Nothing else shuts down the receiving half of a caller's connection, so POLLRDHUP means the caller. Connections are closed 16 between two turns of the other tasks, idle for longest first, and one that becomes idle later ends at once.

The wait before _wait_for_requests of the daemon is covered by the same code.

--- a/catkinslip/entry.py
+++ b/catkinslip/entry.py
@@ -171,12 +171,12 @@
         gate.end_waits(clock.monotonic())
         await sleep_until(clock, times.last_request)
     accepting.cancel()
-    callers.close_idle()
     log.info(
         'lifecycle: no connections are accepted any more. connections=%d',
         len(callers.open_wires),
     )
     with trio.move_on_after(max(0.0, times.cut_at - clock.monotonic())):
+        await callers.close_idle()
         await callers.wait_until_closed()
     log.info(
         'lifecycle: stopped. connections=%d refused=%d',
--- a/catkinslip/lifecycle.py
+++ b/catkinslip/lifecycle.py
@@ -117,8 +117,8 @@
     async def _wait_for_requests(self) -> None:
         now = self.clock.monotonic()
         self.stop_gate.start(StopTimes(now, now, now + self.drain_timeout))
-        self.drain.close_idle()
         with trio.move_on_after(self.drain_timeout) as scope:
+            await self.drain.close_idle()
             await self.drain.wait_until_closed()
         if scope.cancelled_caught:
             log.warning(
--- a/catkinslip/proxy/draining.py
+++ b/catkinslip/proxy/draining.py
@@ -1,7 +1,6 @@
 """Closing of callers' connections without interrupting a request."""
 
 import logging
-import socket
 
 import h11
 import trio
@@ -12,6 +11,9 @@
 
 CLOSE_HEADER = (b'connection', b'close')
 
+#: Idle connections that are closed between two turns of the other tasks.
+CLOSED_AT_ONCE = 16
+
 ANSWERING = (h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY)
 
 log = logging.getLogger('lifecycle')
@@ -22,6 +24,8 @@
     """The open connections of callers, which are closed when the instance drains."""
 
     is_closing: bool = False
+    #: Whether connections no longer wait for a request.
+    is_closing_idle: bool = False
     open_wires: set[Wire] = Factory(set)
     _none_open: trio.Event = Factory(trio.Event)
 
@@ -42,19 +46,22 @@
         self.is_closing = True
         self._notify_if_none_open()
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing was received since the last answer."""
-        for wire in self.open_wires:
-            sock = wire.stream.socket
-            # A closed connection stays registered until its task runs again; its socket
-            # would raise an error that stops the instance with all its requests.
-            if sock.fileno() < 0 or not is_idle(wire) or sock.is_readable():
-                continue
-            try:
-                # The task that waits for a request reads the end of the stream.
-                sock.shutdown(socket.SHUT_RD)
-            except OSError as error:
-                log.info('lifecycle: idle connection already closed. error=%s', error)
+    async def close_idle(self) -> None:
+        """Close the idle connections, those that are idle for longest first.
+
+        A request that arrives before the last read of its connection is answered. The
+        connections are closed in parts, so that other requests are answered meanwhile.
+        """
+        self.is_closing_idle = True
+        idle = sorted(
+            (wire for wire in self.open_wires if wire.idle_scope is not None),
+            key=lambda wire: wire.idle_scope.deadline,
+        )
+        log.info('lifecycle: closing idle connections. idle=%d', len(idle))
+        for start in range(0, len(idle), CLOSED_AT_ONCE):
+            for wire in idle[start : start + CLOSED_AT_ONCE]:
+                wire.end_wait()
+            await trio.lowlevel.checkpoint()
 
     async def wait_until_closed(self) -> None:
         """Wait until closing has started and no connection is open."""
@@ -79,6 +86,10 @@
     #: Whether the caller has sent a request before the answer to another.
     is_pipelining: bool = False
 
+    async def wait_for_request(self, seconds: float) -> None:
+        """Read the first bytes of a request, without a wait while idle ones end."""
+        await super().wait_for_request(0.0 if self.drain.is_closing_idle else seconds)
+
     def encode(self, *events: object) -> bytes:
         """Return the bytes of events; they must be the next that are sent."""
         if self.drain.is_closing and not self.has_requests_behind():
@@ -98,11 +109,6 @@
         return self.read_ahead is not None and self.read_ahead.has_requests()
 
 
-def is_idle(wire: Wire) -> bool:
-    """Return whether a connection waits for the first byte of a request."""
-    return wire.codec.their_state is h11.IDLE and not wire.codec.trailing_data[0]
-
-
 def with_close_header(event: object) -> object:
     """Return an event; the head of a final response gets `connection: close`."""
     if type(event) is not h11.Response:
--- a/catkinslip/proxy/head_reader.py
+++ b/catkinslip/proxy/head_reader.py
@@ -49,8 +49,7 @@
     async def _read_raw(self, wire: Wire) -> bytes | NotRun | None:
         data, is_closed = wire.codec.trailing_data
         if not data and not is_closed:
-            with trio.move_on_after(self.idle_timeout):
-                await wire.read_into_codec()
+            await wire.wait_for_request(self.idle_timeout)
             data, is_closed = wire.codec.trailing_data
         if not data:
             return None
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -40,6 +40,8 @@
     arrived_at: float | None = None
     #: Whether encoded bytes are not all written; the codec counts them as sent.
     has_unwritten: bool = False
+    #: Scope of the wait for the first bytes of a request; None while there is none.
+    idle_scope: trio.CancelScope | None = None
 
     async def receive(self) -> Any:
         """Return the next event; raise h11.RemoteProtocolError or a trio error."""
@@ -58,6 +60,32 @@
             self.check_chunks(data)
         self.codec.receive_data(data)
 
+    async def wait_for_request(self, seconds: float) -> None:
+        """Read the first bytes of a request into the codec.
+
+        There are none if none come within `seconds` or before `end_wait` is called.
+        """
+        with trio.move_on_after(seconds) as self.idle_scope:
+            await self.read_into_codec()
+        scope, self.idle_scope = self.idle_scope, None
+        if scope.cancelled_caught:
+            self._read_arrived()
+
+    def end_wait(self) -> None:
+        """End the wait for a request; one that has arrived by then is read."""
+        if self.idle_scope is not None:
+            self.idle_scope.cancel()
+
+    def _read_arrived(self) -> None:
+        """Read the bytes that have arrived into the codec, without a task switch."""
+        if type(self.stream) is not trio.SocketStream:
+            return
+        try:
+            data = os.read(self._descriptor(), RECEIVE_SIZE)
+        except BlockingIOError:
+            return
+        self.codec.receive_data(data)
+
     def check_chunks(self, data: bytes) -> None:
         """Raise h11.RemoteProtocolError if the framing of a chunked body is invalid."""
         fault = self.chunk_check.feed(data)
--- a/tests/test_proxy_pipelining.py
+++ b/tests/test_proxy_pipelining.py
@@ -457,7 +457,7 @@
             proxy.forwarder.release('/2', '/3')
             await proxy.forwarder.wait_for_end('/2', '/3')
             proxy.server.drain.start_closing()
-            proxy.server.drain.close_idle()
+            await proxy.server.drain.close_idle()
             await caller.send(get('/4'))
             await trio.sleep(0.1)
             proxy.forwarder.release('/1')
