Log caller-left only for callers that left

What operators saw: the log and the metrics named a caller's leaving for requests that the instance itself ended: those behind an answer that broke off, and a held answer that was not read for 10 s. Requests cut at the end of a stop had no line at all and counted as caller-left.

Cause: the reason was the default of each request's outcome, whoever ended it.

Change: a reason of its own, connection-closed, is the default; caller-left is set where the watch of callers cancelled the request. A request that is cancelled has its line. The watch is the one place that decides, for the tickets as well.

--- a/catkinslip/proxy/caller_answers.py
+++ b/catkinslip/proxy/caller_answers.py
@@ -14,6 +14,8 @@
 from catkinslip.proxy.relayed import encode_outcome
 from catkinslip.proxy.wire import Wire
 
+REASONS_WITHOUT_ANSWER = frozenset({Reason.CALLER_LEFT, Reason.CONNECTION_CLOSED})
+
 log = logging.getLogger('request')
 
 
@@ -31,7 +33,7 @@
             if wire.codec.their_state is h11.SEND_BODY:
                 await wire.close_gracefully()
             return is_reusable(wire)
-        if outcome.reason is Reason.CALLER_LEFT or has_begun(wire):
+        if outcome.reason in REASONS_WITHOUT_ANSWER or has_begun(wire):
             await wire.reset()
             return False
         headers = [] if call.relayed is None else [encode_outcome(outcome)]
--- a/catkinslip/proxy/caller_watch.py
+++ b/catkinslip/proxy/caller_watch.py
@@ -41,9 +41,11 @@
         if not self.scope_by_descriptor:
             return
         for descriptor, events in self.poll.poll(0):
-            if events != select.POLLIN:
+            caller = self.caller_by_descriptor[descriptor]
+            if is_end(events):
+                caller.has_left = True
                 self.scope_by_descriptor[descriptor].cancel()
-            elif not self.on_readable(self.caller_by_descriptor[descriptor]):
+            elif not self.on_readable(caller):
                 self.poll.modify(descriptor, select.POLLRDHUP)
 
     def add(self, caller: Wire, scope: trio.CancelScope) -> int | None:
@@ -72,8 +74,19 @@
 
 def has_left(caller: Wire) -> bool:
     """Return whether a caller has closed its connection or its sending half."""
-    if type(caller.stream) is not trio.SocketStream:
+    if caller.has_left or type(caller.stream) is not trio.SocketStream:
+        return caller.has_left
+    if caller.stream.socket.fileno() < 0:
+        # Closed by this side.
         return False
     poll = select.poll()
     poll.register(caller.stream.socket.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return any(is_end(events) for _, events in poll.poll(0))
+
+
+def is_end(events: int) -> bool:
+    """Return whether poll events mean that a caller closed its sending half.
+
+    They do as long as this side never shuts down the receiving half.
+    """
+    return events != select.POLLIN
--- a/catkinslip/proxy/callers.py
+++ b/catkinslip/proxy/callers.py
@@ -1,6 +1,8 @@
 """Server side of callers' connections."""
 
 import logging
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import h11
 import trio
@@ -18,7 +20,7 @@
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.caller_answers import CallerAnswers
 from catkinslip.proxy.caller_limits import CallerLimits
-from catkinslip.proxy.caller_watch import CallerWatch
+from catkinslip.proxy.caller_watch import CallerWatch, has_left
 from catkinslip.proxy.calls import CallFactory
 from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.draining import CallerDrain, CallerWire
@@ -174,14 +176,9 @@
     async def _answer_in_turn(
         self, ahead: ReadAhead, request: PipelinedRequest
     ) -> bool:
-        outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+        outcome: Outcome = Unknown(Reason.CONNECTION_CLOSED)
         try:
-            with trio.CancelScope() as scope:
-                descriptor = self.watch.add(ahead.wire, scope)
-                try:
-                    outcome = await request.answer()
-                finally:
-                    self.watch.remove(descriptor)
+            outcome = await self._end_with_caller(request.answer, ahead.wire)
         finally:
             ahead.release(request)
             self._record_pipelined(request, outcome)
@@ -192,9 +189,11 @@
         if ahead is None:
             return
         wire.read_ahead = None
+        has_caller_left = has_left(wire)
         await ahead.stop()
+        reason = Reason.CALLER_LEFT if has_caller_left else Reason.CONNECTION_CLOSED
         while ahead.has_requests():
-            self._record_pipelined(ahead.take_next(), Unknown(Reason.CALLER_LEFT))
+            self._record_pipelined(ahead.take_next(), Unknown(reason))
 
     def _record_pipelined(self, request: PipelinedRequest, outcome: Outcome) -> None:
         now = self.environment.clock.monotonic()
@@ -221,9 +220,7 @@
             return await self.answers.refuse(wire, call, request)
         if self.pipelines.limits.is_enabled:
             self.pipelines.allow(wire, call)
-        began_at = self.environment.clock.monotonic()
         outcome = await self._forward_observed(call, wire)
-        log_end(call, outcome, began_at, self.environment.clock.monotonic())
         return await self.answers.report(wire, call, outcome)
 
     def _waited(self, wire: CallerWire) -> float:
@@ -236,16 +233,32 @@
         wire.arrived_at = arrived_at if wire.codec.trailing_data[0] else None
         return now - arrived_at
 
-    async def _forward_observed(self, call: Call, wire: Wire) -> Outcome:
-        outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+    async def _forward_observed(self, call: Call, wire: CallerWire) -> Outcome:
+        # Remains if the call is cancelled, as this instance ends.
+        outcome: Outcome = Unknown(Reason.CONNECTION_CLOSED)
         clock = self.environment.clock
         began_at = clock.monotonic()
         try:
-            outcome = await self._forward(call, wire)
+            forward = partial(self._forward, call, wire)
+            outcome = await self._end_with_caller(forward, wire)
         finally:
-            self.observer.on_request_ended(call, outcome, clock.monotonic() - began_at)
+            now = clock.monotonic()
+            self.observer.on_request_ended(call, outcome, now - began_at)
+            log_end(call, outcome, began_at, now)
         return outcome
 
+    async def _end_with_caller(
+        self, answer: Callable[[], Awaitable[Outcome]], wire: CallerWire
+    ) -> Outcome:
+        """Return the outcome of an answer, which is cancelled if its caller leaves."""
+        with trio.CancelScope() as scope:
+            descriptor = self.watch.add(wire, scope)
+            try:
+                return await answer()
+            finally:
+                self.watch.remove(descriptor)
+        return Unknown(Reason.CALLER_LEFT)
+
     async def _forward_in_time(self, call: Call, wire: Wire) -> Outcome:
         refusal = call.refusal
         clock = self.environment.clock
@@ -258,19 +271,9 @@
         return await self.forwarder.forward(call, wire)
 
     async def _forward(self, call: Call, wire: Wire) -> Outcome:
-        outcome: Outcome = Unknown(Reason.CALLER_LEFT)
-        with trio.CancelScope() as scope:
-            descriptor = self.watch.add(wire, scope)
-            try:
-                if call.body_remainder is None:
-                    outcome = await self._forward_in_time(call, wire)
-                else:
-                    outcome = await self._forward_streamed(
-                        call, call.body_remainder, wire
-                    )
-            finally:
-                self.watch.remove(descriptor)
-        return outcome
+        if call.body_remainder is None:
+            return await self._forward_in_time(call, wire)
+        return await self._forward_streamed(call, call.body_remainder, wire)
 
     async def _forward_streamed(
         self, call: Call, body_remainder: BodyRemainder, wire: Wire
--- a/catkinslip/proxy/outcomes.py
+++ b/catkinslip/proxy/outcomes.py
@@ -53,6 +53,11 @@
         499,
         'The caller left before the answer came.',
     )
+    CONNECTION_CLOSED = (
+        'connection-closed',
+        502,
+        'This instance closed the connection before the answer.',
+    )
     OVERLOADED = (
         'overloaded',
         503,
--- a/catkinslip/proxy/read_ahead.py
+++ b/catkinslip/proxy/read_ahead.py
@@ -48,7 +48,7 @@
     size: int
     #: Number of requests before it that were not answered at its start.
     behind: int
-    outcome: Outcome = Unknown(Reason.CALLER_LEFT)
+    outcome: Outcome = Unknown(Reason.CONNECTION_CLOSED)
     ended: trio.Event = Factory(trio.Event)
 
     @property
@@ -64,7 +64,7 @@
         with trio.move_on_after(HELD_SEND_SECONDS) as scope:
             await self.wire.start_turn()
         if scope.cancelled_caught:
-            return Unknown(Reason.CALLER_LEFT, 'the held answer was not read')
+            return Unknown(Reason.CONNECTION_CLOSED, 'the held answer was not read')
         await self.ended.wait()
         return self.outcome
 
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -40,6 +40,8 @@
     arrived_at: float | None = None
     #: Whether encoded bytes are not all written; the codec counts them as sent.
     has_unwritten: bool = False
+    #: Whether the other side was seen to close its sending half under a request.
+    has_left: bool = False
     #: Scope of the wait for the first bytes of a request; None while there is none.
     idle_scope: trio.CancelScope | None = None
 
