End an exchange after 16 interim answers

What callers saw: beside a server that sends interim answers (1xx) without end, requests to other services were not answered in time, and its own requests waited until their deadline.

Cause: interim answers were passed over in a loop without a bound. A read of 64 KB holds some 3,000 of them, which held the loop for 60 ms each time for each connection.

Change: the 17th interim answer before the final one is a protocol error, for all that reads answers (requests, health checks, relayed calls, pages and the store of the platform). The connection is closed, the request ends as broken or is sent elsewhere where it may be.

--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -12,6 +12,7 @@
 from catkinslip.proxy.chunk_checks import ChunkCheck
 
 RECEIVE_SIZE = 65536
+MAX_INTERIM_ANSWERS = 16
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 1 << 20
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -40,6 +41,8 @@
     arrived_at: float | None = None
     #: Whether encoded bytes are not all written; the codec counts them as sent.
     has_unwritten: bool = False
+    #: Interim answers (1xx) that were received before the final one.
+    interim_answers: int = 0
     #: Whether the other side was seen to close its sending half under a request.
     has_left: bool = False
     #: Scope of the wait for the first bytes of a request; None while there is none.
@@ -48,13 +51,25 @@
     async def receive(self) -> Any:
         """Return the next event; raise h11.RemoteProtocolError or a trio error."""
         while True:
-            event = self.codec.next_event()
+            event = self.next_event()
             if event is not h11.NEED_DATA:
                 return event
             if self.codec.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self.read_into_codec()
 
+    def next_event(self) -> Any:
+        """Return the next event that has arrived, or h11.NEED_DATA.
+
+        Raise h11.RemoteProtocolError if bytes are invalid or no final answer comes.
+        """
+        event = self.codec.next_event()
+        if type(event) is h11.InformationalResponse:
+            self.interim_answers += 1
+            if self.interim_answers > MAX_INTERIM_ANSWERS:
+                raise h11.RemoteProtocolError('too many interim answers')
+        return event
+
     async def read_into_codec(self) -> None:
         """Read the available bytes from the connection into the codec."""
         data = await self.read()
@@ -148,6 +163,7 @@
     def start_next_cycle(self) -> None:
         """Prepare the connection for the next request."""
         self.chunk_check = None
+        self.interim_answers = 0
         self.codec.start_next_cycle()
 
     async def close(self) -> None:
