Parse long messages in turns, one connection at a time

What callers saw: beside a server, or a caller, that sends a body in chunks of one byte, other requests were late: the loop was held while a read of 64 KB was parsed.

Cause: a connection parsed all that a read had brought in one step, 10,900 events of 18 us each. With several such connections the steps followed one another.

Change: after 64 events of a message a connection waits for its turn, and one connection at a time gets it in each step of the loop. The check of chunked bodies goes in parts of 4 KB by the same rule. Parts of a body that were parsed together are passed on as one.

A pause after each turn was not needed: the other tasks run between two turns.

--- a/catkinslip/proxy/chunk_checks.py
+++ b/catkinslip/proxy/chunk_checks.py
@@ -32,6 +32,8 @@
     part: BodyPart = BodyPart.SIZE
     remaining_bytes: int = 0
     line: bytearray = Factory(bytearray)
+    #: Lines of sizes, ends of chunks and trailers that were checked.
+    lines: int = 0
 
     def feed(self, data: bytes) -> str | None:
         """Check the next bytes of the body; return the fault, or None."""
@@ -58,6 +60,7 @@
             return 'a line of a chunked body is too long'
         if not is_whole:
             return None
+        self.lines += 1
         line = bytes(self.line)
         self.line.clear()
         if not line.endswith(CRLF) or b'\r' in line[:-2]:
--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from itertools import groupby
 
 import h11
 from attrs import Factory, define, evolve, frozen
@@ -245,26 +246,23 @@
         return Unknown(Reason.BROKEN, connection_break.detail)
 
     async def _pass_on(self, head: AnswerHead) -> Outcome:
-        pending = [self._answer_head(head)]
+        pending: list[h11.Event] = [self._answer_head(head)]
         wire = head.wire
         while True:
             try:
-                event = wire.codec.next_event()
-                if event is h11.NEED_DATA:
-                    if pending and not await self._send_to_caller(pending):
-                        break
-                    pending = []
-                    await wire.read_into_codec()
-                    continue
+                pending += wire.take_arrived()
+                is_whole = bool(pending) and type(pending[-1]) is h11.EndOfMessage
+                if is_whole:
+                    # Without the trailers.
+                    pending[-1] = h11.EndOfMessage()
+                if pending and not await self._send_to_caller(merge_data(pending)):
+                    return Unknown(Reason.CALLER_LEFT, answer_started=True)
+                if is_whole:
+                    return Answered(head.response.status_code, head.report)
+                pending = []
+                await wire.wait_for_more()
             except (*ConnectionErrors, h11.RemoteProtocolError) as error:
                 return evolve(self._record_break(wire, error), answer_started=True)
-            if type(event) is not h11.EndOfMessage:
-                pending.append(event)
-                continue
-            if await self._send_to_caller([*pending, h11.EndOfMessage()]):
-                return Answered(head.response.status_code, head.report)
-            break
-        return Unknown(Reason.CALLER_LEFT, answer_started=True)
 
     async def _send_to_caller(self, events: list[h11.Event]) -> bool:
         try:
@@ -336,6 +334,17 @@
     return AnswerKind.ANSWER if status < 400 else AnswerKind.FAILURE
 
 
+def merge_data(events: list[h11.Event]) -> list[h11.Event]:
+    """Return events with the parts of a body that follow one another as one part."""
+    merged: list[h11.Event] = []
+    for is_data, group in groupby(events, lambda each: type(each) is h11.Data):
+        parts = list(group)
+        if is_data and len(parts) > 1:
+            parts = [h11.Data(data=b''.join(bytes(each.data) for each in parts))]
+        merged += parts
+    return merged
+
+
 def framing_header(length: int | None) -> names.Header:
     """Return the header that frames a request body; None is an unknown length."""
     if length is None:
--- a/catkinslip/proxy/head_reader.py
+++ b/catkinslip/proxy/head_reader.py
@@ -30,18 +30,18 @@
             return head
         request = parse_head(wire.codec, head)
         if isinstance(request, RequestHead):
-            request = self._start_chunk_check(wire, request)
+            request = await self._start_chunk_check(wire, request)
         if isinstance(request, NotRun):
             wire.refused_head = head
         return request
 
-    def _start_chunk_check(
+    async def _start_chunk_check(
         self, wire: Wire, request: RequestHead
     ) -> RequestHead | NotRun:
         if names.find(request.headers, b'transfer-encoding') is not None:
             wire.chunk_check = ChunkCheck()
             try:
-                wire.check_chunks(wire.codec.trailing_data[0])
+                await wire.check_chunks(wire.codec.trailing_data[0])
             except h11.RemoteProtocolError as error:
                 return NotRun(Reason.BAD_REQUEST, head_checks.fault_text(error))
         return request
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -13,10 +13,18 @@
 
 RECEIVE_SIZE = 65536
 MAX_INTERIM_ANSWERS = 16
+#: Events of a connection that are parsed before it waits for its turn. Those of a whole
+#: read, one byte each, would hold the loop for a fifth of a second.
+MAX_EVENTS_IN_TURN = 64
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 1 << 20
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
+#: Bytes of a chunked body that are checked before the number of their lines counts.
+CHECKED_BYTES = 4 << 10
+#: Lock that lets one connection at a time go on to parse a long message.
+TURN_LOCK: trio.lowlevel.RunVar[trio.Lock] = trio.lowlevel.RunVar('turn')
+
 ConnectionErrors = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -41,6 +49,8 @@
     arrived_at: float | None = None
     #: Whether encoded bytes are not all written; the codec counts them as sent.
     has_unwritten: bool = False
+    #: Events that were parsed since the connection last waited for its turn.
+    events_in_turn: int = 0
     #: Interim answers (1xx) that were received before the final one.
     interim_answers: int = 0
     #: Whether the other side was seen to close its sending half under a request.
@@ -51,6 +61,8 @@
     async def receive(self) -> Any:
         """Return the next event; raise h11.RemoteProtocolError or a trio error."""
         while True:
+            if self.is_turn_over():
+                await self._await_turn()
             event = self.next_event()
             if event is not h11.NEED_DATA:
                 return event
@@ -64,17 +76,45 @@
         Raise h11.RemoteProtocolError if bytes are invalid or no final answer comes.
         """
         event = self.codec.next_event()
+        self.events_in_turn += 1
         if type(event) is h11.InformationalResponse:
             self.interim_answers += 1
             if self.interim_answers > MAX_INTERIM_ANSWERS:
                 raise h11.RemoteProtocolError('too many interim answers')
         return event
 
+    def take_arrived(self) -> list[Any]:
+        """Return the events that have arrived, as far as the turn and message go."""
+        events: list[Any] = []
+        while not self.is_turn_over():
+            event = self.next_event()
+            if event is h11.NEED_DATA:
+                break
+            events.append(event)
+            if type(event) is h11.EndOfMessage:
+                break
+        return events
+
+    async def wait_for_more(self) -> None:
+        """Wait until further events may have arrived."""
+        if self.is_turn_over():
+            await self._await_turn()
+        else:
+            await self.read_into_codec()
+
+    def is_turn_over(self) -> bool:
+        """Return whether other connections go first before more events are parsed."""
+        return self.events_in_turn >= MAX_EVENTS_IN_TURN
+
+    async def _await_turn(self) -> None:
+        await take_turn()
+        self.events_in_turn = 0
+
     async def read_into_codec(self) -> None:
         """Read the available bytes from the connection into the codec."""
         data = await self.read()
         if self.chunk_check is not None:
-            self.check_chunks(data)
+            await self.check_chunks(data)
         self.codec.receive_data(data)
 
     async def wait_for_request(self, seconds: float) -> None:
@@ -103,11 +143,15 @@
             return
         self.codec.receive_data(data)
 
-    def check_chunks(self, data: bytes) -> None:
+    async def check_chunks(self, data: bytes) -> None:
         """Raise h11.RemoteProtocolError if the framing of a chunked body is invalid."""
-        fault = self.chunk_check.feed(data)
-        if fault is not None:
-            raise h11.RemoteProtocolError(fault)
+        for start in range(0, len(data), CHECKED_BYTES):
+            lines = self.chunk_check.lines
+            fault = self.chunk_check.feed(data[start : start + CHECKED_BYTES])
+            if fault is not None:
+                raise h11.RemoteProtocolError(fault)
+            if self.chunk_check.lines - lines > MAX_EVENTS_IN_TURN:
+                await take_turn()
 
     def encode(self, *events: Any) -> bytes:
         """Return the bytes of events; they must be the next that are written.
@@ -163,7 +207,7 @@
     def start_next_cycle(self) -> None:
         """Prepare the connection for the next request."""
         self.chunk_check = None
-        self.interim_answers = 0
+        self.interim_answers = self.events_in_turn = 0
         self.codec.start_next_cycle()
 
     async def close(self) -> None:
@@ -189,6 +233,19 @@
         await self.close()
 
 
+async def take_turn() -> None:
+    """Wait until no other connection goes on to parse a long message in this step.
+
+    In each step of the loop one connection goes on, however many send small chunks.
+    """
+    lock = TURN_LOCK.get(None)
+    if lock is None:
+        lock = trio.Lock()
+        TURN_LOCK.set(lock)
+    async with lock:
+        pass
+
+
 def server_wire(stream: trio.abc.Stream) -> Wire:
     """Return the server side of a connection on a stream."""
     return Wire(stream, server_codec(), peer_ip(stream))
--- a/tests/endless_builders.py
+++ b/tests/endless_builders.py
@@ -1,6 +1,6 @@
 """Servers that send without end, and a count of the work in each step of the loop."""
 
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from unittest import mock
 
@@ -18,6 +18,11 @@
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 INTERIM = b'HTTP/1.1 103 Early Hints\r\n\r\n'
 ONE_BYTE_CHUNK = b'1\r\nx\r\n'
+REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\nCatkinslip-Outcome: not-run\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+UPLOAD = b'POST /a HTTP/1.1\r\nHost: limits\r\nTransfer-Encoding: chunked\r\n\r\n'
 GET = b'GET /a HTTP/1.1\r\nHost: limits\r\n\r\n'
 
 
@@ -69,11 +74,30 @@
             return await stream.receive_some()
 
 
-@asynccontextmanager
-async def proxy_of(endless: EndlessServer):
+async def read_all(stream: trio.SocketStream) -> None:
+    """Read a connection until the other side closes it, and answer nothing."""
+    try:
+        while await stream.receive_some():
+            pass
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+def proxy_of(endless: EndlessServer):
     """Run a caller server that sends every call to one endless server."""
+    return proxy_to(endless.serve)
+
+
+def upload_proxy():
+    """Run a caller server that sends every call to a server that only reads."""
+    return proxy_to(read_all)
+
+
+@asynccontextmanager
+async def proxy_to(serve: Callable[[trio.SocketStream], Awaitable[None]]):
+    """Run a caller server that sends every call to one server."""
     async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(trio.serve_tcp, endless.serve, 0)
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
         address = Address('127.0.0.1', listeners[0].socket.getsockname()[1])
         forwarder = OneBackendForwarder(address, BackendPool(), SystemClock())
         server = caller_server(forwarder)
@@ -103,6 +127,11 @@
         self.max_step = max(self.max_step, self.step)
         self.max_batch = max(self.max_batch, self.batch)
 
+    async def wait_for(self, total: int) -> None:
+        """Wait until this many events were counted."""
+        while self.total < total:
+            await trio.sleep(0.001)
+
     def before_task_step(self, task: trio.lowlevel.Task) -> None:
         self.step = 0
 
--- a/tests/test_proxy_endless.py
+++ b/tests/test_proxy_endless.py
@@ -5,15 +5,26 @@
 import trio
 
 from catkinslip.proxy.outcomes import Reason
-from catkinslip.proxy.wire import MAX_INTERIM_ANSWERS
+from catkinslip.proxy.wire import MAX_EVENTS_IN_TURN, MAX_INTERIM_ANSWERS
 from tests.endless_builders import (
     BLOCK_BYTES,
+    CHUNKED,
+    GET,
     INTERIM,
+    ONE_BYTE_CHUNK,
+    REFUSAL,
+    UPLOAD,
     EndlessServer,
+    ParseCount,
     count_parsing,
     proxy_of,
+    upload_proxy,
 )
 
+CONNECTIONS = 8
+#: Events after which all connections have used their first turns.
+WARM_EVENTS = 20_000
+
 #: Bytes that the buffers of both ends of a connection may take, besides those read.
 SOCKET_BUFFER_BYTES = 16 << 20
 
@@ -58,3 +69,65 @@
         endless = EndlessServer(INTERIM * MAX_INTERIM_ANSWERS + answer, b'')
         async with proxy_of(endless) as proxy:
             self.assertIn(b' 200 ', await proxy.ask())
+
+
+class SmallChunksTest(unittest.TestCase):
+    """A body comes in chunks of one byte each, without end."""
+
+    # Guards against a loop that is held while a read of small chunks is parsed.
+
+    @run
+    async def test_endless_small_chunks_of_servers_leave_turns_to_other_tasks(self):
+        async with proxy_of(EndlessServer(CHUNKED, ONE_BYTE_CHUNK)) as proxy:
+            with count_parsing() as count:
+                async with trio.open_nursery() as nursery:
+                    for _ in range(CONNECTIONS):
+                        nursery.start_soon(read_for_ever, await proxy.connect(), GET)
+                    await count.wait_for(WARM_EVENTS)
+                    count.max_batch = 0
+                    await count.wait_for(2 * WARM_EVENTS)
+                    nursery.cancel_scope.cancel()
+            self.check(count)
+
+    @run
+    async def test_endless_small_chunks_of_callers_leave_turns_to_other_tasks(self):
+        async with upload_proxy() as proxy:
+            with count_parsing() as count:
+                async with trio.open_nursery() as nursery:
+                    for _ in range(CONNECTIONS):
+                        nursery.start_soon(send_for_ever, await proxy.connect())
+                    await count.wait_for(WARM_EVENTS)
+                    count.max_batch = 0
+                    await count.wait_for(2 * WARM_EVENTS)
+                    nursery.cancel_scope.cancel()
+            self.check(count)
+
+    @run
+    async def test_endless_refusal_in_small_chunks_leaves_turns_to_other_tasks(self):
+        endless = EndlessServer(REFUSAL, ONE_BYTE_CHUNK)
+        async with proxy_of(endless) as proxy:
+            with count_parsing() as count:
+                self.assertIn(b' 503 ', await proxy.ask())
+                await endless.closed.wait()
+            self.assertLessEqual(count.max_step, 2 * MAX_EVENTS_IN_TURN)
+
+    def check(self, count: ParseCount) -> None:
+        """Check that one connection at a time goes on, and not for long."""
+        self.assertLessEqual(count.max_step, 2 * MAX_EVENTS_IN_TURN)
+        self.assertLessEqual(count.max_batch, 2 * MAX_EVENTS_IN_TURN)
+
+
+async def read_for_ever(stream: trio.SocketStream, request: bytes) -> None:
+    """Send a request and read the answer as fast as it comes."""
+    async with stream:
+        await stream.send_all(request)
+        while await stream.receive_some():
+            pass
+
+
+async def send_for_ever(stream: trio.SocketStream) -> None:
+    """Send a body in chunks of one byte as fast as it is read."""
+    async with stream:
+        await stream.send_all(UPLOAD)
+        while True:
+            await stream.send_all(ONE_BYTE_CHUNK * 1000)
