Bound the time to discard an answer

What callers saw: a server refuses a request at once and sends the body of the refusal without end, slowly. The request waited until its deadline and ended with 504, though it had not run and other servers were free.

Cause: the rest of an answer that is not forwarded was read up to 64 KB, for any time, so that its connection may be kept; the call waited for it.

A small refusal mostly comes with its head and costs no wait.

--- a/catkinslip/proxy/answers.py
+++ b/catkinslip/proxy/answers.py
@@ -1,6 +1,7 @@
 """Reading and checking of response heads from backend servers."""
 
 import h11
+import trio
 
 from catkinslip.proxy import headers as names
 from catkinslip.proxy.outcomes import Reason, Unknown
@@ -8,7 +9,9 @@
 from catkinslip.routing import reports
 
 STATUS_WITHOUT_BODY = (204, 304)
-MAX_REFUSAL_BYTES = 64 << 10
+MAX_DISCARDED_BYTES = 64 << 10
+#: Time for the rest of an answer that is not forwarded, for which its call waits.
+DISCARD_SECONDS = 0.1
 
 
 async def receive_response(wire: Wire) -> h11.Response:
@@ -26,21 +29,22 @@
             raise h11.RemoteProtocolError('closed before an answer')
 
 
-async def drain_body(wire: Wire) -> None:
-    """Read and discard the rest of an answer that is not forwarded.
+async def drain_body(wire: Wire, seconds: float = DISCARD_SECONDS) -> None:
+    """Read and discard the rest of a message, so that its connection may be kept.
 
-    A connection whose answer is cut off or exceeds MAX_REFUSAL_BYTES is marked as
-    spoiled, so that it is not reused.
+    A connection whose message is cut off, takes more than `seconds` or exceeds
+    MAX_DISCARDED_BYTES is marked as spoiled, so that it is not reused.
     """
-    remaining = MAX_REFUSAL_BYTES
-    try:
-        while remaining > 0:
-            event = await wire.receive()
-            if type(event) is h11.EndOfMessage:
-                return
-            remaining -= len(event.data)
-    except (*ConnectionErrors, h11.RemoteProtocolError):
-        pass
+    remaining = MAX_DISCARDED_BYTES
+    with trio.move_on_after(seconds):
+        try:
+            while remaining > 0:
+                event = await wire.receive()
+                if type(event) is h11.EndOfMessage:
+                    return
+                remaining -= len(event.data)
+        except (*ConnectionErrors, h11.RemoteProtocolError):
+            pass
     wire.must_close = True
 
 
--- a/tests/test_proxy_endless.py
+++ b/tests/test_proxy_endless.py
@@ -131,3 +131,18 @@
         await stream.send_all(UPLOAD)
         while True:
             await stream.send_all(ONE_BYTE_CHUNK * 1000)
+
+
+class DiscardedAnswersTest(unittest.TestCase):
+    """A message that nobody needs is discarded, so that its connection may be kept."""
+
+    # Guards against a request that the server refused at once, and which waits for the
+    # end of the refusal until its deadline.
+
+    @run
+    async def test_slow_endless_refusal_does_not_hold_its_request(self):
+        endless = EndlessServer(REFUSAL, ONE_BYTE_CHUNK, pause=1.0)
+        async with proxy_of(endless) as proxy:
+            self.assertIn(b' 503 ', await proxy.ask())
+            self.assertEqual(proxy.forwarder.outcomes[0].reason, Reason.SHED)
+            await endless.closed.wait()
