Read no endless bodies of requests for small pages

What was seen: a request for a small page (addresses, readiness, metrics, peers' questions) with a body without end kept its connection and the loop at work for as long as the bytes came.

Cause: the body, which no page uses, was read to its end without a bound.

Evidence: test_endless_body_of_a_page_request_is_not_read; on the code before it runs into its limit of 20 s.

--- a/catkinslip/pages.py
+++ b/catkinslip/pages.py
@@ -11,6 +11,7 @@
 import trio
 from attrs import define, frozen
 
+from catkinslip.proxy.answers import drain_body
 from catkinslip.proxy.head_checks import origin_form
 from catkinslip.proxy.head_reader import HeadReader
 from catkinslip.proxy.headers import RequestHead
@@ -50,8 +51,9 @@
                 request = await self.head_reader.read(wire)
                 if not isinstance(request, RequestHead):
                     return
-                while type(await wire.receive()) is not h11.EndOfMessage:
-                    pass
+                await drain_body(wire, HEAD_TIMEOUT_SECONDS)
+                if wire.must_close:
+                    return
                 page = await self._handle(request)
                 await wire.send(*page_events(page))
                 if wire.codec.our_state is not h11.DONE:
--- a/tests/test_proxy_endless.py
+++ b/tests/test_proxy_endless.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from catkinslip.pages import PageServer
+from catkinslip.proxy.head_reader import HeadReader
 from catkinslip.proxy.outcomes import Reason
 from catkinslip.proxy.wire import MAX_EVENTS_IN_TURN, MAX_INTERIM_ANSWERS
 from tests.endless_builders import (
@@ -146,3 +148,15 @@
             self.assertIn(b' 503 ', await proxy.ask())
             self.assertEqual(proxy.forwarder.outcomes[0].reason, Reason.SHED)
             await endless.closed.wait()
+
+    @run
+    async def test_endless_body_of_a_page_request_is_not_read(self):
+        # Guards against a caller of a small page that sends a body without end.
+        server = PageServer({}, HeadReader(15.0, 3.0))
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
+            port = listeners[0].socket.getsockname()[1]
+            stream = await trio.open_tcp_stream('127.0.0.1', port)
+            with trio.fail_after(20.0), self.assertRaises(trio.BrokenResourceError):
+                await send_for_ever(stream)
+            nursery.cancel_scope.cancel()
