Bound answers of the daemon's store in time and bytes

What was seen: a store that sends an answer without end, one byte at a time, kept the daemon's call for ever; one that sends as fast as it is read took memory without a bound.

Cause: the time limits of the HTTP client apply to each part of an answer, and the body was read whole.

Change: a call ends after its own limit and one more timeout; an answer above 64 MB is an error. Both count as an answer that was lost, as a write may have been carried out.

--- a/catkinslip/store/http.py
+++ b/catkinslip/store/http.py
@@ -8,6 +8,7 @@
 import cattrs
 import httpx
 import orjson
+import trio
 from attrs import asdict, define
 from returns.result import Failure, Result, Success
 
@@ -30,6 +31,9 @@
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 #: Errors raised when a malformed answer is read.
 MALFORMED_ERRORS = (cattrs.BaseValidationError, KeyError, TypeError, ValueError)
+MAX_ANSWER_BYTES = 64 << 20
+#: Headers that do not describe a body that was decoded.
+FRAMING_HEADERS = frozenset({'content-encoding', 'content-length', 'transfer-encoding'})
 #: Used where a refusal has no readable Retry-After header.
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
@@ -94,14 +98,31 @@
     async def _call(
         self, method: str, path: str, **arguments: Any
     ) -> Result[httpx.Response, PlatformError]:
-        arguments.setdefault('timeout', self.timeout)
-        try:
-            response = await self.client.request(method, path, **arguments)
-        except NOT_SENT_ERRORS as error:
-            return Failure(Unavailable(repr(error)))
-        except httpx.HTTPError as error:
-            return Failure(AnswerLost(repr(error)))
-        return check_status(method, response)
+        seconds = arguments.setdefault('timeout', self.timeout)
+        # The client's own time limits apply to each part of an answer.
+        with trio.move_on_after(seconds + self.timeout):
+            try:
+                async with self.client.stream(method, path, **arguments) as streamed:
+                    response = await read_bounded(streamed)
+            except NOT_SENT_ERRORS as error:
+                return Failure(Unavailable(repr(error)))
+            except httpx.HTTPError as error:
+                return Failure(AnswerLost(repr(error)))
+            return check_status(method, response)
+        return Failure(AnswerLost('the answer did not end in time'))
+
+
+async def read_bounded(streamed: httpx.Response) -> httpx.Response:
+    """Return a response with its body; raise httpx.ReadError if that is too long."""
+    body = bytearray()
+    async for part in streamed.aiter_bytes():
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            raise httpx.ReadError('the answer is too long')
+    headers = [
+        each for each in streamed.headers.items() if each[0] not in FRAMING_HEADERS
+    ]
+    return httpx.Response(streamed.status_code, headers=headers, content=bytes(body))
 
 
 def check_status(
