--- a/standins/workers.py
+++ b/standins/workers.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from enum import Enum, auto, unique
+from typing import NoReturn
 
 import h11
 import trio
@@ -42,6 +43,19 @@
     SILENT = auto()
 
 
+@frozen
+class Endless:
+    """Bytes without end that a server sends in place of an answer."""
+
+    #: The start, in which `ID` stands for the ID of the request.
+    head: bytes
+    part: bytes
+    #: Pause after each part in seconds; 0 to send as fast as they are read.
+    pause: float = 0.0
+    #: How often `part` is sent in one write.
+    repeats: int = 1
+
+
 @frozen
 class RefusedRequest:
     """A refused request and the rest period that the refusal asked for, in seconds."""
@@ -64,6 +78,10 @@
     percent: int = 100
     fault: Fault = Fault.NONE
     is_unresponsive: bool = False
+    #: Bytes without end in place of answers to requests; None for sound answers.
+    endless: Endless | None = None
+    #: Number of connections that were closed by the other side under such bytes.
+    endless_closed: int = 0
     is_unframed: bool = False
     #: Whether requests run but get an error answer that advertises no rate.
     is_failing: bool = False
@@ -207,6 +225,8 @@
                     self.freed.notify()
 
     async def _answer(self, stream, codec, request_id: bytes) -> bool:
+        if self.endless is not None:
+            await self._send_endless(stream, self.endless, request_id)
         if self.fault is Fault.RESET:
             return False
         if self.fault is Fault.CROSSED:
@@ -230,6 +250,18 @@
             await stream.send_all(b'HTTP/1.1 200 OK\r\nrequest-id: x\r\n\r\n')
         return not self.is_unframed
 
+    async def _send_endless(
+        self, stream, endless: Endless, request_id: bytes
+    ) -> NoReturn:
+        try:
+            await stream.send_all(endless.head.replace(b'ID', request_id))
+            while True:
+                await stream.send_all(endless.part * endless.repeats)
+                await trio.sleep(endless.pause)
+        except trio.BrokenResourceError:
+            self.endless_closed += 1
+            raise
+
     def _rate_headers(self, *, is_answer: bool) -> list[tuple[bytes, bytes]]:
         if self.advertised_rate is None or not (
             is_answer or self.is_rate_in_all_answers
