--- a/tests/endless_builders.py
+++ b/tests/endless_builders.py
@@ -88,19 +88,21 @@
     return proxy_to(endless.serve)
 
 
-def upload_proxy():
+def upload_proxy(**limits: int):
     """Run a caller server that sends every call to a server that only reads."""
-    return proxy_to(read_all)
+    return proxy_to(read_all, **limits)
 
 
 @asynccontextmanager
-async def proxy_to(serve: Callable[[trio.SocketStream], Awaitable[None]]):
+async def proxy_to(
+    serve: Callable[[trio.SocketStream], Awaitable[None]], **limits: int
+):
     """Run a caller server that sends every call to one server."""
     async with trio.open_nursery() as nursery:
         listeners = await nursery.start(trio.serve_tcp, serve, 0)
         address = Address('127.0.0.1', listeners[0].socket.getsockname()[1])
         forwarder = OneBackendForwarder(address, BackendPool(), SystemClock())
-        server = caller_server(forwarder)
+        server = caller_server(forwarder, **limits)
         nursery.start_soon(server.run)
         listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
         port = listeners[0].socket.getsockname()[1]
--- a/tests/test_proxy_endless.py
+++ b/tests/test_proxy_endless.py
@@ -127,12 +127,14 @@
             pass
 
 
-async def send_for_ever(stream: trio.SocketStream) -> None:
-    """Send a body in chunks of one byte as fast as it is read."""
+async def send_for_ever(
+    stream: trio.SocketStream, first: bytes = UPLOAD, more: bytes = ONE_BYTE_CHUNK
+) -> None:
+    """Send bytes, by default a body in chunks of one byte, as fast as they are read."""
     async with stream:
-        await stream.send_all(UPLOAD)
+        await stream.send_all(first)
         while True:
-            await stream.send_all(ONE_BYTE_CHUNK * 1000)
+            await stream.send_all(more * 1000)
 
 
 class DiscardedAnswersTest(unittest.TestCase):
@@ -160,3 +162,40 @@
             with trio.fail_after(20.0), self.assertRaises(trio.BrokenResourceError):
                 await send_for_ever(stream)
             nursery.cancel_scope.cancel()
+
+
+class EndlessCallersTest(unittest.TestCase):
+    """A caller sends bytes without end in place of a request or behind one."""
+
+    # Guards against callers whose bytes are read for as long as they come.
+
+    @run
+    async def test_endless_bytes_of_callers_end_their_connections(self):
+        parts = {
+            'lines of a head': (b'GET /a HTTP/1.1\r\n', b'a: b\r\n'),
+            'one line': (b'GET /', b'a' * 1000),
+            'zeros': (b'', bytes(1000)),
+            'one chunk line': (UPLOAD, b'0' * 1000),
+            'trailers': (UPLOAD + b'0\r\n', b'a: b\r\n'),
+        }
+        for name, (first, more) in parts.items():
+            with self.subTest(name=name):
+                async with upload_proxy() as proxy:
+                    with self.assertRaises(trio.BrokenResourceError):
+                        await send_for_ever(await proxy.connect(), first, more)
+
+    @run
+    async def test_endless_bytes_behind_a_request_wait_in_the_socket(self):
+        for requests in (1, 8):
+            async with upload_proxy(max_pipelined_requests=requests) as proxy:
+                stream = await proxy.connect()
+                sent = 0
+                with trio.move_on_after(1.0):
+                    await stream.send_all(GET)
+                    while True:
+                        await stream.send_all(bytes(10_000))
+                        sent += 10_000
+                held = proxy.server.pipelines.instance.held
+                self.assertLessEqual(held, proxy.server.limits.max_pipelined_bytes)
+                self.assertLess(sent, SOCKET_BUFFER_BYTES)
+                await stream.aclose()
