--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -29,6 +29,8 @@
 RECENT_SECONDS = 1.0
 #: Time to pass an answer on whose head came before the deadline.
 ANSWER_GRACE_SECONDS = 1.0
+#: Head, body and end.
+SHORT_ANSWER_EVENTS = 3
 OWN_DIALECT = NativeDialect()
 METHODS_WITH_BODY = frozenset({b'POST', b'PUT', b'PATCH'})
 
@@ -336,6 +338,8 @@
 
 def merge_data(events: list[h11.Event]) -> list[h11.Event]:
     """Return events with the parts of a body that follow one another as one part."""
+    if len(events) <= SHORT_ANSWER_EVENTS:
+        return events
     merged: list[h11.Event] = []
     for is_data, group in groupby(events, lambda each: type(each) is h11.Data):
         parts = list(group)
