Take no end of stream for sound where a write was told of a broken connection

Callers saw a part of a body, or an empty one, as a complete answer: a server answered a long upload at once, without a length, and reset the connection while the upload was written.

Cause: Linux reports the error of a connection once. The write of the upload took ECONNRESET and ended quietly, as the answer tells more; the next read saw an end of stream, which is the end of an answer without a length.

Ruled out: the codec (an answer with chunks or a length was cut each time), and the error itself (where the read came first it raised).

Change: a connection keeps the error that a write took, and a read that finds no bytes then raises. EPIPE is no such error: then the server ended its stream before its kernel answered the rest of the upload with a reset, and what it sent is whole. All of this is in Wire, so it holds for relayed calls at both ends, the store's client and callers' connections too.

HTTP/1.0 callers are not covered by this.

--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 connection: an h11 codec on a trio stream."""
 
+import errno
 import os
 import socket
 import struct
@@ -49,6 +50,8 @@
     arrived_at: float | None = None
     #: Whether encoded bytes are not all written; the codec counts them as sent.
     has_unwritten: bool = False
+    #: Error that a write took from the connection; it is not reported to reads.
+    write_error: OSError | None = None
     #: Events that were parsed since the connection last waited for its turn.
     events_in_turn: int = 0
     #: Interim answers (1xx) that were received before the final one.
@@ -176,6 +179,14 @@
 
         If the write fails or is cancelled, the bytes remain unwritten for good.
         """
+        try:
+            await self._write(data)
+        except ConnectionErrors as error:
+            self._keep_write_error(error)
+            raise
+        self.has_unwritten = False
+
+    async def _write(self, data: bytes) -> None:
         if type(self.stream) is trio.SocketStream:
             try:
                 sent = os.write(self._descriptor(), data)
@@ -184,10 +195,31 @@
             data = data[sent:]
         if data:
             await self.stream.send_all(data)
-        self.has_unwritten = False
+
+    def _keep_write_error(self, error: Exception) -> None:
+        """Keep the error of a connection that broke under a write.
+
+        EPIPE is none: then the other side has ended its stream before it reset the
+        connection, and what it sent is whole.
+        """
+        cause = error if isinstance(error, OSError) else error.__cause__
+        if isinstance(cause, OSError) and cause.errno != errno.EPIPE:
+            self.write_error = cause
 
     async def read(self, max_bytes: int = RECEIVE_SIZE) -> bytes:
-        """Return the next bytes, past the codec; no bytes at the end of the stream."""
+        """Return the next bytes, past the codec; no bytes at the end of the stream.
+
+        Raise trio.BrokenResourceError where the stream has no end but broke: the system
+        reports an error once, and after a write took it, a read returns no bytes.
+        """
+        data = await self._read(max_bytes)
+        if not data and self.write_error is not None:
+            raise trio.BrokenResourceError(
+                f'the connection broke under a write: {self.write_error}'
+            ) from self.write_error
+        return data
+
+    async def _read(self, max_bytes: int) -> bytes:
         if type(self.stream) is not trio.SocketStream:
             return await self.stream.receive_some(max_bytes)
         while True:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,7 +16,9 @@
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.caller_limits import CallerLimits
 from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.exchange import Attempt
+from catkinslip.proxy.native_dialect import NativeDialect
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.wire import Wire
@@ -97,14 +99,19 @@
     pool: BackendPool
     clock: Clock
     outcomes: list[Outcome] = Factory(list)
+    dialect: Dialect = Factory(NativeDialect)
 
     async def forward(self, call: Call, caller: Wire) -> Outcome:
-        attempt = Attempt(call, self.address, caller, self.pool, self.clock)
+        attempt = Attempt(
+            call, self.address, caller, self.pool, self.clock, dialect=self.dialect
+        )
         self.outcomes.append(await attempt.run())
         return self.outcomes[-1]
 
 
-def caller_server(forwarder, **limits: object) -> CallerServer:
+def caller_server(
+    forwarder, dialect: Dialect | None = None, **limits: object
+) -> CallerServer:
     """Return a caller server that passes calls to a forwarder."""
     environment = Environment(clock=forwarder.clock, random=Random(1))
     own = Member('entry-1', 1, 'zone-a', '127.0.0.1:1', '127.0.0.1:2')
@@ -112,7 +119,12 @@
     resolver = AddressResolver(MemberTable(own), 'zone-a', 10.0, issuer)
     bounds = CallerLimits(**limits)
     return CallerServer(
-        environment, ConfigHolder(), forwarder, AddressPages(resolver), bounds
+        environment,
+        ConfigHolder(),
+        forwarder,
+        AddressPages(resolver),
+        bounds,
+        dialect=dialect or NativeDialect(),
     )
 
 
