Read answers without a length whole for HTTP/1.0 callers that upload

Such callers saw a part of an answer as complete, where the server broke off under the upload: they know its end by the end of the connection only, and a write of their upload may take the reset that stands for the break. Answers with chunks are concerned too, as HTTP/1.0 has none.

Ruled out: resetting later. The caller's upload is not read any more by then, so any of its writes may come first.

Change: as long as the upload of an HTTP/1.0 caller is not read to its end, an answer without a length is read whole and gets one; if the upload ends first, the rest is passed on as it is read. An answer that breaks off meanwhile is a 502. Above 1 MiB, or 16 MiB of all, it is a 502 as well: such an answer was passed on before, and cannot be told from a broken one.

--- a/catkinslip/proxy/exchange.py
+++ b/catkinslip/proxy/exchange.py
@@ -17,6 +17,7 @@
 from catkinslip.proxy.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from catkinslip.proxy.pool import MAX_IDLE_SECONDS, BackendPool
 from catkinslip.proxy.stopping import StopGate
+from catkinslip.proxy.whole_answers import must_be_whole, read_whole
 from catkinslip.proxy.wire import ConnectionErrors, Wire
 from catkinslip.routing import reports
 from catkinslip.routing.signals import ServerSignals
@@ -248,12 +249,26 @@
         return Unknown(Reason.BROKEN, connection_break.detail)
 
     async def _pass_on(self, head: AnswerHead) -> Outcome:
-        pending: list[h11.Event] = [self._answer_head(head)]
+        start = self._answer_head(head)
+        if not must_be_whole(self.caller, start, self.call.method):
+            return await self._send_as_read(head, [start])
+        try:
+            events = await read_whole(head.wire, self.caller, start)
+        except (*ConnectionErrors, h11.RemoteProtocolError) as error:
+            return self._record_break(head.wire, error)
+        if isinstance(events, Unknown):
+            return events
+        return await self._send_as_read(head, events)
+
+    async def _send_as_read(
+        self, head: AnswerHead, pending: list[h11.Event]
+    ) -> Outcome:
         wire = head.wire
         while True:
             try:
-                pending += wire.take_arrived()
-                is_whole = bool(pending) and type(pending[-1]) is h11.EndOfMessage
+                if not ends_message(pending):
+                    pending += wire.take_arrived()
+                is_whole = ends_message(pending)
                 if is_whole:
                     # Without the trailers.
                     pending[-1] = h11.EndOfMessage()
@@ -336,6 +351,11 @@
     return AnswerKind.ANSWER if status < 400 else AnswerKind.FAILURE
 
 
+def ends_message(events: list[h11.Event]) -> bool:
+    """Return whether the last of the events is the end of a message."""
+    return bool(events) and type(events[-1]) is h11.EndOfMessage
+
+
 def merge_data(events: list[h11.Event]) -> list[h11.Event]:
     """Return events with the parts of a body that follow one another as one part."""
     if len(events) <= SHORT_ANSWER_EVENTS:
--- a/tests/broken_answer_builders.py
+++ b/tests/broken_answer_builders.py
@@ -30,12 +30,15 @@
 UNFRAMED = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'\r\n'
 REQUEST = b'POST /a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n'
 CHUNKED_UPLOAD = REQUEST + b'Transfer-Encoding: chunked\r\n\r\n'
-SIZED_UPLOAD = REQUEST.replace(
-    b'HTTP/1.1', b'HTTP/1.0'
-) + b'Content-Length: %d\r\n\r\n' % (PART_BYTES * SIZED_PARTS)
 CHUNK = b'%x\r\n' % PART_BYTES + bytes(PART_BYTES) + b'\r\n'
 
 
+def sized_upload(parts: int) -> bytes:
+    """Return the head of an upload of HTTP/1.0 with this number of parts."""
+    head = REQUEST.replace(b'HTTP/1.1', b'HTTP/1.0')
+    return head + b'Content-Length: %d\r\n\r\n' % (PART_BYTES * parts)
+
+
 @unique
 class End(Enum):
     """How a server ends a connection whose upload it does not read."""
@@ -44,6 +47,8 @@
     RESET = auto()
     #: With the end of its stream; the rest of the upload is then answered by a reset.
     SHUT_DOWN = auto()
+    #: Not at all.
+    NONE = auto()
 
 
 @define
@@ -52,16 +57,29 @@
 
     answer: bytes
     end: End = End.RESET
+    #: Whether the upload is read before the answer is sent.
+    reads: bool = False
     #: Whether the answer is sent, behind which the connection ends in the same step.
     has_sent: bool = False
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
+        try:
+            await self._answer(stream)
+        except trio.BrokenResourceError:
+            # The other side does not want the rest of the answer.
+            await trio.aclose_forcefully(stream)
+
+    async def _answer(self, stream: trio.SocketStream) -> None:
         data = b''
         while b'\r\n\r\n' not in data:
             data += await stream.receive_some()
+        if self.reads:
+            await read_body(stream, data)
         await stream.send_all(self.answer)
         self.has_sent = True
+        if self.end is End.NONE:
+            await trio.sleep_forever()
         if self.end is End.SHUT_DOWN:
             await stream.send_eof()
         else:
@@ -69,6 +87,15 @@
         await trio.aclose_forcefully(stream)
 
 
+async def read_body(stream: trio.SocketStream, data: bytes) -> None:
+    """Read the rest of a body with a length."""
+    head, _, body = data.partition(b'\r\n\r\n')
+    length = int(head.lower().partition(b'content-length: ')[2].partition(b'\r')[0])
+    remaining = length - len(body)
+    while remaining > 0:
+        remaining -= len(await stream.receive_some())
+
+
 @define
 class UploadProxy:
     """A caller server in front of one server, and what callers received."""
--- a/tests/test_proxy_reset_uploads.py
+++ b/tests/test_proxy_reset_uploads.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import httpx
 import trio
@@ -9,16 +10,20 @@
 
 from catkinslip.models import Address
 from catkinslip.page_client import PageClient
+from catkinslip.proxy import whole_answers
 from catkinslip.proxy.outcomes import Answered, Outcome, Reason, Unknown
+from catkinslip.proxy.whole_answers import MAX_WHOLE_ANSWER_BYTES
 from catkinslip.store.base import AnswerLost, ObjectKey
 from catkinslip.store.http import HttpStore
 from tests.broken_answer_builders import (
     PART_BYTES,
+    SIZED_PARTS,
     UNFRAMED,
     EarlyServer,
     End,
     is_complete,
     relaying_proxy,
+    sized_upload,
     upload_proxy,
     write_fails_first,
 )
@@ -26,6 +31,7 @@
 FAILURE = UNFRAMED.replace(b'200 OK', b'500 Broken')
 CHUNKED = UNFRAMED[:-2] + b'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n'
 SIZED = UNFRAMED[:-2] + b'Content-Length: 9\r\n\r\npart'
+LAST_CHUNK = b'0\r\n\r\n'
 SECONDS = 20.0
 #: More than the buffers of a connection hold.
 LARGE_BODY_BYTES = 32 << 20
@@ -85,6 +91,56 @@
         self.assertIs(outcome.reason, Reason.BROKEN)
 
 
+class OldCallerTest(unittest.TestCase):
+    """A caller of HTTP/1.0 uploads while its answer, without a length, breaks off."""
+
+    # Guards against a break that the caller's write takes, so that its read sees the
+    # end of the connection, which is the end of such an answer.
+
+    def upload(self, server: EarlyServer, parts: int = SIZED_PARTS) -> bytes:
+        """Return the answer to an upload with a length."""
+
+        async def run() -> bytes:
+            async with upload_proxy(server) as proxy:
+                head = sized_upload(parts)
+                return await proxy.upload(head, bytes(PART_BYTES), parts)
+
+        return trio.run(run)
+
+    def test_part_of_an_answer_reached_an_uploading_caller(self):
+        for answer in (UNFRAMED, UNFRAMED + b'part', FAILURE + b'part', CHUNKED):
+            with self.subTest(answer):
+                received = self.upload(EarlyServer(answer))
+                self.assertTrue(received.startswith(b'HTTP/1.1 502 '), received)
+
+    def test_answer_that_is_whole_gets_its_length(self):
+        answers = (UNFRAMED + b'whole', CHUNKED.replace(b'part', b'whol') + LAST_CHUNK)
+        for answer in answers:
+            with self.subTest(answer):
+                received = self.upload(EarlyServer(answer, End.SHUT_DOWN))
+                head, _, body = received.partition(b'\r\n\r\n')
+                self.assertIn(b'content-length: %d' % len(body), head.lower())
+                self.assertTrue(body.startswith(b'whol'), body)
+
+    def test_answer_that_cannot_be_held_is_not_sent(self):
+        body = bytes(2 * MAX_WHOLE_ANSWER_BYTES)
+        server = EarlyServer(UNFRAMED + body, End.NONE)
+        received = self.upload(server)
+        self.assertTrue(received.startswith(b'HTTP/1.1 502 '), received[:99])
+
+    def test_answers_that_are_held_at_once_have_a_limit(self):
+        # A server of such answers must not take all memory.
+        with mock.patch.object(whole_answers, 'MAX_HELD_BYTES', 1000):
+            received = self.upload(EarlyServer(UNFRAMED + bytes(1001), End.NONE))
+        self.assertTrue(received.startswith(b'HTTP/1.1 502 '), received[:99])
+
+    def test_long_answer_behind_the_upload_is_passed_on(self):
+        body = bytes(2 * MAX_WHOLE_ANSWER_BYTES)
+        server = EarlyServer(UNFRAMED + body, End.SHUT_DOWN, reads=True)
+        received = self.upload(server, parts=2)
+        self.assertTrue(received.endswith(b'\r\n\r\n' + body), received[:200])
+
+
 class ResetUnderOwnCallTest(unittest.TestCase):
     """The store, or a peer, resets a call of an instance whose body is being sent."""
 
