Take no head with a continued line for an answer

Callers got a 200 whose signature was changed (`response-signature: s.1 Bad-Name: 1`): a line of the server's head began with a blank, and the codec joined it to the field before it. A length in such a line was no length any more, so that the body was read to the end of the connection.

Cause: the codec accepts folded lines (obs-fold), and only heads of callers were checked for them. RFC 9112, 5.2, lets a proxy answer 502 or replace the fold; a replaced one would still be a signature that its server did not send.

Change: Wire checks the bytes of each head that the codec has parsed as an answer, final or interim. There is no second parser: the bytes are those that the codec consumed. All readers of answers share Wire: requests, relayed calls at both ends, health checks, pages of peers, the platform's store, the native program's servers. The daemon's httpx clients are not covered; they read JSON of their own store and peers.

--- a/catkinslip/proxy/head_checks.py
+++ b/catkinslip/proxy/head_checks.py
@@ -26,13 +26,23 @@
     lines = head.count(CRLF)
     if head.count(b'\n') != lines or head.count(b'\r') != lines:
         return 'a line does not end in CRLF'
-    if b'\n ' in head or b'\n\t' in head:
+    if is_folded(head):
         return 'a header is folded'
-    if len(head.translate(None, CONTROLS)) != len(head):
+    if has_controls(head):
         return 'a control character stands in the head'
     return None
 
 
+def is_folded(head: bytes) -> bool:
+    """Return whether a line of a head continues the one before it."""
+    return b'\n ' in head or b'\n\t' in head
+
+
+def has_controls(head: bytes) -> bool:
+    """Return whether a control character stands in a head, besides in line ends."""
+    return len(head.translate(None, CONTROLS)) != len(head)
+
+
 def check_framing(head: bytes) -> NotRun | None:
     """Return the refusal of a head with ambiguous body framing; None if it is clear."""
     found = FRAMING.findall(head)
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -10,6 +10,7 @@
 import trio
 from attrs import define
 
+from catkinslip.proxy.answer_checks import find_head_fault
 from catkinslip.proxy.chunk_checks import ChunkCheck
 
 RECEIVE_SIZE = 65536
@@ -26,6 +27,10 @@
 #: Lock that lets one connection at a time go on to parse a long message.
 TURN_LOCK: trio.lowlevel.RunVar[trio.Lock] = trio.lowlevel.RunVar('turn')
 
+#: States of a server in which the head of an answer is due; it may come early.
+HEAD_STATES = frozenset({h11.IDLE, h11.SEND_RESPONSE})
+ANSWER_HEADS = frozenset({h11.Response, h11.InformationalResponse})
+
 ConnectionErrors = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -78,7 +83,7 @@
 
         Raise h11.RemoteProtocolError if bytes are invalid or no final answer comes.
         """
-        event = self.codec.next_event()
+        event = self._next_head() if self._is_head_due() else self.codec.next_event()
         self.events_in_turn += 1
         if type(event) is h11.InformationalResponse:
             self.interim_answers += 1
@@ -86,6 +91,22 @@
                 raise h11.RemoteProtocolError('too many interim answers')
         return event
 
+    def _is_head_due(self) -> bool:
+        """Return whether the next bytes from a server are those of an answer's head."""
+        codec = self.codec
+        return codec.our_role is h11.CLIENT and codec.their_state in HEAD_STATES
+
+    def _next_head(self) -> Any:
+        received, _ = self.codec.trailing_data
+        event = self.codec.next_event()
+        if type(event) in ANSWER_HEADS:
+            behind, _ = self.codec.trailing_data
+            fault = find_head_fault(received[: len(received) - len(behind)])
+            if fault is not None:
+                self.must_close = True
+                raise h11.RemoteProtocolError(fault)
+        return event
+
     def take_arrived(self) -> list[Any]:
         """Return the events that have arrived, as far as the turn and message go."""
         events: list[Any] = []
--- a/tests/broken_answer_builders.py
+++ b/tests/broken_answer_builders.py
@@ -1,7 +1,7 @@
 """Servers whose answers break off under an upload, and callers that upload."""
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from enum import Enum, auto, unique
 from unittest import mock
@@ -15,6 +15,7 @@
 from catkinslip.platform.dialect import PlatformDialect
 from catkinslip.proxy.call import Call
 from catkinslip.proxy.callers import CallerServer
+from catkinslip.proxy.dialect import Dialect
 from catkinslip.proxy.outcomes import Outcome
 from catkinslip.proxy.pool import BackendPool
 from catkinslip.proxy.relayed import RelayHead
@@ -33,6 +34,11 @@
 CHUNK = b'%x\r\n' % PART_BYTES + bytes(PART_BYTES) + b'\r\n'
 
 
+GET = (
+    b'GET /a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nConnection: close\r\n\r\n'
+)
+
+
 def sized_upload(parts: int) -> bytes:
     """Return the head of an upload of HTTP/1.0 with this number of parts."""
     head = REQUEST.replace(b'HTTP/1.1', b'HTTP/1.0')
@@ -104,6 +110,10 @@
     forwarder: OneBackendForwarder
     port: int
 
+    async def ask(self) -> bytes:
+        """Send a request without a body, and return all bytes of the answer."""
+        return await self.upload(GET, parts=0)
+
     async def upload(
         self,
         head: bytes = CHUNKED_UPLOAD,
@@ -147,43 +157,6 @@
         return
 
 
-@asynccontextmanager
-async def upload_proxy(server: EarlyServer):
-    """Run a caller server of the platform that sends every call to one server."""
-    async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
-        address = Address('127.0.0.1', listeners[0].socket.getsockname()[1])
-        dialect = PlatformDialect()
-        forwarder = OneBackendForwarder(
-            address, BackendPool(), SystemClock(), dialect=dialect
-        )
-        callers = caller_server(forwarder, dialect)
-        nursery.start_soon(callers.run)
-        listeners = await nursery.start(trio.serve_tcp, callers.serve, 0)
-        port = listeners[0].socket.getsockname()[1]
-        with trio.fail_after(GENEROUS_SECONDS):
-            yield UploadProxy(callers, forwarder, port)
-        nursery.cancel_scope.cancel()
-
-
-@asynccontextmanager
-async def relaying_proxy(server: EarlyServer):
-    """Run an instance that relays every call to another one in front of a server."""
-    async with upload_proxy(server) as receiver, trio.open_nursery() as nursery:
-        sender = RelayingForwarder(
-            Address('127.0.0.1', receiver.port),
-            BackendPool(),
-            SystemClock(),
-            dialect=PlatformDialect(),
-        )
-        callers = caller_server(sender, sender.dialect)
-        nursery.start_soon(callers.run)
-        listeners = await nursery.start(trio.serve_tcp, callers.serve, 0)
-        port = listeners[0].socket.getsockname()[1]
-        yield UploadProxy(callers, sender, port)
-        nursery.cancel_scope.cancel()
-
-
 @define
 class RelayingForwarder(OneBackendForwarder):
     """Forwarder that relays every call to one other instance."""
@@ -204,6 +177,39 @@
         return self.outcomes[-1]
 
 
+@asynccontextmanager
+async def upload_proxy(
+    server: EarlyServer | CallerServer,
+    dialect: Dialect | None = None,
+    make_forwarder: Callable[..., OneBackendForwarder] = OneBackendForwarder,
+):
+    """Run a caller server, of the platform by default, that calls one server."""
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
+        address = Address('127.0.0.1', listeners[0].socket.getsockname()[1])
+        dialect = dialect or PlatformDialect()
+        forwarder = make_forwarder(
+            address, BackendPool(), SystemClock(), dialect=dialect
+        )
+        callers = caller_server(forwarder, dialect)
+        nursery.start_soon(callers.run)
+        listeners = await nursery.start(trio.serve_tcp, callers.serve, 0)
+        port = listeners[0].socket.getsockname()[1]
+        with trio.fail_after(GENEROUS_SECONDS):
+            yield UploadProxy(callers, forwarder, port)
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def relaying_proxy(server: EarlyServer):
+    """Run an instance that relays every call to another one in front of a server."""
+    async with (
+        upload_proxy(server) as receiver,
+        upload_proxy(receiver.server, make_forwarder=RelayingForwarder) as sender,
+    ):
+        yield sender
+
+
 @define
 class FailedWrites:
     """Events that are set as a write to a connection fails, by wire."""
