--- a/tests/test_proxy_answer_heads.py
+++ b/tests/test_proxy_answer_heads.py
@@ -112,6 +112,14 @@
         interim = b'HTTP/1.1 103 Early\r\nA: 1\r\n b\r\n\r\n'
         self.check_broken(interim + answer())
 
+    # Guards against control characters that callers get with an answer.
+    def test_control_character_in_a_head_was_passed_on(self):
+        controls = (b'\x01', b'\x08', b'\x1b', b'\x7f')
+        self.check_broken(
+            *(answer(b'A: 1' + each + b'2\r\n') for each in controls),
+            *(answer(start=b'HTTP/1.1 200 O%sK\r\n' % each) for each in controls),
+        )
+
     def test_unusual_heads_are_passed_on(self):
         self.check_passed_on(
             answer(),
