Take no status above 599 for an answer

Callers got an answer with status 600, 700 or 999 and the server's signature. HTTP has no such status (RFC 9110, 15), and each caller may read it as another class.

Ruled out: passing it on as 500. A failure with a signature must have the status that its server gave. As with 000 and 20, which the codec rejects, the server is taken to be in trouble: the request is `broken`, 502, or sent elsewhere where it may be.

--- a/catkinslip/proxy/answer_checks.py
+++ b/catkinslip/proxy/answer_checks.py
@@ -4,13 +4,21 @@
 https://www.rfc-editor.org/rfc/rfc9112#section-5.2
 """
 
+import h11
+
 from catkinslip.proxy.head_checks import has_controls, is_folded
 
+MAX_STATUS = 599
+
+AnswerHead = h11.Response | h11.InformationalResponse
+
 
-def find_head_fault(head: bytes) -> str | None:
-    """Return the fault in the bytes of an answer's head; None if there is none."""
+def find_head_fault(head: bytes, answer: AnswerHead) -> str | None:
+    """Return the fault in the head of an answer, as received and as parsed, or None."""
     if is_folded(head):
         return 'a header is folded'
     if has_controls(head):
         return 'a control character stands in the head'
+    if answer.status_code > MAX_STATUS:
+        return f'{answer.status_code} is no status'
     return None
--- a/catkinslip/proxy/wire.py
+++ b/catkinslip/proxy/wire.py
@@ -101,7 +101,8 @@
         event = self.codec.next_event()
         if type(event) in ANSWER_HEADS:
             behind, _ = self.codec.trailing_data
-            fault = find_head_fault(received[: len(received) - len(behind)])
+            head = received[: len(received) - len(behind)]
+            fault = find_head_fault(head, event)
             if fault is not None:
                 self.must_close = True
                 raise h11.RemoteProtocolError(fault)
--- a/tests/test_proxy_answer_heads.py
+++ b/tests/test_proxy_answer_heads.py
@@ -120,6 +120,12 @@
             *(answer(start=b'HTTP/1.1 200 O%sK\r\n' % each) for each in controls),
         )
 
+    # Guards against a status of no class that callers get with a signature.
+    def test_status_above_599_was_passed_on(self):
+        statuses = (b'600', b'700', b'999')
+        starts = (b'HTTP/1.1 %s X\r\n' % status for status in statuses)
+        self.check_broken(*(answer(start=start) for start in starts))
+
     def test_unusual_heads_are_passed_on(self):
         self.check_passed_on(
             answer(),
