Take no version with another major number for an answer

Callers got a 200 for a status line with HTTP/0.9, 2.7 or 3.0: the codec accepts any two digits. A server that means it frames its answer by other rules than those that are applied here.

HTTP/1.9 is read as HTTP/1.1, as RFC 9110, 2.5, asks.

--- a/catkinslip/proxy/answer_checks.py
+++ b/catkinslip/proxy/answer_checks.py
@@ -9,6 +9,7 @@
 from catkinslip.proxy.head_checks import has_controls, is_folded
 
 MAX_STATUS = 599
+MAJOR_VERSION = b'1.'
 
 AnswerHead = h11.Response | h11.InformationalResponse
 
@@ -21,4 +22,6 @@
         return 'a control character stands in the head'
     if answer.status_code > MAX_STATUS:
         return f'{answer.status_code} is no status'
+    if not answer.http_version.startswith(MAJOR_VERSION):
+        return 'only HTTP/1.0 and HTTP/1.1 are spoken'
     return None
--- a/tests/test_proxy_answer_heads.py
+++ b/tests/test_proxy_answer_heads.py
@@ -126,6 +126,11 @@
         starts = (b'HTTP/1.1 %s X\r\n' % status for status in statuses)
         self.check_broken(*(answer(start=start) for start in starts))
 
+    # Guards against an answer in a protocol that this instance does not speak.
+    def test_version_with_another_major_number_was_passed_on(self):
+        starts = (b'HTTP/%s 200 OK\r\n' % each for each in (b'0.9', b'2.7', b'3.0'))
+        self.check_broken(*(answer(start=start) for start in starts))
+
     def test_unusual_heads_are_passed_on(self):
         self.check_passed_on(
             answer(),
