Take no chunks of HTTP/1.0 for an answer

Callers got the decoded body of an answer of HTTP/1.0 with chunks. RFC 9112, 6.1: its framing is faulty, as something between may not have understood the chunks. Requests of this form were refused already.

--- a/catkinslip/proxy/answer_checks.py
+++ b/catkinslip/proxy/answer_checks.py
@@ -6,10 +6,12 @@
 
 import h11
 
+from catkinslip.proxy import headers as names
 from catkinslip.proxy.head_checks import has_controls, is_folded
 
 MAX_STATUS = 599
 MAJOR_VERSION = b'1.'
+VERSION_WITHOUT_CHUNKS = b'1.0'
 
 AnswerHead = h11.Response | h11.InformationalResponse
 
@@ -24,4 +26,8 @@
         return f'{answer.status_code} is no status'
     if not answer.http_version.startswith(MAJOR_VERSION):
         return 'only HTTP/1.0 and HTTP/1.1 are spoken'
+    if answer.http_version != VERSION_WITHOUT_CHUNKS:
+        return None
+    if names.find(answer.headers, b'transfer-encoding') is not None:
+        return 'HTTP/1.0 has no transfer codings'
     return None
--- a/tests/test_proxy_answer_heads.py
+++ b/tests/test_proxy_answer_heads.py
@@ -131,6 +131,11 @@
         starts = (b'HTTP/%s 200 OK\r\n' % each for each in (b'0.9', b'2.7', b'3.0'))
         self.check_broken(*(answer(start=start) for start in starts))
 
+    # Guards against a body whose end a proxy before the server may have missed.
+    def test_chunks_of_http_1_0_were_decoded(self):
+        chunks = b'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'
+        self.check_broken(b'HTTP/1.0 200 OK\r\n' + SIGNED + chunks)
+
     def test_unusual_heads_are_passed_on(self):
         self.check_passed_on(
             answer(),
