Test odd entries among servers beside whole instances, and names in trailers

Another writer's entry with a port out of range (65536, 10**400, -1), a number too large (slots, a cold time of 10**400) or nested lists (zone, start, cold time; 300 deep, as the stand-in for the store does not encode deeper ones) takes out only itself: two instances follow each later change, a third one starts beside it, a request is answered. Deeper ones, as texts, had tests before.

Names of fields in trailers that are none (a blank inside or before the colon, control characters, none at all) end the answer as broken.

--- a/tests/small_platform.py
+++ b/tests/small_platform.py
@@ -127,6 +127,12 @@
         item = server_item(server_id, service, port, **fields)
         self.store.put('servers', server_id, item['spec'], item['status'])
 
+    async def wait_for_backends(self, names: set[str]) -> None:
+        """Wait until each instance knows just these servers."""
+        for entry in self.entries:
+            known = entry.assembler
+            await wait_for(lambda each=known: set(each.current_backends) == names)
+
     def server_source(self) -> KindSource:
         """Return a source of the servers registered in the store."""
         address = Address('127.0.0.1', self.store_port)
--- a/tests/test_platform_foreign_entries.py
+++ b/tests/test_platform_foreign_entries.py
@@ -14,6 +14,8 @@
 #: Half of a surrogate pair, as JSON writers show a byte that is no UTF-8.
 HALF_PAIR = '\udcff'
 NESTING = 1000
+#: As deep as the stand-in for the store encodes.
+STORED_NESTING = 300
 LARGE_TEXT = 1_000_000
 #: JSON texts that decoders reject for different reasons.
 REJECTED_TEXTS = (
@@ -23,6 +25,18 @@
     '{"addr":"127.0.0.1:9\x01\n","info":{"slots":1e999}}',
     '{"addr":"127.0.0.1:9",,"info":nothing}',
 )
+STORED_LISTS = load_json(b'[' * STORED_NESTING + b']' * STORED_NESTING)
+#: Fields of servers whose entries are no servers.
+ODD_FIELDS = (
+    {'port': 65536},
+    {'port': 10**400},
+    {'port': -1},
+    {'port': 9, 'slots': 10**400},
+    {'port': 9, 'cold_left_s': 10**400},
+    {'port': 9, 'zone': STORED_LISTS},
+    {'port': 9, 'born': STORED_LISTS},
+    {'port': 9, 'cold_left_s': STORED_LISTS},
+)
 
 
 def nested_lists() -> object:
@@ -158,6 +172,22 @@
 
         on_platform(check)
 
+    def test_odd_entry_among_servers_ended_instances_or_hid_later_changes(self):
+        # Each decodes as JSON, and is then deep, too large or out of range.
+        async def check(platform):
+            await add_foreign_entry(platform, 'i-other')
+            for number, fields in enumerate(ODD_FIELDS):
+                platform.register(f'odd-{number}', 'one', **fields)
+                await platform.add_worker(f'i-new-{number}')
+                platform.store.remove('servers', f'i-new-{number - 1}')
+                expected = {'i-1', 'i-other', f'i-new-{number}'}
+                await platform.wait_for_backends(expected)
+            await platform.add_entry(0)
+            await platform.wait_for_backends(expected)
+            self.assertEqual((await platform.get()).status_code, 200)
+
+        on_platform(check)
+
     def test_nested_lists_ended_the_reader_of_the_store(self):
         for field in ('addr', 'info', 'born'):
             item = server_item('i-1', 'one', 9)
--- a/tests/test_proxy_answer_heads.py
+++ b/tests/test_proxy_answer_heads.py
@@ -82,6 +82,13 @@
             *(answer(line, start) for line in (*lines, b'A\r\n') for start in starts)
         )
 
+    # Guards against a body that is complete to its caller before a line that is none.
+    def test_name_in_a_trailer_that_is_none_is_no_answer(self):
+        chunks = b'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n'
+        start = START + SIGNED + chunks
+        names = (b'A B', b'A ', b'A\x01', b'A\x7f', b'')
+        self.check_broken(*(start + name + b': 1\r\n\r\n' for name in names))
+
     # Guards against a body whose end two readers would find at different bytes.
     def test_framing_that_is_ambiguous_is_no_answer(self):
         framings = (
