--- a/catkinslip/proxy/whole_answers.py
+++ b/catkinslip/proxy/whole_answers.py
@@ -10,6 +10,7 @@
 from attrs import define
 
 from catkinslip.proxy import headers as names
+from catkinslip.proxy.answer_checks import VERSION_WITHOUT_CHUNKS
 from catkinslip.proxy.answers import is_unframed
 from catkinslip.proxy.outcomes import Reason, Unknown
 from catkinslip.proxy.wire import Wire
@@ -17,7 +18,6 @@
 MAX_WHOLE_ANSWER_BYTES = 1 << 20
 #: Of all answers that are read at a time, so that servers cannot take all memory.
 MAX_HELD_BYTES = 16 << 20
-VERSION_WITHOUT_CHUNKS = b'1.0'
 
 
 def must_be_whole(caller: Wire, head: h11.Response, method: bytes) -> bool:
@@ -65,8 +65,7 @@
     held = held_answers()
     try:
         while is_uploading(caller):
-            is_whole = take_body(wire, body, held)
-            if is_whole:
+            if take_body(wire, body, held):
                 start = with_length(head, len(body))
                 return [start, h11.Data(data=body), h11.EndOfMessage()]
             if len(body) > MAX_WHOLE_ANSWER_BYTES or held.total > MAX_HELD_BYTES:
